C3 decides searches over replicated shards; adapter for the wire of the drill

First faithful version: score with concurrency term, cubic limit, shard backlog, set-aside and trial of servers, cold guard, launch budget, second copies.

--- /dev/null
+++ b/src/base/ids.hpp
@@ -0,0 +1,25 @@
+// Each kind of id is a type of its own, so that one can never stand in for another.
+#pragma once
+#include <compare>
+#include <cstdint>
+
+namespace ivyrill {
+
+template <class Tag, class Number> struct Id {
+    Number value{};
+    friend constexpr auto operator<=>(const Id&, const Id&) = default;
+};
+
+using SearchId = Id<struct SearchTag, std::uint32_t>;
+using PartId = Id<struct PartTag, std::uint32_t>;
+using JobNo = Id<struct JobTag, std::uint64_t>; // what ties the parts of one search together
+using ShardNo = Id<struct ShardTag, std::int32_t>;
+using CellNo = Id<struct CellTag, std::int32_t>;
+using ServerId = Id<struct ServerTag, std::uint32_t>;
+using ProductNo = Id<struct ProductTag, std::int32_t>;
+using TenantNo = Id<struct TenantTag, std::int32_t>;
+using ZoneNo = Id<struct ZoneTag, std::int32_t>;
+using KindNo = Id<struct KindTag, std::int32_t>;
+using LaunchNo = Id<struct LaunchTag, std::uint32_t>; // counts the launches of one part from 0
+
+} // namespace ivyrill
--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,734 @@
+// The one decision module of ivyrill: C3 over replicated shards, and what the rules and broken servers ask
+// beside it. How it is called: its interface stands in brain.hpp. The caller makes one Brain an instance,
+// hands it each turn's events by `on`, in order, and then calls `decide` once; all actions go to the Host.
+// `on` only learns. `decide` works out the wanted state (which launches should be out, which searches end,
+// who is probed, when to wake), and `emit` alone turns its difference to the present state into actions.
+// docs/design.md tells what is C3's, what departs from it, and when each departure acts.
+#include "brain.hpp"
+
+#include "base/pcg.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+
+namespace ivyrill {
+
+namespace {
+
+constexpr Tenths kNever = std::numeric_limits<Tenths>::max();
+
+// C3's own figures, from the paper and the design page.
+constexpr Tenths kWindow = 200;      // 20 ms, the span that a sending limit counts over
+constexpr double kStartLimit = 10;   // parts a window
+constexpr double kLeastLimit = 2;    // parts a window
+constexpr double kRecentMultiple = 2; // ... or this many times our recent sends
+constexpr double kStepCap = 10;      // smax
+constexpr double kCut = 0.2;         // beta
+constexpr double kSaddle = 1000;     // 100 ms
+constexpr double kGamma = kCut * kStartLimit / (kSaddle * kSaddle * kSaddle);
+constexpr Tenths kHold = 2 * kWindow; // no cut so soon after a rise
+constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
+
+// Ours. Shares of a due span, unless said otherwise.
+constexpr double kFresh = 0.3;          // weight of a new answer in a mean
+constexpr double kDeviations = 4;       // a launch is overdue past the mean and so many mean deviations
+constexpr double kLeastPatience = 0.15; // but not before this
+constexpr double kMostPatience = 0.35;  // and at the latest here
+constexpr double kFaultLimit = 0.5;     // mean of recent failures that sets a server aside
+constexpr double kProbeGap = 0.15;      // between probes to a server set aside
+constexpr int kMostSetbacks = 3;        // doublings of that gap
+constexpr int kPassesNeeded = 2;        // probes in a row before a trial
+constexpr int kTrialEnd = 8;            // trial room at which a server is fully back
+constexpr double kPatientShare = 0.4;   // part of the time left that the least paying search may wait
+constexpr double kFurtherRatio = 0.2;   // further launches a part, where the terms state no budget
+constexpr double kFurtherSpare = 5;
+constexpr double kColdSafety = 0.6;     // our estimate of a cold server's capacity is rough
+constexpr double kWeightSlack = 1e-6;
+
+enum class Standing { kIn, kAside, kTrial };
+enum class Stage { kPlanned, kOut, kOver };
+enum class Fate { kOpen, kWhole, kPartial, kPushedBack, kScrapped, kEnded };
+
+struct Launch { // lives from its plan to its return
+    ServerId server;
+    Stage stage = Stage::kPlanned;
+    bool wanted = true;
+    bool recalled = false;
+    bool may_have_run = true;
+    bool further = false; // beyond its part's first
+    Tenths sent = 0;
+};
+
+struct Part {
+    PartId id;
+    ShardNo shard;
+    double weight = 0;
+    bool in = false;
+    bool held = false; // in its shard's backlog
+    Tenths not_before = 0;
+    std::vector<Launch> launches;
+    bool out() const {
+        return std::any_of(launches.begin(), launches.end(), [](auto& l) { return l.stage != Stage::kOver; });
+    }
+    bool may_have_run() const {
+        return std::any_of(launches.begin(), launches.end(), [](auto& l) { return l.may_have_run; });
+    }
+};
+
+struct Search {
+    SearchId id;
+    ProductNo product;
+    TenantNo tenant;
+    Tenths due = 0, expiry = 0;
+    double payoff = 0;
+    bool admitted = false;
+    int step = 1;
+    Tenths come_back = 0;
+    Fate fate = Fate::kOpen;
+    std::vector<Part> parts;
+    std::size_t step_begin = 0; // where the present step's parts begin
+};
+
+struct IndexServer {
+    ServerId id;
+    ListEntry entry;
+    // C3: exponentially weighted means of response, reported queue and service time.
+    bool heard = false;
+    double response = 0, queue = 0, service = 0;
+    double limit = kStartLimit, saturation = kStartLimit, recent_sends = 0;
+    Tenths last_cut = 0, last_rise = 0, window = 0;
+    int sent = 0, answers = 0, last_answers = 0;
+    int out = 0, joining = 0; // launches out; siblings that share this turn's call
+    // health
+    std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
+    Standing standing = Standing::kIn;
+    double faults = 0;
+    Tenths last_answer = 0, next_probe = 0;
+    int setbacks = 0, passes = 0, trial_room = 0;
+    bool unreachable = false, probe_wanted = false, probe_out = false;
+    Tenths cold_from = 0; // its last start, as listed or guessed
+    std::deque<Tenths> cold_sends;
+
+    Tenths oldest() const {
+        Tenths first = kNever;
+        for (const auto& [launch, at] : sent_at) first = std::min(first, at);
+        return first;
+    }
+};
+
+struct ProductView { // a row a product: what the module reads of it, and what it has learnt
+    ProductTerms terms;
+    double response = 0, deviation = 0; // of answered launches, fleet-wide
+    bool heard = false;
+    double parts = 1; // a search, on average
+    Tenths longest_try = 0;
+};
+
+struct TenantView {
+    double room = 0; // searches inside its share that may come now
+    Tenths filled = 0;
+};
+
+} // namespace
+
+class Brain::Mind {
+  public:
+    explicit Mind(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
+        for (const ProductTerms& product : terms_.products) {
+            products_.push_back({product, 0, 0, false, 1, 0});
+            pace_ = std::min(pace_, static_cast<double>(product.due_span));
+        }
+        tenants_.resize(terms_.tenants.size());
+        if (!terms_.launch_budget) {
+            terms_.spare_launches = kFurtherSpare;
+            terms_.further_ratio = kFurtherRatio;
+            terms_.budget_span = static_cast<Tenths>(4 * pace_);
+        }
+    }
+
+    // ---- learning ----
+
+    void on(const SearchTaken& event) {
+        auto& product = products_.at(event.product.value);
+        Search search;
+        search.id = event.id;
+        search.product = event.product;
+        search.tenant = event.tenant;
+        search.payoff = product.terms.payoff;
+        // The due time counts from the client's first try. A try with less time than the longest seen of its
+        // product is a repeat: what is missing from the whole expiry span has passed already.
+        product.longest_try = std::max(product.longest_try, event.left);
+        const bool repeat = event.repeat || (!terms_.repeats_marked && event.left < product.longest_try * 0.97);
+        const Tenths spent = repeat ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
+        search.due = now_ + product.terms.due_span - spent;
+        search.expiry = now_ + event.left;
+        if (search.due <= now_) search.payoff *= product.terms.late_share;
+        if (!within_share(event.tenant)) search.payoff *= terms_.over_share_payoff;
+        jobs_[event.id] = event.job;
+        searches_[event.job] = std::move(search);
+        taken_.push_back(now_);
+    }
+
+    void on(const PartTaken& event) {
+        taken_.push_back(now_);
+        const auto found = searches_.find(event.job);
+        if (found == searches_.end() || found->second.fate == Fate::kEnded) return;
+        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, 0, {}});
+        part_of_[event.id] = {event.job, found->second.parts.size() - 1};
+    }
+
+    void on(const SearchLapsed& event) {
+        const auto job = jobs_.find(event.id);
+        if (job == jobs_.end()) return;
+        end(searches_.at(job->second));
+    }
+
+    void on(const ListNews& news) {
+        subscription_lost_ = news.kind == ListKind::kLost;
+        if (subscription_lost_) {
+            ++lost_calls_;
+            ask_at_ = now_ + static_cast<Tenths>(pace_ * lost_calls_ * (0.5 + chance_.unit()));
+            return;
+        }
+        if (news.kind != ListKind::kSaved) lost_calls_ = 0;
+        if (news.kind != ListKind::kChanges)
+            for (auto& [id, server] : servers_) server.entry.listed = Listed::kGone;
+        for (const ListEntry& entry : news.entries) {
+            IndexServer& server = servers_[entry.server];
+            server.id = entry.server;
+            if (entry.born > server.entry.born && entry.born > server.cold_from) server.cold_from = entry.born;
+            server.entry = entry;
+        }
+    }
+
+    void on(const ProbeReturned& event) {
+        const auto found = servers_.find(event.server);
+        if (found == servers_.end()) return;
+        IndexServer& server = found->second;
+        server.probe_out = false;
+        if (server.standing != Standing::kAside) return;
+        server.next_probe = now_ + probe_gap(server);
+        // A probe that crawls home says that the server still crawls.
+        server.passes = event.passed && event.took < pace_ * kMostPatience ? server.passes + 1 : 0;
+        if (server.passes < kPassesNeeded) return;
+        server.standing = Standing::kTrial;
+        server.trial_room = 1;
+        server.faults = 0;
+        server.response = server.service = 0;
+        server.heard = false;
+        // It was away and nobody has said why: it may have started anew, so it counts as cold.
+        if (server.unreachable) server.cold_from = std::max(server.cold_from, now_);
+        server.unreachable = false;
+    }
+
+    void on(const LaunchReturned& event) {
+        const auto found = part_of_.find(event.part);
+        if (found == part_of_.end()) return;
+        Search& search = searches_.at(found->second.first);
+        Part& part = search.parts[found->second.second];
+        if (event.launch.value >= part.launches.size()) return;
+        Launch& launch = part.launches[event.launch.value];
+        if (launch.stage != Stage::kOut) return;
+        launch.stage = Stage::kOver;
+        launch.may_have_run = event.outcome != Outcome::kTurnedAway && event.outcome != Outcome::kNoConnection &&
+                              event.outcome != Outcome::kNeverSent;
+        if (event.outcome == Outcome::kAnswered) part.in = true;
+        if (const auto at = servers_.find(launch.server); at != servers_.end()) {
+            at->second.sent_at.erase({part.id, event.launch});
+            at->second.out = static_cast<int>(at->second.sent_at.size());
+            learn(at->second, products_[search.product.value], event);
+        }
+        if (event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kTurnedAway)
+            part.not_before = now_ + 2 * terms_.turn_gap;
+        if (search.fate == Fate::kEnded) forget(found->second.first);
+    }
+
+    void decide(Tenths now, Host& host) {
+        now_ = now;
+        next_ = kNever;
+        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
+        for (auto& [id, server] : servers_) review(server);
+        for (auto& [job, search] : searches_) {
+            if (search.fate != Fate::kOpen) continue;
+            settle(search);
+            if (search.fate == Fate::kOpen) tend(search);
+        }
+        emit(host);
+    }
+
+    void set_now(Tenths now) { now_ = now; }
+
+  private:
+    // ---- what answers teach ----
+
+    void learn(IndexServer& server, ProductView& product, const LaunchReturned& event) {
+        const double due = static_cast<double>(product.terms.due_span);
+        const bool good = event.outcome == Outcome::kAnswered;
+        if (event.outcome == Outcome::kNeverSent) return;
+        if (event.outcome == Outcome::kRecalled) {
+            // Called off: all that is known is that it would have taken longer.
+            if (server.heard && event.took > server.response) mix(server.response, event.took);
+            return;
+        }
+        // Quick errors look like speed: a failure counts as an answer that took the whole due span.
+        double took = good ? static_cast<double>(event.took) : due;
+        if (good) {
+            server.last_answer = now_;
+            roll_window(server);
+            ++server.answers;
+            adapt(server);
+            if (!product.heard) product.response = took;
+            // One costly search must not make a sound server look slow.
+            const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
+            if (product.heard) mix(product.deviation, std::min(std::abs(took - product.response), odd));
+            mix(product.response, std::min(took, odd));
+            took = std::min(took, odd);
+            product.heard = true;
+        }
+        const double queue = event.report.queued.value_or(event.report.in_flight.value_or(0));
+        const double service = took / (1 + queue);
+        if (!server.heard) {
+            server.response = took;
+            server.service = service;
+            server.queue = queue;
+        }
+        mix(server.response, took);
+        if (good) mix(server.service, service);
+        if (event.report.queued || event.report.in_flight) mix(server.queue, queue);
+        server.heard = server.heard || good;
+        mix(server.faults, good ? 0 : 1);
+        if (good && server.standing == Standing::kTrial) {
+            server.trial_room += 1;
+            if (server.trial_room >= kTrialEnd) {
+                server.standing = Standing::kIn;
+                server.setbacks = 0;
+            }
+        }
+        const bool broken = event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken;
+        server.unreachable = server.unreachable || broken;
+        if (!good && (broken || server.standing == Standing::kTrial || server.faults > kFaultLimit))
+            set_aside(server);
+    }
+
+    static void mix(double& mean, double fresh) { mean += kFresh * (fresh - mean); }
+
+    void set_aside(IndexServer& server) {
+        if (server.standing == Standing::kAside) return;
+        if (server.standing == Standing::kTrial) server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
+        server.standing = Standing::kAside;
+        server.passes = 0;
+        server.next_probe = now_ + probe_gap(server);
+    }
+
+    Tenths probe_gap(const IndexServer& server) {
+        const double gap = pace_ * kProbeGap * (1 << server.setbacks);
+        return static_cast<Tenths>(gap * (0.75 + 0.5 * chance_.unit()));
+    }
+
+    // ---- C3 ----
+
+    void roll_window(IndexServer& server) {
+        const Tenths window = now_ / kWindow;
+        if (window == server.window) return;
+        mix(server.recent_sends, window == server.window + 1 ? server.sent : 0);
+        server.last_answers = window == server.window + 1 ? server.answers : 0;
+        server.window = window;
+        server.sent = server.answers = 0;
+    }
+
+    void adapt(IndexServer& server) {
+        const double answers = std::max(server.answers, server.last_answers);
+        if (answers > server.limit) {
+            const double since = static_cast<double>(now_ - server.last_cut);
+            const double reach = since - std::cbrt(kCut * server.saturation / kGamma);
+            const double cubic = kGamma * reach * reach * reach + server.saturation;
+            server.limit = std::max(server.limit, std::min(server.limit + kStepCap, cubic));
+            server.last_rise = now_;
+        } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > kHold) {
+            server.saturation = server.limit;
+            server.limit = std::max({server.limit * kCut, kLeastLimit, kRecentMultiple * server.recent_sends});
+            server.last_cut = now_;
+        }
+    }
+
+    bool backlogged(const IndexServer& server) const {
+        return std::any_of(backlog_.begin(), backlog_.end(), [&](auto& shard_and_parts) {
+            return shard_and_parts.second > 0 && holds(server, shard_and_parts.first);
+        });
+    }
+
+    bool holds(const IndexServer& server, ShardNo shard) const {
+        const int step = (server.entry.cell.value - shard.value % terms_.cells + terms_.cells) % terms_.cells;
+        return step < terms_.span;
+    }
+
+    bool under_limit(IndexServer& server) {
+        roll_window(server);
+        return server.sent < server.limit;
+    }
+
+    double service_of(const IndexServer& server) const {
+        if (server.heard) return std::max(server.service, 1.0);
+        double sum = 0;
+        int heard = 0;
+        for (const auto& [id, other] : servers_)
+            if (other.heard) sum += other.service, ++heard;
+        return heard > 0 ? sum / heard : pace_ * kUnheardShare;
+    }
+
+    // A launch that is still out after so long is a response of at least that.
+    double response_of(const IndexServer& server) const {
+        const double known = server.heard ? server.response : service_of(server);
+        const Tenths oldest = server.oldest();
+        return oldest == kNever ? known : std::max(known, static_cast<double>(now_ - oldest));
+    }
+
+    double score(const IndexServer& server) const {
+        const double service = service_of(server);
+        const double waiting = 1.0 + (server.out - server.joining) * terms_.front_nodes + server.queue +
+                               server.joining * joined_share(service) * (terms_.call_work > 0 ? 1 : terms_.front_nodes);
+        return response_of(server) - service + waiting * waiting * waiting * service;
+    }
+
+    // A sibling in the same call spares the work of a call of its own.
+    double joined_share(double service) const {
+        return 1 - static_cast<double>(terms_.call_work) / (service + static_cast<double>(terms_.call_work));
+    }
+
+    // ---- servers ----
+
+    void review(IndexServer& server) {
+        roll_window(server);
+        server.joining = 0;
+        const Tenths oldest = server.oldest();
+        if (server.standing != Standing::kAside && oldest != kNever && server.last_answer < oldest) {
+            // Silence: work taken, nothing answered since.
+            const Tenths limit = oldest + static_cast<Tenths>(pace_ * kMostPatience);
+            if (now_ >= limit)
+                set_aside(server);
+            else
+                note(limit);
+        }
+        const bool listed = server.entry.listed == Listed::kLive;
+        if (server.standing == Standing::kAside && listed && terms_.may_probe && !server.probe_out) {
+            server.probe_wanted = now_ >= server.next_probe;
+            if (!server.probe_wanted) note(server.next_probe);
+        }
+    }
+
+    // Rule 4: how many launches may still go to a server that started a short while ago. Its present share of
+    // power is at least what an even rise over the stated span gives; its full power is taken from what warm
+    // servers do, one part at a time; and the window's budget is divided among all front nodes.
+    bool cold_room(IndexServer& server) {
+        const Tenths age = now_ - server.cold_from;
+        if (server.cold_from <= 0 || age >= terms_.cold_span) return true;
+        while (!server.cold_sends.empty() && server.cold_sends.front() <= now_ - terms_.fall_span)
+            server.cold_sends.pop_front();
+        const double risen = static_cast<double>(std::max<Tenths>(age, 0)) / static_cast<double>(terms_.cold_span);
+        const double share = terms_.cold_share + (1 - terms_.cold_share) * risen;
+        double slowest = service_of(server);
+        for (const auto& [id, other] : servers_)
+            if (other.heard && other.entry.kind == server.entry.kind) slowest = std::max(slowest, other.service);
+        const double parts = terms_.fall_multiple * share * static_cast<double>(terms_.fall_span) / slowest;
+        const double room = std::max(1.0, kColdSafety * parts / terms_.front_nodes);
+        if (static_cast<double>(server.cold_sends.size()) + 1 <= room) return true;
+        note(server.cold_sends.front() + terms_.fall_span);
+        return false;
+    }
+
+    // Rules 3 and 4 for every launch, and each part to a server but once while others are left.
+    bool may_serve(IndexServer& server, const Part& part) {
+        return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server) &&
+               std::none_of(part.launches.begin(), part.launches.end(), [&](auto& launch) {
+                   return launch.server == server.id && launch.stage != Stage::kOver;
+               });
+    }
+
+    // The best replica of a part's shard: the lowest score among those in good standing and under their limit.
+    // When none is in good standing, the least bad still gets work.
+    IndexServer* choose(Part& part, const ProductView& product, bool sound_only) {
+        IndexServer* best = nullptr;
+        double best_rank = 0;
+        bool limited = false;
+        for (auto& [id, server] : servers_) {
+            if (!may_serve(server, part)) continue;
+            const bool trial = server.standing == Standing::kTrial;
+            const bool open = server.standing == Standing::kIn || (trial && server.out < server.trial_room);
+            if (sound_only && !open) continue;
+            if (!under_limit(server)) {
+                limited = true;
+                continue;
+            }
+            // Classes of standing lie further apart than any score.
+            double rank = score(server);
+            const bool once = product.terms.effect != Effect::kReissuable;
+            const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
+                                                            [&](auto& l) { return l.server == server.id; }));
+            const double gulf = 1e12;
+            if (!open) rank += gulf * (server.unreachable ? 3 : 2);
+            if (trial && once) rank += gulf;
+            rank += gulf * 0.5 * used;
+            if (best == nullptr || rank < best_rank) best = &server, best_rank = rank;
+        }
+        part.held = best == nullptr && limited;
+        return best;
+    }
+
+    // ---- searches ----
+
+    bool within_share(TenantNo tenant) {
+        if (tenant.value < 0 || static_cast<std::size_t>(tenant.value) >= tenants_.size()) return true;
+        TenantView& view = tenants_[tenant.value];
+        const double rate = terms_.tenants[tenant.value].quota_per_s / terms_.front_nodes;
+        const double elapsed = static_cast<double>(now_ - view.filled) / kTenthsPerSecond;
+        view.room = std::min(rate * 2, view.room + elapsed * rate);
+        view.filled = now_;
+        if (view.room < 1) return false;
+        view.room -= 1;
+        return true;
+    }
+
+    Tenths margin() const { return 4 * terms_.turn_gap; }
+
+    Tenths patience(const ProductView& product) const {
+        const double due = static_cast<double>(product.terms.due_span);
+        const double usual = product.heard ? product.response + kDeviations * product.deviation : due;
+        return static_cast<Tenths>(std::clamp(usual, due * kLeastPatience, due * kMostPatience));
+    }
+
+    // Ends what is complete, out of time, or beyond hope; the final answer then goes out at once.
+    void settle(Search& search) {
+        const ProductView& product = products_[search.product.value];
+        double in = 0;
+        bool all = search.parts.size() > search.step_begin, hopeless = false, out = false;
+        for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
+            const Part& part = search.parts[i];
+            if (part.in) in += part.weight;
+            all = all && part.in;
+            out = out || (!part.in && part.out());
+            hopeless = hopeless || (!part.in && !part.out() && !may_go_again(part, product));
+        }
+        const double need = search.step == 1 ? product.terms.need : 1;
+        if (all || (need < 1 && in >= need + kWeightSlack)) return finish(search, Fate::kWhole);
+        const bool enough = in >= std::min(product.terms.floor, need) + kWeightSlack &&
+                            product.terms.floor < product.terms.need;
+        const bool over = now_ >= search.expiry - margin();
+        const bool late = now_ >= search.due - margin();
+        if (enough && (over || late || (hopeless && !out))) return finish(search, Fate::kPartial);
+        const bool pointless = late && product.terms.late_share <= 0;
+        if (over || pointless || (hopeless && !(product.terms.floor < product.terms.need && out))) give_up(search);
+        note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
+    }
+
+    void finish(Search& search, Fate fate) { search.fate = fate; }
+
+    void give_up(Search& search) {
+        const ProductView& product = products_[search.product.value];
+        const bool ran = std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) {
+            return part.may_have_run();
+        });
+        const bool harmless = product.terms.effect != Effect::kAtMostOnce || !ran;
+        search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
+        const double wait = std::min(pace_ * kMostPatience, static_cast<double>(terms_.longest_come_back));
+        search.come_back = terms_.may_advise ? static_cast<Tenths>(wait * (0.5 + chance_.unit() / 2)) : 0;
+    }
+
+    // Rule 2 and the launch limit: whether a part without an answer may be launched at all.
+    bool may_go_again(const Part& part, const ProductView& product) const {
+        if (static_cast<int>(part.launches.size()) >= terms_.most_launches) return false;
+        if (part.launches.empty() || product.terms.effect == Effect::kReissuable) return true;
+        if (!part.may_have_run()) return true;
+        if (product.terms.effect == Effect::kAtMostOnce) return false;
+        Tenths first = kNever;
+        for (const Launch& launch : part.launches)
+            if (launch.may_have_run) first = std::min(first, launch.sent);
+        return now_ < first + product.terms.repeat_window - margin();
+    }
+
+    // Rule 6, and our own bound where the terms state none: further launches must not feed a storm.
+    bool budget_left() {
+        while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
+        while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
+        const double allowed = terms_.spare_launches + terms_.further_ratio * static_cast<double>(taken_.size());
+        return static_cast<double>(further_.size()) + 1 <= allowed;
+    }
+
+    // How long a part would take at its best replica.
+    double forecast(Part& part, const ProductView& product) {
+        const IndexServer* server = choose(part, product, false);
+        if (server == nullptr) return 0;
+        return std::max(response_of(*server), service_of(*server) * (1 + server->out + server->queue));
+    }
+
+    // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
+    // less of its time it may spend waiting.
+    bool admit(Search& search) {
+        ProductView& product = products_[search.product.value];
+        mix(product.parts, static_cast<double>(search.parts.size()));
+        double longest = 0, best = 0;
+        for (Part& part : search.parts) longest = std::max(longest, forecast(part, product));
+        for (const ProductView& other : products_) best = std::max(best, other.terms.payoff / other.parts);
+        const double paying = std::min(1.0, search.payoff / static_cast<double>(search.parts.size()) / best);
+        const double steps = product.terms.follow_up > 0 ? 2 : 1;
+        const Tenths end = search.due > now_ ? search.due : search.expiry;
+        const double room = static_cast<double>(end - now_) * (kPatientShare + (1 - kPatientShare) * paying);
+        return longest * steps <= room;
+    }
+
+    void tend(Search& search) {
+        ProductView& product = products_[search.product.value];
+        if (!search.admitted) {
+            if (search.parts.empty()) return;
+            search.admitted = admit(search);
+            if (!search.admitted) return give_up(search);
+        }
+        for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
+            Part& part = search.parts[i];
+            if (part.in) continue;
+            if (!part.out())
+                launch(search, part, product, false);
+            else
+                hurry(search, part, product);
+        }
+    }
+
+    // A launch that is overdue, or at a server since set aside, gets company where copies are allowed and is
+    // otherwise called off, to go elsewhere once that is confirmed.
+    void hurry(Search& search, Part& part, ProductView& product) {
+        if (product.terms.effect != Effect::kReissuable || !may_go_again(part, product)) return;
+        int out = 0;
+        Launch* last = nullptr;
+        for (Launch& launch : part.launches)
+            if (launch.stage != Stage::kOver) last = &launch, ++out;
+        if (last == nullptr || out > 1) return;
+        const bool aside = servers_[last->server].standing == Standing::kAside;
+        const Tenths overdue = last->sent + patience(product);
+        if (!aside && now_ < overdue) return note(overdue);
+        if (now_ >= search.due || !budget_left()) return;
+        IndexServer* other = choose(part, product, true);
+        if (other == nullptr) return;
+        if (terms_.second_copies)
+            launch(search, part, product, true);
+        else if (terms_.may_recall)
+            last->wanted = false;
+    }
+
+    void launch(Search& search, Part& part, ProductView& product, bool sound_only) {
+        if (now_ < part.not_before) return note(part.not_before);
+        const bool further = !part.launches.empty();
+        if (further && (!may_go_again(part, product) || !budget_left())) return note(now_ + kWindow);
+        IndexServer* server = choose(part, product, sound_only);
+        if (server == nullptr) return note((now_ / kWindow + 1) * kWindow);
+        if (further) further_.push_back(now_);
+        part.launches.push_back({server->id, Stage::kPlanned, true, false, true, further, now_});
+        server->sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
+        server->out = static_cast<int>(server->sent_at.size());
+        ++server->sent;
+        ++server->joining;
+        if (server->cold_from > 0 && now_ < server->cold_from + terms_.cold_span)
+            server->cold_sends.push_back(now_);
+        (void)search;
+    }
+
+    // ---- the difference between what is wanted and what is, as actions ----
+
+    void note(Tenths at) { next_ = std::min(next_, std::max(at, now_ + terms_.turn_gap)); }
+
+    void emit(Host& host) {
+        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_) && now_ >= ask_at_) {
+            host.subscribe();
+            asked_ = true;
+            subscription_lost_ = false;
+        }
+        backlog_.clear();
+        std::vector<JobNo> ended;
+        for (auto& [job, search] : searches_) {
+            const bool first_of_two = search.fate == Fate::kWhole && search.step == 1 &&
+                                      products_[search.product.value].terms.follow_up > 0;
+            if (search.fate == Fate::kWhole || search.fate == Fate::kPartial)
+                host.answer(search.id, search.fate == Fate::kWhole);
+            if (search.fate == Fate::kPushedBack) host.push_back(search.id, search.come_back);
+            if (search.fate == Fate::kScrapped) host.scrap(search.id);
+            if (first_of_two) {
+                search.step = 2;
+                search.step_begin = search.parts.size();
+                search.fate = Fate::kOpen;
+            } else if (search.fate != Fate::kOpen && search.fate != Fate::kEnded) {
+                end(search);
+            }
+            for (Part& part : search.parts) {
+                for (std::size_t i = 0; i < part.launches.size(); ++i) {
+                    Launch& launch = part.launches[i];
+                    const bool wanted = launch.wanted && !part.in && search.fate == Fate::kOpen;
+                    if (launch.stage == Stage::kPlanned) {
+                        host.launch(part.id, launch.server, search.expiry - now_);
+                        launch.stage = Stage::kOut;
+                    } else if (launch.stage == Stage::kOut && !wanted && !launch.recalled && terms_.may_recall) {
+                        host.recall(part.id, LaunchNo{static_cast<std::uint32_t>(i)});
+                        launch.recalled = true;
+                    }
+                }
+                if (part.held && search.fate == Fate::kOpen) ++backlog_[part.shard];
+            }
+            if (search.fate == Fate::kEnded) ended.push_back(job);
+        }
+        for (const JobNo job : ended) forget(job);
+        for (auto& [id, server] : servers_) {
+            if (!server.probe_wanted) continue;
+            host.probe(id);
+            server.probe_wanted = false;
+            server.probe_out = true;
+        }
+        if (next_ != kNever && (alarm_ <= now_ || next_ < alarm_)) {
+            host.wake(next_ - now_);
+            alarm_ = next_;
+        }
+    }
+
+    void end(Search& search) {
+        search.fate = Fate::kEnded;
+        jobs_.erase(search.id);
+    }
+
+    // An ended search is kept until its last launch has returned: that still teaches about its server.
+    void forget(JobNo job) {
+        const Search& search = searches_.at(job);
+        if (std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); })) return;
+        for (const Part& part : search.parts) part_of_.erase(part.id);
+        searches_.erase(job);
+    }
+
+    OpeningTerms terms_;
+    Pcg chance_;
+    double pace_ = 1e9; // the shortest due span: what counts as a while here
+    Tenths now_ = 0, next_ = kNever, alarm_ = 0;
+    std::vector<ProductView> products_;
+    std::vector<TenantView> tenants_;
+    std::map<JobNo, Search> searches_; // in the order they were taken
+    std::map<SearchId, JobNo> jobs_;
+    std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
+    std::map<ServerId, IndexServer> servers_;
+    std::map<ShardNo, int> backlog_;
+    std::deque<Tenths> taken_, further_;
+    bool asked_ = false, subscription_lost_ = false;
+    int lost_calls_ = 0;
+    Tenths ask_at_ = 0;
+};
+
+Brain::Brain(OpeningTerms terms) : mind_(std::make_unique<Mind>(std::move(terms))) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+void Brain::on(Tenths now, const SearchTaken& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const PartTaken& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const LaunchReturned& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const ProbeReturned& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const SearchLapsed& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const ListNews& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::decide(Tenths now, Host& host) { mind_->decide(now, host); }
+
+} // namespace ivyrill
--- /dev/null
+++ b/src/brain.hpp
@@ -0,0 +1,164 @@
+// The interface of the decision module: typed events in, actions to an abstract host. No decision is made
+// here. A caller applies the events of one turn with `on`, in their order, then calls `decide` once; all
+// actions of that turn are made inside `decide`. The clock is the one handed in, and it never goes back.
+#pragma once
+#include "base/ids.hpp"
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill {
+
+enum class Effect { kReissuable, kNumbered, kAtMostOnce };
+enum class ListMode { kPushed, kAsked };
+
+struct ProductTerms {
+    Tenths due_span = 0;    // an answer within this earns the full payoff
+    Tenths expiry_span = 0; // how long the client waits in all, over all its tries
+    Tenths repeat_window = 0;
+    Effect effect = Effect::kReissuable;
+    double payoff = 1;
+    double late_share = 0;
+    double floor = 1;         // least weight that may be answered from
+    double need = 1;          // weight that makes a whole answer
+    double partial_share = 0; // earned by an answer that is not whole, times its weight over the need
+    int follow_up = 0;        // parts of the second step, 0 for none
+};
+
+struct TenantTerms {
+    double quota_per_s = 0; // over all front nodes
+};
+
+// What an instance is told when it starts.
+struct OpeningTerms {
+    std::uint64_t seed = 0;
+    std::vector<ProductTerms> products;
+    std::vector<TenantTerms> tenants;
+    int front_nodes = 1;
+    ZoneNo zone;
+    Tenths turn_gap = 0;
+    Tenths answer_slack = 0;
+    Tenths ask_within = 0;
+    Tenths drain_grace = 0;
+    Tenths cold_span = 0;
+    double cold_share = 1;
+    Tenths fall_span = 0;
+    double fall_multiple = 1;
+    bool launch_budget = false;
+    double spare_launches = 0;
+    double further_ratio = 0;
+    Tenths budget_span = 0;
+    Tenths connect_span = 0;
+    Tenths longest_come_back = 0;
+    int most_open = 0;
+    int most_launches = 1;
+    bool may_recall = false;
+    bool may_probe = false;
+    bool may_advise = false;
+    bool second_copies = false;
+    bool repeats_marked = false;
+    double over_share_payoff = 1;
+    ListMode list_mode = ListMode::kPushed;
+    int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
+    int span = 1;
+    int call_room = 1;         // parts that one call carries at most
+    Tenths call_work = 0;      // what a call costs a server beside its parts
+    double waste_price = 0;    // taken off per work wasted
+    double late_fail_price = 0; // taken off per payoff that ended undelivered past its due time
+    double crossing_price = 0;
+    double probe_price = 0;
+};
+
+struct LoadReport {
+    std::optional<double> in_flight;
+    std::optional<double> queued;
+    std::optional<double> busy_share;
+};
+
+enum class Outcome { kAnswered, kError, kTurnedAway, kTimedOut, kNoConnection, kBroken, kRecalled, kNeverSent };
+enum class Listed { kLive, kDraining, kGone };
+enum class ListKind { kChanges, kWhole, kSaved, kLost };
+
+struct SearchTaken {
+    SearchId id;
+    JobNo job;
+    ProductNo product;
+    TenantNo tenant;
+    Tenths left = 0; // until this try's expiry
+    bool repeat = false;
+};
+struct PartTaken {
+    PartId id;
+    JobNo job;
+    ShardNo shard;
+    double weight = 0;
+};
+struct LaunchReturned {
+    PartId part;
+    LaunchNo launch;
+    ServerId server;
+    Outcome outcome = Outcome::kError;
+    Tenths took = 0;
+    LoadReport report;
+};
+struct ProbeReturned {
+    ServerId server;
+    bool passed = false;
+    Tenths took = 0;
+    LoadReport report;
+};
+struct SearchLapsed {
+    SearchId id;
+};
+struct ListEntry {
+    ServerId server;
+    ZoneNo zone;
+    KindNo kind;
+    CellNo cell;
+    Listed listed = Listed::kLive;
+    double weight = 1;
+    Tenths born = 0; // 0: long ago
+};
+struct ListNews {
+    ListKind kind = ListKind::kChanges;
+    std::vector<ListEntry> entries;
+};
+
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual void launch(PartId part, ServerId server, Tenths time_out) = 0;
+    virtual void recall(PartId part, LaunchNo launch) = 0;
+    virtual void answer(SearchId search, bool whole) = 0;
+    virtual void push_back(SearchId search, Tenths come_back) = 0; // come_back 0: no advice
+    virtual void scrap(SearchId search) = 0;
+    virtual void probe(ServerId server) = 0;
+    virtual void wake(Tenths in) = 0;
+    virtual void subscribe() = 0;
+};
+
+class Brain {
+  public:
+    explicit Brain(OpeningTerms terms);
+    ~Brain();
+    Brain(Brain&&) noexcept;
+    Brain& operator=(Brain&&) noexcept;
+
+    void on(Tenths now, const SearchTaken& event);
+    void on(Tenths now, const PartTaken& event);
+    void on(Tenths now, const LaunchReturned& event);
+    void on(Tenths now, const ProbeReturned& event);
+    void on(Tenths now, const SearchLapsed& event);
+    void on(Tenths now, const ListNews& event);
+    void decide(Tenths now, Host& host);
+
+  private:
+    class Mind;
+    std::unique_ptr<Mind> mind_;
+};
+
+} // namespace ivyrill
--- /dev/null
+++ b/src/drill/instance.cpp
@@ -0,0 +1,100 @@
+#include "drill/instance.hpp"
+
+#include <limits>
+
+namespace ivyrill::drill {
+
+namespace {
+
+constexpr std::int64_t kMostId = std::numeric_limits<std::uint32_t>::max();
+constexpr std::int64_t kMostIndex = std::numeric_limits<std::int32_t>::max();
+constexpr std::int64_t kMostJob = std::numeric_limits<std::int64_t>::max();
+
+std::uint32_t request_id(const Line& line) {
+    return static_cast<std::uint32_t>(line.integer_within("Id", 0, kMostId));
+}
+
+std::int32_t index(const Line& line, std::string_view field) {
+    return line.has(field) ? static_cast<std::int32_t>(line.integer_within(field, 0, kMostIndex)) : 0;
+}
+
+std::string number(std::uint32_t value) { return std::to_string(value); }
+
+} // namespace
+
+ServerId Instance::server_of(std::string_view name) {
+    if (const auto found = ids_.find(name); found != ids_.end()) return found->second;
+    const ServerId fresh{static_cast<std::uint32_t>(names_.size())};
+    ids_.emplace(name, fresh);
+    names_.emplace_back(name);
+    return fresh;
+}
+
+void Instance::apply(Tenths now, const Line& line) {
+    if (line.name() == "ACCEPT") {
+        const JobNo job{static_cast<std::uint64_t>(line.integer_within("JobNo", 0, kMostJob))};
+        const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
+        if (shard < 0)
+            brain_.on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
+                                       TenantNo{index(line, "Realm")}, tenths_to_use(line.integer("TtlUs")),
+                                       line.flag("IsRetry")});
+        else
+            brain_.on(now, PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
+                                     line.number("SizeOrWeight", 0)});
+    } else if (line.name() == "RETURNED") {
+        const LaunchNo launch{static_cast<std::uint32_t>(line.integer_within("Copy", 0, kMostId))};
+        brain_.on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")),
+                                      read_outcome(line.text("How")),
+                                      tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
+    } else if (line.name() == "CHECKED") {
+        brain_.on(now, ProbeReturned{server_of(line.text("Server")), line.text("How") == "pass",
+                                     tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
+    } else if (line.name() == "LAPSED") {
+        brain_.on(now, SearchLapsed{SearchId{request_id(line)}});
+    }
+    // RING needs no more than the decision that every event brings; other messages are not for this module.
+}
+
+void Instance::apply_list(Tenths now, ListKind kind, const Sheet& sheet) {
+    ListNews news{kind, {}};
+    for (const SheetEntry& row : sheet) {
+        news.entries.push_back(row.entry);
+        news.entries.back().server = server_of(row.server);
+    }
+    brain_.on(now, news);
+}
+
+std::string Instance::decide(Tenths now) {
+    actions_.clear();
+    brain_.decide(now, *this);
+    return std::move(actions_);
+}
+
+void Instance::launch(PartId part, ServerId server, Tenths time_out) {
+    actions_ += "ISSUE Id=" + number(part.value) + " TimeoutUs=" + std::to_string(to_micros(time_out)) +
+                " Server=" + names_.at(server.value) + "\n";
+}
+
+void Instance::recall(PartId part, LaunchNo launch) {
+    actions_ += "REVOKE Id=" + number(part.value) + " Copy=" + number(launch.value) + "\n";
+}
+
+void Instance::answer(SearchId search, bool whole) {
+    actions_ += "SETTLE_QUERY Id=" + number(search.value) + " On=" + (whole ? "1" : "0") + "\n";
+}
+
+void Instance::push_back(SearchId search, Tenths come_back) {
+    actions_ += "REJECT Id=" + number(search.value);
+    if (come_back > 0) actions_ += " BackoffUs=" + std::to_string(to_micros(come_back));
+    actions_ += "\n";
+}
+
+void Instance::scrap(SearchId search) { actions_ += "END_FAILED Id=" + number(search.value) + "\n"; }
+
+void Instance::probe(ServerId server) { actions_ += "ASK_LOAD Server=" + names_.at(server.value) + "\n"; }
+
+void Instance::wake(Tenths in) { actions_ += "SCHEDULE Mark=0 InUs=" + std::to_string(to_micros(in)) + "\n"; }
+
+void Instance::subscribe() { actions_ += "LISTEN On=1\n"; }
+
+} // namespace ivyrill::drill
--- /dev/null
+++ b/src/drill/instance.hpp
@@ -0,0 +1,44 @@
+// One simulated front node: it gives the module's actions their wire form and knows servers by their names.
+#pragma once
+#include "brain.hpp"
+#include "drill/wire.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ivyrill::drill {
+
+struct SheetEntry {
+    std::string server;
+    ListEntry entry; // its server id is filled in by each instance
+};
+using Sheet = std::vector<SheetEntry>;
+
+class Instance : public Host {
+  public:
+    explicit Instance(OpeningTerms terms) : brain_(std::move(terms)) {}
+
+    void apply(Tenths now, const Line& line); // any event but OPEN_INSTANCE, KILLED and ENDPOINTS
+    void apply_list(Tenths now, ListKind kind, const Sheet& sheet);
+    std::string decide(Tenths now); // the actions, a line each
+
+    void launch(PartId part, ServerId server, Tenths time_out) override;
+    void recall(PartId part, LaunchNo launch) override;
+    void answer(SearchId search, bool whole) override;
+    void push_back(SearchId search, Tenths come_back) override;
+    void scrap(SearchId search) override;
+    void probe(ServerId server) override;
+    void wake(Tenths in) override;
+    void subscribe() override;
+
+  private:
+    ServerId server_of(std::string_view name);
+
+    Brain brain_;
+    std::map<std::string, ServerId, std::less<>> ids_;
+    std::vector<std::string> names_;
+    std::string actions_;
+};
+
+} // namespace ivyrill::drill
