--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,6 +38,7 @@
 constexpr double kLeastPatience = 0.15; // but not before this
 constexpr double kMostPatience = 0.35;  // and at the latest here
 constexpr double kFaultLimit = 0.5;     // mean of recent failures that sets a server aside
+constexpr int kSilentLaunches = 2;      // unanswered in a row that set a server aside
 constexpr double kProbeGap = 0.15;      // between probes to a server set aside
 constexpr int kMostSetbacks = 3;        // doublings of that gap
 constexpr int kPassesNeeded = 2;        // probes in a row before a trial
@@ -108,6 +109,9 @@
     double faults = 0;
     Tenths last_answer = 0, next_probe = 0;
     int setbacks = 0, passes = 0, trial_room = 0;
+    int silent = 0; // launches given up on unanswered since its last answer
+    Tenths silent_at = 0;
+    int unanswered = 0; // these and the ones still out for too long
     bool unreachable = false, probe_wanted = false, probe_out = false;
     Tenths cold_from = 0; // its last start, as listed or guessed
     std::deque<Tenths> cold_sends;
@@ -271,12 +275,17 @@
         if (event.outcome == Outcome::kRecalled) {
             // Called off: all that is known is that it would have taken longer.
             if (server.heard && event.took > server.response) mix(server.response, event.took);
+            if (event.took >= silence() && server.last_answer < now_ - event.took) {
+                ++server.silent;
+                server.silent_at = now_;
+            }
             return;
         }
         // Quick errors look like speed: a failure counts as an answer that took the whole due span.
         double took = good ? static_cast<double>(event.took) : due;
         if (good) {
             server.last_answer = now_;
+            server.silent = 0;
             roll_window(server);
             ++server.answers;
             adapt(server);
@@ -315,8 +324,11 @@
 
     static void mix(double& mean, double fresh) { mean += kFresh * (fresh - mean); }
 
+    Tenths silence() const { return static_cast<Tenths>(pace_ * kMostPatience); }
+
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
+        server.silent = 0;
         if (server.standing == Standing::kTrial) server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
         server.standing = Standing::kAside;
         server.passes = 0;
@@ -403,15 +415,18 @@
     void review(IndexServer& server) {
         roll_window(server);
         server.joining = 0;
-        const Tenths oldest = server.oldest();
-        if (server.standing != Standing::kAside && oldest != kNever && server.last_answer < oldest) {
-            // Silence: work taken, nothing answered since.
-            const Tenths limit = oldest + static_cast<Tenths>(pace_ * kMostPatience);
-            if (now_ >= limit)
-                set_aside(server);
+        // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two (one
+        // during a trial) to set a server aside; after one it is a suspect and comes last among its like.
+        if (now_ >= server.silent_at + static_cast<Tenths>(2 * pace_)) server.silent = 0;
+        server.unanswered = server.silent;
+        for (const auto& [launch, at] : server.sent_at) {
+            if (at <= server.last_answer) continue;
+            if (now_ >= at + silence())
+                ++server.unanswered;
             else
-                note(limit);
+                note(at + silence());
         }
+        if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
         const bool listed = server.entry.listed == Listed::kLive;
         if (server.standing == Standing::kAside && listed && terms_.may_probe && !server.probe_out) {
             server.probe_wanted = now_ >= server.next_probe;
@@ -439,12 +454,9 @@
         return false;
     }
 
-    // Rules 3 and 4 for every launch, and each part to a server but once while others are left.
+    // Rules 3 and 4 for every launch.
     bool may_serve(IndexServer& server, const Part& part) {
-        return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server) &&
-               std::none_of(part.launches.begin(), part.launches.end(), [&](auto& launch) {
-                   return launch.server == server.id && launch.stage != Stage::kOver;
-               });
+        return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server);
     }
 
     // The best replica of a part's shard: the lowest score among those in good standing and under their limit.
@@ -457,7 +469,9 @@
             if (!may_serve(server, part)) continue;
             const bool trial = server.standing == Standing::kTrial;
             const bool open = server.standing == Standing::kIn || (trial && server.out < server.trial_room);
-            if (sound_only && !open) continue;
+            const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
+                                                            [&](auto& l) { return l.server == server.id; }));
+            if (sound_only && (!open || used > 0)) continue;
             if (!under_limit(server)) {
                 limited = true;
                 continue;
@@ -465,11 +479,10 @@
             // Classes of standing lie further apart than any score.
             double rank = score(server);
             const bool once = product.terms.effect != Effect::kReissuable;
-            const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
-                                                            [&](auto& l) { return l.server == server.id; }));
             const double gulf = 1e12;
             if (!open) rank += gulf * (server.unreachable ? 3 : 2);
             if (trial && once) rank += gulf;
+            if (server.unanswered > 0) rank += gulf * 0.25;
             rank += gulf * 0.5 * used;
             if (best == nullptr || rank < best_rank) best = &server, best_rank = rank;
         }
@@ -560,7 +573,7 @@
     double forecast(Part& part, const ProductView& product) {
         const IndexServer* server = choose(part, product, false);
         if (server == nullptr) return 0;
-        return std::max(response_of(*server), service_of(*server) * (1 + server->out + server->queue));
+        return response_of(*server);
     }
 
     // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
@@ -603,15 +616,18 @@
         Launch* last = nullptr;
         for (Launch& launch : part.launches)
             if (launch.stage != Stage::kOver) last = &launch, ++out;
-        if (last == nullptr || out > 1) return;
+        if (last == nullptr || out > 2) return;
         const bool aside = servers_[last->server].standing == Standing::kAside;
         const Tenths overdue = last->sent + patience(product);
         if (!aside && now_ < overdue) return note(overdue);
         if (now_ >= search.due || !budget_left()) return;
-        IndexServer* other = choose(part, product, true);
+        // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
+        const bool sound_only = now_ < last->sent + 2 * patience(product);
+        if (sound_only) note(last->sent + 2 * patience(product));
+        IndexServer* other = choose(part, product, sound_only);
         if (other == nullptr) return;
         if (terms_.second_copies)
-            launch(search, part, product, true);
+            launch(search, part, product, sound_only);
         else if (terms_.may_recall)
             last->wanted = false;
     }
