--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -391,11 +391,14 @@
         return heard > 0 ? sum / heard : pace_ * kUnheardShare;
     }
 
-    // A launch that is still out after so long is a response of at least that.
+    // C3 expects feedback all the time. Where it is scarce, a mean grows stale both ways: a launch still out
+    // after so long is a response of at least that, and while nothing is out a queue drains as time passes.
     double response_of(const IndexServer& server) const {
-        const double known = server.heard ? server.response : service_of(server);
+        const double service = service_of(server);
+        const double known = server.heard ? server.response : service;
         const Tenths oldest = server.oldest();
-        return oldest == kNever ? known : std::max(known, static_cast<double>(now_ - oldest));
+        if (oldest != kNever) return std::max(known, static_cast<double>(now_ - oldest));
+        return std::max(std::min(known, service), known - static_cast<double>(now_ - server.last_answer));
     }
 
     double score(const IndexServer& server) const {
