--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -275,7 +275,7 @@
         if (event.outcome == Outcome::kRecalled) {
             // Called off: all that is known is that it would have taken longer.
             if (server.heard && event.took > server.response) mix(server.response, event.took);
-            if (event.took >= silence() && server.last_answer < now_ - event.took) {
+            if (event.took >= silence(server) && server.last_answer < now_ - event.took) {
                 ++server.silent;
                 server.silent_at = now_;
             }
@@ -324,7 +324,10 @@
 
     static void mix(double& mean, double fresh) { mean += kFresh * (fresh - mean); }
 
-    Tenths silence() const { return static_cast<Tenths>(pace_ * kMostPatience); }
+    // A long queue is no silence: a server is allowed twice what it usually takes.
+    Tenths silence(const IndexServer& server) const {
+        return static_cast<Tenths>(std::clamp(2 * response_mean(server), pace_ * kMostPatience, pace_));
+    }
 
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
@@ -391,13 +394,18 @@
         return heard > 0 ? sum / heard : pace_ * kUnheardShare;
     }
 
-    // C3 expects feedback all the time. Where it is scarce, a mean grows stale both ways: a launch still out
-    // after so long is a response of at least that, and while nothing is out a queue drains as time passes.
+    double response_mean(const IndexServer& server) const {
+        return server.heard ? server.response : service_of(server);
+    }
+
+    // C3 expects feedback all the time. Where it is scarce, a mean grows stale both ways: while launches
+    // are out, silence of some length is a response of at least that, and while nothing is out a queue drains as time passes.
     double response_of(const IndexServer& server) const {
         const double service = service_of(server);
-        const double known = server.heard ? server.response : service;
+        const double known = response_mean(server);
         const Tenths oldest = server.oldest();
-        if (oldest != kNever) return std::max(known, static_cast<double>(now_ - oldest));
+        if (oldest != kNever)
+            return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
         return std::max(std::min(known, service), known - static_cast<double>(now_ - server.last_answer));
     }
 
@@ -424,10 +432,10 @@
         server.unanswered = server.silent;
         for (const auto& [launch, at] : server.sent_at) {
             if (at <= server.last_answer) continue;
-            if (now_ >= at + silence())
+            if (now_ >= at + silence(server))
                 ++server.unanswered;
             else
-                note(at + silence());
+                note(at + silence(server));
         }
         if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
         const bool listed = server.entry.listed == Listed::kLive;
