--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -102,7 +102,7 @@
     double limit = kStartLimit, saturation = kStartLimit, recent_sends = 0;
     Tenths last_cut = 0, last_rise = 0, window = 0;
     int sent = 0, answers = 0, last_answers = 0;
-    int out = 0, joining = 0; // launches out; siblings that share this turn's call
+    int out = 0, out_at_report = 0, joining = 0; // launches out, now and then; siblings that share this turn's call
     // health
     std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
     Standing standing = Standing::kIn;
@@ -306,7 +306,10 @@
         }
         mix(server.response, took);
         if (good) mix(server.service, service);
-        if (event.report.queued || event.report.in_flight) mix(server.queue, queue);
+        if (event.report.queued || event.report.in_flight) {
+            mix(server.queue, queue);
+            server.out_at_report = server.out;
+        }
         server.heard = server.heard || good;
         mix(server.faults, good ? 0 : 1);
         if (good && server.standing == Standing::kTrial) {
@@ -584,7 +587,13 @@
     double forecast(Part& part, const ProductView& product) {
         const IndexServer* server = choose(part, product, false);
         if (server == nullptr) return 0;
-        return response_of(*server);
+        return forecast_of(*server);
+    }
+
+    // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
+    double forecast_of(const IndexServer& server) const {
+        const double waiting = server.queue + std::max(0, server.out - server.out_at_report);
+        return std::max(response_of(server), service_of(server) * (1 + waiting));
     }
 
     // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
