--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -107,7 +107,7 @@
     std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
     Standing standing = Standing::kIn;
     double faults = 0;
-    Tenths last_answer = 0, next_probe = 0;
+    Tenths last_answer = 0, next_probe = 0, drained = 0;
     int setbacks = 0, passes = 0, trial_room = 0;
     int silent = 0; // launches given up on unanswered since its last answer
     Tenths silent_at = 0;
@@ -213,6 +213,7 @@
         if (found == servers_.end()) return;
         IndexServer& server = found->second;
         server.probe_out = false;
+        if (event.passed) hear_report(server, event.report);
         if (server.standing != Standing::kAside) return;
         server.next_probe = now_ + probe_gap(server);
         // A probe that crawls home says that the server still crawls.
@@ -306,10 +307,7 @@
         }
         mix(server.response, took);
         if (good) mix(server.service, service);
-        if (event.report.queued || event.report.in_flight) {
-            mix(server.queue, queue);
-            server.out_at_report = server.out;
-        }
+        hear_report(server, event.report);
         server.heard = server.heard || good;
         mix(server.faults, good ? 0 : 1);
         if (good && server.standing == Standing::kTrial) {
@@ -325,6 +323,12 @@
             set_aside(server);
     }
 
+    static void hear_report(IndexServer& server, const LoadReport& report) {
+        if (!report.queued && !report.in_flight) return;
+        mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)));
+        server.out_at_report = server.out;
+    }
+
     static void mix(double& mean, double fresh) { mean += kFresh * (fresh - mean); }
 
     // A long queue is no silence: a server is allowed twice what it usually takes.
@@ -401,15 +405,23 @@
         return server.heard ? server.response : service_of(server);
     }
 
-    // C3 expects feedback all the time. Where it is scarce, a mean grows stale both ways: while launches
-    // are out, silence of some length is a response of at least that, and while nothing is out a queue drains as time passes.
+    // C3 expects feedback all the time. Where it is scarce, means grow stale both ways. While launches are out,
+    // silence of some length is a response of at least that.
     double response_of(const IndexServer& server) const {
-        const double service = service_of(server);
         const double known = response_mean(server);
         const Tenths oldest = server.oldest();
-        if (oldest != kNever)
-            return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
-        return std::max(std::min(known, service), known - static_cast<double>(now_ - server.last_answer));
+        if (oldest == kNever) return known;
+        return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
+    }
+
+    // While nothing is out, no answer will correct a high mean, but the queue behind it drains as time passes.
+    void drain(IndexServer& server) {
+        const double passed = static_cast<double>(now_ - server.drained);
+        server.drained = now_;
+        if (server.out > 0 || passed <= 0) return;
+        const double service = service_of(server);
+        server.queue = std::max(0.0, server.queue - passed / service);
+        server.response = std::max(std::min(server.response, service), server.response - passed);
     }
 
     double score(const IndexServer& server) const {
@@ -428,6 +440,7 @@
 
     void review(IndexServer& server) {
         roll_window(server);
+        drain(server);
         server.joining = 0;
         // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two (one
         // during a trial) to set a server aside; after one it is a suspect and comes last among its like.
