Searches that break the servers they reach are sent one part at a time

Cause: a search whose parts break every server they reach; its relaunches and the client's retry broke more. Told from crashes: one key stood in all the breaks, each on another server. Answer: two servers broken under one key make it suspect, its parts go singly until one is answered, a further break ends it scrapped, for a push-back would call for more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,6 +38,8 @@
 constexpr double kLeastPatience = 0.15; // but not before this
 constexpr double kMostPatience = 0.35;  // and at the latest here
 constexpr double kFaultLimit = 0.5;     // mean of recent failures that sets a server aside
+constexpr int kBreaksSuspect = 2;       // servers broken under one search that make it suspect
+constexpr double kSuspicionSpan = 20;   // due spans that a suspicion is kept
 constexpr int kSilentLaunches = 2;      // unanswered in a row that set a server aside
 constexpr double kProbeGap = 0.15;      // between probes to a server set aside
 constexpr int kMostSetbacks = 3;        // doublings of that gap
@@ -58,6 +60,7 @@
     Stage stage = Stage::kPlanned;
     bool wanted = true;
     bool recalled = false;
+    bool alone = false; // sent to learn whether its search breaks servers
     bool may_have_run = true;
     bool further = false; // beyond its part's first
     Tenths sent = 0;
@@ -83,6 +86,7 @@
     SearchId id;
     ProductNo product;
     TenantNo tenant;
+    KeyId key;
     Tenths due = 0, expiry = 0;
     double payoff = 0;
     bool admitted = false;
@@ -91,6 +95,13 @@
     Fate fate = Fate::kOpen;
     std::vector<Part> parts;
     std::size_t step_begin = 0; // where the present step's parts begin
+    std::vector<ServerId> broken; // servers that broke while they held one of its launches
+};
+
+struct Suspicion { // of what searches of one key do to servers
+    int broken = 0;
+    bool sure = false;
+    Tenths at = 0;
 };
 
 struct IndexServer {
@@ -161,6 +172,7 @@
         search.id = event.id;
         search.product = event.product;
         search.tenant = event.tenant;
+        search.key = event.key;
         search.payoff = product.terms.payoff;
         // The due time counts from the client's first try. A try with less time than the longest seen of its
         // product is a repeat: what is missing from the whole expiry span has passed already.
@@ -241,6 +253,7 @@
         launch.may_have_run = event.outcome != Outcome::kTurnedAway && event.outcome != Outcome::kNoConnection &&
                               event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) part.in = true;
+        suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
             at->second.sent_at.erase({part.id, event.launch});
             at->second.out = static_cast<int>(at->second.sent_at.size());
@@ -256,6 +269,9 @@
         next_ = kNever;
         if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
         for (auto& [id, server] : servers_) review(server);
+        std::erase_if(suspicions_, [this](auto& entry) {
+            return now_ > entry.second.at + static_cast<Tenths>(kSuspicionSpan * pace_);
+        });
         for (auto& [job, search] : searches_) {
             if (search.fate != Fate::kOpen) continue;
             settle(search);
@@ -323,6 +339,28 @@
             set_aside(server);
     }
 
+    // Searches that break every server they reach. A crash takes one server from many searches; a search that
+    // lost two servers is suspect, and so are others of its key: they send one part at a time, to learn from.
+    // An answer clears them, one more broken server makes it sure. Could harm when much breaks at once: the
+    // searches out at that moment go on one part at a time until the first is answered.
+    void suspect(Search& search, const Launch& launch, Outcome outcome) {
+        if (outcome == Outcome::kAnswered && launch.alone) suspicions_.erase(search.key);
+        if (outcome != Outcome::kBroken) return;
+        if (std::find(search.broken.begin(), search.broken.end(), launch.server) != search.broken.end()) return;
+        search.broken.push_back(launch.server);
+        Suspicion& suspicion = suspicions_[search.key];
+        ++suspicion.broken;
+        suspicion.sure = suspicion.sure || launch.alone;
+        suspicion.at = now_;
+    }
+
+    const Suspicion* suspicion_of(const Search& search) const {
+        const auto found = suspicions_.find(search.key);
+        const bool suspect = found != suspicions_.end() && found->second.broken >= kBreaksSuspect &&
+                             (search.key != KeyId{} || search.broken.size() >= kBreaksSuspect);
+        return suspect ? &found->second : nullptr;
+    }
+
     static void hear_report(IndexServer& server, const LoadReport& report) {
         if (!report.queued && !report.in_flight) return;
         mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)));
@@ -498,6 +536,8 @@
             const bool open = server.standing == Standing::kIn || (trial && server.out < server.trial_room);
             const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
                                                             [&](auto& l) { return l.server == server.id; }));
+            // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
+            if (server.standing == Standing::kAside && server.unreachable && server.out > 0) continue;
             if (sound_only && (!open || used > 0)) continue;
             if (!under_limit(server)) {
                 limited = true;
@@ -570,7 +610,8 @@
         const bool ran = std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) {
             return part.may_have_run();
         });
-        const bool harmless = product.terms.effect != Effect::kAtMostOnce || !ran;
+        const bool harmful = suspicion_of(search) != nullptr; // to come again would break more
+        const bool harmless = !harmful && (product.terms.effect != Effect::kAtMostOnce || !ran);
         search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
         const double wait = std::min(pace_ * kMostPatience, static_cast<double>(terms_.longest_come_back));
         search.come_back = terms_.may_advise ? static_cast<Tenths>(wait * (0.5 + chance_.unit() / 2)) : 0;
@@ -599,7 +640,7 @@
     // How long a part would take at its best replica.
     double forecast(Part& part, const ProductView& product) {
         const IndexServer* server = choose(part, product, false);
-        if (server == nullptr) return 0;
+        if (server == nullptr) return part.held ? 0 : static_cast<double>(kNever);
         return forecast_of(*server);
     }
 
@@ -614,14 +655,16 @@
     bool admit(Search& search) {
         ProductView& product = products_[search.product.value];
         mix(product.parts, static_cast<double>(search.parts.size()));
-        double longest = 0, best = 0;
-        for (Part& part : search.parts) longest = std::max(longest, forecast(part, product));
+        double best = 0;
         for (const ProductView& other : products_) best = std::max(best, other.terms.payoff / other.parts);
         const double paying = std::min(1.0, search.payoff / static_cast<double>(search.parts.size()) / best);
         const double steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths end = search.due > now_ ? search.due : search.expiry;
         const double room = static_cast<double>(end - now_) * (kPatientShare + (1 - kPatientShare) * paying);
-        return longest * steps <= room;
+        double missing = 0;
+        for (Part& part : search.parts)
+            if (forecast(part, product) * steps > room) missing += part.weight;
+        return missing <= 1 - std::min(product.terms.floor, product.terms.need) + kWeightSlack;
     }
 
     void tend(Search& search) {
@@ -631,13 +674,16 @@
             search.admitted = admit(search);
             if (!search.admitted) return give_up(search);
         }
+        const Suspicion* suspicion = suspicion_of(search);
+        if (suspicion != nullptr && suspicion->sure) return give_up(search);
+        bool out = std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
-            if (part.in) continue;
-            if (!part.out())
-                launch(search, part, product, false);
-            else
+            if (part.in || (out && suspicion != nullptr)) continue;
+            if (part.out())
                 hurry(search, part, product);
+            else if (launch(part, product, false))
+                part.launches.back().alone = suspicion != nullptr, out = true;
         }
     }
 
@@ -660,26 +706,26 @@
         IndexServer* other = choose(part, product, sound_only);
         if (other == nullptr) return;
         if (terms_.second_copies)
-            launch(search, part, product, sound_only);
+            launch(part, product, sound_only);
         else if (terms_.may_recall)
             last->wanted = false;
     }
 
-    void launch(Search& search, Part& part, ProductView& product, bool sound_only) {
-        if (now_ < part.not_before) return note(part.not_before);
+    bool launch(Part& part, const ProductView& product, bool sound_only) {
+        if (now_ < part.not_before) return note(part.not_before), false;
         const bool further = !part.launches.empty();
-        if (further && (!may_go_again(part, product) || !budget_left())) return note(now_ + kWindow);
+        if (further && (!may_go_again(part, product) || !budget_left())) return note(now_ + kWindow), false;
         IndexServer* server = choose(part, product, sound_only);
-        if (server == nullptr) return note((now_ / kWindow + 1) * kWindow);
+        if (server == nullptr) return note((now_ / kWindow + 1) * kWindow), false;
         if (further) further_.push_back(now_);
-        part.launches.push_back({server->id, Stage::kPlanned, true, false, true, further, now_});
+        part.launches.push_back({server->id, Stage::kPlanned, true, false, false, true, further, now_});
         server->sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
         server->out = static_cast<int>(server->sent_at.size());
         ++server->sent;
         ++server->joining;
         if (server->cold_from > 0 && now_ < server->cold_from + terms_.cold_span)
             server->cold_sends.push_back(now_);
-        (void)search;
+        return true;
     }
 
     // ---- the difference between what is wanted and what is, as actions ----
@@ -761,6 +807,7 @@
     std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
     std::map<ServerId, IndexServer> servers_;
     std::map<ShardNo, int> backlog_;
+    std::map<KeyId, Suspicion> suspicions_;
     std::deque<Tenths> taken_, further_;
     bool asked_ = false, subscription_lost_ = false;
     int lost_calls_ = 0;
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -18,6 +18,14 @@
     return line.has(field) ? static_cast<std::int32_t>(line.integer_within(field, 0, kMostIndex)) : 0;
 }
 
+// Keys are text of any length; the module only compares them (FNV-1a).
+KeyId key_of(const Line& line) {
+    if (!line.has("Key")) return {};
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char letter : line.text("Key")) hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+    return {hash};
+}
+
 std::string number(std::uint32_t value) { return std::to_string(value); }
 
 } // namespace
@@ -36,7 +44,7 @@
         const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
         if (shard < 0)
             brain_.on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
-                                       TenantNo{index(line, "Realm")}, tenths_to_use(line.integer("TtlUs")),
+                                       TenantNo{index(line, "Realm")}, key_of(line), tenths_to_use(line.integer("TtlUs")),
                                        line.flag("IsRetry")});
         else
             brain_.on(now, PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
