--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,13 +21,13 @@
 constexpr Tenths kNever = std::numeric_limits<Tenths>::max();
 
 // C3's own figures, from the paper and the design page.
-constexpr Tenths kWindow = 200;      // 20 ms, the span that a sending limit counts over
-constexpr double kStartLimit = 10;   // parts a window
-constexpr double kLeastLimit = 2;    // parts a window
+constexpr Tenths kWindow = 200;       // 20 ms, the span that a sending limit counts over
+constexpr double kStartLimit = 10;    // parts a window
+constexpr double kLeastLimit = 2;     // parts a window
 constexpr double kRecentMultiple = 2; // ... or this many times our recent sends
-constexpr double kStepCap = 10;      // smax
-constexpr double kCut = 0.2;         // beta
-constexpr double kSaddle = 1000;     // 100 ms
+constexpr double kStepCap = 10;       // smax
+constexpr double kCut = 0.2;          // beta
+constexpr double kSaddle = 1000;      // 100 ms
 constexpr double kGamma = kCut * kStartLimit / (kSaddle * kSaddle * kSaddle);
 constexpr Tenths kHold = 2 * kWindow; // no cut so soon after a rise
 constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
@@ -48,7 +48,8 @@
 constexpr double kPatientShare = 0.4;   // part of the time left that the least paying search may wait
 constexpr double kFurtherRatio = 0.2;   // further launches a part, where the terms state no budget
 constexpr double kFurtherSpare = 5;
-constexpr double kColdSafety = 0.6;     // our estimate of a cold server's capacity is rough
+constexpr double kColdSafety = 0.6; // our estimate of a cold server's capacity is rough
+constexpr double kFirstTry = 0.99;      // part of the longest try that a first try has at least
 constexpr double kWeightSlack = 1e-6;
 
 enum class Standing { kIn, kAside, kTrial };
@@ -62,7 +63,6 @@
     bool recalled = false;
     bool alone = false; // sent to learn whether its search breaks servers
     bool may_have_run = true;
-    bool further = false; // beyond its part's first
     Tenths sent = 0;
 };
 
@@ -94,7 +94,7 @@
     Tenths come_back = 0;
     Fate fate = Fate::kOpen;
     std::vector<Part> parts;
-    std::size_t step_begin = 0; // where the present step's parts begin
+    std::size_t step_begin = 0;   // where the present step's parts begin
     std::vector<ServerId> broken; // servers that broke while they held one of its launches
 };
 
@@ -113,7 +113,8 @@
     double limit = kStartLimit, saturation = kStartLimit, recent_sends = 0;
     Tenths last_cut = 0, last_rise = 0, window = 0;
     int sent = 0, answers = 0, last_answers = 0;
-    int out = 0, out_at_report = 0, joining = 0; // launches out, now and then; siblings that share this turn's call
+    int out = 0, out_at_report = 0,
+        joining = 0; // launches out, now and then; siblings that share this turn's call
     // health
     std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
     Standing standing = Standing::kIn;
@@ -177,8 +178,8 @@
         // The due time counts from the client's first try. A try with less time than the longest seen of its
         // product is a repeat: what is missing from the whole expiry span has passed already.
         product.longest_try = std::max(product.longest_try, event.left);
-        const bool repeat = event.repeat || (!terms_.repeats_marked && event.left < product.longest_try * 0.97);
-        const Tenths spent = repeat ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
+        const bool repeat = static_cast<double>(event.left) < kFirstTry * static_cast<double>(product.longest_try);
+        const Tenths spent = repeat ? product.terms.expiry_span - event.left : 0;
         search.due = now_ + product.terms.due_span - spent;
         search.expiry = now_ + event.left;
         if (search.due <= now_) search.payoff *= product.terms.late_share;
@@ -215,7 +216,8 @@
         for (const ListEntry& entry : news.entries) {
             IndexServer& server = servers_[entry.server];
             server.id = entry.server;
-            if (entry.born > server.entry.born && entry.born > server.cold_from) server.cold_from = entry.born;
+            if (entry.born > server.entry.born && entry.born > server.cold_from)
+                server.cold_from = entry.born;
             server.entry = entry;
         }
     }
@@ -250,8 +252,8 @@
         Launch& launch = part.launches[event.launch.value];
         if (launch.stage != Stage::kOut) return;
         launch.stage = Stage::kOver;
-        launch.may_have_run = event.outcome != Outcome::kTurnedAway && event.outcome != Outcome::kNoConnection &&
-                              event.outcome != Outcome::kNeverSent;
+        launch.may_have_run = event.outcome != Outcome::kTurnedAway &&
+                              event.outcome != Outcome::kNoConnection && event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) part.in = true;
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
@@ -346,7 +348,8 @@
     void suspect(Search& search, const Launch& launch, Outcome outcome) {
         if (outcome == Outcome::kAnswered && launch.alone) suspicions_.erase(search.key);
         if (outcome != Outcome::kBroken) return;
-        if (std::find(search.broken.begin(), search.broken.end(), launch.server) != search.broken.end()) return;
+        if (std::find(search.broken.begin(), search.broken.end(), launch.server) != search.broken.end())
+            return;
         search.broken.push_back(launch.server);
         Suspicion& suspicion = suspicions_[search.key];
         ++suspicion.broken;
@@ -377,7 +380,8 @@
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
         server.silent = 0;
-        if (server.standing == Standing::kTrial) server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
+        if (server.standing == Standing::kTrial)
+            server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
         server.standing = Standing::kAside;
         server.passes = 0;
         server.next_probe = now_ + probe_gap(server);
@@ -409,7 +413,8 @@
             server.last_rise = now_;
         } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > kHold) {
             server.saturation = server.limit;
-            server.limit = std::max({server.limit * kCut, kLeastLimit, kRecentMultiple * server.recent_sends});
+            server.limit =
+                std::max({server.limit * kCut, kLeastLimit, kRecentMultiple * server.recent_sends});
             server.last_cut = now_;
         }
     }
@@ -443,8 +448,8 @@
         return server.heard ? server.response : service_of(server);
     }
 
-    // C3 expects feedback all the time. Where it is scarce, means grow stale both ways. While launches are out,
-    // silence of some length is a response of at least that.
+    // C3 expects feedback all the time. Where it is scarce, means grow stale both ways. While launches are
+    // out, silence of some length is a response of at least that.
     double response_of(const IndexServer& server) const {
         const double known = response_mean(server);
         const Tenths oldest = server.oldest();
@@ -452,7 +457,8 @@
         return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
     }
 
-    // While nothing is out, no answer will correct a high mean, but the queue behind it drains as time passes.
+    // While nothing is out, no answer will correct a high mean, but the queue behind it drains as time
+    // passes.
     void drain(IndexServer& server) {
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
@@ -464,8 +470,9 @@
 
     double score(const IndexServer& server) const {
         const double service = service_of(server);
-        const double waiting = 1.0 + (server.out - server.joining) * terms_.front_nodes + server.queue +
-                               server.joining * joined_share(service) * (terms_.call_work > 0 ? 1 : terms_.front_nodes);
+        const double waiting =
+            1.0 + (server.out - server.joining) * terms_.front_nodes + server.queue +
+            server.joining * joined_share(service) * (terms_.call_work > 0 ? 1 : terms_.front_nodes);
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
 
@@ -480,8 +487,9 @@
         roll_window(server);
         drain(server);
         server.joining = 0;
-        // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two (one
-        // during a trial) to set a server aside; after one it is a suspect and comes last among its like.
+        // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two
+        // (one during a trial) to set a server aside; after one it is a suspect and comes last among its
+        // like.
         if (now_ >= server.silent_at + static_cast<Tenths>(2 * pace_)) server.silent = 0;
         server.unanswered = server.silent;
         for (const auto& [launch, at] : server.sent_at) {
@@ -491,7 +499,8 @@
             else
                 note(at + silence(server));
         }
-        if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
+        if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches))
+            set_aside(server);
         const bool listed = server.entry.listed == Listed::kLive;
         if (server.standing == Standing::kAside && listed && terms_.may_probe && !server.probe_out) {
             server.probe_wanted = now_ >= server.next_probe;
@@ -507,11 +516,13 @@
         if (server.cold_from <= 0 || age >= terms_.cold_span) return true;
         while (!server.cold_sends.empty() && server.cold_sends.front() <= now_ - terms_.fall_span)
             server.cold_sends.pop_front();
-        const double risen = static_cast<double>(std::max<Tenths>(age, 0)) / static_cast<double>(terms_.cold_span);
+        const double risen =
+            static_cast<double>(std::max<Tenths>(age, 0)) / static_cast<double>(terms_.cold_span);
         const double share = terms_.cold_share + (1 - terms_.cold_share) * risen;
         double slowest = service_of(server);
         for (const auto& [id, other] : servers_)
-            if (other.heard && other.entry.kind == server.entry.kind) slowest = std::max(slowest, other.service);
+            if (other.heard && other.entry.kind == server.entry.kind)
+                slowest = std::max(slowest, other.service);
         const double parts = terms_.fall_multiple * share * static_cast<double>(terms_.fall_span) / slowest;
         const double room = std::max(1.0, kColdSafety * parts / terms_.front_nodes);
         if (static_cast<double>(server.cold_sends.size()) + 1 <= room) return true;
@@ -524,8 +535,8 @@
         return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server);
     }
 
-    // The best replica of a part's shard: the lowest score among those in good standing and under their limit.
-    // When none is in good standing, the least bad still gets work.
+    // The best replica of a part's shard: the lowest score among those in good standing and under their
+    // limit. When none is in good standing, the least bad still gets work.
     IndexServer* choose(Part& part, const ProductView& product, bool sound_only) {
         IndexServer* best = nullptr;
         double best_rank = 0;
@@ -533,11 +544,10 @@
         for (auto& [id, server] : servers_) {
             if (!may_serve(server, part)) continue;
             const bool trial = server.standing == Standing::kTrial;
-            const bool open = server.standing == Standing::kIn || (trial && server.out < server.trial_room);
+            const bool open = is_open(server);
             const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
                                                             [&](auto& l) { return l.server == server.id; }));
-            // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
-            if (server.standing == Standing::kAside && server.unreachable && server.out > 0) continue;
+            if (!open && !may_try(server)) continue;
             if (sound_only && (!open || used > 0)) continue;
             if (!under_limit(server)) {
                 limited = true;
@@ -592,24 +602,22 @@
             hopeless = hopeless || (!part.in && !part.out() && !may_go_again(part, product));
         }
         const double need = search.step == 1 ? product.terms.need : 1;
-        if (all || (need < 1 && in >= need + kWeightSlack)) return finish(search, Fate::kWhole);
+        if (all || (need < 1 && in >= need + kWeightSlack)) return void(search.fate = Fate::kWhole);
         const bool enough = in >= std::min(product.terms.floor, need) + kWeightSlack &&
                             product.terms.floor < product.terms.need;
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
-        if (enough && (over || late || (hopeless && !out))) return finish(search, Fate::kPartial);
+        if (enough && (over || late || (hopeless && !out))) return void(search.fate = Fate::kPartial);
         const bool pointless = late && product.terms.late_share <= 0;
-        if (over || pointless || (hopeless && !(product.terms.floor < product.terms.need && out))) give_up(search);
+        if (over || pointless || (hopeless && !(product.terms.floor < product.terms.need && out)))
+            give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
     }
 
-    void finish(Search& search, Fate fate) { search.fate = fate; }
-
     void give_up(Search& search) {
         const ProductView& product = products_[search.product.value];
-        const bool ran = std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) {
-            return part.may_have_run();
-        });
+        const bool ran = std::any_of(search.parts.begin(), search.parts.end(),
+                                     [](auto& part) { return part.may_have_run(); });
         const bool harmful = suspicion_of(search) != nullptr; // to come again would break more
         const bool harmless = !harmful && (product.terms.effect != Effect::kAtMostOnce || !ran);
         search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
@@ -633,17 +641,30 @@
     bool budget_left() {
         while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
         while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
-        const double allowed = terms_.spare_launches + terms_.further_ratio * static_cast<double>(taken_.size());
+        const double allowed =
+            terms_.spare_launches + terms_.further_ratio * static_cast<double>(taken_.size());
         return static_cast<double>(further_.size()) + 1 <= allowed;
     }
 
-    // How long a part would take at its best replica.
-    double forecast(Part& part, const ProductView& product) {
-        const IndexServer* server = choose(part, product, false);
-        if (server == nullptr) return part.held ? 0 : static_cast<double>(kNever);
-        return forecast_of(*server);
+    // How long a part would take at the replica that promises most.
+    double forecast(const Part& part) {
+        double least = static_cast<double>(kNever);
+        for (auto& [id, server] : servers_)
+            if (may_serve(server, part) && is_open(server)) least = std::min(least, forecast_of(server));
+        if (least < static_cast<double>(kNever)) return least;
+        for (auto& [id, server] : servers_)
+            if (may_serve(server, part) && may_try(server)) least = std::min(least, forecast_of(server));
+        return least;
     }
 
+    static bool is_open(const IndexServer& server) {
+        return server.standing == Standing::kIn ||
+               (server.standing == Standing::kTrial && server.out < server.trial_room);
+    }
+
+    // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
+    static bool may_try(const IndexServer& server) { return !server.unreachable || server.out == 0; }
+
     // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
     double forecast_of(const IndexServer& server) const {
         const double waiting = server.queue + std::max(0, server.out - server.out_at_report);
@@ -663,7 +684,7 @@
         const double room = static_cast<double>(end - now_) * (kPatientShare + (1 - kPatientShare) * paying);
         double missing = 0;
         for (Part& part : search.parts)
-            if (forecast(part, product) * steps > room) missing += part.weight;
+            if (forecast(part) * steps > room) missing += part.weight;
         return missing <= 1 - std::min(product.terms.floor, product.terms.need) + kWeightSlack;
     }
 
@@ -676,7 +697,8 @@
         }
         const Suspicion* suspicion = suspicion_of(search);
         if (suspicion != nullptr && suspicion->sure) return give_up(search);
-        bool out = std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
+        bool out =
+            std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
             if (part.in || (out && suspicion != nullptr)) continue;
@@ -718,7 +740,7 @@
         IndexServer* server = choose(part, product, sound_only);
         if (server == nullptr) return note((now_ / kWindow + 1) * kWindow), false;
         if (further) further_.push_back(now_);
-        part.launches.push_back({server->id, Stage::kPlanned, true, false, false, true, further, now_});
+        part.launches.push_back({server->id, Stage::kPlanned, true, false, false, true, now_});
         server->sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
         server->out = static_cast<int>(server->sent_at.size());
         ++server->sent;
@@ -761,7 +783,8 @@
                     if (launch.stage == Stage::kPlanned) {
                         host.launch(part.id, launch.server, search.expiry - now_);
                         launch.stage = Stage::kOut;
-                    } else if (launch.stage == Stage::kOut && !wanted && !launch.recalled && terms_.may_recall) {
+                    } else if (launch.stage == Stage::kOut && !wanted && !launch.recalled &&
+                               terms_.may_recall) {
                         host.recall(part.id, LaunchNo{static_cast<std::uint32_t>(i)});
                         launch.recalled = true;
                     }
@@ -791,7 +814,8 @@
     // An ended search is kept until its last launch has returned: that still teaches about its server.
     void forget(JobNo job) {
         const Search& search = searches_.at(job);
-        if (std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); })) return;
+        if (std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); }))
+            return;
         for (const Part& part : search.parts) part_of_.erase(part.id);
         searches_.erase(job);
     }
@@ -818,13 +842,10 @@
 Brain::~Brain() = default;
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
-
-void Brain::on(Tenths now, const SearchTaken& event) { mind_->set_now(now), mind_->on(event); }
-void Brain::on(Tenths now, const PartTaken& event) { mind_->set_now(now), mind_->on(event); }
-void Brain::on(Tenths now, const LaunchReturned& event) { mind_->set_now(now), mind_->on(event); }
-void Brain::on(Tenths now, const ProbeReturned& event) { mind_->set_now(now), mind_->on(event); }
-void Brain::on(Tenths now, const SearchLapsed& event) { mind_->set_now(now), mind_->on(event); }
-void Brain::on(Tenths now, const ListNews& event) { mind_->set_now(now), mind_->on(event); }
+void Brain::on(Tenths now, const Event& event) {
+    mind_->set_now(now);
+    std::visit([this](auto& what) { mind_->on(what); }, event);
+}
 void Brain::decide(Tenths now, Host& host) { mind_->decide(now, host); }
 
 } // namespace ivyrill
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace ivyrill {
@@ -60,14 +61,13 @@
     bool may_probe = false;
     bool may_advise = false;
     bool second_copies = false;
-    bool repeats_marked = false;
     double over_share_payoff = 1;
     ListMode list_mode = ListMode::kPushed;
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
     int span = 1;
-    int call_room = 1;         // parts that one call carries at most
-    Tenths call_work = 0;      // what a call costs a server beside its parts
-    double waste_price = 0;    // taken off per work wasted
+    int call_room = 1;          // parts that one call carries at most
+    Tenths call_work = 0;       // what a call costs a server beside its parts
+    double waste_price = 0;     // taken off per work wasted
     double late_fail_price = 0; // taken off per payoff that ended undelivered past its due time
     double crossing_price = 0;
     double probe_price = 0;
@@ -79,7 +79,16 @@
     std::optional<double> busy_share;
 };
 
-enum class Outcome { kAnswered, kError, kTurnedAway, kTimedOut, kNoConnection, kBroken, kRecalled, kNeverSent };
+enum class Outcome {
+    kAnswered,
+    kError,
+    kTurnedAway,
+    kTimedOut,
+    kNoConnection,
+    kBroken,
+    kRecalled,
+    kNeverSent
+};
 enum class Listed { kLive, kDraining, kGone };
 enum class ListKind { kChanges, kWhole, kSaved, kLost };
 
@@ -90,7 +99,6 @@
     TenantNo tenant;
     KeyId key;
     Tenths left = 0; // until this try's expiry
-    bool repeat = false;
 };
 struct PartTaken {
     PartId id;
@@ -129,6 +137,8 @@
     std::vector<ListEntry> entries;
 };
 
+using Event = std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, ListNews>;
+
 class Host {
   public:
     virtual ~Host() = default;
@@ -149,12 +159,7 @@
     Brain(Brain&&) noexcept;
     Brain& operator=(Brain&&) noexcept;
 
-    void on(Tenths now, const SearchTaken& event);
-    void on(Tenths now, const PartTaken& event);
-    void on(Tenths now, const LaunchReturned& event);
-    void on(Tenths now, const ProbeReturned& event);
-    void on(Tenths now, const SearchLapsed& event);
-    void on(Tenths now, const ListNews& event);
+    void on(Tenths now, const Event& event);
     void decide(Tenths now, Host& host);
 
   private:
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -22,7 +22,8 @@
 KeyId key_of(const Line& line) {
     if (!line.has("Key")) return {};
     std::uint64_t hash = 14695981039346656037ULL;
-    for (const char letter : line.text("Key")) hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+    for (const char letter : line.text("Key"))
+        hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
     return {hash};
 }
 
@@ -44,8 +45,8 @@
         const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
         if (shard < 0)
             brain_.on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
-                                       TenantNo{index(line, "Realm")}, key_of(line), tenths_to_use(line.integer("TtlUs")),
-                                       line.flag("IsRetry")});
+                                       TenantNo{index(line, "Realm")}, key_of(line),
+                                       tenths_to_use(line.integer("TtlUs"))});
         else
             brain_.on(now, PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
                                      line.number("SizeOrWeight", 0)});
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -89,7 +89,9 @@
 
 } // namespace
 
-std::int64_t to_integer(std::string_view text, std::string_view name) { return parse<std::int64_t>(text, name); }
+std::int64_t to_integer(std::string_view text, std::string_view name) {
+    return parse<std::int64_t>(text, name);
+}
 
 double to_number(std::string_view text, std::string_view name) {
     const auto value = parse<double>(text, name);
@@ -134,7 +136,8 @@
 std::int64_t Line::integer_within(std::string_view field, std::int64_t least, std::int64_t most) const {
     const std::int64_t value = integer(field);
     if (value < least || value > most)
-        throw WireError(std::string(name_) + " " + std::string(field) + ": out of range: " + quoted(text(field)));
+        throw WireError(std::string(name_) + " " + std::string(field) +
+                        ": out of range: " + quoted(text(field)));
     return value;
 }
 
@@ -187,7 +190,6 @@
     terms.may_probe = settled.flag("Limits.Probes");
     terms.may_advise = settled.flag("Limits.RetryAfter");
     terms.second_copies = settled.flag("Limits.SecondCopies");
-    terms.repeats_marked = settled.flag("Clients.MarksRetry");
     terms.over_share_payoff = settled.number("OverShareWorth", 1);
     terms.list_mode = settled.word("MembershipMode", "push") == "ask" ? ListMode::kAsked : ListMode::kPushed;
     terms.cells = settled.at_least_one("Specifics.Places", 1);
--- a/src/drill/wire.hpp
+++ b/src/drill/wire.hpp
@@ -20,7 +20,8 @@
 double to_number(std::string_view text, std::string_view name);
 bool to_bool(std::string_view text, std::string_view name);
 
-// One line: a message name, then name=value pairs in any order. A field that is absent has its stated meaning.
+// One line: a message name, then name=value pairs in any order. A field that is absent has its stated
+// meaning.
 class Line {
   public:
     explicit Line(std::string_view text);
