A repeat's spent time is told exactly; admission tightens with the fleet's mean wait

Repeats get all that is left of the expiry span, so what is missing has passed; unmarked ones are told by a majority vote on the usual time left.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,11 +45,14 @@
 constexpr int kMostSetbacks = 3;        // doublings of that gap
 constexpr int kPassesNeeded = 2;        // probes in a row before a trial
 constexpr int kTrialEnd = 8;            // trial room at which a server is fully back
-constexpr double kPatientShare = 0.4;   // part of the time left that the least paying search may wait
+constexpr double kPatientShare = 0.25;  // part of the time left that the least paying search may wait
+constexpr double kCalmWait = 0.1;       // mean forecast, of the shortest due span, up to which all is calm
+constexpr double kFullWait = 0.3;       // ... and from which admission is at its strictest
+constexpr double kPayingShare = 0.6;    // ... and the best paying one
 constexpr double kFurtherRatio = 0.2;   // further launches a part, where the terms state no budget
 constexpr double kFurtherSpare = 5;
 constexpr double kColdSafety = 0.6; // our estimate of a cold server's capacity is rough
-constexpr double kFirstTry = 0.99;      // part of the longest try that a first try has at least
+constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
 constexpr double kWeightSlack = 1e-6;
 
 enum class Standing { kIn, kAside, kTrial };
@@ -139,8 +142,9 @@
     ProductTerms terms;
     double response = 0, deviation = 0; // of answered launches, fleet-wide
     bool heard = false;
-    double parts = 1; // a search, on average
-    Tenths longest_try = 0;
+    double parts = 1;      // a search, on average
+    Tenths usual_left = 0; // of first tries
+    int votes = 0;
 };
 
 struct TenantView {
@@ -154,7 +158,7 @@
   public:
     explicit Mind(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
         for (const ProductTerms& product : terms_.products) {
-            products_.push_back({product, 0, 0, false, 1, 0});
+            products_.push_back({product, 0, 0, false, 1, 0, 0});
             pace_ = std::min(pace_, static_cast<double>(product.due_span));
         }
         tenants_.resize(terms_.tenants.size());
@@ -175,11 +179,15 @@
         search.tenant = event.tenant;
         search.key = event.key;
         search.payoff = product.terms.payoff;
-        // The due time counts from the client's first try. A try with less time than the longest seen of its
-        // product is a repeat: what is missing from the whole expiry span has passed already.
-        product.longest_try = std::max(product.longest_try, event.left);
-        const bool repeat = static_cast<double>(event.left) < kFirstTry * static_cast<double>(product.longest_try);
-        const Tenths spent = repeat ? product.terms.expiry_span - event.left : 0;
+        // The due time counts from the client's first try, and a repeat is given all that is left of the
+        // expiry span. Where repeats are not marked, they are told by time left that differs from most
+        // searches'.
+        const Tenths off = std::abs(event.left - product.usual_left);
+        const bool alike = static_cast<double>(off) < kAlike * static_cast<double>(product.usual_left);
+        const bool repeat = terms_.repeats_marked ? event.repeat : !alike && product.votes > 0;
+        product.votes += alike ? 1 : -1; // a majority vote
+        if (product.votes < 0) product.usual_left = event.left, product.votes = 1;
+        const Tenths spent = repeat ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
         search.due = now_ + product.terms.due_span - spent;
         search.expiry = now_ + event.left;
         if (search.due <= now_) search.payoff *= product.terms.late_share;
@@ -657,6 +665,18 @@
         return least;
     }
 
+    // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues at most of them
+    // are.
+    double pressure() const {
+        double sum = 0;
+        int counted = 0;
+        for (const auto& [id, server] : servers_)
+            if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn)
+                sum += std::min(forecast_of(server), pace_), ++counted;
+        const double wait = counted > 0 ? sum / counted / pace_ : 0;
+        return std::clamp((wait - kCalmWait) / (kFullWait - kCalmWait), 0.0, 1.0);
+    }
+
     static bool is_open(const IndexServer& server) {
         return server.standing == Standing::kIn ||
                (server.standing == Standing::kTrial && server.out < server.trial_room);
@@ -681,7 +701,8 @@
         const double paying = std::min(1.0, search.payoff / static_cast<double>(search.parts.size()) / best);
         const double steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths end = search.due > now_ ? search.due : search.expiry;
-        const double room = static_cast<double>(end - now_) * (kPatientShare + (1 - kPatientShare) * paying);
+        const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
+        const double room = static_cast<double>(end - now_) * (1 - pressure() * (1 - strict));
         double missing = 0;
         for (Part& part : search.parts)
             if (forecast(part) * steps > room) missing += part.weight;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -61,6 +61,7 @@
     bool may_probe = false;
     bool may_advise = false;
     bool second_copies = false;
+    bool repeats_marked = false;
     double over_share_payoff = 1;
     ListMode list_mode = ListMode::kPushed;
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
@@ -99,6 +100,7 @@
     TenantNo tenant;
     KeyId key;
     Tenths left = 0; // until this try's expiry
+    bool repeat = false;
 };
 struct PartTaken {
     PartId id;
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -46,7 +46,7 @@
         if (shard < 0)
             brain_.on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
                                        TenantNo{index(line, "Realm")}, key_of(line),
-                                       tenths_to_use(line.integer("TtlUs"))});
+                                       tenths_to_use(line.integer("TtlUs")), line.flag("IsRetry")});
         else
             brain_.on(now, PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
                                      line.number("SizeOrWeight", 0)});
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -186,6 +186,7 @@
     terms.longest_come_back = settled.to_use("Limits.MaxRetryAfterUs");
     terms.most_open = settled.whole("Limits.MaxOpen", std::numeric_limits<int>::max());
     terms.most_launches = settled.at_least_one("Limits.MostTries", 1);
+    terms.repeats_marked = settled.flag("Clients.MarksRetry");
     terms.may_recall = settled.flag("Limits.MayCancel");
     terms.may_probe = settled.flag("Limits.Probes");
     terms.may_advise = settled.flag("Limits.RetryAfter");
