--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,9 +1,9 @@
 // The one decision module of ivyrill: C3 over replicated shards, and what the rules and broken servers ask
-// beside it. How it is called: its interface stands in brain.hpp. The caller makes one Brain an instance,
-// hands it each turn's events by `on`, in order, and then calls `decide` once; all actions go to the Host.
-// `on` only learns. `decide` works out the wanted state (which launches should be out, which searches end,
-// who is probed, when to wake), and `emit` alone turns its difference to the present state into actions.
-// docs/design.md tells what is C3's, what departs from it, and when each departure acts.
+// beside it. Its interface stands in brain.hpp. A caller opens one Brain an instance, hands it each turn's
+// events by `on`, in order, then calls `decide` once; all actions go to the Host. `on` only learns. `decide`
+// works out the wanted state (which launches should be out, which searches end, who is probed, when to wake),
+// and `emit` alone turns its difference to the present state into actions. docs/design.md tells what is C3's,
+// what departs from it, and when each departure acts.
 #include "brain.hpp"
 
 #include "base/pcg.hpp"
@@ -13,6 +13,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace ivyrill {
 
@@ -38,6 +39,7 @@
 constexpr double kLeastPatience = 0.15; // but not before this
 constexpr double kMostPatience = 0.35;  // and at the latest here
 constexpr double kFaultLimit = 0.5;     // mean of recent failures that sets a server aside
+constexpr int kCostlyParts = 2;         // slow parts, and no quick one, that show a costly search
 constexpr int kBreaksSuspect = 2;       // servers broken under one search that make it suspect
 constexpr double kSuspicionSpan = 20;   // due spans that a suspicion is kept
 constexpr int kSilentLaunches = 2;      // unanswered in a row that set a server aside
@@ -62,10 +64,8 @@
 struct Launch { // lives from its plan to its return
     ServerId server;
     Stage stage = Stage::kPlanned;
-    bool wanted = true;
-    bool recalled = false;
+    bool wanted = true, recalled = false, may_have_run = true;
     bool alone = false; // sent to learn whether its search breaks servers
-    bool may_have_run = true;
     Tenths sent = 0;
 };
 
@@ -74,8 +74,8 @@
     ShardNo shard;
     double weight = 0;
     bool in = false;
-    bool held = false; // in its shard's backlog
-    Tenths not_before = 0;
+    bool held = false;  // in its shard's backlog
+    bool quick = false; // answered within its product's patience
     std::vector<Launch> launches;
     bool out() const {
         return std::any_of(launches.begin(), launches.end(), [](auto& l) { return l.stage != Stage::kOver; });
@@ -88,17 +88,17 @@
 struct Search {
     SearchId id;
     ProductNo product;
-    TenantNo tenant;
     KeyId key;
     Tenths due = 0, expiry = 0;
     double payoff = 0;
     bool admitted = false;
     int step = 1;
+    bool whole = true; // so far
     Tenths come_back = 0;
     Fate fate = Fate::kOpen;
     std::vector<Part> parts;
-    std::size_t step_begin = 0;   // where the present step's parts begin
-    std::vector<ServerId> broken; // servers that broke while they held one of its launches
+    std::size_t step_begin = 0; // where the present step's parts begin
+    std::set<ServerId> broken;  // servers that broke while they held one of its launches
 };
 
 struct Suspicion { // of what searches of one key do to servers
@@ -152,9 +152,7 @@
     Tenths filled = 0;
 };
 
-} // namespace
-
-class Brain::Mind {
+class Mind : public Brain {
   public:
     explicit Mind(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
         for (const ProductTerms& product : terms_.products) {
@@ -169,21 +167,38 @@
         }
     }
 
-    // ---- learning ----
+    void on(Tenths now, const Event& event) override {
+        now_ = now;
+        std::visit([this](auto& what) { hear(what); }, event);
+    }
+
+    void decide(Tenths now, Host& host) override {
+        now_ = now;
+        next_ = kNever;
+        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
+        for (auto& [id, server] : servers_) review(server);
+        std::erase_if(suspicions_,
+                      [&](auto& kept) { return now_ > kept.second.at + kSuspicionSpan * pace_; });
+        for (auto& [job, search] : searches_) {
+            if (search.fate != Fate::kOpen) continue;
+            settle(search);
+            if (search.fate == Fate::kOpen) tend(search);
+        }
+        emit(host);
+    }
 
-    void on(const SearchTaken& event) {
+  private:
+    void hear(const SearchTaken& event) {
         auto& product = products_.at(event.product.value);
-        Search search;
-        search.id = event.id;
-        search.product = event.product;
-        search.tenant = event.tenant;
-        search.key = event.key;
+        Search& search = searches_[event.job];
+        search.id = event.id, search.product = event.product;
+        search.key = event.key != KeyId{} ? event.key : KeyId{event.job.value};
         search.payoff = product.terms.payoff;
         // The due time counts from the client's first try, and a repeat is given all that is left of the
         // expiry span. Where repeats are not marked, they are told by time left that differs from most
         // searches'.
         const Tenths off = std::abs(event.left - product.usual_left);
-        const bool alike = static_cast<double>(off) < kAlike * static_cast<double>(product.usual_left);
+        const bool alike = off < kAlike * product.usual_left;
         const bool repeat = terms_.repeats_marked ? event.repeat : !alike && product.votes > 0;
         product.votes += alike ? 1 : -1; // a majority vote
         if (product.votes < 0) product.usual_left = event.left, product.votes = 1;
@@ -193,25 +208,24 @@
         if (search.due <= now_) search.payoff *= product.terms.late_share;
         if (!within_share(event.tenant)) search.payoff *= terms_.over_share_payoff;
         jobs_[event.id] = event.job;
-        searches_[event.job] = std::move(search);
         taken_.push_back(now_);
     }
 
-    void on(const PartTaken& event) {
+    void hear(const PartTaken& event) {
         taken_.push_back(now_);
         const auto found = searches_.find(event.job);
         if (found == searches_.end() || found->second.fate == Fate::kEnded) return;
-        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, 0, {}});
+        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, false, {}});
         part_of_[event.id] = {event.job, found->second.parts.size() - 1};
     }
 
-    void on(const SearchLapsed& event) {
+    void hear(const SearchLapsed& event) {
         const auto job = jobs_.find(event.id);
         if (job == jobs_.end()) return;
         end(searches_.at(job->second));
     }
 
-    void on(const ListNews& news) {
+    void hear(const ListNews& news) {
         subscription_lost_ = news.kind == ListKind::kLost;
         if (subscription_lost_) {
             ++lost_calls_;
@@ -230,7 +244,7 @@
         }
     }
 
-    void on(const ProbeReturned& event) {
+    void hear(const ProbeReturned& event) {
         const auto found = servers_.find(event.server);
         if (found == servers_.end()) return;
         IndexServer& server = found->second;
@@ -242,16 +256,16 @@
         server.passes = event.passed && event.took < pace_ * kMostPatience ? server.passes + 1 : 0;
         if (server.passes < kPassesNeeded) return;
         server.standing = Standing::kTrial;
-        server.trial_room = 1;
+        server.trial_room = 1, server.silent = 0;
+        server.last_answer = now_; // what it still owes from before is not held against it
         server.faults = 0;
-        server.response = server.service = 0;
         server.heard = false;
         // It was away and nobody has said why: it may have started anew, so it counts as cold.
         if (server.unreachable) server.cold_from = std::max(server.cold_from, now_);
         server.unreachable = false;
     }
 
-    void on(const LaunchReturned& event) {
+    void hear(const LaunchReturned& event) {
         const auto found = part_of_.find(event.part);
         if (found == part_of_.end()) return;
         Search& search = searches_.at(found->second.first);
@@ -263,38 +277,16 @@
         launch.may_have_run = event.outcome != Outcome::kTurnedAway &&
                               event.outcome != Outcome::kNoConnection && event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) part.in = true;
+        part.quick = part.in && event.took <= patience(products_[search.product.value]);
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
             at->second.sent_at.erase({part.id, event.launch});
             at->second.out = static_cast<int>(at->second.sent_at.size());
             learn(at->second, products_[search.product.value], event);
         }
-        if (event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kTurnedAway)
-            part.not_before = now_ + 2 * terms_.turn_gap;
         if (search.fate == Fate::kEnded) forget(found->second.first);
     }
 
-    void decide(Tenths now, Host& host) {
-        now_ = now;
-        next_ = kNever;
-        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
-        for (auto& [id, server] : servers_) review(server);
-        std::erase_if(suspicions_, [this](auto& entry) {
-            return now_ > entry.second.at + static_cast<Tenths>(kSuspicionSpan * pace_);
-        });
-        for (auto& [job, search] : searches_) {
-            if (search.fate != Fate::kOpen) continue;
-            settle(search);
-            if (search.fate == Fate::kOpen) tend(search);
-        }
-        emit(host);
-    }
-
-    void set_now(Tenths now) { now_ = now; }
-
-  private:
-    // ---- what answers teach ----
-
     void learn(IndexServer& server, ProductView& product, const LaunchReturned& event) {
         const double due = static_cast<double>(product.terms.due_span);
         const bool good = event.outcome == Outcome::kAnswered;
@@ -302,7 +294,7 @@
         if (event.outcome == Outcome::kRecalled) {
             // Called off: all that is known is that it would have taken longer.
             if (server.heard && event.took > server.response) mix(server.response, event.took);
-            if (event.took >= silence(server) && server.last_answer < now_ - event.took) {
+            if (event.took >= silence(server) && server.last_answer <= now_ - event.took) {
                 ++server.silent;
                 server.silent_at = now_;
             }
@@ -318,37 +310,46 @@
             adapt(server);
             if (!product.heard) product.response = took;
             // One costly search must not make a sound server look slow.
+
             const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
-            if (product.heard) mix(product.deviation, std::min(std::abs(took - product.response), odd));
-            mix(product.response, std::min(took, odd));
-            took = std::min(took, odd);
+            took = std::min(took, product.heard ? odd : took);
+            if (product.heard) mix(product.deviation, std::abs(took - product.response));
+            mix(product.response, took);
             product.heard = true;
         }
         const double queue = event.report.queued.value_or(event.report.in_flight.value_or(0));
         const double service = took / (1 + queue);
-        if (!server.heard) {
-            server.response = took;
-            server.service = service;
-            server.queue = queue;
-        }
+        if (!server.heard) { server.response = took, server.service = service, server.queue = queue; }
         mix(server.response, took);
         if (good) mix(server.service, service);
         hear_report(server, event.report);
         server.heard = server.heard || good;
         mix(server.faults, good ? 0 : 1);
-        if (good && server.standing == Standing::kTrial) {
-            server.trial_room += 1;
-            if (server.trial_room >= kTrialEnd) {
-                server.standing = Standing::kIn;
-                server.setbacks = 0;
-            }
-        }
+        if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
+            server.standing = Standing::kIn, server.setbacks = 0;
         const bool broken = event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken;
         server.unreachable = server.unreachable || broken;
         if (!good && (broken || server.standing == Standing::kTrial || server.faults > kFaultLimit))
             set_aside(server);
     }
 
+    // Whether the search rather than its servers is slow: two parts of it and more took long, each at a
+    // server that answers, and none was quick. To launch those parts again would only double the work.
+    bool costly(const Search& search) const {
+        int slow = 0;
+        for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
+            const Part& part = search.parts[i];
+            if (part.quick) return false;
+            slow += std::any_of(part.launches.begin(), part.launches.end(), [&](auto& launch) {
+                const IndexServer& server = servers_.at(launch.server);
+                return server.standing == Standing::kIn && server.unanswered == 0 &&
+                       now_ >= launch.sent + patience(products_[search.product.value]) &&
+                       (part.in || launch.stage == Stage::kOut);
+            });
+        }
+        return slow >= kCostlyParts;
+    }
+
     // Searches that break every server they reach. A crash takes one server from many searches; a search that
     // lost two servers is suspect, and so are others of its key: they send one part at a time, to learn from.
     // An answer clears them, one more broken server makes it sure. Could harm when much breaks at once: the
@@ -356,9 +357,7 @@
     void suspect(Search& search, const Launch& launch, Outcome outcome) {
         if (outcome == Outcome::kAnswered && launch.alone) suspicions_.erase(search.key);
         if (outcome != Outcome::kBroken) return;
-        if (std::find(search.broken.begin(), search.broken.end(), launch.server) != search.broken.end())
-            return;
-        search.broken.push_back(launch.server);
+        if (!search.broken.insert(launch.server).second) return;
         Suspicion& suspicion = suspicions_[search.key];
         ++suspicion.broken;
         suspicion.sure = suspicion.sure || launch.alone;
@@ -367,9 +366,8 @@
 
     const Suspicion* suspicion_of(const Search& search) const {
         const auto found = suspicions_.find(search.key);
-        const bool suspect = found != suspicions_.end() && found->second.broken >= kBreaksSuspect &&
-                             (search.key != KeyId{} || search.broken.size() >= kBreaksSuspect);
-        return suspect ? &found->second : nullptr;
+        return found != suspicions_.end() && found->second.broken >= kBreaksSuspect ? &found->second
+                                                                                    : nullptr;
     }
 
     static void hear_report(IndexServer& server, const LoadReport& report) {
@@ -400,8 +398,6 @@
         return static_cast<Tenths>(gap * (0.75 + 0.5 * chance_.unit()));
     }
 
-    // ---- C3 ----
-
     void roll_window(IndexServer& server) {
         const Tenths window = now_ / kWindow;
         if (window == server.window) return;
@@ -414,23 +410,21 @@
     void adapt(IndexServer& server) {
         const double answers = std::max(server.answers, server.last_answers);
         if (answers > server.limit) {
-            const double since = static_cast<double>(now_ - server.last_cut);
-            const double reach = since - std::cbrt(kCut * server.saturation / kGamma);
+            const double reach = now_ - server.last_cut - std::cbrt(kCut * server.saturation / kGamma);
             const double cubic = kGamma * reach * reach * reach + server.saturation;
             server.limit = std::max(server.limit, std::min(server.limit + kStepCap, cubic));
             server.last_rise = now_;
         } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > kHold) {
             server.saturation = server.limit;
-            server.limit =
-                std::max({server.limit * kCut, kLeastLimit, kRecentMultiple * server.recent_sends});
+            const double least = std::max(kLeastLimit, kRecentMultiple * server.recent_sends);
+            server.limit = std::max(server.limit * kCut, least);
             server.last_cut = now_;
         }
     }
 
     bool backlogged(const IndexServer& server) const {
-        return std::any_of(backlog_.begin(), backlog_.end(), [&](auto& shard_and_parts) {
-            return shard_and_parts.second > 0 && holds(server, shard_and_parts.first);
-        });
+        return std::any_of(backlog_.begin(), backlog_.end(),
+                           [&](ShardNo shard) { return holds(server, shard); });
     }
 
     bool holds(const IndexServer& server, ShardNo shard) const {
@@ -438,11 +432,6 @@
         return step < terms_.span;
     }
 
-    bool under_limit(IndexServer& server) {
-        roll_window(server);
-        return server.sent < server.limit;
-    }
-
     double service_of(const IndexServer& server) const {
         if (server.heard) return std::max(server.service, 1.0);
         double sum = 0;
@@ -465,8 +454,7 @@
         return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
     }
 
-    // While nothing is out, no answer will correct a high mean, but the queue behind it drains as time
-    // passes.
+    // While nothing is out no answer corrects a high mean, but the queue behind it drains with time.
     void drain(IndexServer& server) {
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
@@ -478,42 +466,32 @@
 
     double score(const IndexServer& server) const {
         const double service = service_of(server);
-        const double waiting =
-            1.0 + (server.out - server.joining) * terms_.front_nodes + server.queue +
-            server.joining * joined_share(service) * (terms_.call_work > 0 ? 1 : terms_.front_nodes);
+        // A sibling in the same call spares the work of a call of its own, and no other front node sends it.
+        const double joined =
+            terms_.call_work > 0 ? service / (service + terms_.call_work) : terms_.front_nodes;
+        const double before = (server.out - server.joining) * terms_.front_nodes;
+        const double waiting = 1 + before + server.joining * joined + server.queue;
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
 
-    // A sibling in the same call spares the work of a call of its own.
-    double joined_share(double service) const {
-        return 1 - static_cast<double>(terms_.call_work) / (service + static_cast<double>(terms_.call_work));
-    }
-
-    // ---- servers ----
-
     void review(IndexServer& server) {
         roll_window(server);
         drain(server);
         server.joining = 0;
         // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two
-        // (one during a trial) to set a server aside; after one it is a suspect and comes last among its
-        // like.
+        // (one in a trial) to set a server aside; after one it comes last among its like.
         if (now_ >= server.silent_at + static_cast<Tenths>(2 * pace_)) server.silent = 0;
         server.unanswered = server.silent;
         for (const auto& [launch, at] : server.sent_at) {
-            if (at <= server.last_answer) continue;
-            if (now_ >= at + silence(server))
-                ++server.unanswered;
-            else
-                note(at + silence(server));
+            if (at < server.last_answer) continue;
+            server.unanswered += now_ >= at + silence(server);
+            note(at + silence(server));
         }
         if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches))
             set_aside(server);
-        const bool listed = server.entry.listed == Listed::kLive;
-        if (server.standing == Standing::kAside && listed && terms_.may_probe && !server.probe_out) {
-            server.probe_wanted = now_ >= server.next_probe;
-            if (!server.probe_wanted) note(server.next_probe);
-        }
+        if (server.standing != Standing::kAside || server.entry.listed != Listed::kLive) return;
+        server.probe_wanted = terms_.may_probe && !server.probe_out && now_ >= server.next_probe;
+        note(server.next_probe);
     }
 
     // Rule 4: how many launches may still go to a server that started a short while ago. Its present share of
@@ -524,16 +502,14 @@
         if (server.cold_from <= 0 || age >= terms_.cold_span) return true;
         while (!server.cold_sends.empty() && server.cold_sends.front() <= now_ - terms_.fall_span)
             server.cold_sends.pop_front();
-        const double risen =
-            static_cast<double>(std::max<Tenths>(age, 0)) / static_cast<double>(terms_.cold_span);
+        const double risen = std::max(0.0, 1.0 * age / terms_.cold_span);
         const double share = terms_.cold_share + (1 - terms_.cold_share) * risen;
         double slowest = service_of(server);
         for (const auto& [id, other] : servers_)
-            if (other.heard && other.entry.kind == server.entry.kind)
-                slowest = std::max(slowest, other.service);
-        const double parts = terms_.fall_multiple * share * static_cast<double>(terms_.fall_span) / slowest;
+            if (other.entry.kind == server.entry.kind) slowest = std::max(slowest, other.service);
+        const double parts = terms_.fall_multiple * share * terms_.fall_span / slowest;
         const double room = std::max(1.0, kColdSafety * parts / terms_.front_nodes);
-        if (static_cast<double>(server.cold_sends.size()) + 1 <= room) return true;
+        if (server.cold_sends.size() + 1 <= room) return true;
         note(server.cold_sends.front() + terms_.fall_span);
         return false;
     }
@@ -557,13 +533,11 @@
                                                             [&](auto& l) { return l.server == server.id; }));
             if (!open && !may_try(server)) continue;
             if (sound_only && (!open || used > 0)) continue;
-            if (!under_limit(server)) {
-                limited = true;
-                continue;
-            }
+            limited = limited || server.sent >= server.limit;
+            if (server.sent >= server.limit) continue;
             // Classes of standing lie further apart than any score.
             double rank = score(server);
-            const bool once = product.terms.effect != Effect::kReissuable;
+            const bool once = product.terms.effect == Effect::kAtMostOnce;
             const double gulf = 1e12;
             if (!open) rank += gulf * (server.unreachable ? 3 : 2);
             if (trial && once) rank += gulf;
@@ -575,14 +549,11 @@
         return best;
     }
 
-    // ---- searches ----
-
     bool within_share(TenantNo tenant) {
         if (tenant.value < 0 || static_cast<std::size_t>(tenant.value) >= tenants_.size()) return true;
         TenantView& view = tenants_[tenant.value];
         const double rate = terms_.tenants[tenant.value].quota_per_s / terms_.front_nodes;
-        const double elapsed = static_cast<double>(now_ - view.filled) / kTenthsPerSecond;
-        view.room = std::min(rate * 2, view.room + elapsed * rate);
+        view.room = std::min(rate * 2, view.room + rate * (now_ - view.filled) / kTenthsPerSecond);
         view.filled = now_;
         if (view.room < 1) return false;
         view.room -= 1;
@@ -610,15 +581,15 @@
             hopeless = hopeless || (!part.in && !part.out() && !may_go_again(part, product));
         }
         const double need = search.step == 1 ? product.terms.need : 1;
-        if (all || (need < 1 && in >= need + kWeightSlack)) return void(search.fate = Fate::kWhole);
-        const bool enough = in >= std::min(product.terms.floor, need) + kWeightSlack &&
-                            product.terms.floor < product.terms.need;
+        if (all || (need < 1 && in + kWeightSlack >= need))
+            return void(search.fate = search.whole ? Fate::kWhole : Fate::kPartial);
+        const bool partial = product.terms.floor < product.terms.need;
+        const bool enough = partial && in + kWeightSlack >= product.terms.floor;
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
         if (enough && (over || late || (hopeless && !out))) return void(search.fate = Fate::kPartial);
         const bool pointless = late && product.terms.late_share <= 0;
-        if (over || pointless || (hopeless && !(product.terms.floor < product.terms.need && out)))
-            give_up(search);
+        if (over || pointless || (hopeless && !(partial && out))) give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
     }
 
@@ -649,24 +620,23 @@
     bool budget_left() {
         while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
         while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
-        const double allowed =
-            terms_.spare_launches + terms_.further_ratio * static_cast<double>(taken_.size());
+        const double allowed = terms_.spare_launches +
+                               terms_.further_ratio * static_cast<double>(taken_.size()) * (1 - pressure());
         return static_cast<double>(further_.size()) + 1 <= allowed;
     }
 
-    // How long a part would take at the replica that promises most.
+    // How long a part would take at the replica that promises most, the sound ones first.
     double forecast(const Part& part) {
-        double least = static_cast<double>(kNever);
-        for (auto& [id, server] : servers_)
-            if (may_serve(server, part) && is_open(server)) least = std::min(least, forecast_of(server));
-        if (least < static_cast<double>(kNever)) return least;
-        for (auto& [id, server] : servers_)
-            if (may_serve(server, part) && may_try(server)) least = std::min(least, forecast_of(server));
-        return least;
+        double sound = static_cast<double>(kNever), any = sound;
+        for (auto& [id, server] : servers_) {
+            if (!may_serve(server, part)) continue;
+            if (is_open(server)) sound = std::min(sound, forecast_of(server));
+            if (may_try(server)) any = std::min(any, forecast_of(server));
+        }
+        return sound < static_cast<double>(kNever) ? sound : any;
     }
 
-    // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues at most of them
-    // are.
+    // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues all round are.
     double pressure() const {
         double sum = 0;
         int counted = 0;
@@ -678,8 +648,8 @@
     }
 
     static bool is_open(const IndexServer& server) {
-        return server.standing == Standing::kIn ||
-               (server.standing == Standing::kTrial && server.out < server.trial_room);
+        const bool trial = server.standing == Standing::kTrial && server.out < server.trial_room;
+        return server.standing == Standing::kIn || trial;
     }
 
     // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
@@ -702,7 +672,7 @@
         const double steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths end = search.due > now_ ? search.due : search.expiry;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
-        const double room = static_cast<double>(end - now_) * (1 - pressure() * (1 - strict));
+        const double room = (end - now_) * (1 - pressure() * (1 - strict));
         double missing = 0;
         for (Part& part : search.parts)
             if (forecast(part) * steps > room) missing += part.weight;
@@ -718,8 +688,7 @@
         }
         const Suspicion* suspicion = suspicion_of(search);
         if (suspicion != nullptr && suspicion->sure) return give_up(search);
-        bool out =
-            std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
+        bool out = any_out(search);
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
             if (part.in || (out && suspicion != nullptr)) continue;
@@ -733,16 +702,16 @@
     // A launch that is overdue, or at a server since set aside, gets company where copies are allowed and is
     // otherwise called off, to go elsewhere once that is confirmed.
     void hurry(Search& search, Part& part, ProductView& product) {
-        if (product.terms.effect != Effect::kReissuable || !may_go_again(part, product)) return;
-        int out = 0;
-        Launch* last = nullptr;
+        if (product.terms.effect == Effect::kAtMostOnce) return;
+        Launch *first = nullptr, *last = nullptr;
         for (Launch& launch : part.launches)
-            if (launch.stage != Stage::kOver) last = &launch, ++out;
-        if (last == nullptr || out > 2) return;
+            if (launch.stage != Stage::kOver) first = first == nullptr ? &launch : first, last = &launch;
         const bool aside = servers_[last->server].standing == Standing::kAside;
         const Tenths overdue = last->sent + patience(product);
         if (!aside && now_ < overdue) return note(overdue);
-        if (now_ >= search.due || !budget_left()) return;
+        if (now_ >= search.due || !budget_left() || !may_go_again(part, product)) return;
+        if (!aside && costly(search)) return note(last->sent + 2 * patience(product));
+        if (first != last) return;
         // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
         const bool sound_only = now_ < last->sent + 2 * patience(product);
         if (sound_only) note(last->sent + 2 * patience(product));
@@ -755,13 +724,12 @@
     }
 
     bool launch(Part& part, const ProductView& product, bool sound_only) {
-        if (now_ < part.not_before) return note(part.not_before), false;
         const bool further = !part.launches.empty();
         if (further && (!may_go_again(part, product) || !budget_left())) return note(now_ + kWindow), false;
         IndexServer* server = choose(part, product, sound_only);
         if (server == nullptr) return note((now_ / kWindow + 1) * kWindow), false;
         if (further) further_.push_back(now_);
-        part.launches.push_back({server->id, Stage::kPlanned, true, false, false, true, now_});
+        part.launches.push_back({server->id, Stage::kPlanned, true, false, true, false, now_});
         server->sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
         server->out = static_cast<int>(server->sent_at.size());
         ++server->sent;
@@ -771,8 +739,6 @@
         return true;
     }
 
-    // ---- the difference between what is wanted and what is, as actions ----
-
     void note(Tenths at) { next_ = std::min(next_, std::max(at, now_ + terms_.turn_gap)); }
 
     void emit(Host& host) {
@@ -782,12 +748,13 @@
             subscription_lost_ = false;
         }
         backlog_.clear();
-        std::vector<JobNo> ended;
-        for (auto& [job, search] : searches_) {
-            const bool first_of_two = search.fate == Fate::kWhole && search.step == 1 &&
-                                      products_[search.product.value].terms.follow_up > 0;
-            if (search.fate == Fate::kWhole || search.fate == Fate::kPartial)
-                host.answer(search.id, search.fate == Fate::kWhole);
+        for (auto next = searches_.begin(); next != searches_.end();) {
+            auto& [job, search] = *next++;
+            const bool answered = search.fate == Fate::kWhole || search.fate == Fate::kPartial;
+            const bool first_of_two =
+                answered && search.step == 1 && products_[search.product.value].terms.follow_up > 0;
+            search.whole = search.fate == Fate::kWhole || (search.whole && !answered);
+            if (answered) host.answer(search.id, search.whole);
             if (search.fate == Fate::kPushedBack) host.push_back(search.id, search.come_back);
             if (search.fate == Fate::kScrapped) host.scrap(search.id);
             if (first_of_two) {
@@ -810,11 +777,10 @@
                         launch.recalled = true;
                     }
                 }
-                if (part.held && search.fate == Fate::kOpen) ++backlog_[part.shard];
+                if (part.held && search.fate == Fate::kOpen) backlog_.insert(part.shard);
             }
-            if (search.fate == Fate::kEnded) ended.push_back(job);
+            if (search.fate == Fate::kEnded) forget(job);
         }
-        for (const JobNo job : ended) forget(job);
         for (auto& [id, server] : servers_) {
             if (!server.probe_wanted) continue;
             host.probe(id);
@@ -827,9 +793,10 @@
         }
     }
 
-    void end(Search& search) {
-        search.fate = Fate::kEnded;
-        jobs_.erase(search.id);
+    void end(Search& search) { search.fate = Fate::kEnded, jobs_.erase(search.id); }
+
+    static bool any_out(const Search& search) {
+        return std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
     }
 
     // An ended search is kept until its last launch has returned: that still teaches about its server.
@@ -851,7 +818,7 @@
     std::map<SearchId, JobNo> jobs_;
     std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
     std::map<ServerId, IndexServer> servers_;
-    std::map<ShardNo, int> backlog_;
+    std::set<ShardNo> backlog_; // shards with parts that wait for a replica under its limit
     std::map<KeyId, Suspicion> suspicions_;
     std::deque<Tenths> taken_, further_;
     bool asked_ = false, subscription_lost_ = false;
@@ -859,14 +826,8 @@
     Tenths ask_at_ = 0;
 };
 
-Brain::Brain(OpeningTerms terms) : mind_(std::make_unique<Mind>(std::move(terms))) {}
-Brain::~Brain() = default;
-Brain::Brain(Brain&&) noexcept = default;
-Brain& Brain::operator=(Brain&&) noexcept = default;
-void Brain::on(Tenths now, const Event& event) {
-    mind_->set_now(now);
-    std::visit([this](auto& what) { mind_->on(what); }, event);
-}
-void Brain::decide(Tenths now, Host& host) { mind_->decide(now, host); }
+} // namespace
+
+std::unique_ptr<Brain> open_brain(OpeningTerms terms) { return std::make_unique<Mind>(std::move(terms)); }
 
 } // namespace ivyrill
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -42,9 +41,6 @@
     int front_nodes = 1;
     ZoneNo zone;
     Tenths turn_gap = 0;
-    Tenths answer_slack = 0;
-    Tenths ask_within = 0;
-    Tenths drain_grace = 0;
     Tenths cold_span = 0;
     double cold_share = 1;
     Tenths fall_span = 0;
@@ -53,9 +49,7 @@
     double spare_launches = 0;
     double further_ratio = 0;
     Tenths budget_span = 0;
-    Tenths connect_span = 0;
     Tenths longest_come_back = 0;
-    int most_open = 0;
     int most_launches = 1;
     bool may_recall = false;
     bool may_probe = false;
@@ -66,12 +60,8 @@
     ListMode list_mode = ListMode::kPushed;
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
     int span = 1;
-    int call_room = 1;          // parts that one call carries at most
-    Tenths call_work = 0;       // what a call costs a server beside its parts
-    double waste_price = 0;     // taken off per work wasted
-    double late_fail_price = 0; // taken off per payoff that ended undelivered past its due time
-    double crossing_price = 0;
-    double probe_price = 0;
+    int call_room = 1;    // parts that one call carries at most
+    Tenths call_work = 0; // what a call costs a server beside its parts
 };
 
 struct LoadReport {
@@ -156,17 +146,11 @@
 
 class Brain {
   public:
-    explicit Brain(OpeningTerms terms);
-    ~Brain();
-    Brain(Brain&&) noexcept;
-    Brain& operator=(Brain&&) noexcept;
-
-    void on(Tenths now, const Event& event);
-    void decide(Tenths now, Host& host);
-
-  private:
-    class Mind;
-    std::unique_ptr<Mind> mind_;
+    virtual ~Brain() = default;
+    virtual void on(Tenths now, const Event& event) = 0;
+    virtual void decide(Tenths now, Host& host) = 0;
 };
 
+std::unique_ptr<Brain> open_brain(OpeningTerms terms);
+
 } // namespace ivyrill
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -44,22 +44,23 @@
         const JobNo job{static_cast<std::uint64_t>(line.integer_within("JobNo", 0, kMostJob))};
         const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
         if (shard < 0)
-            brain_.on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
-                                       TenantNo{index(line, "Realm")}, key_of(line),
-                                       tenths_to_use(line.integer("TtlUs")), line.flag("IsRetry")});
+            brain_->on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
+                                        TenantNo{index(line, "Realm")}, key_of(line),
+                                        tenths_to_use(line.integer("TtlUs")), line.flag("IsRetry")});
         else
-            brain_.on(now, PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
-                                     line.number("SizeOrWeight", 0)});
+            brain_->on(now,
+                       PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
+                                 line.number("SizeOrWeight", 0)});
     } else if (line.name() == "RETURNED") {
         const LaunchNo launch{static_cast<std::uint32_t>(line.integer_within("Copy", 0, kMostId))};
-        brain_.on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")),
-                                      read_outcome(line.text("How")),
-                                      tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
+        brain_->on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")),
+                                       read_outcome(line.text("How")),
+                                       tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
     } else if (line.name() == "CHECKED") {
-        brain_.on(now, ProbeReturned{server_of(line.text("Server")), line.text("How") == "pass",
-                                     tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
+        brain_->on(now, ProbeReturned{server_of(line.text("Server")), line.text("How") == "pass",
+                                      tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
     } else if (line.name() == "LAPSED") {
-        brain_.on(now, SearchLapsed{SearchId{request_id(line)}});
+        brain_->on(now, SearchLapsed{SearchId{request_id(line)}});
     }
     // RING needs no more than the decision that every event brings; other messages are not for this module.
 }
@@ -70,12 +71,12 @@
         news.entries.push_back(row.entry);
         news.entries.back().server = server_of(row.server);
     }
-    brain_.on(now, news);
+    brain_->on(now, news);
 }
 
 std::string Instance::decide(Tenths now) {
     actions_.clear();
-    brain_.decide(now, *this);
+    brain_->decide(now, *this);
     return std::move(actions_);
 }
 
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -17,7 +17,7 @@
 
 class Instance : public Host {
   public:
-    explicit Instance(OpeningTerms terms) : brain_(std::move(terms)) {}
+    explicit Instance(OpeningTerms terms) : brain_(open_brain(std::move(terms))) {}
 
     void apply(Tenths now, const Line& line); // any event but OPEN_INSTANCE, KILLED and ENDPOINTS
     void apply_list(Tenths now, ListKind kind, const Sheet& sheet);
@@ -35,7 +35,7 @@
   private:
     ServerId server_of(std::string_view name);
 
-    Brain brain_;
+    std::unique_ptr<Brain> brain_;
     std::map<std::string, ServerId, std::less<>> ids_;
     std::vector<std::string> names_;
     std::string actions_;
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -171,9 +171,6 @@
     terms.front_nodes = settled.at_least_one("PeersTotal", 1);
     terms.zone = ZoneNo{settled.whole("Zone", 0)};
     terms.turn_gap = settled.to_wait("QuantumUs");
-    terms.answer_slack = settled.to_use("Contract.AnswerSlackUs");
-    terms.ask_within = settled.to_use("Contract.AskWithinUs");
-    terms.drain_grace = settled.to_use("Contract.DrainGraceUs");
     terms.cold_span = settled.to_wait("Contract.ColdUs");
     terms.cold_share = settled.number("Contract.ColdShare", 1);
     terms.fall_span = settled.to_wait("Contract.FallUs");
@@ -182,9 +179,7 @@
     terms.spare_launches = settled.number("Contract.SpareAttempts", 0);
     terms.further_ratio = settled.number("Contract.FurtherRatio", 0);
     terms.budget_span = settled.to_wait("Contract.RatioSpanUs");
-    terms.connect_span = settled.to_wait("Limits.ConnectTimeoutUs");
     terms.longest_come_back = settled.to_use("Limits.MaxRetryAfterUs");
-    terms.most_open = settled.whole("Limits.MaxOpen", std::numeric_limits<int>::max());
     terms.most_launches = settled.at_least_one("Limits.MostTries", 1);
     terms.repeats_marked = settled.flag("Clients.MarksRetry");
     terms.may_recall = settled.flag("Limits.MayCancel");
@@ -197,10 +192,6 @@
     terms.span = settled.at_least_one("Specifics.Span", 1);
     terms.call_room = settled.at_least_one("Specifics.Batch", 1);
     terms.call_work = settled.to_use("Specifics.PerCallWorkUs");
-    terms.waste_price = settled.number("Prices.Waste", 0);
-    terms.late_fail_price = settled.number("Prices.LateFail", 0);
-    terms.crossing_price = settled.number("Prices.CrossZone", 0);
-    terms.probe_price = settled.number("Prices.Probe", 0);
     return terms;
 }
 
--- /dev/null
+++ b/tests/brain_stories.cpp
@@ -0,0 +1,408 @@
+// Short stories, one for each failure met and each piece of the design. `brain_stories NAME` plays one.
+#include "fake_host.hpp"
+
+#include <cstring>
+#include <iostream>
+
+namespace ivyrill {
+
+namespace {
+
+void lowest_score_wins() {
+    FakeHost host(plain_terms());
+    host.warm(3);
+    for (int i = 0; i < 3; ++i) host.search({0}); // one at each
+    host.pass(ms(50));
+    host.all_return(Outcome::kAnswered, ms(400), 0);
+    host.all_return(Outcome::kAnswered, ms(30), 1);
+    host.all_return(Outcome::kAnswered, ms(400), 2);
+    host.sent.clear();
+    host.search({0});
+    assert(host.sent_to(1) == 1);
+}
+
+void outstanding_parts_spread() {
+    FakeHost host(plain_terms());
+    host.search({0, 0, 0});
+    for (int server = 0; server < 3; ++server) assert(host.sent_to(server) == 1);
+}
+
+void reported_queue_repels() {
+    FakeHost host(plain_terms());
+    host.warm(3);
+    for (int i = 0; i < 3; ++i) host.search({0});
+    host.pass(ms(50));
+    host.all_return(Outcome::kAnswered, ms(50), 0, LoadReport{{}, 9.0, {}});
+    host.all_return(Outcome::kAnswered, ms(50), 1, LoadReport{9.0, {}, {}}); // in flight stands in for queued
+    host.all_return(Outcome::kAnswered, ms(50), 2, LoadReport{{}, 0.0, {}});
+    host.sent.clear();
+    host.search({0});
+    assert(host.sent_to(2) == 1);
+}
+
+void limit_rises_and_is_cut() {
+    FakeHost host(plain_terms(), 1);
+    host.warm(1, ms(5));
+    for (int i = 0; i < 12; ++i) host.search({0});
+    assert(host.sent.size() == 12 + 10);        // ten a window to start with
+    host.all_return(Outcome::kAnswered, ms(5)); // a backlog, and few answers: the limit is cut
+    host.pass(ms(40));
+    host.all_return(Outcome::kAnswered, ms(5));
+    const std::size_t before = host.sent.size();
+    for (int i = 0; i < 30; ++i) host.search({0});
+    assert(host.sent.size() - before < 10);
+}
+
+void backlog_drains() {
+    FakeHost host(plain_terms(), 1);
+    host.warm(1, ms(5));
+    host.sent.clear();
+    for (int i = 0; i < 15; ++i) host.search({0});
+    assert(host.sent.size() == 10);
+    host.pass(ms(25)); // the next window has room
+    assert(host.sent.size() == 15);
+}
+
+void unheard_takes_the_mean() {
+    FakeHost host(plain_terms(), 2);
+    host.warm(2, ms(50));
+    host.tell(ListNews{ListKind::kChanges, {FakeHost::entry(2)}});
+    host.sent.clear();
+    host.search({0, 0, 0}); // as good as the others, no better: it gets its turn
+    assert(host.sent_to(0) == 1 && host.sent_to(1) == 1 && host.sent_to(2) == 1);
+}
+
+void siblings_share_a_call() {
+    OpeningTerms terms = plain_terms();
+    FakeHost apart(terms, 2);
+    terms.call_work = ms(100);
+    terms.call_room = 16;
+    FakeHost together(terms, 2);
+    for (FakeHost* host : {&apart, &together}) {
+        host->search({0});    // one server has a launch out already
+        host->search({0, 0}); // the other takes the first; is it dear to join it?
+    }
+    assert(apart.sent[1].server != apart.sent[2].server);
+    assert(together.sent[1].server == together.sent[2].server);
+}
+
+void whole_answer_once_all_are_in() {
+    FakeHost host(plain_terms());
+    const SearchId id = host.search({0, 1});
+    host.returns(0, Outcome::kAnswered, ms(40));
+    host.turn();
+    assert(host.end_of(id) == End::kNone);
+    host.returns(1, Outcome::kAnswered, ms(40));
+    host.turn();
+    assert(host.end_of(id) == End::kWhole);
+    host.pass(ms(3000));
+    assert(host.answers == 1 && host.sent.size() == 2);
+}
+
+void second_step_ends_the_search() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].follow_up = 1;
+    FakeHost host(terms);
+    const SearchId id = host.search({0, 1});
+    host.all_return(Outcome::kAnswered, ms(40));
+    assert(host.answers == 1);
+    host.add_parts(JobNo{1}, {1});
+    host.turn();
+    assert(host.answers == 1 && host.sent.size() == 3);
+    host.all_return(Outcome::kAnswered, ms(40));
+    assert(host.answers == 2 && host.end_of(id) == End::kWhole);
+}
+
+void expiry_is_never_passed() {
+    FakeHost host(plain_terms());
+    const SearchId id = host.search({0, 1});
+    host.pass(ms(1985));
+    assert(host.end_of(id) == End::kPushedBack);
+    for (std::size_t i = 0; i < host.sent.size(); ++i) assert(host.sent[i].recalled);
+    const std::size_t launches = host.sent.size();
+    host.all_return(Outcome::kRecalled, ms(1990));
+    host.pass(ms(500));
+    assert(host.sent.size() == launches);
+}
+
+void part_answer_at_the_due_time() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].floor = 0.5;
+    terms.products[0].partial_share = 0.9;
+    FakeHost host(terms);
+    const SearchId enough = host.search({0, 1}), none = host.search({0, 1});
+    host.returns(0, Outcome::kAnswered, ms(40));
+    host.pass(ms(995));
+    assert(host.end_of(enough) == End::kPart && host.end_of(none) == End::kNone);
+}
+
+void at_most_once_is_not_repeated() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].effect = Effect::kAtMostOnce;
+    FakeHost host(terms);
+    const SearchId maybe = host.search({0});
+    host.all_return(Outcome::kError, ms(5)); // it may have run
+    assert(host.end_of(maybe) == End::kScrapped && host.sent.size() == 1);
+    const SearchId waiting = host.search({0});
+    host.pass(ms(1990));
+    assert(host.end_of(waiting) == End::kScrapped && host.sent.size() == 2);
+}
+
+void numbered_repeats_in_window() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].effect = Effect::kNumbered;
+    terms.products[0].repeat_window = ms(300);
+    FakeHost host(terms);
+    host.search({0});
+    host.all_return(Outcome::kError, ms(5));
+    assert(host.sent.size() == 2);
+    host.pass(ms(290));
+    host.all_return(Outcome::kError, ms(290)); // the window counts from the first launch that may have run
+    host.pass(ms(100));
+    assert(host.sent.size() == 2);
+}
+
+void proven_not_run_goes_again() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].effect = Effect::kAtMostOnce;
+    FakeHost host(terms);
+    const SearchId id = host.search({0});
+    host.all_return(Outcome::kTurnedAway, ms(1));
+    host.all_return(Outcome::kNoConnection, ms(250));
+    assert(host.sent.size() == 3 && host.end_of(id) == End::kNone);
+    assert(host.sent[0].server != host.sent[1].server);
+}
+
+void drain_and_gone_get_nothing() {
+    FakeHost host(plain_terms());
+    host.tell(ListNews{ListKind::kChanges,
+                       {FakeHost::entry(0, Listed::kDraining), FakeHost::entry(1, Listed::kGone)}});
+    for (int i = 0; i < 6; ++i) host.search({0});
+    assert(host.sent_to(2) == 6);
+    host.tell(ListNews{ListKind::kWhole, {FakeHost::entry(0)}}); // the whole list replaces the old one
+    host.sent.clear();
+    host.search({0, 0});
+    assert(host.sent_to(0) == 2);
+}
+
+void cold_server_is_spared() {
+    FakeHost host(plain_terms(), 2);
+    host.warm(2, ms(100));
+    host.tell(ListNews{ListKind::kChanges, {FakeHost::entry(1, Listed::kLive, host.now)}});
+    host.sent.clear();
+    for (int i = 0; i < 9; ++i) host.search({0}), host.pass(ms(20));
+    // Twice a fifth of ten parts a second, over three front nodes: one, and that one counts though it failed.
+    assert(host.sent_to(1) >= 1 && host.sent_to(1) <= 2);
+}
+
+void budget_binds() {
+    OpeningTerms terms = plain_terms();
+    terms.launch_budget = true;
+    terms.spare_launches = 1;
+    terms.further_ratio = 0;
+    terms.budget_span = ms(5000);
+    FakeHost host(terms);
+    host.search({0});
+    host.all_return(Outcome::kError, ms(5));
+    assert(host.sent.size() == 2);
+    host.all_return(Outcome::kError, ms(5));
+    host.pass(ms(500));
+    assert(host.sent.size() == 2);
+}
+
+void lost_launch_gets_a_copy() {
+    FakeHost host(plain_terms(), 2);
+    host.warm(2);
+    host.sent.clear();
+    host.search({0});
+    host.pass(ms(380));
+    assert(host.sent.size() == 2 && host.sent[0].server != host.sent[1].server);
+    host.returns(1, Outcome::kAnswered, ms(40));
+    host.turn();
+    assert(host.answers == 25 && host.sent[0].recalled);
+    host.all_return(Outcome::kRecalled, ms(420));
+    assert(host.probes.empty()); // one lost launch sets no server aside
+}
+
+void recall_where_copies_are_barred() {
+    OpeningTerms terms = plain_terms();
+    terms.second_copies = false;
+    FakeHost host(terms, 2);
+    host.warm(2);
+    host.sent.clear();
+    host.search({0});
+    host.pass(ms(380));
+    assert(host.sent.size() == 1 && host.sent[0].recalled);
+    host.all_return(Outcome::kRecalled, ms(380));
+    assert(host.sent.size() == 2 && host.sent[0].server != host.sent[1].server);
+}
+
+void silent_server_comes_back_by_probes() {
+    FakeHost host(plain_terms(), 2);
+    host.warm(2);
+    host.sent.clear();
+    host.search({0, 0, 0, 0});
+    for (int i = 0; i < 8; ++i, host.pass(ms(100))) host.all_return(Outcome::kAnswered, ms(40), 1);
+    assert(!host.probes.empty() && host.probes[0] == ServerId{0});
+    host.all_return(Outcome::kAnswered, ms(40), 1);
+    host.all_return(Outcome::kRecalled, ms(600), 0);
+    host.sent.clear();
+    for (int i = 0; i < 3; ++i) host.search({0});
+    assert(host.sent_to(0) == 0);
+    host.all_return(Outcome::kAnswered, ms(40), 1);
+    for (int probe = 0; probe < 2; ++probe) {
+        host.tell(ProbeReturned{ServerId{0}, true, ms(2), {}});
+        host.pass(ms(200));
+        host.all_return(Outcome::kAnswered, ms(40), 1);
+    }
+    host.sent.clear();
+    for (int i = 0; i < 6; ++i) host.search({0});
+    assert(host.sent_to(0) == 1); // back, but on trial: one launch at first
+}
+
+void quick_errors_do_not_draw() {
+    FakeHost host(plain_terms(), 3);
+    host.warm(3);
+    host.sent.clear();
+    for (int i = 0; i < 30; ++i) {
+        host.search({0});
+        host.all_return(Outcome::kError, ms(1), 0);
+        host.pass(ms(50));
+        host.all_return(Outcome::kAnswered, ms(50));
+    }
+    assert(host.sent_to(0) <= 4);
+}
+
+void queue_drains_unheard() {
+    FakeHost host(plain_terms(), 1);
+    host.warm(1, ms(50));
+    host.search({0});
+    host.pass(ms(50));
+    host.all_return(Outcome::kAnswered, ms(50), -1, LoadReport{{}, 200.0, {}});
+    const SearchId now = host.search({0});
+    assert(host.end_of(now) == End::kPushedBack); // a queue of sixty parts would take three seconds
+    host.pass(ms(6000));
+    assert(host.end_of(host.search({0})) == End::kNone);
+}
+
+void costly_search_is_left_alone() {
+    OpeningTerms terms = plain_terms();
+    terms.second_copies = false;
+    FakeHost host(terms);
+    host.warm(3);
+    host.sent.clear();
+    host.search({0, 0, 0}); // all its parts take long, at servers that answer others meanwhile
+    for (int i = 0; i < 8; ++i) {
+        host.pass(ms(40));
+        host.search({0});
+        host.returns(host.sent.size() - 1, Outcome::kAnswered, ms(5));
+        host.search({0});
+        host.returns(host.sent.size() - 1, Outcome::kAnswered, ms(5));
+        host.search({0});
+        host.returns(host.sent.size() - 1, Outcome::kAnswered, ms(5));
+    }
+    for (int part = 0; part < 3; ++part) assert(!host.sent[static_cast<std::size_t>(part)].recalled);
+}
+
+void breaking_search_goes_singly() {
+    FakeHost host(plain_terms(), 6);
+    const SearchId id = host.search({0, 0, 0}, 77);
+    host.all_return(Outcome::kBroken, ms(10)); // three servers broke under it
+    assert(host.sent.size() == 4);             // one part goes, to learn from
+    const SearchId again = host.search({0, 0}, 77);
+    const SearchId other = host.search({0, 0}, 78);
+    assert(host.end_of(other) == End::kNone && host.sent.size() == 4 + 1 + 2);
+    host.returns(3, Outcome::kBroken, ms(10));
+    host.turn();
+    assert(host.end_of(id) == End::kScrapped && host.end_of(again) == End::kScrapped);
+    assert(host.end_of(host.search({0}, 77)) == End::kScrapped && host.end_of(other) == End::kNone);
+}
+
+void crowded_fleet_pushes_back() {
+    OpeningTerms terms = plain_terms();
+    terms.may_advise = true;
+    terms.longest_come_back = ms(500);
+    FakeHost host(terms);
+    host.warm(3, ms(300), 0);
+    for (int i = 0; i < 12; ++i) host.search({0});
+    host.pass(ms(100));
+    host.all_return(Outcome::kAnswered, ms(900));
+    const std::size_t before = host.sent.size();
+    const SearchId id = host.search({0, 0, 0, 0});
+    assert(host.end_of(id) == End::kPushedBack && host.sent.size() == before && host.advice > 0);
+}
+
+void lost_subscription_is_renewed() {
+    OpeningTerms terms = plain_terms();
+    terms.list_mode = ListMode::kAsked;
+    FakeHost host(terms);
+    host.turn();
+    assert(host.subscribed == 1);
+    host.tell(ListNews{ListKind::kLost, {}});
+    host.turn();
+    assert(host.subscribed == 1); // not at once: others lost theirs too
+    host.pass(ms(2000));
+    assert(host.subscribed == 2);
+    host.search({0}); // the old list stands
+    assert(host.sent.size() == 1);
+}
+
+void unmarked_repeat_is_known() {
+    OpeningTerms terms = plain_terms();
+    terms.products[0].late_share = 0;
+    FakeHost host(terms);
+    for (int i = 0; i < 5; ++i) host.search({0}, 0, ms(1500));
+    const SearchId repeat = host.search({0}, 0, ms(1200)); // 800 ms of 2 s have passed already
+    host.pass(ms(200));
+    assert(host.end_of(repeat) == End::kPushedBack);
+}
+
+struct Story {
+    const char* name;
+    void (*play)();
+};
+#define STORY(name)                                                                                          \
+    { #name, name }
+constexpr Story kStories[] = {
+    STORY(lowest_score_wins),
+    STORY(outstanding_parts_spread),
+    STORY(reported_queue_repels),
+    STORY(limit_rises_and_is_cut),
+    STORY(backlog_drains),
+    STORY(unheard_takes_the_mean),
+    STORY(siblings_share_a_call),
+    STORY(whole_answer_once_all_are_in),
+    STORY(second_step_ends_the_search),
+    STORY(expiry_is_never_passed),
+    STORY(part_answer_at_the_due_time),
+    STORY(at_most_once_is_not_repeated),
+    STORY(numbered_repeats_in_window),
+    STORY(proven_not_run_goes_again),
+    STORY(drain_and_gone_get_nothing),
+    STORY(cold_server_is_spared),
+    STORY(budget_binds),
+    STORY(lost_launch_gets_a_copy),
+    STORY(recall_where_copies_are_barred),
+    STORY(silent_server_comes_back_by_probes),
+    STORY(quick_errors_do_not_draw),
+    STORY(queue_drains_unheard),
+    STORY(costly_search_is_left_alone),
+    STORY(breaking_search_goes_singly),
+    STORY(crowded_fleet_pushes_back),
+    STORY(lost_subscription_is_renewed),
+    STORY(unmarked_repeat_is_known),
+};
+
+} // namespace
+
+} // namespace ivyrill
+
+int main(int count, char** arguments) {
+    for (const auto& story : ivyrill::kStories) {
+        if (count != 2 || std::strcmp(arguments[1], story.name) != 0) continue;
+        story.play();
+        return 0;
+    }
+    std::cerr << "no such story\n";
+    return 1;
+}
--- /dev/null
+++ b/tests/fake_host.hpp
@@ -0,0 +1,143 @@
+// One tiny fake host: it keeps what the module asked for, and plays servers that answer as a story says.
+#pragma once
+#include "brain.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ivyrill {
+
+constexpr Tenths ms(double count) { return static_cast<Tenths>(count * 10); }
+
+struct Sent {
+    PartId part;
+    LaunchNo launch;
+    ServerId server;
+    bool over = false, recalled = false;
+};
+enum class End { kNone, kWhole, kPart, kPushedBack, kScrapped };
+
+// Two shards a cell, three replicas in one cell, one product due in 1 s and expiring in 2 s.
+inline OpeningTerms plain_terms() {
+    OpeningTerms terms;
+    ProductTerms product;
+    product.due_span = ms(1000);
+    product.expiry_span = ms(2000);
+    product.late_share = 0.1;
+    terms.products = {product};
+    terms.tenants = {{1000}};
+    terms.front_nodes = 3;
+    terms.turn_gap = ms(5);
+    terms.cold_span = ms(10000);
+    terms.cold_share = 0.2;
+    terms.fall_span = ms(1000);
+    terms.fall_multiple = 2;
+    terms.most_launches = 4;
+    terms.may_recall = terms.may_probe = terms.second_copies = true;
+    return terms;
+}
+
+class FakeHost : public Host {
+  public:
+    explicit FakeHost(const OpeningTerms& terms, int servers = 3) : brain(open_brain(terms)) {
+        ListNews news{ListKind::kSaved, {}};
+        for (int i = 0; i < servers; ++i) news.entries.push_back(entry(i));
+        tell(news);
+    }
+
+    static ListEntry entry(int server, Listed listed = Listed::kLive, Tenths born = 0) {
+        return {ServerId{static_cast<std::uint32_t>(server)}, {}, {}, {}, listed, 1, born};
+    }
+
+    void tell(const Event& event) { brain->on(now, event); }
+    void turn() { brain->decide(now, *this); }
+    void pass(Tenths span) { // time goes by, with a turn each 5 ms
+        for (const Tenths end = now + span; now < end;) now += ms(5), turn();
+    }
+
+    // Takes a search with a part at each of these shards and decides.
+    SearchId search(std::vector<int> shards, std::uint64_t key = 0, Tenths left = ms(2000), int product = 0) {
+        const SearchId id{next_id++};
+        const JobNo job{next_job++};
+        tell(SearchTaken{id, job, ProductNo{product}, {}, KeyId{key}, left, false});
+        add_parts(job, std::move(shards));
+        turn();
+        return id;
+    }
+    void add_parts(JobNo job, std::vector<int> shards) {
+        for (const int shard : shards)
+            tell(PartTaken{PartId{next_id++}, job, ShardNo{shard}, 1.0 / static_cast<double>(shards.size())});
+    }
+
+    void returns(std::size_t at, Outcome outcome, Tenths took, LoadReport report = {}) {
+        assert(!sent.at(at).over);
+        sent[at].over = true;
+        tell(LaunchReturned{sent[at].part, sent[at].launch, sent[at].server, outcome, took, report});
+    }
+    // All launches out at this server, or at any, return.
+    void all_return(Outcome outcome, Tenths took, int server = -1, LoadReport report = {}) {
+        for (std::size_t i = 0; i < sent.size(); ++i)
+            if (!sent[i].over &&
+                (server < 0 || sent[i].server == ServerId{static_cast<std::uint32_t>(server)}))
+                returns(i, outcome, took, report);
+        turn();
+    }
+    // Teaches the module that a server takes so long, with such a queue.
+    void warm(int servers, Tenths took = ms(50), double queued = 0) {
+        for (int round = 0; round < 12 * servers; ++round) {
+            search({0});
+            pass(took);
+            all_return(Outcome::kAnswered, took, -1, LoadReport{{}, queued, {}});
+        }
+    }
+
+    int sent_to(int server) const {
+        return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](auto& launch) {
+            return launch.server == ServerId{static_cast<std::uint32_t>(server)};
+        }));
+    }
+    End end_of(SearchId id) const {
+        const auto found = ends.find(id);
+        return found == ends.end() ? End::kNone : found->second;
+    }
+
+    void launch(PartId part, ServerId server, Tenths time_out) override {
+        assert(time_out > 0);
+        const auto earlier = std::count_if(sent.begin(), sent.end(), [&](auto& l) { return l.part == part; });
+        sent.push_back({part, LaunchNo{static_cast<std::uint32_t>(earlier)}, server});
+    }
+    void recall(PartId part, LaunchNo number) override {
+        for (Sent& launch : sent)
+            if (launch.part == part && launch.launch == number) launch.recalled = true;
+    }
+    void answer(SearchId id, bool whole) override { finish(id, whole ? End::kWhole : End::kPart); }
+    void push_back(SearchId id, Tenths come_back) override {
+        finish(id, End::kPushedBack);
+        advice = come_back;
+    }
+    void scrap(SearchId id) override { finish(id, End::kScrapped); }
+    void probe(ServerId server) override { probes.push_back(server); }
+    void wake(Tenths in) override { assert(in > 0); }
+    void subscribe() override { ++subscribed; }
+
+    std::unique_ptr<Brain> brain;
+    Tenths now = ms(1000);
+    std::vector<Sent> sent;
+    std::map<SearchId, End> ends;
+    std::vector<ServerId> probes;
+    int subscribed = 0, answers = 0;
+    Tenths advice = 0;
+    std::uint32_t next_id = 1;
+    std::uint64_t next_job = 1;
+
+  private:
+    void finish(SearchId id, End end) {
+        if (end == End::kWhole || end == End::kPart) ++answers;
+        ends[id] = end;
+    }
+};
+
+} // namespace ivyrill
