--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -91,7 +91,6 @@
     KeyId key;
     Tenths due = 0, expiry = 0;
     double payoff = 0;
-    bool admitted = false;
     int step = 1;
     bool whole = true; // so far
     Tenths come_back = 0;
@@ -177,6 +176,7 @@
         next_ = kNever;
         if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
         for (auto& [id, server] : servers_) review(server);
+        full_ = pressure();
         std::erase_if(suspicions_,
                       [&](auto& kept) { return now_ > kept.second.at + kSuspicionSpan * pace_; });
         for (auto& [job, search] : searches_) {
@@ -255,11 +255,9 @@
         // A probe that crawls home says that the server still crawls.
         server.passes = event.passed && event.took < pace_ * kMostPatience ? server.passes + 1 : 0;
         if (server.passes < kPassesNeeded) return;
-        server.standing = Standing::kTrial;
-        server.trial_room = 1, server.silent = 0;
+        server.standing = Standing::kTrial, server.trial_room = 1;
+        server.faults = 0, server.heard = false, server.silent = 0;
         server.last_answer = now_; // what it still owes from before is not held against it
-        server.faults = 0;
-        server.heard = false;
         // It was away and nobody has said why: it may have started anew, so it counts as cold.
         if (server.unreachable) server.cold_from = std::max(server.cold_from, now_);
         server.unreachable = false;
@@ -424,7 +422,7 @@
 
     bool backlogged(const IndexServer& server) const {
         return std::any_of(backlog_.begin(), backlog_.end(),
-                           [&](ShardNo shard) { return holds(server, shard); });
+                           [&](auto& shard) { return shard.second > 0 && holds(server, shard.first); });
     }
 
     bool holds(const IndexServer& server, ShardNo shard) const {
@@ -545,6 +543,7 @@
             rank += gulf * 0.5 * used;
             if (best == nullptr || rank < best_rank) best = &server, best_rank = rank;
         }
+        if (best == nullptr && limited && !part.held) ++backlog_[part.shard];
         part.held = best == nullptr && limited;
         return best;
     }
@@ -620,18 +619,18 @@
     bool budget_left() {
         while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
         while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
-        const double allowed = terms_.spare_launches +
-                               terms_.further_ratio * static_cast<double>(taken_.size()) * (1 - pressure());
-        return static_cast<double>(further_.size()) + 1 <= allowed;
+        const double share = terms_.further_ratio * (1 - full_);
+        return further_.size() + 1 <= terms_.spare_launches + share * taken_.size();
     }
 
     // How long a part would take at the replica that promises most, the sound ones first.
     double forecast(const Part& part) {
         double sound = static_cast<double>(kNever), any = sound;
+        const int ahead = backlog_[part.shard];
         for (auto& [id, server] : servers_) {
             if (!may_serve(server, part)) continue;
-            if (is_open(server)) sound = std::min(sound, forecast_of(server));
-            if (may_try(server)) any = std::min(any, forecast_of(server));
+            if (is_open(server)) sound = std::min(sound, forecast_of(server, ahead));
+            if (may_try(server)) any = std::min(any, forecast_of(server, ahead));
         }
         return sound < static_cast<double>(kNever) ? sound : any;
     }
@@ -648,16 +647,16 @@
     }
 
     static bool is_open(const IndexServer& server) {
-        const bool trial = server.standing == Standing::kTrial && server.out < server.trial_room;
-        return server.standing == Standing::kIn || trial;
+        return server.standing == Standing::kIn ||
+               (server.standing == Standing::kTrial && server.out < server.trial_room);
     }
 
     // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
     static bool may_try(const IndexServer& server) { return !server.unreachable || server.out == 0; }
 
     // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
-    double forecast_of(const IndexServer& server) const {
-        const double waiting = server.queue + std::max(0, server.out - server.out_at_report);
+    double forecast_of(const IndexServer& server, int ahead = 0) const {
+        const double waiting = ahead + server.queue + std::max(0, server.out - server.out_at_report);
         return std::max(response_of(server), service_of(server) * (1 + waiting));
     }
 
@@ -672,7 +671,7 @@
         const double steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths end = search.due > now_ ? search.due : search.expiry;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
-        const double room = (end - now_) * (1 - pressure() * (1 - strict));
+        const double room = (end - now_) * (1 - full_ * (1 - strict));
         double missing = 0;
         for (Part& part : search.parts)
             if (forecast(part) * steps > room) missing += part.weight;
@@ -681,11 +680,10 @@
 
     void tend(Search& search) {
         ProductView& product = products_[search.product.value];
-        if (!search.admitted) {
-            if (search.parts.empty()) return;
-            search.admitted = admit(search);
-            if (!search.admitted) return give_up(search);
-        }
+        if (search.parts.empty()) return;
+        const bool begun = std::any_of(search.parts.begin(), search.parts.end(),
+                                       [](auto& part) { return !part.launches.empty(); });
+        if (!begun && !admit(search)) return give_up(search); // asked anew while it waits in the backlog
         const Suspicion* suspicion = suspicion_of(search);
         if (suspicion != nullptr && suspicion->sure) return give_up(search);
         bool out = any_out(search);
@@ -777,7 +775,7 @@
                         launch.recalled = true;
                     }
                 }
-                if (part.held && search.fate == Fate::kOpen) backlog_.insert(part.shard);
+                if (part.held && search.fate == Fate::kOpen) ++backlog_[part.shard];
             }
             if (search.fate == Fate::kEnded) forget(job);
         }
@@ -811,6 +809,7 @@
     OpeningTerms terms_;
     Pcg chance_;
     double pace_ = 1e9; // the shortest due span: what counts as a while here
+    double full_ = 0;   // the pressure at the start of this decision
     Tenths now_ = 0, next_ = kNever, alarm_ = 0;
     std::vector<ProductView> products_;
     std::vector<TenantView> tenants_;
@@ -818,7 +817,7 @@
     std::map<SearchId, JobNo> jobs_;
     std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
     std::map<ServerId, IndexServer> servers_;
-    std::set<ShardNo> backlog_; // shards with parts that wait for a replica under its limit
+    std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
     std::map<KeyId, Suspicion> suspicions_;
     std::deque<Tenths> taken_, further_;
     bool asked_ = false, subscription_lost_ = false;
