--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 
 // Ours. Shares of a due span, unless said otherwise.
 constexpr double kFresh = 0.3;          // weight of a new answer in a mean
+constexpr double kFreshReport = 0.6;    // ... of a report, which tells a state and no sample
 constexpr double kDeviations = 4;       // a launch is overdue past the mean and so many mean deviations
 constexpr double kLeastPatience = 0.15; // but not before this
 constexpr double kMostPatience = 0.35;  // and at the latest here
@@ -50,8 +51,9 @@
 constexpr double kPatientShare = 0.25;  // part of the time left that the least paying search may wait
 constexpr double kCalmWait = 0.1;       // mean forecast, of the shortest due span, up to which all is calm
 constexpr double kFullWait = 0.3;       // ... and from which admission is at its strictest
-constexpr double kPayingShare = 0.6;    // ... and the best paying one
-constexpr double kFurtherRatio = 0.2;   // further launches a part, where the terms state no budget
+constexpr double kLocalScale = 2;    // both, times this, for the replicas of one shard: fewer, so more chance
+constexpr double kPayingShare = 0.6; // ... and the best paying one
+constexpr double kFurtherRatio = 0.2; // further launches a part, where the terms state no budget
 constexpr double kFurtherSpare = 5;
 constexpr double kColdSafety = 0.6; // our estimate of a cold server's capacity is rough
 constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
@@ -123,7 +125,7 @@
     double faults = 0;
     Tenths last_answer = 0, next_probe = 0, drained = 0;
     int setbacks = 0, passes = 0, trial_room = 0;
-    int silent = 0; // launches given up on unanswered since its last answer
+    int silent = 0; // launches given up on unanswered since its last answer, the latest at:
     Tenths silent_at = 0;
     int unanswered = 0; // these and the ones still out for too long
     bool unreachable = false, probe_wanted = false, probe_out = false;
@@ -160,8 +162,7 @@
         }
         tenants_.resize(terms_.tenants.size());
         if (!terms_.launch_budget) {
-            terms_.spare_launches = kFurtherSpare;
-            terms_.further_ratio = kFurtherRatio;
+            terms_.spare_launches = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
             terms_.budget_span = static_cast<Tenths>(4 * pace_);
         }
     }
@@ -228,8 +229,7 @@
     void hear(const ListNews& news) {
         subscription_lost_ = news.kind == ListKind::kLost;
         if (subscription_lost_) {
-            ++lost_calls_;
-            ask_at_ = now_ + static_cast<Tenths>(pace_ * lost_calls_ * (0.5 + chance_.unit()));
+            ask_at_ = now_ + static_cast<Tenths>(pace_ * ++lost_calls_ * (0.5 + chance_.unit()));
             return;
         }
         if (news.kind != ListKind::kSaved) lost_calls_ = 0;
@@ -286,23 +286,21 @@
     }
 
     void learn(IndexServer& server, ProductView& product, const LaunchReturned& event) {
-        const double due = static_cast<double>(product.terms.due_span);
+        const double due = product.terms.due_span;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
         if (event.outcome == Outcome::kRecalled) {
             // Called off: all that is known is that it would have taken longer.
             if (server.heard && event.took > server.response) mix(server.response, event.took);
             if (event.took >= silence(server) && server.last_answer <= now_ - event.took) {
-                ++server.silent;
-                server.silent_at = now_;
+                ++server.silent, server.silent_at = now_;
             }
             return;
         }
         // Quick errors look like speed: a failure counts as an answer that took the whole due span.
         double took = good ? static_cast<double>(event.took) : due;
         if (good) {
-            server.last_answer = now_;
-            server.silent = 0;
+            server.last_answer = now_, server.silent = 0;
             roll_window(server);
             ++server.answers;
             adapt(server);
@@ -370,11 +368,11 @@
 
     static void hear_report(IndexServer& server, const LoadReport& report) {
         if (!report.queued && !report.in_flight) return;
-        mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)));
+        mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)), kFreshReport);
         server.out_at_report = server.out;
     }
 
-    static void mix(double& mean, double fresh) { mean += kFresh * (fresh - mean); }
+    static void mix(double& mean, double fresh, double weight = kFresh) { mean += weight * (fresh - mean); }
 
     // A long queue is no silence: a server is allowed twice what it usually takes.
     Tenths silence(const IndexServer& server) const {
@@ -383,11 +381,10 @@
 
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
-        server.silent = 0;
         if (server.standing == Standing::kTrial)
             server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
         server.standing = Standing::kAside;
-        server.passes = 0;
+        server.passes = server.silent = 0;
         server.next_probe = now_ + probe_gap(server);
     }
 
@@ -496,8 +493,8 @@
     // power is at least what an even rise over the stated span gives; its full power is taken from what warm
     // servers do, one part at a time; and the window's budget is divided among all front nodes.
     bool cold_room(IndexServer& server) {
+        if (!is_cold(server)) return true;
         const Tenths age = now_ - server.cold_from;
-        if (server.cold_from <= 0 || age >= terms_.cold_span) return true;
         while (!server.cold_sends.empty() && server.cold_sends.front() <= now_ - terms_.fall_span)
             server.cold_sends.pop_front();
         const double risen = std::max(0.0, 1.0 * age / terms_.cold_span);
@@ -512,6 +509,10 @@
         return false;
     }
 
+    bool is_cold(const IndexServer& server) const {
+        return server.cold_from > 0 && now_ < server.cold_from + terms_.cold_span;
+    }
+
     // Rules 3 and 4 for every launch.
     bool may_serve(IndexServer& server, const Part& part) {
         return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server);
@@ -636,14 +637,16 @@
     }
 
     // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues all round are.
-    double pressure() const {
+    double pressure(const Part* part = nullptr) const {
         double sum = 0;
         int counted = 0;
         for (const auto& [id, server] : servers_)
-            if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn)
+            if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn &&
+                (part == nullptr || holds(server, part->shard)))
                 sum += std::min(forecast_of(server), pace_), ++counted;
         const double wait = counted > 0 ? sum / counted / pace_ : 0;
-        return std::clamp((wait - kCalmWait) / (kFullWait - kCalmWait), 0.0, 1.0);
+        const double scale = part == nullptr ? 1 : kLocalScale;
+        return std::clamp((wait - kCalmWait * scale) / (kFullWait - kCalmWait) / scale, 0.0, 1.0);
     }
 
     static bool is_open(const IndexServer& server) {
@@ -671,10 +674,11 @@
         const double steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths end = search.due > now_ ? search.due : search.expiry;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
-        const double room = (end - now_) * (1 - full_ * (1 - strict));
         double missing = 0;
-        for (Part& part : search.parts)
-            if (forecast(part) * steps > room) missing += part.weight;
+        for (Part& part : search.parts) {
+            const double full = std::max(full_, pressure(&part));
+            if (forecast(part) * steps > (end - now_) * (1 - full * (1 - strict))) missing += part.weight;
+        }
         return missing <= 1 - std::min(product.terms.floor, product.terms.need) + kWeightSlack;
     }
 
@@ -732,8 +736,7 @@
         server->out = static_cast<int>(server->sent_at.size());
         ++server->sent;
         ++server->joining;
-        if (server->cold_from > 0 && now_ < server->cold_from + terms_.cold_span)
-            server->cold_sends.push_back(now_);
+        if (is_cold(*server)) server->cold_sends.push_back(now_);
         return true;
     }
 
