--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -55,7 +55,7 @@
 constexpr double kPayingShare = 0.6; // ... and the best paying one
 constexpr double kFurtherRatio = 0.2; // further launches a part, where the terms state no budget
 constexpr double kFurtherSpare = 5;
-constexpr double kColdSafety = 0.6; // our estimate of a cold server's capacity is rough
+constexpr double kColdSafety = 2.0; // most servers work on more than one part at a time
 constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
 constexpr double kWeightSlack = 1e-6;
 
@@ -429,8 +429,7 @@
 
     double service_of(const IndexServer& server) const {
         if (server.heard) return std::max(server.service, 1.0);
-        double sum = 0;
-        int heard = 0;
+        double sum = 0, heard = 0;
         for (const auto& [id, other] : servers_)
             if (other.heard) sum += other.service, ++heard;
         return heard > 0 ? sum / heard : pace_ * kUnheardShare;
@@ -638,8 +637,7 @@
 
     // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues all round are.
     double pressure(const Part* part = nullptr) const {
-        double sum = 0;
-        int counted = 0;
+        double sum = 0, counted = 0;
         for (const auto& [id, server] : servers_)
             if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn &&
                 (part == nullptr || holds(server, part->shard)))
