Late searches are given up at the due time once the fleet is fuller than late answers pay

Cause: in overload, searches past their due time kept servers from those still in time. It should also help after a jam of any cause; it could harm where late answers pay more than the bench's sites give.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -587,7 +587,8 @@
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
         if (enough && (over || late || (hopeless && !out))) return void(search.fate = Fate::kPartial);
-        const bool pointless = late && product.terms.late_share <= 0;
+        const bool pointless =
+            late && product.terms.late_share <= full_; // in a full fleet it costs others more
         if (over || pointless || (hopeless && !(partial && out))) give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
     }
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -357,6 +357,22 @@
     assert(host.end_of(repeat) == End::kPushedBack);
 }
 
+void late_search_ends_in_a_full_fleet() {
+    for (const Tenths took : {ms(30), ms(900)}) { // what others are told all the time
+        FakeHost host(plain_terms());
+        const SearchId late = host.search({0});
+        for (int turn = 0; turn < 197; ++turn) {
+            if (turn % 5 == 0) host.search({0}), host.search({0}), host.search({0});
+            host.pass(ms(5));
+            for (std::size_t i = 1; turn % 5 == 4 && i < host.sent.size(); ++i)
+                if (!host.sent[i].over && host.sent[i].part != host.sent[0].part)
+                    host.returns(i, Outcome::kAnswered, took);
+        }
+        host.pass(ms(5));
+        assert(host.end_of(late) == (took < ms(100) ? End::kNone : End::kPushedBack));
+    }
+}
+
 struct Story {
     const char* name;
     void (*play)();
@@ -391,6 +407,7 @@
     STORY(crowded_fleet_pushes_back),
     STORY(lost_subscription_is_renewed),
     STORY(unmarked_repeat_is_known),
+    STORY(late_search_ends_in_a_full_fleet),
 };
 
 } // namespace
