--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -54,9 +54,8 @@
 constexpr double kLocalScale = 2;    // both, times this, for the replicas of one shard: fewer, so more chance
 constexpr double kPayingShare = 0.6; // ... and the best paying one
 constexpr double kFurtherRatio = 0.2; // further launches a part, where the terms state no budget
-constexpr double kFurtherSpare = 5;
-constexpr double kColdSafety = 2.0; // most servers work on more than one part at a time
-constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
+constexpr double kColdSafety = 2.0;   // most servers work on more than one part at a time
+constexpr double kAlike = 0.01;       // of the usual time left: first tries differ by less
 constexpr double kWeightSlack = 1e-6;
 
 enum class Standing { kIn, kAside, kTrial };
@@ -162,7 +161,7 @@
         }
         tenants_.resize(terms_.tenants.size());
         if (!terms_.launch_budget) {
-            terms_.spare_launches = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
+            terms_.spare_launches = 5, terms_.further_ratio = kFurtherRatio;
             terms_.budget_span = static_cast<Tenths>(4 * pace_);
         }
     }
@@ -642,8 +641,8 @@
         for (const auto& [id, server] : servers_)
             if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn &&
                 (part == nullptr || holds(server, part->shard)))
-                sum += std::min(forecast_of(server), pace_), ++counted;
-        const double wait = counted > 0 ? sum / counted / pace_ : 0;
+                sum += server.heard ? std::min(forecast_of(server), pace_) : 0, ++counted; // unheard: calm
+        const double wait = sum / std::max(counted, 1.0) / pace_;
         const double scale = part == nullptr ? 1 : kLocalScale;
         return std::clamp((wait - kCalmWait * scale) / (kFullWait - kCalmWait) / scale, 0.0, 1.0);
     }
@@ -663,22 +662,23 @@
     }
 
     // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
-    // less of its time it may spend waiting.
+    // less of its time it may wait; the fuller the fleet, the less it is let in for an answer in part.
     bool admit(Search& search) {
         ProductView& product = products_[search.product.value];
         mix(product.parts, static_cast<double>(search.parts.size()));
         double best = 0;
         for (const ProductView& other : products_) best = std::max(best, other.terms.payoff / other.parts);
-        const double paying = std::min(1.0, search.payoff / static_cast<double>(search.parts.size()) / best);
-        const double steps = product.terms.follow_up > 0 ? 2 : 1;
-        const Tenths end = search.due > now_ ? search.due : search.expiry;
+        const double paying = std::sqrt(std::min(1.0, search.payoff / search.parts.size() / best));
+        const int steps = product.terms.follow_up > 0 ? 2 : 1;
+        const Tenths left = (search.due > now_ ? search.due : search.expiry) - now_;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
         double missing = 0;
         for (Part& part : search.parts) {
             const double full = std::max(full_, pressure(&part));
-            if (forecast(part) * steps > (end - now_) * (1 - full * (1 - strict))) missing += part.weight;
+            if (forecast(part) * steps > left * (1 - full * (1 - strict))) missing += part.weight;
         }
-        return missing <= 1 - std::min(product.terms.floor, product.terms.need) + kWeightSlack;
+        missing -= (1 - std::min(product.terms.floor, product.terms.need)) * (1 - full_);
+        return missing <= kWeightSlack;
     }
 
     void tend(Search& search) {
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -357,6 +357,26 @@
     assert(host.end_of(repeat) == End::kPushedBack);
 }
 
+void full_fleet_plans_no_part_answers() {
+    for (const std::uint32_t sound :
+         {1U, 20U}) { // servers of the other shard; one server of the first crawls
+        OpeningTerms terms = plain_terms();
+        terms.cells = 2;
+        terms.products[0].floor = 0.5;
+        terms.products.push_back(terms.products[0]);
+        FakeHost host(terms, 1);
+        ListNews news{ListKind::kChanges, {}};
+        for (std::uint32_t i = 1; i <= sound; ++i)
+            news.entries.push_back({ServerId{i}, {}, {}, CellNo{1}, Listed::kLive, 1, 0});
+        host.tell(news);
+        for (std::uint32_t i = 0; i < 2 * sound; ++i) host.search({1});
+        host.all_return(Outcome::kAnswered, ms(30));
+        host.search({0}, 0, ms(2000), 1);
+        host.all_return(Outcome::kAnswered, ms(1100));
+        assert(host.end_of(host.search({0, 1})) == (sound == 1 ? End::kPushedBack : End::kNone));
+    }
+}
+
 void late_search_ends_in_a_full_fleet() {
     for (const Tenths took : {ms(30), ms(900)}) { // what others are told all the time
         FakeHost host(plain_terms());
@@ -407,6 +427,7 @@
     STORY(crowded_fleet_pushes_back),
     STORY(lost_subscription_is_renewed),
     STORY(unmarked_repeat_is_known),
+    STORY(full_fleet_plans_no_part_answers),
     STORY(late_search_ends_in_a_full_fleet),
 };
 
