--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -54,8 +54,9 @@
 constexpr double kLocalScale = 2;    // both, times this, for the replicas of one shard: fewer, so more chance
 constexpr double kPayingShare = 0.6; // ... and the best paying one
 constexpr double kFurtherRatio = 0.2; // further launches a part, where the terms state no budget
-constexpr double kColdSafety = 2.0;   // most servers work on more than one part at a time
-constexpr double kAlike = 0.01;       // of the usual time left: first tries differ by less
+constexpr double kFurtherSpare = 5;
+constexpr double kColdSafety = 2.0; // most servers work on more than one part at a time
+constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
 constexpr double kWeightSlack = 1e-6;
 
 enum class Standing { kIn, kAside, kTrial };
@@ -116,8 +117,7 @@
     double limit = kStartLimit, saturation = kStartLimit, recent_sends = 0;
     Tenths last_cut = 0, last_rise = 0, window = 0;
     int sent = 0, answers = 0, last_answers = 0;
-    int out = 0, out_at_report = 0,
-        joining = 0; // launches out, now and then; siblings that share this turn's call
+    int out_at_report = 0, joining = 0; // launches out then; siblings that share this turn's call
     // health
     std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
     Standing standing = Standing::kIn;
@@ -131,6 +131,7 @@
     Tenths cold_from = 0; // its last start, as listed or guessed
     std::deque<Tenths> cold_sends;
 
+    int out() const { return static_cast<int>(sent_at.size()); }
     Tenths oldest() const {
         Tenths first = kNever;
         for (const auto& [launch, at] : sent_at) first = std::min(first, at);
@@ -160,8 +161,9 @@
             pace_ = std::min(pace_, static_cast<double>(product.due_span));
         }
         tenants_.resize(terms_.tenants.size());
+        ask_wanted_ = terms_.list_mode == ListMode::kAsked;
         if (!terms_.launch_budget) {
-            terms_.spare_launches = 5, terms_.further_ratio = kFurtherRatio;
+            terms_.spare_launches = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
             terms_.budget_span = static_cast<Tenths>(4 * pace_);
         }
     }
@@ -174,7 +176,7 @@
     void decide(Tenths now, Host& host) override {
         now_ = now;
         next_ = kNever;
-        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_)) note(ask_at_);
+        if (ask_wanted_) note(ask_at_);
         for (auto& [id, server] : servers_) review(server);
         full_ = pressure();
         std::erase_if(suspicions_,
@@ -226,12 +228,12 @@
     }
 
     void hear(const ListNews& news) {
-        subscription_lost_ = news.kind == ListKind::kLost;
-        if (subscription_lost_) {
+        if (news.kind == ListKind::kLost) {
+            ask_wanted_ = terms_.list_mode == ListMode::kAsked;
             ask_at_ = now_ + static_cast<Tenths>(pace_ * ++lost_calls_ * (0.5 + chance_.unit()));
             return;
         }
-        if (news.kind != ListKind::kSaved) lost_calls_ = 0;
+        if (news.kind != ListKind::kSaved) lost_calls_ = 0, ask_wanted_ = false;
         if (news.kind != ListKind::kChanges)
             for (auto& [id, server] : servers_) server.entry.listed = Listed::kGone;
         for (const ListEntry& entry : news.entries) {
@@ -278,7 +280,6 @@
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
             at->second.sent_at.erase({part.id, event.launch});
-            at->second.out = static_cast<int>(at->second.sent_at.size());
             learn(at->second, products_[search.product.value], event);
         }
         if (search.fate == Fate::kEnded) forget(found->second.first);
@@ -305,7 +306,6 @@
             adapt(server);
             if (!product.heard) product.response = took;
             // One costly search must not make a sound server look slow.
-
             const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
             took = std::min(took, product.heard ? odd : took);
             if (product.heard) mix(product.deviation, std::abs(took - product.response));
@@ -368,7 +368,7 @@
     static void hear_report(IndexServer& server, const LoadReport& report) {
         if (!report.queued && !report.in_flight) return;
         mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)), kFreshReport);
-        server.out_at_report = server.out;
+        server.out_at_report = server.out();
     }
 
     static void mix(double& mean, double fresh, double weight = kFresh) { mean += weight * (fresh - mean); }
@@ -451,7 +451,7 @@
     void drain(IndexServer& server) {
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
-        if (server.out > 0 || passed <= 0) return;
+        if (server.out() > 0 || passed <= 0) return;
         const double service = service_of(server);
         server.queue = std::max(0.0, server.queue - passed / service);
         server.response = std::max(std::min(server.response, service), server.response - passed);
@@ -462,7 +462,7 @@
         // A sibling in the same call spares the work of a call of its own, and no other front node sends it.
         const double joined =
             terms_.call_work > 0 ? service / (service + terms_.call_work) : terms_.front_nodes;
-        const double before = (server.out - server.joining) * terms_.front_nodes;
+        const double before = (server.out() - server.joining) * terms_.front_nodes;
         const double waiting = 1 + before + server.joining * joined + server.queue;
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
@@ -649,15 +649,15 @@
 
     static bool is_open(const IndexServer& server) {
         return server.standing == Standing::kIn ||
-               (server.standing == Standing::kTrial && server.out < server.trial_room);
+               (server.standing == Standing::kTrial && server.out() < server.trial_room);
     }
 
     // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
-    static bool may_try(const IndexServer& server) { return !server.unreachable || server.out == 0; }
+    static bool may_try(const IndexServer& server) { return !server.unreachable || server.out() == 0; }
 
     // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
     double forecast_of(const IndexServer& server, int ahead = 0) const {
-        const double waiting = ahead + server.queue + std::max(0, server.out - server.out_at_report);
+        const double waiting = ahead + server.queue + std::max(0, server.out() - server.out_at_report);
         return std::max(response_of(server), service_of(server) * (1 + waiting));
     }
 
@@ -695,7 +695,7 @@
             if (part.in || (out && suspicion != nullptr)) continue;
             if (part.out())
                 hurry(search, part, product);
-            else if (launch(part, product, false))
+            else if (launch(part, product))
                 part.launches.back().alone = suspicion != nullptr, out = true;
         }
     }
@@ -719,33 +719,33 @@
         IndexServer* other = choose(part, product, sound_only);
         if (other == nullptr) return;
         if (terms_.second_copies)
-            launch(part, product, sound_only);
+            place(part, *other);
         else if (terms_.may_recall)
             last->wanted = false;
     }
 
-    bool launch(Part& part, const ProductView& product, bool sound_only) {
-        const bool further = !part.launches.empty();
-        if (further && (!may_go_again(part, product) || !budget_left())) return note(now_ + kWindow), false;
-        IndexServer* server = choose(part, product, sound_only);
+    bool launch(Part& part, const ProductView& product) {
+        if (!part.launches.empty() && (!may_go_again(part, product) || !budget_left()))
+            return note(now_ + kWindow), false;
+        IndexServer* server = choose(part, product, false);
         if (server == nullptr) return note((now_ / kWindow + 1) * kWindow), false;
-        if (further) further_.push_back(now_);
-        part.launches.push_back({server->id, Stage::kPlanned, true, false, true, false, now_});
-        server->sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
-        server->out = static_cast<int>(server->sent_at.size());
-        ++server->sent;
-        ++server->joining;
-        if (is_cold(*server)) server->cold_sends.push_back(now_);
-        return true;
+        return place(part, *server), true;
+    }
+
+    void place(Part& part, IndexServer& server) {
+        if (!part.launches.empty()) further_.push_back(now_);
+        part.launches.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
+        server.sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
+        ++server.sent, ++server.joining;
+        if (is_cold(server)) server.cold_sends.push_back(now_);
     }
 
     void note(Tenths at) { next_ = std::min(next_, std::max(at, now_ + terms_.turn_gap)); }
 
     void emit(Host& host) {
-        if (terms_.list_mode == ListMode::kAsked && (!asked_ || subscription_lost_) && now_ >= ask_at_) {
+        if (ask_wanted_ && now_ >= ask_at_) {
             host.subscribe();
-            asked_ = true;
-            subscription_lost_ = false;
+            ask_wanted_ = false;
         }
         backlog_.clear();
         for (auto next = searches_.begin(); next != searches_.end();) {
@@ -802,8 +802,7 @@
     // An ended search is kept until its last launch has returned: that still teaches about its server.
     void forget(JobNo job) {
         const Search& search = searches_.at(job);
-        if (std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); }))
-            return;
+        if (any_out(search)) return;
         for (const Part& part : search.parts) part_of_.erase(part.id);
         searches_.erase(job);
     }
@@ -822,7 +821,7 @@
     std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
     std::map<KeyId, Suspicion> suspicions_;
     std::deque<Tenths> taken_, further_;
-    bool asked_ = false, subscription_lost_ = false;
+    bool ask_wanted_ = false; // a subscription to the list
     int lost_calls_ = 0;
     Tenths ask_at_ = 0;
 };
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -23,10 +23,9 @@
     Effect effect = Effect::kReissuable;
     double payoff = 1;
     double late_share = 0;
-    double floor = 1;         // least weight that may be answered from
-    double need = 1;          // weight that makes a whole answer
-    double partial_share = 0; // earned by an answer that is not whole, times its weight over the need
-    int follow_up = 0;        // parts of the second step, 0 for none
+    double floor = 1;  // least weight that may be answered from
+    double need = 1;   // weight that makes a whole answer
+    int follow_up = 0; // parts of the second step, 0 for none
 };
 
 struct TenantTerms {
@@ -39,7 +38,6 @@
     std::vector<ProductTerms> products;
     std::vector<TenantTerms> tenants;
     int front_nodes = 1;
-    ZoneNo zone;
     Tenths turn_gap = 0;
     Tenths cold_span = 0;
     double cold_share = 1;
@@ -60,14 +58,12 @@
     ListMode list_mode = ListMode::kPushed;
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
     int span = 1;
-    int call_room = 1;    // parts that one call carries at most
     Tenths call_work = 0; // what a call costs a server beside its parts
 };
 
 struct LoadReport {
     std::optional<double> in_flight;
     std::optional<double> queued;
-    std::optional<double> busy_share;
 };
 
 enum class Outcome {
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -162,14 +162,12 @@
         product.late_share = settled.number(row + "LateShare", 0);
         product.floor = settled.listed("Specifics.ClassFloor", i, 1);
         product.need = settled.listed("Specifics.ClassNeed", i, 1);
-        product.partial_share = settled.listed("Specifics.ClassPartial", i, 0);
         product.follow_up = static_cast<int>(settled.listed("Specifics.FollowUp", i, 0));
         terms.products.push_back(product);
     }
     for (std::size_t i = 0; i < settled.count("Tenants"); ++i)
         terms.tenants.push_back({settled.number("Tenants." + std::to_string(i) + ".QuotaPerS", 0)});
     terms.front_nodes = settled.at_least_one("PeersTotal", 1);
-    terms.zone = ZoneNo{settled.whole("Zone", 0)};
     terms.turn_gap = settled.to_wait("QuantumUs");
     terms.cold_span = settled.to_wait("Contract.ColdUs");
     terms.cold_share = settled.number("Contract.ColdShare", 1);
@@ -190,7 +188,6 @@
     terms.list_mode = settled.word("MembershipMode", "push") == "ask" ? ListMode::kAsked : ListMode::kPushed;
     terms.cells = settled.at_least_one("Specifics.Places", 1);
     terms.span = settled.at_least_one("Specifics.Span", 1);
-    terms.call_room = settled.at_least_one("Specifics.Batch", 1);
     terms.call_work = settled.to_use("Specifics.PerCallWorkUs");
     return terms;
 }
@@ -205,7 +202,6 @@
         const std::string_view value = pair.substr(at + 1);
         if (name == "busy_reqs") report.in_flight = to_number(value, name);
         if (name == "pending") report.queued = to_number(value, name);
-        if (name == "cpu_share") report.busy_share = to_number(value, name);
     }
     return report;
 }
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -32,9 +32,9 @@
     host.warm(3);
     for (int i = 0; i < 3; ++i) host.search({0});
     host.pass(ms(50));
-    host.all_return(Outcome::kAnswered, ms(50), 0, LoadReport{{}, 9.0, {}});
-    host.all_return(Outcome::kAnswered, ms(50), 1, LoadReport{9.0, {}, {}}); // in flight stands in for queued
-    host.all_return(Outcome::kAnswered, ms(50), 2, LoadReport{{}, 0.0, {}});
+    host.all_return(Outcome::kAnswered, ms(50), 0, LoadReport{{}, 9.0});
+    host.all_return(Outcome::kAnswered, ms(50), 1, LoadReport{9.0, {}}); // in flight stands in for queued
+    host.all_return(Outcome::kAnswered, ms(50), 2, LoadReport{{}, 0.0});
     host.sent.clear();
     host.search({0});
     assert(host.sent_to(2) == 1);
@@ -76,7 +76,6 @@
     OpeningTerms terms = plain_terms();
     FakeHost apart(terms, 2);
     terms.call_work = ms(100);
-    terms.call_room = 16;
     FakeHost together(terms, 2);
     for (FakeHost* host : {&apart, &together}) {
         host->search({0});    // one server has a launch out already
@@ -128,7 +127,6 @@
 void part_answer_at_the_due_time() {
     OpeningTerms terms = plain_terms();
     terms.products[0].floor = 0.5;
-    terms.products[0].partial_share = 0.9;
     FakeHost host(terms);
     const SearchId enough = host.search({0, 1}), none = host.search({0, 1});
     host.returns(0, Outcome::kAnswered, ms(40));
@@ -278,7 +276,7 @@
     host.warm(1, ms(50));
     host.search({0});
     host.pass(ms(50));
-    host.all_return(Outcome::kAnswered, ms(50), -1, LoadReport{{}, 200.0, {}});
+    host.all_return(Outcome::kAnswered, ms(50), -1, LoadReport{{}, 200.0});
     const SearchId now = host.search({0});
     assert(host.end_of(now) == End::kPushedBack); // a queue of sixty parts would take three seconds
     host.pass(ms(6000));
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -90,7 +90,7 @@
         for (int round = 0; round < 12 * servers; ++round) {
             search({0});
             pass(took);
-            all_return(Outcome::kAnswered, took, -1, LoadReport{{}, queued, {}});
+            all_return(Outcome::kAnswered, took, -1, LoadReport{{}, queued});
         }
     }
 
