Full size: work by what a turn touches, cold budgets below one launch, ways, idle connections, breaking searches

Change: watched servers and replicas by shard; cold launches spaced with a seeded first moment; trouble and response pooled by the way to a zone; idle connections that lose launches closed before use; while servers break one after another a search sends one part first; third copies only when all copies are at silent servers; a client in haste is no repeat; turned-away parts are paced; equal scores broken by chance. State types moved to src/state.hpp.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,151 +7,54 @@
 #include "brain.hpp"
 
 #include "base/pcg.hpp"
+#include "state.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <map>
-#include <set>
+#include <ranges>
 
 namespace ivyrill {
 
 namespace {
 
-constexpr Tenths kNever = std::numeric_limits<Tenths>::max();
-
-// C3's own figures, from the paper and the design page.
-constexpr Tenths kWindow = 200;       // 20 ms, the span that a sending limit counts over
-constexpr double kStartLimit = 10;    // parts a window
-constexpr double kLeastLimit = 2;     // parts a window
-constexpr double kRecentMultiple = 2; // ... or this many times our recent sends
-constexpr double kStepCap = 10;       // smax
-constexpr double kCut = 0.2;          // beta
-constexpr double kSaddle = 1000;      // 100 ms
+// C3's own figures, from the paper and the design page; limits are in parts a window.
+constexpr Tenths kWindow = 200;                        // 20 ms
+constexpr double kStartLimit = 10, kStepCap = 10;      // ... and smax
+constexpr double kLeastLimit = 2, kRecentMultiple = 2; // floors: itself, and times our recent sends
+constexpr double kCut = 0.2, kSaddle = 1000;           // beta; 100 ms
 constexpr double kGamma = kCut * kStartLimit / (kSaddle * kSaddle * kSaddle);
-constexpr Tenths kHold = 2 * kWindow; // no cut so soon after a rise
 constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
 
-// Ours. Shares of a due span, unless said otherwise.
-constexpr double kFresh = 0.3;          // weight of a new answer in a mean
-constexpr double kFreshReport = 0.6;    // ... of a report, which tells a state and no sample
-constexpr double kDeviations = 4;       // a launch is overdue past the mean and so many mean deviations
-constexpr double kLeastPatience = 0.15; // but not before this
-constexpr double kMostPatience = 0.35;  // and at the latest here
-constexpr double kFaultLimit = 0.5;     // mean of recent failures that sets a server aside
-constexpr int kCostlyParts = 2;         // slow parts, and no quick one, that show a costly search
-constexpr int kBreaksSuspect = 2;       // servers broken under one search that make it suspect
-constexpr double kSuspicionSpan = 20;   // due spans that a suspicion is kept
-constexpr int kSilentLaunches = 2;      // unanswered in a row that set a server aside
-constexpr double kProbeGap = 0.15;      // between probes to a server set aside
-constexpr int kMostSetbacks = 3;        // doublings of that gap
-constexpr int kPassesNeeded = 2;        // probes in a row before a trial
-constexpr int kTrialEnd = 8;            // trial room at which a server is fully back
-constexpr double kPatientShare = 0.25;  // part of the time left that the least paying search may wait
-constexpr double kCalmWait = 0.1;       // mean forecast, of the shortest due span, up to which all is calm
-constexpr double kFullWait = 0.3;       // ... and from which admission is at its strictest
-constexpr double kLocalScale = 2;    // both, times this, for the replicas of one shard: fewer, so more chance
-constexpr double kPayingShare = 0.6; // ... and the best paying one
-constexpr double kFurtherRatio = 0.2; // further launches a part, where the terms state no budget
-constexpr double kFurtherSpare = 5;
-constexpr double kColdSafety = 2.0; // most servers work on more than one part at a time
-constexpr double kAlike = 0.01;     // of the usual time left: first tries differ by less
-constexpr double kWeightSlack = 1e-6;
-
-enum class Standing { kIn, kAside, kTrial };
-enum class Stage { kPlanned, kOut, kOver };
-enum class Fate { kOpen, kWhole, kPartial, kPushedBack, kScrapped, kEnded };
-
-struct Launch { // lives from its plan to its return
-    ServerId server;
-    Stage stage = Stage::kPlanned;
-    bool wanted = true, recalled = false, may_have_run = true;
-    bool alone = false; // sent to learn whether its search breaks servers
-    Tenths sent = 0;
-};
-
-struct Part {
-    PartId id;
-    ShardNo shard;
-    double weight = 0;
-    bool in = false;
-    bool held = false;  // in its shard's backlog
-    bool quick = false; // answered within its product's patience
-    std::vector<Launch> launches;
-    bool out() const {
-        return std::any_of(launches.begin(), launches.end(), [](auto& l) { return l.stage != Stage::kOver; });
-    }
-    bool may_have_run() const {
-        return std::any_of(launches.begin(), launches.end(), [](auto& l) { return l.may_have_run; });
-    }
-};
-
-struct Search {
-    SearchId id;
-    ProductNo product;
-    KeyId key;
-    Tenths due = 0, expiry = 0;
-    double payoff = 0;
-    int step = 1;
-    bool whole = true; // so far
-    Tenths come_back = 0;
-    Fate fate = Fate::kOpen;
-    std::vector<Part> parts;
-    std::size_t step_begin = 0; // where the present step's parts begin
-    std::set<ServerId> broken;  // servers that broke while they held one of its launches
-};
-
-struct Suspicion { // of what searches of one key do to servers
-    int broken = 0;
-    bool sure = false;
-    Tenths at = 0;
-};
-
-struct IndexServer {
-    ServerId id;
-    ListEntry entry;
-    // C3: exponentially weighted means of response, reported queue and service time.
-    bool heard = false;
-    double response = 0, queue = 0, service = 0;
-    double limit = kStartLimit, saturation = kStartLimit, recent_sends = 0;
-    Tenths last_cut = 0, last_rise = 0, window = 0;
-    int sent = 0, answers = 0, last_answers = 0;
-    int out_at_report = 0, joining = 0; // launches out then; siblings that share this turn's call
-    // health
-    std::map<std::pair<PartId, LaunchNo>, Tenths> sent_at;
-    Standing standing = Standing::kIn;
-    double faults = 0;
-    Tenths last_answer = 0, next_probe = 0, drained = 0;
-    int setbacks = 0, passes = 0, trial_room = 0;
-    int silent = 0; // launches given up on unanswered since its last answer, the latest at:
-    Tenths silent_at = 0;
-    int unanswered = 0; // these and the ones still out for too long
-    bool unreachable = false, probe_wanted = false, probe_out = false;
-    Tenths cold_from = 0; // its last start, as listed or guessed
-    std::deque<Tenths> cold_sends;
-
-    int out() const { return static_cast<int>(sent_at.size()); }
-    Tenths oldest() const {
-        Tenths first = kNever;
-        for (const auto& [launch, at] : sent_at) first = std::min(first, at);
-        return first;
-    }
-};
-
-struct ProductView { // a row a product: what the module reads of it, and what it has learnt
-    ProductTerms terms;
-    double response = 0, deviation = 0; // of answered launches, fleet-wide
-    bool heard = false;
-    double parts = 1;      // a search, on average
-    Tenths usual_left = 0; // of first tries
-    int votes = 0;
-};
-
-struct TenantView {
-    double room = 0; // searches inside its share that may come now
-    Tenths filled = 0;
-};
+// Ours. Shares of a due span, unless said otherwise; of the shortest one where no product is in question.
+constexpr double kFresh = 0.3,
+                 kFreshReport = 0.6; // weight in a mean: of an answer, of a report (a state, no sample)
+constexpr double kDeviations = 4;    // a launch is overdue past the mean and so many mean deviations
+constexpr double kLeastPatience = 0.15, kMostPatience = 0.35; // ... but not before the one or after the other
+constexpr int kCostlyParts = 2;     // slow parts, and no quick one, that show a costly search
+constexpr double kFaultLimit = 0.5; // mean of recent failures that sets a server aside
+constexpr int kSilentLaunches = 2;  // ... and launches unanswered in a row
+constexpr double kProbeGap = 0.15;  // between probes, doubled for each failed trial up to so many times
+constexpr int kMostSetbacks = 3, kPassesNeeded = 2,
+              kTrialEnd = 8;                       // probes passed before, trial room at the end
+constexpr double kCalmWait = 0.1, kFullWait = 0.3; // mean forecasts: all calm, admission at its strictest
+constexpr double kLocalScale = 2; // both, times this, for the replicas of one shard: fewer, so more chance
+constexpr double kPatientShare = 0.25, kPayingShare = 0.6; // of the time left: least and best paying search's
+constexpr double kFurtherRatio = 0.2, kFurtherSpare = 5;   // double launches, where the terms state no budget
+constexpr double kSlowMachine = 1.5,
+                 kColdSafety = 2;            // of the mean service time; parts a server works on at once
+constexpr double kChanceShare = 0.5;         // of a cold server's budget, where chance alone spreads it
+constexpr double kFleetAge = 0.1;            // how long a look at all servers serves
+constexpr double kStorm = 3, kStormSpan = 5; // signs of breaking servers, and how long they take to fade
+constexpr std::size_t kBreaksEnd = 2;        // servers broken under one search that end it
+constexpr double kLossWeight = 0.2,
+                 kLossLimit = 0.3;             // of a launch in a mean of losses; idle connections, though
+constexpr double kRest = 0.5, kRenewSpan = 20; // ... idle for so long; are closed before use for so long
+constexpr double kWayLimit = 0.5;              // mean trouble at which a way is avoided
+constexpr double kHasty = 0.6;                 // time left of a client in haste
+constexpr double kAlike = 0.01;                // of the usual time left: first tries differ by less
+constexpr double kWeightSlack = 1e-6, kGulf = 1e12; // the latter lies between classes of standing
 
 class Mind : public Brain {
   public:
@@ -164,7 +67,7 @@
         ask_wanted_ = terms_.list_mode == ListMode::kAsked;
         if (!terms_.launch_budget) {
             terms_.spare_launches = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
-            terms_.budget_span = static_cast<Tenths>(4 * pace_);
+            terms_.budget_span = shares(4);
         }
     }
 
@@ -177,10 +80,9 @@
         now_ = now;
         next_ = kNever;
         if (ask_wanted_) note(ask_at_);
-        for (auto& [id, server] : servers_) review(server);
-        full_ = pressure();
-        std::erase_if(suspicions_,
-                      [&](auto& kept) { return now_ > kept.second.at + kSuspicionSpan * pace_; });
+        std::erase_if(watched_, [this](auto& kept) { return !review(*kept.second); });
+        review_ways();
+        full_ = pressure(watched_ | std::views::values, 1);
         for (auto& [job, search] : searches_) {
             if (search.fate != Fate::kOpen) continue;
             settle(search);
@@ -194,17 +96,18 @@
         auto& product = products_.at(event.product.value);
         Search& search = searches_[event.job];
         search.id = event.id, search.product = event.product;
-        search.key = event.key != KeyId{} ? event.key : KeyId{event.job.value};
         search.payoff = product.terms.payoff;
         // The due time counts from the client's first try, and a repeat is given all that is left of the
-        // expiry span. Where repeats are not marked, they are told by time left that differs from most
-        // searches'.
+        // expiry span. Where repeats are not marked, their time left differs from most searches'.
         const Tenths off = std::abs(event.left - product.usual_left);
         const bool alike = off < kAlike * product.usual_left;
         const bool repeat = terms_.repeats_marked ? event.repeat : !alike && product.votes > 0;
         product.votes += alike ? 1 : -1; // a majority vote
         if (product.votes < 0) product.usual_left = event.left, product.votes = 1;
-        const Tenths spent = repeat ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
+        // Much less time than even a due span is a client in haste, not one that has waited for long.
+        const bool hasty = !terms_.repeats_marked && event.left < kHasty * product.terms.due_span;
+        const Tenths spent =
+            repeat && !hasty ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
         search.due = now_ + product.terms.due_span - spent;
         search.expiry = now_ + event.left;
         if (search.due <= now_) search.payoff *= product.terms.late_share;
@@ -217,20 +120,18 @@
         taken_.push_back(now_);
         const auto found = searches_.find(event.job);
         if (found == searches_.end() || found->second.fate == Fate::kEnded) return;
-        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, false, {}});
+        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, false, 0, {}});
         part_of_[event.id] = {event.job, found->second.parts.size() - 1};
     }
 
     void hear(const SearchLapsed& event) {
-        const auto job = jobs_.find(event.id);
-        if (job == jobs_.end()) return;
-        end(searches_.at(job->second));
+        if (const auto job = jobs_.find(event.id); job != jobs_.end()) end(searches_.at(job->second));
     }
 
     void hear(const ListNews& news) {
         if (news.kind == ListKind::kLost) {
             ask_wanted_ = terms_.list_mode == ListMode::kAsked;
-            ask_at_ = now_ + static_cast<Tenths>(pace_ * ++lost_calls_ * (0.5 + chance_.unit()));
+            ask_at_ = now_ + shares(++lost_calls_ * (0.5 + chance_.unit()));
             return;
         }
         if (news.kind != ListKind::kSaved) lost_calls_ = 0, ask_wanted_ = false;
@@ -238,10 +139,13 @@
             for (auto& [id, server] : servers_) server.entry.listed = Listed::kGone;
         for (const ListEntry& entry : news.entries) {
             IndexServer& server = servers_[entry.server];
-            server.id = entry.server;
-            if (entry.born > server.entry.born && entry.born > server.cold_from)
-                server.cold_from = entry.born;
-            server.entry = entry;
+            if (!server.known || server.entry.cell != entry.cell) replicas_.clear();
+            if (!server.known) server.id = entry.server, server.limit = server.saturation = kStartLimit;
+            const bool started = entry.born > server.entry.born && entry.born > server.cold_from;
+            if (started && server.known) sign_of_storm();
+            server.entry = entry, server.known = true;
+            if (started) chill(server, entry.born);
+            if (server.standing == Standing::kAside) watch(server);
         }
     }
 
@@ -250,9 +154,10 @@
         if (found == servers_.end()) return;
         IndexServer& server = found->second;
         server.probe_out = false;
+        weigh_way(server, event.passed, event.took);
         if (event.passed) hear_report(server, event.report);
         if (server.standing != Standing::kAside) return;
-        server.next_probe = now_ + probe_gap(server);
+        server.next_probe = now_ + probe_gap(server.setbacks);
         // A probe that crawls home says that the server still crawls.
         server.passes = event.passed && event.took < pace_ * kMostPatience ? server.passes + 1 : 0;
         if (server.passes < kPassesNeeded) return;
@@ -260,7 +165,7 @@
         server.faults = 0, server.heard = false, server.silent = 0;
         server.last_answer = now_; // what it still owes from before is not held against it
         // It was away and nobody has said why: it may have started anew, so it counts as cold.
-        if (server.unreachable) server.cold_from = std::max(server.cold_from, now_);
+        if (server.unreachable) chill(server, now_);
         server.unreachable = false;
     }
 
@@ -275,11 +180,18 @@
         launch.stage = Stage::kOver;
         launch.may_have_run = event.outcome != Outcome::kTurnedAway &&
                               event.outcome != Outcome::kNoConnection && event.outcome != Outcome::kNeverSent;
-        if (event.outcome == Outcome::kAnswered) part.in = true;
-        part.quick = part.in && event.took <= patience(products_[search.product.value]);
+        if (event.outcome == Outcome::kAnswered) {
+            part.in = true;
+            search.quick = search.quick || event.took <= patience(products_[search.product.value]);
+        }
+        // Turned away by one replica it goes to another at once, but launches are not spent on a full set.
+        if (!launch.may_have_run) part.not_before = now_ + shares(kProbeGap * event.launch.value);
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
-            at->second.sent_at.erase({part.id, event.launch});
+            const auto sending = at->second.sent_at.find({part.id, event.launch});
+            if (event.outcome == Outcome::kAnswered) weigh_rest(sending->second, false);
+            at->second.sent_at.erase(sending);
+            at->second.used = now_;
             learn(at->second, products_[search.product.value], event);
         }
         if (search.fate == Fate::kEnded) forget(found->second.first);
@@ -289,12 +201,11 @@
         const double due = product.terms.due_span;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
+        if (good || event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken)
+            weigh_way(server, good, event.took);
         if (event.outcome == Outcome::kRecalled) {
             // Called off: all that is known is that it would have taken longer.
             if (server.heard && event.took > server.response) mix(server.response, event.took);
-            if (event.took >= silence(server) && server.last_answer <= now_ - event.took) {
-                ++server.silent, server.silent_at = now_;
-            }
             return;
         }
         // Quick errors look like speed: a failure counts as an answer that took the whole due span.
@@ -323,54 +234,77 @@
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
         const bool broken = event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken;
+        if (broken && !server.unreachable) sign_of_storm();
         server.unreachable = server.unreachable || broken;
         if (!good && (broken || server.standing == Standing::kTrial || server.faults > kFaultLimit))
             set_aside(server);
     }
 
-    // Whether the search rather than its servers is slow: two parts of it and more took long, each at a
-    // server that answers, and none was quick. To launch those parts again would only double the work.
-    bool costly(const Search& search) const {
-        int slow = 0;
-        for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
-            const Part& part = search.parts[i];
-            if (part.quick) return false;
-            slow += std::any_of(part.launches.begin(), part.launches.end(), [&](auto& launch) {
-                const IndexServer& server = servers_.at(launch.server);
-                return server.standing == Standing::kIn && server.unanswered == 0 &&
-                       now_ >= launch.sent + patience(products_[search.product.value]) &&
-                       (part.in || launch.stage == Stage::kOut);
-            });
-        }
-        return slow >= kCostlyParts;
-    }
+    // Searches that break every server they reach show nothing in common but that. While servers break or
+    // start anew one after another, any search may be one: each sends a single part, the one that promises
+    // most, until a part of it is answered. One that breaks two servers, or one while its part is out alone,
+    // is ended. Acts on deploys and lost zones too, where it costs each search the time of one more answer.
+    void sign_of_storm() { storm_ = storm() + 1, storm_at_ = now_; }
 
-    // Searches that break every server they reach. A crash takes one server from many searches; a search that
-    // lost two servers is suspect, and so are others of its key: they send one part at a time, to learn from.
-    // An answer clears them, one more broken server makes it sure. Could harm when much breaks at once: the
-    // searches out at that moment go on one part at a time until the first is answered.
-    void suspect(Search& search, const Launch& launch, Outcome outcome) {
-        if (outcome == Outcome::kAnswered && launch.alone) suspicions_.erase(search.key);
-        if (outcome != Outcome::kBroken) return;
-        if (!search.broken.insert(launch.server).second) return;
-        Suspicion& suspicion = suspicions_[search.key];
-        ++suspicion.broken;
-        suspicion.sure = suspicion.sure || launch.alone;
-        suspicion.at = now_;
-    }
+    double storm() const { return storm_ * std::exp(-(now_ - storm_at_) / (kStormSpan * pace_)); }
 
-    const Suspicion* suspicion_of(const Search& search) const {
-        const auto found = suspicions_.find(search.key);
-        return found != suspicions_.end() && found->second.broken >= kBreaksSuspect ? &found->second
-                                                                                    : nullptr;
+    void suspect(Search& search, const Launch& launch, Outcome outcome) {
+        if (outcome == Outcome::kAnswered) search.proven = true;
+        if (outcome != Outcome::kBroken || search.proven) return;
+        search.broken.insert(launch.server);
+        search.breaker = search.broken.size() >= kBreaksEnd || (launch.alone && storm() >= kStorm);
     }
 
-    static void hear_report(IndexServer& server, const LoadReport& report) {
+    void hear_report(IndexServer& server, const LoadReport& report) {
+        watch(server);
         if (!report.queued && !report.in_flight) return;
         mix(server.queue, report.queued.value_or(report.in_flight.value_or(0)), kFreshReport);
         server.out_at_report = server.out();
     }
 
+    // Connections dropped unseen: launches over long idle ones get no answer, others do. For a while idle
+    // ones are then closed before use, at the price of new ones. Covers anything on the way that forgets the
+    // quiet.
+    void weigh_rest(const Sending& sending, bool lost) {
+        mix(sending.rested ? rested_loss_ : busy_loss_, lost ? 1 : 0, kLossWeight);
+        if (lost && sending.rested && rested_loss_ > kLossLimit && rested_loss_ > 2 * busy_loss_)
+            renew_until_ = now_ + shares(kRenewSpan);
+    }
+
+    // Few launches tell of one server, many of the way to its zone. A way on which most answers come late or
+    // not at all, while others are sound, is no fault of the servers at its end: they come after those of
+    // other zones, and a probe now and then tells when it is sound again. Covers zones cut off, lost, slow or
+    // full; harmless where a zone's few servers are themselves broken.
+    void weigh_way(const IndexServer& server, bool sound, double took) {
+        Way& way = ways_[server.entry.zone];
+        mix(way.trouble, sound && took < pace_ * kMostPatience ? 0 : 1, kLossWeight);
+        mix(way.response, sound ? took : pace_, kLossWeight);
+    }
+
+    bool way_bad(const IndexServer& server) const {
+        const auto found = ways_.find(server.entry.zone);
+        if (found == ways_.end() || found->second.trouble < kWayLimit) return false;
+        const double half = found->second.trouble / 2;
+        return std::ranges::any_of(ways_, [&](auto& way) { return way.second.trouble < half; });
+    }
+
+    void review_ways() {
+        if (!terms_.may_probe || ways_.size() < 2) return;
+        for (auto& [zone, way] : ways_) {
+            if (way.trouble < kWayLimit / 2) continue;
+            note(way.next_probe);
+            if (now_ < way.next_probe) continue;
+            IndexServer* scout = nullptr;
+            int seen = 0;
+            for (auto& [id, server] : servers_)
+                if (server.entry.zone == zone && server.entry.listed == Listed::kLive && !server.probe_out &&
+                    chance_.unit() < 1.0 / ++seen)
+                    scout = &server;
+            way.next_probe = now_ + probe_gap(0);
+            if (scout != nullptr) scout->probe_wanted = true, watch(*scout);
+        }
+    }
+
     static void mix(double& mean, double fresh, double weight = kFresh) { mean += weight * (fresh - mean); }
 
     // A long queue is no silence: a server is allowed twice what it usually takes.
@@ -380,16 +314,15 @@
 
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
-        if (server.standing == Standing::kTrial)
-            server.setbacks = std::min(server.setbacks + 1, kMostSetbacks);
-        server.standing = Standing::kAside;
-        server.passes = server.silent = 0;
-        server.next_probe = now_ + probe_gap(server);
+        const bool trial = server.standing == Standing::kTrial;
+        server.setbacks = std::min(server.setbacks + (trial ? 1 : 0), kMostSetbacks);
+        server.standing = Standing::kAside, server.passes = server.silent = 0;
+        watch(server);
+        server.next_probe = now_ + probe_gap(server.setbacks);
     }
 
-    Tenths probe_gap(const IndexServer& server) {
-        const double gap = pace_ * kProbeGap * (1 << server.setbacks);
-        return static_cast<Tenths>(gap * (0.75 + 0.5 * chance_.unit()));
+    Tenths probe_gap(int setbacks) {
+        return shares(kProbeGap * (1 << setbacks) * (0.75 + 0.5 * chance_.unit()));
     }
 
     void roll_window(IndexServer& server) {
@@ -408,7 +341,7 @@
             const double cubic = kGamma * reach * reach * reach + server.saturation;
             server.limit = std::max(server.limit, std::min(server.limit + kStepCap, cubic));
             server.last_rise = now_;
-        } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > kHold) {
+        } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > 2 * kWindow) {
             server.saturation = server.limit;
             const double least = std::max(kLeastLimit, kRecentMultiple * server.recent_sends);
             server.limit = std::max(server.limit * kCut, least);
@@ -417,8 +350,7 @@
     }
 
     bool backlogged(const IndexServer& server) const {
-        return std::any_of(backlog_.begin(), backlog_.end(),
-                           [&](auto& shard) { return shard.second > 0 && holds(server, shard.first); });
+        return std::ranges::any_of(backlog_, [&](auto& s) { return s.second > 0 && holds(server, s.first); });
     }
 
     bool holds(const IndexServer& server, ShardNo shard) const {
@@ -427,17 +359,33 @@
     }
 
     double service_of(const IndexServer& server) const {
-        if (server.heard) return std::max(server.service, 1.0);
+        return server.heard ? std::max(server.service, 1.0) : usual_service();
+    }
+
+    // One look at all servers serves for a while: a turn costs what it touches, not what the fleet counts.
+    double usual_service() const {
+        if (now_ < fleet_until_) return fleet_service_;
         double sum = 0, heard = 0;
-        for (const auto& [id, other] : servers_)
-            if (other.heard) sum += other.service, ++heard;
-        return heard > 0 ? sum / heard : pace_ * kUnheardShare;
+        for (const auto& [id, server] : servers_)
+            if (server.heard) sum += server.service, ++heard;
+        fleet_until_ = now_ + (heard > 0 ? shares(kFleetAge) : 1);
+        return fleet_service_ = heard > 0 ? std::max(sum / heard, 1.0) : pace_ * kUnheardShare;
     }
 
-    double response_mean(const IndexServer& server) const {
-        return server.heard ? server.response : service_of(server);
+    const std::vector<IndexServer*>& replicas(ShardNo shard) {
+        const auto [place, fresh] = replicas_.try_emplace(shard);
+        if (fresh)
+            for (auto& [id, server] : servers_)
+                if (holds(server, shard)) place->second.push_back(&server);
+        for (IndexServer* server : place->second) drain(*server);
+        return place->second;
     }
 
+    // Servers that were lately sent to or heard, or are set aside: a turn looks at these alone.
+    void watch(IndexServer& server) { watched_[server.id] = &server, server.touched = now_; }
+
+    double response_mean(const IndexServer& s) const { return s.heard ? s.response : service_of(s); }
+
     // C3 expects feedback all the time. Where it is scarce, means grow stale both ways. While launches are
     // out, silence of some length is a response of at least that.
     double response_of(const IndexServer& server) const {
@@ -449,6 +397,7 @@
 
     // While nothing is out no answer corrects a high mean, but the queue behind it drains with time.
     void drain(IndexServer& server) {
+        roll_window(server);
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
         if (server.out() > 0 || passed <= 0) return;
@@ -467,44 +416,45 @@
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
 
-    void review(IndexServer& server) {
-        roll_window(server);
+    bool review(IndexServer& server) {
         drain(server);
         server.joining = 0;
         // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two
         // (one in a trial) to set a server aside; after one it comes last among its like.
-        if (now_ >= server.silent_at + static_cast<Tenths>(2 * pace_)) server.silent = 0;
-        server.unanswered = server.silent;
-        for (const auto& [launch, at] : server.sent_at) {
-            if (at < server.last_answer) continue;
-            server.unanswered += now_ >= at + silence(server);
-            note(at + silence(server));
+        if (now_ >= server.silent_at + shares(2)) server.silent = 0;
+        for (auto& [launch, sending] : server.sent_at) {
+            if (sending.at < server.last_answer) continue;
+            const Tenths limit = sending.at + silence(server);
+            note(limit);
+            if (now_ < limit || sending.missed) continue;
+            sending.missed = true, ++server.silent, server.silent_at = now_;
+            weigh_rest(sending, true), weigh_way(server, false, 0);
         }
-        if (server.unanswered >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches))
-            set_aside(server);
-        if (server.standing != Standing::kAside || server.entry.listed != Listed::kLive) return;
+        if (server.silent >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
+        if (server.standing != Standing::kAside || server.entry.listed != Listed::kLive)
+            return server.out() > 0 || now_ < server.touched + shares(2);
         server.probe_wanted = terms_.may_probe && !server.probe_out && now_ >= server.next_probe;
         note(server.next_probe);
+        return true;
     }
 
-    // Rule 4: how many launches may still go to a server that started a short while ago. Its present share of
-    // power is at least what an even rise over the stated span gives; its full power is taken from what warm
-    // servers do, one part at a time; and the window's budget is divided among all front nodes.
-    bool cold_room(IndexServer& server) {
-        if (!is_cold(server)) return true;
-        const Tenths age = now_ - server.cold_from;
-        while (!server.cold_sends.empty() && server.cold_sends.front() <= now_ - terms_.fall_span)
-            server.cold_sends.pop_front();
-        const double risen = std::max(0.0, 1.0 * age / terms_.cold_span);
+    // Rule 4: launches to a server that started a short while ago are spaced so that all front nodes together
+    // stay within its budget. Its share of power is at least what an even rise over the stated span gives;
+    // its full power is what warm servers do. Where our share of a window is under one launch, chance makes
+    // the sum, and half of it leaves room for its spread.
+    Tenths cold_gap(const IndexServer& server) const {
+        const double risen = std::max(0.0, 1.0 * (now_ - server.cold_from) / terms_.cold_span);
         const double share = terms_.cold_share + (1 - terms_.cold_share) * risen;
-        double slowest = service_of(server);
-        for (const auto& [id, other] : servers_)
-            if (other.entry.kind == server.entry.kind) slowest = std::max(slowest, other.service);
-        const double parts = terms_.fall_multiple * share * terms_.fall_span / slowest;
-        const double room = std::max(1.0, kColdSafety * parts / terms_.front_nodes);
-        if (server.cold_sends.size() + 1 <= room) return true;
-        note(server.cold_sends.front() + terms_.fall_span);
-        return false;
+        const double slow = std::max(service_of(server), kSlowMachine * usual_service());
+        const double parts = kColdSafety * terms_.fall_multiple * share * terms_.fall_span / slow;
+        const double room = parts / terms_.front_nodes;
+        return static_cast<Tenths>(terms_.fall_span / (room < 1 ? room * kChanceShare : room));
+    }
+
+    // All hear of a start at about the same time, so each draws its own moment of the first gap.
+    void chill(IndexServer& server, Tenths from) {
+        server.cold_from = from;
+        server.cold_next = now_ + static_cast<Tenths>(cold_gap(server) * chance_.unit());
     }
 
     bool is_cold(const IndexServer& server) const {
@@ -512,8 +462,10 @@
     }
 
     // Rules 3 and 4 for every launch.
-    bool may_serve(IndexServer& server, const Part& part) {
-        return server.entry.listed == Listed::kLive && holds(server, part.shard) && cold_room(server);
+    bool may_serve(const IndexServer& server) {
+        const bool room = !is_cold(server) || now_ >= server.cold_next;
+        if (!room) note(server.cold_next);
+        return room && server.entry.listed == Listed::kLive;
     }
 
     // The best replica of a part's shard: the lowest score among those in good standing and under their
@@ -521,26 +473,29 @@
     IndexServer* choose(Part& part, const ProductView& product, bool sound_only) {
         IndexServer* best = nullptr;
         double best_rank = 0;
+        int ties = 0;
         bool limited = false;
-        for (auto& [id, server] : servers_) {
-            if (!may_serve(server, part)) continue;
-            const bool trial = server.standing == Standing::kTrial;
-            const bool open = is_open(server);
-            const int used = static_cast<int>(std::count_if(part.launches.begin(), part.launches.end(),
-                                                            [&](auto& l) { return l.server == server.id; }));
-            if (!open && !may_try(server)) continue;
-            if (sound_only && (!open || used > 0)) continue;
-            limited = limited || server.sent >= server.limit;
-            if (server.sent >= server.limit) continue;
+        for (IndexServer* server : replicas(part.shard)) {
+            const bool open = is_open(*server), bad = way_bad(*server);
+            const auto used =
+                std::ranges::count_if(part.launches, [&](auto& l) { return l.server == server->id; });
+            if (!may_serve(*server) || (!open && !may_try(*server))) continue;
+            if (sound_only && (!open || used > 0 || bad)) continue;
+            limited = limited || server->sent >= server->limit;
+            if (server->sent >= server->limit) continue;
             // Classes of standing lie further apart than any score.
-            double rank = score(server);
-            const bool once = product.terms.effect == Effect::kAtMostOnce;
-            const double gulf = 1e12;
-            if (!open) rank += gulf * (server.unreachable ? 3 : 2);
-            if (trial && once) rank += gulf;
-            if (server.unanswered > 0) rank += gulf * 0.25;
-            rank += gulf * 0.5 * used;
-            if (best == nullptr || rank < best_rank) best = &server, best_rank = rank;
+            const bool risky =
+                server->standing == Standing::kTrial && product.terms.effect == Effect::kAtMostOnce;
+            double rank = score(*server) + kGulf * (0.5 * static_cast<double>(used) + (risky ? 1 : 0));
+            rank += kGulf * ((open                  ? 0
+                              : server->unreachable ? 3
+                                                    : 2) +
+                             (bad ? 1.5 : 0) + (server->silent > 0 ? 0.25 : 0));
+            // Front nodes with the same reports must not all pick the same server: chance breaks a tie.
+            if (best == nullptr || rank < best_rank)
+                best = server, best_rank = rank, ties = 1;
+            else if (rank == best_rank && chance_.unit() < 1.0 / ++ties)
+                best = server;
         }
         if (best == nullptr && limited && !part.held) ++backlog_[part.shard];
         part.held = best == nullptr && limited;
@@ -572,9 +527,10 @@
         double in = 0;
         bool all = search.parts.size() > search.step_begin, hopeless = false, out = false;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
-            const Part& part = search.parts[i];
+            Part& part = search.parts[i];
             if (part.in) in += part.weight;
             all = all && part.in;
+            part.slow = part.slow || (!part.in && dawdles(part, product));
             out = out || (!part.in && part.out());
             hopeless = hopeless || (!part.in && !part.out() && !may_go_again(part, product));
         }
@@ -586,18 +542,16 @@
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
         if (enough && (over || late || (hopeless && !out))) return void(search.fate = Fate::kPartial);
-        const bool pointless =
-            late && product.terms.late_share <= full_; // in a full fleet it costs others more
+        const bool pointless = late && product.terms.late_share <= full_; // it costs others more
         if (over || pointless || (hopeless && !(partial && out))) give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
     }
 
     void give_up(Search& search) {
         const ProductView& product = products_[search.product.value];
-        const bool ran = std::any_of(search.parts.begin(), search.parts.end(),
-                                     [](auto& part) { return part.may_have_run(); });
-        const bool harmful = suspicion_of(search) != nullptr; // to come again would break more
-        const bool harmless = !harmful && (product.terms.effect != Effect::kAtMostOnce || !ran);
+        const bool ran = std::ranges::any_of(search.parts, &Part::may_have_run);
+        const bool harmless = !search.breaker && // to come again would break more
+                              (product.terms.effect != Effect::kAtMostOnce || !ran);
         search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
         const double wait = std::min(pace_ * kMostPatience, static_cast<double>(terms_.longest_come_back));
         search.come_back = terms_.may_advise ? static_cast<Tenths>(wait * (0.5 + chance_.unit() / 2)) : 0;
@@ -627,23 +581,21 @@
     double forecast(const Part& part) {
         double sound = static_cast<double>(kNever), any = sound;
         const int ahead = backlog_[part.shard];
-        for (auto& [id, server] : servers_) {
-            if (!may_serve(server, part)) continue;
-            if (is_open(server)) sound = std::min(sound, forecast_of(server, ahead));
-            if (may_try(server)) any = std::min(any, forecast_of(server, ahead));
+        for (IndexServer* server : replicas(part.shard)) {
+            if (!may_serve(*server)) continue;
+            if (is_open(*server) && !way_bad(*server)) sound = std::min(sound, forecast_of(*server, ahead));
+            if (may_try(*server)) any = std::min(any, forecast_of(*server, ahead));
         }
         return sound < static_cast<double>(kNever) ? sound : any;
     }
 
-    // How overloaded the fleet is, from 0 to 1: one slow server is no overload, long queues all round are.
-    double pressure(const Part* part = nullptr) const {
+    // How overloaded some servers are, from 0 to 1: one slow server is none, long queues all round are.
+    template <class Servers> double pressure(const Servers& servers, double scale) const {
         double sum = 0, counted = 0;
-        for (const auto& [id, server] : servers_)
-            if (server.entry.listed == Listed::kLive && server.standing == Standing::kIn &&
-                (part == nullptr || holds(server, part->shard)))
-                sum += server.heard ? std::min(forecast_of(server), pace_) : 0, ++counted; // unheard: calm
+        for (const IndexServer* server : servers)
+            if (server->entry.listed == Listed::kLive && server->standing == Standing::kIn)
+                sum += server->heard ? std::min(forecast_of(*server), pace_) : 0, ++counted; // unheard: calm
         const double wait = sum / std::max(counted, 1.0) / pace_;
-        const double scale = part == nullptr ? 1 : kLocalScale;
         return std::clamp((wait - kCalmWait * scale) / (kFullWait - kCalmWait) / scale, 0.0, 1.0);
     }
 
@@ -658,7 +610,8 @@
     // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
     double forecast_of(const IndexServer& server, int ahead = 0) const {
         const double waiting = ahead + server.queue + std::max(0, server.out() - server.out_at_report);
-        return std::max(response_of(server), service_of(server) * (1 + waiting));
+        const double way = way_bad(server) ? ways_.at(server.entry.zone).response : 0;
+        return std::max({way, response_of(server), service_of(server) * (1 + waiting)});
     }
 
     // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
@@ -674,7 +627,7 @@
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
         double missing = 0;
         for (Part& part : search.parts) {
-            const double full = std::max(full_, pressure(&part));
+            const double full = std::max(full_, pressure(replicas(part.shard), kLocalScale));
             if (forecast(part) * steps > left * (1 - full * (1 - strict))) missing += part.weight;
         }
         missing -= (1 - std::min(product.terms.floor, product.terms.need)) * (1 - full_);
@@ -684,83 +637,107 @@
     void tend(Search& search) {
         ProductView& product = products_[search.product.value];
         if (search.parts.empty()) return;
-        const bool begun = std::any_of(search.parts.begin(), search.parts.end(),
-                                       [](auto& part) { return !part.launches.empty(); });
+        const bool begun =
+            std::ranges::any_of(search.parts, [](auto& part) { return !part.launches.empty(); });
         if (!begun && !admit(search)) return give_up(search); // asked anew while it waits in the backlog
-        const Suspicion* suspicion = suspicion_of(search);
-        if (suspicion != nullptr && suspicion->sure) return give_up(search);
-        bool out = any_out(search);
+        if (search.breaker) return give_up(search);
+        const bool singly = !search.proven && storm() >= kStorm;
+        const bool out = any_out(search);
+        Part* first = nullptr; // of those to launch, the one that promises most
+        double least = 0;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
-            if (part.in || (out && suspicion != nullptr)) continue;
+            if (part.in) continue;
             if (part.out())
                 hurry(search, part, product);
-            else if (launch(part, product))
-                part.launches.back().alone = suspicion != nullptr, out = true;
+            else if (!singly)
+                launch(part, product);
+            else if (const double wait = out ? 0 : forecast(part); !out && (first == nullptr || wait < least))
+                first = &part, least = wait;
         }
+        if (first != nullptr && launch(*first, product)) first->launches.back().alone = true;
+    }
+
+    bool dawdles(const Part& part, const ProductView& product) const {
+        return std::ranges::any_of(part.launches, [&](auto& launch) {
+            const IndexServer& server = servers_.at(launch.server);
+            return launch.stage == Stage::kOut && now_ >= launch.sent + patience(product) &&
+                   server.standing == Standing::kIn && server.silent == 0;
+        });
     }
 
     // A launch that is overdue, or at a server since set aside, gets company where copies are allowed and is
     // otherwise called off, to go elsewhere once that is confirmed.
     void hurry(Search& search, Part& part, ProductView& product) {
         if (product.terms.effect == Effect::kAtMostOnce) return;
-        Launch *first = nullptr, *last = nullptr;
-        for (Launch& launch : part.launches)
-            if (launch.stage != Stage::kOver) first = first == nullptr ? &launch : first, last = &launch;
+        Launch* last = nullptr;
+        int copies = 0, alive = 0; // out, and those at servers that answer
+        for (Launch& launch : part.launches) {
+            if (launch.stage == Stage::kOver) continue;
+            last = &launch, ++copies, alive += servers_[launch.server].silent == 0 ? 1 : 0;
+        }
         const bool aside = servers_[last->server].standing == Standing::kAside;
         const Tenths overdue = last->sent + patience(product);
         if (!aside && now_ < overdue) return note(overdue);
+        if (copies > 1 && alive > 0) return note(overdue + shares(kLeastPatience));
         if (now_ >= search.due || !budget_left() || !may_go_again(part, product)) return;
-        if (!aside && costly(search)) return note(last->sent + 2 * patience(product));
-        if (first != last) return;
+        // Slow in two parts, at servers that answer, and quick in none: the search is slow, and to launch its
+        // parts again would only double the work.
+        const bool costly = !search.quick && std::ranges::count_if(search.parts, &Part::slow) >= kCostlyParts;
+        if (!aside && costly) return note(last->sent + 2 * patience(product));
         // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
         const bool sound_only = now_ < last->sent + 2 * patience(product);
         if (sound_only) note(last->sent + 2 * patience(product));
         IndexServer* other = choose(part, product, sound_only);
-        if (other == nullptr) return;
-        if (terms_.second_copies)
-            place(part, *other);
-        else if (terms_.may_recall)
-            last->wanted = false;
+        if (other != nullptr && terms_.second_copies) place(part, *other);
+        if (other != nullptr && !terms_.second_copies && terms_.may_recall) last->wanted = false;
     }
 
     bool launch(Part& part, const ProductView& product) {
-        if (!part.launches.empty() && (!may_go_again(part, product) || !budget_left()))
+        if (now_ < part.not_before) return note(part.not_before), false;
+        if (!may_go_again(part, product) || (counts(part) && !budget_left()))
             return note(now_ + kWindow), false;
         IndexServer* server = choose(part, product, false);
-        if (server == nullptr) return note((now_ / kWindow + 1) * kWindow), false;
-        return place(part, *server), true;
+        return server == nullptr ? (note((now_ / kWindow + 1) * kWindow), false)
+                                 : (place(part, *server), true);
+    }
+
+    // Our own bound is on double work; a stated budget counts every further launch.
+    bool counts(const Part& part) const {
+        return terms_.launch_budget ? !part.launches.empty() : part.may_have_run();
     }
 
     void place(Part& part, IndexServer& server) {
-        if (!part.launches.empty()) further_.push_back(now_);
+        if (counts(part)) further_.push_back(now_);
         part.launches.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
-        server.sent_at[{part.id, LaunchNo{static_cast<std::uint32_t>(part.launches.size() - 1)}}] = now_;
+        const bool idle = server.out() == 0 && now_ > server.used + shares(kRest);
+        server.renew = server.renew || (idle && server.used > 0 && now_ < renew_until_);
+        const LaunchNo number{static_cast<std::uint32_t>(part.launches.size() - 1)};
+        server.sent_at[{part.id, number}] = {now_, idle && server.used > 0 && !server.renew, false};
+        server.used = now_;
         ++server.sent, ++server.joining;
-        if (is_cold(server)) server.cold_sends.push_back(now_);
+        watch(server);
+        if (is_cold(server))
+            server.cold_next = now_ + static_cast<Tenths>(cold_gap(server) * (0.5 + chance_.unit()));
     }
 
+    Tenths shares(double of_pace) const { return static_cast<Tenths>(pace_ * of_pace); }
+
     void note(Tenths at) { next_ = std::min(next_, std::max(at, now_ + terms_.turn_gap)); }
 
     void emit(Host& host) {
-        if (ask_wanted_ && now_ >= ask_at_) {
-            host.subscribe();
-            ask_wanted_ = false;
-        }
+        if (ask_wanted_ && now_ >= ask_at_) host.subscribe(), ask_wanted_ = false;
         backlog_.clear();
         for (auto next = searches_.begin(); next != searches_.end();) {
             auto& [job, search] = *next++;
             const bool answered = search.fate == Fate::kWhole || search.fate == Fate::kPartial;
-            const bool first_of_two =
-                answered && search.step == 1 && products_[search.product.value].terms.follow_up > 0;
+            const int steps = products_[search.product.value].terms.follow_up > 0 ? 2 : 1;
             search.whole = search.fate == Fate::kWhole || (search.whole && !answered);
             if (answered) host.answer(search.id, search.whole);
             if (search.fate == Fate::kPushedBack) host.push_back(search.id, search.come_back);
             if (search.fate == Fate::kScrapped) host.scrap(search.id);
-            if (first_of_two) {
-                search.step = 2;
-                search.step_begin = search.parts.size();
-                search.fate = Fate::kOpen;
+            if (answered && search.step < steps) {
+                ++search.step, search.step_begin = search.parts.size(), search.fate = Fate::kOpen;
             } else if (search.fate != Fate::kOpen && search.fate != Fate::kEnded) {
                 end(search);
             }
@@ -769,35 +746,30 @@
                     Launch& launch = part.launches[i];
                     const bool wanted = launch.wanted && !part.in && search.fate == Fate::kOpen;
                     if (launch.stage == Stage::kPlanned) {
+                        IndexServer& server = servers_.at(launch.server);
+                        if (server.renew) host.hang_up(launch.server), server.renew = false;
                         host.launch(part.id, launch.server, search.expiry - now_);
                         launch.stage = Stage::kOut;
                     } else if (launch.stage == Stage::kOut && !wanted && !launch.recalled &&
                                terms_.may_recall) {
-                        host.recall(part.id, LaunchNo{static_cast<std::uint32_t>(i)});
-                        launch.recalled = true;
+                        host.recall(part.id, LaunchNo{static_cast<std::uint32_t>(i)}), launch.recalled = true;
                     }
                 }
                 if (part.held && search.fate == Fate::kOpen) ++backlog_[part.shard];
             }
             if (search.fate == Fate::kEnded) forget(job);
         }
-        for (auto& [id, server] : servers_) {
-            if (!server.probe_wanted) continue;
+        for (auto& [id, server] : watched_) {
+            if (!server->probe_wanted) continue;
             host.probe(id);
-            server.probe_wanted = false;
-            server.probe_out = true;
-        }
-        if (next_ != kNever && (alarm_ <= now_ || next_ < alarm_)) {
-            host.wake(next_ - now_);
-            alarm_ = next_;
+            server->probe_wanted = false, server->probe_out = true;
         }
+        if (next_ != kNever && (alarm_ <= now_ || next_ < alarm_)) host.wake(next_ - now_), alarm_ = next_;
     }
 
     void end(Search& search) { search.fate = Fate::kEnded, jobs_.erase(search.id); }
 
-    static bool any_out(const Search& search) {
-        return std::any_of(search.parts.begin(), search.parts.end(), [](auto& part) { return part.out(); });
-    }
+    static bool any_out(const Search& search) { return std::ranges::any_of(search.parts, &Part::out); }
 
     // An ended search is kept until its last launch has returned: that still teaches about its server.
     void forget(JobNo job) {
@@ -818,12 +790,18 @@
     std::map<SearchId, JobNo> jobs_;
     std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
     std::map<ServerId, IndexServer> servers_;
-    std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
-    std::map<KeyId, Suspicion> suspicions_;
+    std::map<ZoneNo, Way> ways_;
+    std::map<ServerId, IndexServer*> watched_;
+    std::map<ShardNo, std::vector<IndexServer*>> replicas_; // by shard, in the order of their ids
+    mutable Tenths fleet_until_ = 0;                        // the mean service time stands until then
+    mutable double fleet_service_ = 0;
+    std::map<ShardNo, int> backlog_;         // parts that wait for a replica of their shard under its limit
+    double rested_loss_ = 0, busy_loss_ = 0; // launches that got no answer, over idle connections and others
+    double storm_ = 0;                       // servers that broke or started anew of late, fading, at:
+    Tenths storm_at_ = 0, renew_until_ = 0, ask_at_ = 0;
     std::deque<Tenths> taken_, further_;
     bool ask_wanted_ = false; // a subscription to the list
     int lost_calls_ = 0;
-    Tenths ask_at_ = 0;
 };
 
 } // namespace
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -136,6 +136,7 @@
     virtual void push_back(SearchId search, Tenths come_back) = 0; // come_back 0: no advice
     virtual void scrap(SearchId search) = 0;
     virtual void probe(ServerId server) = 0;
+    virtual void hang_up(ServerId server) = 0; // closes idle connections to it
     virtual void wake(Tenths in) = 0;
     virtual void subscribe() = 0;
 };
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -103,6 +103,10 @@
 
 void Instance::probe(ServerId server) { actions_ += "ASK_LOAD Server=" + names_.at(server.value) + "\n"; }
 
+void Instance::hang_up(ServerId server) {
+    actions_ += "HANG_UP Server=" + names_.at(server.value) + "\n";
+}
+
 void Instance::wake(Tenths in) { actions_ += "SCHEDULE Mark=0 InUs=" + std::to_string(to_micros(in)) + "\n"; }
 
 void Instance::subscribe() { actions_ += "LISTEN On=1\n"; }
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -29,6 +29,7 @@
     void push_back(SearchId search, Tenths come_back) override;
     void scrap(SearchId search) override;
     void probe(ServerId server) override;
+    void hang_up(ServerId server) override;
     void wake(Tenths in) override;
     void subscribe() override;
 
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,113 @@
+// What the decision module remembers, grouped by how long it lives: a launch, a part, a search, an index
+// server, the way to a zone, the instance. Types only: no decision and no value set by tuning stands here.
+#pragma once
+#include "brain.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace ivyrill {
+
+constexpr Tenths kNever = std::numeric_limits<Tenths>::max();
+
+enum class Standing { kIn, kAside, kTrial };
+enum class Stage { kPlanned, kOut, kOver };
+enum class Fate { kOpen, kWhole, kPartial, kPushedBack, kScrapped, kEnded };
+
+struct Launch { // lives from its plan to its return
+    ServerId server;
+    Stage stage = Stage::kPlanned;
+    bool wanted = true, recalled = false, may_have_run = true;
+    bool alone = false; // sent to learn whether its search breaks servers
+    Tenths sent = 0;
+};
+
+struct Part {
+    PartId id;
+    ShardNo shard;
+    double weight = 0;
+    bool in = false, held = false; // answered; in its shard's backlog
+    bool slow = false;             // overdue at a server that answers
+    Tenths not_before = 0;         // no launch until then
+    std::vector<Launch> launches;
+    bool out() const {
+        return std::ranges::any_of(launches, [](auto& l) { return l.stage != Stage::kOver; });
+    }
+    bool may_have_run() const { return std::ranges::any_of(launches, &Launch::may_have_run); }
+};
+
+struct Search {
+    SearchId id;
+    ProductNo product;
+    Tenths due = 0, expiry = 0, come_back = 0;
+    double payoff = 0;
+    int step = 1;
+    bool whole = true; // so far
+    Fate fate = Fate::kOpen;
+    std::vector<Part> parts;
+    std::size_t step_begin = 0; // where the present step's parts begin
+    std::set<ServerId> broken;  // servers that broke while they held one of its launches
+    bool proven = false, breaker = false,
+         quick = false; // answered in part; breaks servers; not slow in all parts
+};
+
+struct Sending { // a launch as its server sees it
+    Tenths at = 0;
+    bool rested = false, missed = false; // sent over a connection long idle; silent for longer than usual
+};
+
+struct IndexServer {
+    ServerId id;
+    ListEntry entry;
+    // C3: exponentially weighted means of response, reported queue and service time.
+    bool heard = false;
+    double response = 0, queue = 0, service = 0;
+    double limit = 0, saturation = 0, recent_sends = 0;
+    Tenths last_cut = 0, last_rise = 0, window = 0;
+    int sent = 0, answers = 0, last_answers = 0;
+    int out_at_report = 0, joining = 0; // launches out then; siblings that share this turn's call
+    // health
+    std::map<std::pair<PartId, LaunchNo>, Sending> sent_at;
+    Standing standing = Standing::kIn;
+    double faults = 0;
+    int setbacks = 0, passes = 0, trial_room = 0;
+    int silent = 0; // launches unanswered for too long since its last answer, the latest at:
+    Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0;
+    Tenths touched = 0, used = 0; // last looked after; when something last went over a connection to it
+    Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next launch
+    bool known = false, unreachable = false, probe_wanted = false, probe_out = false;
+    bool renew = false; // its idle connections are to be closed before it is sent to
+
+    int out() const { return static_cast<int>(sent_at.size()); }
+    Tenths oldest() const {
+        Tenths first = kNever;
+        for (const auto& [launch, sending] : sent_at) first = std::min(first, sending.at);
+        return first;
+    }
+};
+
+struct Way {             // to the servers of one zone, over all of them
+    double trouble = 0;  // mean share of late or lost answers, failed connections and probes
+    double response = 0; // mean, losses counted as a due span
+    Tenths next_probe = 0;
+};
+
+struct ProductView { // a row a product: what the module reads of it, and what it has learnt
+    ProductTerms terms;
+    double response = 0, deviation = 0; // of answered launches, fleet-wide
+    bool heard = false;
+    double parts = 1;      // a search, on average
+    Tenths usual_left = 0; // of first tries
+    int votes = 0;
+};
+
+struct TenantView {
+    double room = 0; // searches inside its share that may come now
+    Tenths filled = 0;
+};
+
+} // namespace ivyrill
