--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,32 +28,29 @@
 constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
 
 // Ours. Shares of a due span, unless said otherwise; of the shortest one where no product is in question.
-constexpr double kFresh = 0.3,
-                 kFreshReport = 0.6; // weight in a mean: of an answer, of a report (a state, no sample)
-constexpr double kDeviations = 4;    // a launch is overdue past the mean and so many mean deviations
+constexpr double kFresh = 0.3, kFreshReport = 0.6; // weight in a mean: of an answer, of a report
+constexpr double kDeviations = 4; // a launch is overdue past the mean and so many mean deviations
 constexpr double kLeastPatience = 0.15, kMostPatience = 0.35; // ... but not before the one or after the other
 constexpr int kCostlyParts = 2;     // slow parts, and no quick one, that show a costly search
 constexpr double kFaultLimit = 0.5; // mean of recent failures that sets a server aside
 constexpr int kSilentLaunches = 2;  // ... and launches unanswered in a row
 constexpr double kProbeGap = 0.15;  // between probes, doubled for each failed trial up to so many times
-constexpr int kMostSetbacks = 3, kPassesNeeded = 2,
-              kTrialEnd = 8;                       // probes passed before, trial room at the end
+constexpr int kMostSetbacks = 3, kPassesNeeded = 2, kTrialEnd = 8; // probes before, trial room at the end
 constexpr double kCalmWait = 0.1, kFullWait = 0.3; // mean forecasts: all calm, admission at its strictest
 constexpr double kLocalScale = 2; // both, times this, for the replicas of one shard: fewer, so more chance
 constexpr double kPatientShare = 0.25, kPayingShare = 0.6; // of the time left: least and best paying search's
 constexpr double kFurtherRatio = 0.2, kFurtherSpare = 5;   // double launches, where the terms state no budget
-constexpr double kSlowMachine = 1.5,
-                 kColdSafety = 2;            // of the mean service time; parts a server works on at once
-constexpr double kChanceShare = 0.5;         // of a cold server's budget, where chance alone spreads it
+constexpr double kSlowMachine = 1.5;                       // times the mean service time
+constexpr double kColdSafety = 2,
+                 kChanceShare = 0.5;         // parts a server works on at once; room where chance sums
 constexpr double kFleetAge = 0.1;            // how long a look at all servers serves
 constexpr double kStorm = 3, kStormSpan = 5; // signs of breaking servers, and how long they take to fade
 constexpr std::size_t kBreaksEnd = 2;        // servers broken under one search that end it
-constexpr double kLossWeight = 0.2,
-                 kLossLimit = 0.3;             // of a launch in a mean of losses; idle connections, though
-constexpr double kRest = 0.5, kRenewSpan = 20; // ... idle for so long; are closed before use for so long
-constexpr double kWayLimit = 0.5;              // mean trouble at which a way is avoided
-constexpr double kHasty = 0.6;                 // time left of a client in haste
-constexpr double kAlike = 0.01;                // of the usual time left: first tries differ by less
+constexpr double kLossWeight = 0.2, kLossLimit = 0.3; // mean loss at which idle connections are not trusted
+constexpr double kRest = 0.5, kRenewSpan = 20;        // ... idle for so long; closed before use for so long
+constexpr double kUsualWeight = 0.1, kZoneWeight = 0.1, kKindWeight = 0.03; // of a launch in their means
+constexpr double kGroupLimit = 0.4;                 // mean trouble at which a group is avoided
+constexpr double kHasty = 0.6, kAlike = 0.01;       // time left in haste; spread of first tries' time
 constexpr double kWeightSlack = 1e-6, kGulf = 1e12; // the latter lies between classes of standing
 
 class Mind : public Brain {
@@ -81,7 +78,7 @@
         next_ = kNever;
         if (ask_wanted_) note(ask_at_);
         std::erase_if(watched_, [this](auto& kept) { return !review(*kept.second); });
-        review_ways();
+        review_groups();
         full_ = pressure(watched_ | std::views::values, 1);
         for (auto& [job, search] : searches_) {
             if (search.fate != Fate::kOpen) continue;
@@ -154,7 +151,7 @@
         if (found == servers_.end()) return;
         IndexServer& server = found->second;
         server.probe_out = false;
-        weigh_way(server, event.passed, event.took);
+        weigh_group(server, event.passed, event.took);
         if (event.passed) hear_report(server, event.report);
         if (server.standing != Standing::kAside) return;
         server.next_probe = now_ + probe_gap(server.setbacks);
@@ -189,7 +186,10 @@
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
             const auto sending = at->second.sent_at.find({part.id, event.launch});
-            if (event.outcome == Outcome::kAnswered) weigh_rest(sending->second, false);
+            const bool refused = event.outcome == Outcome::kNoConnection;
+            const bool lost = sending->second.missed && event.outcome != Outcome::kAnswered;
+            if (refused || lost || event.outcome == Outcome::kAnswered)
+                weigh_rest(sending->second, lost, refused);
             at->second.sent_at.erase(sending);
             at->second.used = now_;
             learn(at->second, products_[search.product.value], event);
@@ -201,11 +201,10 @@
         const double due = product.terms.due_span;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
-        if (good || event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken)
-            weigh_way(server, good, event.took);
+        if (event.outcome != Outcome::kRecalled && event.outcome != Outcome::kTimedOut)
+            weigh_group(server, good, event.took);
         if (event.outcome == Outcome::kRecalled) {
-            // Called off: all that is known is that it would have taken longer.
-            if (server.heard && event.took > server.response) mix(server.response, event.took);
+            if (server.heard && event.took > server.response) mix(server.response, event.took, kFresh);
             return;
         }
         // Quick errors look like speed: a failure counts as an answer that took the whole due span.
@@ -219,18 +218,19 @@
             // One costly search must not make a sound server look slow.
             const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
             took = std::min(took, product.heard ? odd : took);
-            if (product.heard) mix(product.deviation, std::abs(took - product.response));
-            mix(product.response, took);
+            if (product.heard) mix(product.deviation, std::abs(took - product.response), kFresh);
+            mix(product.response, took, kFresh);
             product.heard = true;
         }
         const double queue = event.report.queued.value_or(event.report.in_flight.value_or(0));
         const double service = took / (1 + queue);
+        if (good) mix_usual(queue, took);
         if (!server.heard) { server.response = took, server.service = service, server.queue = queue; }
-        mix(server.response, took);
-        if (good) mix(server.service, service);
+        mix(server.response, took, kFresh);
+        if (good) mix(server.service, service, kFresh);
         hear_report(server, event.report);
         server.heard = server.heard || good;
-        mix(server.faults, good ? 0 : 1);
+        mix(server.faults, good ? 0 : 1, kFresh);
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
         const bool broken = event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken;
@@ -240,10 +240,10 @@
             set_aside(server);
     }
 
-    // Searches that break every server they reach show nothing in common but that. While servers break or
-    // start anew one after another, any search may be one: each sends a single part, the one that promises
-    // most, until a part of it is answered. One that breaks two servers, or one while its part is out alone,
-    // is ended. Acts on deploys and lost zones too, where it costs each search the time of one more answer.
+    // Searches that break every server they reach show nothing else in common. While servers break or start
+    // anew one after another, each search sends a single part until one is answered; one that breaks two
+    // servers, or one with its part out alone, is ended. Acts on deploys and lost zones too, for the time of
+    // one more answer.
     void sign_of_storm() { storm_ = storm() + 1, storm_at_ = now_; }
 
     double storm() const { return storm_ * std::exp(-(now_ - storm_at_) / (kStormSpan * pace_)); }
@@ -262,52 +262,62 @@
         server.out_at_report = server.out();
     }
 
-    // Connections dropped unseen: launches over long idle ones get no answer, others do. For a while idle
-    // ones are then closed before use, at the price of new ones. Covers anything on the way that forgets the
-    // quiet.
-    void weigh_rest(const Sending& sending, bool lost) {
+    // Connections dropped unseen: launches over long idle ones get no answer, others do. Idle ones are then
+    // closed before use for a while, unless new ones fail: that trouble would only be made worse.
+    void weigh_rest(const Sending& sending, bool lost, bool refused) {
+        if (sending.renewed) mix(renewed_loss_, refused ? 1 : 0, kLossWeight);
+        if (refused) return;
         mix(sending.rested ? rested_loss_ : busy_loss_, lost ? 1 : 0, kLossWeight);
-        if (lost && sending.rested && rested_loss_ > kLossLimit && rested_loss_ > 2 * busy_loss_)
-            renew_until_ = now_ + shares(kRenewSpan);
+        if (!lost || !sending.rested || rested_loss_ < kLossLimit || rested_loss_ < 2 * busy_loss_) return;
+        if (now_ >= renew_until_) renewed_loss_ = 0;
+        renew_until_ = now_ + shares(kRenewSpan);
     }
 
-    // Few launches tell of one server, many of the way to its zone. A way on which most answers come late or
-    // not at all, while others are sound, is no fault of the servers at its end: they come after those of
-    // other zones, and a probe now and then tells when it is sound again. Covers zones cut off, lost, slow or
-    // full; harmless where a zone's few servers are themselves broken.
-    void weigh_way(const IndexServer& server, bool sound, double took) {
-        Way& way = ways_[server.entry.zone];
-        mix(way.trouble, sound && took < pace_ * kMostPatience ? 0 : 1, kLossWeight);
-        mix(way.response, sound ? took : pace_, kLossWeight);
+    // Few launches tell of one server, many of its zone and its kind of machine. A group whose launches fail
+    // (in a zone also: come late) while another is sound scores worse by the square, as a failed launch was
+    // waited for and is made again. Covers zones cut off, lost, slow or full and releases gone bad on one
+    // kind; equal trouble everywhere changes nothing. A kind is weighed only where the zone is sound, so that
+    // a zone blames no kind.
+    void weigh_group(const IndexServer& server, bool sound, double took) {
+        const bool late = took >= pace_ * kMostPatience;
+        const Group zone = server.groups()[0], kind = server.groups()[1];
+        groups_[zone].weigh(!sound || late, sound ? took : pace_, kZoneWeight);
+        if (!in_trouble(zone)) groups_[kind].weigh(!sound, sound ? took : pace_, kKindWeight);
     }
 
-    bool way_bad(const IndexServer& server) const {
-        const auto found = ways_.find(server.entry.zone);
-        if (found == ways_.end() || found->second.trouble < kWayLimit) return false;
-        const double half = found->second.trouble / 2;
-        return std::ranges::any_of(ways_, [&](auto& way) { return way.second.trouble < half; });
+    double trouble(Group group) const {
+        const auto found = groups_.find(group);
+        return found == groups_.end() ? 0 : std::min(found->second.trouble, 0.99);
     }
 
-    void review_ways() {
-        if (!terms_.may_probe || ways_.size() < 2) return;
-        for (auto& [zone, way] : ways_) {
-            if (way.trouble < kWayLimit / 2) continue;
-            note(way.next_probe);
-            if (now_ < way.next_probe) continue;
+    bool in_trouble(Group group) const {
+        const double here = trouble(group);
+        return here >= kGroupLimit && std::ranges::any_of(groups_, [&](auto& other) {
+                   return other.first.first == group.first && other.second.trouble < here / 2;
+               });
+    }
+
+    bool in_trouble(const IndexServer& server) const {
+        return std::ranges::any_of(server.groups(), [&](const Group& group) { return in_trouble(group); });
+    }
+
+    void review_groups() {
+        if (!terms_.may_probe) return;
+        for (auto& [group, view] : groups_) {
+            if (!in_trouble(group)) continue;
+            note(view.next_probe);
+            if (now_ < view.next_probe) continue;
             IndexServer* scout = nullptr;
             int seen = 0;
             for (auto& [id, server] : servers_)
-                if (server.entry.zone == zone && server.entry.listed == Listed::kLive && !server.probe_out &&
-                    chance_.unit() < 1.0 / ++seen)
+                if (std::ranges::count(server.groups(), group) > 0 && !server.probe_out &&
+                    server.entry.listed == Listed::kLive && chance_.unit() < 1.0 / ++seen)
                     scout = &server;
-            way.next_probe = now_ + probe_gap(0);
+            view.next_probe = now_ + probe_gap(0);
             if (scout != nullptr) scout->probe_wanted = true, watch(*scout);
         }
     }
 
-    static void mix(double& mean, double fresh, double weight = kFresh) { mean += weight * (fresh - mean); }
-
-    // A long queue is no silence: a server is allowed twice what it usually takes.
     Tenths silence(const IndexServer& server) const {
         return static_cast<Tenths>(std::clamp(2 * response_mean(server), pace_ * kMostPatience, pace_));
     }
@@ -328,7 +338,7 @@
     void roll_window(IndexServer& server) {
         const Tenths window = now_ / kWindow;
         if (window == server.window) return;
-        mix(server.recent_sends, window == server.window + 1 ? server.sent : 0);
+        mix(server.recent_sends, window == server.window + 1 ? server.sent : 0, kFresh);
         server.last_answers = window == server.window + 1 ? server.answers : 0;
         server.window = window;
         server.sent = server.answers = 0;
@@ -384,10 +394,13 @@
     // Servers that were lately sent to or heard, or are set aside: a turn looks at these alone.
     void watch(IndexServer& server) { watched_[server.id] = &server, server.touched = now_; }
 
-    double response_mean(const IndexServer& s) const { return s.heard ? s.response : service_of(s); }
+    double queue_of(const IndexServer& s) const { return s.heard ? s.queue : usual(usual_queue_); }
+    double response_mean(const IndexServer& s) const {
+        return s.heard ? s.response : std::max(usual(usual_response_), service_of(s));
+    }
 
-    // C3 expects feedback all the time. Where it is scarce, means grow stale both ways. While launches are
-    // out, silence of some length is a response of at least that.
+    // C3 expects feedback all the time; where it is scarce, silence of some length is a response of at least
+    // that.
     double response_of(const IndexServer& server) const {
         const double known = response_mean(server);
         const Tenths oldest = server.oldest();
@@ -395,15 +408,24 @@
         return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
     }
 
-    // While nothing is out no answer corrects a high mean, but the queue behind it drains with time.
+    // Without answers, what was high drains and what was low is forgotten, towards what is usual in the
+    // fleet.
     void drain(IndexServer& server) {
         roll_window(server);
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
-        if (server.out() > 0 || passed <= 0) return;
-        const double service = service_of(server);
-        server.queue = std::max(0.0, server.queue - passed / service);
-        server.response = std::max(std::min(server.response, service), server.response - passed);
+        if (server.out() > 0 || passed <= 0 || !server.heard) return;
+        const double service = service_of(server), forgotten = 1 - std::exp(-passed / pace_);
+        relax(server.queue, usual(usual_queue_), passed / service, forgotten);
+        relax(server.response, std::max(service, usual(usual_response_)), passed, forgotten);
+    }
+
+    // What is usual fades without news, lest all searches are pushed back for ever for what once was.
+    double usual(double mean) const { return mean * std::exp(-(now_ - usual_at_) / pace_); }
+
+    void mix_usual(double queue, double took) {
+        usual_queue_ = usual(usual_queue_), usual_response_ = usual(usual_response_), usual_at_ = now_;
+        mix(usual_queue_, queue, kUsualWeight), mix(usual_response_, took, kUsualWeight);
     }
 
     double score(const IndexServer& server) const {
@@ -412,15 +434,14 @@
         const double joined =
             terms_.call_work > 0 ? service / (service + terms_.call_work) : terms_.front_nodes;
         const double before = (server.out() - server.joining) * terms_.front_nodes;
-        const double waiting = 1 + before + server.joining * joined + server.queue;
+        const double waiting = 1 + before + server.joining * joined + queue_of(server);
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
 
     bool review(IndexServer& server) {
         drain(server);
         server.joining = 0;
-        // Silence: work taken, nothing answered since. One launch may be lost on its way, so it takes two
-        // (one in a trial) to set a server aside; after one it comes last among its like.
+        // One launch may be lost on its way, so it takes two to set a server aside; after one it comes last.
         if (now_ >= server.silent_at + shares(2)) server.silent = 0;
         for (auto& [launch, sending] : server.sent_at) {
             if (sending.at < server.last_answer) continue;
@@ -428,7 +449,7 @@
             note(limit);
             if (now_ < limit || sending.missed) continue;
             sending.missed = true, ++server.silent, server.silent_at = now_;
-            weigh_rest(sending, true), weigh_way(server, false, 0);
+            weigh_group(server, false, 0);
         }
         if (server.silent >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
         if (server.standing != Standing::kAside || server.entry.listed != Listed::kLive)
@@ -439,9 +460,9 @@
     }
 
     // Rule 4: launches to a server that started a short while ago are spaced so that all front nodes together
-    // stay within its budget. Its share of power is at least what an even rise over the stated span gives;
-    // its full power is what warm servers do. Where our share of a window is under one launch, chance makes
-    // the sum, and half of it leaves room for its spread.
+    // stay within its budget: its share of power is at least what an even rise gives, its full power what
+    // warm servers do. Where our share of a window is under one launch, chance makes the sum, and half leaves
+    // room for its spread.
     Tenths cold_gap(const IndexServer& server) const {
         const double risen = std::max(0.0, 1.0 * (now_ - server.cold_from) / terms_.cold_span);
         const double share = terms_.cold_share + (1 - terms_.cold_share) * risen;
@@ -468,25 +489,26 @@
         return room && server.entry.listed == Listed::kLive;
     }
 
-    // The best replica of a part's shard: the lowest score among those in good standing and under their
-    // limit. When none is in good standing, the least bad still gets work.
+    // The lowest score among the replicas in good standing and under their limit, else the least bad.
     IndexServer* choose(Part& part, const ProductView& product, bool sound_only) {
         IndexServer* best = nullptr;
         double best_rank = 0;
         int ties = 0;
         bool limited = false;
         for (IndexServer* server : replicas(part.shard)) {
-            const bool open = is_open(*server), bad = way_bad(*server);
+            const bool open = is_open(*server), bad = in_trouble(*server);
             const auto used =
                 std::ranges::count_if(part.launches, [&](auto& l) { return l.server == server->id; });
             if (!may_serve(*server) || (!open && !may_try(*server))) continue;
             if (sound_only && (!open || used > 0 || bad)) continue;
             limited = limited || server->sent >= server->limit;
             if (server->sent >= server->limit) continue;
-            // Classes of standing lie further apart than any score.
             const bool risky =
                 server->standing == Standing::kTrial && product.terms.effect == Effect::kAtMostOnce;
-            double rank = score(*server) + kGulf * (0.5 * static_cast<double>(used) + (risky ? 1 : 0));
+            double sound = 1;
+            for (const Group& group : server->groups()) sound *= bad ? 1 - trouble(group) : 1;
+            double rank = score(*server) / (sound * sound) +
+                          kGulf * (0.5 * static_cast<double>(used) + (risky ? 1 : 0));
             rank += kGulf * ((open                  ? 0
                               : server->unreachable ? 3
                                                     : 2) +
@@ -508,9 +530,7 @@
         const double rate = terms_.tenants[tenant.value].quota_per_s / terms_.front_nodes;
         view.room = std::min(rate * 2, view.room + rate * (now_ - view.filled) / kTenthsPerSecond);
         view.filled = now_;
-        if (view.room < 1) return false;
-        view.room -= 1;
-        return true;
+        return view.room >= 1 ? (view.room -= 1, true) : false;
     }
 
     Tenths margin() const { return 4 * terms_.turn_gap; }
@@ -583,7 +603,8 @@
         const int ahead = backlog_[part.shard];
         for (IndexServer* server : replicas(part.shard)) {
             if (!may_serve(*server)) continue;
-            if (is_open(*server) && !way_bad(*server)) sound = std::min(sound, forecast_of(*server, ahead));
+            if (is_open(*server) && !in_trouble(*server))
+                sound = std::min(sound, forecast_of(*server, ahead));
             if (may_try(*server)) any = std::min(any, forecast_of(*server, ahead));
         }
         return sound < static_cast<double>(kNever) ? sound : any;
@@ -594,7 +615,7 @@
         double sum = 0, counted = 0;
         for (const IndexServer* server : servers)
             if (server->entry.listed == Listed::kLive && server->standing == Standing::kIn)
-                sum += server->heard ? std::min(forecast_of(*server), pace_) : 0, ++counted; // unheard: calm
+                sum += std::min(forecast_of(*server), pace_), ++counted;
         const double wait = sum / std::max(counted, 1.0) / pace_;
         return std::clamp((wait - kCalmWait * scale) / (kFullWait - kCalmWait) / scale, 0.0, 1.0);
     }
@@ -609,27 +630,32 @@
 
     // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
     double forecast_of(const IndexServer& server, int ahead = 0) const {
-        const double waiting = ahead + server.queue + std::max(0, server.out() - server.out_at_report);
-        const double way = way_bad(server) ? ways_.at(server.entry.zone).response : 0;
-        return std::max({way, response_of(server), service_of(server) * (1 + waiting)});
+        const double waiting = ahead + queue_of(server) + std::max(0, server.out() - server.out_at_report);
+        const double zone = in_trouble(server.groups()[0]) ? groups_.at(server.groups()[0]).response : 0;
+        return std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
     }
 
     // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
     // less of its time it may wait; the fuller the fleet, the less it is let in for an answer in part.
     bool admit(Search& search) {
         ProductView& product = products_[search.product.value];
-        mix(product.parts, static_cast<double>(search.parts.size()));
+        mix(product.parts, static_cast<double>(search.parts.size()), kFresh);
         double best = 0;
         for (const ProductView& other : products_) best = std::max(best, other.terms.payoff / other.parts);
         const double paying = std::sqrt(std::min(1.0, search.payoff / search.parts.size() / best));
         const int steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths left = (search.due > now_ ? search.due : search.expiry) - now_;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
-        double missing = 0;
+        // Where an answer in part will do, the parts' mean wait decides, else that of each.
+        const bool whole = product.terms.floor >= product.terms.need;
+        double missing = 0, asked = 0;
         for (Part& part : search.parts) {
             const double full = std::max(full_, pressure(replicas(part.shard), kLocalScale));
-            if (forecast(part) * steps > left * (1 - full * (1 - strict))) missing += part.weight;
+            const double wait = forecast(part) * steps, room = left * (1 - full * (1 - strict));
+            if (wait > (whole ? room : left)) missing += part.weight;
+            asked += part.weight * std::min(1.5, wait / room);
         }
+        if (!whole && asked > 1) return false;
         missing -= (1 - std::min(product.terms.floor, product.terms.need)) * (1 - full_);
         return missing <= kWeightSlack;
     }
@@ -642,7 +668,7 @@
         if (!begun && !admit(search)) return give_up(search); // asked anew while it waits in the backlog
         if (search.breaker) return give_up(search);
         const bool singly = !search.proven && storm() >= kStorm;
-        const bool out = any_out(search);
+        const bool out = search.out();
         Part* first = nullptr; // of those to launch, the one that promises most
         double least = 0;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
@@ -666,8 +692,8 @@
         });
     }
 
-    // A launch that is overdue, or at a server since set aside, gets company where copies are allowed and is
-    // otherwise called off, to go elsewhere once that is confirmed.
+    // An overdue launch gets company where copies are allowed, else is called off, to go elsewhere once
+    // confirmed.
     void hurry(Search& search, Part& part, ProductView& product) {
         if (product.terms.effect == Effect::kAtMostOnce) return;
         Launch* last = nullptr;
@@ -681,8 +707,7 @@
         if (!aside && now_ < overdue) return note(overdue);
         if (copies > 1 && alive > 0) return note(overdue + shares(kLeastPatience));
         if (now_ >= search.due || !budget_left() || !may_go_again(part, product)) return;
-        // Slow in two parts, at servers that answer, and quick in none: the search is slow, and to launch its
-        // parts again would only double the work.
+        // The search is slow, not its servers: to launch its parts again would only double the work.
         const bool costly = !search.quick && std::ranges::count_if(search.parts, &Part::slow) >= kCostlyParts;
         if (!aside && costly) return note(last->sent + 2 * patience(product));
         // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
@@ -711,9 +736,11 @@
         if (counts(part)) further_.push_back(now_);
         part.launches.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
         const bool idle = server.out() == 0 && now_ > server.used + shares(kRest);
-        server.renew = server.renew || (idle && server.used > 0 && now_ < renew_until_);
+        const bool trusted = now_ >= renew_until_ || renewed_loss_ >= kLossLimit;
+        server.renew = server.renew || (idle && server.used > 0 && !trusted);
         const LaunchNo number{static_cast<std::uint32_t>(part.launches.size() - 1)};
-        server.sent_at[{part.id, number}] = {now_, idle && server.used > 0 && !server.renew, false};
+        server.sent_at[{part.id, number}] = {now_, idle && server.used > 0 && !server.renew, false,
+                                             server.renew};
         server.used = now_;
         ++server.sent, ++server.joining;
         watch(server);
@@ -769,12 +796,10 @@
 
     void end(Search& search) { search.fate = Fate::kEnded, jobs_.erase(search.id); }
 
-    static bool any_out(const Search& search) { return std::ranges::any_of(search.parts, &Part::out); }
-
     // An ended search is kept until its last launch has returned: that still teaches about its server.
     void forget(JobNo job) {
         const Search& search = searches_.at(job);
-        if (any_out(search)) return;
+        if (search.out()) return;
         for (const Part& part : search.parts) part_of_.erase(part.id);
         searches_.erase(job);
     }
@@ -790,15 +815,17 @@
     std::map<SearchId, JobNo> jobs_;
     std::map<PartId, std::pair<JobNo, std::size_t>> part_of_;
     std::map<ServerId, IndexServer> servers_;
-    std::map<ZoneNo, Way> ways_;
+    std::map<Group, GroupView> groups_;
     std::map<ServerId, IndexServer*> watched_;
     std::map<ShardNo, std::vector<IndexServer*>> replicas_; // by shard, in the order of their ids
     mutable Tenths fleet_until_ = 0;                        // the mean service time stands until then
     mutable double fleet_service_ = 0;
-    std::map<ShardNo, int> backlog_;         // parts that wait for a replica of their shard under its limit
-    double rested_loss_ = 0, busy_loss_ = 0; // launches that got no answer, over idle connections and others
-    double storm_ = 0;                       // servers that broke or started anew of late, fading, at:
-    Tenths storm_at_ = 0, renew_until_ = 0, ask_at_ = 0;
+    double usual_queue_ = 0, usual_response_ = 0; // means over all answers
+    std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
+    double rested_loss_ = 0, busy_loss_ = 0,
+           renewed_loss_ = 0; // launches that got no answer, over idle connections and others
+    double storm_ = 0;        // servers that broke or started anew of late, fading, at:
+    Tenths usual_at_ = 0, storm_at_ = 0, renew_until_ = 0, ask_at_ = 0;
     std::deque<Tenths> taken_, further_;
     bool ask_wanted_ = false; // a subscription to the list
     int lost_calls_ = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -4,6 +4,7 @@
 #include "brain.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <map>
 #include <set>
@@ -18,6 +19,15 @@
 enum class Stage { kPlanned, kOut, kOver };
 enum class Fate { kOpen, kWhole, kPartial, kPushedBack, kScrapped, kEnded };
 
+inline void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
+
+// Lets a mean fall towards what is usual by a span, or rise towards it by a share.
+inline void relax(double& mean, double usual, double fall, double share) {
+    mean = mean > usual ? std::max(usual, mean - fall) : mean + share * (usual - mean);
+}
+
+using Group = std::pair<int, std::int32_t>; // servers of one zone (0) or of one kind of machine (1)
+
 struct Launch { // lives from its plan to its return
     ServerId server;
     Stage stage = Stage::kPlanned;
@@ -53,11 +63,13 @@
     std::set<ServerId> broken;  // servers that broke while they held one of its launches
     bool proven = false, breaker = false,
          quick = false; // answered in part; breaks servers; not slow in all parts
+    bool out() const { return std::ranges::any_of(parts, &Part::out); }
 };
 
 struct Sending { // a launch as its server sees it
     Tenths at = 0;
-    bool rested = false, missed = false; // sent over a connection long idle; silent for longer than usual
+    bool rested = false, missed = false,
+         renewed = false; // over a connection long idle; silent; over a new one
 };
 
 struct IndexServer {
@@ -82,6 +94,7 @@
     bool known = false, unreachable = false, probe_wanted = false, probe_out = false;
     bool renew = false; // its idle connections are to be closed before it is sent to
 
+    std::array<Group, 2> groups() const { return {Group{0, entry.zone.value}, Group{1, entry.kind.value}}; }
     int out() const { return static_cast<int>(sent_at.size()); }
     Tenths oldest() const {
         Tenths first = kNever;
@@ -90,10 +103,13 @@
     }
 };
 
-struct Way {             // to the servers of one zone, over all of them
-    double trouble = 0;  // mean share of late or lost answers, failed connections and probes
+struct GroupView {
+    double trouble = 0;  // mean share of failed launches and probes
     double response = 0; // mean, losses counted as a due span
     Tenths next_probe = 0;
+    void weigh(bool bad, double took, double weight) {
+        mix(trouble, bad ? 1 : 0, weight), mix(response, took, weight);
+    }
 };
 
 struct ProductView { // a row a product: what the module reads of it, and what it has learnt
