--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -215,7 +215,6 @@
             ++server.answers;
             adapt(server);
             if (!product.heard) product.response = took;
-            // One costly search must not make a sound server look slow.
             const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
             took = std::min(took, product.heard ? odd : took);
             if (product.heard) mix(product.deviation, std::abs(took - product.response), kFresh);
