--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -359,25 +359,41 @@
     assert(!host.hung_up.empty());
 }
 
-// A way to a zone that loses or delays is told from servers that fail: it shows at all servers of one zone.
-void bad_way_is_avoided() {
+// Servers 6 to 11 have something in common and fail; new ones like them are told from new sound ones.
+void group_in_trouble(ListEntry like, Outcome outcome, Tenths took) {
     FakeHost host(plain_terms(), 0);
-    ListNews news{ListKind::kWhole, {}};
-    for (int i = 0; i < 8; ++i) news.entries.push_back(FakeHost::entry(i));
-    for (int i = 4; i < 8; ++i) news.entries[static_cast<std::size_t>(i)].zone = ZoneNo{1};
+    ListNews news{ListKind::kWhole, {}}, more{ListKind::kChanges, {}};
+    for (int i = 0; i < 18; ++i) {
+        ListEntry entry = FakeHost::entry(i);
+        if (i >= 6 && i < 15) entry.zone = like.zone, entry.kind = like.kind;
+        (i < 12 ? news : more).entries.push_back(entry);
+    }
     host.tell(news);
-    host.warm(8);
-    for (int i = 0; i < 4; ++i) {
-        host.search(std::vector<int>(8, 0));
-        host.pass(ms(50));
-        for (int server = 0; server < 4; ++server) host.all_return(Outcome::kAnswered, ms(40), server);
-        for (int server = 4; server < 8; ++server) host.all_return(Outcome::kAnswered, ms(800), server);
+    for (int i = 0; i < 5; ++i) {
+        host.search(std::vector<int>(12, 0));
+        for (int server = 0; server < 6; ++server) host.all_return(Outcome::kAnswered, ms(40), server);
+        for (int server = 6; server < 12; ++server) host.all_return(outcome, took, server);
+        host.all_return(Outcome::kAnswered, ms(40));
+        host.pass(ms(100));
     }
-    host.sent.clear(), host.probes.clear();
-    for (int i = 0; i < 4; ++i) host.search({0});
-    for (int server = 4; server < 8; ++server) assert(host.sent_to(server) == 0);
+    host.tell(more);
+    host.sent.clear();
+    host.search(std::vector<int>(9, 0)); // one for each sound server, old and new
+    for (int server = 6; server < 15; ++server) assert(host.sent_to(server) == 0);
     host.pass(ms(400));
-    assert(!host.probes.empty()); // a probe now and then tells when it is sound again
+    assert(!host.probes.empty()); // a probe now and then tells when all is sound again
+}
+
+void bad_way_is_avoided() {
+    ListEntry like = FakeHost::entry(0);
+    like.zone = ZoneNo{1};
+    group_in_trouble(like, Outcome::kAnswered, ms(800));
+}
+
+void bad_kind_is_avoided() {
+    ListEntry like = FakeHost::entry(0);
+    like.kind = KindNo{1};
+    group_in_trouble(like, Outcome::kTurnedAway, ms(5));
 }
 
 void client_in_haste_is_not_late() {
@@ -497,6 +513,7 @@
     STORY(breaking_search_goes_singly),
     STORY(idle_connections_are_renewed),
     STORY(bad_way_is_avoided),
+    STORY(bad_kind_is_avoided),
     STORY(client_in_haste_is_not_late),
     STORY(crowded_fleet_pushes_back),
     STORY(lost_subscription_is_renewed),
