--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -359,27 +359,27 @@
     assert(!host.hung_up.empty());
 }
 
-// Servers 6 to 11 have something in common and fail; new ones like them are told from new sound ones.
+// Servers 6 to 29 have something in common and fail; new ones like them are told from new sound ones.
 void group_in_trouble(ListEntry like, Outcome outcome, Tenths took) {
     FakeHost host(plain_terms(), 0);
     ListNews news{ListKind::kWhole, {}}, more{ListKind::kChanges, {}};
-    for (int i = 0; i < 18; ++i) {
+    for (int i = 0; i < 36; ++i) {
         ListEntry entry = FakeHost::entry(i);
-        if (i >= 6 && i < 15) entry.zone = like.zone, entry.kind = like.kind;
-        (i < 12 ? news : more).entries.push_back(entry);
+        if (i >= 6 && i < 33) entry.zone = like.zone, entry.kind = like.kind;
+        (i < 30 ? news : more).entries.push_back(entry);
     }
     host.tell(news);
     for (int i = 0; i < 5; ++i) {
-        host.search(std::vector<int>(12, 0));
+        host.search(std::vector<int>(30, 0));
         for (int server = 0; server < 6; ++server) host.all_return(Outcome::kAnswered, ms(40), server);
-        for (int server = 6; server < 12; ++server) host.all_return(outcome, took, server);
+        for (int server = 6; server < 30; ++server) host.all_return(outcome, took, server);
         host.all_return(Outcome::kAnswered, ms(40));
         host.pass(ms(100));
     }
     host.tell(more);
     host.sent.clear();
     host.search(std::vector<int>(9, 0)); // one for each sound server, old and new
-    for (int server = 6; server < 15; ++server) assert(host.sent_to(server) == 0);
+    for (int server = 6; server < 33; ++server) assert(host.sent_to(server) == 0);
     host.pass(ms(400));
     assert(!host.probes.empty()); // a probe now and then tells when all is sound again
 }
