--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -155,7 +155,6 @@
         if (event.passed) hear_report(server, event.report);
         if (server.standing != Standing::kAside) return;
         server.next_probe = now_ + probe_gap(server.setbacks);
-        // A probe that crawls home says that the server still crawls.
         server.passes = event.passed && event.took < pace_ * kMostPatience ? server.passes + 1 : 0;
         if (server.passes < kPassesNeeded) return;
         server.standing = Standing::kTrial, server.trial_room = 1;
@@ -297,7 +296,8 @@
     }
 
     bool in_trouble(const IndexServer& server) const {
-        return std::ranges::any_of(server.groups(), [&](const Group& group) { return in_trouble(group); });
+        const bool shown = now_ <= server.last_answer + shares(1); // its own answers count for more
+        return !shown && std::ranges::any_of(server.groups(), [&](const Group& g) { return in_trouble(g); });
     }
 
     void review_groups() {
@@ -627,10 +627,10 @@
     // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
     static bool may_try(const IndexServer& server) { return !server.unreachable || server.out() == 0; }
 
-    // Its recent response, or, if that is more, what its last report and our sends since make of its queue.
     double forecast_of(const IndexServer& server, int ahead = 0) const {
         const double waiting = ahead + queue_of(server) + std::max(0, server.out() - server.out_at_report);
-        const double zone = in_trouble(server.groups()[0]) ? groups_.at(server.groups()[0]).response : 0;
+        const bool far = in_trouble(server) && in_trouble(server.groups()[0]);
+        const double zone = far ? groups_.at(server.groups()[0]).response : 0;
         return std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
     }
 
