--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -15,7 +15,6 @@
 using JobNo = Id<struct JobTag, std::uint64_t>; // what ties the parts of one search together
 using ShardNo = Id<struct ShardTag, std::int32_t>;
 using CellNo = Id<struct CellTag, std::int32_t>;
-using KeyId = Id<struct KeyTag, std::uint64_t>; // what a search is about; 0: not told
 using ServerId = Id<struct ServerTag, std::uint32_t>;
 using ProductNo = Id<struct ProductTag, std::int32_t>;
 using TenantNo = Id<struct TenantTag, std::int32_t>;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -271,11 +271,10 @@
         renew_until_ = now_ + shares(kRenewSpan);
     }
 
-    // Few launches tell of one server, many of its zone and its kind of machine. A group whose launches fail
-    // (in a zone also: come late) while another is sound scores worse by the square, as a failed launch was
-    // waited for and is made again. Covers zones cut off, lost, slow or full and releases gone bad on one
-    // kind; equal trouble everywhere changes nothing. A kind is weighed only where the zone is sound, so that
-    // a zone blames no kind.
+    // Few launches tell of one server, many of its zone and kind of machine. Servers of a group whose
+    // launches fail (in a zone also: come late) while another is sound come last, by a score that is worse by
+    // the square. Covers zones cut off, lost, slow or full and releases gone bad on one kind. A zone blames
+    // no kind.
     void weigh_group(const IndexServer& server, bool sound, double took) {
         const bool late = took >= pace_ * kMostPatience;
         const Group zone = server.groups()[0], kind = server.groups()[1];
@@ -295,9 +294,12 @@
                });
     }
 
+    // What a server has lately shown itself counts for more than its group.
+    bool unshown(const IndexServer& server) const { return now_ > server.last_answer + shares(1); }
+
     bool in_trouble(const IndexServer& server) const {
-        const bool shown = now_ <= server.last_answer + shares(1); // its own answers count for more
-        return !shown && std::ranges::any_of(server.groups(), [&](const Group& g) { return in_trouble(g); });
+        return unshown(server) &&
+               std::ranges::any_of(server.groups(), [&](auto& g) { return in_trouble(g); });
     }
 
     void review_groups() {
@@ -494,6 +496,7 @@
         double best_rank = 0;
         int ties = 0;
         bool limited = false;
+        const bool once = product.terms.effect == Effect::kAtMostOnce;
         for (IndexServer* server : replicas(part.shard)) {
             const bool open = is_open(*server), bad = in_trouble(*server);
             const auto used =
@@ -502,16 +505,16 @@
             if (sound_only && (!open || used > 0 || bad)) continue;
             limited = limited || server->sent >= server->limit;
             if (server->sent >= server->limit) continue;
-            const bool risky =
-                server->standing == Standing::kTrial && product.terms.effect == Effect::kAtMostOnce;
-            double sound = 1;
-            for (const Group& group : server->groups()) sound *= bad ? 1 - trouble(group) : 1;
-            double rank = score(*server) / (sound * sound) +
-                          kGulf * (0.5 * static_cast<double>(used) + (risky ? 1 : 0));
-            rank += kGulf * ((open                  ? 0
-                              : server->unreachable ? 3
-                                                    : 2) +
-                             (bad ? 1.5 : 0) + (server->silent > 0 ? 0.25 : 0));
+            double rank = score(*server), below = 0.5 * static_cast<double>(used);
+            if (!open) below += server->unreachable ? 3 : 2;
+            if (once && server->standing == Standing::kTrial) ++below;
+            if (server->silent > 0) below += 0.25;
+            if (bad) {
+                double sound = 1;
+                for (const Group& group : server->groups()) sound *= 1 - trouble(group);
+                rank /= sound * sound, below += 1.5;
+            }
+            rank += kGulf * below;
             // Front nodes with the same reports must not all pick the same server: chance breaks a tie.
             if (best == nullptr || rank < best_rank)
                 best = server, best_rank = rank, ties = 1;
@@ -629,8 +632,8 @@
 
     double forecast_of(const IndexServer& server, int ahead = 0) const {
         const double waiting = ahead + queue_of(server) + std::max(0, server.out() - server.out_at_report);
-        const bool far = in_trouble(server) && in_trouble(server.groups()[0]);
-        const double zone = far ? groups_.at(server.groups()[0]).response : 0;
+        const Group home = server.groups()[0];
+        const double zone = unshown(server) && in_trouble(home) ? groups_.at(home).response : 0;
         return std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
     }
 
@@ -734,12 +737,11 @@
     void place(Part& part, IndexServer& server) {
         if (counts(part)) further_.push_back(now_);
         part.launches.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
-        const bool idle = server.out() == 0 && now_ > server.used + shares(kRest);
+        const bool idle = server.used > 0 && server.out() == 0 && now_ > server.used + shares(kRest);
         const bool trusted = now_ >= renew_until_ || renewed_loss_ >= kLossLimit;
-        server.renew = server.renew || (idle && server.used > 0 && !trusted);
+        server.renew = server.renew || (idle && !trusted);
         const LaunchNo number{static_cast<std::uint32_t>(part.launches.size() - 1)};
-        server.sent_at[{part.id, number}] = {now_, idle && server.used > 0 && !server.renew, false,
-                                             server.renew};
+        server.sent_at[{part.id, number}] = {now_, idle && !server.renew, false, server.renew};
         server.used = now_;
         ++server.sent, ++server.joining;
         watch(server);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -84,7 +84,6 @@
     JobNo job;
     ProductNo product;
     TenantNo tenant;
-    KeyId key;
     Tenths left = 0; // until this try's expiry
     bool repeat = false;
 };
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -18,15 +18,6 @@
     return line.has(field) ? static_cast<std::int32_t>(line.integer_within(field, 0, kMostIndex)) : 0;
 }
 
-// Keys are text of any length; the module only compares them (FNV-1a).
-KeyId key_of(const Line& line) {
-    if (!line.has("Key")) return {};
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char letter : line.text("Key"))
-        hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
-    return {hash};
-}
-
 std::string number(std::uint32_t value) { return std::to_string(value); }
 
 } // namespace
@@ -45,8 +36,8 @@
         const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
         if (shard < 0)
             brain_->on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
-                                        TenantNo{index(line, "Realm")}, key_of(line),
-                                        tenths_to_use(line.integer("TtlUs")), line.flag("IsRetry")});
+                                        TenantNo{index(line, "Realm")}, tenths_to_use(line.integer("TtlUs")),
+                                        line.flag("IsRetry")});
         else
             brain_->on(now,
                        PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
@@ -103,9 +94,7 @@
 
 void Instance::probe(ServerId server) { actions_ += "ASK_LOAD Server=" + names_.at(server.value) + "\n"; }
 
-void Instance::hang_up(ServerId server) {
-    actions_ += "HANG_UP Server=" + names_.at(server.value) + "\n";
-}
+void Instance::hang_up(ServerId server) { actions_ += "HANG_UP Server=" + names_.at(server.value) + "\n"; }
 
 void Instance::wake(Tenths in) { actions_ += "SCHEDULE Mark=0 InUs=" + std::to_string(to_micros(in)) + "\n"; }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -1,5 +1,5 @@
 // What the decision module remembers, grouped by how long it lives: a launch, a part, a search, an index
-// server, the way to a zone, the instance. Types only: no decision and no value set by tuning stands here.
+// server, a group of servers, the instance. Types only: no decision and no value set by tuning stands here.
 #pragma once
 #include "brain.hpp"
 
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -400,7 +400,7 @@
     FakeHost host(plain_terms());
     host.warm(3);
     const std::size_t before = host.sent.size();
-    host.search({0}, 0, ms(400)); // far less than a due span: no repeat that has waited for long
+    host.search({0}, ms(400)); // far less than a due span: no repeat that has waited for long
     assert(host.sent.size() == before + 1);
 }
 
@@ -437,8 +437,8 @@
     OpeningTerms terms = plain_terms();
     terms.products[0].late_share = 0;
     FakeHost host(terms);
-    for (int i = 0; i < 5; ++i) host.search({0}, 0, ms(1500));
-    const SearchId repeat = host.search({0}, 0, ms(1200)); // 800 ms of 2 s have passed already
+    for (int i = 0; i < 5; ++i) host.search({0}, ms(1500));
+    const SearchId repeat = host.search({0}, ms(1200)); // 800 ms of 2 s have passed already
     host.pass(ms(200));
     assert(host.end_of(repeat) == End::kPushedBack);
 }
@@ -457,7 +457,7 @@
         host.tell(news);
         for (std::uint32_t i = 0; i < 2 * sound; ++i) host.search({1});
         host.all_return(Outcome::kAnswered, ms(30));
-        host.search({0}, 0, ms(2000), 1);
+        host.search({0}, ms(2000), 1);
         host.all_return(Outcome::kAnswered, ms(1100));
         assert(host.end_of(host.search({0, 1})) == (sound == 1 ? End::kPushedBack : End::kNone));
     }
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -59,10 +59,10 @@
     }
 
     // Takes a search with a part at each of these shards and decides.
-    SearchId search(std::vector<int> shards, std::uint64_t key = 0, Tenths left = ms(2000), int product = 0) {
+    SearchId search(std::vector<int> shards, Tenths left = ms(2000), int product = 0) {
         const SearchId id{next_id++};
         const JobNo job{next_job++};
-        tell(SearchTaken{id, job, ProductNo{product}, {}, KeyId{key}, left, false});
+        tell(SearchTaken{id, job, ProductNo{product}, {}, left, false});
         add_parts(job, std::move(shards));
         turn();
         return id;
