--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -764,11 +764,10 @@
             if (answered) host.answer(search.id, search.whole);
             if (search.fate == Fate::kPushedBack) host.push_back(search.id, search.come_back);
             if (search.fate == Fate::kScrapped) host.scrap(search.id);
-            if (answered && search.step < steps) {
+            if (answered && search.step < steps)
                 ++search.step, search.step_begin = search.parts.size(), search.fate = Fate::kOpen;
-            } else if (search.fate != Fate::kOpen && search.fate != Fate::kEnded) {
+            else if (search.fate != Fate::kOpen && search.fate != Fate::kEnded)
                 end(search);
-            }
             for (Part& part : search.parts) {
                 for (std::size_t i = 0; i < part.launches.size(); ++i) {
                     Launch& launch = part.launches[i];
