--- a/src/drill/wire.hpp
+++ b/src/drill/wire.hpp
@@ -2,23 +2,17 @@
 // WireError with a message that names the place.
 #pragma once
 #include "brain.hpp"
+#include "protocol/terms.hpp"
+#include "protocol/values.hpp"
 
 #include <cstdint>
 #include <map>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
 namespace ivyrill::drill {
 
-class WireError : public std::runtime_error {
-  public:
-    using std::runtime_error::runtime_error;
-};
-
-std::int64_t to_integer(std::string_view text, std::string_view name);
-double to_number(std::string_view text, std::string_view name);
-bool to_bool(std::string_view text, std::string_view name);
+using WireError = protocol::ProtocolError;
 
 // One line: a message name, then name=value pairs in any order. A field that is absent has its stated
 // meaning.
@@ -28,11 +22,12 @@
     std::string_view name() const { return name_; }
     bool has(std::string_view field) const;
     std::string_view text(std::string_view field) const; // must be there
-    std::int64_t integer(std::string_view field) const { return to_integer(text(field), field); }
+    std::int64_t integer(std::string_view field) const { return protocol::to_integer(text(field), field); }
     std::int64_t integer(std::string_view field, std::int64_t absent) const;
     std::int64_t integer_within(std::string_view field, std::int64_t least, std::int64_t most) const;
     double number(std::string_view field, double absent) const;
     bool flag(std::string_view field) const;
+    protocol::PathValues fields() const { return {fields_.begin(), fields_.end()}; }
 
   private:
     std::string_view name_;
--- /dev/null
+++ b/src/program/main.cpp
@@ -0,0 +1,72 @@
+// The command line.
+#include "program/log.hpp"
+#include "program/node.hpp"
+
+#include "protocol/values.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace ivyrill::program {
+
+namespace {
+
+constexpr const char* kVersion = IVYRILL_VERSION;
+
+protocol::StartOrders read_orders(const std::string& path) {
+    if (path.empty()) throw std::runtime_error("no configuration: set RELAY_CONFIG or give --config");
+    std::ifstream file(path);
+    if (!file) throw std::runtime_error(path + ": cannot be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    try {
+        return protocol::read_start_orders(text.str());
+    } catch (const protocol::ProtocolError& error) {
+        throw std::runtime_error(path + ": " + error.what());
+    }
+}
+
+int check(const std::string& path) {
+    const protocol::StartOrders orders = read_orders(path);
+    std::cout << path << ": sound; " << orders.name << " on " << orders.listen << ", discovery at "
+              << orders.discovery << ", " << orders.known.servers.size() << " index servers known, "
+              << orders.terms.products.size() << " products\n";
+    return 0;
+}
+
+int serve(const std::string& path, const std::string& level) {
+    protocol::StartOrders orders = read_orders(path);
+    open_log(orders.name, level);
+    return Node(std::move(orders)).run();
+}
+
+} // namespace
+
+} // namespace ivyrill::program
+
+int main(int argc, char** argv) {
+    using namespace ivyrill::program;
+    CLI::App app("ivyrill co-ordinates searches over replicated shards");
+    app.require_subcommand(1);
+    std::string path, level = "info";
+    auto* const serving = app.add_subcommand("serve", "run a front node until it is told to stop");
+    auto* const checking = app.add_subcommand("check-config", "read the configuration and say what it holds");
+    auto* const version = app.add_subcommand("version", "print the version");
+    for (auto* command : {serving, checking})
+        command->add_option("--config", path, "the configuration, JSON")->envname("RELAY_CONFIG");
+    serving->add_option("--log-level", level, "trace, debug, info, warn or error")
+        ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error"}));
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (version->parsed()) return std::cout << "ivyrill " << kVersion << "\n", 0;
+        return checking->parsed() ? check(path) : serve(path, level);
+    } catch (const std::exception& error) {
+        std::cerr << "ivyrill: " << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/program/node.cpp
@@ -0,0 +1,369 @@
+#include "program/node.hpp"
+
+#include "program/log.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace ivyrill::program {
+
+using transport::Stream;
+using transport::Task;
+
+namespace {
+
+constexpr std::size_t kMostRequestBytes = 32 * 1024, kMostAnswerBytes = 256 * 1024;
+constexpr std::size_t kMostFrameBytes = 2 * protocol::kMostFrame, kMostListBytes = 16 * 1024;
+constexpr std::size_t kSpareDescriptors = 24; // standard streams, epoll, signals, listener, discovery, log
+// The platform's word: no request is on its way any more so long after the order to stop.
+constexpr Tenths kCrossing = kTenthsPerSecond * 7 / 10;
+constexpr Tenths kCountsEvery = 10 * kTenthsPerSecond;
+
+int open_signals() {
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t set;
+    sigemptyset(&set), sigaddset(&set, SIGTERM), sigaddset(&set, SIGINT);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+std::size_t descriptors(std::int64_t stated) {
+    rlimit limit{};
+    std::size_t most = static_cast<std::size_t>(std::max<std::int64_t>(stated, 0));
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = std::min<std::size_t>(most, limit.rlim_cur);
+    if (most < 2 * kSpareDescriptors) throw std::runtime_error("limits.sockets: too few to serve with");
+    return most - kSpareDescriptors;
+}
+
+} // namespace
+
+Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor)
+    : id(number), stream(loop, descriptor, Stream::Start::kConnected, kMostRequestBytes, kMostAnswerBytes) {}
+
+Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor)
+    : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostFrameBytes, kMostFrameBytes) {}
+
+Node::Node(protocol::StartOrders orders) : orders_(std::move(orders)), accept_on_(loop_), ask_on_(loop_) {
+    signals_.emplace(loop_, open_signals());
+    listener_.emplace(loop_, transport::listen_at(orders_.listen));
+    router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, descriptors(orders_.sockets),
+                                                loop_.now());
+}
+
+int Node::run() {
+    accept_task_ = accept_clients(), accept_task_.start();
+    signal_task_ = await_signals(), signal_task_.start();
+    discovery_task_ = serve_discovery(), discovery_task_.start();
+    if (phases_.now() == Phase::kStarting) enter(Phase::kServing);
+    counts_at_ = loop_.now() + kCountsEvery;
+    while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
+        Tenths until = counts_at_;
+        if (timer_ > 0) until = std::min(until, timer_);
+        if (phases_.now() == Phase::kDraining) until = std::min(until, phases_.since() + kCrossing);
+        loop_.wait(until);
+    }
+    tell_counts();
+    return 0;
+}
+
+// All that one wake-up brought goes through the reducer, oldest first; what its effects bring at once too.
+void Node::turn() {
+    do {
+        for (; !inbox_.empty(); inbox_.pop_front()) router_->step(loop_.now(), std::move(inbox_.front()));
+        for (const routing::Effect& effect : router_->turn(loop_.now()))
+            std::visit([this](const auto& what) { carry_out(what); }, effect);
+    } while (!inbox_.empty());
+    if (loop_.now() >= counts_at_) tell_counts();
+}
+
+// ---- phases
+
+void Node::enter(Phase phase) {
+    if (!phases_.enter(phase, loop_.now())) return;
+    log().info("phase={} searches={} clients={}", Phases::name(phase), router_->open_searches(),
+               router_->open_clients());
+}
+
+void Node::keep_phase() {
+    if (phases_.now() == Phase::kDraining && loop_.now() >= phases_.since() + kCrossing) {
+        accept_all(); // what the system has taken for us is ours to answer
+        listener_.reset();
+        post(routing::QuietOrdered{});
+        enter(Phase::kQuiet);
+        turn();
+    }
+    if (phases_.now() == Phase::kQuiet && router_->open_searches() == 0 && all_written())
+        enter(Phase::kStopped);
+}
+
+bool Node::all_written() const {
+    return std::ranges::all_of(clients_, [](auto& held) {
+        return held.second->stream.unwritten() == 0 || held.second->stream.ended();
+    });
+}
+
+Task Node::await_signals() {
+    for (;;) {
+        signalfd_siginfo info;
+        while (read(signals_->descriptor(), &info, sizeof info) == sizeof info) {
+            if (phases_.now() == Phase::kServing) post(routing::DrainOrdered{});
+            enter(phases_.now() == Phase::kStarting ? Phase::kStopped : Phase::kDraining);
+        }
+        co_await signals_->readable;
+    }
+}
+
+void Node::tell_counts() {
+    const routing::Counts& c = router_->counts();
+    counts_at_ = loop_.now() + kCountsEvery;
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    const auto ms = [](const timeval& at) { return at.tv_sec * 1000 + at.tv_usec / 1000; };
+    log().info("counts searches={} delivered={} pushed_back={} scrapped={} lapsed={} over_full={} launches={} "
+               "late_answers={} links_opened={} probes={} lists={} lists_lost={} open_searches={} "
+               "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
+               c.searches, c.delivered, c.pushed_back, c.scrapped, c.lapsed, c.over_full, c.launches,
+               c.returned_late, c.links_opened, c.probes, c.lists, c.lists_lost, router_->open_searches(),
+               router_->open_launches(), router_->open_clients(), router_->open_links(),
+               ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
+}
+
+// ---- clients
+
+void Node::accept_all() {
+    while (listener_ && accepting_) {
+        const int descriptor = transport::accept_from(listener_->descriptor());
+        if (descriptor < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
+        if (descriptor < 0) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK) log_some("accept: {}", errno);
+            return;
+        }
+        const routing::ClientId id{next_client_++};
+        try {
+            auto client = std::make_unique<Client>(id, loop_, descriptor);
+            client->task = serve_client(*client);
+            Client& held = *clients_.emplace(id, std::move(client)).first->second;
+            post(routing::ClientOpened{id});
+            held.task.start();
+        } catch (const std::system_error& error) {
+            log_some("a client could not be taken on: {}", error.what());
+        }
+    }
+}
+
+Task Node::accept_clients() {
+    for (;;) {
+        accept_all();
+        if (accepting_)
+            co_await listener_->readable;
+        else
+            co_await accept_on_;
+    }
+}
+
+Task Node::serve_client(Client& client) {
+    Stream& stream = client.stream;
+    while (!client.closing) {
+        while (!client.parser.complete() && client.parser.broken() == 0) {
+            if (stream.in.empty()) {
+                if (stream.ended()) break;
+                co_await stream.changed;
+                continue;
+            }
+            stream.in.consume(client.parser.feed(stream.in.front()));
+            stream.read_on();
+        }
+        if (client.parser.broken() != 0) {
+            client.closing = true;
+            stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
+        } else if (client.parser.complete()) {
+            const protocol::HttpMessage message = client.parser.take();
+            handle_request(client, message);
+        }
+        while (client.busy && !stream.ended()) co_await stream.changed;
+        if (stream.ended()) break;
+    }
+    // The last word is out: the client closes, and what it may still send is read, lest it be reset.
+    while (!stream.ended()) {
+        if (stream.unwritten() == 0) stream.finish();
+        stream.in.consume(stream.in.front().size());
+        stream.read_on();
+        if (!stream.ended()) co_await stream.changed;
+    }
+    post(routing::ClientGone{client.id});
+}
+
+void Node::handle_request(Client& client, const protocol::HttpMessage& message) {
+    client.closing = message.close;
+    const protocol::ClientRequest request = protocol::read_client_request(message);
+    if (const auto* search = std::get_if<protocol::SearchRequest>(&request)) {
+        client.busy = true;
+        post(routing::SearchRead{client.id, *search, loop_.now()});
+    } else if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
+        client.stream.send(protocol::write_plain_answer(bad->status, bad->why, client.closing));
+    } else {
+        const bool ready = phases_.now() == Phase::kServing;
+        client.stream.send(ready ? protocol::http_response(200, "", "ready\n", client.closing)
+                                 : protocol::write_plain_answer(503, "not ready", client.closing));
+    }
+}
+
+void Node::answer_client(routing::ClientId id, const std::string& bytes, bool close) {
+    const auto found = clients_.find(id);
+    if (found == clients_.end()) return;
+    Client& client = *found->second;
+    client.busy = false, client.closing = close;
+    if (!client.stream.send(bytes)) client.closing = true;
+    client.stream.changed.wake();
+}
+
+void Node::carry_out(const routing::AnswerClient& effect) {
+    const auto found = clients_.find(effect.client);
+    const bool close = effect.close || (found != clients_.end() && found->second->closing);
+    answer_client(effect.client, protocol::write_final_answer(effect.answer, close), close);
+}
+
+void Node::carry_out(const routing::RejectClient& effect) {
+    const auto found = clients_.find(effect.client);
+    const bool close = effect.close || (found != clients_.end() && found->second->closing);
+    answer_client(effect.client, protocol::write_plain_answer(effect.status, effect.why, close), close);
+}
+
+void Node::carry_out(const routing::CloseClient& effect) { clients_.erase(effect.client); }
+
+void Node::carry_out(const routing::AcceptClients& effect) {
+    accepting_ = effect.on;
+    if (accepting_) accept_on_.wake();
+}
+
+// ---- index servers
+
+Task Node::serve_link(Link& link) {
+    Stream& stream = link.stream;
+    for (;;) {
+        tell_link(link);
+        while (!stream.in.empty()) {
+            stream.in.consume(link.parser.feed(stream.in.front()));
+            stream.read_on();
+            bool sound = !link.parser.broken();
+            if (link.parser.complete()) {
+                try {
+                    handle_frame(link, link.parser.take());
+                } catch (const protocol::ProtocolError& error) {
+                    log_some("index server: {}", error.what());
+                    sound = false;
+                }
+            }
+            if (sound) continue;
+            post(routing::LinkEnded{link.id});
+            co_return;
+        }
+        if (stream.ended()) break;
+        co_await stream.changed;
+    }
+    tell_link(link);
+    post(routing::LinkEnded{link.id});
+}
+
+void Node::tell_link(Link& link) {
+    if (link.stream.up() && !std::exchange(link.told_up, true)) post(routing::LinkUp{link.id});
+    if (link.stream.written() == link.told) return;
+    link.told = link.stream.written();
+    post(routing::LinkWrote{link.id, link.told});
+}
+
+void Node::handle_frame(Link& link, const protocol::Frame& frame) {
+    if (frame.letter == 'R') return post(routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest)});
+    if (frame.letter == 'M') return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
+    throw protocol::ProtocolError(std::string("frame ") + frame.letter + ": " + frame.rest.substr(0, 80));
+}
+
+void Node::carry_out(const routing::OpenLink& effect) {
+    const int descriptor = transport::connect_to(effect.address);
+    if (descriptor < 0) return post(routing::LinkEnded{effect.link});
+    try {
+        auto link = std::make_unique<Link>(effect.link, loop_, descriptor);
+        link->task = serve_link(*link);
+        links_.emplace(effect.link, std::move(link)).first->second->task.start();
+    } catch (const std::system_error& error) {
+        log_some("no connection: {}", error.what());
+        post(routing::LinkEnded{effect.link});
+    }
+}
+
+void Node::carry_out(const routing::WriteLink& effect) {
+    const auto found = links_.find(effect.link);
+    if (found == links_.end()) return;
+    if (!found->second->stream.send(effect.bytes)) return post(routing::LinkEnded{effect.link});
+    tell_link(*found->second);
+}
+
+void Node::carry_out(const routing::CloseLink& effect) { links_.erase(effect.link); }
+
+// ---- discovery
+
+Task Node::serve_discovery() {
+    for (;;) {
+        while (!discovery_.ask) co_await ask_on_;
+        const routing::AskId id = discovery_.ask->ask;
+        const std::string request = protocol::list_request(orders_.discovery, discovery_.ask->after,
+                                                           discovery_.ask->wait_ms, discovery_.ask->whole);
+        std::optional<protocol::HttpMessage> answer;
+        // A kept connection may have been closed between calls: such a call goes once more, on a new one.
+        for (bool again = true; again && !answer;) {
+            again = discovery_.stream != nullptr;
+            if (!again) {
+                const int descriptor = transport::connect_to(orders_.discovery);
+                if (descriptor < 0) break;
+                discovery_.stream = std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting,
+                                                             kMostListBytes, kMostListBytes);
+            }
+            Stream& stream = *discovery_.stream;
+            protocol::HttpParser parser(protocol::HttpParser::Side::kResponses);
+            stream.send(request);
+            for (;;) {
+                while (!stream.in.empty() && !parser.complete() && parser.broken() == 0) {
+                    stream.in.consume(parser.feed(stream.in.front()));
+                    stream.read_on();
+                }
+                if (stream.ended()) parser.end();
+                if (parser.complete() || parser.broken() != 0 || stream.ended()) break;
+                co_await stream.changed;
+            }
+            if (parser.complete()) answer = parser.take();
+            again = again && !answer && !parser.begun();
+            if (!answer || answer->close) discovery_.stream.reset();
+        }
+        discovery_.ask.reset();
+        routing::Event news = routing::ListLost{id};
+        if (answer && answer->status == 200) {
+            try {
+                news = routing::ListTold{id, protocol::read_server_list(answer->body)};
+            } catch (const protocol::ProtocolError& error) {
+                log_some("discovery: {}", error.what());
+            }
+        }
+        post(std::move(news));
+    }
+}
+
+void Node::carry_out(const routing::AskDiscovery& effect) {
+    discovery_.ask = effect;
+    ask_on_.wake();
+}
+
+void Node::carry_out(const routing::DropAsk&) {
+    log_some("discovery: {}", "no answer in time, its connection is closed");
+    discovery_task_ = {};
+    discovery_.stream.reset(), discovery_.ask.reset();
+    discovery_task_ = serve_discovery(), discovery_task_.start();
+}
+
+void Node::carry_out(const routing::ArmTimer& effect) { timer_ = effect.at; }
+
+} // namespace ivyrill::program
--- /dev/null
+++ b/src/program/node.hpp
@@ -0,0 +1,92 @@
+// A front node on its sockets: coroutines turn bytes into events, the reducer turns events into effects, and
+// these are carried out here. Connections are owned by the tables below and freed only between turns.
+#pragma once
+#include "program/phases.hpp"
+#include "protocol/frames.hpp"
+#include "protocol/http.hpp"
+#include "protocol/messages.hpp"
+#include "protocol/values.hpp"
+#include "routing/router.hpp"
+#include "transport/stream.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ivyrill::program {
+
+class Node {
+  public:
+    explicit Node(protocol::StartOrders orders); // throws where an order cannot be kept
+    int run();                                   // until it is told to stop; the exit status
+
+  private:
+    struct Client {
+        Client(routing::ClientId id, transport::Loop& loop, int descriptor);
+        routing::ClientId id;
+        protocol::HttpParser parser{protocol::HttpParser::Side::kRequests};
+        transport::Stream stream;
+        bool busy = false, closing = false; // a search is out; its answer is the last word here
+        transport::Task task;
+    };
+    struct Link {
+        Link(routing::LinkId id, transport::Loop& loop, int descriptor);
+        routing::LinkId id;
+        protocol::FrameParser parser;
+        transport::Stream stream;
+        bool told_up = false;
+        std::uint64_t told = 0; // bytes written, as the reducer knows
+        transport::Task task;
+    };
+    struct Discovery {
+        std::optional<routing::AskDiscovery> ask; // the call that is out
+        std::unique_ptr<transport::Stream> stream;
+    };
+
+    transport::Task accept_clients();
+    transport::Task await_signals();
+    transport::Task serve_client(Client& client);
+    transport::Task serve_link(Link& link);
+    transport::Task serve_discovery();
+    void handle_request(Client& client, const protocol::HttpMessage& message);
+    void handle_frame(Link& link, const protocol::Frame& frame);
+    void tell_link(Link& link);
+    void accept_all();
+
+    void turn();
+    void carry_out(const routing::OpenLink& effect);
+    void carry_out(const routing::WriteLink& effect);
+    void carry_out(const routing::CloseLink& effect);
+    void carry_out(const routing::AnswerClient& effect);
+    void carry_out(const routing::RejectClient& effect);
+    void carry_out(const routing::CloseClient& effect);
+    void carry_out(const routing::AcceptClients& effect);
+    void carry_out(const routing::AskDiscovery& effect);
+    void carry_out(const routing::DropAsk& effect);
+    void carry_out(const routing::ArmTimer& effect);
+    void answer_client(routing::ClientId id, const std::string& bytes, bool close);
+    void keep_phase();
+    void enter(Phase phase);
+    void tell_counts();
+    bool all_written() const;
+    void post(routing::Event event) { inbox_.push_back(std::move(event)); }
+
+    protocol::StartOrders orders_;
+    transport::Loop loop_;
+    Phases phases_;
+    std::deque<routing::Event> inbox_;
+    std::unique_ptr<routing::Router> router_;
+    std::optional<transport::Source> listener_, signals_;
+    transport::Slot accept_on_, ask_on_;
+    bool accepting_ = true;
+    std::uint64_t next_client_ = 1;
+    Tenths timer_ = 0, counts_at_ = 0;
+    std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
+    std::map<routing::LinkId, std::unique_ptr<Link>> links_;
+    Discovery discovery_;
+    transport::Task accept_task_, signal_task_, discovery_task_;
+};
+
+} // namespace ivyrill::program
--- /dev/null
+++ b/src/protocol/frames.cpp
@@ -0,0 +1,97 @@
+#include "protocol/frames.hpp"
+
+#include "protocol/values.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyrill::protocol {
+
+namespace {
+
+std::string frame(char letter, std::string_view rest) {
+    const std::size_t length = rest.size() + 1;
+    std::string out;
+    for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(length >> shift & 0xFF));
+    out.push_back(letter);
+    return out.append(rest);
+}
+
+} // namespace
+
+std::size_t FrameParser::feed(std::string_view bytes) {
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !complete() && !broken_) {
+        if (header_ < 4) {
+            frame_left_ = frame_left_ << 8 | static_cast<unsigned char>(bytes[taken++]);
+            if (++header_ == 4) broken_ = frame_left_ == 0 || frame_left_ > kMostFrame;
+            continue;
+        }
+        if (frame_.letter == 0) {
+            frame_.letter = bytes[taken++], --frame_left_;
+            broken_ = frame_.letter == 0;
+            continue;
+        }
+        const std::size_t size = std::min(frame_left_, bytes.size() - taken);
+        frame_.rest.append(bytes.substr(taken, size));
+        taken += size, frame_left_ -= size;
+    }
+    return taken;
+}
+
+Frame FrameParser::take() {
+    Frame out = std::move(frame_);
+    *this = FrameParser();
+    return out;
+}
+
+std::string call_frame(const std::vector<PartCall>& parts) {
+    std::string rest;
+    for (const PartCall& part : parts) {
+        rest.append(part.id).append(" ").append(std::to_string(part.shard));
+        rest.append(" d=").append(std::to_string(part.wait_ms)).append(" ");
+        rest.append(std::to_string(part.query.size())).append("\n").append(part.query);
+    }
+    return frame('S', rest);
+}
+
+std::string give_up_frame(std::string_view id) { return frame('C', id); }
+std::string load_probe_frame() { return frame('M', ""); }
+
+PartAnswer read_part_answer(std::string_view rest) {
+    const std::size_t end = rest.find('\n');
+    if (end == std::string_view::npos) throw ProtocolError("answer without a line: " + quoted(rest));
+    const auto words = split(rest.substr(0, end), ' ');
+    if (words.size() != 4) throw ProtocolError("answer of other than four words: " + quoted(rest));
+    PartAnswer answer;
+    answer.id = words[0];
+    if (words[1] == "done")
+        answer.outcome = Outcome::kAnswered;
+    else if (words[1] == "full")
+        answer.outcome = Outcome::kTurnedAway;
+    else if (words[1] != "failed")
+        throw ProtocolError("answer with an unknown end: " + quoted(words[1]));
+    answer.report = read_load_report(words[3]);
+    answer.value = rest.substr(end + 1);
+    return answer;
+}
+
+LoadAnswer read_load_answer(std::string_view rest) {
+    if (rest.ends_with('\n')) rest.remove_suffix(1);
+    if (rest == "failed") return {};
+    return {true, read_load_report(rest)};
+}
+
+LoadReport read_load_report(std::string_view text) {
+    LoadReport report;
+    for (const std::string_view pair : split(text, ',')) {
+        const std::size_t at = pair.find('=');
+        if (at == std::string_view::npos) continue; // `-`: no report
+        const std::string_view name = pair.substr(0, at), value = pair.substr(at + 1);
+        if (name == "inflight" || name == "busy_reqs") report.in_flight = to_number(value, name);
+        if (name == "queue" || name == "pending") report.queued = to_number(value, name);
+    }
+    return report;
+}
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/frames.hpp
@@ -0,0 +1,55 @@
+// The frames between front nodes and index servers: four bytes of length, a letter, the rest. Pure.
+#pragma once
+#include "brain.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ivyrill::protocol {
+
+inline constexpr std::size_t kMostFrame = 256 * 1024; // bytes that one frame may claim
+
+struct Frame {
+    char letter = 0;
+    std::string rest;
+};
+
+class FrameParser {
+  public:
+    std::size_t feed(std::string_view bytes); // takes bytes until a frame is complete or broken
+    bool complete() const { return !broken_ && header_ == 4 && frame_left_ == 0; }
+    bool broken() const { return broken_; }
+    Frame take();
+
+  private:
+    Frame frame_;
+    std::size_t header_ = 0, frame_left_ = 0; // bytes of the length that are in; of the frame to come
+    bool broken_ = false;
+};
+
+struct PartCall { // a part as it is sent
+    std::string_view id;
+    int shard = 0;
+    std::int64_t wait_ms = 0;
+    std::string_view query;
+};
+std::string call_frame(const std::vector<PartCall>& parts);
+std::string give_up_frame(std::string_view id);
+std::string load_probe_frame();
+
+struct PartAnswer { // what an index server says about one part
+    std::string id;
+    Outcome outcome = Outcome::kError;
+    LoadReport report;
+    std::string value;
+};
+struct LoadAnswer {
+    bool passed = false;
+    LoadReport report;
+};
+PartAnswer read_part_answer(std::string_view rest); // throws ProtocolError, as do those below
+LoadAnswer read_load_answer(std::string_view rest);
+LoadReport read_load_report(std::string_view text); // name=value pairs set apart by commas, or -
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/http.hpp
@@ -0,0 +1,55 @@
+// HTTP/1.1 messages out of bytes that come in any split, and back. Pure: it is handed bytes and says how many
+// it took; those of a following message are left.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ivyrill::protocol {
+
+struct HttpMessage {
+    std::string method, target; // of a request
+    int status = 0;             // of a response
+    std::vector<std::pair<std::string, std::string>> headers; // names in lower case
+    std::string body;
+    bool close = false; // the sender closes after it
+
+    std::string_view header(std::string_view name) const; // empty where absent
+};
+
+class HttpParser {
+  public:
+    enum class Side { kRequests, kResponses };
+    explicit HttpParser(Side side) : side_(side) {}
+
+    std::size_t feed(std::string_view bytes); // takes bytes until the message is complete or broken
+    void end();                               // the sender has closed
+    bool complete() const { return stage_ == Stage::kComplete; }
+    int broken() const { return error_; } // the status to answer with, 0 while sound
+    bool begun() const { return begun_; }
+    HttpMessage take(); // the complete message; the parser starts anew
+
+  private:
+    enum class Stage { kHead, kBody, kToEnd, kChunkSize, kChunk, kChunkEnd, kTrailers, kComplete, kBroken };
+    void fail(int status) { stage_ = Stage::kBroken, error_ = status; }
+    void line_done();
+    void head_line(std::string_view line);
+    void head_done();
+    std::size_t take_body(std::string_view bytes);
+
+    Side side_;
+    Stage stage_ = Stage::kHead;
+    HttpMessage message_;
+    std::string line_;
+    std::size_t head_size_ = 0, left_ = 0; // bytes of the head so far; of the body or chunk to come
+    bool begun_ = false, first_line_ = true, old_version_ = false;
+    int error_ = 0;
+};
+
+// A message with a length; `fields` are further header lines, each with its line end.
+std::string http_response(int status, std::string_view fields, std::string_view body, bool close);
+std::string http_request(std::string_view method, std::string_view target, std::string_view host);
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/messages.cpp
@@ -0,0 +1,161 @@
+#include "protocol/messages.hpp"
+
+#include "protocol/values.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace ivyrill::protocol {
+
+namespace {
+
+// A number followed by its unit, `m` or `u`; the number may have a fraction.
+std::int64_t read_span_us(std::string_view text) {
+    if (text.size() < 2) throw ProtocolError("X-Timeout: missing or malformed");
+    const char unit = text.back();
+    if (unit != 'm' && unit != 'u') throw ProtocolError("X-Timeout: unknown unit");
+    const double count = to_number(text.substr(0, text.size() - 1), "X-Timeout");
+    constexpr double kMostUs = 1e12;
+    const double span = count * (unit == 'm' ? 1000 : 1);
+    if (span < 0 || span > kMostUs) throw ProtocolError("X-Timeout: out of range");
+    return static_cast<std::int64_t>(span);
+}
+
+// An id goes into the frames' lines, so it may hold no blank or control character.
+bool plain_id(std::string_view id) {
+    return !id.empty() && id.size() <= 128 &&
+           std::ranges::all_of(id, [](unsigned char letter) { return letter > 0x20 && letter != 0x7F; });
+}
+
+int read_index(const Json& json, std::string_view what) {
+    const std::int64_t value = json.as_integer(what);
+    if (value < 0 || value > 1'000'000'000) throw ProtocolError(std::string(what) + ": out of range");
+    return static_cast<int>(value);
+}
+
+SearchRequest read_search(const HttpMessage& message, std::string_view product) {
+    SearchRequest search;
+    search.product = plain_word(product);
+    search.id = message.header("x-request-id");
+    if (!plain_id(search.id)) throw ProtocolError("X-Request-ID: missing or malformed");
+    search.tenant = plain_word(message.header("x-tenant-id"));
+    search.left_us = read_span_us(message.header("x-timeout"));
+    search.repeat = message.header("x-retried") == "1";
+    const Json body = read_json(message.body);
+    search.query = body.at("query").as_text("query");
+    double shares = 0;
+    for (const Json& row : body.at("targets").as_list("targets")) {
+        const Target target{read_index(row.at("partition"), "partition"),
+                            row.at("share").as_number("share")};
+        if (target.share < 0) throw ProtocolError("share: below zero");
+        if (std::ranges::count(search.targets, target.shard, &Target::shard) > 0)
+            throw ProtocolError("partition: listed twice");
+        search.targets.push_back(target), shares += target.share;
+    }
+    if (search.targets.empty()) throw ProtocolError("targets: none");
+    return search;
+}
+
+} // namespace
+
+ClientRequest read_client_request(const HttpMessage& message) {
+    std::string_view path = message.target;
+    path = path.substr(0, path.find('?'));
+    if (path == "/-/ready" || path == "/-/healthy") {
+        if (message.method != "GET" && message.method != "HEAD") return BadRequest{405, "use GET"};
+        return ReadyRequest{};
+    }
+    if (path.size() < 2 || path[0] != '/') return BadRequest{404, "no such path"};
+    if (message.method != "POST") return BadRequest{405, "use POST"};
+    path.remove_prefix(1);
+    try {
+        return read_search(message, path.substr(0, path.find('/')));
+    } catch (const ProtocolError& error) {
+        return BadRequest{400, error.what()};
+    }
+}
+
+std::string write_plain_answer(int status, std::string_view words, bool close) {
+    std::string body = "{\"error\":";
+    write_json_text(body, words);
+    body += "}";
+    return http_response(status, "Content-Type: application/json\r\n", body, close);
+}
+
+std::string write_final_answer(const FinalAnswer& answer, bool close) {
+    if (answer.verdict == Verdict::kScrapped)
+        return write_plain_answer(502, "the search failed and may have run in part", close);
+    if (answer.verdict == Verdict::kPushedBack) {
+        std::string fields = "Content-Type: application/json\r\n";
+        if (answer.come_back > 0) {
+            char seconds[32];
+            std::snprintf(seconds, sizeof seconds, "%.4f", static_cast<double>(answer.come_back) / kTenthsPerSecond);
+            fields += std::string("Retry-After: ") + seconds + "\r\n";
+        }
+        return http_response(503, fields, "{\"error\":\"pushed back, nothing has run\"}", close);
+    }
+    std::string body = answer.whole ? "{\"whole\":true,\"results\":[" : "{\"whole\":false,\"results\":[";
+    for (std::size_t i = 0; i < answer.results.size(); ++i) {
+        body += (i > 0 ? ",{\"partition\":" : "{\"partition\":") + std::to_string(answer.results[i].shard);
+        body += ",\"value\":";
+        write_json_text(body, answer.results[i].value);
+        body += "}";
+    }
+    return http_response(200, "Content-Type: application/json\r\n", body + "]}", close);
+}
+
+ServerList read_server_list(const Json& json) {
+    ServerList list;
+    list.version = json.at("version").as_integer("version");
+    list.full = json.at("full").as_bool("full");
+    for (const Json& row : json.at("servers").as_list("servers")) {
+        ServerEntry entry;
+        entry.id = row.at("id").as_text("id");
+        const auto text = [&row](std::string_view name) {
+            const Json* found = row.find(name);
+            return found != nullptr && found->sort == Json::Sort::kText ? found->text : std::string();
+        };
+        entry.address = text("addr"), entry.zone = plain_word(text("zone"));
+        entry.kind = plain_word(text("kind"));
+        if (const Json* cell = row.find("cell")) entry.cell = read_index(*cell, "cell");
+        if (const Json* weight = row.find("weight")) entry.weight = weight->as_number("weight");
+        if (const Json* started = row.find("started_ms")) entry.started_ms = started->as_integer("started_ms");
+        // A state that we do not know is no invitation: the server gets nothing new.
+        const std::string state = text("state");
+        entry.listed = state == "SERVING"   ? Listed::kLive
+                       : state == "DELETED" ? Listed::kGone
+                                            : Listed::kDraining;
+        list.servers.push_back(std::move(entry));
+    }
+    return list;
+}
+
+ServerList read_server_list(std::string_view body) { return read_server_list(read_json(body)); }
+
+std::string list_request(std::string_view host, std::int64_t after, std::int64_t wait_ms, bool whole) {
+    std::string target = "/api/targets";
+    if (!whole) target += "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait_ms);
+    return http_request("GET", target, host);
+}
+
+StartOrders read_start_orders(std::string_view text) {
+    const Json json = read_json(text);
+    StartOrders orders;
+    orders.name = json.at("name").as_text("name");
+    orders.listen = json.at("listen").as_text("listen");
+    orders.discovery = json.at("discovery").as_text("discovery");
+    const Json& limits = json.at("limits");
+    orders.sockets = limits.at("sockets").as_integer("sockets");
+    orders.memory_mb = limits.at("memory_mb").as_integer("memory_mb");
+    orders.known = read_server_list(json.at("known"));
+    std::uint64_t seed = 0;
+    const std::string& digits = json.at("seed").as_text("seed");
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seed, 16);
+    if (error != std::errc{} || end != digits.data() + digits.size())
+        throw ProtocolError("seed: not a hexadecimal number: " + quoted(digits));
+    orders.terms = read_node_terms(flatten(json.at("settings")), seed);
+    return orders;
+}
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/messages.hpp
@@ -0,0 +1,73 @@
+// What clients and discovery say, typed; and the configuration a front node is started with. Pure.
+#pragma once
+#include "brain.hpp"
+#include "protocol/http.hpp"
+#include "protocol/json.hpp"
+#include "protocol/terms.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ivyrill::protocol {
+
+struct Target {
+    int shard = 0;
+    double share = 0;
+};
+struct SearchRequest {
+    std::string id, product, tenant, query;
+    std::int64_t left_us = 0; // the client waits so long from its sending
+    bool repeat = false;
+    std::vector<Target> targets;
+};
+struct ReadyRequest {};
+struct BadRequest {
+    int status = 400;
+    std::string why;
+};
+using ClientRequest = std::variant<SearchRequest, ReadyRequest, BadRequest>;
+ClientRequest read_client_request(const HttpMessage& message);
+
+enum class Verdict { kDelivered, kPushedBack, kScrapped };
+struct PartResult {
+    int shard = 0;
+    std::string value;
+};
+struct FinalAnswer {
+    Verdict verdict = Verdict::kScrapped;
+    bool whole = false;
+    std::vector<PartResult> results;
+    Tenths come_back = 0; // 0: no advice
+};
+std::string write_final_answer(const FinalAnswer& answer, bool close);
+std::string write_plain_answer(int status, std::string_view words, bool close);
+
+struct ServerEntry { // as discovery lists it
+    std::string id, address, zone, kind;
+    int cell = 0;
+    Listed listed = Listed::kLive;
+    double weight = 1;
+    std::int64_t started_ms = 0; // Unix time, 0: long ago
+};
+struct ServerList {
+    std::int64_t version = 0;
+    bool full = false;
+    std::vector<ServerEntry> servers;
+};
+ServerList read_server_list(const Json& json); // throws ProtocolError
+ServerList read_server_list(std::string_view body);
+// The whole list where no version is given, else a watch for what is newer.
+std::string list_request(std::string_view host, std::int64_t after, std::int64_t wait_ms, bool whole);
+
+struct StartOrders { // what a front node is told when it starts
+    std::string name, listen, discovery;
+    std::int64_t sockets = 0, memory_mb = 0;
+    ServerList known;
+    NodeTerms terms;
+};
+StartOrders read_start_orders(std::string_view text); // throws ProtocolError
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/terms.cpp
@@ -0,0 +1,154 @@
+#include "protocol/terms.hpp"
+
+#include "protocol/values.hpp"
+
+#include <limits>
+
+namespace ivyrill::protocol {
+
+namespace {
+
+constexpr std::int64_t kMostListed = 10'000; // items that one list in the settings may have
+
+// The settings by their paths. Unknown ones are never asked for.
+class Settled {
+  public:
+    explicit Settled(const PathValues& values) : values_(values) {}
+
+    bool has(const std::string& path) const { return values_.contains(path); }
+    std::int64_t integer(const std::string& path, std::int64_t absent) const {
+        if (!has(path)) return absent;
+        const std::int64_t value = to_integer(word(path, ""), path);
+        if (value < 0) throw ProtocolError(path + ": below zero: " + quoted(word(path, "")));
+        return value;
+    }
+    int whole(const std::string& path, int absent) const {
+        const std::int64_t value = integer(path, absent);
+        if (value > std::numeric_limits<int>::max()) throw ProtocolError(path + ": too large");
+        return static_cast<int>(value);
+    }
+    int at_least_one(const std::string& path, int absent) const {
+        const int value = whole(path, absent);
+        if (value < 1) throw ProtocolError(path + ": must be 1 or more");
+        return value;
+    }
+    double number(const std::string& path, double absent) const {
+        const double value = has(path) ? to_number(word(path, ""), path) : absent;
+        if (value < 0) throw ProtocolError(path + ": below zero: " + quoted(word(path, "")));
+        return value;
+    }
+    bool flag(const std::string& path) const { return has(path) && to_bool(word(path, ""), path); }
+    std::string_view word(const std::string& path, std::string_view absent) const {
+        const auto found = values_.find(path);
+        return found == values_.end() ? absent : std::string_view(found->second);
+    }
+    Tenths to_use(const std::string& path, std::int64_t absent = 0) const {
+        return tenths_to_use(integer(path, absent));
+    }
+    Tenths to_wait(const std::string& path) const { return tenths_to_wait(integer(path, 0)); }
+    std::size_t count(const std::string& path) const {
+        const std::int64_t value = integer(path + ".count", 0);
+        if (value > kMostListed) throw ProtocolError(path + ".count: too large");
+        return static_cast<std::size_t>(value);
+    }
+    double listed(const std::string& path, std::size_t place, double absent) const {
+        const auto values = split(word(path, ""), ',');
+        return place < values.size() ? to_number(values[place], path) : absent;
+    }
+    std::vector<std::string> names(const std::string& path) const {
+        std::vector<std::string> names;
+        for (const std::string_view name : split(word(path, ""), ',')) names.emplace_back(name);
+        return names;
+    }
+    std::vector<std::string> names_of(const std::string& path) const {
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < count(path); ++i)
+            names.emplace_back(word(path + "." + std::to_string(i) + ".Name", ""));
+        return names;
+    }
+
+  private:
+    const PathValues& values_;
+};
+
+Effect read_effect(std::string_view word, const std::string& path) {
+    if (word == "read_like") return Effect::kReissuable;
+    if (word == "idempotency_key") return Effect::kNumbered;
+    if (word == "non_idempotent") return Effect::kAtMostOnce;
+    throw ProtocolError(path + ": unknown: " + quoted(word));
+}
+
+} // namespace
+
+std::string plain_word(std::string_view name) {
+    std::string plain(name);
+    for (char& letter : plain)
+        if (letter == ' ' || letter == ',') letter = '_';
+    return plain;
+}
+
+OpeningTerms read_terms(const PathValues& settings, std::uint64_t seed) {
+    const Settled settled(settings);
+    OpeningTerms terms;
+    terms.seed = seed;
+    for (std::size_t i = 0; i < settled.count("Grades"); ++i) {
+        const std::string row = "Grades." + std::to_string(i) + ".";
+        ProductTerms product;
+        product.due_span = settled.to_use(row + "AimUs");
+        product.expiry_span = settled.to_use(row + "DeadlineUs");
+        product.repeat_window = settled.to_use(row + "WindowUs");
+        product.effect = read_effect(settled.word(row + "Idempotency", "read_like"), row + "Idempotency");
+        product.payoff = settled.number(row + "Worth", 1);
+        product.late_share = settled.number(row + "LateShare", 0);
+        product.floor = settled.listed("Specifics.ClassFloor", i, 1);
+        product.need = settled.listed("Specifics.ClassNeed", i, 1);
+        product.follow_up = static_cast<int>(settled.listed("Specifics.FollowUp", i, 0));
+        terms.products.push_back(product);
+    }
+    for (std::size_t i = 0; i < settled.count("Tenants"); ++i)
+        terms.tenants.push_back({settled.number("Tenants." + std::to_string(i) + ".QuotaPerS", 0)});
+    terms.front_nodes = settled.at_least_one("PeersTotal", 1);
+    terms.turn_gap = settled.to_wait("QuantumUs");
+    terms.cold_span = settled.to_wait("Contract.ColdUs");
+    terms.cold_share = settled.number("Contract.ColdShare", 1);
+    terms.fall_span = settled.to_wait("Contract.FallUs");
+    terms.fall_multiple = settled.number("Contract.OverloadFactor", 1);
+    terms.launch_budget = settled.has("Contract.RatioSpanUs");
+    terms.spare_launches = settled.number("Contract.SpareAttempts", 0);
+    terms.further_ratio = settled.number("Contract.FurtherRatio", 0);
+    terms.budget_span = settled.to_wait("Contract.RatioSpanUs");
+    terms.longest_come_back = settled.to_use("Limits.MaxRetryAfterUs");
+    terms.most_launches = settled.at_least_one("Limits.MostTries", 1);
+    terms.repeats_marked = settled.flag("Clients.MarksRetry");
+    terms.may_recall = settled.flag("Limits.MayCancel");
+    terms.may_probe = settled.flag("Limits.Probes");
+    terms.may_advise = settled.flag("Limits.RetryAfter");
+    terms.second_copies = settled.flag("Limits.SecondCopies");
+    terms.over_share_payoff = settled.number("OverShareWorth", 1);
+    terms.list_mode = settled.word("MembershipMode", "push") == "ask" ? ListMode::kAsked : ListMode::kPushed;
+    terms.cells = settled.at_least_one("Specifics.Places", 1);
+    terms.span = settled.at_least_one("Specifics.Span", 1);
+    terms.call_work = settled.to_use("Specifics.PerCallWorkUs");
+    return terms;
+}
+
+NodeTerms read_node_terms(const PathValues& settings, std::uint64_t seed) {
+    const Settled settled(settings);
+    NodeTerms terms;
+    terms.opening = read_terms(settings, seed);
+    terms.most_open = settled.whole("Limits.MaxOpen", 0);
+    terms.batch = settled.at_least_one("Specifics.Batch", 1);
+    terms.calls_a_connection = settled.at_least_one("Limits.StreamsPerConn", 1);
+    terms.shards = settled.at_least_one("Specifics.Slabs", 1);
+    terms.connect_span = settled.to_use("Limits.ConnectTimeoutUs");
+    terms.idle_span = settled.to_use("Limits.ConnIdleUs");
+    terms.ask_span = settled.to_use("Contract.AskWithinUs", 10 * kTenthsPerSecond * kMicrosPerTenth);
+    terms.opening.list_mode = ListMode::kAsked; // on sockets the list comes to those who ask
+    terms.products = settled.names_of("Grades");
+    terms.tenants = settled.names_of("Tenants");
+    terms.zones = settled.names("Zones");
+    terms.kinds = settled.names("Kinds");
+    return terms;
+}
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/protocol/terms.hpp
@@ -0,0 +1,34 @@
+// The one reading of the settings: paths and plain values in, typed terms out. The simulator's first message
+// comes as such paths already; a front node's configuration is flattened into them.
+#pragma once
+#include "brain.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ivyrill::protocol {
+
+using PathValues = std::map<std::string, std::string, std::less<>>;
+
+// What the network side has to keep, beside what the module is told.
+struct NodeTerms {
+    OpeningTerms opening;
+    int most_open = 0;          // searches and parts held at once, 0: no limit
+    int batch = 1;              // parts in one call
+    int calls_a_connection = 1; // ... carried at once
+    int shards = 0;
+    Tenths connect_span = 0; // a connection not made by then never comes
+    Tenths idle_span = 0;    // the index server closes an idle connection after this, 0: never
+    Tenths ask_span = 0;     // without a watch for so long, news counts as told
+    std::vector<std::string> products, tenants, zones, kinds;
+};
+
+// Spaces and commas become _ wherever a name of the settings is read or looked up.
+std::string plain_word(std::string_view name);
+
+OpeningTerms read_terms(const PathValues& settings, std::uint64_t seed);
+NodeTerms read_node_terms(const PathValues& settings, std::uint64_t seed);
+
+} // namespace ivyrill::protocol
--- /dev/null
+++ b/src/routing/events.hpp
@@ -0,0 +1,102 @@
+// What happens to a front node, and what it asks for in return. Handles are serial numbers that are never used
+// again: news about something that has ended finds nothing.
+#pragma once
+#include "base/ids.hpp"
+#include "protocol/frames.hpp"
+#include "protocol/messages.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace ivyrill::routing {
+
+using ClientId = Id<struct ClientTag, std::uint64_t>; // a client's connection
+using LinkId = Id<struct LinkTag, std::uint64_t>;     // a connection to an index server
+using AskId = Id<struct AskTag, std::uint64_t>;       // a call to discovery
+
+struct ClientOpened {
+    ClientId client;
+};
+struct SearchRead {
+    ClientId client;
+    protocol::SearchRequest request;
+    Tenths read_at = 0;
+};
+struct ClientGone {
+    ClientId client;
+};
+struct LinkUp {
+    LinkId link;
+};
+struct LinkWrote { // so many of its bytes has the system taken
+    LinkId link;
+    std::uint64_t total = 0;
+};
+struct LinkEnded { // refused, broken or closed by the other side
+    LinkId link;
+};
+struct PartAnswered {
+    LinkId link;
+    protocol::PartAnswer answer;
+};
+struct LoadTold {
+    LinkId link;
+    protocol::LoadAnswer answer;
+};
+struct ListTold {
+    AskId ask;
+    protocol::ServerList list;
+};
+struct ListLost {
+    AskId ask;
+};
+struct DrainOrdered {}; // answers go out with the last word on their connection
+struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
+using Event = std::variant<ClientOpened, SearchRead, ClientGone, LinkUp, LinkWrote, LinkEnded, PartAnswered,
+                           LoadTold, ListTold, ListLost, DrainOrdered, QuietOrdered>;
+
+struct OpenLink {
+    LinkId link;
+    std::string address;
+};
+struct WriteLink {
+    LinkId link;
+    std::string bytes;
+};
+struct CloseLink {
+    LinkId link;
+};
+struct AnswerClient {
+    ClientId client;
+    protocol::FinalAnswer answer;
+    bool close = false;
+};
+struct RejectClient { // an error in the request itself, or a search we know already
+    ClientId client;
+    int status = 400;
+    std::string why;
+    bool close = false;
+};
+struct CloseClient {
+    ClientId client;
+};
+struct AcceptClients {
+    bool on = true;
+};
+struct AskDiscovery {
+    AskId ask;
+    std::int64_t after = 0, wait_ms = 0;
+    bool whole = false;
+};
+struct DropAsk { // its answer is overdue: its connection goes
+    AskId ask;
+};
+struct ArmTimer {
+    Tenths at = 0;
+};
+using Effect = std::variant<OpenLink, WriteLink, CloseLink, AnswerClient, RejectClient, CloseClient,
+                            AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
+
+} // namespace ivyrill::routing
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,600 @@
+#include "routing/router.hpp"
+
+#include <algorithm>
+
+namespace ivyrill::routing {
+
+Router::Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::size_t descriptors,
+               Tenths now)
+    : terms_(std::move(terms)), brain_(open_brain(terms_.opening)), descriptors_(descriptors), now_(now) {
+    take_list(known, ListKind::kSaved);
+}
+
+void Router::step(Tenths now, Event event) {
+    now_ = std::max(now_, now);
+    std::visit([this](const auto& what) { apply(what); }, event);
+}
+
+std::vector<Effect> Router::turn(Tenths now) {
+    now_ = std::max(now_, now);
+    while (!alarms_.empty() && alarms_.begin()->first <= now_) {
+        const Alarm alarm = std::move(alarms_.begin()->second);
+        alarms_.erase(alarms_.begin());
+        std::visit([this](const auto& what) { due(what); }, alarm);
+    }
+    if (std::exchange(decision_due_, false)) {
+        brain_->decide(now_, *this);
+        send_calls();
+    }
+    const Tenths next = alarms_.empty() ? 0 : alarms_.begin()->first;
+    if (next != armed_) effects_.push_back(ArmTimer{armed_ = next});
+    return std::exchange(effects_, {});
+}
+
+// ---- clients and searches
+
+void Router::apply(const ClientOpened& event) {
+    clients_[event.client].idle_since = now_;
+    if (clients_.size() > descriptors_ - most_links()) free_a_client();
+}
+
+// At the limit of descriptors the client that has been idle for longest goes; where none is, nobody new is
+// let in until one is.
+void Router::free_a_client() {
+    ClientId oldest{};
+    Tenths since = now_ + 1;
+    for (const auto& [id, client] : clients_)
+        if (!client.search && client.idle_since < since) oldest = id, since = client.idle_since;
+    if (since <= now_) {
+        clients_.erase(oldest);
+        effects_.push_back(CloseClient{oldest});
+    } else if (std::exchange(accepting_, false)) {
+        effects_.push_back(AcceptClients{false});
+    }
+}
+
+void Router::apply(const ClientGone& event) {
+    const auto found = clients_.find(event.client);
+    if (found == clients_.end()) return;
+    if (found->second.search) {
+        const SearchId id = *found->second.search;
+        tell(SearchLapsed{id});
+        ++counts_.lapsed;
+        finish(id, {});
+    }
+    clients_.erase(event.client);
+    effects_.push_back(CloseClient{event.client});
+    if (!accepting_ && !quiet_) accepting_ = true, effects_.push_back(AcceptClients{true});
+}
+
+void Router::apply(const SearchRead& event) {
+    const auto found = clients_.find(event.client);
+    if (found == clients_.end() || found->second.search) return;
+    const protocol::SearchRequest& request = event.request;
+    const auto reject = [&](int status, const char* why) {
+        effects_.push_back(RejectClient{event.client, status, why, draining_});
+    };
+    const auto product = std::ranges::find(terms_.products, request.product);
+    if (product == terms_.products.end()) return reject(404, "no such product");
+    if (std::ranges::any_of(request.targets, [&](auto& t) { return t.shard >= terms_.shards; }))
+        return reject(400, "no such partition");
+    if (open_ids_.contains(request.id)) return reject(409, "this id is being searched for already");
+    ++counts_.searches;
+    const Tenths left = tenths_to_use(request.left_us) - (now_ - event.read_at);
+    const bool full =
+        terms_.most_open > 0 && searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
+    if (full || left <= 0) {
+        ++counts_.over_full, ++counts_.pushed_back;
+        effects_.push_back(AnswerClient{event.client, {protocol::Verdict::kPushedBack, false, {}, 0}, draining_});
+        return;
+    }
+    const SearchId id{next_id_++};
+    const JobNo job{id.value};
+    const auto tenant = std::ranges::find(terms_.tenants, request.tenant);
+    const TenantNo payer{tenant == terms_.tenants.end()
+                             ? -1
+                             : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
+    const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
+    Search& search = searches_[id];
+    search.client = event.client, search.wire_id = request.id, search.query = request.query;
+    found->second.search = id;
+    open_ids_.insert(request.id);
+    tell(SearchTaken{id, job, number, payer, left, request.repeat});
+    for (const protocol::Target& target : request.targets) {
+        const PartId part{next_id_++};
+        search.parts.push_back(part);
+        parts_[part] = {id, ShardNo{target.shard}, request.id + "." + std::to_string(target.shard), 0, {}};
+        tell(PartTaken{part, job, ShardNo{target.shard}, target.share});
+    }
+    at(now_ + left, SearchDue{id});
+}
+
+// The module ends each search ahead of its expiry; should it ever not, the client is not left without a word.
+void Router::due(const SearchDue& what) {
+    if (!searches_.contains(what.search)) return;
+    tell(SearchLapsed{what.search});
+    ++counts_.lapsed;
+    finish(what.search, {});
+}
+
+void Router::finish(SearchId id, protocol::FinalAnswer answer) {
+    const auto found = searches_.find(id);
+    if (found == searches_.end()) return;
+    Search& search = found->second;
+    for (const PartId part : search.parts) {
+        Part& held = parts_.at(part);
+        if (answer.verdict == protocol::Verdict::kDelivered && held.value)
+            answer.results.push_back({held.shard.value, std::move(*held.value)});
+        parts_.erase(part);
+    }
+    if (const auto client = clients_.find(search.client); client != clients_.end()) {
+        client->second.search.reset();
+        client->second.idle_since = now_;
+        effects_.push_back(AnswerClient{search.client, std::move(answer), draining_});
+        if (!accepting_ && !quiet_) accepting_ = true, effects_.push_back(AcceptClients{true});
+    }
+    open_ids_.erase(search.wire_id);
+    searches_.erase(found);
+}
+
+void Router::answer(SearchId search, bool whole) {
+    ++counts_.delivered;
+    finish(search, {protocol::Verdict::kDelivered, whole, {}, 0});
+}
+
+void Router::push_back(SearchId search, Tenths come_back) {
+    ++counts_.pushed_back;
+    finish(search, {protocol::Verdict::kPushedBack, false, {}, come_back});
+}
+
+void Router::scrap(SearchId search) {
+    ++counts_.scrapped;
+    finish(search, {});
+}
+
+void Router::apply(const DrainOrdered&) { draining_ = true; }
+
+void Router::apply(const QuietOrdered&) {
+    quiet_ = draining_ = true, accepting_ = false;
+    effects_.push_back(AcceptClients{false});
+    for (auto next = clients_.begin(); next != clients_.end();) {
+        const auto here = next++;
+        if (here->second.search) continue;
+        effects_.push_back(CloseClient{here->first});
+        clients_.erase(here);
+    }
+}
+
+// ---- launches
+
+void Router::launch(PartId part, ServerId server, Tenths time_out) {
+    const auto found = parts_.find(part);
+    if (found == parts_.end()) return;
+    Part& held = found->second;
+    const Search& search = searches_.at(held.search);
+    const LaunchKey key{part, LaunchNo{held.launches++}};
+    launches_[key] = {server, {}, held.wire_id, search.query, held.shard.value, now_, now_ + time_out,
+                      Way::kWaiting, false};
+    ++counts_.launches;
+    const auto at_server = servers_.find(server);
+    const bool allowed = at_server != servers_.end() && at_server->second.listed == Listed::kLive &&
+                         holds(at_server->second, held.shard.value) && time_out > 0 &&
+                         key.second.value < static_cast<std::uint32_t>(terms_.opening.most_launches);
+    if (!allowed) return return_later(key, server, Outcome::kNeverSent);
+    at(now_ + time_out, LaunchDue{key});
+    fresh_[server].push_back(key);
+}
+
+bool Router::holds(const Server& server, int shard) const {
+    const int cells = terms_.opening.cells;
+    return (server.cell - shard % cells + cells) % cells < terms_.opening.span;
+}
+
+// What one turn sends to one server travels together, as far as a call may hold.
+void Router::send_calls() {
+    for (auto& [server, keys] : std::exchange(fresh_, {}))
+        for (std::size_t begin = 0; begin < keys.size(); begin += static_cast<std::size_t>(terms_.batch)) {
+            const auto first = keys.begin() + static_cast<std::ptrdiff_t>(begin);
+            const auto size = std::min<std::size_t>(terms_.batch, keys.size() - begin);
+            put_on_link(server, Call(first, first + static_cast<std::ptrdiff_t>(size)));
+        }
+}
+
+void Router::put_on_link(ServerId server, Call call) {
+    const auto id = link_for(server, call);
+    if (!id) {
+        for (const LaunchKey& key : call) return_later(key, server, Outcome::kNoConnection);
+        return;
+    }
+    Link& link = links_.at(*id);
+    link.parts += static_cast<int>(call.size());
+    for (const LaunchKey& key : call) launches_.at(key).link = *id;
+    link.waiting.push_back(std::move(call));
+    hand_over(*id);
+}
+
+void Router::return_later(const LaunchKey& key, ServerId server, Outcome outcome) {
+    at(now_ + 1, LaunchReturn{key, server, outcome});
+}
+
+void Router::due(const LaunchReturn& what) { return_launch(what.launch, what.outcome); }
+
+// The one place where a launch ends: the module hears of each exactly once.
+void Router::return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report) {
+    const auto found = launches_.find(key);
+    if (found == launches_.end()) return;
+    const Launch launch = std::move(found->second);
+    launches_.erase(found);
+    if (const auto at_link = links_.find(launch.link); at_link != links_.end() && !launch.given_up) {
+        --at_link->second.parts;
+        at_link->second.out.erase(launch.wire_id);
+        rest(launch.link);
+    }
+    tell(LaunchReturned{key.first, key.second, launch.server, outcome, now_ - launch.made_at, report});
+}
+
+void Router::forget_waiting(Link& link, const LaunchKey& key) {
+    for (Call& call : link.waiting)
+        if (std::erase(call, key) > 0 && call.empty()) {
+            link.waiting.erase(std::ranges::find_if(link.waiting, [&](auto& c) { return &c == &call; }));
+            return;
+        }
+}
+
+// Takes a launch off its connection: unsent, it vanishes; else the server is told, and its late answer is kept
+// from being taken for that of a later launch of the same part.
+void Router::give_up(const LaunchKey& key, Launch& launch) {
+    launch.given_up = true;
+    const auto found = links_.find(launch.link);
+    if (found == links_.end()) return;
+    Link& link = found->second;
+    --link.parts;
+    if (launch.way == Way::kWaiting) {
+        forget_waiting(link, key);
+    } else {
+        link.out.erase(launch.wire_id);
+        link.given_up[launch.wire_id] = launch.until;
+        std::string bytes = protocol::give_up_frame(launch.wire_id);
+        link.handed += bytes.size(), link.used = now_;
+        effects_.push_back(WriteLink{launch.link, std::move(bytes)});
+    }
+    rest(launch.link);
+}
+
+void Router::recall(PartId part, LaunchNo number) {
+    const LaunchKey key{part, number};
+    const auto found = launches_.find(key);
+    if (found == launches_.end() || found->second.given_up) return;
+    give_up(key, found->second);
+    // A copy that replaces it must not reach its server before this word reaches the other.
+    at(now_ + terms_.opening.turn_gap, LaunchReturn{key, found->second.server, Outcome::kRecalled});
+}
+
+void Router::due(const LaunchDue& what) {
+    const auto found = launches_.find(what.launch);
+    if (found == launches_.end() || found->second.given_up) return;
+    const bool unsent = found->second.way == Way::kWaiting;
+    give_up(what.launch, found->second);
+    return_launch(what.launch, unsent ? Outcome::kNoConnection : Outcome::kTimedOut);
+}
+
+void Router::apply(const PartAnswered& event) {
+    const auto at_link = links_.find(event.link);
+    if (at_link == links_.end()) return;
+    Link& link = at_link->second;
+    link.used = now_;
+    const auto found = link.out.find(event.answer.id);
+    if (found == link.out.end()) {
+        link.given_up.erase(event.answer.id);
+        ++counts_.returned_late;
+        return;
+    }
+    const LaunchKey key = found->second;
+    const auto part = parts_.find(key.first);
+    if (part != parts_.end() && event.answer.outcome == Outcome::kAnswered)
+        part->second.value = event.answer.value;
+    return_launch(key, event.answer.outcome, event.answer.report);
+}
+
+// ---- connections to index servers
+
+bool Router::idle(const Link& link) {
+    return link.parts == 0 && std::ranges::all_of(link.probes, &ProbeOut::over);
+}
+
+// We close before the index server does: what is written to a connection that it closes is lost.
+Tenths Router::idle_limit() const {
+    return std::max(terms_.idle_span / 2, terms_.idle_span - 2 * terms_.connect_span);
+}
+
+std::optional<LinkId> Router::link_for(ServerId server, const Call& call) {
+    std::optional<LinkId> best, crowded;
+    int least = 0;
+    std::vector<LinkId> stale;
+    for (const LinkId id : servers_.at(server).links) {
+        Link& link = links_.at(id);
+        if (link.retired) continue;
+        if (idle(link) && terms_.idle_span > 0 && now_ >= link.used + idle_limit()) {
+            stale.push_back(id);
+            continue;
+        }
+        std::erase_if(link.given_up, [this](auto& late) { return late.second + idle_limit() < now_; });
+        const bool known = std::ranges::any_of(call, [&](auto& key) {
+            const std::string& wire_id = launches_.at(key).wire_id;
+            return link.given_up.contains(wire_id) || link.out.contains(wire_id);
+        });
+        if (known) continue; // an answer there could be that of the earlier launch
+        if (!crowded || link.parts < least) crowded = id, least = link.parts;
+        if (link.parts + static_cast<int>(call.size()) > terms_.calls_a_connection) continue;
+        if (!best || (link.up && !links_.at(*best).up)) best = id;
+    }
+    for (const LinkId id : stale) close_link(id);
+    if (best) return best;
+    const auto fresh = open_link(server);
+    return fresh ? fresh : crowded;
+}
+
+std::optional<LinkId> Router::open_link(ServerId server) {
+    if (links_.size() >= most_links()) {
+        const auto spare = std::ranges::find_if(links_, [](auto& held) { return idle(held.second); });
+        if (spare == links_.end()) return {};
+        close_link(spare->first);
+    }
+    const LinkId id{next_link_++};
+    links_[id].server = server;
+    links_[id].used = now_;
+    servers_.at(server).links.insert(id);
+    ++counts_.links_opened;
+    effects_.push_back(OpenLink{id, servers_.at(server).address});
+    at(now_ + terms_.connect_span, ConnectDue{id});
+    return id;
+}
+
+void Router::apply(const LinkUp& event) {
+    const auto found = links_.find(event.link);
+    if (found == links_.end()) return;
+    found->second.up = true, found->second.used = now_;
+    hand_over(event.link);
+}
+
+// One frame at a time is in the ring: until its first byte has gone, what waits behind can be taken back.
+void Router::hand_over(LinkId id) {
+    Link& link = links_.at(id);
+    while (link.up && link.in_ring.empty() && !link.waiting.empty()) {
+        const Call call = std::move(link.waiting.front());
+        link.waiting.pop_front();
+        std::string bytes;
+        if (call.empty()) {
+            bytes = protocol::load_probe_frame();
+        } else {
+            std::vector<protocol::PartCall> parts;
+            for (const LaunchKey& key : call) {
+                Launch& launch = launches_.at(key);
+                launch.way = Way::kHanded;
+                link.out[launch.wire_id] = key;
+                const Tenths left = launch.until - now_;
+                parts.push_back({launch.wire_id, launch.shard, std::max<Tenths>(1, left / 10), launch.query});
+            }
+            bytes = protocol::call_frame(parts);
+        }
+        link.handed += bytes.size(), link.used = now_;
+        link.in_ring.push_back({link.handed, call});
+        effects_.push_back(WriteLink{id, std::move(bytes)});
+    }
+}
+
+void Router::apply(const LinkWrote& event) {
+    const auto found = links_.find(event.link);
+    if (found == links_.end()) return;
+    Link& link = found->second;
+    link.written = event.total;
+    while (!link.in_ring.empty() && link.in_ring.front().end <= link.written) {
+        for (const LaunchKey& key : link.in_ring.front().call)
+            if (const auto launch = launches_.find(key); launch != launches_.end())
+                launch->second.way = Way::kSent;
+        link.in_ring.pop_front();
+    }
+    hand_over(event.link);
+}
+
+void Router::apply(const LinkEnded& event) {
+    if (links_.contains(event.link)) close_link(event.link);
+}
+
+// Whatever is on the connection ends: what was wholly with the system may have run, the rest has not.
+void Router::close_link(LinkId id) {
+    const auto found = links_.find(id);
+    const Link link = std::move(found->second);
+    links_.erase(found);
+    servers_.at(link.server).links.erase(id);
+    effects_.push_back(CloseLink{id});
+    for (const Call& call : link.waiting)
+        for (const LaunchKey& key : call) return_launch(key, Outcome::kNoConnection);
+    for (const auto& [wire_id, key] : link.out) {
+        const bool sent = launches_.at(key).way == Way::kSent;
+        return_launch(key, sent ? Outcome::kBroken : Outcome::kNoConnection);
+    }
+    for (const ProbeOut& probe : link.probes)
+        if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
+}
+
+void Router::due(const ConnectDue& what) {
+    const auto found = links_.find(what.link);
+    if (found != links_.end() && !found->second.up) close_link(what.link);
+}
+
+// After something on it has ended: a connection with nothing left is closed when it has been idle for long
+// enough, or at once where nothing new may go there.
+void Router::rest(LinkId id) {
+    const auto found = links_.find(id);
+    if (found == links_.end() || !idle(found->second)) return;
+    Link& link = found->second;
+    if (link.retired) return close_link(id);
+    if (terms_.idle_span == 0 || std::exchange(link.idle_armed, true)) return;
+    at(link.used + idle_limit(), IdleDue{id});
+}
+
+void Router::due(const IdleDue& what) {
+    const auto found = links_.find(what.link);
+    if (found == links_.end()) return;
+    found->second.idle_armed = false;
+    if (!idle(found->second)) return;
+    if (now_ >= found->second.used + idle_limit()) return close_link(what.link);
+    rest(what.link);
+}
+
+void Router::hang_up(ServerId server) {
+    const auto links = servers_.at(server).links;
+    for (const LinkId id : links)
+        if (idle(links_.at(id))) close_link(id);
+}
+
+void Router::retire_links(Server& server) {
+    const auto links = server.links;
+    for (const LinkId id : links) {
+        links_.at(id).retired = true;
+        rest(id);
+    }
+}
+
+// ---- probes
+
+void Router::probe(ServerId server) {
+    const auto id = link_for(server, {});
+    ++counts_.probes;
+    if (!id) return at(now_ + 1, ProbeReturn{server, 1});
+    Link& link = links_.at(*id);
+    link.probes.push_back({next_probe_++, now_, false});
+    at(now_ + terms_.connect_span, ProbeDue{*id, link.probes.back().serial});
+    link.waiting.push_back({});
+    hand_over(*id);
+}
+
+void Router::due(const ProbeReturn& what) { tell(ProbeReturned{what.server, false, what.took, {}}); }
+
+// A connection that leaves a probe without an answer may lead nowhere any more: nothing new goes there, and
+// the next probe tries a new one.
+void Router::due(const ProbeDue& what) {
+    const auto found = links_.find(what.link);
+    if (found == links_.end()) return;
+    Link& link = found->second;
+    const auto probe = std::ranges::find(link.probes, what.serial, &ProbeOut::serial);
+    if (probe == link.probes.end() || probe->over) return;
+    probe->over = true;
+    tell(ProbeReturned{link.server, false, now_ - probe->made_at, {}});
+    link.retired = true;
+    rest(what.link);
+}
+
+void Router::apply(const LoadTold& event) {
+    const auto found = links_.find(event.link);
+    if (found == links_.end() || found->second.probes.empty()) return;
+    Link& link = found->second;
+    link.used = now_;
+    const ProbeOut probe = link.probes.front();
+    link.probes.pop_front();
+    if (!probe.over)
+        tell(ProbeReturned{link.server, event.answer.passed, now_ - probe.made_at, event.answer.report});
+    rest(event.link);
+}
+
+// ---- the list of index servers
+
+ServerId Router::server_of(const std::string& name) {
+    const auto [place, fresh] =
+        server_ids_.try_emplace(name, ServerId{static_cast<std::uint32_t>(server_ids_.size())});
+    if (fresh) servers_[place->second].name = name;
+    return place->second;
+}
+
+std::int32_t Router::number_of(std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::ranges::find(names, name);
+    if (found != names.end()) return static_cast<std::int32_t>(found - names.begin());
+    names.push_back(name);
+    return static_cast<std::int32_t>(names.size() - 1);
+}
+
+// What still waits for a connection to a server that drains or is gone has not left and does not leave.
+void Router::pull_waiting(Server& server) {
+    const auto links = server.links;
+    for (const LinkId id : links) {
+        std::vector<LaunchKey> keys;
+        for (const Call& call : links_.at(id).waiting) keys.insert(keys.end(), call.begin(), call.end());
+        for (const LaunchKey& key : keys) {
+            Launch& launch = launches_.at(key);
+            give_up(key, launch);
+            return_later(key, launch.server, Outcome::kNeverSent);
+        }
+    }
+}
+
+void Router::take_list(const protocol::ServerList& list, ListKind kind) {
+    version_ = list.version;
+    ListNews news{kind, {}};
+    std::set<ServerId> named;
+    for (const protocol::ServerEntry& row : list.servers) {
+        const ServerId id = server_of(row.id);
+        Server& server = servers_.at(id);
+        named.insert(id);
+        if (!row.address.empty() && row.address != server.address) {
+            retire_links(server);
+            server.address = row.address;
+        }
+        server.listed = row.listed, server.cell = row.cell;
+        ListEntry entry;
+        entry.server = id;
+        entry.zone = ZoneNo{number_of(terms_.zones, row.zone)};
+        entry.kind = KindNo{number_of(terms_.kinds, row.kind)};
+        entry.cell = CellNo{row.cell};
+        entry.listed = row.listed, entry.weight = row.weight;
+        entry.born = std::max<Tenths>(0, row.started_ms) * (kTenthsPerSecond / 1000);
+        news.entries.push_back(entry);
+    }
+    for (auto& [id, server] : servers_) {
+        if (kind != ListKind::kChanges && !named.contains(id)) server.listed = Listed::kGone;
+        if (server.listed == Listed::kLive) continue;
+        pull_waiting(server);
+        if (server.listed == Listed::kGone) retire_links(server);
+    }
+    tell(news);
+}
+
+void Router::subscribe() {
+    if (!ask_) watch_on();
+}
+
+// One call after another, so that a watch never ends of itself. Its wait is half of the time after which
+// news counts as told without one, and an answer is overdue a tenth of that time later.
+void Router::watch_on() {
+    ask_ = AskId{next_ask_++};
+    const Tenths wait = terms_.ask_span / 2;
+    effects_.push_back(AskDiscovery{*ask_, version_, wait / 10, whole_wanted_});
+    at(now_ + wait + terms_.ask_span / 10, AskDue{*ask_});
+}
+
+void Router::apply(const ListTold& event) {
+    if (ask_ != event.ask) return;
+    ++counts_.lists;
+    const bool behind = !event.list.full && event.list.version < version_; // it has started anew
+    if (!behind) take_list(event.list, event.list.full ? ListKind::kWhole : ListKind::kChanges);
+    whole_wanted_ = behind;
+    watch_on();
+}
+
+void Router::apply(const ListLost& event) {
+    if (ask_ != event.ask) return;
+    ask_.reset();
+    ++counts_.lists_lost;
+    tell(ListNews{ListKind::kLost, {}});
+}
+
+void Router::due(const AskDue& what) {
+    if (ask_ != what.ask) return;
+    effects_.push_back(DropAsk{what.ask});
+    apply(ListLost{what.ask});
+}
+
+void Router::wake(Tenths in) { at(now_ + std::max<Tenths>(1, in), Wake{}); }
+void Router::due(const Wake&) { decision_due_ = true; }
+
+} // namespace ivyrill::routing
--- /dev/null
+++ b/src/routing/router.hpp
@@ -0,0 +1,196 @@
+// The reducer: all state of a front node changes here, by events, and what is to be read or written comes out
+// as effects. It holds the decision module and keeps the promises that the module is given: exactly one return
+// a launch, outcomes by how far the bytes went, lists in order. It makes no choice of its own among servers,
+// searches or times; where it must bound something, the bound is one of the settings.
+#pragma once
+#include "brain.hpp"
+#include "routing/events.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ivyrill::routing {
+
+struct Counts { // since the start
+    std::uint64_t searches = 0, delivered = 0, pushed_back = 0, scrapped = 0, lapsed = 0, over_full = 0,
+                  launches = 0, returned_late = 0, links_opened = 0, probes = 0, lists = 0, lists_lost = 0;
+};
+
+class Router : private Host {
+  public:
+    // `descriptors`: so many connections may be held, clients and index servers together.
+    Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::size_t descriptors, Tenths now);
+
+    void step(Tenths now, Event event);  // one thing that happened
+    std::vector<Effect> turn(Tenths now); // what is due by now, one decision, and the effects of it all
+
+    std::size_t open_searches() const { return searches_.size(); }
+    std::size_t open_clients() const { return clients_.size(); }
+    std::size_t open_links() const { return links_.size(); }
+    std::size_t open_launches() const { return launches_.size(); }
+    const Counts& counts() const { return counts_; }
+
+  private:
+    using LaunchKey = std::pair<PartId, LaunchNo>;
+
+    struct Client {
+        std::optional<SearchId> search;
+        Tenths idle_since = 0;
+    };
+    struct Part {
+        SearchId search;
+        ShardNo shard;
+        std::string wire_id;
+        std::uint32_t launches = 0;
+        std::optional<std::string> value; // once it is in
+    };
+    struct Search {
+        ClientId client;
+        std::string wire_id;
+        std::string query;
+        std::vector<PartId> parts;
+    };
+    enum class Way { kWaiting, kHanded, kSent }; // not yet, partly and wholly with the system
+    struct Launch {
+        ServerId server;
+        LinkId link;
+        std::string wire_id, query;
+        int shard = 0;
+        Tenths made_at = 0, until = 0;
+        Way way = Way::kWaiting;
+        bool given_up = false; // recalled: its return is on the way
+    };
+    using Call = std::vector<LaunchKey>; // what travels in one frame; empty: a probe
+    struct ProbeOut {
+        std::uint64_t serial = 0;
+        Tenths made_at = 0;
+        bool over = false; // timed out; its answer may still come
+    };
+    struct Handed { // a frame in the ring, not yet with the system
+        std::uint64_t end = 0;
+        Call call;
+    };
+    struct Link {
+        ServerId server;
+        bool up = false, retired = false; // retired: nothing new goes there
+        std::uint64_t handed = 0, written = 0;
+        std::deque<Call> waiting;
+        std::deque<Handed> in_ring;
+        std::map<std::string, LaunchKey> out;   // sent, by wire id
+        std::map<std::string, Tenths> given_up; // an answer may still come until then
+        std::deque<ProbeOut> probes;            // in the order in which they are answered
+        int parts = 0;                          // waiting, in the ring or out, given up ones apart
+        Tenths used = 0;
+        bool idle_armed = false;
+    };
+    struct Server {
+        std::string name, address;
+        Listed listed = Listed::kLive;
+        std::int32_t cell = 0;
+        std::set<LinkId> links;
+    };
+
+    // What falls due; each looks whether it still applies.
+    struct LaunchDue { LaunchKey launch; };
+    struct LaunchReturn { LaunchKey launch; ServerId server; Outcome outcome; };
+    struct SearchDue { SearchId search; };
+    struct ConnectDue { LinkId link; };
+    struct IdleDue { LinkId link; };
+    struct ProbeDue { LinkId link; std::uint64_t serial; };
+    struct ProbeReturn { ServerId server; Tenths took; };
+    struct AskDue { AskId ask; };
+    struct Wake {};
+    using Alarm = std::variant<LaunchDue, LaunchReturn, SearchDue, ConnectDue, IdleDue, ProbeDue, ProbeReturn,
+                               AskDue, Wake>;
+
+    // Host: the module's actions
+    void launch(PartId part, ServerId server, Tenths time_out) override;
+    void recall(PartId part, LaunchNo launch) override;
+    void answer(SearchId search, bool whole) override;
+    void push_back(SearchId search, Tenths come_back) override;
+    void scrap(SearchId search) override;
+    void probe(ServerId server) override;
+    void hang_up(ServerId server) override;
+    void wake(Tenths in) override;
+    void subscribe() override;
+
+    void apply(const ClientOpened& event);
+    void apply(const SearchRead& event);
+    void apply(const ClientGone& event);
+    void apply(const LinkUp& event);
+    void apply(const LinkWrote& event);
+    void apply(const LinkEnded& event);
+    void apply(const PartAnswered& event);
+    void apply(const LoadTold& event);
+    void apply(const ListTold& event);
+    void apply(const ListLost& event);
+    void apply(const DrainOrdered& event);
+    void apply(const QuietOrdered& event);
+
+    void due(const LaunchDue& what);
+    void due(const LaunchReturn& what);
+    void due(const SearchDue& what);
+    void due(const ConnectDue& what);
+    void due(const IdleDue& what);
+    void due(const ProbeDue& what);
+    void due(const ProbeReturn& what);
+    void due(const AskDue& what);
+    void due(const Wake& what);
+
+    void tell(const ivyrill::Event& news) { brain_->on(now_, news), decision_due_ = true; }
+    void at(Tenths when, Alarm alarm) { alarms_.emplace(when, std::move(alarm)); }
+    void finish(SearchId id, protocol::FinalAnswer answer);
+    void return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report = {});
+    void return_later(const LaunchKey& key, ServerId server, Outcome outcome);
+    void send_calls();
+    void put_on_link(ServerId server, Call call);
+    std::optional<LinkId> link_for(ServerId server, const Call& call);
+    std::optional<LinkId> open_link(ServerId server);
+    void hand_over(LinkId id);
+    bool holds(const Server& server, int shard) const;
+    static bool idle(const Link& link);
+    Tenths idle_limit() const;
+    void close_link(LinkId id);
+    void rest(LinkId id);
+    void retire_links(Server& server);
+    void pull_waiting(Server& server);
+    void take_list(const protocol::ServerList& list, ListKind kind);
+    ServerId server_of(const std::string& name);
+    void watch_on();
+    void free_a_client();
+    void give_up(const LaunchKey& key, Launch& launch);
+    void forget_waiting(Link& link, const LaunchKey& key);
+    std::size_t most_links() const { return descriptors_ / 2; }
+    std::int32_t number_of(std::vector<std::string>& names, const std::string& name);
+
+    protocol::NodeTerms terms_;
+    std::unique_ptr<Brain> brain_;
+    std::size_t descriptors_;
+    Tenths now_ = 0, armed_ = 0;
+    std::uint32_t next_id_ = 1; // of searches and parts
+    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1;
+    std::map<ClientId, Client> clients_;
+    std::map<SearchId, Search> searches_;
+    std::map<PartId, Part> parts_;
+    std::map<LaunchKey, Launch> launches_;
+    std::set<std::string> open_ids_; // of searches, as clients gave them
+    std::map<LinkId, Link> links_;
+    std::map<ServerId, Server> servers_;
+    std::map<std::string, ServerId> server_ids_;
+    std::map<ServerId, std::vector<LaunchKey>> fresh_; // launches of this turn
+    std::multimap<Tenths, Alarm> alarms_;
+    std::optional<AskId> ask_;
+    std::int64_t version_ = 0;
+    bool watching_ = false, whole_wanted_ = false, draining_ = false, quiet_ = false, accepting_ = true;
+    bool decision_due_ = true;
+    Counts counts_;
+    std::vector<Effect> effects_;
+};
+
+} // namespace ivyrill::routing
--- /dev/null
+++ b/src/transport/ring.hpp
@@ -0,0 +1,68 @@
+// A ring buffer of bytes: one a direction for each connection. It grows by doubling up to its bound.
+#pragma once
+#include <algorithm>
+#include <cstddef>
+#include <cstring>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace ivyrill::transport {
+
+class Ring {
+  public:
+    explicit Ring(std::size_t most) : most_(most) {}
+
+    std::size_t size() const { return size_; }
+    bool empty() const { return size_ == 0; }
+    std::size_t room() const { return most_ - size_; } // until the bound
+
+    std::string_view front() const { // the oldest bytes, as many as lie in a row
+        return {data_.get() + begin_, std::min(size_, capacity_ - begin_)};
+    }
+    void consume(std::size_t count) {
+        begin_ = (begin_ + count) % std::max<std::size_t>(capacity_, 1);
+        size_ -= count;
+        if (size_ == 0) begin_ = 0;
+    }
+    std::span<char> space() { // where new bytes go; empty at the bound
+        if (size_ == capacity_) grow(capacity_ + 1);
+        if (size_ == capacity_) return {};
+        const std::size_t end = (begin_ + size_) % capacity_;
+        return {data_.get() + end, end < begin_ ? begin_ - end : capacity_ - end};
+    }
+    void commit(std::size_t count) { size_ += count; }
+    bool append(std::string_view bytes) { // all or nothing
+        if (bytes.size() > room()) return false;
+        if (size_ + bytes.size() > capacity_) grow(size_ + bytes.size());
+        while (!bytes.empty()) {
+            const std::span<char> place = space();
+            const std::size_t count = std::min(place.size(), bytes.size());
+            std::memcpy(place.data(), bytes.data(), count);
+            commit(count), bytes.remove_prefix(count);
+        }
+        return true;
+    }
+    void release() { // gives back the memory of an empty ring
+        if (size_ == 0) data_.reset(), capacity_ = begin_ = 0;
+    }
+
+  private:
+    void grow(std::size_t wanted) {
+        std::size_t capacity = std::max<std::size_t>(capacity_, kLeast);
+        while (capacity < wanted && capacity < most_) capacity *= 2;
+        capacity = std::min(capacity, most_);
+        if (capacity <= capacity_) return;
+        auto fresh = std::make_unique<char[]>(capacity);
+        const std::string_view head = front();
+        std::copy(head.begin(), head.end(), fresh.get());
+        std::copy(data_.get(), data_.get() + (size_ - head.size()), fresh.get() + head.size());
+        data_ = std::move(fresh), capacity_ = capacity, begin_ = 0;
+    }
+
+    static constexpr std::size_t kLeast = 1024;
+    std::size_t most_, capacity_ = 0, begin_ = 0, size_ = 0;
+    std::unique_ptr<char[]> data_;
+};
+
+} // namespace ivyrill::transport
--- /dev/null
+++ b/src/transport/stream.cpp
@@ -0,0 +1,162 @@
+#include "transport/stream.hpp"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace ivyrill::transport {
+
+namespace {
+
+sockaddr_in read_address(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    unsigned port = 0;
+    const char* const begin = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
+    const auto [end, error] = std::from_chars(begin, text.data() + text.size(), port);
+    if (colon == std::string::npos || error != std::errc{} || end != text.data() + text.size() || port > 65535 ||
+        inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
+        throw AddressError("not an address: '" + text.substr(0, 80) + "'");
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
+int open_socket() { return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+
+void send_at_once(int descriptor) {
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+[[noreturn]] void give_up(int descriptor, const char* what) {
+    const int error = errno;
+    if (descriptor >= 0) close(descriptor);
+    throw std::system_error(error, std::generic_category(), what);
+}
+
+} // namespace
+
+int listen_at(const std::string& text) {
+    const sockaddr_in address = read_address(text);
+    const int descriptor = open_socket();
+    if (descriptor < 0) give_up(descriptor, "socket");
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+        give_up(descriptor, "bind");
+    if (listen(descriptor, SOMAXCONN) != 0) give_up(descriptor, "listen");
+    return descriptor;
+}
+
+int connect_to(const std::string& text) {
+    sockaddr_in address{};
+    try {
+        address = read_address(text);
+    } catch (const AddressError&) {
+        return -1;
+    }
+    const int descriptor = open_socket();
+    if (descriptor < 0) return -1;
+    send_at_once(descriptor);
+    const int done = connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (done == 0 || errno == EINPROGRESS) return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+int accept_from(int listener) {
+    const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0) send_at_once(descriptor);
+    return descriptor;
+}
+
+bool connected(int descriptor) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+Stream::Stream(Loop& loop, int descriptor, Start start, std::size_t most_in, std::size_t most_out)
+    : in(most_in), changed(loop), source_(loop, descriptor), space_(loop), outgoing_(loop), out_(most_out),
+      up_(start == Start::kConnected), reader_(pump_in()), writer_(pump_out()) {
+    writer_.start();
+    reader_.start();
+}
+
+bool Stream::send(std::string_view bytes) {
+    if (ended_ || !out_.append(bytes)) return false;
+    if (up_) write_some();
+    if (!out_.empty()) outgoing_.wake();
+    return true;
+}
+
+void Stream::finish() { shutdown(source_.descriptor(), SHUT_WR); }
+
+void Stream::end() {
+    ended_ = true;
+    changed.wake();
+}
+
+void Stream::write_some() {
+    while (!out_.empty() && !ended_) {
+        const std::string_view bytes = out_.front();
+        const ssize_t count = ::send(source_.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) continue;
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+        if (count < 0) return end();
+        out_.consume(static_cast<std::size_t>(count)), written_ += static_cast<std::uint64_t>(count);
+    }
+    out_.release();
+}
+
+Task Stream::pump_out() {
+    if (!up_) {
+        co_await source_.writable;
+        if (!connected(source_.descriptor())) {
+            end();
+            co_return;
+        }
+        up_ = true;
+        changed.wake();
+        read_on();
+    }
+    while (!ended_) {
+        write_some();
+        changed.wake();
+        if (out_.empty())
+            co_await outgoing_;
+        else
+            co_await source_.writable;
+    }
+}
+
+Task Stream::pump_in() {
+    while (!up_ && !ended_) co_await space_;
+    while (!ended_) {
+        const std::span<char> place = in.space();
+        if (place.empty()) {
+            co_await space_;
+            continue;
+        }
+        const ssize_t count = ::recv(source_.descriptor(), place.data(), place.size(), 0);
+        if (count > 0) {
+            in.commit(static_cast<std::size_t>(count));
+            changed.wake();
+        } else if (count < 0 && errno == EINTR) {
+            continue;
+        } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            in.release();
+            co_await source_.readable;
+        } else {
+            end();
+        }
+    }
+}
+
+} // namespace ivyrill::transport
--- /dev/null
+++ b/src/transport/stream.hpp
@@ -0,0 +1,54 @@
+// A TCP connection: a ring a direction, and two coroutines that keep the rings and the system in step.
+#pragma once
+#include "transport/loop.hpp"
+#include "transport/ring.hpp"
+#include "transport/task.hpp"
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace ivyrill::transport {
+
+class AddressError : public std::runtime_error {
+  public:
+    using std::runtime_error::runtime_error;
+};
+
+int listen_at(const std::string& address);  // `1.2.3.4:80`; throws AddressError or std::system_error
+int connect_to(const std::string& address); // does not wait; below zero where it fails at once
+int accept_from(int listener);              // below zero where there is none, see errno
+bool connected(int descriptor);             // once it can be written to
+
+class Stream {
+  public:
+    enum class Start { kConnected, kConnecting };
+    Stream(Loop& loop, int descriptor, Start start, std::size_t most_in, std::size_t most_out);
+
+    Ring in;
+    Slot changed; // woken on new bytes, on the end, once connected, and when bytes were written
+
+    bool up() const { return up_; }
+    bool ended() const { return ended_; } // nothing comes any more, nothing can be written
+    std::uint64_t written() const { return written_; } // bytes that the system has taken so far
+    std::size_t unwritten() const { return out_.size(); }
+    bool send(std::string_view bytes); // false where the ring has no room for them
+    void finish();                     // nothing more will be sent; the other side is told
+    void read_on() { space_.wake(); }  // after bytes were taken out of `in`
+
+  private:
+    Task pump_in();
+    Task pump_out();
+    void write_some();
+    void end();
+
+    Source source_;
+    Slot space_, outgoing_;
+    Ring out_;
+    std::uint64_t written_ = 0;
+    bool up_, ended_ = false;
+    Task reader_, writer_; // last, so that they are freed first
+};
+
+} // namespace ivyrill::transport
--- /dev/null
+++ b/src/transport/task.hpp
@@ -0,0 +1,43 @@
+// A coroutine owned by exactly one Task. It starts when told to, runs until it waits for something, and its
+// frame is freed with the Task, which must not happen while it runs.
+#pragma once
+#include <coroutine>
+#include <exception>
+#include <utility>
+
+namespace ivyrill::transport {
+
+class Task {
+  public:
+    struct promise_type {
+        std::exception_ptr error;
+        Task get_return_object() {
+            return Task(std::coroutine_handle<promise_type>::from_promise(*this));
+        }
+        std::suspend_always initial_suspend() noexcept { return {}; }
+        std::suspend_always final_suspend() noexcept { return {}; }
+        void return_void() {}
+        void unhandled_exception() { error = std::current_exception(); }
+    };
+
+    Task() = default;
+    Task(Task&& other) noexcept : handle_(std::exchange(other.handle_, {})) {}
+    Task& operator=(Task&& other) noexcept {
+        if (this != &other) free(), handle_ = std::exchange(other.handle_, {});
+        return *this;
+    }
+    ~Task() { free(); }
+
+    void start() { handle_.resume(); }
+    bool done() const { return !handle_ || handle_.done(); }
+
+  private:
+    explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
+    void free() {
+        if (handle_) handle_.destroy();
+        handle_ = {};
+    }
+    std::coroutine_handle<promise_type> handle_;
+};
+
+} // namespace ivyrill::transport
