--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -26,9 +26,7 @@
     text << file.rdbuf();
     try {
         return protocol::read_start_orders(text.str());
-    } catch (const protocol::ProtocolError& error) {
-        throw std::runtime_error(path + ": " + error.what());
-    }
+    } catch (const protocol::ProtocolError& error) { throw std::runtime_error(path + ": " + error.what()); }
 }
 
 int check(const std::string& path) {
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-constexpr std::size_t kMostRequestBytes = 32 * 1024, kMostAnswerBytes = 256 * 1024;
-constexpr std::size_t kMostFrameBytes = 2 * protocol::kMostFrame, kMostListBytes = 16 * 1024;
+// Bounds of the rings. Parsers take bytes as they come, so only what is written has to fit whole.
+constexpr std::size_t kMostRead = 16 * 1024, kMostAnswer = 128 * 1024, kMostPart = 72 * 1024;
 constexpr std::size_t kSpareDescriptors = 24; // standard streams, epoll, signals, listener, discovery, log
 // The platform's word: no request is on its way any more so long after the order to stop.
 constexpr Tenths kCrossing = kTenthsPerSecond * 7 / 10;
@@ -43,10 +43,10 @@
 } // namespace
 
 Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor)
-    : id(number), stream(loop, descriptor, Stream::Start::kConnected, kMostRequestBytes, kMostAnswerBytes) {}
+    : id(number), stream(loop, descriptor, Stream::Start::kConnected, kMostRead, kMostAnswer) {}
 
-Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor)
-    : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostFrameBytes, kMostFrameBytes) {}
+Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor, std::size_t most_out)
+    : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostRead, most_out) {}
 
 Node::Node(protocol::StartOrders orders) : orders_(std::move(orders)), accept_on_(loop_), ask_on_(loop_) {
     signals_.emplace(loop_, open_signals());
@@ -56,10 +56,10 @@
 }
 
 int Node::run() {
-    accept_task_ = accept_clients(), accept_task_.start();
     signal_task_ = await_signals(), signal_task_.start();
     discovery_task_ = serve_discovery(), discovery_task_.start();
-    if (phases_.now() == Phase::kStarting) enter(Phase::kServing);
+    if (phases_.now() == Phase::kStarting) enter(Phase::kServing); // before the first client is heard
+    accept_task_ = accept_clients(), accept_task_.start();
     counts_at_ = loop_.now() + kCountsEvery;
     while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
         Tenths until = counts_at_;
@@ -73,6 +73,7 @@
 
 // All that one wake-up brought goes through the reducer, oldest first; what its effects bring at once too.
 void Node::turn() {
+    if (std::exchange(accept_short_, false)) accept_all(); // no edge comes for those who wait already
     do {
         for (; !inbox_.empty(); inbox_.pop_front()) router_->step(loop_.now(), std::move(inbox_.front()));
         for (const routing::Effect& effect : router_->turn(loop_.now()))
@@ -91,7 +92,9 @@
 
 void Node::keep_phase() {
     if (phases_.now() == Phase::kDraining && loop_.now() >= phases_.since() + kCrossing) {
-        accept_all(); // what the system has taken for us is ours to answer
+        loop_.wait(loop_.now()); // what the system has taken for us is ours to answer
+        accept_all();
+        turn();
         listener_.reset();
         post(routing::QuietOrdered{});
         enter(Phase::kQuiet);
@@ -108,13 +111,14 @@
 }
 
 Task Node::await_signals() {
+    transport::Slot& next = signals_->readable;
     for (;;) {
         signalfd_siginfo info;
         while (read(signals_->descriptor(), &info, sizeof info) == sizeof info) {
             if (phases_.now() == Phase::kServing) post(routing::DrainOrdered{});
             enter(phases_.now() == Phase::kStarting ? Phase::kStopped : Phase::kDraining);
         }
-        co_await signals_->readable;
+        co_await next;
     }
 }
 
@@ -124,13 +128,14 @@
     rusage used{};
     getrusage(RUSAGE_SELF, &used);
     const auto ms = [](const timeval& at) { return at.tv_sec * 1000 + at.tv_usec / 1000; };
-    log().info("counts searches={} delivered={} pushed_back={} scrapped={} lapsed={} over_full={} launches={} "
-               "late_answers={} links_opened={} probes={} lists={} lists_lost={} open_searches={} "
-               "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
-               c.searches, c.delivered, c.pushed_back, c.scrapped, c.lapsed, c.over_full, c.launches,
-               c.returned_late, c.links_opened, c.probes, c.lists, c.lists_lost, router_->open_searches(),
-               router_->open_launches(), router_->open_clients(), router_->open_links(),
-               ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
+    log().info(
+        "counts searches={} delivered={} pushed_back={} scrapped={} lapsed={} over_full={} launches={} "
+        "late_answers={} links_opened={} probes={} lists={} lists_lost={} open_searches={} "
+        "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
+        c.searches, c.delivered, c.pushed_back, c.scrapped, c.lapsed, c.over_full, c.launches,
+        c.returned_late, c.links_opened, c.probes, c.lists, c.lists_lost, router_->open_searches(),
+        router_->open_launches(), router_->open_clients(), router_->open_links(),
+        ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
 }
 
 // ---- clients
@@ -140,7 +145,8 @@
         const int descriptor = transport::accept_from(listener_->descriptor());
         if (descriptor < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
         if (descriptor < 0) {
-            if (errno != EAGAIN && errno != EWOULDBLOCK) log_some("accept: {}", errno);
+            accept_short_ = errno != EAGAIN && errno != EWOULDBLOCK;
+            if (accept_short_) log_some("accept: {}", errno);
             return;
         }
         const routing::ClientId id{next_client_++};
@@ -157,12 +163,10 @@
 }
 
 Task Node::accept_clients() {
-    for (;;) {
+    while (listener_) {
         accept_all();
-        if (accepting_)
-            co_await listener_->readable;
-        else
-            co_await accept_on_;
+        transport::Slot& next = accepting_ ? listener_->readable : accept_on_;
+        co_await next;
     }
 }
 
@@ -278,7 +282,8 @@
 }
 
 void Node::handle_frame(Link& link, const protocol::Frame& frame) {
-    if (frame.letter == 'R') return post(routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest)});
+    if (frame.letter == 'R')
+        return post(routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest)});
     if (frame.letter == 'M') return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
     throw protocol::ProtocolError(std::string("frame ") + frame.letter + ": " + frame.rest.substr(0, 80));
 }
@@ -287,7 +292,7 @@
     const int descriptor = transport::connect_to(effect.address);
     if (descriptor < 0) return post(routing::LinkEnded{effect.link});
     try {
-        auto link = std::make_unique<Link>(effect.link, loop_, descriptor);
+        auto link = std::make_unique<Link>(effect.link, loop_, descriptor, kMostPart * orders_.terms.batch);
         link->task = serve_link(*link);
         links_.emplace(effect.link, std::move(link)).first->second->task.start();
     } catch (const std::system_error& error) {
@@ -321,7 +326,7 @@
                 const int descriptor = transport::connect_to(orders_.discovery);
                 if (descriptor < 0) break;
                 discovery_.stream = std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting,
-                                                             kMostListBytes, kMostListBytes);
+                                                             kMostRead, kMostRead);
             }
             Stream& stream = *discovery_.stream;
             protocol::HttpParser parser(protocol::HttpParser::Side::kResponses);
@@ -344,9 +349,7 @@
         if (answer && answer->status == 200) {
             try {
                 news = routing::ListTold{id, protocol::read_server_list(answer->body)};
-            } catch (const protocol::ProtocolError& error) {
-                log_some("discovery: {}", error.what());
-            }
+            } catch (const protocol::ProtocolError& error) { log_some("discovery: {}", error.what()); }
         }
         post(std::move(news));
     }
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -20,7 +20,8 @@
 class Node {
   public:
     explicit Node(protocol::StartOrders orders); // throws where an order cannot be kept
-    int run();                                   // until it is told to stop; the exit status
+    int port() const { return transport::port_of(listener_->descriptor()); }
+    int run(); // until it is told to stop; the exit status
 
   private:
     struct Client {
@@ -32,7 +33,7 @@
         transport::Task task;
     };
     struct Link {
-        Link(routing::LinkId id, transport::Loop& loop, int descriptor);
+        Link(routing::LinkId id, transport::Loop& loop, int descriptor, std::size_t most_out);
         routing::LinkId id;
         protocol::FrameParser parser;
         transport::Stream stream;
@@ -80,7 +81,7 @@
     std::unique_ptr<routing::Router> router_;
     std::optional<transport::Source> listener_, signals_;
     transport::Slot accept_on_, ask_on_;
-    bool accepting_ = true;
+    bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
     Tenths timer_ = 0, counts_at_ = 0;
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
--- a/src/program/phases.cpp
+++ b/src/program/phases.cpp
@@ -26,11 +26,16 @@
 
 std::string_view Phases::name(Phase phase) {
     switch (phase) {
-    case Phase::kStarting: return "starting";
-    case Phase::kServing: return "serving";
-    case Phase::kDraining: return "draining";
-    case Phase::kQuiet: return "quiet";
-    case Phase::kStopped: return "stopped";
+    case Phase::kStarting:
+        return "starting";
+    case Phase::kServing:
+        return "serving";
+    case Phase::kDraining:
+        return "draining";
+    case Phase::kQuiet:
+        return "quiet";
+    case Phase::kStopped:
+        return "stopped";
     }
     return "unknown";
 }
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -38,17 +38,28 @@
 
 std::string_view reason(int status) {
     switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 431: return "Request Header Fields Too Large";
-    case 501: return "Not Implemented";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 501:
+        return "Not Implemented";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    default:
+        return "Status";
     }
 }
 
@@ -116,7 +127,8 @@
     case Stage::kTrailers:
         if (line.empty()) stage_ = Stage::kComplete;
         return;
-    default: return;
+    default:
+        return;
     }
 }
 
@@ -161,8 +173,8 @@
         stage_ = side_ == Side::kRequests || bare ? Stage::kComplete : Stage::kToEnd;
         return;
     }
-    const auto several = std::ranges::count(message_.headers, "content-length",
-                                            &std::pair<std::string, std::string>::first);
+    const auto several =
+        std::ranges::count(message_.headers, "content-length", &std::pair<std::string, std::string>::first);
     if (several > 1 || !read_size(length, 10, left_)) return fail(400);
     if (left_ > kMostBody) return fail(413);
     stage_ = left_ == 0 || bare ? Stage::kComplete : Stage::kBody;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -10,8 +10,8 @@
 namespace ivyrill::protocol {
 
 struct HttpMessage {
-    std::string method, target; // of a request
-    int status = 0;             // of a response
+    std::string method, target;                               // of a request
+    int status = 0;                                           // of a response
     std::vector<std::pair<std::string, std::string>> headers; // names in lower case
     std::string body;
     bool close = false; // the sender closes after it
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -18,8 +18,8 @@
     std::vector<Json> items;
     std::vector<std::pair<std::string, Json>> members; // in their order
 
-    const Json* find(std::string_view name) const;         // null where absent
-    const Json& at(std::string_view name) const;           // must be there
+    const Json* find(std::string_view name) const;           // null where absent
+    const Json& at(std::string_view name) const;             // must be there
     const std::string& as_text(std::string_view what) const; // must be a text
     std::int64_t as_integer(std::string_view what) const;
     double as_number(std::string_view what) const;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -46,8 +46,7 @@
     search.query = body.at("query").as_text("query");
     double shares = 0;
     for (const Json& row : body.at("targets").as_list("targets")) {
-        const Target target{read_index(row.at("partition"), "partition"),
-                            row.at("share").as_number("share")};
+        const Target target{read_index(row.at("partition"), "partition"), row.at("share").as_number("share")};
         if (target.share < 0) throw ProtocolError("share: below zero");
         if (std::ranges::count(search.targets, target.shard, &Target::shard) > 0)
             throw ProtocolError("partition: listed twice");
@@ -71,9 +70,7 @@
     path.remove_prefix(1);
     try {
         return read_search(message, path.substr(0, path.find('/')));
-    } catch (const ProtocolError& error) {
-        return BadRequest{400, error.what()};
-    }
+    } catch (const ProtocolError& error) { return BadRequest{400, error.what()}; }
 }
 
 std::string write_plain_answer(int status, std::string_view words, bool close) {
@@ -90,7 +87,8 @@
         std::string fields = "Content-Type: application/json\r\n";
         if (answer.come_back > 0) {
             char seconds[32];
-            std::snprintf(seconds, sizeof seconds, "%.4f", static_cast<double>(answer.come_back) / kTenthsPerSecond);
+            std::snprintf(seconds, sizeof seconds, "%.4f",
+                          static_cast<double>(answer.come_back) / kTenthsPerSecond);
             fields += std::string("Retry-After: ") + seconds + "\r\n";
         }
         return http_response(503, fields, "{\"error\":\"pushed back, nothing has run\"}", close);
@@ -120,7 +118,8 @@
         entry.kind = plain_word(text("kind"));
         if (const Json* cell = row.find("cell")) entry.cell = read_index(*cell, "cell");
         if (const Json* weight = row.find("weight")) entry.weight = weight->as_number("weight");
-        if (const Json* started = row.find("started_ms")) entry.started_ms = started->as_integer("started_ms");
+        if (const Json* started = row.find("started_ms"))
+            entry.started_ms = started->as_integer("started_ms");
         // A state that we do not know is no invitation: the server gets nothing new.
         const std::string state = text("state");
         entry.listed = state == "SERVING"   ? Listed::kLive
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -1,5 +1,5 @@
-// What happens to a front node, and what it asks for in return. Handles are serial numbers that are never used
-// again: news about something that has ended finds nothing.
+// What happens to a front node, and what it asks for in return. Handles are serial numbers that are never
+// used again: news about something that has ended finds nothing.
 #pragma once
 #include "base/ids.hpp"
 #include "protocol/frames.hpp"
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -35,16 +35,17 @@
 
 void Router::apply(const ClientOpened& event) {
     clients_[event.client].idle_since = now_;
-    if (clients_.size() > descriptors_ - most_links()) free_a_client();
+    if (clients_.size() > descriptors_ - most_links()) free_a_client(event.client);
 }
 
 // At the limit of descriptors the client that has been idle for longest goes; where none is, nobody new is
 // let in until one is.
-void Router::free_a_client() {
+void Router::free_a_client(ClientId newest) {
     ClientId oldest{};
     Tenths since = now_ + 1;
     for (const auto& [id, client] : clients_)
-        if (!client.search && client.idle_since < since) oldest = id, since = client.idle_since;
+        if (!client.search && client.idle_since < since && id != newest)
+            oldest = id, since = client.idle_since;
     if (since <= now_) {
         clients_.erase(oldest);
         effects_.push_back(CloseClient{oldest});
@@ -56,14 +57,14 @@
 void Router::apply(const ClientGone& event) {
     const auto found = clients_.find(event.client);
     if (found == clients_.end()) return;
-    if (found->second.search) {
-        const SearchId id = *found->second.search;
-        tell(SearchLapsed{id});
+    const std::optional<SearchId> search = found->second.search;
+    clients_.erase(found);
+    effects_.push_back(CloseClient{event.client});
+    if (search) {
+        tell(SearchLapsed{*search});
         ++counts_.lapsed;
-        finish(id, {});
+        finish(*search, {});
     }
-    clients_.erase(event.client);
-    effects_.push_back(CloseClient{event.client});
     if (!accepting_ && !quiet_) accepting_ = true, effects_.push_back(AcceptClients{true});
 }
 
@@ -81,19 +82,19 @@
     if (open_ids_.contains(request.id)) return reject(409, "this id is being searched for already");
     ++counts_.searches;
     const Tenths left = tenths_to_use(request.left_us) - (now_ - event.read_at);
-    const bool full =
-        terms_.most_open > 0 && searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
+    const bool full = terms_.most_open > 0 &&
+                      searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
     if (full || left <= 0) {
         ++counts_.over_full, ++counts_.pushed_back;
-        effects_.push_back(AnswerClient{event.client, {protocol::Verdict::kPushedBack, false, {}, 0}, draining_});
+        effects_.push_back(
+            AnswerClient{event.client, {protocol::Verdict::kPushedBack, false, {}, 0}, draining_});
         return;
     }
     const SearchId id{next_id_++};
     const JobNo job{id.value};
     const auto tenant = std::ranges::find(terms_.tenants, request.tenant);
-    const TenantNo payer{tenant == terms_.tenants.end()
-                             ? -1
-                             : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
+    const TenantNo payer{
+        tenant == terms_.tenants.end() ? -1 : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
     const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
     Search& search = searches_[id];
     search.client = event.client, search.wire_id = request.id, search.query = request.query;
@@ -173,8 +174,9 @@
     Part& held = found->second;
     const Search& search = searches_.at(held.search);
     const LaunchKey key{part, LaunchNo{held.launches++}};
-    launches_[key] = {server, {}, held.wire_id, search.query, held.shard.value, now_, now_ + time_out,
-                      Way::kWaiting, false};
+    launches_[key] = {
+        server,        {},   held.wire_id, search.query, held.shard.value, now_, now_ + time_out,
+        Way::kWaiting, false};
     ++counts_.launches;
     const auto at_server = servers_.find(server);
     const bool allowed = at_server != servers_.end() && at_server->second.listed == Listed::kLive &&
@@ -241,8 +243,8 @@
         }
 }
 
-// Takes a launch off its connection: unsent, it vanishes; else the server is told, and its late answer is kept
-// from being taken for that of a later launch of the same part.
+// Takes a launch off its connection: unsent, it vanishes; else the server is told, and its late answer is
+// kept from being taken for that of a later launch of the same part.
 void Router::give_up(const LaunchKey& key, Launch& launch) {
     launch.given_up = true;
     const auto found = links_.find(launch.link);
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -1,7 +1,7 @@
 // The reducer: all state of a front node changes here, by events, and what is to be read or written comes out
-// as effects. It holds the decision module and keeps the promises that the module is given: exactly one return
-// a launch, outcomes by how far the bytes went, lists in order. It makes no choice of its own among servers,
-// searches or times; where it must bound something, the bound is one of the settings.
+// as effects. It holds the decision module and keeps the promises that the module is given: exactly one
+// return a launch, outcomes by how far the bytes went, lists in order. It makes no choice of its own among
+// servers, searches or times; where it must bound something, the bound is one of the settings.
 #pragma once
 #include "brain.hpp"
 #include "routing/events.hpp"
@@ -27,13 +27,14 @@
     // `descriptors`: so many connections may be held, clients and index servers together.
     Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::size_t descriptors, Tenths now);
 
-    void step(Tenths now, Event event);  // one thing that happened
+    void step(Tenths now, Event event);   // one thing that happened
     std::vector<Effect> turn(Tenths now); // what is due by now, one decision, and the effects of it all
 
     std::size_t open_searches() const { return searches_.size(); }
     std::size_t open_clients() const { return clients_.size(); }
     std::size_t open_links() const { return links_.size(); }
     std::size_t open_launches() const { return launches_.size(); }
+    std::size_t alarms() const { return alarms_.size(); }
     const Counts& counts() const { return counts_; }
 
   private:
@@ -97,14 +98,34 @@
     };
 
     // What falls due; each looks whether it still applies.
-    struct LaunchDue { LaunchKey launch; };
-    struct LaunchReturn { LaunchKey launch; ServerId server; Outcome outcome; };
-    struct SearchDue { SearchId search; };
-    struct ConnectDue { LinkId link; };
-    struct IdleDue { LinkId link; };
-    struct ProbeDue { LinkId link; std::uint64_t serial; };
-    struct ProbeReturn { ServerId server; Tenths took; };
-    struct AskDue { AskId ask; };
+    struct LaunchDue {
+        LaunchKey launch;
+    };
+    struct LaunchReturn {
+        LaunchKey launch;
+        ServerId server;
+        Outcome outcome;
+    };
+    struct SearchDue {
+        SearchId search;
+    };
+    struct ConnectDue {
+        LinkId link;
+    };
+    struct IdleDue {
+        LinkId link;
+    };
+    struct ProbeDue {
+        LinkId link;
+        std::uint64_t serial;
+    };
+    struct ProbeReturn {
+        ServerId server;
+        Tenths took;
+    };
+    struct AskDue {
+        AskId ask;
+    };
     struct Wake {};
     using Alarm = std::variant<LaunchDue, LaunchReturn, SearchDue, ConnectDue, IdleDue, ProbeDue, ProbeReturn,
                                AskDue, Wake>;
@@ -163,7 +184,7 @@
     void take_list(const protocol::ServerList& list, ListKind kind);
     ServerId server_of(const std::string& name);
     void watch_on();
-    void free_a_client();
+    void free_a_client(ClientId newest);
     void give_up(const LaunchKey& key, Launch& launch);
     void forget_waiting(Link& link, const LaunchKey& key);
     std::size_t most_links() const { return descriptors_ / 2; }
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -4,8 +4,8 @@
 #include <array>
 #include <cerrno>
 #include <ctime>
-#include <system_error>
 #include <sys/epoll.h>
+#include <system_error>
 #include <unistd.h>
 #include <utility>
 
@@ -66,7 +66,8 @@
     if (!ready_.empty()) {
         limit = &span;
     } else if (until) {
-        const std::int64_t left = std::max<std::int64_t>(0, to_micros(*until) - steady_us() - steady_to_unix_us_);
+        const std::int64_t left =
+            std::max<std::int64_t>(0, to_micros(*until) - steady_us() - steady_to_unix_us_);
         span.tv_sec = left / 1'000'000, span.tv_nsec = left % 1'000'000 * 1000;
         limit = &span;
     }
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -20,8 +20,8 @@
     unsigned port = 0;
     const char* const begin = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
     const auto [end, error] = std::from_chars(begin, text.data() + text.size(), port);
-    if (colon == std::string::npos || error != std::errc{} || end != text.data() + text.size() || port > 65535 ||
-        inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
+    if (colon == std::string::npos || error != std::errc{} || end != text.data() + text.size() ||
+        port > 65535 || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
         throw AddressError("not an address: '" + text.substr(0, 80) + "'");
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     return address;
@@ -54,13 +54,18 @@
     return descriptor;
 }
 
+int port_of(int descriptor) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 int connect_to(const std::string& text) {
     sockaddr_in address{};
     try {
         address = read_address(text);
-    } catch (const AddressError&) {
-        return -1;
-    }
+    } catch (const AddressError&) { return -1; }
     const int descriptor = open_socket();
     if (descriptor < 0) return -1;
     send_at_once(descriptor);
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -17,6 +17,7 @@
 };
 
 int listen_at(const std::string& address);  // `1.2.3.4:80`; throws AddressError or std::system_error
+int port_of(int descriptor);                // the local one
 int connect_to(const std::string& address); // does not wait; below zero where it fails at once
 int accept_from(int listener);              // below zero where there is none, see errno
 bool connected(int descriptor);             // once it can be written to
@@ -30,7 +31,7 @@
     Slot changed; // woken on new bytes, on the end, once connected, and when bytes were written
 
     bool up() const { return up_; }
-    bool ended() const { return ended_; } // nothing comes any more, nothing can be written
+    bool ended() const { return ended_; }              // nothing comes any more, nothing can be written
     std::uint64_t written() const { return written_; } // bytes that the system has taken so far
     std::size_t unwritten() const { return out_.size(); }
     bool send(std::string_view bytes); // false where the ring has no room for them
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -11,9 +11,7 @@
   public:
     struct promise_type {
         std::exception_ptr error;
-        Task get_return_object() {
-            return Task(std::coroutine_handle<promise_type>::from_promise(*this));
-        }
+        Task get_return_object() { return Task(std::coroutine_handle<promise_type>::from_promise(*this)); }
         std::suspend_always initial_suspend() noexcept { return {}; }
         std::suspend_always final_suspend() noexcept { return {}; }
         void return_void() {}
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -1,9 +1,6 @@
 // Short stories, one for each failure met and each piece of the design. `brain_stories NAME` plays one.
 #include "fake_host.hpp"
 
-#include <cstring>
-#include <iostream>
-
 namespace ivyrill {
 
 namespace {
@@ -479,12 +476,6 @@
     }
 }
 
-struct Story {
-    const char* name;
-    void (*play)();
-};
-#define STORY(name)                                                                                          \
-    { #name, name }
 constexpr Story kStories[] = {
     STORY(lowest_score_wins),
     STORY(outstanding_parts_spread),
@@ -526,12 +517,4 @@
 
 } // namespace ivyrill
 
-int main(int count, char** arguments) {
-    for (const auto& story : ivyrill::kStories) {
-        if (count != 2 || std::strcmp(arguments[1], story.name) != 0) continue;
-        story.play();
-        return 0;
-    }
-    std::cerr << "no such story\n";
-    return 1;
-}
+int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -1,15 +1,36 @@
 // One tiny fake host: it keeps what the module asked for, and plays servers that answer as a story says.
+// Beside it what all stories share: how one is played by its name.
 #pragma once
 #include "brain.hpp"
 
 #include <algorithm>
 #include <cassert>
+#include <iostream>
 #include <map>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ivyrill {
 
+struct Story {
+    const char* name;
+    void (*play)();
+};
+#define STORY(name)                                                                                          \
+    { #name, name }
+
+inline int play_story(std::span<const Story> stories, int count, char** arguments) {
+    for (const Story& story : stories) {
+        if (count != 2 || std::string_view(arguments[1]) != story.name) continue;
+        story.play();
+        return 0;
+    }
+    std::cerr << "no such story\n";
+    return 1;
+}
+
 constexpr Tenths ms(double count) { return static_cast<Tenths>(count * 10); }
 
 struct Sent {
--- /dev/null
+++ b/tests/protocol_stories.cpp
@@ -0,0 +1,242 @@
+// Stories of the parsers: every split of the bytes, and bytes that nobody should send.
+#include "base/pcg.hpp"
+#include "drill/wire.hpp"
+#include "fake_host.hpp"
+#include "protocol/frames.hpp"
+#include "protocol/messages.hpp"
+
+namespace ivyrill {
+
+namespace {
+
+using namespace protocol;
+
+const std::string kBody =
+    R"({"targets":[{"partition":3,"share":0.5,"est_us":9000},{"share":0.5,"partition":9,"route":"00"}],)"
+    R"("more":[null,{"a":-1.5e3}],"query":"c4\u00e9\ud83d\ude00\"\\ \n"})";
+const std::string kQuery = "c4\xC3\xA9\xF0\x9F\x98\x80\"\\ \n";
+
+std::string request(std::string_view fields, std::string_view body) {
+    return "POST /position-find?k=7f HTTP/1.1\r\nHost: app.svc\r\nx-REQUEST-id: 9b1f\r\nX-Tenant-Id: acme\r\n"
+           "X-Timeout: 480m\r\n" +
+           std::string(fields) + "\r\n" + std::string(body);
+}
+
+// Feeds the bytes in two pieces, split at `at`, and returns the parser and what it left.
+std::pair<HttpParser, std::size_t> fed(HttpParser::Side side, std::string_view bytes, std::size_t at) {
+    HttpParser parser(side);
+    std::size_t taken = parser.feed(bytes.substr(0, at));
+    if (taken == at) taken += parser.feed(bytes.substr(at));
+    return {parser, bytes.size() - taken};
+}
+
+int status_of(const std::string& bytes) {
+    return fed(HttpParser::Side::kRequests, bytes, bytes.size()).first.broken();
+}
+
+void request_is_read_over_every_split() {
+    const std::string length = "Content-Length: " + std::to_string(kBody.size()) + "\r\n";
+    const std::string chunks = "5;x=y\r\n" + kBody.substr(0, 5) + "\r\n" + "A\r\n" + kBody.substr(5, 10) +
+                               "\r\n" + "0\r\nTrailer: x\r\n\r\n";
+    const std::string next = "POST";
+    for (const std::string& bytes :
+         {request(length, kBody) + next, request("Transfer-Encoding: chunked\r\n", chunks) + next}) {
+        const bool chunked = bytes.find("chunked") != std::string::npos;
+        for (std::size_t at = 0; at <= bytes.size(); ++at) {
+            auto [parser, left] = fed(HttpParser::Side::kRequests, bytes, at);
+            assert(parser.complete() && left == next.size());
+            const HttpMessage message = parser.take();
+            assert(message.body == (chunked ? kBody.substr(0, 15) : kBody) && !message.close);
+            if (chunked) continue;
+            const ClientRequest read = read_client_request(message);
+            const auto& search = std::get<SearchRequest>(read);
+            assert(search.id == "9b1f" && search.product == "position-find" && search.tenant == "acme");
+            assert(search.left_us == 480'000 && !search.repeat && search.query == kQuery);
+            assert(search.targets.size() == 2 && search.targets[1].shard == 9);
+        }
+    }
+}
+
+void broken_requests_have_their_status() {
+    assert(status_of("nonsense\r\n\r\n") == 400);
+    assert(status_of("GET /x SPDY/9\r\n\r\n") == 400);
+    assert(status_of(request("Content-Length: 12x\r\n", "")) == 400);
+    assert(status_of(request("Content-Length: 1\r\nContent-Length: 1\r\n", "")) == 400);
+    assert(status_of(request("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "")) == 400);
+    assert(status_of(request("Content-Length: 70000\r\n", "")) == 413);
+    assert(status_of(request("Transfer-Encoding: chunked\r\n", "11171\r\n")) == 413);
+    assert(status_of(request("Transfer-Encoding: gzip\r\n", "")) == 501);
+    assert(status_of(request("X: " + std::string(20'000, 'x') + "\r\n", "")) == 431);
+    HttpMessage message;
+    const auto status = [&] { return std::get<BadRequest>(read_client_request(message)).status; };
+    message.method = "POST", message.target = "/-/ready";
+    assert(status() == 405);
+    message.method = "GET", message.target = "/position-find";
+    assert(status() == 405);
+    message.method = "POST", message.target = "/";
+    assert(status() == 404);
+    message.target = "/position-find";
+    assert(status() == 400); // no id
+    message.headers = {{"x-request-id", "a"}, {"x-timeout", "250000u"}};
+    for (const char* body :
+         {"", "{}", R"({"query":"q","targets":[]})", R"({"query":1,"targets":[]})",
+          R"({"query":"q","targets":[{"partition":-1,"share":1}]})",
+          R"({"query":"q","targets":[{"partition":1,"share":1},{"partition":1,"share":1}]})"}) {
+        message.body = body;
+        assert(status() == 400);
+    }
+    message.body = R"({"query":"q","targets":[{"partition":1,"share":1}]})";
+    assert(std::get<SearchRequest>(read_client_request(message)).left_us == 250'000);
+    message.headers[0].second = "two words"; // would break the line of a frame
+    assert(status() == 400);
+}
+
+void response_without_length_ends_with_its_connection() {
+    const std::string bytes = "HTTP/1.1 200 OK\r\n\r\n{\"version\":1}";
+    auto [parser, left] = fed(HttpParser::Side::kResponses, bytes, 30);
+    assert(!parser.complete() && left == 0);
+    parser.end();
+    assert(parser.complete() && parser.take().body == "{\"version\":1}");
+}
+
+std::string frame_of(char letter, const std::string& rest) {
+    const std::size_t size = rest.size() + 1;
+    return std::string{'\0', '\0', static_cast<char>(size >> 8), static_cast<char>(size), letter} + rest;
+}
+
+void frames_are_read_over_every_split() {
+    const std::string bytes = frame_of('R', "9b1f.3 done 184 inflight=7,util=0.61,queue=2\nva\nlue") +
+                              frame_of('M', "") + frame_of('M', "failed");
+    for (std::size_t at = 0; at <= bytes.size(); ++at) {
+        std::vector<Frame> frames;
+        FrameParser parser;
+        for (std::string_view piece :
+             {std::string_view(bytes).substr(0, at), std::string_view(bytes).substr(at)})
+            while (!piece.empty()) {
+                piece.remove_prefix(parser.feed(piece));
+                if (parser.complete()) frames.push_back(parser.take());
+            }
+        assert(frames.size() == 3 && !parser.broken());
+        const PartAnswer answer = read_part_answer(frames[0].rest);
+        assert(answer.id == "9b1f.3" && answer.outcome == Outcome::kAnswered && answer.value == "va\nlue");
+        assert(answer.report.in_flight == 7.0 && answer.report.queued == 2.0);
+        assert(read_load_answer(frames[1].rest).passed && !read_load_answer(frames[2].rest).passed);
+    }
+    assert(call_frame({{"9b1f.3", 3, 240, "c41e77d0"}}) == frame_of('S', "9b1f.3 3 d=240 8\nc41e77d0"));
+    assert(give_up_frame("9b1f.3") == frame_of('C', "9b1f.3"));
+}
+
+void hostile_frames_break_before_memory_is_spent() {
+    FrameParser huge, none;
+    huge.feed(std::string("\x7F\xFF\xFF\xFF", 4)), none.feed(std::string(4, '\0'));
+    assert(huge.broken() && none.broken());
+    for (const char* rest : {"", "a done 1 -", "a done 1\n", "a perhaps 1 -\n", "a done 1 queue=x\n"}) {
+        bool thrown = false;
+        try {
+            read_part_answer(rest);
+        } catch (const ProtocolError&) { thrown = true; }
+        assert(thrown);
+    }
+}
+
+// Whatever comes, a parser takes it, says that it is broken, or throws its own error; it never takes more
+// than it was given.
+void noise_does_no_harm() {
+    Pcg chance(7);
+    const std::string list = R"({"version":2,"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","zone":"a",)"
+                             R"("cell":1,"state":"SERVING","weight":1.5,"started_ms":0}]})";
+    const std::string length = "Content-Length: " + std::to_string(kBody.size()) + "\r\n";
+    const std::vector<std::string> seeds = {request(length, kBody), list, kBody,
+                                            frame_of('R', "a.1 done 1 queue=2\nv") + frame_of('M', "-")};
+    for (int round = 0; round < 20'000; ++round) {
+        std::string bytes = seeds[chance.next() % seeds.size()];
+        for (std::uint32_t i = chance.next() % 4; i > 0; --i)
+            bytes[chance.next() % bytes.size()] = static_cast<char>(chance.next());
+        bytes.resize(bytes.size() - chance.next() % 8);
+        HttpParser http(HttpParser::Side::kRequests);
+        assert(http.feed(bytes) <= bytes.size());
+        if (http.complete()) read_client_request(http.take());
+        FrameParser frames;
+        for (std::string_view left = bytes; !left.empty() && !frames.broken();) {
+            left.remove_prefix(frames.feed(left));
+            if (frames.complete()) try {
+                    read_part_answer(frames.take().rest);
+                } catch (const ProtocolError&) {}
+        }
+        try {
+            read_server_list(bytes);
+        } catch (const ProtocolError&) {}
+    }
+}
+
+void json_is_strict_and_bounded() {
+    for (const char* text : {"", "{", "[1,]", "{\"a\" 1}", "01", "1.", "\"\\x\"", "\"\\ud800\"",
+                             "\"\\ud800\\u0041\"", "\"a", "nul", "[1] 2", "\"\n\""}) {
+        bool thrown = false;
+        try {
+            read_json(text);
+        } catch (const ProtocolError&) { thrown = true; }
+        assert(thrown);
+    }
+    bool deep = false;
+    try {
+        read_json(std::string(100'000, '['));
+    } catch (const ProtocolError&) { deep = true; }
+    assert(deep);
+    assert(read_json("9007199254740993").as_integer("n") == 9007199254740993);
+    std::string out;
+    write_json_text(out, "a\"\\\x01");
+    assert(out == "\"a\\\"\\\\\\u0001\"" && read_json(out).text == "a\"\\\x01");
+}
+
+void list_is_read_and_unknown_states_get_nothing_new() {
+    const ServerList list = read_server_list(
+        R"({"version":43,"full":false,"servers":[{"id":"s-1","addr":"10.1.0.18:8081","zone":"a b","cell":3,)"
+        R"("state":"DRAINING","started_ms":1700000000123},{"id":"s-2","state":"RESTING"},)"
+        R"({"id":"s-3","state":"DELETED"},{"id":"s-4","state":"SERVING","weight":1.5}]})");
+    assert(list.version == 43 && !list.full && list.servers.size() == 4);
+    assert(list.servers[0].zone == "a_b" && list.servers[0].started_ms == 1700000000123);
+    assert(list.servers[0].listed == Listed::kDraining && list.servers[1].listed == Listed::kDraining);
+    assert(list.servers[2].listed == Listed::kGone && list.servers[3].listed == Listed::kLive);
+}
+
+// The simulator's line and the front node's JSON are read by the same words.
+void settings_are_read_once_for_both() {
+    const std::string orders =
+        R"({"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff",)"
+        R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},)"
+        R"("settings":{"Grades":[{"AimUs":1000000,"DeadlineUs":2500000,"Idempotency":"non_idempotent",)"
+        R"("Name":"game annotate","Worth":2.0}],"Limits":{"MostTries":3,"MaxOpen":203,"ConnIdleUs":15000000},)"
+        R"("Specifics":{"ClassFloor":[0.5],"ClassNeed":[1.0],"Places":4,"Span":1,"Slabs":8},"Zones":["a b","c"],)"
+        R"("Tenants":[{"Name":"t","QuotaPerS":28.0}],"PeersTotal":2}})";
+    const StartOrders read = read_start_orders(orders);
+    const OpeningTerms drilled = drill::read_terms(drill::Line(
+        "OPEN_INSTANCE Nonce64=255 Grades.count=1 Grades.0.AimUs=1000000 Grades.0.DeadlineUs=2500000 "
+        "Grades.0.Idempotency=non_idempotent Grades.0.Worth=2.0 Limits.MostTries=3 Specifics.ClassFloor=0.5 "
+        "Specifics.Places=4 Tenants.count=1 Tenants.0.QuotaPerS=28.0 PeersTotal=2"));
+    const OpeningTerms& terms = read.terms.opening;
+    assert(terms.seed == 255 && drilled.seed == 255 && terms.front_nodes == 2 && drilled.front_nodes == 2);
+    assert(terms.products.size() == 1 && terms.products[0].due_span == drilled.products[0].due_span);
+    assert(terms.products[0].effect == Effect::kAtMostOnce && terms.products[0].floor == 0.5);
+    assert(terms.cells == 4 && drilled.cells == 4 && terms.most_launches == 3);
+    assert(read.terms.products[0] == "game_annotate" && read.terms.zones[0] == "a_b");
+    assert(read.terms.most_open == 203 && read.terms.idle_span == ms(15'000) && read.sockets == 1024);
+}
+
+constexpr Story kStories[] = {
+    STORY(request_is_read_over_every_split),
+    STORY(broken_requests_have_their_status),
+    STORY(response_without_length_ends_with_its_connection),
+    STORY(frames_are_read_over_every_split),
+    STORY(hostile_frames_break_before_memory_is_spent),
+    STORY(noise_does_no_harm),
+    STORY(json_is_strict_and_bounded),
+    STORY(list_is_read_and_unknown_states_get_nothing_new),
+    STORY(settings_are_read_once_for_both),
+};
+
+} // namespace
+
+} // namespace ivyrill
+
+int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
--- /dev/null
+++ b/tests/routing_stories.cpp
@@ -0,0 +1,386 @@
+// Stories of the reducer: events in, effects out; no socket anywhere.
+#include "fake_host.hpp"
+#include "routing/router.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace ivyrill::routing {
+
+namespace {
+
+using protocol::Verdict;
+
+protocol::NodeTerms node_terms(ivyrill::Effect effect = ivyrill::Effect::kReissuable) {
+    protocol::NodeTerms terms;
+    terms.opening = plain_terms();
+    terms.opening.second_copies = false;
+    terms.opening.list_mode = ListMode::kAsked;
+    terms.opening.products[0].effect = effect;
+    terms.products = {"find"}, terms.tenants = {"acme"}, terms.zones = {"a"}, terms.kinds = {"m"};
+    terms.calls_a_connection = 100, terms.shards = 2;
+    terms.connect_span = ms(250), terms.idle_span = ms(15'000), terms.ask_span = ms(10'000);
+    return terms;
+}
+
+protocol::ServerEntry entry(int number, Listed listed = Listed::kLive, const std::string& port = "1") {
+    return {"s" + std::to_string(number),
+            "10.0.0." + std::to_string(number) + ":" + port,
+            "a",
+            "m",
+            0,
+            listed,
+            1,
+            0};
+}
+
+// A router, and the effects it has asked for so far.
+struct Desk {
+    explicit Desk(protocol::NodeTerms terms = node_terms(), int servers = 2, std::size_t descriptors = 1000)
+        : router(std::move(terms), list(servers), descriptors, ms(1000)) {
+        turn();
+    }
+    static protocol::ServerList list(int servers) {
+        protocol::ServerList known{1, true, {}};
+        for (int i = 0; i < servers; ++i) known.servers.push_back(entry(i));
+        return known;
+    }
+    void turn() {
+        for (Effect& effect : router.turn(now)) effects.push_back(std::move(effect));
+    }
+    void tell(Event event) { router.step(now, std::move(event)), turn(); }
+    void pass(Tenths span) {
+        for (const Tenths end = now + span; now < end;) ++now, turn();
+    }
+    template <class What> std::vector<What> all() const {
+        std::vector<What> found;
+        for (const Effect& effect : effects)
+            if (const auto* what = std::get_if<What>(&effect)) found.push_back(*what);
+        return found;
+    }
+    ClientId client() {
+        tell(ClientOpened{ClientId{++clients}});
+        return ClientId{clients};
+    }
+    ClientId search(std::vector<int> shards = {0}, std::int64_t left_us = 2'000'000) {
+        const ClientId id = client();
+        protocol::SearchRequest request{
+            "q" + std::to_string(clients), "find", "acme", "text", left_us, false, {}};
+        for (const int shard : shards) request.targets.push_back({shard, 1.0 / shards.size()});
+        tell(SearchRead{id, request, now});
+        return id;
+    }
+    void up(LinkId link) { tell(LinkUp{link}); }
+    void wrote_all(LinkId link) {
+        std::uint64_t total = 0;
+        for (const WriteLink& write : all<WriteLink>())
+            if (write.link == link) total += write.bytes.size();
+        tell(LinkWrote{link, total});
+    }
+    void answers(LinkId link, const std::string& id, Outcome outcome = Outcome::kAnswered) {
+        tell(PartAnswered{link, {id, outcome, {}, "value of " + id}});
+    }
+    std::vector<std::string> frames(LinkId link, char letter) const {
+        std::vector<std::string> found;
+        for (const WriteLink& write : all<WriteLink>())
+            if (write.link == link && write.bytes[4] == letter) found.push_back(write.bytes.substr(5));
+        return found;
+    }
+    std::size_t sent(char letter) const {
+        const auto writes = all<WriteLink>();
+        return std::ranges::count_if(writes, [&](auto& write) { return write.bytes[4] == letter; });
+    }
+    std::optional<Verdict> verdict(ClientId client) const {
+        for (const AnswerClient& answer : all<AnswerClient>())
+            if (answer.client == client) return answer.answer.verdict;
+        return {};
+    }
+
+    Router router;
+    Tenths now = ms(1000);
+    std::uint64_t clients = 0;
+    std::vector<Effect> effects;
+};
+
+void search_is_sent_and_answered() {
+    Desk desk;
+    const ClientId client = desk.search({0, 1});
+    assert(desk.all<OpenLink>().size() == 2 && desk.sent('S') == 0); // nothing before a connection is up
+    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+    assert(desk.sent('S') == 2);
+    for (const OpenLink& open : desk.all<OpenLink>())
+        for (const std::string& frame : desk.frames(open.link, 'S')) {
+            assert(frame.find(" d=2000 4\ntext") != std::string::npos);
+            desk.answers(open.link, frame.substr(0, frame.find(' ')));
+        }
+    const auto answers = desk.all<AnswerClient>();
+    assert(answers.size() == 1 && answers[0].client == client && answers[0].answer.whole &&
+           !answers[0].close);
+    assert(answers[0].answer.results.size() == 2 && answers[0].answer.results[0].value == "value of q1.0");
+    assert(desk.router.open_searches() == 0 && desk.router.open_launches() == 0);
+}
+
+// How far the bytes went decides what is proved.
+void broken_before_the_last_byte_never_ran() {
+    for (const bool written : {false, true}) {
+        Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+        const ClientId client = desk.search();
+        const LinkId link = desk.all<OpenLink>()[0].link;
+        desk.up(link);
+        const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
+        desk.tell(LinkWrote{link, written ? size : size - 1});
+        desk.tell(LinkEnded{link});
+        desk.pass(ms(2100));
+        if (written)
+            assert(desk.verdict(client) == Verdict::kScrapped && desk.all<OpenLink>().size() < 20);
+        else
+            assert(desk.verdict(client) == Verdict::kPushedBack);
+    }
+}
+
+void each_frame_has_its_own_boundary() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    const ClientId first = desk.search(), second = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link);
+    assert(desk.sent('S') == 1); // one frame at a time is in the ring, so the other can be taken back
+    const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
+    desk.tell(LinkWrote{link, size});
+    assert(desk.sent('S') == 2);
+    desk.tell(LinkWrote{link, size + 7});
+    desk.tell(LinkEnded{link});
+    desk.pass(ms(2100));
+    assert(desk.verdict(first) == Verdict::kScrapped && desk.verdict(second) == Verdict::kPushedBack);
+}
+
+void refused_connection_sends_the_part_elsewhere() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    desk.search();
+    const LinkId refused = desk.all<OpenLink>()[0].link;
+    desk.tell(LinkEnded{refused});
+    desk.pass(ms(5));
+    const auto opened = desk.all<OpenLink>();
+    assert(opened.size() >= 2 && opened[1].address != opened[0].address);
+}
+
+void connection_that_never_comes_is_given_up_in_time() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    desk.search();
+    desk.pass(ms(249));
+    assert(desk.all<OpenLink>().size() == 1);
+    desk.pass(ms(10));
+    assert(desk.all<CloseLink>().size() >= 1 && desk.all<OpenLink>().size() >= 2);
+}
+
+// One answer a launch, and never that of an earlier launch of the same part.
+void late_answer_is_not_taken_for_a_later_launch() {
+    Desk desk(node_terms(), 1);
+    const ClientId client = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.tell(ClientGone{client});
+    assert(desk.frames(link, 'C') == std::vector<std::string>{"q1.0"}); // given up
+    desk.pass(ms(10));
+    assert(desk.router.open_launches() == 0);
+    const ClientId other = desk.client(); // the same id once more
+    desk.tell(SearchRead{other, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, desk.now});
+    const auto opened = desk.all<OpenLink>();
+    assert(opened.size() == 2); // not where the first answer may still come
+    desk.up(opened[1].link), desk.wrote_all(opened[1].link);
+    desk.answers(link, "q1.0");
+    assert(!desk.verdict(other) && desk.router.counts().returned_late == 1);
+    desk.answers(opened[1].link, "q1.0");
+    assert(desk.verdict(other) == Verdict::kDelivered);
+    desk.answers(opened[1].link, "q1.0"); // once is enough
+    assert(desk.all<AnswerClient>().size() == 1);
+}
+
+void client_gone_while_its_part_waits_leaves_nothing() {
+    Desk desk;
+    const ClientId client = desk.search();
+    desk.tell(ClientGone{client});
+    desk.pass(ms(10));
+    assert(desk.all<AnswerClient>().empty() && desk.router.open_searches() == 0);
+    desk.up(desk.all<OpenLink>()[0].link);
+    assert(desk.sent('S') == 0 && desk.router.open_launches() == 0);
+}
+
+void no_search_outlives_its_expiry() {
+    Desk desk;
+    const ClientId client = desk.search({0}, 500'000);
+    desk.up(desk.all<OpenLink>()[0].link), desk.wrote_all(desk.all<OpenLink>()[0].link);
+    desk.pass(ms(500));
+    assert(desk.verdict(client) && desk.router.open_searches() == 0);
+    desk.pass(ms(100));
+    assert(desk.router.open_launches() == 0 && desk.sent('S') == desk.sent('C'));
+}
+
+void drained_server_gets_nothing_that_still_waits() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    desk.search();
+    const OpenLink first = desk.all<OpenLink>()[0];
+    const int number = first.address == "10.0.0.0:1" ? 0 : 1;
+    desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, false, {entry(number, Listed::kDraining)}}});
+    desk.up(first.link);
+    desk.pass(ms(5));
+    assert(desk.frames(first.link, 'S').empty());
+    const auto opened = desk.all<OpenLink>();
+    assert(opened.size() == 2 && opened[1].address != first.address);
+}
+
+void moved_server_is_met_at_its_new_address() {
+    Desk desk(node_terms(), 1);
+    desk.search();
+    const LinkId old = desk.all<OpenLink>()[0].link;
+    desk.up(old), desk.wrote_all(old), desk.answers(old, "q1.0");
+    desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, true, {entry(0, Listed::kLive, "2")}}});
+    desk.search();
+    assert(desk.all<OpenLink>().back().address == "10.0.0.0:2" && desk.all<CloseLink>()[0].link == old);
+}
+
+// What is written to a connection that the index server closes as idle would be lost.
+void idle_connection_is_closed_before_the_server_does() {
+    Desk desk(node_terms(), 1);
+    desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link), desk.answers(link, "q1.0");
+    desk.pass(ms(14'000));
+    assert(desk.all<CloseLink>().empty());
+    desk.pass(ms(600));
+    assert(desk.all<CloseLink>().size() == 1 && desk.router.open_links() == 0);
+}
+
+void silent_probe_retires_its_connection() {
+    Desk desk(node_terms(), 1);
+    const ClientId client = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.pass(ms(1990)); // silent: set aside and probed
+    assert(desk.verdict(client) && desk.frames(link, 'M').size() == 1);
+    const auto closed = desk.all<CloseLink>();
+    assert(std::ranges::count(closed, link, &CloseLink::link) == 1 && desk.all<OpenLink>().size() >= 2);
+    const LinkId fresh = desk.all<OpenLink>().back().link;
+    desk.up(fresh);
+    assert(desk.frames(fresh, 'M').size() == 1);
+}
+
+void watch_goes_on_and_a_silent_one_is_dropped() {
+    Desk desk;
+    assert(desk.all<AskDiscovery>().size() == 1 && desk.all<AskDiscovery>()[0].after == 1);
+    desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {4, false, {}}});
+    const auto asked = desk.all<AskDiscovery>();
+    assert(asked.size() == 2 && asked[1].after == 4 && asked[1].wait_ms == 5000); // in the same turn
+    desk.tell(ListTold{asked[0].ask, {9, true, {}}});                             // an answer to nothing
+    assert(desk.all<AskDiscovery>().size() == 2);
+    desk.pass(ms(6000));
+    assert(desk.all<DropAsk>().size() == 1 && desk.router.counts().lists_lost == 1);
+    desk.pass(ms(3000));
+    assert(desk.all<AskDiscovery>().size() == 3 && desk.all<AskDiscovery>()[2].after == 4);
+    desk.tell(ListTold{desk.all<AskDiscovery>()[2].ask, {2, false, {}}}); // it has started anew
+    assert(desk.all<AskDiscovery>()[3].whole);
+}
+
+void too_many_at_once_are_pushed_back_unseen() {
+    protocol::NodeTerms terms = node_terms();
+    terms.most_open = 3;
+    Desk desk(terms);
+    const ClientId first = desk.search({0, 1}), second = desk.search();
+    assert(!desk.verdict(first) && desk.verdict(second) == Verdict::kPushedBack);
+    assert(desk.router.counts().over_full == 1 && desk.router.open_searches() == 1);
+}
+
+void errors_of_a_request_never_reach_the_module() {
+    Desk desk;
+    const ClientId client = desk.client(), twin = desk.client();
+    desk.tell(SearchRead{client, {"a", "other", "acme", "t", 1000, false, {{0, 1.0}}}, desk.now});
+    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 1000, false, {{2, 1.0}}}, desk.now});
+    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, desk.now});
+    desk.tell(SearchRead{twin, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, desk.now});
+    const auto rejected = desk.all<RejectClient>();
+    assert(rejected.size() == 3 && desk.router.counts().searches == 1);
+    assert(rejected[0].status == 404 && rejected[1].status == 400 && rejected[2].status == 409);
+}
+
+void order_to_stop_answers_all_that_was_taken() {
+    Desk desk;
+    const ClientId idle = desk.client(), client = desk.search();
+    desk.tell(DrainOrdered{});
+    const ClientId late = desk.search({1}); // still arrives, is still served
+    assert(desk.all<CloseClient>().empty());
+    desk.tell(QuietOrdered{});
+    assert(desk.all<CloseClient>().size() == 1 && desk.all<CloseClient>()[0].client == idle);
+    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+    for (const OpenLink& open : desk.all<OpenLink>())
+        for (const std::string& frame : desk.frames(open.link, 'S'))
+            desk.answers(open.link, frame.substr(0, frame.find(' ')));
+    assert(desk.verdict(client) == Verdict::kDelivered && desk.verdict(late) == Verdict::kDelivered);
+    for (const AnswerClient& answer : desk.all<AnswerClient>()) assert(answer.close);
+    assert(desk.router.open_searches() == 0);
+}
+
+void full_house_lets_the_longest_idle_go() {
+    Desk desk(node_terms(), 2, 8); // four for clients, four for index servers
+    const ClientId busy = desk.search();
+    desk.pass(1);
+    const ClientId oldest = desk.client();
+    desk.pass(1), desk.client(), desk.client(), desk.client();
+    assert(desk.all<CloseClient>().size() == 1 && desk.all<CloseClient>()[0].client == oldest);
+    for (int i = 0; i < 4; ++i) desk.search();
+    assert(desk.all<AcceptClients>().size() == 1 && !desk.all<AcceptClients>()[0].on); // all busy: nobody new
+    desk.tell(ClientGone{busy});
+    assert(desk.all<AcceptClients>().size() == 2 && desk.all<AcceptClients>()[1].on);
+}
+
+void nothing_grows_over_a_long_run() {
+    Desk desk;
+    for (int round = 0; round < 3000; ++round) {
+        const ClientId client = desk.search({0, 1});
+        for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+        for (const WriteLink& write : desk.all<WriteLink>())
+            if (write.bytes[4] == 'S' && round % 7 != 3)
+                desk.answers(write.link, write.bytes.substr(5, write.bytes.find(' ') - 5),
+                             round % 5 == 0 ? Outcome::kError : Outcome::kAnswered);
+        if (round % 11 == 0)
+            for (const OpenLink& open : desk.all<OpenLink>()) desk.tell(LinkEnded{open.link});
+        desk.pass(ms(round % 7 == 3 ? 60 : 2));
+        desk.tell(ClientGone{client});
+        std::vector<Effect> links; // of those still open, what is needed to answer on
+        for (Effect& effect : desk.effects)
+            if (std::holds_alternative<OpenLink>(effect) && round % 11 != 0)
+                links.push_back(std::move(effect));
+        desk.effects = std::move(links);
+    }
+    desk.pass(ms(20'000));
+    assert(desk.router.open_searches() == 0 && desk.router.open_launches() == 0);
+    // The servers set aside go on being probed, over one connection each.
+    assert(desk.router.open_clients() == 0 && desk.router.open_links() <= 2 && desk.router.alarms() < 20);
+}
+
+constexpr Story kStories[] = {
+    STORY(search_is_sent_and_answered),
+    STORY(broken_before_the_last_byte_never_ran),
+    STORY(each_frame_has_its_own_boundary),
+    STORY(refused_connection_sends_the_part_elsewhere),
+    STORY(connection_that_never_comes_is_given_up_in_time),
+    STORY(late_answer_is_not_taken_for_a_later_launch),
+    STORY(client_gone_while_its_part_waits_leaves_nothing),
+    STORY(no_search_outlives_its_expiry),
+    STORY(drained_server_gets_nothing_that_still_waits),
+    STORY(moved_server_is_met_at_its_new_address),
+    STORY(idle_connection_is_closed_before_the_server_does),
+    STORY(silent_probe_retires_its_connection),
+    STORY(watch_goes_on_and_a_silent_one_is_dropped),
+    STORY(too_many_at_once_are_pushed_back_unseen),
+    STORY(errors_of_a_request_never_reach_the_module),
+    STORY(order_to_stop_answers_all_that_was_taken),
+    STORY(full_house_lets_the_longest_idle_go),
+    STORY(nothing_grows_over_a_long_run),
+};
+
+} // namespace
+
+} // namespace ivyrill::routing
+
+int main(int count, char** arguments) {
+    return ivyrill::play_story(ivyrill::routing::kStories, count, arguments);
+}
--- /dev/null
+++ b/tests/socket_stories.cpp
@@ -0,0 +1,354 @@
+// Stories over loopback: a front node in a process of its own, and this one as client, index server and
+// discovery. Nothing sleeps; every wait ends with what it waits for or fails.
+#include "fake_host.hpp"
+#include "program/log.hpp"
+#include "program/node.hpp"
+
+#include <csignal>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ivyrill {
+
+namespace {
+
+using program::Node;
+
+constexpr int kPatienceMs = 20'000;
+
+// A blocking socket that fails the story rather than wait for ever.
+class Peer {
+  public:
+    explicit Peer(int descriptor) : descriptor_(descriptor) { assert(descriptor >= 0); }
+    Peer(Peer&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+    ~Peer() { close(); }
+    static Peer to(const std::string& address) {
+        Peer peer(transport::connect_to(address));
+        peer.await(POLLOUT);
+        return peer;
+    }
+    void await(short what) const {
+        pollfd wanted{descriptor_, what, 0};
+        assert(poll(&wanted, 1, kPatienceMs) == 1);
+    }
+    void say(std::string_view bytes) const {
+        while (!bytes.empty()) {
+            await(POLLOUT);
+            const ssize_t count = send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            assert(count > 0);
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+    std::string hear(std::size_t most = 4096) const { // what is there; empty at the end
+        await(POLLIN);
+        char bytes[4096];
+        const ssize_t count = recv(descriptor_, bytes, most, 0);
+        return count > 0 ? std::string(bytes, static_cast<std::size_t>(count)) : std::string();
+    }
+    protocol::HttpMessage message(protocol::HttpParser::Side side) const {
+        protocol::HttpParser parser(side);
+        while (!parser.complete()) {
+            const std::string byte = hear(1);
+            assert(!byte.empty() && parser.feed(byte) == 1);
+        }
+        return parser.take();
+    }
+    protocol::HttpMessage answer() const { return message(protocol::HttpParser::Side::kResponses); }
+    std::string frame() const { // the letter and the rest
+        protocol::FrameParser parser;
+        while (!parser.complete()) {
+            const std::string byte = hear(1);
+            assert(!byte.empty() && parser.feed(byte) == 1);
+        }
+        const protocol::Frame frame = parser.take();
+        return frame.letter + frame.rest;
+    }
+    void reset() { // what the other side has sent and will send is lost
+        const linger now{1, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        close();
+    }
+    void close() {
+        if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
+    }
+
+  private:
+    int descriptor_;
+};
+
+class Listener {
+  public:
+    Listener() : descriptor_(transport::listen_at("127.0.0.1:0")) {}
+    ~Listener() { close(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(transport::port_of(descriptor_)); }
+    Peer accept() const {
+        pollfd wanted{descriptor_, POLLIN, 0};
+        assert(poll(&wanted, 1, kPatienceMs) == 1);
+        return Peer(transport::accept_from(descriptor_));
+    }
+    void close() {
+        if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
+    }
+
+  private:
+    int descriptor_;
+};
+
+// Two index servers with a shard each, discovery, and a front node.
+struct World {
+    explicit World(Effect effect = Effect::kReissuable, std::int64_t sockets = 256) {
+        protocol::StartOrders orders;
+        orders.listen = "127.0.0.1:0", orders.discovery = discovery.address(), orders.sockets = sockets;
+        orders.terms.opening = plain_terms();
+        orders.terms.opening.list_mode = ListMode::kAsked;
+        orders.terms.opening.second_copies = false;
+        orders.terms.opening.cells = 2;
+        orders.terms.opening.products[0].effect = effect;
+        orders.terms.products = {"find"}, orders.terms.shards = 2;
+        orders.terms.calls_a_connection = 100, orders.terms.connect_span = ms(250);
+        orders.terms.idle_span = ms(15'000), orders.terms.ask_span = ms(100'000);
+        orders.known.version = 1;
+        for (int i = 0; i < 2; ++i)
+            orders.known.servers.push_back(
+                {"s" + std::to_string(i), servers[i].address(), "a", "m", i, Listed::kLive, 1, 0});
+        int ends[2];
+        assert(pipe(ends) == 0);
+        node = fork();
+        if (node == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // a story that fails leaves nobody behind
+            discovery.close(), servers[0].close(), servers[1].close();
+            program::open_log("node", "warn");
+            int status = 2;
+            try {
+                Node own(orders);
+                const int port = own.port();
+                if (write(ends[1], &port, sizeof port) == sizeof port) status = own.run();
+            } catch (const std::exception& error) { program::log().error("{}", error.what()); }
+            _exit(status);
+        }
+        ::close(ends[1]);
+        int port = 0;
+        assert(read(ends[0], &port, sizeof port) == sizeof port);
+        ::close(ends[0]);
+        address = "127.0.0.1:" + std::to_string(port);
+    }
+    ~World() {
+        if (node > 0) kill(node, SIGKILL), waitpid(node, nullptr, 0);
+    }
+    int exit_status() {
+        int status = 0;
+        assert(waitpid(std::exchange(node, -1), &status, 0) > 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+    Listener discovery;
+    Listener servers[2];
+    pid_t node = -1;
+    std::string address;
+};
+
+std::string search(const std::string& id, int shard = 0, const std::string& left = "2000m") {
+    const std::string body =
+        R"({"targets":[{"partition":)" + std::to_string(shard) + R"(,"share":1}],"query":"text"})";
+    return "POST /find HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + left +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string part_answer(const std::string& id) {
+    const std::string rest = id + " done 1 queue=0\nvalue";
+    return std::string{'\0', '\0', '\0', static_cast<char>(rest.size() + 1), 'R'} + rest;
+}
+
+void search_travels_there_and_back() {
+    World world;
+    Peer client = Peer::to(world.address);
+    client.say("GET /-/ready HTTP/1.1\r\n\r\n");
+    assert(client.answer().status == 200);
+    const std::string bytes = search("a1");
+    for (const char& byte : bytes) client.say({&byte, 1});
+    Peer server = world.servers[0].accept();
+    assert(server.frame().starts_with("Sa1.0 0 d="));
+    const std::string back = part_answer("a1.0");
+    for (const char& byte : back) server.say({&byte, 1});
+    const protocol::HttpMessage answer = client.answer();
+    assert(answer.status == 200 && !answer.close);
+    assert(answer.body == R"({"whole":true,"results":[{"partition":0,"value":"value"}]})");
+    client.say(search("a2") + "GET /-/ready HTTP/1.1\r\n\r\n"); // kept alive, both ways
+    assert(server.frame().starts_with("Sa2.0 0 d="));
+    server.say(part_answer("a2.0"));
+    assert(client.answer().status == 200);
+}
+
+void lost_after_the_last_byte_is_no_push_back() {
+    World world(Effect::kAtMostOnce);
+    Peer client = Peer::to(world.address);
+    client.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    server.reset();
+    assert(client.answer().status == 502);
+}
+
+void refused_before_the_first_byte_is_pushed_back() {
+    World world(Effect::kAtMostOnce);
+    world.servers[0].close();
+    Peer client = Peer::to(world.address);
+    client.say(search("a1", 0, "300m"));
+    assert(client.answer().status == 503);
+}
+
+void client_that_leaves_takes_its_search_along() {
+    World world;
+    Peer client = Peer::to(world.address);
+    client.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    client.close();
+    assert(server.frame() == "Ca1.0");
+}
+
+void told_to_stop_it_answers_what_it_took() {
+    World world(Effect::kAtMostOnce); // so that it waits for its server, however long that takes
+    Peer client = Peer::to(world.address), idle = Peer::to(world.address);
+    idle.say("GET /-/ready HTTP/1.1\r\n\r\n");
+    assert(idle.answer().status == 200);
+    client.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    kill(world.node, SIGTERM), kill(world.node, SIGTERM); // the second changes nothing
+    for (int status = 200; status == 200;) {              // until the order has arrived
+        idle.say("GET /-/ready HTTP/1.1\r\n\r\n");
+        status = idle.answer().status;
+    }
+    Peer late = Peer::to(world.address);
+    late.say(search("a2"));
+    assert(server.frame().starts_with("Sa2.0"));
+    server.say(part_answer("a2.0"));
+    const protocol::HttpMessage second = late.answer();
+    assert(second.status == 200 && second.close);
+    assert(idle.hear().empty()); // closed once nothing can be on its way; a1 is still out then
+    server.say(part_answer("a1.0"));
+    const protocol::HttpMessage first = client.answer();
+    assert(first.status == 200 && first.close);
+    assert(world.exit_status() == 0);
+}
+
+void what_is_not_understood_is_answered_and_closed() {
+    World world;
+    Peer client = Peer::to(world.address);
+    client.say("hello\r\n\r\nand more of it that nobody reads");
+    const std::string answer = client.hear();
+    assert(answer.starts_with("HTTP/1.1 400") && client.hear().empty());
+    Peer server_first = Peer::to(world.address); // others are served as ever
+    server_first.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    server.say(std::string("\xFF\xFF\xFF\xFFR", 5)); // neither is an index server that talks nonsense
+    server.await(POLLIN);
+    assert(world.servers[0].accept().frame().size() > 1); // met again on a new connection
+}
+
+void crowd_of_idle_clients_keeps_nobody_out() {
+    World world(Effect::kReissuable, 64);
+    std::vector<Peer> crowd;
+    for (int i = 0; i < 100; ++i) {
+        crowd.push_back(Peer::to(world.address));
+        crowd.back().say("GET /-/ready HTTP/1.1\r\n\r\n");
+        assert(crowd.back().answer().status == 200);
+    }
+    crowd.back().say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    server.say(part_answer("a1.0"));
+    assert(crowd.back().answer().status == 200);
+}
+
+void list_is_watched_and_obeyed() {
+    World world;
+    Peer discovery = world.discovery.accept();
+    const auto asked = [&discovery] {
+        return discovery.message(protocol::HttpParser::Side::kRequests).target;
+    };
+    assert(asked() == "/api/targets?after=1&wait_ms=50000");
+    const std::string list = R"({"version":7,"full":false,"servers":[{"id":"s0","addr":")" +
+                             world.servers[1].address() + R"(","cell":0,"state":"SERVING"}]})";
+    discovery.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + list.substr(0, 5) + "\r\n");
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", list.size() - 5);
+    discovery.say(size + list.substr(5) + "\r\n0\r\n\r\n");
+    assert(asked() == "/api/targets?after=7&wait_ms=50000"); // at once
+    Peer client = Peer::to(world.address);
+    client.say(search("a1"));
+    assert(world.servers[1].accept().frame().starts_with("Sa1.0")); // where it has moved to
+    discovery.close(); // between two calls or in one, a broken watch is taken up again
+    discovery.~Peer(), new (&discovery) Peer(world.discovery.accept());
+    assert(asked() == "/api/targets?after=7&wait_ms=50000");
+}
+
+void taken_address_is_one_clear_error() {
+    Listener taken;
+    protocol::StartOrders orders;
+    orders.listen = taken.address(), orders.sockets = 256;
+    bool thrown = false;
+    try {
+        Node node(orders);
+    } catch (const std::exception& error) { thrown = std::string_view(error.what()).starts_with("bind"); }
+    assert(thrown);
+}
+
+// The other side reads slowly: every byte arrives once, in order, and what was taken is counted.
+void partial_writes_lose_nothing() {
+    int ends[2];
+    assert(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+    transport::Loop loop;
+    transport::Stream stream(loop, ends[0], transport::Stream::Start::kConnected, 1000, 100'000);
+    std::string said, heard;
+    for (int round = 0; round < 400; ++round) {
+        const std::string piece(4999, static_cast<char>('a' + round % 26));
+        if (stream.send(piece)) said += piece;
+        char bytes[3001];
+        const ssize_t count = recv(ends[1], bytes, sizeof bytes, 0);
+        if (count > 0) heard.append(bytes, static_cast<std::size_t>(count));
+        loop.wait(loop.now());
+    }
+    assert(stream.unwritten() > 0 && stream.written() + stream.unwritten() == said.size());
+    for (char bytes[3001]; heard.size() < said.size(); loop.wait(loop.now()))
+        if (const ssize_t count = recv(ends[1], bytes, sizeof bytes, 0); count > 0)
+            heard.append(bytes, static_cast<std::size_t>(count));
+    assert(heard == said && stream.written() == said.size() && stream.unwritten() == 0);
+    ::close(ends[1]);
+    while (!stream.ended()) loop.wait({});
+    assert(!stream.send("x"));
+}
+
+void phases_follow_their_table() {
+    program::Phases phases;
+    using program::Phase;
+    assert(!phases.enter(Phase::kQuiet, 1) && phases.now() == Phase::kStarting);
+    assert(phases.enter(Phase::kServing, 2) && phases.enter(Phase::kDraining, 3));
+    assert(!phases.enter(Phase::kServing, 4) && phases.since() == 3);
+    assert(phases.enter(Phase::kQuiet, 5) && phases.enter(Phase::kStopped, 6));
+}
+
+constexpr Story kStories[] = {
+    STORY(search_travels_there_and_back),
+    STORY(lost_after_the_last_byte_is_no_push_back),
+    STORY(refused_before_the_first_byte_is_pushed_back),
+    STORY(client_that_leaves_takes_its_search_along),
+    STORY(told_to_stop_it_answers_what_it_took),
+    STORY(what_is_not_understood_is_answered_and_closed),
+    STORY(crowd_of_idle_clients_keeps_nobody_out),
+    STORY(list_is_watched_and_obeyed),
+    STORY(taken_address_is_one_clear_error),
+    STORY(partial_writes_lose_nothing),
+    STORY(phases_follow_their_table),
+};
+
+} // namespace
+
+} // namespace ivyrill
+
+int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
