Age of what is read comes off its time; what waits for a moved server is taken back

A front node that stood still gave a search read late its whole time again, and counted its own stall as the index servers' slowness. A call that waits for a connection to a server listed at another address would have gone to whoever is at the old one.

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -207,7 +207,7 @@
     const protocol::ClientRequest request = protocol::read_client_request(message);
     if (const auto* search = std::get_if<protocol::SearchRequest>(&request)) {
         client.busy = true;
-        post(routing::SearchRead{client.id, *search, loop_.now()});
+        post(routing::SearchRead{client.id, *search, client.stream.age()});
     } else if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
         client.stream.send(protocol::write_plain_answer(bad->status, bad->why, client.closing));
     } else {
@@ -283,7 +283,8 @@
 
 void Node::handle_frame(Link& link, const protocol::Frame& frame) {
     if (frame.letter == 'R')
-        return post(routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest)});
+        return post(
+            routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest), link.stream.age()});
     if (frame.letter == 'M') return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
     throw protocol::ProtocolError(std::string("frame ") + frame.letter + ": " + frame.rest.substr(0, 80));
 }
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -22,7 +22,7 @@
 struct SearchRead {
     ClientId client;
     protocol::SearchRequest request;
-    Tenths read_at = 0;
+    Tenths age = 0; // it reached this machine so long ago
 };
 struct ClientGone {
     ClientId client;
@@ -40,6 +40,7 @@
 struct PartAnswered {
     LinkId link;
     protocol::PartAnswer answer;
+    Tenths age = 0;
 };
 struct LoadTold {
     LinkId link;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -81,7 +81,7 @@
         return reject(400, "no such partition");
     if (open_ids_.contains(request.id)) return reject(409, "this id is being searched for already");
     ++counts_.searches;
-    const Tenths left = tenths_to_use(request.left_us) - (now_ - event.read_at);
+    const Tenths left = tenths_to_use(request.left_us) - event.age;
     const bool full = terms_.most_open > 0 &&
                       searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
     if (full || left <= 0) {
@@ -222,7 +222,7 @@
 void Router::due(const LaunchReturn& what) { return_launch(what.launch, what.outcome); }
 
 // The one place where a launch ends: the module hears of each exactly once.
-void Router::return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report) {
+void Router::return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report, Tenths age) {
     const auto found = launches_.find(key);
     if (found == launches_.end()) return;
     const Launch launch = std::move(found->second);
@@ -232,7 +232,8 @@
         at_link->second.out.erase(launch.wire_id);
         rest(launch.link);
     }
-    tell(LaunchReturned{key.first, key.second, launch.server, outcome, now_ - launch.made_at, report});
+    const Tenths took = std::max<Tenths>(0, now_ - age - launch.made_at);
+    tell(LaunchReturned{key.first, key.second, launch.server, outcome, took, report});
 }
 
 void Router::forget_waiting(Link& link, const LaunchKey& key) {
@@ -295,7 +296,7 @@
     const auto part = parts_.find(key.first);
     if (part != parts_.end() && event.answer.outcome == Outcome::kAnswered)
         part->second.value = event.answer.value;
-    return_launch(key, event.answer.outcome, event.answer.report);
+    return_launch(key, event.answer.outcome, event.answer.report, event.age);
 }
 
 // ---- connections to index servers
@@ -538,10 +539,12 @@
         const ServerId id = server_of(row.id);
         Server& server = servers_.at(id);
         named.insert(id);
-        if (!row.address.empty() && row.address != server.address) {
+        const std::string address = row.address.empty() ? server.address : row.address;
+        if (address != server.address || row.cell != server.cell) { // there may be another server by now
+            pull_waiting(server);
             retire_links(server);
-            server.address = row.address;
         }
+        server.address = address;
         server.listed = row.listed, server.cell = row.cell;
         ListEntry entry;
         entry.server = id;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -101,6 +101,14 @@
     return true;
 }
 
+// What came while this process stood still came at its time all the same: the system knows when.
+Tenths Stream::age() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(source_.descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    return static_cast<Tenths>(info.tcpi_last_data_recv) * (kTenthsPerSecond / 1000);
+}
+
 void Stream::finish() { shutdown(source_.descriptor(), SHUT_WR); }
 
 void Stream::end() {
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -34,6 +34,7 @@
     bool ended() const { return ended_; }              // nothing comes any more, nothing can be written
     std::uint64_t written() const { return written_; } // bytes that the system has taken so far
     std::size_t unwritten() const { return out_.size(); }
+    Tenths age() const;                // of the last bytes that reached this machine, read or not
     bool send(std::string_view bytes); // false where the ring has no room for them
     void finish();                     // nothing more will be sent; the other side is told
     void read_on() { space_.wake(); }  // after bytes were taken out of `in`
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -67,7 +67,7 @@
         protocol::SearchRequest request{
             "q" + std::to_string(clients), "find", "acme", "text", left_us, false, {}};
         for (const int shard : shards) request.targets.push_back({shard, 1.0 / shards.size()});
-        tell(SearchRead{id, request, now});
+        tell(SearchRead{id, request, 0});
         return id;
     }
     void up(LinkId link) { tell(LinkUp{link}); }
@@ -78,7 +78,7 @@
         tell(LinkWrote{link, total});
     }
     void answers(LinkId link, const std::string& id, Outcome outcome = Outcome::kAnswered) {
-        tell(PartAnswered{link, {id, outcome, {}, "value of " + id}});
+        tell(PartAnswered{link, {id, outcome, {}, "value of " + id}, 0});
     }
     std::vector<std::string> frames(LinkId link, char letter) const {
         std::vector<std::string> found;
@@ -183,7 +183,7 @@
     desk.pass(ms(10));
     assert(desk.router.open_launches() == 0);
     const ClientId other = desk.client(); // the same id once more
-    desk.tell(SearchRead{other, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, desk.now});
+    desk.tell(SearchRead{other, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, 0});
     const auto opened = desk.all<OpenLink>();
     assert(opened.size() == 2); // not where the first answer may still come
     desk.up(opened[1].link), desk.wrote_all(opened[1].link);
@@ -238,6 +238,28 @@
     assert(desk.all<OpenLink>().back().address == "10.0.0.0:2" && desk.all<CloseLink>()[0].link == old);
 }
 
+// At its old address there may be another server by now, without that shard.
+void what_waits_for_a_moved_server_is_taken_back() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    desk.search();
+    const LinkId old = desk.all<OpenLink>()[0].link;
+    desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, true, {entry(0, Listed::kLive, "2")}}});
+    desk.up(old);
+    desk.pass(ms(5));
+    assert(desk.frames(old, 'S').empty() && desk.all<OpenLink>().back().address == "10.0.0.0:2");
+}
+
+// A search that lay unread while the front node stood still has less time left, one that lay too long none.
+void age_of_a_search_counts() {
+    Desk desk(node_terms(), 1);
+    const ClientId aged = desk.client(), dead = desk.client();
+    desk.tell(SearchRead{aged, {"a", "find", "acme", "text", 1'000'000, false, {{0, 1.0}}}, ms(400)});
+    desk.tell(SearchRead{dead, {"b", "find", "acme", "text", 300'000, false, {{0, 1.0}}}, ms(400)});
+    assert(desk.verdict(dead) == Verdict::kPushedBack && !desk.verdict(aged));
+    desk.pass(ms(600));
+    assert(desk.verdict(aged));
+}
+
 // What is written to a connection that the index server closes as idle would be lost.
 void idle_connection_is_closed_before_the_server_does() {
     Desk desk(node_terms(), 1);
@@ -292,10 +314,10 @@
 void errors_of_a_request_never_reach_the_module() {
     Desk desk;
     const ClientId client = desk.client(), twin = desk.client();
-    desk.tell(SearchRead{client, {"a", "other", "acme", "t", 1000, false, {{0, 1.0}}}, desk.now});
-    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 1000, false, {{2, 1.0}}}, desk.now});
-    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, desk.now});
-    desk.tell(SearchRead{twin, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, desk.now});
+    desk.tell(SearchRead{client, {"a", "other", "acme", "t", 1000, false, {{0, 1.0}}}, 0});
+    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 1000, false, {{2, 1.0}}}, 0});
+    desk.tell(SearchRead{client, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, 0});
+    desk.tell(SearchRead{twin, {"a", "find", "acme", "t", 900'000, false, {{0, 1.0}}}, 0});
     const auto rejected = desk.all<RejectClient>();
     assert(rejected.size() == 3 && desk.router.counts().searches == 1);
     assert(rejected[0].status == 404 && rejected[1].status == 400 && rejected[2].status == 409);
@@ -367,6 +389,8 @@
     STORY(no_search_outlives_its_expiry),
     STORY(drained_server_gets_nothing_that_still_waits),
     STORY(moved_server_is_met_at_its_new_address),
+    STORY(what_waits_for_a_moved_server_is_taken_back),
+    STORY(age_of_a_search_counts),
     STORY(idle_connection_is_closed_before_the_server_does),
     STORY(silent_probe_retires_its_connection),
     STORY(watch_goes_on_and_a_silent_one_is_dropped),
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -236,6 +236,21 @@
     assert(world.exit_status() == 0);
 }
 
+// The front node stands still while a search lies in its socket: the client's time goes on.
+void time_stood_still_is_the_clients_time() {
+    World world;
+    Peer client = Peer::to(world.address);
+    client.say("GET /-/ready HTTP/1.1\r\n\r\n");
+    assert(client.answer().status == 200);
+    kill(world.node, SIGSTOP);
+    client.say(search("a1"));
+    poll(nullptr, 0, 500); // this time is what the story is about
+    kill(world.node, SIGCONT);
+    const std::string frame = world.servers[0].accept().frame();
+    const int left = std::stoi(frame.substr(frame.find("d=") + 2));
+    assert(left > 0 && left <= 1520);
+}
+
 void what_is_not_understood_is_answered_and_closed() {
     World world;
     Peer client = Peer::to(world.address);
@@ -339,6 +354,7 @@
     STORY(refused_before_the_first_byte_is_pushed_back),
     STORY(client_that_leaves_takes_its_search_along),
     STORY(told_to_stop_it_answers_what_it_took),
+    STORY(time_stood_still_is_the_clients_time),
     STORY(what_is_not_understood_is_answered_and_closed),
     STORY(crowd_of_idle_clients_keeps_nobody_out),
     STORY(list_is_watched_and_obeyed),
