--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -33,7 +33,8 @@
     const protocol::StartOrders orders = read_orders(path);
     std::cout << path << ": sound; " << orders.name << " on " << orders.listen << ", discovery at "
               << orders.discovery << ", " << orders.known.servers.size() << " index servers known, "
-              << orders.terms.products.size() << " products\n";
+              << orders.terms.products.size() << " products, " << orders.sockets << " sockets, "
+              << orders.memory_mb << " MB\n";
     return 0;
 }
 
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -3,6 +3,7 @@
 #include "protocol/values.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ivyrill::protocol {
 
@@ -52,7 +53,7 @@
                 if (!first) expect(','), skip_blanks();
                 std::string name = read_text();
                 skip_blanks(), expect(':');
-                value.members.emplace_back(std::move(name), read(depth + 1));
+                value.members.push_back({std::move(name), read(depth + 1)});
             }
         } else if (take('[')) {
             value.sort = Json::Sort::kList;
@@ -181,8 +182,8 @@
 } // namespace
 
 const Json* Json::find(std::string_view name) const {
-    const auto found = std::ranges::find(members, name, &std::pair<std::string, Json>::first);
-    return found == members.end() ? nullptr : &found->second;
+    const auto found = std::ranges::find(members, name, &Member::name);
+    return found == members.end() ? nullptr : &found->value;
 }
 
 const Json& Json::at(std::string_view name) const {
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -6,17 +6,17 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace ivyrill::protocol {
 
 struct Json {
+    struct Member;
     enum class Sort { kNull, kBool, kNumber, kText, kList, kObject };
     Sort sort = Sort::kNull;
     std::string text; // of a number or a text; true or false
     std::vector<Json> items;
-    std::vector<std::pair<std::string, Json>> members; // in their order
+    std::vector<Member> members; // in their order
 
     const Json* find(std::string_view name) const;           // null where absent
     const Json& at(std::string_view name) const;             // must be there
@@ -27,6 +27,11 @@
     const std::vector<Json>& as_list(std::string_view what) const;
 };
 
+struct Json::Member {
+    std::string name;
+    Json value;
+};
+
 Json read_json(std::string_view text); // throws ProtocolError
 void write_json_text(std::string& out, std::string_view text);
 
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -136,6 +136,8 @@
     const Settled settled(settings);
     NodeTerms terms;
     terms.opening = read_terms(settings, seed);
+    for (ProductTerms& product : terms.opening.products)
+        product.follow_up = 0; // nor has a search a second step
     terms.most_open = settled.whole("Limits.MaxOpen", 0);
     terms.batch = settled.at_least_one("Specifics.Batch", 1);
     terms.calls_a_connection = settled.at_least_one("Limits.StreamsPerConn", 1);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -118,9 +118,9 @@
     finish(what.search, {});
 }
 
-void Router::finish(SearchId id, protocol::FinalAnswer answer) {
+bool Router::finish(SearchId id, protocol::FinalAnswer answer) {
     const auto found = searches_.find(id);
-    if (found == searches_.end()) return;
+    if (found == searches_.end()) return false;
     Search& search = found->second;
     for (const PartId part : search.parts) {
         Part& held = parts_.at(part);
@@ -136,22 +136,18 @@
     }
     open_ids_.erase(search.wire_id);
     searches_.erase(found);
+    return true;
 }
 
 void Router::answer(SearchId search, bool whole) {
-    ++counts_.delivered;
-    finish(search, {protocol::Verdict::kDelivered, whole, {}, 0});
+    counts_.delivered += finish(search, {protocol::Verdict::kDelivered, whole, {}, 0});
 }
 
 void Router::push_back(SearchId search, Tenths come_back) {
-    ++counts_.pushed_back;
-    finish(search, {protocol::Verdict::kPushedBack, false, {}, come_back});
+    counts_.pushed_back += finish(search, {protocol::Verdict::kPushedBack, false, {}, come_back});
 }
 
-void Router::scrap(SearchId search) {
-    ++counts_.scrapped;
-    finish(search, {});
-}
+void Router::scrap(SearchId search) { counts_.scrapped += finish(search, {}); }
 
 void Router::apply(const DrainOrdered&) { draining_ = true; }
 
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -166,7 +166,7 @@
 
     void tell(const ivyrill::Event& news) { brain_->on(now_, news), decision_due_ = true; }
     void at(Tenths when, Alarm alarm) { alarms_.emplace(when, std::move(alarm)); }
-    void finish(SearchId id, protocol::FinalAnswer answer);
+    bool finish(SearchId id, protocol::FinalAnswer answer); // false where it has ended already
     void return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report = {}, Tenths age = 0);
     void return_later(const LaunchKey& key, ServerId server, Outcome outcome);
     void send_calls();
