A connection that owes something and does not move is closed; an exception ends one connection

From a reading, with a story that failed before: half a request held its descriptor for ever below the limit of descriptors. What owes the rest of a request, or is owed an answer that is not read, and moved no byte in the longest expiry span, is closed; idle connections between requests are left alone. A coroutine that met an exception other than a malformed frame ended without a word and left its connection behind; now it ends that connection.

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -62,7 +62,7 @@
     accept_task_ = accept_clients(), accept_task_.start();
     counts_at_ = loop_.now() + kCountsEvery;
     while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
-        Tenths until = counts_at_;
+        Tenths until = std::min(counts_at_, stuck_at_);
         if (timer_ > 0) until = std::min(until, timer_);
         if (phases_.now() == Phase::kDraining) until = std::min(until, phases_.since() + kCrossing);
         loop_.wait(until);
@@ -74,6 +74,7 @@
 // All that one wake-up brought goes through the reducer, oldest first; what its effects bring at once too.
 void Node::turn() {
     if (std::exchange(accept_short_, false)) accept_all(); // no edge comes for those who wait already
+    if (loop_.now() >= stuck_at_) drop_stuck();
     do {
         for (; !inbox_.empty(); inbox_.pop_front()) router_->step(loop_.now(), std::move(inbox_.front()));
         for (const routing::Effect& effect : router_->turn(loop_.now()))
@@ -170,38 +171,56 @@
     }
 }
 
+// An exception ends the connection that met it, and no more than that.
 Task Node::serve_client(Client& client) {
     Stream& stream = client.stream;
-    while (!client.closing) {
-        while (!client.parser.complete() && client.parser.broken() == 0) {
-            if (stream.in.empty()) {
-                if (stream.ended()) break;
-                co_await stream.changed;
-                continue;
+    try {
+        while (!client.closing && !stream.ended()) {
+            while (!client.parser.complete() && client.parser.broken() == 0) {
+                if (stream.in.empty()) {
+                    if (stream.ended()) break;
+                    co_await stream.changed;
+                    continue;
+                }
+                stream.in.consume(client.parser.feed(stream.in.front()));
+                stream.read_on();
             }
-            stream.in.consume(client.parser.feed(stream.in.front()));
-            stream.read_on();
+            if (client.parser.broken() != 0) {
+                client.closing = true;
+                stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
+            } else if (client.parser.complete()) {
+                const protocol::HttpMessage message = client.parser.take();
+                handle_request(client, message);
+            }
+            while (client.busy && !stream.ended()) co_await stream.changed;
         }
-        if (client.parser.broken() != 0) {
-            client.closing = true;
-            stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
-        } else if (client.parser.complete()) {
-            const protocol::HttpMessage message = client.parser.take();
-            handle_request(client, message);
+        // The last word is out: the client closes, and what it may still send is read, lest it be reset.
+        while (!stream.ended()) {
+            if (stream.unwritten() == 0) stream.finish();
+            stream.in.consume(stream.in.front().size());
+            stream.read_on();
+            if (!stream.ended()) co_await stream.changed;
         }
-        while (client.busy && !stream.ended()) co_await stream.changed;
-        if (stream.ended()) break;
-    }
-    // The last word is out: the client closes, and what it may still send is read, lest it be reset.
-    while (!stream.ended()) {
-        if (stream.unwritten() == 0) stream.finish();
-        stream.in.consume(stream.in.front().size());
-        stream.read_on();
-        if (!stream.ended()) co_await stream.changed;
-    }
+    } catch (const std::exception& error) { log_some("client: {}", error.what()); }
     post(routing::ClientGone{client.id});
 }
 
+// Half a request of which nothing more comes, an answer that is not read, a connection that is over but not
+// closed: after the longest time that any client waits, they hold no descriptor and no memory any more.
+void Node::drop_stuck() {
+    for (const auto& [id, client] : clients_) {
+        const bool owing =
+            client->stream.unwritten() > 0 || (!client->busy && (client->parser.begun() || client->closing));
+        const std::uint64_t moved = client->stream.moved();
+        if (owing && moved == client->moved) post(routing::ClientGone{id});
+        client->moved = moved;
+    }
+    Tenths longest = kTenthsPerSecond;
+    for (const ProductTerms& product : orders_.terms.opening.products)
+        longest = std::max(longest, product.expiry_span);
+    stuck_at_ = loop_.now() + longest;
+}
+
 void Node::handle_request(Client& client, const protocol::HttpMessage& message) {
     client.closing = message.close;
     const protocol::ClientRequest request = protocol::read_client_request(message);
@@ -249,28 +268,19 @@
 
 Task Node::serve_link(Link& link) {
     Stream& stream = link.stream;
-    for (;;) {
-        tell_link(link);
-        while (!stream.in.empty()) {
-            stream.in.consume(link.parser.feed(stream.in.front()));
-            stream.read_on();
-            bool sound = !link.parser.broken();
-            if (link.parser.complete()) {
-                try {
-                    handle_frame(link, link.parser.take());
-                } catch (const protocol::ProtocolError& error) {
-                    log_some("index server: {}", error.what());
-                    sound = false;
-                }
+    try {
+        for (;;) {
+            tell_link(link);
+            while (!stream.in.empty() && !link.parser.broken()) {
+                stream.in.consume(link.parser.feed(stream.in.front()));
+                stream.read_on();
+                if (link.parser.complete()) handle_frame(link, link.parser.take());
             }
-            if (sound) continue;
-            post(routing::LinkEnded{link.id});
-            co_return;
+            if (stream.ended() || link.parser.broken()) break;
+            co_await stream.changed;
         }
-        if (stream.ended()) break;
-        co_await stream.changed;
-    }
-    tell_link(link);
+        tell_link(link);
+    } catch (const std::exception& error) { log_some("index server: {}", error.what()); }
     post(routing::LinkEnded{link.id});
 }
 
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -29,6 +29,7 @@
         routing::ClientId id;
         protocol::HttpParser parser{protocol::HttpParser::Side::kRequests};
         transport::Stream stream;
+        std::uint64_t moved = 0;            // bytes both ways, when last looked at
         bool busy = false, closing = false; // a search is out; its answer is the last word here
         transport::Task task;
     };
@@ -71,6 +72,7 @@
     void keep_phase();
     void enter(Phase phase);
     void tell_counts();
+    void drop_stuck();
     bool all_written() const;
     void post(routing::Event event) { inbox_.push_back(std::move(event)); }
 
@@ -83,7 +85,7 @@
     transport::Slot accept_on_, ask_on_;
     bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
-    Tenths timer_ = 0, counts_at_ = 0;
+    Tenths timer_ = 0, counts_at_ = 0, stuck_at_ = 0;
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
     std::map<routing::LinkId, std::unique_ptr<Link>> links_;
     Discovery discovery_;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -159,7 +159,7 @@
         }
         const ssize_t count = ::recv(source_.descriptor(), place.data(), place.size(), 0);
         if (count > 0) {
-            in.commit(static_cast<std::size_t>(count));
+            in.commit(static_cast<std::size_t>(count)), received_ += static_cast<std::uint64_t>(count);
             changed.wake();
         } else if (count < 0 && errno == EINTR) {
             continue;
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -33,6 +33,7 @@
     bool up() const { return up_; }
     bool ended() const { return ended_; }              // nothing comes any more, nothing can be written
     std::uint64_t written() const { return written_; } // bytes that the system has taken so far
+    std::uint64_t moved() const { return received_ + written_; }
     std::size_t unwritten() const { return out_.size(); }
     Tenths age() const;                // of the last bytes that reached this machine, read or not
     bool send(std::string_view bytes); // false where the ring has no room for them
@@ -48,7 +49,7 @@
     Source source_;
     Slot space_, outgoing_;
     Ring out_;
-    std::uint64_t written_ = 0;
+    std::uint64_t received_ = 0, written_ = 0;
     bool up_, ended_ = false;
     Task reader_, writer_; // last, so that they are freed first
 };
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -281,6 +281,17 @@
     assert(crowd.back().answer().status == 200);
 }
 
+void half_a_request_does_not_stay_for_ever() {
+    World world;
+    Peer half = Peer::to(world.address), patient = Peer::to(world.address);
+    half.say("POST /find HTTP/1.1\r\nHost");
+    patient.say("GET /-/ready HTTP/1.1\r\n\r\n"); // idle between requests: that is no fault
+    assert(patient.answer().status == 200);
+    assert(half.hear().empty());
+    patient.say("GET /-/ready HTTP/1.1\r\n\r\n");
+    assert(patient.answer().status == 200);
+}
+
 void list_is_watched_and_obeyed() {
     World world;
     Peer discovery = world.discovery.accept();
@@ -357,6 +368,7 @@
     STORY(time_stood_still_is_the_clients_time),
     STORY(what_is_not_understood_is_answered_and_closed),
     STORY(crowd_of_idle_clients_keeps_nobody_out),
+    STORY(half_a_request_does_not_stay_for_ever),
     STORY(list_is_watched_and_obeyed),
     STORY(taken_address_is_one_clear_error),
     STORY(partial_writes_lose_nothing),
