--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -120,6 +120,33 @@
     assert(desk.router.open_searches() == 0 && desk.router.open_launches() == 0);
 }
 
+void parts_for_one_server_travel_together() {
+    protocol::NodeTerms terms = node_terms();
+    terms.batch = 2, terms.shards = 3;
+    Desk desk(terms, 1);
+    const ClientId client = desk.search({0, 1, 2});
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link), desk.wrote_all(link);
+    const auto calls = desk.frames(link, 'S');
+    assert(calls.size() == 2 && desk.all<OpenLink>().size() == 1); // two parts and one
+    assert(calls[0].find("q1.0 0 ") == 0 && calls[0].find("textq1.1 1 ") != std::string::npos);
+    for (const char* id : {"q1.0", "q1.1", "q1.2"}) desk.answers(link, id); // each by itself
+    assert(desk.verdict(client) == Verdict::kDelivered);
+}
+
+void full_connection_gets_company() {
+    protocol::NodeTerms terms = node_terms();
+    terms.calls_a_connection = 2;
+    Desk desk(terms, 1);
+    desk.search({0, 1});
+    assert(desk.all<OpenLink>().size() == 1);
+    desk.search({0, 1});
+    assert(desk.all<OpenLink>().size() == 2);
+    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link);
+    desk.wrote_all(desk.all<OpenLink>()[0].link), desk.wrote_all(desk.all<OpenLink>()[1].link);
+    for (const OpenLink& open : desk.all<OpenLink>()) assert(desk.frames(open.link, 'S').size() == 2);
+}
+
 // How far the bytes went decides what is proved.
 void broken_before_the_last_byte_never_ran() {
     for (const bool written : {false, true}) {
@@ -380,6 +407,8 @@
 
 constexpr Story kStories[] = {
     STORY(search_is_sent_and_answered),
+    STORY(parts_for_one_server_travel_together),
+    STORY(full_connection_gets_company),
     STORY(broken_before_the_last_byte_never_ran),
     STORY(each_frame_has_its_own_boundary),
     STORY(refused_connection_sends_the_part_elsewhere),
