--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -359,7 +359,11 @@
         routing::Event news = routing::ListLost{id};
         if (answer && answer->status == 200) {
             try {
-                news = routing::ListTold{id, protocol::read_server_list(answer->body)};
+                protocol::ServerList list = protocol::read_server_list(answer->body);
+                if (!list.servers.empty())
+                    log().info("list version={} full={} entries={}", list.version, list.full,
+                               list.servers.size());
+                news = routing::ListTold{id, std::move(list)};
             } catch (const protocol::ProtocolError& error) { log_some("discovery: {}", error.what()); }
         }
         post(std::move(news));
