One piece for what the front node did twice; state that nothing reads is gone

Behaviour unchanged, tests untouched. Gone: Router::watching_, a server's name, a link's written bytes, the server in a launch's return, Task::done, clocks that only the loop reads.

--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -57,14 +57,12 @@
 LoadReport read_report(const Line& line) {
     LoadReport report;
     if (!line.has("Report")) return report;
-    for (const std::string_view pair : split(line.text("Report"), ',')) {
-        const std::size_t at = pair.find(':');
-        if (at == std::string_view::npos) continue; // `-` or nothing: no report
-        const std::string_view name = pair.substr(0, at);
-        const std::string_view value = pair.substr(at + 1);
-        if (name == "busy_reqs") report.in_flight = to_number(value, name);
-        if (name == "pending") report.queued = to_number(value, name);
-    }
+    // `-` or nothing: no report
+    protocol::for_each_pair(line.text("Report"), ':',
+                            [&report](std::string_view name, std::string_view value) {
+                                if (name == "busy_reqs") report.in_flight = to_number(value, name);
+                                if (name == "pending") report.queued = to_number(value, name);
+                            });
     return report;
 }
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -6,7 +6,6 @@
 
 #include <CLI/CLI.hpp>
 
-#include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -51,6 +51,8 @@
 Node::Node(protocol::StartOrders orders) : orders_(std::move(orders)), accept_on_(loop_), ask_on_(loop_) {
     signals_.emplace(loop_, open_signals());
     listener_.emplace(loop_, transport::listen_at(orders_.listen));
+    for (const ProductTerms& product : orders_.terms.opening.products)
+        stuck_after_ = std::max(stuck_after_, product.expiry_span);
     router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, descriptors(orders_.sockets),
                                                 loop_.now());
 }
@@ -177,13 +179,12 @@
     try {
         while (!client.closing && !stream.ended()) {
             while (!client.parser.complete() && client.parser.broken() == 0) {
-                if (stream.in.empty()) {
-                    if (stream.ended()) break;
+                if (stream.unread())
+                    stream.feed(client.parser);
+                else if (stream.ended())
+                    break;
+                else
                     co_await stream.changed;
-                    continue;
-                }
-                stream.in.consume(client.parser.feed(stream.in.front()));
-                stream.read_on();
             }
             if (client.parser.broken() != 0) {
                 client.closing = true;
@@ -197,8 +198,7 @@
         // The last word is out: the client closes, and what it may still send is read, lest it be reset.
         while (!stream.ended()) {
             if (stream.unwritten() == 0) stream.finish();
-            stream.in.consume(stream.in.front().size());
-            stream.read_on();
+            stream.discard();
             if (!stream.ended()) co_await stream.changed;
         }
     } catch (const std::exception& error) { log_some("client: {}", error.what()); }
@@ -215,10 +215,7 @@
         if (owing && moved == client->moved) post(routing::ClientGone{id});
         client->moved = moved;
     }
-    Tenths longest = kTenthsPerSecond;
-    for (const ProductTerms& product : orders_.terms.opening.products)
-        longest = std::max(longest, product.expiry_span);
-    stuck_at_ = loop_.now() + longest;
+    stuck_at_ = loop_.now() + stuck_after_;
 }
 
 void Node::handle_request(Client& client, const protocol::HttpMessage& message) {
@@ -236,25 +233,24 @@
     }
 }
 
-void Node::answer_client(routing::ClientId id, const std::string& bytes, bool close) {
+// An answer is the last word on its connection where the reducer or the client's request says so.
+template <class Write> void Node::answer_client(routing::ClientId id, bool close, Write write) {
     const auto found = clients_.find(id);
     if (found == clients_.end()) return;
     Client& client = *found->second;
-    client.busy = false, client.closing = close;
-    if (!client.stream.send(bytes)) client.closing = true;
+    client.busy = false, client.closing = client.closing || close;
+    if (!client.stream.send(write(client.closing))) client.closing = true;
     client.stream.changed.wake();
 }
 
 void Node::carry_out(const routing::AnswerClient& effect) {
-    const auto found = clients_.find(effect.client);
-    const bool close = effect.close || (found != clients_.end() && found->second->closing);
-    answer_client(effect.client, protocol::write_final_answer(effect.answer, close), close);
+    answer_client(effect.client, effect.close,
+                  [&](bool close) { return protocol::write_final_answer(effect.answer, close); });
 }
 
 void Node::carry_out(const routing::RejectClient& effect) {
-    const auto found = clients_.find(effect.client);
-    const bool close = effect.close || (found != clients_.end() && found->second->closing);
-    answer_client(effect.client, protocol::write_plain_answer(effect.status, effect.why, close), close);
+    answer_client(effect.client, effect.close,
+                  [&](bool close) { return protocol::write_plain_answer(effect.status, effect.why, close); });
 }
 
 void Node::carry_out(const routing::CloseClient& effect) { clients_.erase(effect.client); }
@@ -271,9 +267,8 @@
     try {
         for (;;) {
             tell_link(link);
-            while (!stream.in.empty() && !link.parser.broken()) {
-                stream.in.consume(link.parser.feed(stream.in.front()));
-                stream.read_on();
+            while (stream.unread() && !link.parser.broken()) {
+                stream.feed(link.parser);
                 if (link.parser.complete()) handle_frame(link, link.parser.take());
             }
             if (stream.ended() || link.parser.broken()) break;
@@ -343,10 +338,7 @@
             protocol::HttpParser parser(protocol::HttpParser::Side::kResponses);
             stream.send(request);
             for (;;) {
-                while (!stream.in.empty() && !parser.complete() && parser.broken() == 0) {
-                    stream.in.consume(parser.feed(stream.in.front()));
-                    stream.read_on();
-                }
+                while (stream.unread() && !parser.complete() && parser.broken() == 0) stream.feed(parser);
                 if (stream.ended()) parser.end();
                 if (parser.complete() || parser.broken() != 0 || stream.ended()) break;
                 co_await stream.changed;
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -68,7 +68,7 @@
     void carry_out(const routing::AskDiscovery& effect);
     void carry_out(const routing::DropAsk& effect);
     void carry_out(const routing::ArmTimer& effect);
-    void answer_client(routing::ClientId id, const std::string& bytes, bool close);
+    template <class Write> void answer_client(routing::ClientId id, bool close, Write write);
     void keep_phase();
     void enter(Phase phase);
     void tell_counts();
@@ -86,6 +86,7 @@
     bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
     Tenths timer_ = 0, counts_at_ = 0, stuck_at_ = 0;
+    Tenths stuck_after_ = kTenthsPerSecond; // the longest that any client waits
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
     std::map<routing::LinkId, std::unique_ptr<Link>> links_;
     Discovery discovery_;
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -84,13 +84,10 @@
 
 LoadReport read_load_report(std::string_view text) {
     LoadReport report;
-    for (const std::string_view pair : split(text, ',')) {
-        const std::size_t at = pair.find('=');
-        if (at == std::string_view::npos) continue; // `-`: no report
-        const std::string_view name = pair.substr(0, at), value = pair.substr(at + 1);
+    for_each_pair(text, '=', [&report](std::string_view name, std::string_view value) { // `-`: no report
         if (name == "inflight" || name == "busy_reqs") report.in_flight = to_number(value, name);
         if (name == "queue" || name == "pending") report.queued = to_number(value, name);
-    }
+    });
     return report;
 }
 
--- a/src/protocol/values.hpp
+++ b/src/protocol/values.hpp
@@ -16,6 +16,12 @@
 
 std::string quoted(std::string_view text); // shortened, for messages
 std::vector<std::string_view> split(std::string_view text, char at);
+// Each name and value of pairs set apart by commas; what has no sign between the two is passed over.
+template <class Each> void for_each_pair(std::string_view text, char sign, Each each) {
+    for (const std::string_view pair : split(text, ','))
+        if (const std::size_t at = pair.find(sign); at != std::string_view::npos)
+            each(pair.substr(0, at), pair.substr(at + 1));
+}
 std::int64_t to_integer(std::string_view text, std::string_view name);
 double to_number(std::string_view text, std::string_view name);
 bool to_bool(std::string_view text, std::string_view name);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -60,11 +60,11 @@
     const std::optional<SearchId> search = found->second.search;
     clients_.erase(found);
     effects_.push_back(CloseClient{event.client});
-    if (search) {
-        tell(SearchLapsed{*search});
-        ++counts_.lapsed;
-        finish(*search, {});
-    }
+    if (search) lapse(*search);
+    let_in();
+}
+
+void Router::let_in() {
     if (!accepting_ && !quiet_) accepting_ = true, effects_.push_back(AcceptClients{true});
 }
 
@@ -112,10 +112,13 @@
 
 // The module ends each search ahead of its expiry; should it ever not, the client is not left without a word.
 void Router::due(const SearchDue& what) {
-    if (!searches_.contains(what.search)) return;
-    tell(SearchLapsed{what.search});
+    if (searches_.contains(what.search)) lapse(what.search);
+}
+
+void Router::lapse(SearchId id) {
+    tell(SearchLapsed{id});
     ++counts_.lapsed;
-    finish(what.search, {});
+    finish(id, {});
 }
 
 bool Router::finish(SearchId id, protocol::FinalAnswer answer) {
@@ -132,7 +135,7 @@
         client->second.search.reset();
         client->second.idle_since = now_;
         effects_.push_back(AnswerClient{search.client, std::move(answer), draining_});
-        if (!accepting_ && !quiet_) accepting_ = true, effects_.push_back(AcceptClients{true});
+        let_in();
     }
     open_ids_.erase(search.wire_id);
     searches_.erase(found);
@@ -178,7 +181,7 @@
     const bool allowed = at_server != servers_.end() && at_server->second.listed == Listed::kLive &&
                          holds(at_server->second, held.shard.value) && time_out > 0 &&
                          key.second.value < static_cast<std::uint32_t>(terms_.opening.most_launches);
-    if (!allowed) return return_later(key, server, Outcome::kNeverSent);
+    if (!allowed) return return_later(key, Outcome::kNeverSent);
     at(now_ + time_out, LaunchDue{key});
     fresh_[server].push_back(key);
 }
@@ -201,7 +204,7 @@
 void Router::put_on_link(ServerId server, Call call) {
     const auto id = link_for(server, call);
     if (!id) {
-        for (const LaunchKey& key : call) return_later(key, server, Outcome::kNoConnection);
+        for (const LaunchKey& key : call) return_later(key, Outcome::kNoConnection);
         return;
     }
     Link& link = links_.at(*id);
@@ -211,9 +214,7 @@
     hand_over(*id);
 }
 
-void Router::return_later(const LaunchKey& key, ServerId server, Outcome outcome) {
-    at(now_ + 1, LaunchReturn{key, server, outcome});
-}
+void Router::return_later(const LaunchKey& key, Outcome outcome) { at(now_ + 1, LaunchReturn{key, outcome}); }
 
 void Router::due(const LaunchReturn& what) { return_launch(what.launch, what.outcome); }
 
@@ -233,11 +234,11 @@
 }
 
 void Router::forget_waiting(Link& link, const LaunchKey& key) {
-    for (Call& call : link.waiting)
-        if (std::erase(call, key) > 0 && call.empty()) {
-            link.waiting.erase(std::ranges::find_if(link.waiting, [&](auto& c) { return &c == &call; }));
-            return;
-        }
+    for (auto call = link.waiting.begin(); call != link.waiting.end(); ++call) {
+        if (std::erase(*call, key) == 0) continue;
+        if (call->empty()) link.waiting.erase(call);
+        return;
+    }
 }
 
 // Takes a launch off its connection: unsent, it vanishes; else the server is told, and its late answer is
@@ -266,7 +267,7 @@
     if (found == launches_.end() || found->second.given_up) return;
     give_up(key, found->second);
     // A copy that replaces it must not reach its server before this word reaches the other.
-    at(now_ + terms_.opening.turn_gap, LaunchReturn{key, found->second.server, Outcome::kRecalled});
+    at(now_ + terms_.opening.turn_gap, LaunchReturn{key, Outcome::kRecalled});
 }
 
 void Router::due(const LaunchDue& what) {
@@ -386,8 +387,7 @@
     const auto found = links_.find(event.link);
     if (found == links_.end()) return;
     Link& link = found->second;
-    link.written = event.total;
-    while (!link.in_ring.empty() && link.in_ring.front().end <= link.written) {
+    while (!link.in_ring.empty() && link.in_ring.front().end <= event.total) {
         for (const LaunchKey& key : link.in_ring.front().call)
             if (const auto launch = launches_.find(key); launch != launches_.end())
                 launch->second.way = Way::kSent;
@@ -461,7 +461,7 @@
 void Router::probe(ServerId server) {
     const auto id = link_for(server, {});
     ++counts_.probes;
-    if (!id) return at(now_ + 1, ProbeReturn{server, 1});
+    if (!id) return at(now_ + 1, ProbeReturn{server});
     Link& link = links_.at(*id);
     link.probes.push_back({next_probe_++, now_, false});
     at(now_ + terms_.connect_span, ProbeDue{*id, link.probes.back().serial});
@@ -469,7 +469,7 @@
     hand_over(*id);
 }
 
-void Router::due(const ProbeReturn& what) { tell(ProbeReturned{what.server, false, what.took, {}}); }
+void Router::due(const ProbeReturn& what) { tell(ProbeReturned{what.server, false, 1, {}}); }
 
 // A connection that leaves a probe without an answer may lead nowhere any more: nothing new goes there, and
 // the next probe tries a new one.
@@ -502,7 +502,7 @@
 ServerId Router::server_of(const std::string& name) {
     const auto [place, fresh] =
         server_ids_.try_emplace(name, ServerId{static_cast<std::uint32_t>(server_ids_.size())});
-    if (fresh) servers_[place->second].name = name;
+    if (fresh) servers_.try_emplace(place->second);
     return place->second;
 }
 
@@ -522,7 +522,7 @@
         for (const LaunchKey& key : keys) {
             Launch& launch = launches_.at(key);
             give_up(key, launch);
-            return_later(key, launch.server, Outcome::kNeverSent);
+            return_later(key, Outcome::kNeverSent);
         }
     }
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -80,7 +80,7 @@
     struct Link {
         ServerId server;
         bool up = false, retired = false; // retired: nothing new goes there
-        std::uint64_t handed = 0, written = 0;
+        std::uint64_t handed = 0;         // bytes, so far
         std::deque<Call> waiting;
         std::deque<Handed> in_ring;
         std::map<std::string, LaunchKey> out;   // sent, by wire id
@@ -91,7 +91,7 @@
         bool idle_armed = false;
     };
     struct Server {
-        std::string name, address;
+        std::string address;
         Listed listed = Listed::kLive;
         std::int32_t cell = 0;
         std::set<LinkId> links;
@@ -103,7 +103,6 @@
     };
     struct LaunchReturn {
         LaunchKey launch;
-        ServerId server;
         Outcome outcome;
     };
     struct SearchDue {
@@ -121,7 +120,6 @@
     };
     struct ProbeReturn {
         ServerId server;
-        Tenths took;
     };
     struct AskDue {
         AskId ask;
@@ -167,8 +165,10 @@
     void tell(const ivyrill::Event& news) { brain_->on(now_, news), decision_due_ = true; }
     void at(Tenths when, Alarm alarm) { alarms_.emplace(when, std::move(alarm)); }
     bool finish(SearchId id, protocol::FinalAnswer answer); // false where it has ended already
+    void lapse(SearchId id);
+    void let_in();
     void return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report = {}, Tenths age = 0);
-    void return_later(const LaunchKey& key, ServerId server, Outcome outcome);
+    void return_later(const LaunchKey& key, Outcome outcome);
     void send_calls();
     void put_on_link(ServerId server, Call call);
     std::optional<LinkId> link_for(ServerId server, const Call& call);
@@ -208,7 +208,7 @@
     std::multimap<Tenths, Alarm> alarms_;
     std::optional<AskId> ask_;
     std::int64_t version_ = 0;
-    bool watching_ = false, whole_wanted_ = false, draining_ = false, quiet_ = false, accepting_ = true;
+    bool whole_wanted_ = false, draining_ = false, quiet_ = false, accepting_ = true;
     bool decision_due_ = true;
     Counts counts_;
     std::vector<Effect> effects_;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -19,11 +19,11 @@
     return at.tv_sec * 1'000'000 + at.tv_nsec / 1000;
 }
 
-} // namespace
-
 std::int64_t steady_us() { return clock_us(CLOCK_MONOTONIC); }
 std::int64_t unix_us() { return clock_us(CLOCK_REALTIME); }
 
+} // namespace
+
 Slot::~Slot() {
     if (queued_ && waiting_) std::erase(loop_.ready_, waiting_);
 }
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -69,7 +69,4 @@
     std::deque<std::coroutine_handle<>> ready_;
 };
 
-std::int64_t steady_us();
-std::int64_t unix_us();
-
 } // namespace ivyrill::transport
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -88,7 +88,7 @@
 }
 
 Stream::Stream(Loop& loop, int descriptor, Start start, std::size_t most_in, std::size_t most_out)
-    : in(most_in), changed(loop), source_(loop, descriptor), space_(loop), outgoing_(loop), out_(most_out),
+    : changed(loop), source_(loop, descriptor), space_(loop), outgoing_(loop), in_(most_in), out_(most_out),
       up_(start == Start::kConnected), reader_(pump_in()), writer_(pump_out()) {
     writer_.start();
     reader_.start();
@@ -137,7 +137,7 @@
         }
         up_ = true;
         changed.wake();
-        read_on();
+        space_.wake();
     }
     while (!ended_) {
         write_some();
@@ -152,19 +152,19 @@
 Task Stream::pump_in() {
     while (!up_ && !ended_) co_await space_;
     while (!ended_) {
-        const std::span<char> place = in.space();
+        const std::span<char> place = in_.space();
         if (place.empty()) {
             co_await space_;
             continue;
         }
         const ssize_t count = ::recv(source_.descriptor(), place.data(), place.size(), 0);
         if (count > 0) {
-            in.commit(static_cast<std::size_t>(count)), received_ += static_cast<std::uint64_t>(count);
+            in_.commit(static_cast<std::size_t>(count)), received_ += static_cast<std::uint64_t>(count);
             changed.wake();
         } else if (count < 0 && errno == EINTR) {
             continue;
         } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            in.release();
+            in_.release();
             co_await source_.readable;
         } else {
             end();
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -27,7 +27,6 @@
     enum class Start { kConnected, kConnecting };
     Stream(Loop& loop, int descriptor, Start start, std::size_t most_in, std::size_t most_out);
 
-    Ring in;
     Slot changed; // woken on new bytes, on the end, once connected, and when bytes were written
 
     bool up() const { return up_; }
@@ -38,7 +37,16 @@
     Tenths age() const;                // of the last bytes that reached this machine, read or not
     bool send(std::string_view bytes); // false where the ring has no room for them
     void finish();                     // nothing more will be sent; the other side is told
-    void read_on() { space_.wake(); }  // after bytes were taken out of `in`
+    // Hands what has come to a parser, as far as it takes it; the room is read into again.
+    template <class Parser> void feed(Parser& parser) {
+        in_.consume(parser.feed(in_.front()));
+        space_.wake();
+    }
+    void discard() { // what has come
+        in_.consume(in_.front().size());
+        space_.wake();
+    }
+    bool unread() const { return !in_.empty(); }
 
   private:
     Task pump_in();
@@ -48,7 +56,7 @@
 
     Source source_;
     Slot space_, outgoing_;
-    Ring out_;
+    Ring in_, out_;
     std::uint64_t received_ = 0, written_ = 0;
     bool up_, ended_ = false;
     Task reader_, writer_; // last, so that they are freed first
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -27,7 +27,6 @@
     ~Task() { free(); }
 
     void start() { handle_.resume(); }
-    bool done() const { return !handle_ || handle_.done(); }
 
   private:
     explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
