SIGHUP reads the configuration again and moves the watch of discovery

Checked: the log ends without a word at the signal; Node::open_signals blocks and takes SIGTERM and SIGINT only, so the default of SIGHUP ends the process. Also at fault, by reading: serve_discovery took its address from the orders of the start, and DropAsk would have left a freed coroutine in the slot it waits in, had it been met between an ask and its start.

Now SIGHUP is taken from the descriptor, the file is read, and the reducer hears DiscoveryNamed: another address drops the call that is out with its connection and asks the new one for the whole list. Anything else in the file needs a restart; a file that cannot be used changes nothing. Stories: discovery_that_moved_is_asked_for_everything_at_once, new_configuration_moves_discovery_and_nothing_else.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -40,7 +40,7 @@
 int serve(const std::string& path, const std::string& level) {
     protocol::StartOrders orders = read_orders(path);
     open_log(orders.name, level);
-    return Node(std::move(orders)).run();
+    return Node(std::move(orders), [path] { return read_orders(path); }).run();
 }
 
 } // namespace
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -27,7 +27,7 @@
 int open_signals() {
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
-    sigemptyset(&set), sigaddset(&set, SIGTERM), sigaddset(&set, SIGINT);
+    sigemptyset(&set), sigaddset(&set, SIGTERM), sigaddset(&set, SIGINT), sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
@@ -48,17 +48,19 @@
 Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor, std::size_t most_out)
     : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostRead, most_out) {}
 
-Node::Node(protocol::StartOrders orders) : orders_(std::move(orders)), accept_on_(loop_), ask_on_(loop_) {
+Node::Node(protocol::StartOrders orders, ReadAgain read_again)
+    : orders_(std::move(orders)), read_again_(std::move(read_again)), accept_on_(loop_) {
     signals_.emplace(loop_, open_signals());
     listener_.emplace(loop_, transport::listen_at(orders_.listen));
     for (const ProductTerms& product : orders_.terms.opening.products)
         stuck_after_ = std::max(stuck_after_, product.expiry_span);
-    router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, descriptors(orders_.sockets),
-                                                loop_.now());
+    router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, orders_.discovery,
+                                                descriptors(orders_.sockets), loop_.now());
 }
 
 int Node::run() {
     signal_task_ = await_signals(), signal_task_.start();
+    discovery_.emplace(loop_);
     discovery_task_ = serve_discovery(), discovery_task_.start();
     if (phases_.now() == Phase::kStarting) enter(Phase::kServing); // before the first client is heard
     accept_task_ = accept_clients(), accept_task_.start();
@@ -118,6 +120,10 @@
     for (;;) {
         signalfd_siginfo info;
         while (read(signals_->descriptor(), &info, sizeof info) == sizeof info) {
+            if (info.ssi_signo == SIGHUP) {
+                read_orders_again();
+                continue;
+            }
             if (phases_.now() == Phase::kServing) post(routing::DrainOrdered{});
             enter(phases_.now() == Phase::kStarting ? Phase::kStopped : Phase::kDraining);
         }
@@ -125,6 +131,17 @@
     }
 }
 
+// What a running front node takes up of a new configuration is where discovery is; the rest needs a restart.
+// A file that cannot be used changes nothing.
+void Node::read_orders_again() {
+    try {
+        if (!read_again_) throw std::runtime_error("no file was named at the start");
+        const protocol::StartOrders fresh = read_again_();
+        log().info("configuration read again, discovery={}", fresh.discovery);
+        post(routing::DiscoveryNamed{fresh.discovery});
+    } catch (const std::exception& error) { log_some("configuration not taken up: {}", error.what()); }
+}
+
 void Node::tell_counts() {
     const routing::Counts& c = router_->counts();
     counts_at_ = loop_.now() + kCountsEvery;
@@ -320,21 +337,21 @@
 
 Task Node::serve_discovery() {
     for (;;) {
-        while (!discovery_.ask) co_await ask_on_;
-        const routing::AskId id = discovery_.ask->ask;
-        const std::string request = protocol::list_request(orders_.discovery, discovery_.ask->after,
-                                                           discovery_.ask->wait_ms, discovery_.ask->whole);
+        while (!discovery_->ask) co_await discovery_->asked;
+        const routing::AskId id = discovery_->ask->ask;
+        const std::string request = protocol::list_request(discovery_->ask->address, discovery_->ask->after,
+                                                           discovery_->ask->wait_ms, discovery_->ask->whole);
         std::optional<protocol::HttpMessage> answer;
         // A kept connection may have been closed between calls: such a call goes once more, on a new one.
         for (bool again = true; again && !answer;) {
-            again = discovery_.stream != nullptr;
+            again = discovery_->stream != nullptr;
             if (!again) {
-                const int descriptor = transport::connect_to(orders_.discovery);
+                const int descriptor = transport::connect_to(discovery_->ask->address);
                 if (descriptor < 0) break;
-                discovery_.stream = std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting,
-                                                             kMostRead, kMostRead);
+                discovery_->stream = std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting,
+                                                              kMostRead, kMostRead);
             }
-            Stream& stream = *discovery_.stream;
+            Stream& stream = *discovery_->stream;
             protocol::HttpParser parser(protocol::HttpParser::Side::kResponses);
             stream.send(request);
             for (;;) {
@@ -345,9 +362,9 @@
             }
             if (parser.complete()) answer = parser.take();
             again = again && !answer && !parser.begun();
-            if (!answer || answer->close) discovery_.stream.reset();
+            if (!answer || answer->close) discovery_->stream.reset();
         }
-        discovery_.ask.reset();
+        discovery_->ask.reset();
         routing::Event news = routing::ListLost{id};
         if (answer && answer->status == 200) {
             try {
@@ -363,14 +380,14 @@
 }
 
 void Node::carry_out(const routing::AskDiscovery& effect) {
-    discovery_.ask = effect;
-    ask_on_.wake();
+    discovery_->ask = effect;
+    discovery_->asked.wake();
 }
 
-void Node::carry_out(const routing::DropAsk&) {
-    log_some("discovery: {}", "no answer in time, its connection is closed");
+void Node::carry_out(const routing::DropAsk& effect) {
+    log_some("discovery: its connection is closed: {}", effect.why);
     discovery_task_ = {};
-    discovery_.stream.reset(), discovery_.ask.reset();
+    discovery_.emplace(loop_);
     discovery_task_ = serve_discovery(), discovery_task_.start();
 }
 
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -10,6 +10,7 @@
 #include "transport/stream.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,7 +20,8 @@
 
 class Node {
   public:
-    explicit Node(protocol::StartOrders orders); // throws where an order cannot be kept
+    using ReadAgain = std::function<protocol::StartOrders()>; // throws where nothing can be made of it
+    explicit Node(protocol::StartOrders orders, ReadAgain read_again = {}); // throws what cannot be kept
     int port() const { return transport::port_of(listener_->descriptor()); }
     int run(); // until it is told to stop; the exit status
 
@@ -43,7 +45,9 @@
         transport::Task task;
     };
     struct Discovery {
+        explicit Discovery(transport::Loop& loop) : asked(loop) {}
         std::optional<routing::AskDiscovery> ask; // the call that is out
+        transport::Slot asked;
         std::unique_ptr<transport::Stream> stream;
     };
 
@@ -69,6 +73,7 @@
     void carry_out(const routing::DropAsk& effect);
     void carry_out(const routing::ArmTimer& effect);
     template <class Write> void answer_client(routing::ClientId id, bool close, Write write);
+    void read_orders_again();
     void keep_phase();
     void enter(Phase phase);
     void tell_counts();
@@ -77,19 +82,20 @@
     void post(routing::Event event) { inbox_.push_back(std::move(event)); }
 
     protocol::StartOrders orders_;
+    ReadAgain read_again_;
     transport::Loop loop_;
     Phases phases_;
     std::deque<routing::Event> inbox_;
     std::unique_ptr<routing::Router> router_;
     std::optional<transport::Source> listener_, signals_;
-    transport::Slot accept_on_, ask_on_;
+    transport::Slot accept_on_;
     bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
     Tenths timer_ = 0, counts_at_ = 0, stuck_at_ = 0;
     Tenths stuck_after_ = kTenthsPerSecond; // the longest that any client waits
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
     std::map<routing::LinkId, std::unique_ptr<Link>> links_;
-    Discovery discovery_;
+    std::optional<Discovery> discovery_;
     transport::Task accept_task_, signal_task_, discovery_task_;
 };
 
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -53,10 +53,13 @@
 struct ListLost {
     AskId ask;
 };
+struct DiscoveryNamed { // the configuration was read again
+    std::string address;
+};
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
 using Event = std::variant<ClientOpened, SearchRead, ClientGone, LinkUp, LinkWrote, LinkEnded, PartAnswered,
-                           LoadTold, ListTold, ListLost, DrainOrdered, QuietOrdered>;
+                           LoadTold, ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
@@ -88,11 +91,12 @@
 };
 struct AskDiscovery {
     AskId ask;
+    std::string address;
     std::int64_t after = 0, wait_ms = 0;
     bool whole = false;
 };
-struct DropAsk { // its answer is overdue: its connection goes
-    AskId ask;
+struct DropAsk { // the call that is out, if any, and the connection to discovery
+    std::string why;
 };
 struct ArmTimer {
     Tenths at = 0;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -4,9 +4,10 @@
 
 namespace ivyrill::routing {
 
-Router::Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::size_t descriptors,
-               Tenths now)
-    : terms_(std::move(terms)), brain_(open_brain(terms_.opening)), descriptors_(descriptors), now_(now) {
+Router::Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::string discovery,
+               std::size_t descriptors, Tenths now)
+    : terms_(std::move(terms)), brain_(open_brain(terms_.opening)), descriptors_(descriptors), now_(now),
+      discovery_(std::move(discovery)) {
     take_list(known, ListKind::kSaved);
 }
 
@@ -569,7 +570,7 @@
 void Router::watch_on() {
     ask_ = AskId{next_ask_++};
     const Tenths wait = terms_.ask_span / 2;
-    effects_.push_back(AskDiscovery{*ask_, version_, wait / 10, whole_wanted_});
+    effects_.push_back(AskDiscovery{*ask_, discovery_, version_, wait / 10, whole_wanted_});
     at(now_ + wait + terms_.ask_span / 10, AskDue{*ask_});
 }
 
@@ -591,10 +592,19 @@
 
 void Router::due(const AskDue& what) {
     if (ask_ != what.ask) return;
-    effects_.push_back(DropAsk{what.ask});
+    effects_.push_back(DropAsk{"no answer in time"});
     apply(ListLost{what.ask});
 }
 
+// Discovery has moved: the old one's word counts no more, and the new one, whose versions need not follow on,
+// is asked for the whole list at once.
+void Router::apply(const DiscoveryNamed& event) {
+    if (event.address == discovery_) return;
+    discovery_ = event.address, whole_wanted_ = true;
+    effects_.push_back(DropAsk{"it has moved to " + discovery_});
+    watch_on();
+}
+
 void Router::wake(Tenths in) { at(now_ + std::max<Tenths>(1, in), Wake{}); }
 void Router::due(const Wake&) { decision_due_ = true; }
 
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -25,7 +25,8 @@
 class Router : private Host {
   public:
     // `descriptors`: so many connections may be held, clients and index servers together.
-    Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::size_t descriptors, Tenths now);
+    Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::string discovery,
+           std::size_t descriptors, Tenths now);
 
     void step(Tenths now, Event event);   // one thing that happened
     std::vector<Effect> turn(Tenths now); // what is due by now, one decision, and the effects of it all
@@ -149,6 +150,7 @@
     void apply(const LoadTold& event);
     void apply(const ListTold& event);
     void apply(const ListLost& event);
+    void apply(const DiscoveryNamed& event);
     void apply(const DrainOrdered& event);
     void apply(const QuietOrdered& event);
 
@@ -206,6 +208,7 @@
     std::map<std::string, ServerId> server_ids_;
     std::map<ServerId, std::vector<LaunchKey>> fresh_; // launches of this turn
     std::multimap<Tenths, Alarm> alarms_;
+    std::string discovery_; // its address
     std::optional<AskId> ask_;
     std::int64_t version_ = 0;
     bool whole_wanted_ = false, draining_ = false, quiet_ = false, accepting_ = true;
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -37,7 +37,7 @@
 // A router, and the effects it has asked for so far.
 struct Desk {
     explicit Desk(protocol::NodeTerms terms = node_terms(), int servers = 2, std::size_t descriptors = 1000)
-        : router(std::move(terms), list(servers), descriptors, ms(1000)) {
+        : router(std::move(terms), list(servers), "10.0.1.1:1", descriptors, ms(1000)) {
         turn();
     }
     static protocol::ServerList list(int servers) {
@@ -329,6 +329,22 @@
     assert(desk.all<AskDiscovery>()[3].whole);
 }
 
+void discovery_that_moved_is_asked_for_everything_at_once() {
+    Desk desk;
+    const AskId old = desk.all<AskDiscovery>()[0].ask;
+    desk.tell(DiscoveryNamed{"10.0.1.1:1"}); // the same: the watch goes on
+    assert(desk.all<AskDiscovery>().size() == 1 && desk.all<DropAsk>().empty());
+    desk.tell(DiscoveryNamed{"10.0.1.2:1"});
+    const auto asked = desk.all<AskDiscovery>();
+    assert(desk.all<DropAsk>().size() == 1 && asked.size() == 2);
+    assert(asked[0].address == "10.0.1.1:1" && asked[1].address == "10.0.1.2:1" && asked[1].whole);
+    desk.tell(ListTold{old, {9, true, {entry(0, Listed::kDraining)}}}); // the old one's word counts no more
+    desk.search();
+    assert(desk.all<AskDiscovery>().size() == 2 && desk.all<OpenLink>().size() == 1);
+    desk.tell(ListTold{asked[1].ask, {1, true, {entry(1)}}}); // its versions need not follow on
+    assert(desk.all<AskDiscovery>()[2].after == 1 && !desk.all<AskDiscovery>()[2].whole);
+}
+
 void too_many_at_once_are_pushed_back_unseen() {
     protocol::NodeTerms terms = node_terms();
     terms.most_open = 3;
@@ -423,6 +439,7 @@
     STORY(idle_connection_is_closed_before_the_server_does),
     STORY(silent_probe_retires_its_connection),
     STORY(watch_goes_on_and_a_silent_one_is_dropped),
+    STORY(discovery_that_moved_is_asked_for_everything_at_once),
     STORY(too_many_at_once_are_pushed_back_unseen),
     STORY(errors_of_a_request_never_reach_the_module),
     STORY(order_to_stop_answers_all_that_was_taken),
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -84,9 +84,12 @@
     Listener() : descriptor_(transport::listen_at("127.0.0.1:0")) {}
     ~Listener() { close(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(transport::port_of(descriptor_)); }
-    Peer accept() const {
+    bool called(int within_ms) const {
         pollfd wanted{descriptor_, POLLIN, 0};
-        assert(poll(&wanted, 1, kPatienceMs) == 1);
+        return poll(&wanted, 1, within_ms) == 1;
+    }
+    Peer accept() const {
+        assert(called(kPatienceMs));
         return Peer(transport::accept_from(descriptor_));
     }
     void close() {
@@ -114,16 +117,22 @@
         for (int i = 0; i < 2; ++i)
             orders.known.servers.push_back(
                 {"s" + std::to_string(i), servers[i].address(), "a", "m", i, Listed::kLive, 1, 0});
+        protocol::StartOrders changed = orders;
+        changed.discovery = moved.address();
         int ends[2];
         assert(pipe(ends) == 0);
         node = fork();
         if (node == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL); // a story that fails leaves nobody behind
-            discovery.close(), servers[0].close(), servers[1].close();
+            discovery.close(), moved.close(), servers[0].close(), servers[1].close();
             program::open_log("node", "warn");
             int status = 2;
             try {
-                Node own(orders);
+                int readings = 0;
+                Node own(orders, [&] { // the first file that it finds is no good
+                    if (++readings == 1) throw std::runtime_error("half a file");
+                    return changed;
+                });
                 const int port = own.port();
                 if (write(ends[1], &port, sizeof port) == sizeof port) status = own.run();
             } catch (const std::exception& error) { program::log().error("{}", error.what()); }
@@ -144,7 +153,7 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     }
 
-    Listener discovery;
+    Listener discovery, moved; // the latter is named once the configuration is read again
     Listener servers[2];
     pid_t node = -1;
     std::string address;
@@ -314,6 +323,33 @@
     assert(asked() == "/api/targets?after=7&wait_ms=50000");
 }
 
+void new_configuration_moves_discovery_and_nothing_else() {
+    World world;
+    Peer old = world.discovery.accept();
+    old.message(protocol::HttpParser::Side::kRequests);
+    Peer client = Peer::to(world.address);
+    client.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    do kill(world.node, SIGHUP); // what comes in a row may count as one
+    while (!world.moved.called(20));
+    Peer discovery = world.moved.accept();
+    assert(discovery.message(protocol::HttpParser::Side::kRequests).target == "/api/targets");
+    assert(old.hear().empty());
+    const std::string list = R"({"version":1,"full":true,"servers":[{"id":"s0","addr":")" +
+                             world.servers[1].address() + R"(","cell":0,"state":"SERVING"}]})";
+    discovery.say(protocol::http_response(200, "", list, false));
+    assert(discovery.message(protocol::HttpParser::Side::kRequests).target ==
+           "/api/targets?after=1&wait_ms=50000");
+    server.say(part_answer("a1.0"));
+    assert(client.answer().status == 200);
+    client.say(search("a2"));
+    assert(world.servers[1].accept().frame().starts_with("Sa2.0"));
+    kill(world.node, SIGTERM), kill(world.node, SIGHUP);
+    client.close();
+    assert(world.exit_status() == 0);
+}
+
 void taken_address_is_one_clear_error() {
     Listener taken;
     protocol::StartOrders orders;
@@ -370,6 +406,7 @@
     STORY(crowd_of_idle_clients_keeps_nobody_out),
     STORY(half_a_request_does_not_stay_for_ever),
     STORY(list_is_watched_and_obeyed),
+    STORY(new_configuration_moves_discovery_and_nothing_else),
     STORY(taken_address_is_one_clear_error),
     STORY(partial_writes_lose_nothing),
     STORY(phases_follow_their_table),
