A spoilt answer costs its connection, not its server

Checked: a probe build that wrote all that index servers sent to the log. Spoilt were an unknown letter, lengths of 0, 3, 2^32-4 and 3 GB, an end that is empty, 0 or ?, and 52 bytes of noise; good answers came with reports `=,=` or `nan`, with noise or with a second copy behind. No value of another length than 16 was in a frame that could be read. Ruled out: answers that hang (some 70 calls given up in 5 s, before and after), memory, CPU.

At fault: Node::serve_link and Router::close_link. Any of these ended the connection as if the server had broken it, so all launches out there came back as kBroken; the module then sets the server aside, counts it as unreachable and, once it answers probes, as cold, which on this site lasts 17 s; the replicas of a shard ran out of cold budget. Also read_load_report threw on `busy_reqs=nan`, and an answer with an id never sent there left its launch waiting.

Now LinkSpoilt ends the launch that the answer names (else the oldest there) as an error that may have run, and the others as called off, which closing the connection is; nothing is said against the server. LinkMidway keeps new launches from a connection whose frame has begun and is not whole, and ends it after the connect time-out. A report that cannot be read is none. Five stories, each fails without its change.

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -150,10 +150,10 @@
     const auto ms = [](const timeval& at) { return at.tv_sec * 1000 + at.tv_usec / 1000; };
     log().info(
         "counts searches={} delivered={} pushed_back={} scrapped={} lapsed={} over_full={} launches={} "
-        "late_answers={} links_opened={} probes={} lists={} lists_lost={} open_searches={} "
+        "late_answers={} links_opened={} spoilt={} probes={} lists={} lists_lost={} open_searches={} "
         "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
         c.searches, c.delivered, c.pushed_back, c.scrapped, c.lapsed, c.over_full, c.launches,
-        c.returned_late, c.links_opened, c.probes, c.lists, c.lists_lost, router_->open_searches(),
+        c.returned_late, c.links_opened, c.spoilt, c.probes, c.lists, c.lists_lost, router_->open_searches(),
         router_->open_launches(), router_->open_clients(), router_->open_links(),
         ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
 }
@@ -284,14 +284,20 @@
     try {
         for (;;) {
             tell_link(link);
-            while (stream.unread() && !link.parser.broken()) {
+            while (stream.unread() && !link.parser.broken() && !link.over) {
                 stream.feed(link.parser);
                 if (link.parser.complete()) handle_frame(link, link.parser.take());
             }
-            if (stream.ended() || link.parser.broken()) break;
+            if (stream.ended() || link.parser.broken() || link.over) break;
+            if (link.parser.midway() && !std::exchange(link.told_midway, true))
+                post(routing::LinkMidway{link.id});
             co_await stream.changed;
         }
         tell_link(link);
+        if (link.parser.broken()) {
+            log_some("index server: {}", "what it sent is no frame");
+            post(routing::LinkSpoilt{link.id, {}});
+        }
     } catch (const std::exception& error) { log_some("index server: {}", error.what()); }
     post(routing::LinkEnded{link.id});
 }
@@ -304,11 +310,20 @@
 }
 
 void Node::handle_frame(Link& link, const protocol::Frame& frame) {
-    if (frame.letter == 'R')
-        return post(
-            routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest), link.stream.age()});
-    if (frame.letter == 'M') return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
-    throw protocol::ProtocolError(std::string("frame ") + frame.letter + ": " + frame.rest.substr(0, 80));
+    link.told_midway = false;
+    try {
+        if (frame.letter == 'R')
+            return post(
+                routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest), link.stream.age()});
+        if (frame.letter == 'M')
+            return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
+        if (frame.letter != 'F') throw protocol::ProtocolError(std::string("frame ") + frame.letter);
+        log_some("index server: our frame was of no use to it: {}", protocol::quoted(frame.rest));
+    } catch (const protocol::ProtocolError& error) {
+        log_some("index server: {}", error.what());
+        post(routing::LinkSpoilt{link.id, std::string(protocol::part_named(frame.rest))});
+    }
+    link.over = true;
 }
 
 void Node::carry_out(const routing::OpenLink& effect) {
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -40,8 +40,8 @@
         routing::LinkId id;
         protocol::FrameParser parser;
         transport::Stream stream;
-        bool told_up = false;
-        std::uint64_t told = 0; // bytes written, as the reducer knows
+        bool told_up = false, told_midway = false, over = false; // over: nothing is read any more
+        std::uint64_t told = 0;                                  // bytes written, as the reducer knows
         transport::Task task;
     };
     struct Discovery {
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::string_view kLetters = "SCHMRF";
+constexpr double kMostReported = 1e6; // searches that one server may have at hand
+
 std::string frame(char letter, std::string_view rest) {
     const std::size_t length = rest.size() + 1;
     std::string out;
@@ -29,12 +32,14 @@
         }
         if (frame_.letter == 0) {
             frame_.letter = bytes[taken++], --frame_left_;
-            broken_ = frame_.letter == 0;
+            broken_ = kLetters.find(frame_.letter) == std::string_view::npos;
             continue;
         }
         const std::size_t size = std::min(frame_left_, bytes.size() - taken);
         frame_.rest.append(bytes.substr(taken, size));
         taken += size, frame_left_ -= size;
+        broken_ = frame_.letter == 'R' && frame_.rest.size() > kMostLine &&
+                  frame_.rest.find('\n') > kMostLine; // npos, too: a line without an end
     }
     return taken;
 }
@@ -76,6 +81,11 @@
     return answer;
 }
 
+std::string_view part_named(std::string_view rest) {
+    rest = rest.substr(0, kMostLine);
+    return rest.substr(0, rest.find_first_of(" \n"));
+}
+
 LoadAnswer read_load_answer(std::string_view rest) {
     if (rest.ends_with('\n')) rest.remove_suffix(1);
     if (rest == "failed") return {};
@@ -84,10 +94,17 @@
 
 LoadReport read_load_report(std::string_view text) {
     LoadReport report;
-    for_each_pair(text, '=', [&report](std::string_view name, std::string_view value) { // `-`: no report
-        if (name == "inflight" || name == "busy_reqs") report.in_flight = to_number(value, name);
-        if (name == "queue" || name == "pending") report.queued = to_number(value, name);
-    });
+    const auto count = [](std::string_view value) {
+        const double number = to_number(value, "load report");
+        if (number < 0 || number > kMostReported) throw ProtocolError("load report: out of range");
+        return number;
+    };
+    try {
+        for_each_pair(text, '=', [&](std::string_view name, std::string_view value) {
+            if (name == "inflight" || name == "busy_reqs") report.in_flight = count(value);
+            if (name == "queue" || name == "pending") report.queued = count(value);
+        });
+    } catch (const ProtocolError&) { return {}; }
     return report;
 }
 
--- a/src/protocol/frames.hpp
+++ b/src/protocol/frames.hpp
@@ -9,6 +9,7 @@
 namespace ivyrill::protocol {
 
 inline constexpr std::size_t kMostFrame = 256 * 1024; // bytes that one frame may claim
+inline constexpr std::size_t kMostLine = 1024;        // bytes in an answer's line
 
 struct Frame {
     char letter = 0;
@@ -19,7 +20,8 @@
   public:
     std::size_t feed(std::string_view bytes); // takes bytes until a frame is complete or broken
     bool complete() const { return !broken_ && header_ == 4 && frame_left_ == 0; }
-    bool broken() const { return broken_; }
+    bool broken() const { return broken_; } // no frame, whatever may follow
+    bool midway() const { return header_ > 0 && !complete() && !broken_; }
     Frame take();
 
   private:
@@ -48,8 +50,10 @@
     bool passed = false;
     LoadReport report;
 };
-PartAnswer read_part_answer(std::string_view rest); // throws ProtocolError, as do those below
+PartAnswer read_part_answer(std::string_view rest); // throws ProtocolError
+std::string_view part_named(std::string_view rest); // by an answer that cannot be read, as far as it says
 LoadAnswer read_load_answer(std::string_view rest);
-LoadReport read_load_report(std::string_view text); // name=value pairs set apart by commas, or -
+// Pairs name=value set apart by commas, or -. What cannot be read is no report, and no fault of the answer.
+LoadReport read_load_report(std::string_view text);
 
 } // namespace ivyrill::protocol
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -37,6 +37,13 @@
 struct LinkEnded { // refused, broken or closed by the other side
     LinkId link;
 };
+struct LinkMidway { // a frame has begun and is not whole
+    LinkId link;
+};
+struct LinkSpoilt { // what came cannot be read; the answer names this part, or none
+    LinkId link;
+    std::string part;
+};
 struct PartAnswered {
     LinkId link;
     protocol::PartAnswer answer;
@@ -58,8 +65,9 @@
 };
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
-using Event = std::variant<ClientOpened, SearchRead, ClientGone, LinkUp, LinkWrote, LinkEnded, PartAnswered,
-                           LoadTold, ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
+using Event =
+    std::variant<ClientOpened, SearchRead, ClientGone, LinkUp, LinkWrote, LinkEnded, LinkMidway, LinkSpoilt,
+                 PartAnswered, LoadTold, ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -283,13 +283,16 @@
     const auto at_link = links_.find(event.link);
     if (at_link == links_.end()) return;
     Link& link = at_link->second;
-    link.used = now_;
+    link.used = now_, link.midway = 0;
     const auto found = link.out.find(event.answer.id);
     if (found == link.out.end()) {
-        link.given_up.erase(event.answer.id);
         ++counts_.returned_late;
+        const bool late = link.given_up.erase(event.answer.id) > 0, again = event.answer.id == link.last;
+        if (late) link.last = event.answer.id;
+        if (!late && !again) apply(LinkSpoilt{event.link, {}}); // nobody asked for it here
         return;
     }
+    link.last = event.answer.id;
     const LaunchKey key = found->second;
     const auto part = parts_.find(key.first);
     if (part != parts_.end() && event.answer.outcome == Outcome::kAnswered)
@@ -314,7 +317,7 @@
     std::vector<LinkId> stale;
     for (const LinkId id : servers_.at(server).links) {
         Link& link = links_.at(id);
-        if (link.retired) continue;
+        if (link.retired || link.midway > 0) continue;
         if (idle(link) && terms_.idle_span > 0 && now_ >= link.used + idle_limit()) {
             stale.push_back(id);
             continue;
@@ -418,6 +421,51 @@
         if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
 }
 
+// What came there cannot be read, or is not what was asked for: the launch that it answered has failed and
+// may have run, and no further answer can be told from what follows. The others out there are called off by
+// closing the connection. That says nothing of their server, which has answered: it is no broken one. Where
+// no launch is named, the one that has been out for longest is taken for the one answered.
+void Router::apply(const LinkSpoilt& event) {
+    const auto found = links_.find(event.link);
+    if (found == links_.end()) return;
+    ++counts_.spoilt;
+    const auto& out = found->second.out;
+    const auto sent = [this](auto& held) { return launches_.at(held.second).way == Way::kSent; };
+    auto answered = out.find(event.part);
+    if (answered == out.end() || !sent(*answered)) {
+        answered = out.end();
+        for (auto next = out.begin(); next != out.end(); ++next)
+            if (sent(*next) && (answered == out.end() ||
+                                launches_.at(next->second).made_at < launches_.at(answered->second).made_at))
+                answered = next;
+    }
+    std::vector<LaunchKey> others;
+    for (auto next = out.begin(); next != out.end(); ++next)
+        if (next != answered && sent(*next)) others.push_back(next->second);
+    if (answered != out.end()) return_launch(LaunchKey(answered->second), Outcome::kError);
+    for (const LaunchKey& key : others) {
+        launches_.at(key).given_up = true;
+        // As with a recall, a copy that replaces it must not reach its server before this word does.
+        at(now_ + terms_.opening.turn_gap, LaunchReturn{key, Outcome::kRecalled});
+        if (const auto link = links_.find(event.link); link != links_.end())
+            link->second.out.erase(launches_.at(key).wire_id), --link->second.parts;
+    }
+    if (links_.contains(event.link)) close_link(event.link);
+}
+
+// A frame that has begun comes at once or not at all. Until it is whole its connection takes nothing new.
+void Router::apply(const LinkMidway& event) {
+    const auto found = links_.find(event.link);
+    if (found == links_.end() || found->second.midway > 0) return;
+    found->second.midway = next_midway_++;
+    at(now_ + terms_.connect_span, MidwayDue{event.link, found->second.midway});
+}
+
+void Router::due(const MidwayDue& what) {
+    const auto found = links_.find(what.link);
+    if (found != links_.end() && found->second.midway == what.serial) apply(LinkSpoilt{what.link, {}});
+}
+
 void Router::due(const ConnectDue& what) {
     const auto found = links_.find(what.link);
     if (found != links_.end() && !found->second.up) close_link(what.link);
@@ -490,7 +538,7 @@
     const auto found = links_.find(event.link);
     if (found == links_.end() || found->second.probes.empty()) return;
     Link& link = found->second;
-    link.used = now_;
+    link.used = now_, link.midway = 0;
     const ProbeOut probe = link.probes.front();
     link.probes.pop_front();
     if (!probe.over)
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -19,7 +19,8 @@
 
 struct Counts { // since the start
     std::uint64_t searches = 0, delivered = 0, pushed_back = 0, scrapped = 0, lapsed = 0, over_full = 0,
-                  launches = 0, returned_late = 0, links_opened = 0, probes = 0, lists = 0, lists_lost = 0;
+                  launches = 0, returned_late = 0, links_opened = 0, spoilt = 0, probes = 0, lists = 0,
+                  lists_lost = 0;
 };
 
 class Router : private Host {
@@ -88,6 +89,8 @@
         std::map<std::string, Tenths> given_up; // an answer may still come until then
         std::deque<ProbeOut> probes;            // in the order in which they are answered
         int parts = 0;                          // waiting, in the ring or out, given up ones apart
+        std::string last;                       // the part answered last
+        std::uint64_t midway = 0;               // a serial number while a frame has begun and is not whole
         Tenths used = 0;
         bool idle_armed = false;
     };
@@ -112,6 +115,10 @@
     struct ConnectDue {
         LinkId link;
     };
+    struct MidwayDue {
+        LinkId link;
+        std::uint64_t serial;
+    };
     struct IdleDue {
         LinkId link;
     };
@@ -126,8 +133,8 @@
         AskId ask;
     };
     struct Wake {};
-    using Alarm = std::variant<LaunchDue, LaunchReturn, SearchDue, ConnectDue, IdleDue, ProbeDue, ProbeReturn,
-                               AskDue, Wake>;
+    using Alarm = std::variant<LaunchDue, LaunchReturn, SearchDue, ConnectDue, MidwayDue, IdleDue, ProbeDue,
+                               ProbeReturn, AskDue, Wake>;
 
     // Host: the module's actions
     void launch(PartId part, ServerId server, Tenths time_out) override;
@@ -146,6 +153,8 @@
     void apply(const LinkUp& event);
     void apply(const LinkWrote& event);
     void apply(const LinkEnded& event);
+    void apply(const LinkMidway& event);
+    void apply(const LinkSpoilt& event);
     void apply(const PartAnswered& event);
     void apply(const LoadTold& event);
     void apply(const ListTold& event);
@@ -158,6 +167,7 @@
     void due(const LaunchReturn& what);
     void due(const SearchDue& what);
     void due(const ConnectDue& what);
+    void due(const MidwayDue& what);
     void due(const IdleDue& what);
     void due(const ProbeDue& what);
     void due(const ProbeReturn& what);
@@ -197,7 +207,7 @@
     std::size_t descriptors_;
     Tenths now_ = 0, armed_ = 0;
     std::uint32_t next_id_ = 1; // of searches and parts
-    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1;
+    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1, next_midway_ = 1;
     std::map<ClientId, Client> clients_;
     std::map<SearchId, Search> searches_;
     std::map<PartId, Part> parts_;
--- a/tests/protocol_stories.cpp
+++ b/tests/protocol_stories.cpp
@@ -130,7 +130,13 @@
     FrameParser huge, none;
     huge.feed(std::string("\x7F\xFF\xFF\xFF", 4)), none.feed(std::string(4, '\0'));
     assert(huge.broken() && none.broken());
-    for (const char* rest : {"", "a done 1 -", "a done 1\n", "a perhaps 1 -\n", "a done 1 queue=x\n"}) {
+    FrameParser letter, endless, midway;
+    letter.feed(frame_of('\1', "a.1 done 1 -\nv")); // no letter of the protocol
+    endless.feed(std::string("\0\3\0\0R", 5) + std::string(kMostLine + 1, 'a'));
+    assert(letter.broken() && endless.broken());
+    midway.feed(frame_of('R', "a.1 done 1 -\nvalue").substr(0, 9));
+    assert(midway.midway() && !midway.complete() && !midway.broken());
+    for (const char* rest : {"", "a done 1 -", "a done 1\n", "a perhaps 1 -\n", "a  1 -\n"}) {
         bool thrown = false;
         try {
             read_part_answer(rest);
@@ -139,6 +145,18 @@
     }
 }
 
+// The value is what was asked for; the report beside it is only a help.
+void good_answer_counts_although_its_report_cannot_be_read() {
+    for (const char* report :
+         {"=,=", "nan", "queue=nan", "queue=x", "inflight=-3", "busy_reqs=1e300,pending=1"}) {
+        const PartAnswer answer = read_part_answer("a.1 done 1 " + std::string(report) + "\nv");
+        assert(answer.outcome == Outcome::kAnswered && answer.value == "v");
+        assert(!answer.report.queued && !answer.report.in_flight);
+    }
+    assert(read_part_answer("a.1 done 1 busy_reqs=2,pending=0.5\nv").report.queued == 0.5);
+    assert(read_load_answer("queue=x").passed && part_named("a.1 perhaps 1 -") == "a.1");
+}
+
 // Whatever comes, a parser takes it, says that it is broken, or throws its own error; it never takes more
 // than it was given.
 void noise_does_no_harm() {
@@ -229,6 +247,7 @@
     STORY(response_without_length_ends_with_its_connection),
     STORY(frames_are_read_over_every_split),
     STORY(hostile_frames_break_before_memory_is_spent),
+    STORY(good_answer_counts_although_its_report_cannot_be_read),
     STORY(noise_does_no_harm),
     STORY(json_is_strict_and_bounded),
     STORY(list_is_read_and_unknown_states_get_nothing_new),
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -222,6 +222,77 @@
     assert(desk.all<AnswerClient>().size() == 1);
 }
 
+// The answer to one of three launches is spoilt: it has failed and the others on that connection are lost
+// with it, but their server has answered. It gets all three again, on a new connection, and no other server
+// is met.
+void spoilt_answer_costs_its_connection_and_not_its_server() {
+    for (const bool named : {true, false}) {
+        Desk desk(node_terms(), 1);
+        for (int i = 0; i < 3; ++i) desk.search();
+        const LinkId link = desk.all<OpenLink>()[0].link;
+        desk.up(link), desk.wrote_all(link), desk.wrote_all(link), desk.wrote_all(link);
+        assert(desk.frames(link, 'S').size() == 3);
+        desk.tell(LinkSpoilt{link, named ? "q2.0" : "%&"});
+        desk.answers(link, "q1.0"); // nothing counts that follows
+        assert(desk.router.counts().delivered == 0 && desk.all<CloseLink>().size() == 1);
+        desk.pass(ms(20));
+        assert(desk.all<OpenLink>().size() == 2);
+        const LinkId fresh = desk.all<OpenLink>()[1].link;
+        desk.up(fresh), desk.wrote_all(fresh), desk.wrote_all(fresh), desk.wrote_all(fresh);
+        assert(desk.frames(fresh, 'S').size() == 3 && desk.sent('M') == 0);
+        for (const char* id : {"q1.0", "q2.0", "q3.0"}) desk.answers(fresh, id);
+        assert(desk.router.counts().delivered == 3);
+    }
+}
+
+// It may have run: an at-most-once search is scrapped, as is one whose launch was called off with it; one
+// that had not left goes elsewhere.
+void spoilt_answer_may_have_run() {
+    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    const ClientId spoilt = desk.search(), beside = desk.search(), unsent = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
+    desk.tell(LinkWrote{link, 2 * size});
+    desk.tell(LinkSpoilt{link, "q1.0"});
+    desk.pass(ms(20));
+    assert(desk.verdict(spoilt) == Verdict::kScrapped && desk.verdict(beside) == Verdict::kScrapped);
+    assert(!desk.verdict(unsent) && desk.all<OpenLink>().size() == 2);
+}
+
+void frame_that_does_not_fill_holds_nobody_up() {
+    Desk desk(node_terms(), 1);
+    const ClientId first = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.tell(LinkMidway{link});
+    const ClientId second = desk.search(); // goes over another connection
+    assert(desk.all<OpenLink>().size() == 2);
+    const LinkId other = desk.all<OpenLink>()[1].link;
+    desk.up(other), desk.wrote_all(other), desk.answers(other, "q2.0");
+    assert(desk.verdict(second) == Verdict::kDelivered && desk.all<CloseLink>().empty());
+    desk.pass(ms(260));
+    assert(desk.all<CloseLink>()[0].link == link && desk.router.counts().spoilt == 1);
+    assert(desk.frames(other, 'S').size() == 2 && !desk.verdict(first)); // and the first goes again
+    desk.tell(LinkMidway{other}), desk.answers(other, "q1.0");           // whole in time
+    desk.pass(ms(260));
+    assert(desk.verdict(first) == Verdict::kDelivered && desk.all<CloseLink>().size() == 1);
+}
+
+void answer_that_nobody_asked_for_spoils_its_connection() {
+    Desk desk(node_terms(), 1);
+    desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.answers(link, "q1.0"), desk.answers(link, "q1.0"); // a second copy of a good one does no harm
+    const ClientId client = desk.search();
+    desk.wrote_all(link);
+    assert(desk.all<OpenLink>().size() == 1 && desk.all<CloseLink>().empty());
+    desk.answers(link, "q7.0");
+    desk.pass(ms(20));
+    assert(desk.all<CloseLink>().size() == 1 && desk.all<OpenLink>().size() == 2 && !desk.verdict(client));
+}
+
 void client_gone_while_its_part_waits_leaves_nothing() {
     Desk desk;
     const ClientId client = desk.search();
@@ -430,6 +501,10 @@
     STORY(refused_connection_sends_the_part_elsewhere),
     STORY(connection_that_never_comes_is_given_up_in_time),
     STORY(late_answer_is_not_taken_for_a_later_launch),
+    STORY(spoilt_answer_costs_its_connection_and_not_its_server),
+    STORY(spoilt_answer_may_have_run),
+    STORY(frame_that_does_not_fill_holds_nobody_up),
+    STORY(answer_that_nobody_asked_for_spoils_its_connection),
     STORY(client_gone_while_its_part_waits_leaves_nothing),
     STORY(no_search_outlives_its_expiry),
     STORY(drained_server_gets_nothing_that_still_waits),
