A broken connection is one failure and says nothing of its server

Checked: a probe of the module wrote each set-aside, cold start and give-up.

At fault: Mind::learn took one kBroken for a server that is gone: set aside at once, unreachable, then counted as just started, and each a sign of searches that break servers; one reset returns several launches, each of which counted. On sockets Router::close_link also said 'no connection' for what had not left a connection that was up.

Now a break counts once for all launches that return with it and is a failure like an error; only a connection that is refused or never made shows a server unreachable. close_link returns what had not left an up connection as never sent. The rule which cell holds a shard stands once, in OpeningTerms. Stories: broken_connection_says_nothing_of_its_server, breaking_search_goes_singly retold with servers that are gone.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -200,6 +200,8 @@
         const double due = product.terms.due_span;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
+        // A connection that breaks takes all its launches along: one failure, and no word of its server.
+        if (event.outcome == Outcome::kBroken && std::exchange(server.broke_at, now_) == now_) return;
         if (event.outcome != Outcome::kRecalled && event.outcome != Outcome::kTimedOut)
             weigh_group(server, good, event.took);
         if (event.outcome == Outcome::kRecalled) {
@@ -231,10 +233,10 @@
         mix(server.faults, good ? 0 : 1, kFresh);
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
-        const bool broken = event.outcome == Outcome::kNoConnection || event.outcome == Outcome::kBroken;
-        if (broken && !server.unreachable) sign_of_storm();
-        server.unreachable = server.unreachable || broken;
-        if (!good && (broken || server.standing == Standing::kTrial || server.faults > kFaultLimit))
+        const bool refused = event.outcome == Outcome::kNoConnection;
+        if (refused && !server.unreachable) sign_of_storm();
+        server.unreachable = server.unreachable || refused;
+        if (!good && (refused || server.standing == Standing::kTrial || server.faults > kFaultLimit))
             set_aside(server);
     }
 
@@ -361,12 +363,8 @@
     }
 
     bool backlogged(const IndexServer& server) const {
-        return std::ranges::any_of(backlog_, [&](auto& s) { return s.second > 0 && holds(server, s.first); });
-    }
-
-    bool holds(const IndexServer& server, ShardNo shard) const {
-        const int step = (server.entry.cell.value - shard.value % terms_.cells + terms_.cells) % terms_.cells;
-        return step < terms_.span;
+        return std::ranges::any_of(
+            backlog_, [&](auto& s) { return s.second > 0 && terms_.holds(server.entry.cell, s.first); });
     }
 
     double service_of(const IndexServer& server) const {
@@ -387,7 +385,7 @@
         const auto [place, fresh] = replicas_.try_emplace(shard);
         if (fresh)
             for (auto& [id, server] : servers_)
-                if (holds(server, shard)) place->second.push_back(&server);
+                if (terms_.holds(server.entry.cell, shard)) place->second.push_back(&server);
         for (IndexServer* server : place->second) drain(*server);
         return place->second;
     }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -59,6 +59,9 @@
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
     int span = 1;
     Tenths call_work = 0; // what a call costs a server beside its parts
+    bool holds(CellNo cell, ShardNo shard) const {
+        return (cell.value - shard.value % cells + cells) % cells < span;
+    }
 };
 
 struct LoadReport {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -180,18 +180,13 @@
     ++counts_.launches;
     const auto at_server = servers_.find(server);
     const bool allowed = at_server != servers_.end() && at_server->second.listed == Listed::kLive &&
-                         holds(at_server->second, held.shard.value) && time_out > 0 &&
+                         terms_.opening.holds(at_server->second.cell, held.shard) && time_out > 0 &&
                          key.second.value < static_cast<std::uint32_t>(terms_.opening.most_launches);
     if (!allowed) return return_later(key, Outcome::kNeverSent);
     at(now_ + time_out, LaunchDue{key});
     fresh_[server].push_back(key);
 }
 
-bool Router::holds(const Server& server, int shard) const {
-    const int cells = terms_.opening.cells;
-    return (server.cell - shard % cells + cells) % cells < terms_.opening.span;
-}
-
 // What one turn sends to one server travels together, as far as a call may hold.
 void Router::send_calls() {
     for (auto& [server, keys] : std::exchange(fresh_, {}))
@@ -411,12 +406,12 @@
     links_.erase(found);
     servers_.at(link.server).links.erase(id);
     effects_.push_back(CloseLink{id});
+    // Neither ran; only that a connection never came up says something of its server.
+    const Outcome unsent = link.up ? Outcome::kNeverSent : Outcome::kNoConnection;
     for (const Call& call : link.waiting)
-        for (const LaunchKey& key : call) return_launch(key, Outcome::kNoConnection);
-    for (const auto& [wire_id, key] : link.out) {
-        const bool sent = launches_.at(key).way == Way::kSent;
-        return_launch(key, sent ? Outcome::kBroken : Outcome::kNoConnection);
-    }
+        for (const LaunchKey& key : call) return_launch(key, unsent);
+    for (const auto& [wire_id, key] : link.out)
+        return_launch(key, launches_.at(key).way == Way::kSent ? Outcome::kBroken : unsent);
     for (const ProbeOut& probe : link.probes)
         if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
 }
@@ -585,12 +580,13 @@
         Server& server = servers_.at(id);
         named.insert(id);
         const std::string address = row.address.empty() ? server.address : row.address;
-        if (address != server.address || row.cell != server.cell) { // there may be another server by now
+        if (address != server.address ||
+            CellNo{row.cell} != server.cell) { // there may be another server by now
             pull_waiting(server);
             retire_links(server);
         }
         server.address = address;
-        server.listed = row.listed, server.cell = row.cell;
+        server.listed = row.listed, server.cell = CellNo{row.cell};
         ListEntry entry;
         entry.server = id;
         entry.zone = ZoneNo{number_of(terms_.zones, row.zone)};
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -97,7 +97,7 @@
     struct Server {
         std::string address;
         Listed listed = Listed::kLive;
-        std::int32_t cell = 0;
+        CellNo cell;
         std::set<LinkId> links;
     };
 
@@ -186,7 +186,6 @@
     std::optional<LinkId> link_for(ServerId server, const Call& call);
     std::optional<LinkId> open_link(ServerId server);
     void hand_over(LinkId id);
-    bool holds(const Server& server, int shard) const;
     static bool idle(const Link& link);
     Tenths idle_limit() const;
     void close_link(LinkId id);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -88,7 +88,7 @@
     double faults = 0;
     int setbacks = 0, passes = 0, trial_room = 0;
     int silent = 0; // launches unanswered for too long since its last answer, the latest at:
-    Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0;
+    Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0, broke_at = 0;
     Tenths touched = 0, used = 0; // last looked after; when something last went over a connection to it
     Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next launch
     bool known = false, unreachable = false, probe_wanted = false, probe_out = false;
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -321,23 +321,41 @@
     for (int part = 0; part < 3; ++part) assert(!host.sent[static_cast<std::size_t>(part)].recalled);
 }
 
+// Something on the way resets connections, each with all that is out on it; their servers are sound.
+void broken_connection_says_nothing_of_its_server() {
+    FakeHost host(plain_terms(), 1);
+    host.warm(1);
+    const std::size_t before = host.sent.size();
+    host.search({0, 0, 0});
+    host.all_return(Outcome::kBroken, ms(10));
+    assert(host.sent.size() == before + 6); // it gets all three again at once
+    host.all_return(Outcome::kAnswered, ms(50));
+    assert(host.answers == 13 && host.probes.empty());
+    host.search({0});
+    host.all_return(Outcome::kNoConnection, ms(1)); // nobody there: that does say something
+    host.pass(ms(400));
+    assert(!host.probes.empty());
+}
+
 void breaking_search_goes_singly() {
     FakeHost host(plain_terms(), 6);
     const SearchId first = host.search({0, 0, 0});
-    host.all_return(Outcome::kBroken, ms(10)); // three servers broke under it
+    host.all_return(Outcome::kBroken, ms(10)); // three connections broke under it
     assert(host.end_of(first) == End::kScrapped && host.sent.size() == 3);
-    const SearchId second = host.search({0, 0}); // others may do the same: a part goes alone, to learn from
-    assert(host.sent.size() == 4);
-    host.all_return(Outcome::kBroken, ms(10));
-    assert(host.end_of(second) == End::kScrapped && host.sent.size() == 4);
     const SearchId sound = host.search({0, 0, 0});
+    host.all_return(Outcome::kNoConnection, ms(1)); // and three servers are gone, one after another
+    assert(host.sent.size() == 7); // others may do the same: a part goes alone, to learn from
+    const SearchId second = host.search({0, 0});
+    assert(host.sent.size() == 8);
+    host.returns(7, Outcome::kBroken, ms(10)), host.turn();
+    assert(host.end_of(second) == End::kScrapped && host.sent.size() == 8);
     host.all_return(Outcome::kAnswered, ms(10));
-    assert(host.sent.size() == 7); // one answer clears it, and the rest go together
+    assert(host.sent.size() == 10); // one answer clears it, and the rest go together
     host.all_return(Outcome::kAnswered, ms(10));
     assert(host.end_of(sound) == End::kWhole);
     host.pass(ms(20000)); // the storm has passed
     host.search({0, 0});
-    assert(host.sent.size() == 9);
+    assert(host.sent.size() == 12);
 }
 
 // Connections dropped unseen while idle: what goes over them gets no answer.
@@ -501,6 +519,7 @@
     STORY(quick_errors_do_not_draw),
     STORY(queue_drains_unheard),
     STORY(costly_search_is_left_alone),
+    STORY(broken_connection_says_nothing_of_its_server),
     STORY(breaking_search_goes_singly),
     STORY(idle_connections_are_renewed),
     STORY(bad_way_is_avoided),
