A connection that falls silent is replaced before its server is blamed

Checked: the probe of the module showed 37 set-asides in one front node, all `silent=2` with up to 38 launches out at that moment and probes that passed in 0.7 ms some 300 ms later.

At fault: Router::link_for goes on using a connection on which nothing is answered; 140 launches a second to each server pile up there, the module sees two of them overdue and sets the server aside, and its first probe goes over the same dead connection and takes the connect time-out to fail.

Now a launch that is called off as overdue, with nothing heard on its connection since it was made, puts that in doubt: a second connection is opened beside it and takes what follows once it is up; until then nothing changes, so that no launch is spent on a server that cannot be reached. Its answers clear the server before the module's silence limit. Story: silent_connection_is_replaced_before_its_server_is_blamed.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -253,6 +253,9 @@
         std::string bytes = protocol::give_up_frame(launch.wire_id);
         link.handed += bytes.size(), link.used = now_;
         effects_.push_back(WriteLink{launch.link, std::move(bytes)});
+        // A client that leaves early, or an answer that is complete, calls off what was not overdue.
+        if (parts_.contains(key.first) || now_ >= launch.made_at + terms_.connect_span)
+            doubt(launch.link, launch);
     }
     rest(launch.link);
 }
@@ -278,7 +281,7 @@
     const auto at_link = links_.find(event.link);
     if (at_link == links_.end()) return;
     Link& link = at_link->second;
-    link.used = now_, link.midway = 0;
+    hear_from(link, now_);
     const auto found = link.out.find(event.answer.id);
     if (found == link.out.end()) {
         ++counts_.returned_late;
@@ -325,7 +328,8 @@
         if (known) continue; // an answer there could be that of the earlier launch
         if (!crowded || link.parts < least) crowded = id, least = link.parts;
         if (link.parts + static_cast<int>(call.size()) > terms_.calls_a_connection) continue;
-        if (!best || (link.up && !links_.at(*best).up)) best = id;
+        const auto rank = [](const Link& held) { return held.up ? (held.doubted ? 1 : 2) : 0; };
+        if (!best || rank(link) > rank(links_.at(*best))) best = id;
     }
     for (const LinkId id : stale) close_link(id);
     if (best) return best;
@@ -333,6 +337,29 @@
     return fresh ? fresh : crowded;
 }
 
+bool Router::sound_link(const Server& server, bool up) const {
+    return std::ranges::any_of(server.links, [this, up](LinkId id) {
+        const Link& link = links_.at(id);
+        return !link.retired && !link.doubted && (link.up || !up);
+    });
+}
+
+// A launch was given up and nothing has come over its connection since it was made: the connection may lead
+// nowhere while its server is well. A second one is opened beside it and takes what follows once it is up;
+// until then nothing changes, so that a server that cannot be reached is not found out with a launch.
+void Router::doubt(LinkId id, const Launch& launch) {
+    Link& link = links_.at(id);
+    if (launch.way != Way::kSent || link.heard >= launch.made_at || link.retired || link.doubted) return;
+    link.doubted = true;
+    const Server& server = servers_.at(link.server);
+    if (server.listed == Listed::kLive && !sound_link(server, false)) open_link(link.server);
+}
+
+void Router::hear_from(Link& link, Tenths now) {
+    link.used = link.heard = now;
+    link.midway = 0, link.doubted = false;
+}
+
 std::optional<LinkId> Router::open_link(ServerId server) {
     if (links_.size() >= most_links()) {
         const auto spare = std::ranges::find_if(links_, [](auto& held) { return idle(held.second); });
@@ -472,7 +499,7 @@
     const auto found = links_.find(id);
     if (found == links_.end() || !idle(found->second)) return;
     Link& link = found->second;
-    if (link.retired) return close_link(id);
+    if (link.retired || (link.doubted && sound_link(servers_.at(link.server), true))) return close_link(id);
     if (terms_.idle_span == 0 || std::exchange(link.idle_armed, true)) return;
     at(link.used + idle_limit(), IdleDue{id});
 }
@@ -533,7 +560,7 @@
     const auto found = links_.find(event.link);
     if (found == links_.end() || found->second.probes.empty()) return;
     Link& link = found->second;
-    link.used = now_, link.midway = 0;
+    hear_from(link, now_);
     const ProbeOut probe = link.probes.front();
     link.probes.pop_front();
     if (!probe.over)
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -91,7 +91,8 @@
         int parts = 0;                          // waiting, in the ring or out, given up ones apart
         std::string last;                       // the part answered last
         std::uint64_t midway = 0;               // a serial number while a frame has begun and is not whole
-        Tenths used = 0;
+        Tenths used = 0, heard = 0;             // the latter: something came
+        bool doubted = false;                   // given up on it without a word from it: others go first
         bool idle_armed = false;
     };
     struct Server {
@@ -187,6 +188,9 @@
     std::optional<LinkId> open_link(ServerId server);
     void hand_over(LinkId id);
     static bool idle(const Link& link);
+    bool sound_link(const Server& server, bool up) const; // has it one, perhaps not up yet
+    void doubt(LinkId id, const Launch& launch);
+    static void hear_from(Link& link, Tenths now);
     Tenths idle_limit() const;
     void close_link(LinkId id);
     void rest(LinkId id);
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -293,6 +293,34 @@
     assert(desk.all<CloseLink>().size() == 1 && desk.all<OpenLink>().size() == 2 && !desk.verdict(client));
 }
 
+// A connection falls silent, its server is well: a launch that is called off there as overdue is a sign. A
+// second connection is opened, and once that is up it takes what follows.
+void silent_connection_is_replaced_before_its_server_is_blamed() {
+    Desk desk(node_terms(), 1);
+    desk.search();
+    const LinkId first = desk.all<OpenLink>()[0].link;
+    desk.up(first), desk.wrote_all(first), desk.answers(first, "q1.0");
+    const ClientId gone = desk.search();
+    desk.wrote_all(first), desk.pass(ms(10));
+    desk.tell(ClientGone{gone}); // called off, and no sign of anything
+    assert(desk.sent('C') == 1 && desk.all<OpenLink>().size() == 1);
+    desk.search();
+    desk.wrote_all(first), desk.pass(ms(340)); // overdue
+    assert(desk.sent('C') == 2 && desk.all<OpenLink>().size() == 2 && desk.all<CloseLink>().empty());
+    const LinkId second = desk.all<OpenLink>()[1].link;
+    desk.search();
+    desk.wrote_all(first);
+    assert(desk.frames(first, 'S').size() == 4); // the new one is not up yet
+    desk.up(second), desk.wrote_all(second), desk.answers(second, "q3.0");
+    desk.search();
+    desk.wrote_all(second);
+    assert(desk.frames(first, 'S').size() == 4 && desk.frames(second, 'S').size() == 2);
+    desk.answers(first, "q4.0"); // it has spoken: no doubt any more
+    desk.answers(second, "q5.0");
+    desk.pass(ms(100));
+    assert(desk.router.open_links() == 2 && desk.all<CloseLink>().empty());
+}
+
 void client_gone_while_its_part_waits_leaves_nothing() {
     Desk desk;
     const ClientId client = desk.search();
@@ -505,6 +533,7 @@
     STORY(spoilt_answer_may_have_run),
     STORY(frame_that_does_not_fill_holds_nobody_up),
     STORY(answer_that_nobody_asked_for_spoils_its_connection),
+    STORY(silent_connection_is_replaced_before_its_server_is_blamed),
     STORY(client_gone_while_its_part_waits_leaves_nothing),
     STORY(no_search_outlives_its_expiry),
     STORY(drained_server_gets_nothing_that_still_waits),
