Idle clients leave room for the next request; those who never ask are closed after 2 s

Checked: a probe of each opening, request, answer and closing. Connections that had carried a search stood at exactly 128, a third of 384, whenever searches were refused. Ruled out: refusals by the module, requests without an answer, connections closed under a request, the restarts.

At fault: Router::free_a_client, which closed an idle client only at half of all descriptors, silent connections competing with those that ask, while clients may hold a third; drop_stuck, which let a silent connection stay for ever.

Now idle clients beyond half of the third are closed, longest idle first; at the limit those go first that never asked; who sends no whole request in 2 s is closed, or told 408. Stories: clients_that_ask_once_and_stay_keep_nobody_out, those_who_never_asked_go_first, half_a_request_does_not_stay_for_ever (also silent ones, and a second request).

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -195,26 +195,33 @@
     Stream& stream = client.stream;
     try {
         while (!client.closing && !stream.ended()) {
-            while (!client.parser.complete() && client.parser.broken() == 0) {
+            while (!client.closing && !client.parser.complete() && client.parser.broken() == 0) {
                 if (stream.unread())
                     stream.feed(client.parser);
                 else if (stream.ended())
                     break;
-                else
+                else {
+                    if (client.parser.begun() && !std::exchange(client.told_midway, true))
+                        post(routing::ClientMidway{client.id});
                     co_await stream.changed;
+                }
             }
             if (client.parser.broken() != 0) {
                 client.closing = true;
                 stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
             } else if (client.parser.complete()) {
                 const protocol::HttpMessage message = client.parser.take();
+                client.told_midway = false;
                 handle_request(client, message);
             }
             while (client.busy && !stream.ended()) co_await stream.changed;
         }
         // The last word is out: the client closes, and what it may still send is read, lest it be reset.
-        while (!stream.ended()) {
-            if (stream.unwritten() == 0) stream.finish();
+        for (bool left = false; !stream.ended();) {
+            if (stream.unwritten() == 0 && !std::exchange(left, true)) {
+                stream.finish();
+                post(routing::ClientLeaving{client.id});
+            }
             stream.discard();
             if (!stream.ended()) co_await stream.changed;
         }
@@ -222,12 +229,11 @@
     post(routing::ClientGone{client.id});
 }
 
-// Half a request of which nothing more comes, an answer that is not read, a connection that is over but not
-// closed: after the longest time that any client waits, they hold no descriptor and no memory any more.
+// An answer that is not read: after the longest time that any client waits it holds no descriptor and no
+// memory.
 void Node::drop_stuck() {
     for (const auto& [id, client] : clients_) {
-        const bool owing =
-            client->stream.unwritten() > 0 || (!client->busy && (client->parser.begun() || client->closing));
+        const bool owing = client->stream.unwritten() > 0;
         const std::uint64_t moved = client->stream.moved();
         if (owing && moved == client->moved) post(routing::ClientGone{id});
         client->moved = moved;
@@ -243,10 +249,12 @@
         post(routing::SearchRead{client.id, *search, client.stream.age()});
     } else if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
         client.stream.send(protocol::write_plain_answer(bad->status, bad->why, client.closing));
+        post(routing::ClientAnswered{client.id});
     } else {
         const bool ready = phases_.now() == Phase::kServing;
         client.stream.send(ready ? protocol::http_response(200, "", "ready\n", client.closing)
                                  : protocol::write_plain_answer(503, "not ready", client.closing));
+        post(routing::ClientAnswered{client.id});
     }
 }
 
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -33,6 +33,7 @@
         transport::Stream stream;
         std::uint64_t moved = 0;            // bytes both ways, when last looked at
         bool busy = false, closing = false; // a search is out; its answer is the last word here
+        bool told_midway = false;
         transport::Task task;
     };
     struct Link {
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -46,6 +46,8 @@
         return "Not Found";
     case 405:
         return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
     case 409:
         return "Conflict";
     case 413:
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -24,6 +24,15 @@
     protocol::SearchRequest request;
     Tenths age = 0; // it reached this machine so long ago
 };
+struct ClientMidway { // a request has begun and is not whole
+    ClientId client;
+};
+struct ClientAnswered { // it asked for something else than a search, and has its answer
+    ClientId client;
+};
+struct ClientLeaving { // its last answer is with the system; what it still sends is not read
+    ClientId client;
+};
 struct ClientGone {
     ClientId client;
 };
@@ -65,9 +74,9 @@
 };
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
-using Event =
-    std::variant<ClientOpened, SearchRead, ClientGone, LinkUp, LinkWrote, LinkEnded, LinkMidway, LinkSpoilt,
-                 PartAnswered, LoadTold, ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
+using Event = std::variant<ClientOpened, SearchRead, ClientMidway, ClientAnswered, ClientLeaving, ClientGone,
+                           LinkUp, LinkWrote, LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold,
+                           ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -4,6 +4,14 @@
 
 namespace ivyrill::routing {
 
+namespace {
+
+// The platform's word: a connection on which no request is open may be closed after this; who sends nothing
+// that can be used is owed an error or a close within half as long again.
+constexpr Tenths kWordSpan = 2 * kTenthsPerSecond;
+
+} // namespace
+
 Router::Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::string discovery,
                std::size_t descriptors, Tenths now)
     : terms_(std::move(terms)), brain_(open_brain(terms_.opening)), descriptors_(descriptors), now_(now),
@@ -35,23 +43,70 @@
 // ---- clients and searches
 
 void Router::apply(const ClientOpened& event) {
-    clients_[event.client].idle_since = now_;
-    if (clients_.size() > descriptors_ - most_links()) free_a_client(event.client);
-}
-
-// At the limit of descriptors the client that has been idle for longest goes; where none is, nobody new is
-// let in until one is.
-void Router::free_a_client(ClientId newest) {
-    ClientId oldest{};
-    Tenths since = now_ + 1;
-    for (const auto& [id, client] : clients_)
-        if (!client.search && client.idle_since < since && id != newest)
-            oldest = id, since = client.idle_since;
-    if (since <= now_) {
-        clients_.erase(oldest);
-        effects_.push_back(CloseClient{oldest});
-    } else if (std::exchange(accepting_, false)) {
-        effects_.push_back(AcceptClients{false});
+    Client& client = clients_[event.client];
+    client.idle_since = now_;
+    await_word(event.client, client);
+    make_room(event.client);
+}
+
+// Who connects and says nothing, or half of something, holds a descriptor for so long and no longer.
+void Router::await_word(ClientId id, Client& client) { at(now_ + kWordSpan, WordDue{id, ++client.awaited}); }
+
+void Router::due(const WordDue& what) {
+    const auto found = clients_.find(what.client);
+    if (found == clients_.end() || found->second.awaited != what.awaited || found->second.search) return;
+    if (found->second.leaving)
+        close_client(what.client);
+    else if (found->second.midway)
+        effects_.push_back(RejectClient{what.client, 408, "the request did not come in time", true});
+    else if (!found->second.asked)
+        close_client(what.client);
+}
+
+void Router::apply(const ClientMidway& event) {
+    const auto found = clients_.find(event.client);
+    if (found == clients_.end() || found->second.search || std::exchange(found->second.midway, true)) return;
+    if (found->second.asked) await_word(event.client, found->second); // else its time runs since it came
+}
+
+void Router::apply(const ClientAnswered& event) {
+    const auto found = clients_.find(event.client);
+    if (found != clients_.end()) found->second.midway = false;
+}
+
+void Router::apply(const ClientLeaving& event) {
+    const auto found = clients_.find(event.client);
+    if (found == clients_.end() || found->second.search || std::exchange(found->second.leaving, true)) return;
+    await_word(event.client, found->second);
+}
+
+void Router::close_client(ClientId id) {
+    clients_.erase(id);
+    effects_.push_back(CloseClient{id});
+}
+
+// At the limit of descriptors those go first that have never asked for a search, the oldest of them, then
+// those idle for longest; where none is, nobody new is let in until one is. Clients may hold a third of the
+// descriptors for their requests and do not close what they have done with: half of that third at most is
+// left to idle ones, lest nobody can come with a new request.
+void Router::make_room(std::optional<ClientId> newest) {
+    using Rank = std::pair<bool, Tenths>;
+    std::optional<std::pair<Rank, ClientId>> first, kept;
+    std::size_t asked = 0;
+    for (const auto& [id, client] : clients_) {
+        asked += client.asked;
+        if (client.search || id == newest) continue;
+        const std::pair mine{Rank{client.asked, client.idle_since}, id};
+        if (!first || mine < *first) first = mine;
+        if (client.asked && (!kept || mine < *kept)) kept = mine;
+    }
+    if (clients_.size() > descriptors_ - most_links()) {
+        if (first)
+            close_client(first->second);
+        else if (std::exchange(accepting_, false))
+            effects_.push_back(AcceptClients{false});
+    } else if (kept && asked > descriptors_ / 3 / 2) {
+        close_client(kept->second);
     }
 }
 
@@ -73,6 +128,7 @@
     const auto found = clients_.find(event.client);
     if (found == clients_.end() || found->second.search) return;
     const protocol::SearchRequest& request = event.request;
+    found->second.midway = false, found->second.idle_since = now_;
     const auto reject = [&](int status, const char* why) {
         effects_.push_back(RejectClient{event.client, status, why, draining_});
     };
@@ -99,7 +155,7 @@
     const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
     Search& search = searches_[id];
     search.client = event.client, search.wire_id = request.id, search.query = request.query;
-    found->second.search = id;
+    found->second.search = id, found->second.asked = true;
     open_ids_.insert(request.id);
     tell(SearchTaken{id, job, number, payer, left, request.repeat});
     for (const protocol::Target& target : request.targets) {
@@ -137,6 +193,7 @@
         client->second.idle_since = now_;
         effects_.push_back(AnswerClient{search.client, std::move(answer), draining_});
         let_in();
+        make_room({});
     }
     open_ids_.erase(search.wire_id);
     searches_.erase(found);
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -45,6 +45,10 @@
     struct Client {
         std::optional<SearchId> search;
         Tenths idle_since = 0;
+        bool asked = false;   // for a search, once at least
+        bool midway = false;  // a request has begun and is not whole
+        bool leaving = false; // its last answer is out
+        int awaited = 0;      // the latest word that is waited for, by its number
     };
     struct Part {
         SearchId search;
@@ -110,6 +114,10 @@
         LaunchKey launch;
         Outcome outcome;
     };
+    struct WordDue { // a client's request, whole
+        ClientId client;
+        int awaited;
+    };
     struct SearchDue {
         SearchId search;
     };
@@ -134,8 +142,8 @@
         AskId ask;
     };
     struct Wake {};
-    using Alarm = std::variant<LaunchDue, LaunchReturn, SearchDue, ConnectDue, MidwayDue, IdleDue, ProbeDue,
-                               ProbeReturn, AskDue, Wake>;
+    using Alarm = std::variant<LaunchDue, LaunchReturn, WordDue, SearchDue, ConnectDue, MidwayDue, IdleDue,
+                               ProbeDue, ProbeReturn, AskDue, Wake>;
 
     // Host: the module's actions
     void launch(PartId part, ServerId server, Tenths time_out) override;
@@ -150,6 +158,9 @@
 
     void apply(const ClientOpened& event);
     void apply(const SearchRead& event);
+    void apply(const ClientMidway& event);
+    void apply(const ClientAnswered& event);
+    void apply(const ClientLeaving& event);
     void apply(const ClientGone& event);
     void apply(const LinkUp& event);
     void apply(const LinkWrote& event);
@@ -166,6 +177,7 @@
 
     void due(const LaunchDue& what);
     void due(const LaunchReturn& what);
+    void due(const WordDue& what);
     void due(const SearchDue& what);
     void due(const ConnectDue& what);
     void due(const MidwayDue& what);
@@ -199,7 +211,9 @@
     void take_list(const protocol::ServerList& list, ListKind kind);
     ServerId server_of(const std::string& name);
     void watch_on();
-    void free_a_client(ClientId newest);
+    void await_word(ClientId id, Client& client);
+    void make_room(std::optional<ClientId> newest);
+    void close_client(ClientId id);
     void give_up(const LaunchKey& key, Launch& launch);
     void forget_waiting(Link& link, const LaunchKey& key);
     std::size_t most_links() const { return descriptors_ / 2; }
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -495,6 +495,49 @@
     assert(desk.all<AcceptClients>().size() == 2 && desk.all<AcceptClients>()[1].on);
 }
 
+// Clients may hold a third of the descriptors for their requests and do not close what they have done with.
+void clients_that_ask_once_and_stay_keep_nobody_out() {
+    Desk desk(node_terms(), 1, 60);
+    const auto served = [&desk] {
+        const ClientId client = desk.search();
+        const LinkId link = desk.all<OpenLink>()[0].link;
+        if (desk.clients == 1) desk.up(link);
+        desk.wrote_all(link), desk.answers(link, "q" + std::to_string(desk.clients) + ".0");
+        desk.pass(ms(20));
+        return client;
+    };
+    const ClientId first = served(), second = served();
+    for (int i = 0; i < 8; ++i) served();
+    assert(desk.all<CloseClient>().empty() && desk.router.open_clients() == 10);
+    served(), served();
+    const auto closed = desk.all<CloseClient>();
+    assert(closed.size() == 2 && closed[0].client == first && closed[1].client == second);
+}
+
+void those_who_never_asked_go_first() {
+    Desk desk(node_terms(), 2, 8);
+    const ClientId asked = desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link), desk.answers(link, "q1.0");
+    desk.pass(1);
+    const ClientId silent = desk.client();
+    desk.pass(1), desk.client(), desk.client();
+    desk.client();
+    assert(desk.all<CloseClient>().size() == 1 && desk.all<CloseClient>()[0].client == silent);
+    desk.pass(ms(1999));
+    assert(desk.all<CloseClient>().size() == 1);
+    desk.pass(ms(1)); // the others are owed no more than that, unless they ask
+    assert(desk.all<CloseClient>().size() == 4 && desk.router.open_clients() == 1);
+    desk.tell(ClientMidway{asked}); // half of its next request
+    desk.pass(ms(1999));
+    assert(desk.all<RejectClient>().empty());
+    desk.pass(ms(2));
+    assert(desk.all<RejectClient>()[0].status == 408 && desk.all<RejectClient>()[0].close);
+    desk.tell(ClientLeaving{asked}); // it is told, and does not close
+    desk.pass(ms(2001));
+    assert(desk.router.open_clients() == 0);
+}
+
 void nothing_grows_over_a_long_run() {
     Desk desk;
     for (int round = 0; round < 3000; ++round) {
@@ -548,6 +591,8 @@
     STORY(errors_of_a_request_never_reach_the_module),
     STORY(order_to_stop_answers_all_that_was_taken),
     STORY(full_house_lets_the_longest_idle_go),
+    STORY(clients_that_ask_once_and_stay_keep_nobody_out),
+    STORY(those_who_never_asked_go_first),
     STORY(nothing_grows_over_a_long_run),
 };
 
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -292,13 +292,21 @@
 
 void half_a_request_does_not_stay_for_ever() {
     World world;
-    Peer half = Peer::to(world.address), patient = Peer::to(world.address);
+    Peer half = Peer::to(world.address), silent = Peer::to(world.address), patient = Peer::to(world.address);
     half.say("POST /find HTTP/1.1\r\nHost");
-    patient.say("GET /-/ready HTTP/1.1\r\n\r\n"); // idle between requests: that is no fault
-    assert(patient.answer().status == 200);
-    assert(half.hear().empty());
-    patient.say("GET /-/ready HTTP/1.1\r\n\r\n");
-    assert(patient.answer().status == 200);
+    const auto served = [&](const std::string& id) {
+        patient.say(search(id));
+        static Peer server = world.servers[0].accept();
+        server.frame();
+        server.say(part_answer(id + ".0"));
+        assert(patient.answer().status == 200);
+    };
+    served("a1"); // idle between requests: that is no fault
+    assert(half.answer().status == 408 && half.hear().empty());
+    assert(silent.hear().empty());
+    served("a2");
+    patient.say(search("a3").substr(0, 20));
+    assert(patient.answer().status == 408 && patient.hear().empty());
 }
 
 void list_is_watched_and_obeyed() {
