Requests that can be read two ways are refused; shares must add up

Seen in a story before the change (the parser handed out a message): an empty Content-Length or Transfer-Encoding counted as none, of several codings the first was taken, header names, methods, versions and bare line ends were not looked at; shares that add up to 0.5, a name that stands twice in the body, repeated ids or time-outs, and bytes above 0x7E in ids reached the module.

At fault: HttpParser::head_done, head_line, line_done; read_search; the JSON reader. Now all of these are a 400. Story: requests_that_can_be_read_two_ways_are_refused.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -27,6 +27,20 @@
     return error == std::errc{} && end == text.data() + text.size() && !text.empty();
 }
 
+bool is_token(std::string_view text) { // RFC 9110, 5.6.2
+    constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::ranges::all_of(text, [&](char letter) {
+        return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'z') ||
+               (letter >= 'A' && letter <= 'Z') || kMarks.find(letter) != std::string_view::npos;
+    });
+}
+
+bool is_printed(std::string_view text, bool blanks) { // no control characters
+    return std::ranges::all_of(text, [&](unsigned char letter) {
+        return letter > 0x20 ? letter != 0x7F : blanks && (letter == ' ' || letter == '\t');
+    });
+}
+
 bool lists(std::string_view values, std::string_view wanted) { // a comma-separated list of words
     for (std::size_t begin = 0; begin <= values.size();) {
         const std::size_t end = std::min(values.find(',', begin), values.size());
@@ -72,6 +86,10 @@
     return found == headers.end() ? std::string_view{} : std::string_view(found->second);
 }
 
+std::size_t HttpMessage::times(std::string_view name) const {
+    return std::ranges::count(headers, name, &std::pair<std::string, std::string>::first);
+}
+
 std::size_t HttpParser::feed(std::string_view bytes) {
     std::size_t taken = 0;
     while (taken < bytes.size() && stage_ != Stage::kComplete && stage_ != Stage::kBroken) {
@@ -109,14 +127,20 @@
     line_.clear();
     std::string_view line(held);
     line.remove_suffix(1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    else if (side_ == Side::kRequests) // where one reads a line end and another none, a request can hide
+        return fail(400);
     switch (stage_) {
     case Stage::kHead:
         if (line.empty() && first_line_) return void(begun_ = false); // blank lines before a message
         return line.empty() ? head_done() : head_line(line);
     case Stage::kChunkSize: {
         head_size_ = 0;
-        line = trimmed(line.substr(0, line.find(';')));
+        if (const std::size_t more = line.find(';'); more != std::string_view::npos) {
+            line = line.substr(0, more);
+            line = line.substr(0, line.find_last_not_of(" \t") + 1);
+        }
         if (!read_size(line, 16, left_)) return fail(400);
         if (left_ > kMostBody) return fail(413);
         stage_ = left_ == 0 ? Stage::kTrailers : Stage::kChunk;
@@ -148,13 +172,17 @@
             return;
         }
         const std::size_t two = rest.find(' ');
-        if (two == std::string_view::npos || !rest.substr(two + 1).starts_with("HTTP/1.")) return fail(400);
+        const std::string_view version = two == std::string_view::npos ? "" : rest.substr(two + 1);
+        if (version != "HTTP/1.1" && version != "HTTP/1.0") return fail(400);
+        if (!is_token(line.substr(0, one)) || two == 0 || !is_printed(rest.substr(0, two), false))
+            return fail(400);
         message_.method = line.substr(0, one), message_.target = rest.substr(0, two);
-        old_version_ = rest.substr(two + 1) == "HTTP/1.0";
+        old_version_ = version == "HTTP/1.0";
         return;
     }
     const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || colon == 0 || line[colon - 1] == ' ' || line[0] == ' ')
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
+        !is_printed(line.substr(colon + 1), true))
         return fail(400);
     message_.headers.emplace_back(lower(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
 }
@@ -164,20 +192,21 @@
     message_.close = lists(connection, "close") || (old_version_ && !lists(connection, "keep-alive"));
     const std::string_view coding = message_.header("transfer-encoding");
     const std::string_view length = message_.header("content-length");
-    if (!coding.empty()) {
-        if (!length.empty()) return fail(400);
+    const std::size_t codings = message_.times("transfer-encoding");
+    const std::size_t lengths = message_.times("content-length");
+    // Two words on where the body ends, or one that others may read another way, can hide a request in it.
+    if (codings + lengths > 1 || (codings > 0 && (old_version_ || coding.empty()))) return fail(400);
+    if (codings > 0) {
         if (lower(coding) != "chunked") return fail(501);
         stage_ = Stage::kChunkSize, head_size_ = 0;
         return;
     }
     const bool bare = message_.status == 204 || message_.status == 304;
-    if (length.empty()) {
+    if (lengths == 0) {
         stage_ = side_ == Side::kRequests || bare ? Stage::kComplete : Stage::kToEnd;
         return;
     }
-    const auto several =
-        std::ranges::count(message_.headers, "content-length", &std::pair<std::string, std::string>::first);
-    if (several > 1 || !read_size(length, 10, left_)) return fail(400);
+    if (!read_size(length, 10, left_)) return fail(400);
     if (left_ > kMostBody) return fail(413);
     stage_ = left_ == 0 || bare ? Stage::kComplete : Stage::kBody;
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -17,6 +17,7 @@
     bool close = false; // the sender closes after it
 
     std::string_view header(std::string_view name) const; // empty where absent
+    std::size_t times(std::string_view name) const;       // so often it stands there
 };
 
 class HttpParser {
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kMostDepth = 32;
+constexpr std::size_t kMostMembers = 256; // of one object
 
 class Reader {
   public:
@@ -53,6 +54,8 @@
                 if (!first) expect(','), skip_blanks();
                 std::string name = read_text();
                 skip_blanks(), expect(':');
+                if (value.members.size() == kMostMembers || value.find(name) != nullptr)
+                    fail("a name stands twice, or too many names");
                 value.members.push_back({std::move(name), read(depth + 1)});
             }
         } else if (take('[')) {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -4,12 +4,15 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace ivyrill::protocol {
 
 namespace {
 
+constexpr double kShareSlack = 0.01; // shares may be rounded
+
 // A number followed by its unit, `m` or `u`; the number may have a fraction.
 std::int64_t read_span_us(std::string_view text) {
     if (text.size() < 2) throw ProtocolError("X-Timeout: missing or malformed");
@@ -25,7 +28,7 @@
 // An id goes into the frames' lines, so it may hold no blank or control character.
 bool plain_id(std::string_view id) {
     return !id.empty() && id.size() <= 128 &&
-           std::ranges::all_of(id, [](unsigned char letter) { return letter > 0x20 && letter != 0x7F; });
+           std::ranges::all_of(id, [](unsigned char letter) { return letter > 0x20 && letter < 0x7F; });
 }
 
 int read_index(const Json& json, std::string_view what) {
@@ -35,6 +38,8 @@
 }
 
 SearchRequest read_search(const HttpMessage& message, std::string_view product) {
+    for (const char* name : {"host", "x-request-id", "x-tenant-id", "x-timeout", "x-retried"})
+        if (message.times(name) > 1) throw ProtocolError(std::string(name) + ": more than once");
     SearchRequest search;
     search.product = plain_word(product);
     search.id = message.header("x-request-id");
@@ -47,12 +52,13 @@
     double shares = 0;
     for (const Json& row : body.at("targets").as_list("targets")) {
         const Target target{read_index(row.at("partition"), "partition"), row.at("share").as_number("share")};
-        if (target.share < 0) throw ProtocolError("share: below zero");
+        if (target.share < 0 || target.share > 1) throw ProtocolError("share: out of range");
         if (std::ranges::count(search.targets, target.shard, &Target::shard) > 0)
             throw ProtocolError("partition: listed twice");
         search.targets.push_back(target), shares += target.share;
     }
     if (search.targets.empty()) throw ProtocolError("targets: none");
+    if (std::abs(shares - 1) > kShareSlack) throw ProtocolError("share: they do not add up to 1");
     return search;
 }
 
--- a/tests/protocol_stories.cpp
+++ b/tests/protocol_stories.cpp
@@ -91,6 +91,46 @@
     assert(status() == 400);
 }
 
+// What one reads one way and another the other way could hide a request, split one, or run the wrong one.
+void requests_that_can_be_read_two_ways_are_refused() {
+    for (const char* fields :
+         {"Content-Length:\r\n", "Content-Length: \r\nContent-Length: 5\r\n", "Content-Length: +5\r\n",
+          "Content-Length: -5\r\n", "Content-Length: 5, 5\r\n", "Content-Length: 99999999999999999999\r\n",
+          "Transfer-Encoding:\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length:\r\n", "Content-Length : 5\r\n", " X: folded\r\n",
+          "\tX: folded\r\n", "X Y: 1\r\n", ": 1\r\n", "X: a\rb\r\n", "X: 1\nY: 2\r\n"})
+        assert(status_of(request(fields, "hello")) == 400);
+    for (const char* line : {"POST /x HTTP/1.10\r\n", "POST /x HTTP/1.\r\n", "POST /x  HTTP/1.1\r\n",
+                             "PO(ST /x HTTP/1.1\r\n", "POST  HTTP/1.1\r\n", "POST /\x01 HTTP/1.1\r\n"})
+        assert(status_of(std::string(line) + "\r\n") == 400);
+    assert(status_of("POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
+    for (const char* size : {" 5\r\n", "0x5\r\n", "-5\r\n", "+5\r\n", ";x\r\n", "5\n"})
+        assert(status_of(request("Transfer-Encoding: chunked\r\n", size)) == 400);
+    HttpMessage message;
+    message.method = "POST", message.target = "/position-find";
+    message.body = R"({"query":"q","targets":[{"partition":1,"share":0.34},{"partition":2,"share":0.655}]})";
+    const auto refused = [&](std::vector<std::pair<std::string, std::string>> headers) {
+        message.headers = std::move(headers);
+        return std::holds_alternative<BadRequest>(read_client_request(message));
+    };
+    assert(!refused({{"x-request-id", "a"}, {"x-timeout", "25m"}})); // rounded shares are no fault
+    assert(refused({{"x-request-id", "a"}, {"x-timeout", "25m"}, {"x-request-id", "b"}}));
+    assert(refused({{"x-request-id", "a"}, {"x-timeout", "25m"}, {"x-timeout", "900m"}}));
+    assert(refused({{"x-request-id", "a\x80"}, {"x-timeout", "25m"}}));
+    for (const char* span : {"-25m", "nanm", "infm", "m", "25", "25s", "0x9m", "2 5m", ""})
+        assert(refused({{"x-request-id", "a"}, {"x-timeout", span}}));
+    for (const char* body :
+         {R"({"query":"q","targets":[{"partition":1,"share":0.5}]})",
+          R"({"query":"q","targets":[{"partition":1,"share":2}]})",
+          R"({"query":"q","targets":[{"partition":1,"share":1.5},{"partition":2,"share":-0.5}]})",
+          R"({"query":"q","targets":[{"partition":1,"partition":2,"share":1}]})",
+          R"({"query":"q","query":"r","targets":[{"partition":1,"share":1}]})",
+          R"({"query":"q","targets":[{"partition":1.5,"share":1}]})", R"([{"query":"q"}])"}) {
+        message.body = body;
+        assert(refused({{"x-request-id", "a"}, {"x-timeout", "25m"}}));
+    }
+}
+
 void response_without_length_ends_with_its_connection() {
     const std::string bytes = "HTTP/1.1 200 OK\r\n\r\n{\"version\":1}";
     auto [parser, left] = fed(HttpParser::Side::kResponses, bytes, 30);
@@ -244,6 +284,7 @@
 constexpr Story kStories[] = {
     STORY(request_is_read_over_every_split),
     STORY(broken_requests_have_their_status),
+    STORY(requests_that_can_be_read_two_ways_are_refused),
     STORY(response_without_length_ends_with_its_connection),
     STORY(frames_are_read_over_every_split),
     STORY(hostile_frames_break_before_memory_is_spent),
