The wait for a call to discovery names its slot: the compiler kept no reference to it

Seen: eleven socket stories abort under the address sanitizer, a write outside the frame in Slot::await_resume, called from serve_discovery. GCC 12 keeps no reference to such a slot in the coroutine's frame. At fault: serve_discovery, `co_await discovery_->asked`.

Now the slot is named first, as elsewhere.

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -360,7 +360,8 @@
 
 Task Node::serve_discovery() {
     for (;;) {
-        while (!discovery_->ask) co_await discovery_->asked;
+        transport::Slot& asked = discovery_->asked; // named: GCC 12 keeps no reference that comes from a call
+        while (!discovery_->ask) co_await asked;
         const routing::AskId id = discovery_->ask->ask;
         const std::string request = protocol::list_request(discovery_->ask->address, discovery_->ask->after,
                                                            discovery_->ask->wait_ms, discovery_->ask->whole);
