Read over: one way to close a client and to call off, due times instead of serial numbers

ClientGone and QuietOrdered close clients by close_client, as the rest does. A spoilt connection is closed by close_link, which now does the calling off that apply(LinkSpoilt) did beside it; recall and it share return_recalled. Whether a client's word or a frame is still awaited is told from its due time, as with idle connections, not from two counters. Only the reducer remembers that something is midway. make_room looks at no client while few are connected, and its comment says what it counts.

--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -201,8 +201,7 @@
                 else if (stream.ended())
                     break;
                 else {
-                    if (client.parser.begun() && !std::exchange(client.told_midway, true))
-                        post(routing::ClientMidway{client.id});
+                    if (client.parser.begun()) post(routing::ClientMidway{client.id});
                     co_await stream.changed;
                 }
             }
@@ -211,7 +210,6 @@
                 stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
             } else if (client.parser.complete()) {
                 const protocol::HttpMessage message = client.parser.take();
-                client.told_midway = false;
                 handle_request(client, message);
             }
             while (client.busy && !stream.ended()) co_await stream.changed;
@@ -246,16 +244,16 @@
     const protocol::ClientRequest request = protocol::read_client_request(message);
     if (const auto* search = std::get_if<protocol::SearchRequest>(&request)) {
         client.busy = true;
-        post(routing::SearchRead{client.id, *search, client.stream.age()});
-    } else if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
+        return post(routing::SearchRead{client.id, *search, client.stream.age()});
+    }
+    if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
         client.stream.send(protocol::write_plain_answer(bad->status, bad->why, client.closing));
-        post(routing::ClientAnswered{client.id});
     } else {
         const bool ready = phases_.now() == Phase::kServing;
         client.stream.send(ready ? protocol::http_response(200, "", "ready\n", client.closing)
                                  : protocol::write_plain_answer(503, "not ready", client.closing));
-        post(routing::ClientAnswered{client.id});
     }
+    post(routing::ClientAnswered{client.id});
 }
 
 // An answer is the last word on its connection where the reducer or the client's request says so.
@@ -297,8 +295,7 @@
                 if (link.parser.complete()) handle_frame(link, link.parser.take());
             }
             if (stream.ended() || link.parser.broken() || link.over) break;
-            if (link.parser.midway() && !std::exchange(link.told_midway, true))
-                post(routing::LinkMidway{link.id});
+            if (link.parser.midway()) post(routing::LinkMidway{link.id});
             co_await stream.changed;
         }
         tell_link(link);
@@ -318,7 +315,6 @@
 }
 
 void Node::handle_frame(Link& link, const protocol::Frame& frame) {
-    link.told_midway = false;
     try {
         if (frame.letter == 'R')
             return post(
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -33,7 +33,6 @@
         transport::Stream stream;
         std::uint64_t moved = 0;            // bytes both ways, when last looked at
         bool busy = false, closing = false; // a search is out; its answer is the last word here
-        bool told_midway = false;
         transport::Task task;
     };
     struct Link {
@@ -41,8 +40,8 @@
         routing::LinkId id;
         protocol::FrameParser parser;
         transport::Stream stream;
-        bool told_up = false, told_midway = false, over = false; // over: nothing is read any more
-        std::uint64_t told = 0;                                  // bytes written, as the reducer knows
+        bool told_up = false, over = false; // over: nothing is read any more
+        std::uint64_t told = 0;             // bytes written, as the reducer knows
         transport::Task task;
     };
     struct Discovery {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -50,11 +50,14 @@
 }
 
 // Who connects and says nothing, or half of something, holds a descriptor for so long and no longer.
-void Router::await_word(ClientId id, Client& client) { at(now_ + kWordSpan, WordDue{id, ++client.awaited}); }
+void Router::await_word(ClientId id, Client& client) {
+    client.word_by = now_ + kWordSpan;
+    at(client.word_by, WordDue{id});
+}
 
 void Router::due(const WordDue& what) {
     const auto found = clients_.find(what.client);
-    if (found == clients_.end() || found->second.awaited != what.awaited || found->second.search) return;
+    if (found == clients_.end() || now_ < found->second.word_by || found->second.search) return;
     if (found->second.leaving)
         close_client(what.client);
     else if (found->second.midway)
@@ -87,9 +90,11 @@
 
 // At the limit of descriptors those go first that have never asked for a search, the oldest of them, then
 // those idle for longest; where none is, nobody new is let in until one is. Clients may hold a third of the
-// descriptors for their requests and do not close what they have done with: half of that third at most is
-// left to idle ones, lest nobody can come with a new request.
+// descriptors for their requests and do not close what they have done with: while more than half of that
+// third have asked, idle ones go, lest nobody can come with a new request.
 void Router::make_room(std::optional<ClientId> newest) {
+    const std::size_t most = descriptors_ - most_links(), most_asked = descriptors_ / 3 / 2;
+    if (clients_.size() <= std::min(most, most_asked)) return;
     using Rank = std::pair<bool, Tenths>;
     std::optional<std::pair<Rank, ClientId>> first, kept;
     std::size_t asked = 0;
@@ -100,12 +105,12 @@
         if (!first || mine < *first) first = mine;
         if (client.asked && (!kept || mine < *kept)) kept = mine;
     }
-    if (clients_.size() > descriptors_ - most_links()) {
+    if (clients_.size() > most) {
         if (first)
             close_client(first->second);
         else if (std::exchange(accepting_, false))
             effects_.push_back(AcceptClients{false});
-    } else if (kept && asked > descriptors_ / 3 / 2) {
+    } else if (kept && asked > most_asked) {
         close_client(kept->second);
     }
 }
@@ -114,8 +119,7 @@
     const auto found = clients_.find(event.client);
     if (found == clients_.end()) return;
     const std::optional<SearchId> search = found->second.search;
-    clients_.erase(found);
-    effects_.push_back(CloseClient{event.client});
+    close_client(event.client);
     if (search) lapse(*search);
     let_in();
 }
@@ -217,9 +221,7 @@
     effects_.push_back(AcceptClients{false});
     for (auto next = clients_.begin(); next != clients_.end();) {
         const auto here = next++;
-        if (here->second.search) continue;
-        effects_.push_back(CloseClient{here->first});
-        clients_.erase(here);
+        if (!here->second.search) close_client(here->first);
     }
 }
 
@@ -322,7 +324,11 @@
     const auto found = launches_.find(key);
     if (found == launches_.end() || found->second.given_up) return;
     give_up(key, found->second);
-    // A copy that replaces it must not reach its server before this word reaches the other.
+    return_recalled(key);
+}
+
+// A copy that replaces it must not reach its server before our word reaches the other.
+void Router::return_recalled(const LaunchKey& key) {
     at(now_ + terms_.opening.turn_gap, LaunchReturn{key, Outcome::kRecalled});
 }
 
@@ -338,7 +344,7 @@
     const auto at_link = links_.find(event.link);
     if (at_link == links_.end()) return;
     Link& link = at_link->second;
-    hear_from(link, now_);
+    hear_from(link);
     const auto found = link.out.find(event.answer.id);
     if (found == link.out.end()) {
         ++counts_.returned_late;
@@ -412,8 +418,8 @@
     if (server.listed == Listed::kLive && !sound_link(server, false)) open_link(link.server);
 }
 
-void Router::hear_from(Link& link, Tenths now) {
-    link.used = link.heard = now;
+void Router::hear_from(Link& link) {
+    link.used = link.heard = now_;
     link.midway = 0, link.doubted = false;
 }
 
@@ -483,8 +489,9 @@
     if (links_.contains(event.link)) close_link(event.link);
 }
 
-// Whatever is on the connection ends: what was wholly with the system may have run, the rest has not.
-void Router::close_link(LinkId id) {
+// Whatever is on the connection ends: what was wholly with the system may have run, the rest has not. Where
+// the connection is spoilt, it is we who call off what is out.
+void Router::close_link(LinkId id, bool spoilt) {
     const auto found = links_.find(id);
     const Link link = std::move(found->second);
     links_.erase(found);
@@ -494,8 +501,13 @@
     const Outcome unsent = link.up ? Outcome::kNeverSent : Outcome::kNoConnection;
     for (const Call& call : link.waiting)
         for (const LaunchKey& key : call) return_launch(key, unsent);
-    for (const auto& [wire_id, key] : link.out)
-        return_launch(key, launches_.at(key).way == Way::kSent ? Outcome::kBroken : unsent);
+    for (const auto& [wire_id, key] : link.out) {
+        Launch& launch = launches_.at(key);
+        if (launch.way == Way::kSent && spoilt)
+            launch.given_up = true, return_recalled(key);
+        else
+            return_launch(key, launch.way == Way::kSent ? Outcome::kBroken : unsent);
+    }
     for (const ProbeOut& probe : link.probes)
         if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
 }
@@ -508,41 +520,30 @@
     const auto found = links_.find(event.link);
     if (found == links_.end()) return;
     ++counts_.spoilt;
-    const auto& out = found->second.out;
-    const auto sent = [this](auto& held) { return launches_.at(held.second).way == Way::kSent; };
-    auto answered = out.find(event.part);
-    if (answered == out.end() || !sent(*answered)) {
-        answered = out.end();
-        for (auto next = out.begin(); next != out.end(); ++next)
-            if (sent(*next) && (answered == out.end() ||
-                                launches_.at(next->second).made_at < launches_.at(answered->second).made_at))
-                answered = next;
-    }
-    std::vector<LaunchKey> others;
-    for (auto next = out.begin(); next != out.end(); ++next)
-        if (next != answered && sent(*next)) others.push_back(next->second);
-    if (answered != out.end()) return_launch(LaunchKey(answered->second), Outcome::kError);
-    for (const LaunchKey& key : others) {
-        launches_.at(key).given_up = true;
-        // As with a recall, a copy that replaces it must not reach its server before this word does.
-        at(now_ + terms_.opening.turn_gap, LaunchReturn{key, Outcome::kRecalled});
-        if (const auto link = links_.find(event.link); link != links_.end())
-            link->second.out.erase(launches_.at(key).wire_id), --link->second.parts;
+    std::optional<LaunchKey> answered;
+    for (const auto& [wire_id, key] : found->second.out) {
+        const Launch& launch = launches_.at(key);
+        if (launch.way != Way::kSent) continue;
+        const bool named = wire_id == event.part;
+        if (named || !answered || launch.made_at < launches_.at(*answered).made_at) answered = key;
+        if (named) break;
     }
-    if (links_.contains(event.link)) close_link(event.link);
+    if (answered) return_launch(*answered, Outcome::kError);
+    if (links_.contains(event.link)) close_link(event.link, true);
 }
 
 // A frame that has begun comes at once or not at all. Until it is whole its connection takes nothing new.
 void Router::apply(const LinkMidway& event) {
     const auto found = links_.find(event.link);
     if (found == links_.end() || found->second.midway > 0) return;
-    found->second.midway = next_midway_++;
-    at(now_ + terms_.connect_span, MidwayDue{event.link, found->second.midway});
+    found->second.midway = now_;
+    at(now_ + terms_.connect_span, MidwayDue{event.link});
 }
 
 void Router::due(const MidwayDue& what) {
     const auto found = links_.find(what.link);
-    if (found != links_.end() && found->second.midway == what.serial) apply(LinkSpoilt{what.link, {}});
+    if (found == links_.end() || found->second.midway == 0) return;
+    if (now_ >= found->second.midway + terms_.connect_span) apply(LinkSpoilt{what.link, {}});
 }
 
 void Router::due(const ConnectDue& what) {
@@ -617,7 +618,7 @@
     const auto found = links_.find(event.link);
     if (found == links_.end() || found->second.probes.empty()) return;
     Link& link = found->second;
-    hear_from(link, now_);
+    hear_from(link);
     const ProbeOut probe = link.probes.front();
     link.probes.pop_front();
     if (!probe.over)
@@ -664,18 +665,18 @@
         Server& server = servers_.at(id);
         named.insert(id);
         const std::string address = row.address.empty() ? server.address : row.address;
-        if (address != server.address ||
-            CellNo{row.cell} != server.cell) { // there may be another server by now
+        const CellNo cell{row.cell};
+        if (address != server.address || cell != server.cell) { // there may be another server by now
             pull_waiting(server);
             retire_links(server);
         }
         server.address = address;
-        server.listed = row.listed, server.cell = CellNo{row.cell};
+        server.listed = row.listed, server.cell = cell;
         ListEntry entry;
         entry.server = id;
         entry.zone = ZoneNo{number_of(terms_.zones, row.zone)};
         entry.kind = KindNo{number_of(terms_.kinds, row.kind)};
-        entry.cell = CellNo{row.cell};
+        entry.cell = cell;
         entry.listed = row.listed, entry.weight = row.weight;
         entry.born = std::max<Tenths>(0, row.started_ms) * (kTenthsPerSecond / 1000);
         news.entries.push_back(entry);
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -45,10 +45,10 @@
     struct Client {
         std::optional<SearchId> search;
         Tenths idle_since = 0;
+        Tenths word_by = 0;   // until when its request is waited for, or its leaving
         bool asked = false;   // for a search, once at least
         bool midway = false;  // a request has begun and is not whole
         bool leaving = false; // its last answer is out
-        int awaited = 0;      // the latest word that is waited for, by its number
     };
     struct Part {
         SearchId search;
@@ -94,7 +94,7 @@
         std::deque<ProbeOut> probes;            // in the order in which they are answered
         int parts = 0;                          // waiting, in the ring or out, given up ones apart
         std::string last;                       // the part answered last
-        std::uint64_t midway = 0;               // a serial number while a frame has begun and is not whole
+        Tenths midway = 0;                      // since when a frame has begun and is not whole
         Tenths used = 0, heard = 0;             // the latter: something came
         bool doubted = false;                   // given up on it without a word from it: others go first
         bool idle_armed = false;
@@ -116,7 +116,6 @@
     };
     struct WordDue { // a client's request, whole
         ClientId client;
-        int awaited;
     };
     struct SearchDue {
         SearchId search;
@@ -126,7 +125,6 @@
     };
     struct MidwayDue {
         LinkId link;
-        std::uint64_t serial;
     };
     struct IdleDue {
         LinkId link;
@@ -202,9 +200,9 @@
     static bool idle(const Link& link);
     bool sound_link(const Server& server, bool up) const; // has it one, perhaps not up yet
     void doubt(LinkId id, const Launch& launch);
-    static void hear_from(Link& link, Tenths now);
+    void hear_from(Link& link);
     Tenths idle_limit() const;
-    void close_link(LinkId id);
+    void close_link(LinkId id, bool spoilt = false);
     void rest(LinkId id);
     void retire_links(Server& server);
     void pull_waiting(Server& server);
@@ -215,6 +213,7 @@
     void make_room(std::optional<ClientId> newest);
     void close_client(ClientId id);
     void give_up(const LaunchKey& key, Launch& launch);
+    void return_recalled(const LaunchKey& key);
     void forget_waiting(Link& link, const LaunchKey& key);
     std::size_t most_links() const { return descriptors_ / 2; }
     std::int32_t number_of(std::vector<std::string>& names, const std::string& name);
@@ -224,7 +223,7 @@
     std::size_t descriptors_;
     Tenths now_ = 0, armed_ = 0;
     std::uint32_t next_id_ = 1; // of searches and parts
-    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1, next_midway_ = 1;
+    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1;
     std::map<ClientId, Client> clients_;
     std::map<SearchId, Search> searches_;
     std::map<PartId, Part> parts_;
