--- /dev/null
+++ b/src/access/cache.hpp
@@ -0,0 +1,48 @@
+// Tokens whose signatures have been verified, so that the next search with the same token need not verify it
+// again. What it keeps is the proof alone: expiry, key state, revocation and rights are judged anew each
+// time, so that nothing here can outlive them. A set-associative table of fixed size with a second chance in
+// each set (the CLOCK approximation of least recently used), by the SHA-256 of the token's bytes: nobody can
+// make two tokens meet. What failed is not kept: a stranger could fill the table with it.
+#pragma once
+#include "access/token.hpp"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace ivyrill::access {
+
+class TokenCache {
+  public:
+    explicit TokenCache(std::size_t most); // tokens; rounded up to whole sets, 0: none
+    // The claims of this token, proven by the key of this print; null where it is not held.
+    std::shared_ptr<const Claims> find(std::string_view token, std::string_view key_print);
+    void put(std::string_view token, std::string_view key_print, std::shared_ptr<const Claims> claims);
+    // Takes out what nobody can use any more.
+    template <class Dead> void drop(Dead dead) {
+        for (Set& set : sets_)
+            for (Entry& entry : set.entries)
+                if (entry.claims && dead(*entry.claims)) entry = {}, --held_;
+    }
+    std::size_t held() const { return held_; }
+    std::size_t room() const { return sets_.size() * kWays; }
+
+  private:
+    static constexpr std::size_t kWays = 8;
+    struct Entry {
+        std::array<std::uint64_t, 4> digest{};
+        std::string key_print;
+        std::shared_ptr<const Claims> claims;
+        bool used = false;
+    };
+    struct Set {
+        std::array<Entry, kWays> entries;
+        std::size_t hand = 0;
+    };
+    std::vector<Set> sets_;
+    std::size_t held_ = 0;
+};
+
+} // namespace ivyrill::access
--- /dev/null
+++ b/src/access/keys.cpp
@@ -0,0 +1,204 @@
+#include "access/keys.hpp"
+
+#include "access/text.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ivyrill::access {
+
+namespace {
+
+constexpr std::size_t kMostKeys = 64, kMostFile = 16 * 1024, kMostRevoked = 100'000;
+constexpr std::size_t kMostRevocations = 16 * 1024 * 1024; // bytes
+
+Tenths time_of(const nlohmann::json& json, const char* name, std::optional<Tenths> otherwise) {
+    const auto found = json.find(name);
+    if (found == json.end() && otherwise) return *otherwise;
+    const auto read = found == json.end() ? std::nullopt : read_seconds(*found);
+    if (!read) throw AccessError(std::string(name) + ": expected whole seconds since 1970");
+    return *read;
+}
+
+void read_times(const nlohmann::json& json, const char* name,
+                std::map<std::string, Tenths, std::less<>>& into) {
+    const auto found = json.find(name);
+    if (found == json.end()) return;
+    if (!found->is_object()) throw AccessError(std::string(name) + ": expected an object");
+    if (found->size() > kMostRevoked) throw AccessError(std::string(name) + ": too many");
+    for (const auto& [key, value] : found->items()) {
+        const auto time = read_seconds(value);
+        if (!time) throw AccessError(std::string(name) + ": expected whole seconds since 1970 for " + key);
+        into[key] = *time;
+    }
+}
+
+} // namespace
+
+std::string_view name_of(KeyState state) {
+    switch (state) {
+    case KeyState::kAnnounced:
+        return "announced";
+    case KeyState::kActive:
+        return "active";
+    case KeyState::kOutgoing:
+        return "outgoing";
+    case KeyState::kGone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+KeyState KeyTimes::at(Tenths now) const {
+    if (now >= gone) return KeyState::kGone;
+    if (now >= outgoing) return KeyState::kOutgoing;
+    return now >= active ? KeyState::kActive : KeyState::kAnnounced;
+}
+
+bool Key::verifies(Tenths now, Tenths skew) const { return now < times.gone && now + skew >= times.active; }
+
+bool sound_name(std::string_view name) {
+    return !name.empty() && name.size() <= 64 && name != "." && name != ".." &&
+           std::ranges::all_of(name, [](char letter) {
+               return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+                      (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.';
+           });
+}
+
+Key read_key(const NamedText& file) {
+    try {
+        if (file.text.size() > kMostFile) throw AccessError("more than 16 kB");
+        const auto json = read_object(file.text);
+        if (!json) throw AccessError("expected one JSON object, each name once");
+        const auto name = json->find("kid");
+        if (name == json->end() || !name->is_string() || !sound_name(name->get_ref<const std::string&>()))
+            throw AccessError("kid: expected 1 to 64 letters, digits, '-', '_' or '.'");
+        if (const auto use = json->find("use"); use != json->end() && *use != "sig")
+            throw AccessError("use: expected \"sig\"");
+        Key key{*name, SigningKey::from_jwk(*json), {}};
+        key.times.announced = time_of(*json, "announced", 0);
+        key.times.active = time_of(*json, "active", {});
+        key.times.outgoing = time_of(*json, "outgoing", kEver);
+        key.times.gone = time_of(*json, "gone", kEver);
+        const KeyTimes& t = key.times;
+        // A key that is taken back may be gone before it was ever active.
+        if (t.announced > t.active || (t.outgoing != kEver && t.active > t.outgoing && t.gone > t.active) ||
+            (t.gone != kEver && t.outgoing != kEver && t.outgoing > t.gone))
+            throw AccessError("expected announced, active, outgoing and gone in this order");
+        return key;
+    } catch (const AccessError& error) { throw AccessError(file.name + ": " + error.what()); }
+}
+
+std::string write_key(const Key& key, bool with_private) {
+    nlohmann::json json = key.signing.to_jwk(with_private);
+    json["kid"] = key.name;
+    json["announced"] = key.times.announced / kTenthsPerSecond;
+    json["active"] = key.times.active / kTenthsPerSecond;
+    if (key.times.outgoing != kEver) json["outgoing"] = key.times.outgoing / kTenthsPerSecond;
+    if (key.times.gone != kEver) json["gone"] = key.times.gone / kTenthsPerSecond;
+    return json.dump(2) + "\n";
+}
+
+KeyRing KeyRing::read(const std::vector<NamedText>& files, const KeyRing* before) {
+    KeyRing ring;
+    if (files.size() > kMostKeys) throw AccessError("more than " + std::to_string(kMostKeys) + " keys");
+    if (before != nullptr) ring.prints_ = before->prints_;
+    std::map<std::string, std::string> file_of;
+    for (const NamedText& file : files) {
+        Key key = read_key(file);
+        if (const auto [place, fresh] = file_of.emplace(key.name, file.name); !fresh)
+            throw AccessError(file.name + ": the key '" + key.name + "' stands in " + place->second + " too");
+        const std::string print = key.signing.print();
+        // A token names its key: were a name given to a second one, nobody could tell which is meant.
+        if (const auto [place, fresh] = ring.prints_.emplace(key.name, print);
+            !fresh && place->second != print)
+            throw AccessError(file.name + ": the key '" + key.name +
+                              "' was another key or had another algorithm; "
+                              "a new key needs a new name");
+        ring.keys_.emplace(key.name, std::move(key));
+    }
+    if (ring.prints_.size() > 16 * kMostKeys) { // names of long ago may be used again
+        std::erase_if(ring.prints_, [&](auto& print) { return !ring.keys_.contains(print.first); });
+    }
+    return ring;
+}
+
+const Key* KeyRing::find(std::string_view name) const {
+    const auto found = keys_.find(name);
+    return found == keys_.end() ? nullptr : &found->second;
+}
+
+const Key* KeyRing::signer(Tenths now) const {
+    const Key* best = nullptr;
+    for (const auto& [name, key] : keys_)
+        if (key.times.at(now) == KeyState::kActive &&
+            (best == nullptr || key.times.active > best->times.active))
+            best = &key;
+    return best;
+}
+
+Tenths KeyRing::next_change(Tenths after, Tenths skew) const {
+    Tenths next = kEver;
+    for (const auto& [name, key] : keys_)
+        for (const Tenths at :
+             {key.times.active - skew, key.times.active, key.times.outgoing, key.times.gone})
+            if (at > after) next = std::min(next, at);
+    return next;
+}
+
+Revocations Revocations::read(const NamedText& file) {
+    Revocations made;
+    try {
+        if (file.text.size() > kMostRevocations) throw AccessError("more than 16 MB");
+        const auto json = read_object(file.text);
+        if (!json) throw AccessError("expected one JSON object, each name once");
+        for (const auto& [name, value] : json->items())
+            if (name != "tokens" && name != "members" && name != "certificates")
+                throw AccessError("unknown: '" + name + "'; expected tokens, members or certificates");
+        read_times(*json, "tokens", made.tokens);
+        read_times(*json, "members", made.members);
+        read_times(*json, "certificates", made.certificates);
+        return made;
+    } catch (const AccessError& error) { throw AccessError(file.name + ": " + error.what()); }
+}
+
+std::string Revocations::write() const {
+    nlohmann::json json = {{"tokens", nlohmann::json::object()},
+                           {"members", nlohmann::json::object()},
+                           {"certificates", nlohmann::json::object()}};
+    for (const auto& [name, held] : {std::pair{"tokens", &tokens}, std::pair{"members", &members},
+                                     std::pair{"certificates", &certificates}})
+        for (const auto& [key, time] : *held) json[name][key] = time / kTenthsPerSecond;
+    return json.dump(2) + "\n";
+}
+
+void Revocations::forget(Tenths now, Tenths skew) {
+    std::erase_if(tokens, [&](auto& held) { return held.second + skew < now; });
+}
+
+Rotation rotate(const KeyRing& ring, std::string name, std::optional<Algorithm> algorithm, Tenths now,
+                Tenths lead, Tenths overlap) {
+    if (!sound_name(name)) throw AccessError("a key's name has 1 to 64 letters, digits, '-', '_' or '.'");
+    if (ring.find(name) != nullptr) throw AccessError("there is a key '" + name + "' already");
+    const Key* signer = ring.signer(now);
+    const Algorithm wanted = algorithm           ? *algorithm
+                             : signer != nullptr ? signer->signing.algorithm()
+                                                 : Algorithm::kEdDsa;
+    // Files hold whole seconds: a start is rounded up, so that no key is active before it was announced.
+    const auto second = [](Tenths at) {
+        return (at + kTenthsPerSecond - 1) / kTenthsPerSecond * kTenthsPerSecond;
+    };
+    const Tenths announced = now / kTenthsPerSecond * kTenthsPerSecond;
+    const Tenths active = lead == 0 ? announced : second(now + lead);
+    Rotation made{{std::move(name), SigningKey::generate(wanted), {announced, active, kEver, kEver}}, {}};
+    for (const auto& [other, key] : ring.keys()) {
+        const KeyState state = key.times.at(now);
+        if (state != KeyState::kActive || key.times.outgoing != kEver) continue;
+        Key changed = key;
+        changed.times.outgoing = active, changed.times.gone = second(active + overlap);
+        made.changed.push_back(std::move(changed));
+    }
+    return made;
+}
+
+} // namespace ivyrill::access
--- /dev/null
+++ b/src/access/signature.cpp
@@ -0,0 +1,256 @@
+#include "access/signature.hpp"
+
+#include "access/text.hpp"
+#include "access/types.hpp"
+
+#include <openssl/bn.h>
+#include <openssl/core_names.h>
+#include <openssl/crypto.h>
+#include <openssl/ec.h>
+#include <openssl/ecdsa.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/param_build.h>
+#include <openssl/rand.h>
+
+#include <array>
+
+namespace ivyrill::access {
+
+namespace {
+
+constexpr std::size_t kEdBytes = 32, kFieldBytes = 32, kLeastSecret = 32; // the last: RFC 7518, 3.2
+
+template <auto Free> struct Freed {
+    template <class What> void operator()(What* what) const { Free(what); }
+};
+using Context = std::unique_ptr<EVP_MD_CTX, Freed<EVP_MD_CTX_free>>;
+using KeyContext = std::unique_ptr<EVP_PKEY_CTX, Freed<EVP_PKEY_CTX_free>>;
+using Number = std::unique_ptr<BIGNUM, Freed<BN_free>>;
+using Builder = std::unique_ptr<OSSL_PARAM_BLD, Freed<OSSL_PARAM_BLD_free>>;
+using Params = std::unique_ptr<OSSL_PARAM, Freed<OSSL_PARAM_free>>;
+using Pair = std::unique_ptr<ECDSA_SIG, Freed<ECDSA_SIG_free>>;
+
+const unsigned char* bytes_of(std::string_view text) {
+    return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+[[noreturn]] void unusable(const char* why) {
+    throw AccessError(std::string("the key cannot be used: ") + why);
+}
+
+std::string field(const nlohmann::json& jwk, const char* name, std::size_t bytes) {
+    const auto found = jwk.find(name);
+    if (found == jwk.end() || !found->is_string()) unusable(name);
+    const auto raw = read_base64url(found->get_ref<const std::string&>());
+    if (!raw || (bytes > 0 && raw->size() != bytes)) unusable(name);
+    return *raw;
+}
+
+std::string fixed(const BIGNUM* number) {
+    std::string out(kFieldBytes, '\0');
+    if (BN_bn2binpad(number, reinterpret_cast<unsigned char*>(out.data()), kFieldBytes) < 0)
+        unusable("its size");
+    return out;
+}
+
+Number number_of(std::string_view raw) {
+    return Number(BN_bin2bn(bytes_of(raw), static_cast<int>(raw.size()), nullptr));
+}
+
+std::string mac(std::string_view secret, std::string_view message) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> out;
+    unsigned size = 0;
+    if (HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), bytes_of(message), message.size(),
+             out.data(), &size) == nullptr)
+        throw AccessError("HMAC failed");
+    return {reinterpret_cast<const char*>(out.data()), size};
+}
+
+} // namespace
+
+std::string_view name_of(Algorithm algorithm) {
+    return algorithm == Algorithm::kEdDsa ? "EdDSA" : algorithm == Algorithm::kEs256 ? "ES256" : "HS256";
+}
+
+std::optional<Algorithm> algorithm_named(std::string_view name) {
+    for (const Algorithm algorithm : {Algorithm::kEdDsa, Algorithm::kEs256, Algorithm::kHs256})
+        if (name == name_of(algorithm)) return algorithm;
+    return {};
+}
+
+void SigningKey::make_pkey() {
+    EVP_PKEY* made = nullptr;
+    if (algorithm_ == Algorithm::kEdDsa) {
+        made = d_.empty() ? EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr, bytes_of(x_), x_.size())
+                          : EVP_PKEY_new_raw_private_key(EVP_PKEY_ED25519, nullptr, bytes_of(d_), d_.size());
+    } else {
+        const std::string point = std::string("\4") + x_ + y_;
+        const Number d = d_.empty() ? Number() : number_of(d_);
+        const Builder build(OSSL_PARAM_BLD_new());
+        OSSL_PARAM_BLD_push_utf8_string(build.get(), OSSL_PKEY_PARAM_GROUP_NAME, "prime256v1", 0);
+        OSSL_PARAM_BLD_push_octet_string(build.get(), OSSL_PKEY_PARAM_PUB_KEY, point.data(), point.size());
+        if (d) OSSL_PARAM_BLD_push_BN(build.get(), OSSL_PKEY_PARAM_PRIV_KEY, d.get());
+        const Params params(OSSL_PARAM_BLD_to_param(build.get()));
+        const KeyContext context(EVP_PKEY_CTX_new_from_name(nullptr, "EC", nullptr));
+        if (!params || !context || EVP_PKEY_fromdata_init(context.get()) != 1 ||
+            EVP_PKEY_fromdata(context.get(), &made, d ? EVP_PKEY_KEYPAIR : EVP_PKEY_PUBLIC_KEY,
+                              params.get()) != 1)
+            made = nullptr;
+    }
+    if (made == nullptr) unusable("OpenSSL takes it for none");
+    pkey_ = {made, EVP_PKEY_free};
+    const KeyContext check(EVP_PKEY_CTX_new_from_pkey(nullptr, made, nullptr));
+    if (algorithm_ == Algorithm::kEs256 && EVP_PKEY_public_check(check.get()) != 1)
+        unusable("not on its curve");
+}
+
+SigningKey SigningKey::from_jwk(const nlohmann::json& jwk) {
+    const auto text = [&](const char* name) {
+        const auto found = jwk.find(name);
+        return found != jwk.end() && found->is_string() ? found->get<std::string>() : std::string();
+    };
+    const auto algorithm = algorithm_named(text("alg"));
+    if (!algorithm) unusable("alg is not EdDSA, ES256 or HS256");
+    SigningKey key;
+    key.algorithm_ = *algorithm;
+    const std::string type = text("kty"), curve = text("crv");
+    if (*algorithm == Algorithm::kHs256) {
+        if (type != "oct") unusable("kty and alg differ");
+        key.secret_ = field(jwk, "k", 0);
+        if (key.secret_.size() < kLeastSecret) unusable("k is shorter than 32 bytes");
+        key.can_sign_ = true;
+        key.make_print();
+        return key;
+    }
+    const bool edwards = *algorithm == Algorithm::kEdDsa;
+    if (type != (edwards ? "OKP" : "EC") || curve != (edwards ? "Ed25519" : "P-256"))
+        unusable("kty, crv and alg differ");
+    key.x_ = field(jwk, "x", edwards ? kEdBytes : kFieldBytes);
+    if (!edwards) key.y_ = field(jwk, "y", kFieldBytes);
+    if (jwk.contains("d")) key.d_ = field(jwk, "d", edwards ? kEdBytes : kFieldBytes);
+    key.can_sign_ = !key.d_.empty();
+    key.make_pkey();
+    if (edwards && key.can_sign_) {
+        std::string derived(kEdBytes, '\0');
+        std::size_t size = kEdBytes;
+        EVP_PKEY_get_raw_public_key(key.pkey_.get(), reinterpret_cast<unsigned char*>(derived.data()), &size);
+        if (derived != key.x_) unusable("x and d differ");
+    }
+    key.make_print();
+    return key;
+}
+
+SigningKey SigningKey::generate(Algorithm algorithm) {
+    SigningKey key;
+    key.algorithm_ = algorithm, key.can_sign_ = true;
+    if (algorithm == Algorithm::kHs256) {
+        key.secret_ = random_bytes(kLeastSecret);
+        key.make_print();
+        return key;
+    }
+    EVP_PKEY* made = algorithm == Algorithm::kEdDsa ? EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519")
+                                                    : EVP_PKEY_Q_keygen(nullptr, nullptr, "EC", "prime256v1");
+    if (made == nullptr) throw AccessError("no key could be made");
+    key.pkey_ = {made, EVP_PKEY_free};
+    if (algorithm == Algorithm::kEdDsa) {
+        key.x_.resize(kEdBytes), key.d_.resize(kEdBytes);
+        std::size_t size = kEdBytes;
+        EVP_PKEY_get_raw_public_key(made, reinterpret_cast<unsigned char*>(key.x_.data()), &size);
+        EVP_PKEY_get_raw_private_key(made, reinterpret_cast<unsigned char*>(key.d_.data()), &size);
+        key.make_print();
+        return key;
+    }
+    for (const auto& [name, into] :
+         {std::pair{OSSL_PKEY_PARAM_EC_PUB_X, &key.x_}, std::pair{OSSL_PKEY_PARAM_EC_PUB_Y, &key.y_},
+          std::pair{OSSL_PKEY_PARAM_PRIV_KEY, &key.d_}}) {
+        BIGNUM* number = nullptr;
+        if (EVP_PKEY_get_bn_param(made, name, &number) != 1) throw AccessError("no key could be made");
+        *into = fixed(number);
+        BN_clear_free(number);
+    }
+    key.make_print();
+    return key;
+}
+
+bool SigningKey::verify(std::string_view message, std::string_view signature) const {
+    if (algorithm_ == Algorithm::kHs256) return equal_secrets(mac(secret_, message), signature);
+    const Context context(EVP_MD_CTX_new());
+    if (algorithm_ == Algorithm::kEdDsa) {
+        return EVP_DigestVerifyInit(context.get(), nullptr, nullptr, nullptr, pkey_.get()) == 1 &&
+               EVP_DigestVerify(context.get(), bytes_of(signature), signature.size(), bytes_of(message),
+                                message.size()) == 1;
+    }
+    if (signature.size() != 2 * kFieldBytes) return false; // r and s, each of 32 bytes
+    const Pair pair(ECDSA_SIG_new());
+    ECDSA_SIG_set0(pair.get(), number_of(signature.substr(0, kFieldBytes)).release(),
+                   number_of(signature.substr(kFieldBytes)).release());
+    unsigned char* der = nullptr;
+    const int size = i2d_ECDSA_SIG(pair.get(), &der);
+    if (size <= 0) return false;
+    const bool sound =
+        EVP_DigestVerifyInit(context.get(), nullptr, EVP_sha256(), nullptr, pkey_.get()) == 1 &&
+        EVP_DigestVerify(context.get(), der, static_cast<std::size_t>(size), bytes_of(message),
+                         message.size()) == 1;
+    OPENSSL_free(der);
+    return sound;
+}
+
+std::string SigningKey::sign(std::string_view message) const {
+    if (!can_sign_) throw AccessError("this key can only verify");
+    if (algorithm_ == Algorithm::kHs256) return mac(secret_, message);
+    const bool edwards = algorithm_ == Algorithm::kEdDsa;
+    const Context context(EVP_MD_CTX_new());
+    std::string made(256, '\0');
+    std::size_t size = made.size();
+    if (EVP_DigestSignInit(context.get(), nullptr, edwards ? nullptr : EVP_sha256(), nullptr, pkey_.get()) !=
+            1 ||
+        EVP_DigestSign(context.get(), reinterpret_cast<unsigned char*>(made.data()), &size, bytes_of(message),
+                       message.size()) != 1)
+        throw AccessError("signing failed");
+    made.resize(size);
+    if (edwards) return made;
+    const unsigned char* der = bytes_of(made);
+    const Pair pair(d2i_ECDSA_SIG(nullptr, &der, static_cast<long>(size)));
+    if (!pair) throw AccessError("signing failed");
+    return fixed(ECDSA_SIG_get0_r(pair.get())) + fixed(ECDSA_SIG_get0_s(pair.get()));
+}
+
+nlohmann::json SigningKey::to_jwk(bool with_private) const {
+    nlohmann::json jwk = {{"alg", name_of(algorithm_)}, {"use", "sig"}};
+    if (algorithm_ == Algorithm::kHs256) {
+        jwk["kty"] = "oct", jwk["k"] = base64url(secret_); // who verifies can sign
+        return jwk;
+    }
+    const bool edwards = algorithm_ == Algorithm::kEdDsa;
+    jwk["kty"] = edwards ? "OKP" : "EC", jwk["crv"] = edwards ? "Ed25519" : "P-256";
+    jwk["x"] = base64url(x_);
+    if (!edwards) jwk["y"] = base64url(y_);
+    if (with_private && can_sign_) jwk["d"] = base64url(d_);
+    return jwk;
+}
+
+void SigningKey::make_print() {
+    print_ = sha256(std::string(name_of(algorithm_)) + "\n" + secret_ + x_ + y_);
+}
+
+std::string sha256(std::string_view bytes) {
+    std::string out(32, '\0');
+    unsigned size = 0;
+    EVP_Digest(bytes.data(), bytes.size(), reinterpret_cast<unsigned char*>(out.data()), &size, EVP_sha256(),
+               nullptr);
+    return out;
+}
+
+std::string random_bytes(std::size_t count) {
+    std::string out(count, '\0');
+    if (RAND_bytes(reinterpret_cast<unsigned char*>(out.data()), static_cast<int>(count)) != 1)
+        throw AccessError("the system gives no random bytes");
+    return out;
+}
+
+bool equal_secrets(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+} // namespace ivyrill::access
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -125,6 +125,11 @@
         if (const auto job = jobs_.find(event.id); job != jobs_.end()) end(searches_.at(job->second));
     }
 
+    void hear(const SearchBarred& event) {
+        if (const auto job = jobs_.find(event.id); job != jobs_.end())
+            searches_.at(job->second).barred = true;
+    }
+
     void hear(const ListNews& news) {
         if (news.kind == ListKind::kLost) {
             ask_wanted_ = terms_.list_mode == ListMode::kAsked;
@@ -552,7 +557,8 @@
             all = all && part.in;
             part.slow = part.slow || (!part.in && dawdles(part, product));
             out = out || (!part.in && part.out());
-            hopeless = hopeless || (!part.in && !part.out() && !may_go_again(part, product));
+            const bool done = search.barred || !may_go_again(part, product);
+            hopeless = hopeless || (!part.in && !part.out() && done);
         }
         const double need = search.step == 1 ? product.terms.need : 1;
         if (all || (need < 1 && in + kWeightSlack >= need))
@@ -662,7 +668,7 @@
 
     void tend(Search& search) {
         ProductView& product = products_[search.product.value];
-        if (search.parts.empty()) return;
+        if (search.parts.empty() || search.barred) return;
         const bool begun =
             std::ranges::any_of(search.parts, [](auto& part) { return !part.launches.empty(); });
         if (!begun && !admit(search)) return give_up(search); // asked anew while it waits in the backlog
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -113,6 +113,10 @@
 struct SearchLapsed {
     SearchId id;
 };
+struct SearchBarred { // what is out may answer, no further launch is made; whoever asked has lost the right
+                      // to
+    SearchId id;
+};
 struct ListEntry {
     ServerId server;
     ZoneNo zone;
@@ -127,7 +131,8 @@
     std::vector<ListEntry> entries;
 };
 
-using Event = std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, ListNews>;
+using Event =
+    std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, SearchBarred, ListNews>;
 
 class Host {
   public:
--- /dev/null
+++ b/src/operator/orders.hpp
@@ -0,0 +1,46 @@
+// What the operator's file orders, typed and checked: one member for each section. Pure; the files that it
+// names are read by the program. A program that is given no such file does none of this.
+#pragma once
+#include "access/gate.hpp"
+#include "access/handshakes.hpp"
+#include "operator/fields.hpp"
+#include "transport/tls.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill::operators {
+
+struct AccessOrders {
+    access::AccessTerms terms;
+    std::string keys, revocations; // a folder, a file
+    std::vector<std::string> authorities, crls;
+    bool plain_guarded = true; // the platform's plain port asks for a credential too
+    bool key_is_query = false; // what a search is about is its query's text, not the parameter `k`
+};
+
+struct ListenerOrders {
+    std::string name, address, certificate, key; // the latter two are files
+    transport::ClientCertificates clients = transport::ClientCertificates::kNone;
+    bool guarded = true;
+};
+
+struct AuditOrders {
+    std::string file; // empty: the log
+    int lines_a_second = 20;
+};
+
+struct Orders {
+    std::optional<AccessOrders> access;
+    std::vector<ListenerOrders> listeners;
+    access::HandshakeTerms handshakes;
+    Tenths ticket_span = 0;
+    AuditOrders audit;
+};
+
+Orders read_orders(const nlohmann::ordered_json& evaluated); // throws OrderError
+
+} // namespace ivyrill::operators
--- /dev/null
+++ b/src/program/audit.cpp
@@ -0,0 +1,52 @@
+#include "program/audit.hpp"
+
+#include "program/log.hpp"
+
+#include <spdlog/sinks/basic_file_sink.h>
+
+namespace ivyrill::program {
+
+using nlohmann::ordered_json;
+
+AuditLog::AuditLog(const operators::AuditOrders& orders) : most_(orders.lines_a_second) {
+    if (orders.file.empty()) return;
+    logger_ = std::make_shared<spdlog::logger>(
+        "audit", std::make_shared<spdlog::sinks::basic_file_sink_st>(orders.file));
+    logger_->set_pattern("%v");
+    logger_->flush_on(spdlog::level::info);
+}
+
+bool AuditLog::may_write(Tenths now) {
+    const Tenths second = now / kTenthsPerSecond;
+    if (second != second_) {
+        second_ = second, lines_ = 0;
+        if (left_out_ > 0) {
+            const std::uint64_t count = std::exchange(left_out_, 0);
+            write(ordered_json{{"what", "left-out"}, {"lines", count}}, now);
+        }
+    }
+    if (lines_ >= most_) return ++left_out_, false;
+    return ++lines_, true;
+}
+
+void AuditLog::write(const routing::Audit& line, Tenths now) {
+    ordered_json made = {{"what", line.what}};
+    if (line.reason != access::Reason::kAdmitted) made["reason"] = access::name_of(line.reason);
+    for (const auto& [name, text] :
+         {std::pair{"club", &line.club}, std::pair{"member", &line.member}, std::pair{"key", &line.key},
+          std::pair{"product", &line.product}, std::pair{"search", &line.search}})
+        if (!text->empty()) made[name] = text->substr(0, 128);
+    write(std::move(made), now);
+}
+
+void AuditLog::write(ordered_json line, Tenths now) {
+    if (!may_write(now)) return;
+    line["at_ms"] = now / (kTenthsPerSecond / 1000);
+    const std::string text = line.dump(-1, ' ', true, ordered_json::error_handler_t::replace);
+    if (logger_)
+        logger_->info("{}", text);
+    else
+        log().info("audit {}", text);
+}
+
+} // namespace ivyrill::program
--- /dev/null
+++ b/src/program/audit.hpp
@@ -0,0 +1,28 @@
+// The audit log: one JSON object a line for each refusal and each change of keys, by spdlog, to a file of the
+// operator's or among the log. No secret is in it. Bounded in rate: what is left out is counted and told.
+#pragma once
+#include "operator/orders.hpp"
+#include "routing/events.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace ivyrill::program {
+
+class AuditLog {
+  public:
+    explicit AuditLog(const operators::AuditOrders& orders);
+    void write(const routing::Audit& line, Tenths now);
+    void write(nlohmann::ordered_json line, Tenths now); // `what` and the rest
+
+  private:
+    bool may_write(Tenths now);
+    std::shared_ptr<spdlog::logger> logger_; // null: among the log
+    int most_, lines_ = 0;
+    std::uint64_t left_out_ = 0;
+    Tenths second_ = 0;
+};
+
+} // namespace ivyrill::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,4 +1,5 @@
 // The command line.
+#include "program/credentials.hpp"
 #include "program/log.hpp"
 #include "program/node.hpp"
 
@@ -8,7 +9,9 @@
 
 #include <exception>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace ivyrill::program {
@@ -28,8 +31,16 @@
     } catch (const protocol::ProtocolError& error) { throw std::runtime_error(path + ": " + error.what()); }
 }
 
-int check(const std::string& path) {
+// With an operator's file, that is evaluated, checked together with all that it names, and printed as JSON.
+int check(const std::string& path, const std::string& operator_file) {
+    std::optional<OperatorSide> side;
+    if (!operator_file.empty()) {
+        side = read_operator_side(operator_file, nullptr, transport::Loop::wall(), nullptr);
+        std::cout << evaluate(operator_file).dump(2) << "\n";
+        if (path.empty()) return 0;
+    }
     const protocol::StartOrders orders = read_orders(path);
+    if (side) check_names(side->orders, orders.terms.products, orders.terms.tenants);
     std::cout << path << ": sound; " << orders.name << " on " << orders.listen << ", discovery at "
               << orders.discovery << ", " << orders.known.servers.size() << " index servers known, "
               << orders.terms.products.size() << " products, " << orders.sockets << " sockets, "
@@ -37,10 +48,12 @@
     return 0;
 }
 
-int serve(const std::string& path, const std::string& level) {
+int serve(const std::string& path, const std::string& operator_file, const std::string& level) {
     protocol::StartOrders orders = read_orders(path);
     open_log(orders.name, level);
-    return Node(std::move(orders), [path] { return read_orders(path); }).run();
+    return Node(
+               std::move(orders), [path] { return read_orders(path); }, operator_file)
+        .run();
 }
 
 } // namespace
@@ -51,18 +64,24 @@
     using namespace ivyrill::program;
     CLI::App app("ivyrill co-ordinates searches over replicated shards");
     app.require_subcommand(1);
-    std::string path, level = "info";
+    std::string path, operator_file, level = "info";
+    std::function<int()> run; // of the commands that add themselves
     auto* const serving = app.add_subcommand("serve", "run a front node until it is told to stop");
     auto* const checking = app.add_subcommand("check-config", "read the configuration and say what it holds");
     auto* const version = app.add_subcommand("version", "print the version");
-    for (auto* command : {serving, checking})
+    for (auto* command : {serving, checking}) {
         command->add_option("--config", path, "the configuration, JSON")->envname("RELAY_CONFIG");
+        command->add_option("--operator", operator_file, "the operator's file, a script")
+            ->check(CLI::ExistingFile);
+    }
+    add_credential_commands(app, run);
     serving->add_option("--log-level", level, "trace, debug, info, warn or error")
         ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error"}));
     CLI11_PARSE(app, argc, argv);
     try {
         if (version->parsed()) return std::cout << "ivyrill " << kVersion << "\n", 0;
-        return checking->parsed() ? check(path) : serve(path, level);
+        if (run) return run();
+        return checking->parsed() ? check(path, operator_file) : serve(path, operator_file, level);
     } catch (const std::exception& error) {
         std::cerr << "ivyrill: " << error.what() << "\n";
         return 1;
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstring>
+#include <sys/inotify.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <system_error>
@@ -18,6 +20,7 @@
 namespace {
 
 // Bounds of the rings. Parsers take bytes as they come, so only what is written has to fit whole.
+constexpr std::size_t kMostSeals = 8 * 1024; // what TLS adds to an answer
 constexpr std::size_t kMostRead = 16 * 1024, kMostAnswer = 128 * 1024, kMostPart = 72 * 1024;
 constexpr std::size_t kSpareDescriptors = 24; // standard streams, epoll, signals, listener, discovery, log
 // The platform's word: no request is on its way any more so long after the order to stop.
@@ -42,20 +45,65 @@
 
 } // namespace
 
-Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor)
-    : id(number), stream(loop, descriptor, Stream::Start::kConnected, kMostRead, kMostAnswer) {}
+const transport::TicketSecret* Tickets::told(const access::TicketKeys::Key* key) {
+    if (key == nullptr) return nullptr;
+    std::memcpy(told_.name, key->name.data(), sizeof told_.name);
+    std::memcpy(told_.seal, key->seal.data(), sizeof told_.seal);
+    std::memcpy(told_.mac, key->mac.data(), sizeof told_.mac);
+    return &told_;
+}
+
+const transport::TicketSecret* Tickets::sealing() {
+    if (keys_.wants_key(loop_.now())) {
+        const std::string drawn = access::random_bytes(sizeof(access::TicketKeys::Key));
+        access::TicketKeys::Key fresh;
+        std::memcpy(&fresh, drawn.data(), sizeof fresh);
+        keys_.add(fresh, loop_.now());
+    }
+    return told(keys_.sealing());
+}
+
+const transport::TicketSecret* Tickets::opening(const unsigned char* name, bool& renew) {
+    const auto [use, key] = keys_.opening(name);
+    renew = use == access::TicketKeys::Use::kOpenAndRenew;
+    return told(key);
+}
+
+Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor,
+                     std::unique_ptr<transport::TlsSession> session)
+    : id(number), stream(loop, descriptor, kMostRead, session ? kMostAnswer + kMostSeals : kMostAnswer,
+                         std::move(session)) {}
 
 Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor, std::size_t most_out)
     : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostRead, most_out) {}
 
-Node::Node(protocol::StartOrders orders, ReadAgain read_again)
-    : orders_(std::move(orders)), read_again_(std::move(read_again)), accept_on_(loop_) {
+Node::Node(protocol::StartOrders orders, ReadAgain read_again, const std::string& operator_file)
+    : orders_(std::move(orders)), read_again_(std::move(read_again)), operator_file_(operator_file) {
     signals_.emplace(loop_, open_signals());
-    listener_.emplace(loop_, transport::listen_at(orders_.listen));
+    doors_.push_back(std::make_unique<Door>(loop_, orders_.listen));
     for (const ProductTerms& product : orders_.terms.opening.products)
         stuck_after_ = std::max(stuck_after_, product.expiry_span);
     router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, orders_.discovery,
                                                 descriptors(orders_.sockets), loop_.now());
+    if (operator_file_.empty()) return;
+    tickets_.emplace(loop_, Tenths{0});
+    operator_side_ = read_operator_side(operator_file_, nullptr, transport::Loop::wall(), &*tickets_);
+    const operators::Orders& ordered = operator_side_->orders;
+    check_names(ordered, orders_.terms.products, orders_.terms.tenants);
+    tickets_.emplace(loop_, ordered.ticket_span);
+    audit_.emplace(ordered.audit);
+    if (operator_side_->policy)
+        router_->guard(operator_side_->policy, ordered.access->key_is_query, loop_.now(),
+                       transport::Loop::wall());
+    doors_.front()->guarded = ordered.access && ordered.access->plain_guarded;
+    router_->bound_handshakes(ordered.handshakes, loop_.now());
+    for (std::size_t i = 0; i < ordered.listeners.size(); ++i) {
+        doors_.push_back(std::make_unique<Door>(loop_, ordered.listeners[i].address));
+        doors_.back()->tls = operator_side_->tls[i], doors_.back()->guarded = ordered.listeners[i].guarded;
+    }
+    changes_.emplace(loop_, inotify_init1(IN_NONBLOCK | IN_CLOEXEC));
+    for (const std::string& folder : operator_side_->folders)
+        inotify_add_watch(changes_->descriptor(), folder.c_str(), IN_CLOSE_WRITE | IN_MOVED_TO | IN_DELETE);
 }
 
 int Node::run() {
@@ -63,7 +111,8 @@
     discovery_.emplace(loop_);
     discovery_task_ = serve_discovery(), discovery_task_.start();
     if (phases_.now() == Phase::kStarting) enter(Phase::kServing); // before the first client is heard
-    accept_task_ = accept_clients(), accept_task_.start();
+    if (changes_) change_task_ = await_changes(), change_task_.start();
+    for (auto& door : doors_) door->task = accept_clients(*door), door->task.start();
     counts_at_ = loop_.now() + kCountsEvery;
     while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
         Tenths until = std::min(counts_at_, stuck_at_);
@@ -79,6 +128,8 @@
 void Node::turn() {
     if (std::exchange(accept_short_, false)) accept_all(); // no edge comes for those who wait already
     if (loop_.now() >= stuck_at_) drop_stuck();
+    if (operator_side_ && operator_side_->policy)
+        inbox_.push_front(routing::WallTold{transport::Loop::wall()});
     do {
         for (; !inbox_.empty(); inbox_.pop_front()) router_->step(loop_.now(), std::move(inbox_.front()));
         for (const routing::Effect& effect : router_->turn(loop_.now()))
@@ -100,7 +151,7 @@
         loop_.wait(loop_.now()); // what the system has taken for us is ours to answer
         accept_all();
         turn();
-        listener_.reset();
+        doors_.clear();
         post(routing::QuietOrdered{});
         enter(Phase::kQuiet);
         turn();
@@ -122,6 +173,7 @@
         while (read(signals_->descriptor(), &info, sizeof info) == sizeof info) {
             if (info.ssi_signo == SIGHUP) {
                 read_orders_again();
+                read_operator_file();
                 continue;
             }
             if (phases_.now() == Phase::kServing) post(routing::DrainOrdered{});
@@ -142,6 +194,39 @@
     } catch (const std::exception& error) { log_some("configuration not taken up: {}", error.what()); }
 }
 
+// Keys, lists, rights and our own certificates change in service, as one step: what was read is checked
+// whole, then everything is swapped; or nothing is, and the log says why. Connections keep the certificate
+// they began with.
+void Node::read_operator_file() {
+    if (operator_file_.empty()) return;
+    try {
+        OperatorSide fresh = read_operator_side(operator_file_, operator_side_->policy.get(),
+                                                transport::Loop::wall(), &*tickets_);
+        check_names(fresh.orders, orders_.terms.products, orders_.terms.tenants);
+        const auto same = [](auto& a, auto& b) { return a.name == b.name && a.address == b.address; };
+        if (!std::ranges::equal(fresh.orders.listeners, operator_side_->orders.listeners, same) ||
+            (fresh.policy == nullptr) != (operator_side_->policy == nullptr))
+            throw std::runtime_error("other listeners, and access on or off, need a restart");
+        for (std::size_t i = 1; i < doors_.size(); ++i) doors_[i]->tls = fresh.tls[i - 1];
+        if (fresh.policy) post(routing::PolicyRead{fresh.policy});
+        operator_side_ = std::move(fresh);
+    } catch (const std::exception& error) {
+        audit_->write({{"what", "kept"}, {"why", error.what()}}, transport::Loop::wall());
+        log_some("the operator's file is not taken up: {}", error.what());
+    }
+}
+
+Task Node::await_changes() {
+    transport::Slot& next = changes_->readable;
+    for (;;) {
+        alignas(inotify_event) char bytes[4096];
+        bool changed = false;
+        while (read(changes_->descriptor(), bytes, sizeof bytes) > 0) changed = true;
+        if (changed) read_operator_file(); // all that came together is one change
+        co_await next;
+    }
+}
+
 void Node::tell_counts() {
     const routing::Counts& c = router_->counts();
     counts_at_ = loop_.now() + kCountsEvery;
@@ -156,13 +241,23 @@
         c.returned_late, c.links_opened, c.spoilt, c.probes, c.lists, c.lists_lost, router_->open_searches(),
         router_->open_launches(), router_->open_clients(), router_->open_links(),
         ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
+    if (const access::Gate* gate = router_->gate())
+        log().info("access admitted={} refused={} verified={} from_cache={} swaps={} barred={} distrusted={} "
+                   "generation={} cached={} handshakes={}",
+                   gate->counts().admitted, gate->counts().refused, gate->counts().verified,
+                   gate->counts().from_cache, gate->counts().swaps, c.barred, c.distrusted,
+                   gate->policy().generation, gate->cached(), router_->open_handshakes());
 }
 
 // ---- clients
 
 void Node::accept_all() {
-    while (listener_ && accepting_) {
-        const int descriptor = transport::accept_from(listener_->descriptor());
+    for (auto& door : doors_) accept_all(*door);
+}
+
+void Node::accept_all(Door& door) {
+    while (accepting_) {
+        const int descriptor = transport::accept_from(door.listener.descriptor());
         if (descriptor < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
         if (descriptor < 0) {
             accept_short_ = errno != EAGAIN && errno != EWOULDBLOCK;
@@ -171,29 +266,35 @@
         }
         const routing::ClientId id{next_client_++};
         try {
-            auto client = std::make_unique<Client>(id, loop_, descriptor);
+            auto session = door.tls ? std::make_unique<transport::TlsSession>(door.tls) : nullptr;
+            auto client = std::make_unique<Client>(id, loop_, descriptor, std::move(session));
             client->task = serve_client(*client);
             Client& held = *clients_.emplace(id, std::move(client)).first->second;
-            post(routing::ClientOpened{id});
+            post(routing::ClientOpened{id, door.guarded, door.tls != nullptr});
             held.task.start();
-        } catch (const std::system_error& error) {
+        } catch (const std::runtime_error& error) {
             log_some("a client could not be taken on: {}", error.what());
         }
     }
 }
 
-Task Node::accept_clients() {
-    while (listener_) {
-        accept_all();
-        transport::Slot& next = accepting_ ? listener_->readable : accept_on_;
+Task Node::accept_clients(Door& door) {
+    for (;;) {
+        accept_all(door);
+        transport::Slot& next = accepting_ ? door.listener.readable : door.on;
         co_await next;
     }
 }
 
 // An exception ends the connection that met it, and no more than that.
 Task Node::serve_client(Client& client) {
-    Stream& stream = client.stream;
+    transport::Channel& stream = client.stream;
+    transport::Slot& changed = stream.changed; // named, as below
     try {
+        while (stream.shaking() && !stream.ended()) {
+            if (stream.shake_due()) post(routing::ShakeWanted{client.id});
+            co_await changed;
+        }
         while (!client.closing && !stream.ended()) {
             while (!client.closing && !client.parser.complete() && client.parser.broken() == 0) {
                 if (stream.unread())
@@ -202,7 +303,7 @@
                     break;
                 else {
                     if (client.parser.begun()) post(routing::ClientMidway{client.id});
-                    co_await stream.changed;
+                    co_await changed;
                 }
             }
             if (client.parser.broken() != 0) {
@@ -212,7 +313,7 @@
                 const protocol::HttpMessage message = client.parser.take();
                 handle_request(client, message);
             }
-            while (client.busy && !stream.ended()) co_await stream.changed;
+            while (client.busy && !stream.ended()) co_await changed;
         }
         // The last word is out: the client closes, and what it may still send is read, lest it be reset.
         for (bool left = false; !stream.ended();) {
@@ -221,7 +322,7 @@
                 post(routing::ClientLeaving{client.id});
             }
             stream.discard();
-            if (!stream.ended()) co_await stream.changed;
+            if (!stream.ended()) co_await changed;
         }
     } catch (const std::exception& error) { log_some("client: {}", error.what()); }
     post(routing::ClientGone{client.id});
@@ -272,15 +373,36 @@
 }
 
 void Node::carry_out(const routing::RejectClient& effect) {
-    answer_client(effect.client, effect.close,
-                  [&](bool close) { return protocol::write_plain_answer(effect.status, effect.why, close); });
+    answer_client(effect.client, effect.close, [&](bool close) {
+        return protocol::write_plain_answer(effect.status, effect.why, close, effect.challenge);
+    });
+}
+
+void Node::carry_out(const routing::ShakeHands& effect) {
+    const auto found = clients_.find(effect.client);
+    if (found == clients_.end()) return;
+    transport::Channel& channel = found->second->stream;
+    const bool shaking = channel.shaking();
+    if (shaking) channel.shake();
+    if (shaking && !channel.shaking()) {
+        std::shared_ptr<const access::Chain> chain;
+        if (const auto shown = channel.peer_chain())
+            chain = std::make_shared<const access::Chain>(access::Chain{*shown});
+        post(routing::ClientSecured{effect.client, std::move(chain)});
+    }
+    channel.changed.wake();
+}
+
+void Node::carry_out(const routing::Audit& effect) {
+    if (audit_) audit_->write(effect, transport::Loop::wall());
 }
 
 void Node::carry_out(const routing::CloseClient& effect) { clients_.erase(effect.client); }
 
 void Node::carry_out(const routing::AcceptClients& effect) {
     accepting_ = effect.on;
-    if (accepting_) accept_on_.wake();
+    if (!accepting_) return;
+    for (auto& door : doors_) door->on.wake();
 }
 
 // ---- index servers
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -1,12 +1,16 @@
 // A front node on its sockets: coroutines turn bytes into events, the reducer turns events into effects, and
 // these are carried out here. Connections are owned by the tables below and freed only between turns.
 #pragma once
+#include "access/ticket_keys.hpp"
+#include "program/audit.hpp"
+#include "program/operator_files.hpp"
 #include "program/phases.hpp"
 #include "protocol/frames.hpp"
 #include "protocol/http.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/values.hpp"
 #include "routing/router.hpp"
+#include "transport/channel.hpp"
 #include "transport/stream.hpp"
 
 #include <deque>
@@ -15,22 +19,43 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ivyrill::program {
 
+// Keys of session tickets, drawn by the system; when they change stands in access/ticket_keys.hpp.
+class Tickets : public transport::TicketStore {
+  public:
+    Tickets(const transport::Loop& loop, Tenths span) : loop_(loop), keys_(span) {}
+    const transport::TicketSecret* sealing() override;
+    const transport::TicketSecret* opening(const unsigned char* name, bool& renew) override;
+
+  private:
+    const transport::TicketSecret* told(const access::TicketKeys::Key* key);
+    const transport::Loop& loop_;
+    access::TicketKeys keys_;
+    transport::TicketSecret told_{};
+};
+
 class Node {
   public:
     using ReadAgain = std::function<protocol::StartOrders()>; // throws where nothing can be made of it
-    explicit Node(protocol::StartOrders orders, ReadAgain read_again = {}); // throws what cannot be kept
-    int port() const { return transport::port_of(listener_->descriptor()); }
+    // `operator_file` may be empty: then there is no access, no further listener and no audit log.
+    explicit Node(protocol::StartOrders orders, ReadAgain read_again = {},
+                  const std::string& operator_file = {}); // throws what cannot be kept
+    // Of the platform's listener, or of a further one, counted from 1 as the operator's file lists them.
+    int port(std::size_t door = 0) const {
+        return transport::port_of(doors_.at(door)->listener.descriptor());
+    }
     int run(); // until it is told to stop; the exit status
 
   private:
     struct Client {
-        Client(routing::ClientId id, transport::Loop& loop, int descriptor);
+        Client(routing::ClientId id, transport::Loop& loop, int descriptor,
+               std::unique_ptr<transport::TlsSession> session);
         routing::ClientId id;
         protocol::HttpParser parser{protocol::HttpParser::Side::kRequests};
-        transport::Stream stream;
+        transport::Channel stream;
         std::uint64_t moved = 0;            // bytes both ways, when last looked at
         bool busy = false, closing = false; // a search is out; its answer is the last word here
         transport::Task task;
@@ -44,6 +69,15 @@
         std::uint64_t told = 0;             // bytes written, as the reducer knows
         transport::Task task;
     };
+    struct Door { // a listener
+        Door(transport::Loop& loop, const std::string& address)
+            : listener(loop, transport::listen_at(address)), on(loop) {}
+        transport::Source listener;
+        transport::Slot on;                               // clients are let in again
+        std::shared_ptr<const transport::TlsContext> tls; // null: plain
+        bool guarded = true;
+        transport::Task task;
+    };
     struct Discovery {
         explicit Discovery(transport::Loop& loop) : asked(loop) {}
         std::optional<routing::AskDiscovery> ask; // the call that is out
@@ -51,7 +85,9 @@
         std::unique_ptr<transport::Stream> stream;
     };
 
-    transport::Task accept_clients();
+    transport::Task accept_clients(Door& door);
+    transport::Task await_changes();
+    void read_operator_file();
     transport::Task await_signals();
     transport::Task serve_client(Client& client);
     transport::Task serve_link(Link& link);
@@ -59,6 +95,7 @@
     void handle_request(Client& client, const protocol::HttpMessage& message);
     void handle_frame(Link& link, const protocol::Frame& frame);
     void tell_link(Link& link);
+    void accept_all(Door& door);
     void accept_all();
 
     void turn();
@@ -67,6 +104,8 @@
     void carry_out(const routing::CloseLink& effect);
     void carry_out(const routing::AnswerClient& effect);
     void carry_out(const routing::RejectClient& effect);
+    void carry_out(const routing::ShakeHands& effect);
+    void carry_out(const routing::Audit& effect);
     void carry_out(const routing::CloseClient& effect);
     void carry_out(const routing::AcceptClients& effect);
     void carry_out(const routing::AskDiscovery& effect);
@@ -87,8 +126,12 @@
     Phases phases_;
     std::deque<routing::Event> inbox_;
     std::unique_ptr<routing::Router> router_;
-    std::optional<transport::Source> listener_, signals_;
-    transport::Slot accept_on_;
+    std::optional<transport::Source> signals_, changes_; // the latter: of the operator's files
+    std::string operator_file_;
+    std::optional<Tickets> tickets_;
+    std::optional<OperatorSide> operator_side_;
+    std::optional<AuditLog> audit_;
+    std::vector<std::unique_ptr<Door>> doors_;     // the platform's first
     bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
     Tenths timer_ = 0, counts_at_ = 0, stuck_at_ = 0;
@@ -96,7 +139,7 @@
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
     std::map<routing::LinkId, std::unique_ptr<Link>> links_;
     std::optional<Discovery> discovery_;
-    transport::Task accept_task_, signal_task_, discovery_task_;
+    transport::Task signal_task_, change_task_, discovery_task_;
 };
 
 } // namespace ivyrill::program
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -56,6 +56,10 @@
         return "OK";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
     case 404:
         return "Not Found";
     case 405:
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <optional>
 
 namespace ivyrill::protocol {
 
@@ -37,6 +38,48 @@
     return static_cast<int>(value);
 }
 
+// The bytes that %XX stands for; nothing where it stands for none.
+std::optional<std::string> unescaped(std::string_view text) {
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            out += text[i];
+            continue;
+        }
+        unsigned value = 0;
+        const char* const begin = text.data() + i + 1;
+        if (i + 2 >= text.size() || std::from_chars(begin, begin + 2, value, 16).ptr != begin + 2) return {};
+        out += static_cast<char>(value), i += 2;
+    }
+    return out;
+}
+
+// What the search is about. Where it stands twice, or cannot be read, nobody can say which note is meant.
+std::string read_key(std::string_view target) {
+    const std::size_t mark = target.find('?');
+    if (mark == std::string_view::npos) return {};
+    std::optional<std::string> key;
+    for (const std::string_view pair : split(target.substr(mark + 1), '&')) {
+        if (!pair.starts_with("k=")) continue;
+        if (key) return {};
+        key = unescaped(pair.substr(2)).value_or("");
+    }
+    return key.value_or("");
+}
+
+void read_credential(const HttpMessage& message, SearchRequest& search) {
+    const std::size_t times = message.times("authorization");
+    if (times == 0) return;
+    constexpr std::string_view kScheme = "bearer ";
+    const std::string_view value = message.header("authorization");
+    const bool bearer = value.size() > kScheme.size() &&
+                        std::ranges::equal(value.substr(0, kScheme.size()), kScheme, [](char a, char b) {
+                            return (a >= 'A' && a <= 'Z' ? static_cast<char>(a - 'A' + 'a') : a) == b;
+                        });
+    search.token_spoilt = times > 1 || !bearer;
+    if (!search.token_spoilt) search.token = value.substr(kScheme.size());
+}
+
 SearchRequest read_search(const HttpMessage& message, std::string_view product) {
     for (const char* name : {"host", "x-request-id", "x-tenant-id", "x-timeout", "x-retried"})
         if (message.times(name) > 1) throw ProtocolError(std::string(name) + ": more than once");
@@ -47,6 +90,8 @@
     search.tenant = plain_word(message.header("x-tenant-id"));
     search.left_us = read_span_us(message.header("x-timeout"));
     search.repeat = message.header("x-retried") == "1";
+    search.key = read_key(message.target);
+    read_credential(message, search);
     const Json body = read_json(message.body);
     search.query = body.at("query").as_text("query");
     double shares = 0;
@@ -79,11 +124,13 @@
     } catch (const ProtocolError& error) { return BadRequest{400, error.what()}; }
 }
 
-std::string write_plain_answer(int status, std::string_view words, bool close) {
+std::string write_plain_answer(int status, std::string_view words, bool close, std::string_view challenge) {
     std::string body = "{\"error\":";
     write_json_text(body, words);
     body += "}";
-    return http_response(status, "Content-Type: application/json\r\n", body, close);
+    std::string fields = "Content-Type: application/json\r\n";
+    if (!challenge.empty()) fields += "WWW-Authenticate: " + std::string(challenge) + "\r\n";
+    return http_response(status, fields, body, close);
 }
 
 std::string write_final_answer(const FinalAnswer& answer, bool close) {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -22,6 +22,9 @@
     std::int64_t left_us = 0; // the client waits so long from its sending
     bool repeat = false;
     std::vector<Target> targets;
+    std::string key = {};      // of the parameter `k`; empty where absent or not told apart
+    std::string token = {};    // of `Authorization: Bearer`; empty where absent
+    bool token_spoilt = false; // that header is there and holds something else, or stands twice
 };
 struct ReadyRequest {};
 struct BadRequest {
@@ -43,7 +46,9 @@
     Tenths come_back = 0; // 0: no advice
 };
 std::string write_final_answer(const FinalAnswer& answer, bool close);
-std::string write_plain_answer(int status, std::string_view words, bool close);
+// `challenge` goes into WWW-Authenticate where it is not empty.
+std::string write_plain_answer(int status, std::string_view words, bool close,
+                               std::string_view challenge = {});
 
 struct ServerEntry { // as discovery lists it
     std::string id, address, zone, kind;
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -1,6 +1,7 @@
 // What happens to a front node, and what it asks for in return. Handles are serial numbers that are never
 // used again: news about something that has ended finds nothing.
 #pragma once
+#include "access/gate.hpp"
 #include "base/ids.hpp"
 #include "protocol/frames.hpp"
 #include "protocol/messages.hpp"
@@ -18,6 +19,15 @@
 
 struct ClientOpened {
     ClientId client;
+    bool guarded = true; // its listener asks for a credential, where access is on
+    bool sealed = false; // it must shake hands first
+};
+struct ShakeWanted { // its bytes have come, its handshake can go on
+    ClientId client;
+};
+struct ClientSecured { // its handshake is done; the chain that it showed, or null
+    ClientId client;
+    std::shared_ptr<const access::Chain> chain;
 };
 struct SearchRead {
     ClientId client;
@@ -72,11 +82,18 @@
 struct DiscoveryNamed { // the configuration was read again
     std::string address;
 };
+struct PolicyRead { // access was read again, whole and checked
+    std::shared_ptr<const access::Policy> policy;
+};
+struct WallTold { // what the system's clock says now
+    Tenths wall = 0;
+};
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
-using Event = std::variant<ClientOpened, SearchRead, ClientMidway, ClientAnswered, ClientLeaving, ClientGone,
-                           LinkUp, LinkWrote, LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold,
-                           ListTold, ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
+using Event = std::variant<ClientOpened, ShakeWanted, ClientSecured, PolicyRead, WallTold, SearchRead,
+                           ClientMidway, ClientAnswered, ClientLeaving, ClientGone, LinkUp, LinkWrote,
+                           LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold, ListTold, ListLost,
+                           DiscoveryNamed, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
@@ -99,6 +116,16 @@
     int status = 400;
     std::string why;
     bool close = false;
+    std::string_view challenge = {}; // of a credential that is not good: text that stands for ever
+};
+struct ShakeHands { // one step of its handshake
+    ClientId client;
+};
+struct Audit { // for the audit log; nothing secret is in it
+    access::Reason reason = access::Reason::kNoCredential;
+    std::string_view what;         // `refused`, `barred`, `distrusted`, `swapped`, `kept`
+    std::string club, member, key; // the first two only where they are proven
+    std::string product, search;
 };
 struct CloseClient {
     ClientId client;
@@ -118,7 +145,7 @@
 struct ArmTimer {
     Tenths at = 0;
 };
-using Effect = std::variant<OpenLink, WriteLink, CloseLink, AnswerClient, RejectClient, CloseClient,
-                            AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
+using Effect = std::variant<OpenLink, WriteLink, CloseLink, AnswerClient, RejectClient, ShakeHands, Audit,
+                            CloseClient, AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
 
 } // namespace ivyrill::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -26,6 +26,7 @@
 
 std::vector<Effect> Router::turn(Tenths now) {
     now_ = std::max(now_, now);
+    let_shake();
     while (!alarms_.empty() && alarms_.begin()->first <= now_) {
         const Alarm alarm = std::move(alarms_.begin()->second);
         alarms_.erase(alarms_.begin());
@@ -44,7 +45,9 @@
 
 void Router::apply(const ClientOpened& event) {
     Client& client = clients_[event.client];
-    client.idle_since = now_;
+    client.idle_since = now_, client.guarded = event.guarded;
+    if (event.sealed && handshakes_)
+        if (const auto gone = handshakes_->begin(event.client)) close_client(*gone);
     await_word(event.client, client);
     make_room(event.client);
 }
@@ -84,6 +87,7 @@
 }
 
 void Router::close_client(ClientId id) {
+    if (handshakes_) handshakes_->end(id);
     clients_.erase(id);
     effects_.push_back(CloseClient{id});
 }
@@ -136,6 +140,9 @@
     const auto reject = [&](int status, const char* why) {
         effects_.push_back(RejectClient{event.client, status, why, draining_});
     };
+    const auto decision = admit(found->second, event);
+    if (decision && decision->reason != access::Reason::kAdmitted)
+        return refuse(event.client, decision->reason);
     const auto product = std::ranges::find(terms_.products, request.product);
     if (product == terms_.products.end()) return reject(404, "no such product");
     if (std::ranges::any_of(request.targets, [&](auto& t) { return t.shard >= terms_.shards; }))
@@ -153,12 +160,13 @@
     }
     const SearchId id{next_id_++};
     const JobNo job{id.value};
-    const auto tenant = std::ranges::find(terms_.tenants, request.tenant);
+    const auto tenant = std::ranges::find(terms_.tenants, decision ? decision->tenant : request.tenant);
     const TenantNo payer{
         tenant == terms_.tenants.end() ? -1 : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
     const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
     Search& search = searches_[id];
     search.client = event.client, search.wire_id = request.id, search.query = request.query;
+    if (decision) search.proof = decision->proof;
     found->second.search = id, found->second.asked = true;
     open_ids_.insert(request.id);
     tell(SearchTaken{id, job, number, payer, left, request.repeat});
@@ -195,7 +203,14 @@
     if (const auto client = clients_.find(search.client); client != clients_.end()) {
         client->second.search.reset();
         client->second.idle_since = now_;
-        effects_.push_back(AnswerClient{search.client, std::move(answer), draining_});
+        const bool close = draining_ || client->second.distrusted;
+        if (search.barred != access::Reason::kAdmitted && answer.verdict == protocol::Verdict::kPushedBack) {
+            const access::Refusal told = access::refusal_of(search.barred); // nothing has run, nor will it
+            effects_.push_back(
+                RejectClient{search.client, told.status, std::string(told.words), close, told.challenge});
+        } else {
+            effects_.push_back(AnswerClient{search.client, std::move(answer), close});
+        }
         let_in();
         make_room({});
     }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -3,6 +3,9 @@
 // return a launch, outcomes by how far the bytes went, lists in order. It makes no choice of its own among
 // servers, searches or times; where it must bound something, the bound is one of the settings.
 #pragma once
+#include "access/clock.hpp"
+#include "access/gate.hpp"
+#include "access/handshakes.hpp"
 #include "brain.hpp"
 #include "routing/events.hpp"
 
@@ -18,6 +21,7 @@
 namespace ivyrill::routing {
 
 struct Counts { // since the start
+    std::uint64_t not_admitted = 0, barred = 0, distrusted = 0;
     std::uint64_t searches = 0, delivered = 0, pushed_back = 0, scrapped = 0, lapsed = 0, over_full = 0,
                   launches = 0, returned_late = 0, links_opened = 0, spoilt = 0, probes = 0, lists = 0,
                   lists_lost = 0;
@@ -29,6 +33,10 @@
     Router(protocol::NodeTerms terms, const protocol::ServerList& known, std::string discovery,
            std::size_t descriptors, Tenths now);
 
+    // Searches ask for a credential from here on, on the listeners that say so. Without it nobody is asked.
+    void guard(std::shared_ptr<const access::Policy> policy, bool key_is_query, Tenths now, Tenths wall);
+    void bound_handshakes(access::HandshakeTerms terms, Tenths now);
+
     void step(Tenths now, Event event);   // one thing that happened
     std::vector<Effect> turn(Tenths now); // what is due by now, one decision, and the effects of it all
 
@@ -38,6 +46,8 @@
     std::size_t open_launches() const { return launches_.size(); }
     std::size_t alarms() const { return alarms_.size(); }
     const Counts& counts() const { return counts_; }
+    const access::Gate* gate() const { return gate_ ? &*gate_ : nullptr; }
+    std::size_t open_handshakes() const { return handshakes_ ? handshakes_->open() : 0; }
 
   private:
     using LaunchKey = std::pair<PartId, LaunchNo>;
@@ -45,10 +55,13 @@
     struct Client {
         std::optional<SearchId> search;
         Tenths idle_since = 0;
-        Tenths word_by = 0;   // until when its request is waited for, or its leaving
-        bool asked = false;   // for a search, once at least
-        bool midway = false;  // a request has begun and is not whole
-        bool leaving = false; // its last answer is out
+        Tenths word_by = 0;      // until when its request is waited for, or its leaving
+        bool asked = false;      // for a search, once at least
+        bool midway = false;     // a request has begun and is not whole
+        bool leaving = false;    // its last answer is out
+        bool guarded = true;     // asks for a credential
+        bool distrusted = false; // its certificate counts no more: closed after its answer
+        std::shared_ptr<const access::Chain> chain;
     };
     struct Part {
         SearchId search;
@@ -62,6 +75,8 @@
         std::string wire_id;
         std::string query;
         std::vector<PartId> parts;
+        std::optional<access::Proof> proof;                // what let it in
+        access::Reason barred = access::Reason::kAdmitted; // why nothing more is launched for it
     };
     enum class Way { kWaiting, kHanded, kSent }; // not yet, partly and wholly with the system
     struct Launch {
@@ -139,9 +154,11 @@
     struct AskDue {
         AskId ask;
     };
+    struct ShakeDue {};
+    struct AccessDue {}; // a key is gone, a list has run out
     struct Wake {};
-    using Alarm = std::variant<LaunchDue, LaunchReturn, WordDue, SearchDue, ConnectDue, MidwayDue, IdleDue,
-                               ProbeDue, ProbeReturn, AskDue, Wake>;
+    using Alarm = std::variant<ShakeDue, AccessDue, LaunchDue, LaunchReturn, WordDue, SearchDue, ConnectDue,
+                               MidwayDue, IdleDue, ProbeDue, ProbeReturn, AskDue, Wake>;
 
     // Host: the module's actions
     void launch(PartId part, ServerId server, Tenths time_out) override;
@@ -155,6 +172,10 @@
     void subscribe() override;
 
     void apply(const ClientOpened& event);
+    void apply(const ShakeWanted& event);
+    void apply(const ClientSecured& event);
+    void apply(const PolicyRead& event);
+    void apply(const WallTold& event);
     void apply(const SearchRead& event);
     void apply(const ClientMidway& event);
     void apply(const ClientAnswered& event);
@@ -173,6 +194,8 @@
     void apply(const DrainOrdered& event);
     void apply(const QuietOrdered& event);
 
+    void due(const ShakeDue& what);
+    void due(const AccessDue& what);
     void due(const LaunchDue& what);
     void due(const LaunchReturn& what);
     void due(const WordDue& what);
@@ -189,6 +212,13 @@
     void at(Tenths when, Alarm alarm) { alarms_.emplace(when, std::move(alarm)); }
     bool finish(SearchId id, protocol::FinalAnswer answer); // false where it has ended already
     void lapse(SearchId id);
+    std::optional<access::Decision> admit(const Client& client, const SearchRead& event);
+    void judge_all_again();
+    void bar(SearchId id, access::Reason why);
+    void refuse(ClientId client, access::Reason why);
+    void let_shake();
+    void await_access_change();
+    Tenths access_now() const { return clock_.at(now_); }
     void let_in();
     void return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report = {}, Tenths age = 0);
     void return_later(const LaunchKey& key, Outcome outcome);
@@ -239,6 +269,11 @@
     std::int64_t version_ = 0;
     bool whole_wanted_ = false, draining_ = false, quiet_ = false, accepting_ = true;
     bool decision_due_ = true;
+    std::optional<access::Gate> gate_;
+    access::TrustedClock clock_{0, 0};
+    bool key_is_query_ = false;
+    std::optional<access::Handshakes<ClientId>> handshakes_;
+    Tenths shake_at_ = 0, access_at_ = 0; // what is armed, 0: nothing
     Counts counts_;
     std::vector<Effect> effects_;
 };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -61,8 +61,8 @@
     std::vector<Part> parts;
     std::size_t step_begin = 0; // where the present step's parts begin
     std::set<ServerId> broken;  // servers that broke while they held one of its launches
-    bool proven = false, breaker = false,
-         quick = false; // answered in part; breaks servers; not slow in all parts
+    bool proven = false, breaker = false, quick = false,
+         barred = false; // answered in part; breaks servers; not slow in all parts; no launches
     bool out() const { return std::ranges::any_of(parts, &Part::out); }
 };
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -59,6 +59,8 @@
 
 Tenths Loop::now() const { return tenths_to_use(steady_us() + steady_to_unix_us_); }
 
+Tenths Loop::wall() { return tenths_to_use(unix_us()); }
+
 void Loop::wait(std::optional<Tenths> until) {
     std::array<epoll_event, 256> events;
     timespec span{};
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -60,6 +60,7 @@
     void wait(std::optional<Tenths> until);
     // Unix time at the start, then the system's steady clock: it never goes back.
     Tenths now() const;
+    static Tenths wall(); // what the system's clock says: it may jump
 
   private:
     friend class Slot;
--- /dev/null
+++ b/src/transport/tls.cpp
@@ -0,0 +1,211 @@
+#include "transport/tls.hpp"
+
+#include <openssl/bio.h>
+#include <openssl/core_names.h>
+#include <openssl/err.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/rand.h>
+#include <openssl/ssl.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace ivyrill::transport {
+
+namespace {
+
+constexpr int kMostShown = 32 * 1024;          // bytes of a peer's chain
+constexpr std::size_t kMostSealed = 32 * 1024; // bytes held that OpenSSL has not yet read
+
+template <auto Free> struct Freed {
+    template <class What> void operator()(What* what) const { Free(what); }
+};
+using Memory = std::unique_ptr<BIO, Freed<BIO_free_all>>;
+using Certificate = std::unique_ptr<X509, Freed<X509_free>>;
+using Secret = std::unique_ptr<EVP_PKEY, Freed<EVP_PKEY_free>>;
+
+int accept_any(X509_STORE_CTX*, void*) { return 1; } // who it is is judged elsewhere, again and again
+
+// Who proves itself by certificate gets no ticket (see the constructor): its chain is shown on each
+// connection.
+int handle_ticket(SSL* session, unsigned char* name, unsigned char* iv, EVP_CIPHER_CTX* cipher,
+                  EVP_MAC_CTX* mac, int sealing) {
+    TicketStore* store = static_cast<TicketStore*>(SSL_CTX_get_app_data(SSL_get_SSL_CTX(session)));
+    bool renew = false;
+    const TicketSecret* secret = sealing != 0 ? store->sealing() : store->opening(name, renew);
+    if (secret == nullptr) return 0;
+    OSSL_PARAM params[] = {
+        OSSL_PARAM_construct_octet_string(OSSL_MAC_PARAM_KEY, const_cast<unsigned char*>(secret->mac),
+                                          sizeof secret->mac),
+        OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, const_cast<char*>("SHA256"), 0),
+        OSSL_PARAM_construct_end()};
+    if (EVP_MAC_CTX_set_params(mac, params) != 1) return -1;
+    if (sealing != 0) {
+        std::memcpy(name, secret->name, sizeof secret->name);
+        if (RAND_bytes(iv, EVP_CIPHER_iv_length(EVP_aes_256_cbc())) != 1) return -1;
+        return EVP_EncryptInit_ex(cipher, EVP_aes_256_cbc(), nullptr, secret->seal, iv) == 1 ? 1 : -1;
+    }
+    if (EVP_DecryptInit_ex(cipher, EVP_aes_256_cbc(), nullptr, secret->seal, iv) != 1) return -1;
+    return renew ? 2 : 1;
+}
+
+int choose_protocol(SSL*, const unsigned char** out, unsigned char* size, const unsigned char* offered,
+                    unsigned offered_size, void* ours) {
+    const auto* list = static_cast<const std::string*>(ours);
+    unsigned char* chosen = nullptr;
+    if (SSL_select_next_proto(&chosen, size, reinterpret_cast<const unsigned char*>(list->data()),
+                              static_cast<unsigned>(list->size()), offered,
+                              offered_size) != OPENSSL_NPN_NEGOTIATED)
+        return SSL_TLSEXT_ERR_ALERT_FATAL; // RFC 7301: no_application_protocol
+    *out = chosen;
+    return SSL_TLSEXT_ERR_OK;
+}
+
+} // namespace
+
+TlsContext::TlsContext(const TlsTerms& terms) : context_(SSL_CTX_new(TLS_server_method())), terms_(terms) {
+    const auto refuse = [this](const char* why) {
+        SSL_CTX_free(context_);
+        ERR_clear_error();
+        throw TlsError(why);
+    };
+    if (context_ == nullptr) refuse("OpenSSL gives no context");
+    SSL_CTX_set_min_proto_version(context_, TLS1_2_VERSION);
+    SSL_CTX_set_options(context_,
+                        SSL_OP_NO_RENEGOTIATION | SSL_OP_NO_COMPRESSION | SSL_OP_CIPHER_SERVER_PREFERENCE);
+    SSL_CTX_set_mode(context_, SSL_MODE_RELEASE_BUFFERS);
+    SSL_CTX_set_session_cache_mode(context_, SSL_SESS_CACHE_OFF);
+    SSL_CTX_set_max_cert_list(context_, kMostShown);
+
+    const Memory chain(BIO_new_mem_buf(terms.certificate.data(), static_cast<int>(terms.certificate.size())));
+    const Certificate leaf(PEM_read_bio_X509(chain.get(), nullptr, nullptr, nullptr));
+    if (!leaf || SSL_CTX_use_certificate(context_, leaf.get()) != 1) refuse("the certificate cannot be read");
+    while (X509* more = PEM_read_bio_X509(chain.get(), nullptr, nullptr, nullptr))
+        if (SSL_CTX_add0_chain_cert(context_, more) != 1) X509_free(more);
+    ERR_clear_error();
+    const Memory text(BIO_new_mem_buf(terms.key.data(), static_cast<int>(terms.key.size())));
+    const Secret key(PEM_read_bio_PrivateKey(text.get(), nullptr, nullptr, nullptr));
+    if (!key || SSL_CTX_use_PrivateKey(context_, key.get()) != 1 || SSL_CTX_check_private_key(context_) != 1)
+        refuse("the private key is not that of the certificate");
+
+    if (terms.clients != ClientCertificates::kNone) {
+        const int require =
+            terms.clients == ClientCertificates::kRequired ? SSL_VERIFY_FAIL_IF_NO_PEER_CERT : 0;
+        SSL_CTX_set_verify(context_, SSL_VERIFY_PEER | require, nullptr);
+        SSL_CTX_set_cert_verify_callback(context_, accept_any, nullptr);
+    }
+    // A resumed session does not show its chain again, and revocation must see it: no tickets there.
+    if (terms.tickets != nullptr && terms.clients == ClientCertificates::kNone) {
+        SSL_CTX_set_app_data(context_, terms_.tickets);
+        SSL_CTX_set_tlsext_ticket_key_evp_cb(context_, handle_ticket);
+        SSL_CTX_set_num_tickets(context_, 1);
+    } else {
+        SSL_CTX_set_options(context_, SSL_OP_NO_TICKET);
+        SSL_CTX_set_num_tickets(context_, 0);
+    }
+    for (const std::string& protocol : terms.protocols)
+        alpn_ += static_cast<char>(protocol.size()), alpn_ += protocol;
+    SSL_CTX_set_alpn_select_cb(context_, choose_protocol, &alpn_);
+}
+
+TlsContext::~TlsContext() { SSL_CTX_free(context_); }
+
+TlsSession::TlsSession(std::shared_ptr<const TlsContext> context)
+    : context_(std::move(context)), session_(SSL_new(context_->context_)), in_(BIO_new(BIO_s_mem())),
+      out_(BIO_new(BIO_s_mem())) {
+    if (session_ == nullptr || in_ == nullptr || out_ == nullptr) throw TlsError("OpenSSL gives no session");
+    BIO_set_mem_eof_return(in_, -1);
+    BIO_set_mem_eof_return(out_, -1);
+    SSL_set_bio(session_, in_, out_);
+    SSL_set_accept_state(session_);
+}
+
+TlsSession::~TlsSession() { SSL_free(session_); }
+
+bool TlsSession::room() const { return BIO_ctrl_pending(in_) < kMostSealed; }
+
+std::size_t TlsSession::feed(std::string_view sealed) {
+    if (over_) return sealed.size(); // nothing that comes now counts
+    if (!room()) return 0;
+    const int taken = BIO_write(in_, sealed.data(), static_cast<int>(std::min(sealed.size(), kMostSealed)));
+    return taken > 0 ? static_cast<std::size_t>(taken) : 0;
+}
+
+void TlsSession::fail() {
+    over_ = true;
+    ERR_clear_error();
+}
+
+void TlsSession::shake() {
+    if (shaken_ || over_) return;
+    ERR_clear_error();
+    const int done = SSL_do_handshake(session_);
+    if (done == 1) {
+        shaken_ = true;
+    } else if (const int why = SSL_get_error(session_, done); why != SSL_ERROR_WANT_READ) {
+        fail();
+    }
+}
+
+std::size_t TlsSession::read(char* into, std::size_t most) {
+    if (!shaken_ || over_) return 0;
+    ERR_clear_error();
+    const int count = SSL_read(session_, into, static_cast<int>(most));
+    if (count > 0) return static_cast<std::size_t>(count);
+    const int why = SSL_get_error(session_, count);
+    if (why == SSL_ERROR_ZERO_RETURN)
+        over_ = true;
+    else if (why != SSL_ERROR_WANT_READ)
+        fail();
+    return 0;
+}
+
+bool TlsSession::write(std::string_view plain) {
+    if (!shaken_ || over_) return false;
+    ERR_clear_error();
+    while (!plain.empty()) {
+        const int count = SSL_write(session_, plain.data(), static_cast<int>(plain.size()));
+        if (count <= 0) return fail(), false;
+        plain.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return true;
+}
+
+void TlsSession::finish() {
+    if (!shaken_) return;
+    ERR_clear_error();
+    SSL_shutdown(session_);
+    ERR_clear_error();
+}
+
+std::string TlsSession::take_out() {
+    std::string sealed(BIO_ctrl_pending(out_), '\0');
+    if (!sealed.empty()) BIO_read(out_, sealed.data(), static_cast<int>(sealed.size()));
+    return sealed;
+}
+
+std::vector<std::string> TlsSession::peer_chain() const {
+    std::vector<std::string> chain;
+    const auto add = [&chain](X509* one) {
+        unsigned char* der = nullptr;
+        const int size = i2d_X509(one, &der);
+        if (size > 0) chain.emplace_back(reinterpret_cast<char*>(der), static_cast<std::size_t>(size));
+        OPENSSL_free(der);
+    };
+    if (X509* leaf = SSL_get0_peer_certificate(session_)) add(leaf);
+    const STACK_OF(X509)* others = SSL_get_peer_cert_chain(session_); // on a server, without the leaf
+    for (int i = 0; others != nullptr && i < sk_X509_num(others); ++i) add(sk_X509_value(others, i));
+    return chain;
+}
+
+std::string TlsSession::protocol() const {
+    const unsigned char* name = nullptr;
+    unsigned size = 0;
+    SSL_get0_alpn_selected(session_, &name, &size);
+    return size > 0 ? std::string(reinterpret_cast<const char*>(name), size) : std::string();
+}
+
+bool TlsSession::resumed() const { return SSL_session_reused(session_) == 1; }
+
+} // namespace ivyrill::transport
