--- /dev/null
+++ b/src/lab/fleet.cpp
@@ -0,0 +1,152 @@
+#include "lab/fleet.hpp"
+
+#include "protocol/json.hpp"
+#include "protocol/values.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace ivyrill::lab {
+
+using transport::Stream;
+using transport::Task;
+
+namespace {
+
+std::string frame(char letter, const std::string& rest) {
+    const std::size_t size = rest.size() + 1;
+    std::string out;
+    for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(size >> shift & 0xFFU);
+    return out + letter + rest;
+}
+
+} // namespace
+
+Fleet::Peer::Peer(transport::Loop& loop, int descriptor, int number)
+    : server(number), stream(loop, descriptor, Stream::Start::kConnected, 64 * 1024, 4 * 1024 * 1024) {}
+
+Fleet::Fleet(int servers) {
+    for (int i = 0; i <= servers; ++i) doors_.push_back(std::make_unique<Door>(loop_));
+}
+
+Fleet::~Fleet() {
+    stop_ = true;
+    if (thread_.joinable()) thread_.join();
+}
+
+void Fleet::start() {
+    for (std::size_t i = 0; i < doors_.size(); ++i) {
+        doors_[i]->task = accept(*doors_[i], i + 1 == doors_.size() ? -1 : static_cast<int>(i));
+        doors_[i]->task.start();
+    }
+    thread_ = std::thread([this] { run(); });
+}
+
+std::string Fleet::address(std::size_t door) const {
+    return "127.0.0.1:" + std::to_string(transport::port_of(doors_[door]->source.descriptor()));
+}
+
+std::string Fleet::discovery() const { return address(doors_.size() - 1); }
+
+protocol::ServerList Fleet::list() const {
+    protocol::ServerList made{1, true, {}};
+    for (std::size_t i = 0; i + 1 < doors_.size(); ++i)
+        made.servers.push_back(
+            {"s" + std::to_string(i), address(i), "a", "m", static_cast<int>(i), Listed::kLive, 1, 0});
+    return made;
+}
+
+void Fleet::run() {
+    while (!stop_) {
+        loop_.wait(loop_.now() + kTenthsPerSecond / 500);
+        std::erase_if(peers_, [](auto& peer) { return peer->over; });
+        if (held_) continue;
+        for (auto& peer : peers_)
+            for (const std::string& answer : std::exchange(peer->waiting, {})) peer->stream.send(answer);
+    }
+}
+
+Task Fleet::accept(Door& door, int server) {
+    for (;;) {
+        for (int descriptor; (descriptor = transport::accept_from(door.source.descriptor())) >= 0;) {
+            auto peer = std::make_unique<Peer>(loop_, descriptor, server);
+            peer->task = serve(*peer);
+            peers_.push_back(std::move(peer));
+            peers_.back()->task.start();
+        }
+        transport::Slot& next = door.source.readable;
+        co_await next;
+    }
+}
+
+Task Fleet::serve(Peer& peer) {
+    Stream& stream = peer.stream;
+    while (!stream.ended()) {
+        while (stream.unread()) {
+            if (peer.server < 0) {
+                stream.feed(peer.requests);
+                // The whole list at once; a watch waits for news that never come.
+                if (!peer.requests.complete()) continue;
+                const bool watch = peer.requests.take().target.find("after=") != std::string::npos;
+                if (!watch)
+                    stream.send(protocol::http_response(200, "", R"({"version":1,"full":false,"servers":[]})",
+                                                        false));
+            } else {
+                stream.feed(peer.frames);
+                if (peer.frames.complete()) take(peer, peer.frames.take());
+            }
+        }
+        if (!stream.ended()) co_await stream.changed;
+    }
+    peer.over = true;
+}
+
+void Fleet::take(Peer& peer, const protocol::Frame& came) {
+    if (came.letter == 'M') peer.stream.send(frame('M', "inflight=0,queue=0"));
+    if (came.letter != 'S') return;
+    std::string_view rest = came.rest;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        const auto words = protocol::split(rest.substr(0, end), ' ');
+        const auto length = static_cast<std::size_t>(protocol::to_integer(words.at(3), "length"));
+        const std::string id(words.at(0)), query(rest.substr(end + 1, length));
+        rest.remove_prefix(end + 1 + length);
+        {
+            const std::lock_guard lock(mutex_);
+            ++launches_[id], ++count_;
+        }
+        launched_.notify_all();
+        const std::string answer = frame('R', id + " done 1 inflight=0,queue=0\n" + query);
+        if (held_)
+            peer.waiting.push_back(answer);
+        else
+            peer.stream.send(answer);
+    }
+}
+
+int Fleet::launches(const std::string& part) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = launches_.find(part);
+    return found == launches_.end() ? 0 : found->second;
+}
+
+std::uint64_t Fleet::launches() const {
+    const std::lock_guard lock(mutex_);
+    return count_;
+}
+
+std::size_t Fleet::most_launches() const {
+    const std::lock_guard lock(mutex_);
+    int most = 0;
+    for (const auto& [id, count] : launches_) most = std::max(most, count);
+    return static_cast<std::size_t>(most);
+}
+
+bool Fleet::await_launch(const std::string& part, int patience_ms) const {
+    std::unique_lock lock(mutex_);
+    return launched_.wait_for(lock, std::chrono::milliseconds(patience_ms),
+                              [&] { return launches_.contains(part); });
+}
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/src/lab/hall.cpp
@@ -0,0 +1,221 @@
+#include "lab/hall.hpp"
+
+#include "program/log.hpp"
+#include "program/node.hpp"
+#include "program/operator_files.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <sys/inotify.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ivyrill::lab {
+
+namespace {
+
+constexpr Tenths kDay = 86'400 * kTenthsPerSecond;
+
+Tenths wall() { return transport::Loop::wall(); }
+
+constexpr const char* kOperatorFile = R"(# The hall's own file.
+_lines = 200
+access = {
+    "issuer": "trinacria", "audience": "archive", "skew_s": 2, "crl_grace_s": 60,
+    "clubs": {"circolo-etna": "etna", "circolo-conca": "conca"},
+    "products": {"find": "read", "annotate": "write_own"},
+    "keys": "keys", "revocations": "keys/revocations.json",
+    "authorities": ["ca.pem"], "crls": ["ca.crl"],
+    "names": [{"uri": "spiffe://trinacria.example/etna/*", "club": "circolo-etna", "member": "{rest}",
+               "rights": ["read", "write"], "own": ["g7"]}],
+}
+listeners = [
+    {"name": "sealed", "address": "127.0.0.1:0", "certificate": "server.pem", "key": "server.key"},
+    {"name": "certified", "address": "127.0.0.1:0", "certificate": "server.pem", "key": "server.key",
+     "client_certificates": "optional"},
+]
+audit = {"file": _FOLDER + "/audit.log", "lines_a_second": _lines}
+)";
+
+} // namespace
+
+Hall::Hall(const Plan& plan)
+    : fleet(plan.servers), root("root", wall() - kDay, wall() + kDay), crl_made_(wall() - kDay / 2) {
+    std::string form = (std::filesystem::temp_directory_path() / "ivyrill-hall-XXXXXX").string();
+    if (mkdtemp(form.data()) == nullptr) throw std::runtime_error("no folder");
+    folder_ = form;
+    std::filesystem::create_directory(folder_ + "/keys");
+    write("ca.pem", root.certificate());
+    revoke_serials({});
+    renew_server();
+    rotate("k0", access::Algorithm::kEdDsa, kDay);
+    write("ivyrill.star", "_FOLDER = \"" + folder_ + "\"\n" + kOperatorFile + plan.more);
+
+    protocol::StartOrders orders;
+    orders.name = "hall", orders.listen = "127.0.0.1:0", orders.discovery = fleet.discovery();
+    orders.sockets = plan.sockets, orders.memory_mb = 192, orders.known = fleet.list();
+    OpeningTerms& terms = orders.terms.opening;
+    for (const Effect effect : {Effect::kReissuable, plan.effect}) {
+        ProductTerms product;
+        product.due_span = kTenthsPerSecond, product.expiry_span = 2 * kTenthsPerSecond,
+        product.effect = effect;
+        product.late_share = 0.1;
+        terms.products.push_back(product);
+    }
+    terms.tenants = {{1e6}, {1e6}};
+    terms.turn_gap = 50, terms.cold_span = kTenthsPerSecond, terms.cold_share = 0.2;
+    terms.fall_span = kTenthsPerSecond, terms.fall_multiple = 2, terms.most_launches = 3;
+    terms.may_recall = terms.may_probe = true, terms.list_mode = ListMode::kAsked;
+    terms.cells = plan.servers;
+    orders.terms.products = {"find", "annotate"}, orders.terms.tenants = {"etna", "conca"};
+    orders.terms.zones = {"a"}, orders.terms.kinds = {"m"}, orders.terms.shards = plan.servers;
+    orders.terms.calls_a_connection = 100, orders.terms.connect_span = kTenthsPerSecond / 4;
+    orders.terms.idle_span = 15 * kTenthsPerSecond, orders.terms.ask_span = 100 * kTenthsPerSecond;
+
+    int ends[2];
+    if (pipe(ends) != 0) throw std::runtime_error("no pipe");
+    node_ = fork();
+    if (node_ == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // who fails leaves nobody behind
+        close(ends[0]);
+        int status = 2;
+        try {
+            program::open_log("hall", "err");
+            program::Node own(
+                orders, [orders] { return orders; }, plan.guarded ? folder_ + "/ivyrill.star" : "");
+            int ports[3] = {own.port(), 0, 0};
+            if (plan.guarded) ports[1] = own.port(1), ports[2] = own.port(2);
+            if (::write(ends[1], ports, sizeof ports) == sizeof ports) status = own.run();
+        } catch (const std::exception& error) { program::log().error("{}", error.what()); }
+        _exit(status);
+    }
+    close(ends[1]);
+    int ports[3] = {};
+    const bool told = read(ends[0], ports, sizeof ports) == sizeof ports;
+    close(ends[0]);
+    if (!told) throw std::runtime_error("the front node did not start");
+    for (const int port : ports) addresses_.push_back("127.0.0.1:" + std::to_string(port));
+    fleet.start(); // a thread comes only after the fork
+}
+
+Hall::~Hall() {
+    if (node_ > 0) kill(node_, SIGKILL), waitpid(node_, nullptr, 0);
+    std::error_code error;
+    std::filesystem::remove_all(folder_, error);
+}
+
+void Hall::write(const std::string& name, const std::string& text) const {
+    program::write_file(folder_ + "/" + name, text, false);
+}
+
+void Hall::write_key(const access::Key& key) const {
+    write("keys/" + key.name + ".jwk", access::write_key(key, false));
+}
+
+void Hall::rotate(const std::string& name, access::Algorithm algorithm, Tenths overlap) {
+    const Tenths now = wall() / kTenthsPerSecond * kTenthsPerSecond;
+    access::Key fresh{
+        name, access::SigningKey::generate(algorithm), {now, now, access::kEver, access::kEver}};
+    write_key(fresh); // known before the old one goes out
+    for (access::Key& key : keys_) {
+        if (key.times.outgoing != access::kEver) continue;
+        key.times.outgoing = now;
+        key.times.gone = (now + overlap + kTenthsPerSecond - 1) / kTenthsPerSecond * kTenthsPerSecond;
+        write_key(key);
+    }
+    keys_.push_back(std::move(fresh));
+}
+
+std::string Hall::token(const std::string& member, const access::Key& key, Tenths lives,
+                        std::vector<std::string> own, bool write) const {
+    access::Claims claims;
+    claims.issuer = "trinacria", claims.audience = {"archive"};
+    claims.issued = wall(), claims.expires = wall() + lives;
+    claims.caller = {"circolo-etna", member, {true, write}, std::move(own)};
+    return access::sign_token(claims, key);
+}
+
+Issued Hall::issue(const std::string& member, Tenths lives) const {
+    return root.issue({member,
+                       {"spiffe://trinacria.example/etna/" + member},
+                       {},
+                       wall() - kDay / 2,
+                       wall() + lives,
+                       false});
+}
+
+void Hall::renew_server() {
+    server_ = root.issue({"front", {}, {"front.example.org"}, wall() - kDay / 2, wall() + kDay, false});
+    // Key and certificate must fit; while only one is new the program keeps what it has.
+    write("server.key", server_.key);
+    write("server.pem", server_.certificate);
+}
+
+void Hall::revoke_serials(std::vector<std::string> serials) {
+    revoked_.insert(revoked_.end(), serials.begin(), serials.end());
+    crl_made_ += kTenthsPerSecond; // each is newer than the one before
+    write("ca.crl", root.crl(revoked_, crl_made_, wall() + kDay));
+}
+
+void Hall::revoke_member(const std::string& member, Tenths since) {
+    taken_back_.members["circolo-etna/" + member] = since;
+    write("keys/revocations.json", taken_back_.write());
+}
+
+void Hall::signal(int number) const { kill(node_, number); }
+
+bool Hall::running() const { return waitpid(node_, nullptr, WNOHANG) == 0; }
+
+int Hall::exit_status() {
+    int status = 0;
+    waitpid(node_, &status, 0);
+    node_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::size_t Hall::audited(const std::string& words) const {
+    std::ifstream file(folder_ + "/audit.log");
+    std::size_t lines = 0;
+    for (std::string line; std::getline(file, line);) lines += line.find(words) != std::string::npos ? 1 : 0;
+    return lines;
+}
+
+bool Hall::await_audit(const std::string& words, std::size_t lines, int patience_ms) const {
+    transport::Loop loop;
+    transport::Source changes(loop, inotify_init1(IN_NONBLOCK | IN_CLOEXEC));
+    inotify_add_watch(changes.descriptor(), (folder_ + "/audit.log").c_str(), IN_MODIFY);
+    const Tenths end = loop.now() + patience_ms * (kTenthsPerSecond / 1000);
+    for (char bytes[4096];
+         audited(words) < lines;) { // looked at first, then each time that a line is written
+        if (loop.now() >= end) return false;
+        loop.wait(end);
+        while (read(changes.descriptor(), bytes, sizeof bytes) > 0) {}
+    }
+    return true;
+}
+
+std::uint64_t Hall::cpu_us() const {
+    std::ifstream file("/proc/" + std::to_string(node_) + "/stat");
+    std::string word;
+    std::uint64_t ticks = 0;
+    for (int i = 1; i <= 15 && file >> word; ++i)
+        if (i == 14 || i == 15) ticks += std::stoull(word);
+    return ticks * 1'000'000 / static_cast<std::uint64_t>(sysconf(_SC_CLK_TCK));
+}
+
+std::string search_bytes(const Ask& ask) {
+    const std::string body =
+        R"({"targets":[{"partition":)" + std::to_string(ask.shard) + R"(,"share":1}],"query":"text"})";
+    std::string out =
+        "POST /" + ask.product + (ask.key.empty() ? "" : "?k=" + ask.key) + " HTTP/1.1\r\nHost: a\r\n";
+    out += "X-Request-ID: " + ask.id + "\r\nX-Timeout: " + std::to_string(ask.left_ms) + "m\r\n";
+    if (!ask.token.empty()) out += "Authorization: Bearer " + ask.token + "\r\n";
+    if (!ask.tenant.empty()) out += "X-Tenant-Id: " + ask.tenant + "\r\n";
+    return out + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/src/lab/hall.hpp
@@ -0,0 +1,80 @@
+// A front node with an operator's file, round it a fleet of stand-ins, an authority and a key folder: what
+// stories and the measurement of access play in. Everything is on loopback and in a folder of its own, which
+// goes with it.
+#pragma once
+#include "access/gate.hpp"
+#include "lab/client.hpp"
+#include "lab/fleet.hpp"
+#include "lab/pki.hpp"
+#include "protocol/messages.hpp"
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace ivyrill::lab {
+
+class Hall {
+  public:
+    struct Plan {
+        int servers = 2;
+        Effect effect = Effect::kReissuable; // of `annotate`; `find` may run again
+        bool guarded = true;                 // false: no operator's file
+        std::string more;                    // lines put behind the operator's file
+        std::int64_t sockets = 512;
+    };
+    explicit Hall(const Plan& plan);
+    ~Hall();
+    Hall(const Hall&) = delete;
+    Hall& operator=(const Hall&) = delete;
+
+    // The doors: the platform's plain one, TLS for tokens, TLS where a certificate may be shown.
+    const std::string& plain() const { return addresses_.at(0); }
+    const std::string& sealed() const { return addresses_.at(1); }
+    const std::string& certified() const { return addresses_.at(2); }
+
+    std::string token(const std::string& member, const access::Key& key,
+                      Tenths lives = 600 * kTenthsPerSecond, std::vector<std::string> own = {"g1"},
+                      bool write = true) const;
+    const access::Key& key() const { return keys_.back(); } // the newest
+    // Makes a key, active at once, and lets those before it go out, gone after `overlap`.
+    void rotate(const std::string& name, access::Algorithm algorithm, Tenths overlap);
+    void write_key(const access::Key& key) const;
+    Issued issue(const std::string& member, Tenths lives = 3600 * kTenthsPerSecond) const;
+    void renew_server(); // a fresh certificate of ours
+    std::string server_serial() const { return server_.serial; }
+    void revoke_serials(std::vector<std::string> serials); // by CRL
+    void revoke_member(const std::string& member, Tenths since);
+    void write(const std::string& name, const std::string& text) const; // a file of the folder, by renaming
+    std::string folder() const { return folder_; }
+
+    void signal(int number) const;
+    bool running() const;
+    int exit_status(); // waits for the end
+    // Waits until the audit log holds so many lines with these words; false where it does not come to that.
+    bool await_audit(const std::string& words, std::size_t lines = 1, int patience_ms = 20'000) const;
+    std::size_t audited(const std::string& words) const;
+    std::uint64_t cpu_us() const; // that the front node has used
+
+    Fleet fleet;
+    Authority root;
+
+  private:
+    std::string folder_;
+    std::vector<std::string> addresses_;
+    std::vector<access::Key> keys_;
+    std::vector<std::string> revoked_;
+    access::Revocations taken_back_;
+    Issued server_;
+    Tenths crl_made_;
+    pid_t node_ = -1;
+};
+
+struct Ask { // of one search, of one part
+    std::string id, product = "find", key = {}, token = {}, tenant = {};
+    int shard = 0;
+    int left_ms = 2000;
+};
+std::string search_bytes(const Ask& ask);
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/admission_stories.cpp
@@ -0,0 +1,334 @@
+// Stories of the reducer with the gate in front: who is taken on, and what becomes of searches and
+// connections whose right is taken back. Events in, effects out.
+#include "desk.hpp"
+#include "lab/pki.hpp"
+
+namespace ivyrill::routing {
+
+namespace {
+
+using namespace access;
+
+constexpr Tenths s(std::int64_t count) { return count * kTenthsPerSecond; }
+constexpr Tenths kWall = s(1'800'000'000);
+
+AccessTerms terms_of_access() {
+    AccessTerms terms;
+    terms.issuer = "trinacria", terms.audience = "archive";
+    terms.skew = s(5), terms.settle = s(10), terms.most_token = 4096, terms.cached = 8;
+    terms.clubs = {{"etna", "acme"}};
+    terms.products = {{"find", Right::kRead}};
+    terms.names = {{"spiffe://t/*", "", "etna", "{rest}", {true, false}, {}}};
+    return terms;
+}
+
+// A desk whose one key signs for anna and bruno.
+struct Guarded : Desk {
+    explicit Guarded(ivyrill::Effect effect = ivyrill::Effect::kReissuable, int servers = 2)
+        : Desk(node_terms(effect), servers) {
+        router.bound_handshakes({8, 1000, 4}, now);
+        router.guard(policy(), false, now, kWall);
+    }
+    std::shared_ptr<const Policy> policy() {
+        AccessFiles files;
+        files.keys = {{"k.jwk", write_key(key, false)}};
+        files.authorities = {{"ca.pem", root.certificate()}};
+        files.revocations = NamedText{"revocations.json", revoked.write()};
+        return current = read_policy(terms_of_access(), files, current.get(), kWall);
+    }
+    void reload() { tell(PolicyRead{policy()}); }
+    std::string token(const std::string& member) {
+        Claims claims;
+        claims.issuer = "trinacria", claims.audience = {"archive"}, claims.id = member + "-token";
+        claims.issued = kWall, claims.expires = kWall + s(600);
+        claims.caller = {"etna", member, {true, true}, {}};
+        return sign_token(claims, key);
+    }
+    ClientId asks(const std::string& token, const std::string& id = {}, bool guarded = true) {
+        const ClientId client{++clients};
+        tell(ClientOpened{client, guarded, false});
+        return again(client, token, id);
+    }
+    ClientId again(ClientId client, const std::string& token, const std::string& id = {}) {
+        protocol::SearchRequest request{id.empty() ? "q" + std::to_string(++asked) : id,
+                                        "find",
+                                        "",
+                                        "text",
+                                        2'000'000,
+                                        false,
+                                        {{0, 1.0}}};
+        request.token = token;
+        tell(SearchRead{client, request, 0});
+        return client;
+    }
+    int status(ClientId client) const { // of the last rejection, or 0
+        int found = 0;
+        for (const RejectClient& reject : all<RejectClient>())
+            if (reject.client == client) found = reject.status;
+        return found;
+    }
+    std::size_t answers(ClientId client) const {
+        const auto given = all<AnswerClient>();
+        const auto refused = all<RejectClient>();
+        return static_cast<std::size_t>(std::ranges::count(given, client, &AnswerClient::client) +
+                                        std::ranges::count(refused, client, &RejectClient::client));
+    }
+    void revoke(const std::string& member) {
+        revoked.members["etna/" + member] = kWall + s(1);
+        reload();
+    }
+    Key key{"k", SigningKey::generate(Algorithm::kEdDsa), {0, s(1), kEver, kEver}};
+    lab::Authority root{"root", kWall - s(100), kWall + s(10'000)};
+    Revocations revoked;
+    std::shared_ptr<const Policy> current;
+    int asked = 0;
+};
+
+void stranger_is_refused_before_any_launch() {
+    Guarded desk;
+    const ClientId none = desk.asks(""), bad = desk.asks("a.b.c");
+    assert(desk.status(none) == 401 && desk.status(bad) == 401 && desk.all<OpenLink>().empty());
+    assert(desk.router.open_searches() == 0 && desk.router.counts().searches == 0);
+    const auto lines = desk.all<Audit>();
+    assert(lines.size() == 2 && lines[0].reason == Reason::kNoCredential &&
+           lines[1].reason == Reason::kMalformed);
+    assert(desk.all<RejectClient>()[0].challenge == "Bearer realm=\"ivyrill\"");
+    desk.asks(desk.token("anna"));
+    assert(desk.router.open_searches() == 1 && desk.all<OpenLink>().size() == 1);
+    desk.asks("", {}, false); // a listener that asks nobody
+    assert(desk.router.open_searches() == 2);
+}
+
+// A stranger does not learn which products, partitions or ids there are.
+void stranger_learns_nothing_of_what_is_open() {
+    Guarded desk;
+    desk.asks(desk.token("anna"), "same");
+    assert(desk.status(desk.asks("", "same")) == 401);
+    const ClientId bruno = desk.asks(desk.token("bruno"), "same");
+    assert(desk.status(bruno) == 409); // and no word of anna's answer
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.Desk::answers(link, "same.0");
+    assert(desk.all<AnswerClient>().size() == 1 && desk.all<AnswerClient>()[0].client == ClientId{1});
+}
+
+// Revoked while nothing of its search has left: refused, with 401, and nothing leaves.
+void search_that_waits_for_a_launch_is_refused() {
+    for (const auto effect : {ivyrill::Effect::kReissuable, ivyrill::Effect::kAtMostOnce}) {
+        Guarded desk(effect);
+        const ClientId anna = desk.asks(desk.token("anna")), bruno = desk.asks(desk.token("bruno"));
+        desk.revoke("anna"); // no connection is up yet
+        desk.pass(ms(10));
+        assert(desk.status(anna) == 401 && desk.answers(anna) == 1 && desk.answers(bruno) == 0);
+        for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+        assert(desk.sent('S') == 1); // bruno's
+        desk.pass(ms(2100));
+        assert(desk.answers(anna) == 1 && desk.router.open_searches() == 0);
+    }
+}
+
+// Without a server to send to, nothing is launched: the search is in the module's hands alone.
+void search_that_nobody_can_serve_yet_is_refused() {
+    Guarded desk(ivyrill::Effect::kReissuable, 0);
+    const ClientId anna = desk.asks(desk.token("anna"));
+    const bool open = desk.router.open_searches() == 1;
+    desk.revoke("anna");
+    assert(!open || (desk.status(anna) == 401 && desk.answers(anna) == 1));
+    assert(desk.router.open_searches() == 0);
+}
+
+// Revoked while its launch is out: it may answer, and there is no second launch whatever becomes of it.
+void search_that_is_out_ends_by_the_rules() {
+    for (const Outcome outcome : {Outcome::kAnswered, Outcome::kError, Outcome::kTurnedAway}) {
+        Guarded desk;
+        const ClientId anna = desk.asks(desk.token("anna"));
+        const LinkId link = desk.all<OpenLink>()[0].link;
+        desk.up(link), desk.wrote_all(link);
+        assert(desk.sent('S') == 1);
+        desk.revoke("anna");
+        assert(desk.answers(anna) == 0 && desk.router.counts().barred == 1);
+        desk.Desk::answers(link, "q1.0", outcome);
+        desk.pass(ms(2100));
+        assert(desk.sent('S') == 1 && desk.answers(anna) == 1 && desk.router.counts().launches == 1);
+        if (outcome == Outcome::kAnswered)
+            assert(desk.verdict(anna) == Verdict::kDelivered);
+        else
+            assert(desk.status(anna) == 401); // reissuable: nothing is said of what ran
+    }
+}
+
+void write_that_may_have_run_is_never_called_refused() {
+    Guarded desk(ivyrill::Effect::kAtMostOnce);
+    const ClientId anna = desk.asks(desk.token("anna"));
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.revoke("anna");
+    desk.tell(LinkEnded{link});
+    desk.pass(ms(2100));
+    assert(desk.verdict(anna) == Verdict::kScrapped && desk.answers(anna) == 1 && desk.sent('S') == 1);
+}
+
+// An overdue launch of a barred search gets no company and is not called off to go elsewhere.
+void overdue_launch_of_a_barred_search_stays_alone() {
+    Guarded desk;
+    const ClientId anna = desk.asks(desk.token("anna"));
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    desk.revoke("anna");
+    desk.pass(ms(900));
+    assert(desk.sent('S') == 1 && desk.sent('C') == 0 && desk.answers(anna) == 0);
+    desk.Desk::answers(link, "q1.0");
+    assert(desk.verdict(anna) == Verdict::kDelivered);
+}
+
+void key_that_goes_by_time_bars_what_it_let_in() {
+    Guarded desk;
+    desk.key.times.outgoing = kWall, desk.key.times.gone = kWall + s(1);
+    desk.reload();
+    const ClientId first = desk.asks(desk.token("anna"));
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link);
+    const ClientId second = desk.asks(desk.token("bruno"));
+    assert(desk.status(second) == 0 && desk.router.open_searches() == 2);
+    desk.pass(s(1) - 1);
+    assert(desk.router.counts().barred == 0);
+    desk.pass(2); // nobody asked anything: the moment itself does it
+    assert(desk.router.counts().barred ==
+           desk.router.open_searches() + (desk.answers(first) + desk.answers(second)));
+    assert(desk.status(desk.asks(desk.token("anna"))) == 401);
+}
+
+// ---- connections that showed a certificate
+
+ClientId secured(Guarded& desk, const lab::Issued& issued) {
+    const ClientId client{++desk.clients};
+    desk.tell(ClientOpened{client, true, true});
+    desk.tell(ShakeWanted{client});
+    assert(desk.all<ShakeHands>().back().client == client);
+    desk.tell(ClientSecured{client, std::make_shared<const Chain>(Chain{{issued.der}})});
+    return client;
+}
+
+bool closed(const Guarded& desk, ClientId client) {
+    const auto closes = desk.all<CloseClient>();
+    return std::ranges::count(closes, client, &CloseClient::client) > 0;
+}
+
+void revoked_certificate_closes_its_idle_connection() {
+    Guarded desk;
+    const lab::Issued anna =
+        desk.root.issue({"a", {"spiffe://t/anna"}, {}, kWall - s(1), kWall + s(1000), false});
+    const lab::Issued bruno =
+        desk.root.issue({"b", {"spiffe://t/bruno"}, {}, kWall - s(1), kWall + s(1000), false});
+    const ClientId idle = secured(desk, anna), other = secured(desk, bruno);
+    desk.again(idle, ""), desk.again(other, "");
+    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+    for (const OpenLink& open : desk.all<OpenLink>())
+        for (const std::string& frame : desk.frames(open.link, 'S'))
+            desk.Desk::answers(open.link, frame.substr(0, frame.find(' ')));
+    assert(desk.answers(idle) == 1 && desk.answers(other) == 1);
+    desk.revoked.certificates[anna.serial] = kWall;
+    desk.reload(); // in the same turn
+    assert(closed(desk, idle) && !closed(desk, other));
+}
+
+void revoked_certificate_with_a_search_out_closes_after_its_answer() {
+    for (const bool draining : {false, true}) {
+        Guarded desk;
+        const lab::Issued anna =
+            desk.root.issue({"a", {"spiffe://t/anna"}, {}, kWall - s(1), kWall + s(1000), false});
+        const ClientId client = secured(desk, anna);
+        desk.again(client, "");
+        const LinkId link = desk.all<OpenLink>()[0].link;
+        desk.up(link), desk.wrote_all(link);
+        if (draining) desk.tell(DrainOrdered{});
+        desk.revoked.certificates[anna.serial] = kWall;
+        desk.reload();
+        assert(!closed(desk, client) && desk.answers(client) == 0);
+        desk.Desk::answers(link, "q1.0");
+        const auto answers = desk.all<AnswerClient>();
+        assert(answers.size() == 1 && answers[0].answer.verdict == Verdict::kDelivered && answers[0].close);
+    }
+}
+
+void reload_that_changes_nothing_touches_nobody() {
+    Guarded desk;
+    const lab::Issued anna =
+        desk.root.issue({"a", {"spiffe://t/anna"}, {}, kWall - s(1), kWall + s(1000), false});
+    const ClientId client = secured(desk, anna), by_token = desk.asks(desk.token("bruno"));
+    for (int i = 0; i < 5; ++i) desk.reload();
+    assert(!closed(desk, client) && desk.answers(by_token) == 0 && desk.router.counts().barred == 0);
+    assert(desk.router.open_searches() == 1 && desk.router.gate()->policy().generation == 6);
+}
+
+// ---- handshakes
+
+void half_handshakes_make_room_for_the_next_and_end_in_time() {
+    Guarded desk;
+    for (int i = 0; i < 9; ++i) desk.tell(ClientOpened{ClientId{++desk.clients}, true, true});
+    assert(desk.router.open_handshakes() == 8 && closed(desk, ClientId{1}) && !closed(desk, ClientId{2}));
+    desk.pass(s(2) + 1); // those that never say a word
+    assert(desk.router.open_handshakes() == 0 && closed(desk, ClientId{9}));
+}
+
+void handshakes_wait_their_turn_and_searches_do_not() {
+    Guarded desk;
+    std::vector<ClientId> many;
+    for (int i = 0; i < 8; ++i) {
+        many.push_back(ClientId{++desk.clients});
+        desk.router.step(desk.now, ClientOpened{many.back(), true, true});
+    }
+    for (const ClientId client : many) desk.router.step(desk.now, ShakeWanted{client});
+    const ClientId plain = desk.asks(desk.token("anna")); // in the same turn
+    assert(desk.all<ShakeHands>().size() <= 8 && desk.all<OpenLink>().size() == 1 && desk.status(plain) == 0);
+    desk.pass(ms(10));
+    assert(desk.all<ShakeHands>().size() == 8);
+}
+
+void clock_set_right_by_a_day_expires_keys_once_it_has_stood() {
+    Guarded desk;
+    desk.key.times.outgoing = kWall, desk.key.times.gone = kWall + s(3600);
+    desk.reload();
+    desk.asks(desk.token("anna"));
+    const Tenths start = desk.now;
+    const auto tell_wall = [&](Tenths ahead) { desk.tell(WallTold{kWall + (desk.now - start) + ahead}); };
+    tell_wall(s(86'400));
+    assert(desk.router.counts().barred == 0);
+    desk.now += ms(100);
+    tell_wall(0); // for a moment only
+    assert(desk.router.counts().barred == 0);
+    tell_wall(s(86'400));
+    desk.now += s(1);
+    tell_wall(s(86'400));
+    assert(desk.router.counts().barred == 0);
+    const ClientId late = desk.asks(desk.token("bruno"));
+    assert(desk.status(late) == 0);
+    desk.now += s(10);
+    tell_wall(s(86'400));
+    assert(desk.status(desk.asks(desk.token("bruno"))) == 401);
+}
+
+const Story kStories[] = {
+    STORY(stranger_is_refused_before_any_launch),
+    STORY(stranger_learns_nothing_of_what_is_open),
+    STORY(search_that_waits_for_a_launch_is_refused),
+    STORY(search_that_nobody_can_serve_yet_is_refused),
+    STORY(search_that_is_out_ends_by_the_rules),
+    STORY(write_that_may_have_run_is_never_called_refused),
+    STORY(overdue_launch_of_a_barred_search_stays_alone),
+    STORY(key_that_goes_by_time_bars_what_it_let_in),
+    STORY(revoked_certificate_closes_its_idle_connection),
+    STORY(revoked_certificate_with_a_search_out_closes_after_its_answer),
+    STORY(reload_that_changes_nothing_touches_nobody),
+    STORY(half_handshakes_make_room_for_the_next_and_end_in_time),
+    STORY(handshakes_wait_their_turn_and_searches_do_not),
+    STORY(clock_set_right_by_a_day_expires_keys_once_it_has_stood),
+};
+
+} // namespace
+
+} // namespace ivyrill::routing
+
+int main(int count, char** arguments) {
+    return ivyrill::play_story(ivyrill::routing::kStories, count, arguments);
+}
--- /dev/null
+++ b/tests/desk.hpp
@@ -0,0 +1,104 @@
+// A reducer at a desk: events in, effects kept; no socket anywhere.
+#pragma once
+#include "fake_host.hpp"
+#include "routing/router.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace ivyrill::routing {
+
+using protocol::Verdict;
+
+inline protocol::NodeTerms node_terms(ivyrill::Effect effect = ivyrill::Effect::kReissuable) {
+    protocol::NodeTerms terms;
+    terms.opening = plain_terms();
+    terms.opening.second_copies = false;
+    terms.opening.list_mode = ListMode::kAsked;
+    terms.opening.products[0].effect = effect;
+    terms.products = {"find"}, terms.tenants = {"acme"}, terms.zones = {"a"}, terms.kinds = {"m"};
+    terms.calls_a_connection = 100, terms.shards = 2;
+    terms.connect_span = ms(250), terms.idle_span = ms(15'000), terms.ask_span = ms(10'000);
+    return terms;
+}
+
+inline protocol::ServerEntry entry(int number, Listed listed = Listed::kLive, const std::string& port = "1") {
+    return {"s" + std::to_string(number),
+            "10.0.0." + std::to_string(number) + ":" + port,
+            "a",
+            "m",
+            0,
+            listed,
+            1,
+            0};
+}
+
+// A router, and the effects it has asked for so far.
+struct Desk {
+    explicit Desk(protocol::NodeTerms terms = node_terms(), int servers = 2, std::size_t descriptors = 1000)
+        : router(std::move(terms), list(servers), "10.0.1.1:1", descriptors, ms(1000)) {
+        turn();
+    }
+    static protocol::ServerList list(int servers) {
+        protocol::ServerList known{1, true, {}};
+        for (int i = 0; i < servers; ++i) known.servers.push_back(entry(i));
+        return known;
+    }
+    void turn() {
+        for (Effect& effect : router.turn(now)) effects.push_back(std::move(effect));
+    }
+    void tell(Event event) { router.step(now, std::move(event)), turn(); }
+    void pass(Tenths span) {
+        for (const Tenths end = now + span; now < end;) ++now, turn();
+    }
+    template <class What> std::vector<What> all() const {
+        std::vector<What> found;
+        for (const Effect& effect : effects)
+            if (const auto* what = std::get_if<What>(&effect)) found.push_back(*what);
+        return found;
+    }
+    ClientId client() {
+        tell(ClientOpened{ClientId{++clients}});
+        return ClientId{clients};
+    }
+    ClientId search(const std::vector<int>& shards = {0}, std::int64_t left_us = 2'000'000) {
+        const ClientId id = client();
+        protocol::SearchRequest request{
+            "q" + std::to_string(clients), "find", "acme", "text", left_us, false, {}};
+        for (const int shard : shards) request.targets.push_back({shard, 1.0 / shards.size()});
+        tell(SearchRead{id, request, 0});
+        return id;
+    }
+    void up(LinkId link) { tell(LinkUp{link}); }
+    void wrote_all(LinkId link) {
+        std::uint64_t total = 0;
+        for (const WriteLink& write : all<WriteLink>())
+            if (write.link == link) total += write.bytes.size();
+        tell(LinkWrote{link, total});
+    }
+    void answers(LinkId link, const std::string& id, Outcome outcome = Outcome::kAnswered) {
+        tell(PartAnswered{link, {id, outcome, {}, "value of " + id}, 0});
+    }
+    std::vector<std::string> frames(LinkId link, char letter) const {
+        std::vector<std::string> found;
+        for (const WriteLink& write : all<WriteLink>())
+            if (write.link == link && write.bytes[4] == letter) found.push_back(write.bytes.substr(5));
+        return found;
+    }
+    std::size_t sent(char letter) const {
+        const auto writes = all<WriteLink>();
+        return std::ranges::count_if(writes, [&](auto& write) { return write.bytes[4] == letter; });
+    }
+    std::optional<Verdict> verdict(ClientId client) const {
+        for (const AnswerClient& answer : all<AnswerClient>())
+            if (answer.client == client) return answer.answer.verdict;
+        return {};
+    }
+
+    Router router;
+    Tenths now = ms(1000);
+    std::uint64_t clients = 0;
+    std::vector<Effect> effects;
+};
+
+} // namespace ivyrill::routing
--- /dev/null
+++ b/tests/script_stories.cpp
@@ -0,0 +1,222 @@
+// Stories of the operators' script and of the typed reading of what it gives.
+#include "fake_host.hpp"
+#include "operator/orders.hpp"
+#include "script/script.hpp"
+
+namespace ivyrill::script {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+struct Folder { // files by name; the first is the one to run
+    std::map<std::string, std::string> files;
+    Outcome run(const Bounds& bounds = {}) const {
+        return run_script(
+            "main.star",
+            [this](const std::string& name) {
+                const auto found = files.find(name);
+                if (found == files.end()) throw std::runtime_error(name + ": no such file");
+                return found->second;
+            },
+            bounds);
+    }
+};
+
+ordered_json result(const std::string& text) { return Folder{{{"main.star", text}}}.run().result; }
+
+std::string complaint(const std::string& text, const Bounds& bounds = {}) {
+    try {
+        Folder{{{"main.star", text}}}.run(bounds);
+    } catch (const ScriptError& error) { return error.what(); }
+    return "none";
+}
+
+bool says(const std::string& text, const std::string& words) {
+    const std::string heard = complaint(text);
+    const bool so = heard.find(words) != std::string::npos;
+    if (!so) std::cerr << "expected '" << words << "', heard '" << heard << "'\n";
+    return so;
+}
+
+void values_and_operators_are_starlarks() {
+    assert(result("a = 7 // 2\nb = -7 // 2\nc = -7 % 3\nd = 7 / 2\ne = 2 * 3 + 4") ==
+           ordered_json::parse(R"({"a":3,"b":-4,"c":2,"d":3.5,"e":10})"));
+    assert(result("a = [1, 2] + [3]\nb = 'ab' * 2\nc = {'x': 1} | {'y': 2}\nd = (1,)\ne = not []") ==
+           ordered_json::parse(R"({"a":[1,2,3],"b":"abab","c":{"x":1,"y":2},"d":[1],"e":true})"));
+    assert(result("s = 'chess'\na = s[1:3]\nb = s[-1]\nc = s[::-1]\nd = [1,2,3][:2]\ne = 'es' in s")["c"] ==
+           "ssehc");
+    assert(result("a = 1 if 2 > 1 else 3\nb = 0x1F\nc = None or 'x'\nd = 1 < 2 and 2 < 3")["b"] == 31);
+    assert(result("a = 1.5e3\nb = r'\\d'\nc = '''two\nlines'''\nd = 'tab\\there'")["c"] == "two\nlines");
+}
+
+void functions_loops_and_comprehensions() {
+    const auto made = result(R"(
+def club(name, share = 10, tenant = None):
+    """What a club is."""
+    if share > 50:
+        return {"name": name, "big": True}
+    elif not tenant:
+        tenant = "t-" + name
+    return {"name": name, "tenant": tenant}
+
+_private = [1, 2, 3]
+clubs = [club(n) for n in ["etna", "conca"] if n != "conca"] + [club("aretusa", share = 60)]
+by_name = {c["name"]: i for i, c in enumerate(clubs)}
+total = 0
+for i in range(10):
+    if i % 2:
+        continue
+    if i > 6:
+        break
+    total += i
+pairs = ["%s-%d" % (a, b) for a in "x y".split() for b in _private if b > 1]
+text = "{0} has {n}".format("etna", n = 3)
+first, (second, third) = 1, (2, 3)
+names = sorted(["b", "A", "c"], key = lower_of if False else len)
+)");
+    assert(!made.contains("_private") && !made.contains("club"));
+    assert(made["clubs"][0]["tenant"] == "t-etna" && made["clubs"][1]["big"] == true);
+    assert(made["by_name"]["aretusa"] == 1 && made["total"] == 12 && made["third"] == 3);
+    assert(made["pairs"] == ordered_json::parse(R"(["x-2","x-3","y-2","y-3"])") &&
+           made["text"] == "etna has 3");
+}
+
+void errors_name_place_and_what_was_expected() {
+    assert(says("a = 1\nb = = 2", "main.star:2:5: expected a value, got '='"));
+    assert(says("a = [1,\n2", "main.star:1:5: expected the closing bracket of this one"));
+    assert(says("def f(x)\n    pass", "main.star:1:9: expected ':', got the end of the line"));
+    assert(says("club = 1\na = clib", "main.star:2:5: nothing is named 'clib', did you mean 'club'?"));
+    assert(says("a = 'x'.upcase()", "a string has no 'upcase'"));
+    assert(says("a = {'x': 1}['y']", "main.star:1:13: no key \"y\""));
+    assert(says("a = 1 + 'x'", "no '+' between int and string"));
+    assert(says("if True:\n\ta = 1", "main.star:2:1: expected blanks, not a tab"));
+    assert(says("a = 'open", "expected the closing quote"));
+    assert(says("while True:\n    pass", "'while' is not in this language"));
+    assert(says("return 1", "expected a function around 'return'"));
+    assert(says("def f(a):\n    return a\nb = f()", "f: expected a value for 'a'"));
+    assert(says("fail('no', 'such club')", "fail: no such club"));
+    assert(says("a = {'x': 1, 'x': 2}", "stands twice"));
+    assert(says("a = 9223372036854775807 + 1", "more than 64 bits"));
+    assert(says("a = -9223372036854775807 // 0", "division by zero"));
+}
+
+// Whatever is written, it ends: by steps, by memory, by depth.
+void nothing_runs_without_end() {
+    assert(says("def f(n):\n    return f(n)\na = f(1)", "'f' calls itself"));
+    assert(says("def f():\n    return g()\ndef g():\n    return f()\na = f()", "calls itself"));
+    assert(says("r = range(2000)\nfor x in r:\n    for y in r:\n        pass", "more than 1000000 steps"));
+    assert(says("a = 'x' * 100000000", "too large"));
+    assert(says("a = range(2000000)", "range: more than"));
+    assert(says("a = [[1] * 1000] * 1000\nb = [list(x) for x in a for y in a]", "bytes"));
+    assert(says("a = [1]\na.append(a)\nb = str(a)", "nested too deeply"));
+    assert(says("a = [1]\na.append(a)", "nested too deeply"));
+    assert(says("a = " + std::string(300, '(') + "1" + std::string(300, ')'), "nested too deeply"));
+    std::string chain = "a = 1";
+    for (int i = 0; i < 5000; ++i) chain += "+1";
+    assert(says(chain, "too long a chain"));
+    assert(complaint("a = 1\nb = 2", {3, 1U << 20U, 4}).find("more than 3 steps") != std::string::npos);
+    assert(says("a = [1, 2]\nfor x in a:\n    a.append(x)", "changes while a loop goes over it"));
+}
+
+void files_are_loaded_from_the_same_folder_and_frozen() {
+    Folder folder{
+        {{"main.star", "load('clubs.star', 'CLUBS', mine = 'one')\nclubs = CLUBS\na = mine(2)"},
+         {"clubs.star", "CLUBS = ['etna']\n_hidden = 1\ndef one(x):\n    return x + len(CLUBS)\n"}}};
+    assert(folder.run().result == ordered_json::parse(R"({"clubs":["etna"],"a":3})"));
+    const auto complains = [&](const std::string& text, const std::string& words) {
+        folder.files["main.star"] = text;
+        try {
+            folder.run();
+        } catch (const ScriptError& error) {
+            return std::string(error.what()).find(words) != std::string::npos;
+        }
+        return false;
+    };
+    assert(complains("load('clubs.star', 'CLUBS')\nCLUBS.append(1)", "frozen"));
+    assert(complains("load('clubs.star', '_hidden')", "private"));
+    assert(complains("load('clubs.star', 'CLUB')", "did you mean 'CLUBS'?"));
+    assert(complains("load('../clubs.star', 'CLUBS')", "same folder"));
+    assert(complains("load('other.star', 'X')", "main.star:1:1: other.star: no such file"));
+    assert(complains("load('main.star', 'X')", "in a ring"));
+    folder.files["clubs.star"] = "a = 1\nb = a +";
+    assert(complains("load('clubs.star', 'a')", "clubs.star:2:8: expected a value"));
+}
+
+void same_text_gives_the_same_result_every_time() {
+    const std::string text =
+        "a = {str(i): [i * 0.1, {'k%d' % i: i}] for i in range(50)}\nb = sorted(a.keys())\n";
+    const Folder folder{{{"main.star", text}}};
+    const Outcome first = folder.run(), second = folder.run();
+    assert(first.result.dump() == second.result.dump() && first.steps == second.steps &&
+           first.bytes == second.bytes);
+}
+
+// ---- the operator's file
+
+operators::Orders orders(const std::string& text) { return operators::read_orders(result(text)); }
+
+std::string refusal(const std::string& text) {
+    try {
+        orders(text);
+    } catch (const operators::OrderError& error) { return error.what(); }
+    return "none";
+}
+
+const std::string kAccess = R"(
+access = {
+    "issuer": "trinacria", "audience": "archive", "keys": "keys",
+    "clubs": {"circolo-etna": "circolo-etna"},
+    "products": {"position-find": "read", "game-annotate": "write_own"},
+}
+)";
+
+void operators_file_is_read_by_type() {
+    const operators::Orders made = orders(kAccess + R"(
+listeners = [{"name": "members", "address": "127.0.0.1:8443", "certificate": "a.pem", "key": "a.key"}]
+tls = {"open_handshakes": 10}
+)");
+    assert(made.access && made.access->plain_guarded && made.access->terms.skew == 5 * kTenthsPerSecond);
+    assert(made.access->terms.products.at("game-annotate") == access::Right::kWriteOwn);
+    assert(!made.access->terms.other_products && made.listeners.size() == 1 && made.listeners[0].guarded);
+    assert(made.handshakes.most_open == 10 && !orders("").access);
+}
+
+void what_nobody_knows_is_refused_with_the_nearest_name() {
+    assert(refusal("acess = {}") == "acess: is not known here; did you mean 'access'?");
+    assert(refusal("tls = {'open_handshake': 1}").find("did you mean 'open_handshakes'?") !=
+           std::string::npos);
+    assert(refusal("tls = {'open_handshakes': 0}") ==
+           "tls.open_handshakes: expected an int from 1 to 10000, got 0");
+    assert(refusal("access = {'issuer': 'a'}") == "access.audience: is missing; expected a string");
+    assert(refusal(kAccess + "access['products'] = {'x': 'reed'}")
+               .find("access.products[\"x\"]: expected \"read\"") == 0);
+    assert(refusal(kAccess + "access['plain_port'] = 'guard'").find("did you mean 'guarded'?") !=
+           std::string::npos);
+    assert(refusal(kAccess +
+                   "access['names'] = [{'uri': 'spiffe://a/*/b', 'club': 'circolo-etna', 'member': 'x'}]")
+               .find("access.names[0].uri: expected '*' at the end only") == 0);
+    assert(refusal(
+               "listeners = [{'name': 'a', 'address': 'x', 'certificate': 'c', 'key': 'k', 'guarded': True}]")
+               .find("listeners[0].guarded: there is no section 'access'") == 0);
+    assert(refusal("listeners = 1") == "listeners: expected a list of dicts");
+}
+
+const Story kStories[] = {
+    STORY(values_and_operators_are_starlarks),
+    STORY(functions_loops_and_comprehensions),
+    STORY(errors_name_place_and_what_was_expected),
+    STORY(nothing_runs_without_end),
+    STORY(files_are_loaded_from_the_same_folder_and_frozen),
+    STORY(same_text_gives_the_same_result_every_time),
+    STORY(operators_file_is_read_by_type),
+    STORY(what_nobody_knows_is_refused_with_the_nearest_name),
+};
+
+} // namespace
+
+} // namespace ivyrill::script
+
+int main(int count, char** arguments) {
+    return ivyrill::play_story(ivyrill::script::kStories, count, arguments);
+}
