--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Shorthand for what README.md explains.
 BUILD := build
 SANITIZED := build-sanitize
-SOURCES := $(shell find src tests -name '*.cpp' -o -name '*.hpp')
+SOURCES := $(shell find src tests bench fuzz -name '*.cpp' -o -name '*.hpp')
 # Debian 12's clang cannot read the module's views together with GCC 12's library.
 TIDIED := $(filter-out src/brain.cpp,$(filter %.cpp,$(SOURCES)))
 
-.PHONY: build test sanitize lint format run clean
+.PHONY: build test sanitize lint format run clean measure fuzz
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -30,5 +30,21 @@
 run: build
 	$(BUILD)/ivyrill serve $(if $(CONFIG),--config $(CONFIG))
 
+# NAME=access: what a direction promises, measured; its last line is one JSON object, and it fails where a promise
+# is broken.
+measure:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
+	cmake --build $(BUILD) -j4 --target measure_$(NAME)
+	$(BUILD)/measure_$(NAME)
+
+# NAME=token, script or certificate; SECONDS=... or, for a fixed count of inputs, RUNS=...
+FUZZED := build-fuzz
+SECONDS ?= 60
+fuzz:
+	cmake -B $(FUZZED) -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_COMPILER=clang++ -DIVYRILL_FUZZ=ON -DBUILD_TESTING=OFF
+	cmake --build $(FUZZED) -j4 --target fuzz_$(NAME)
+	$(FUZZED)/fuzz_$(NAME) -seed=1 $(if $(RUNS),-runs=$(RUNS),-max_total_time=$(SECONDS)) -timeout=10 -verbosity=0 \
+	  -print_final_stats=1
+
 clean:
-	rm -rf $(BUILD) $(SANITIZED)
+	rm -rf $(BUILD) $(SANITIZED) $(FUZZED)
--- /dev/null
+++ b/fuzz/script.cpp
@@ -0,0 +1,30 @@
+// Any text as an operators' script: it ends, within its bounds, the same way each time, and what it gives is
+// read or refused.
+#include "script/script.hpp"
+#include "operator/orders.hpp"
+
+#include <cstdint>
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    using namespace ivyrill;
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    const script::Bounds bounds{20'000, 1U << 20U, 4};
+    std::string first, second;
+    for (std::string* heard : {&first, &second}) {
+        try {
+            const auto made = script::run_script(
+                "a.star", [&](const std::string&) { return text; }, bounds);
+            if (made.steps > bounds.steps || made.bytes > bounds.bytes) std::abort();
+            *heard = made.result.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+            try {
+                operators::read_orders(made.result);
+            } catch (const operators::OrderError&) {}
+        } catch (const script::ScriptError& error) {
+            *heard = error.what();
+            if (error.at.line < 1 || error.at.column < 1) std::abort();
+        }
+    }
+    if (first != second) std::abort();
+    return 0;
+}
--- /dev/null
+++ b/fuzz/token.cpp
@@ -0,0 +1,53 @@
+// Any bytes as a token: read, judged, never let in without a signature, never a crash.
+#include "access/gate.hpp"
+#include "access/text.hpp"
+
+#include <cstdint>
+#include <cstdlib>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::access;
+
+constexpr Tenths kNow = 1'800'000'000 * kTenthsPerSecond;
+
+struct Post {
+    Key key{"k", SigningKey::generate(Algorithm::kHs256), {0, kTenthsPerSecond, kEver, kEver}};
+    Gate gate{policy()};
+    std::shared_ptr<const Policy> policy() const {
+        AccessTerms terms;
+        terms.issuer = "i", terms.audience = "a", terms.most_token = 4096, terms.cached = 8;
+        terms.clubs = {{"c", "t"}}, terms.products = {{"find", Right::kRead}};
+        AccessFiles files;
+        files.keys = {{"k.jwk", write_key(key, false)}};
+        return read_policy(terms, files, nullptr, kNow);
+    }
+};
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    static Post post;
+    const std::string bytes(reinterpret_cast<const char*>(data), size);
+    if (post.gate.admit({bytes, false, nullptr}, {"find", "", ""}, kNow).reason == Reason::kAdmitted)
+        std::abort();
+    // The same bytes as header and payload, behind a signature that holds: what is read must be what was
+    // written.
+    const std::size_t half = size / 2;
+    const std::string body = base64url(bytes.substr(0, half)) + "." + base64url(bytes.substr(half));
+    const TokenForm form = read_token(body + "." + base64url(post.key.signing.sign(body)), 8192);
+    if (const auto* token = std::get_if<ReadToken>(&form)) {
+        if (token->claims.expires < 0 || !sound_name(token->claims.caller.club)) std::abort();
+        if (token->algorithm == Algorithm::kHs256 && !proven(*token, post.key)) std::abort();
+    }
+    // Text to bytes and back is the same text, or no text at all.
+    if (const auto raw = read_base64url(bytes); raw && base64url(*raw) != bytes) std::abort();
+    try {
+        read_key({"f", bytes});
+    } catch (const AccessError&) {}
+    try {
+        Revocations::read({"f", bytes});
+    } catch (const AccessError&) {}
+    return 0;
+}
--- a/src/access/cache.cpp
+++ b/src/access/cache.cpp
@@ -20,33 +20,32 @@
 
 TokenCache::TokenCache(std::size_t most) : sets_((most + kWays - 1) / kWays) {}
 
-std::shared_ptr<const Claims> TokenCache::find(std::string_view token, std::string_view key_print) {
-    if (sets_.empty()) return nullptr;
+TokenCache::Proven TokenCache::find(std::string_view token) {
+    if (sets_.empty()) return {};
     const auto digest = digest_of(token);
     for (Entry& entry : sets_[digest[0] % sets_.size()].entries) {
-        if (!entry.claims || entry.digest != digest || entry.key_print != key_print) continue;
+        if (!entry.proof.claims || entry.digest != digest) continue;
         entry.used = true;
-        return entry.claims;
+        return entry.proof;
     }
-    return nullptr;
+    return {};
 }
 
-void TokenCache::put(std::string_view token, std::string_view key_print,
-                     std::shared_ptr<const Claims> claims) {
+void TokenCache::put(std::string_view token, Proven proof) {
     if (sets_.empty()) return;
     const auto digest = digest_of(token);
     Set& set = sets_[digest[0] % sets_.size()];
     auto place = std::ranges::find(set.entries, digest, &Entry::digest);
     if (place == set.entries.end())
-        place = std::ranges::find_if(set.entries, [](auto& e) { return !e.claims; });
+        place = std::ranges::find_if(set.entries, [](auto& e) { return !e.proof.claims; });
     while (place == set.entries.end()) { // the hand passes over who was used since it came by
         Entry& entry = set.entries[set.hand];
         if (!entry.used) place = set.entries.begin() + static_cast<std::ptrdiff_t>(set.hand);
         entry.used = false;
         set.hand = (set.hand + 1) % kWays;
     }
-    if (!place->claims) ++held_;
-    *place = {digest, std::string(key_print), std::move(claims), false};
+    if (!place->proof.claims) ++held_;
+    *place = {digest, std::move(proof), false};
 }
 
 } // namespace ivyrill::access
--- a/src/access/cache.hpp
+++ b/src/access/cache.hpp
@@ -17,14 +17,18 @@
 class TokenCache {
   public:
     explicit TokenCache(std::size_t most); // tokens; rounded up to whole sets, 0: none
-    // The claims of this token, proven by the key of this print; null where it is not held.
-    std::shared_ptr<const Claims> find(std::string_view token, std::string_view key_print);
-    void put(std::string_view token, std::string_view key_print, std::shared_ptr<const Claims> claims);
+    struct Proven { // the claims of a token, and the print of the key that proved them; null where none is
+                    // held
+        std::shared_ptr<const Claims> claims;
+        std::string key_print;
+    };
+    Proven find(std::string_view token);
+    void put(std::string_view token, Proven proof);
     // Takes out what nobody can use any more.
     template <class Dead> void drop(Dead dead) {
         for (Set& set : sets_)
             for (Entry& entry : set.entries)
-                if (entry.claims && dead(*entry.claims)) entry = {}, --held_;
+                if (entry.proof.claims && dead(*entry.proof.claims)) entry = {}, --held_;
     }
     std::size_t held() const { return held_; }
     std::size_t room() const { return sets_.size() * kWays; }
@@ -33,8 +37,7 @@
     static constexpr std::size_t kWays = 8;
     struct Entry {
         std::array<std::uint64_t, 4> digest{};
-        std::string key_print;
-        std::shared_ptr<const Claims> claims;
+        Proven proof;
         bool used = false;
     };
     struct Set {
--- a/src/access/gate.cpp
+++ b/src/access/gate.cpp
@@ -50,28 +50,31 @@
         made.proof.chain = credential.chain;
         return made;
     }
-    const TokenForm form = read_token(credential.token, policy_->terms.most_token);
-    if (const auto* reason = std::get_if<Reason>(&form)) return made.reason = *reason, made;
-    const ReadToken& token = std::get<ReadToken>(form);
-    made.key = token.claims.key;
-    const Key* key = policy_->ring.find(token.claims.key);
-    // A key that is not active yet, or gone, is as good as none: that it exists is told to nobody.
-    if (key == nullptr || !key->verifies(now, policy_->terms.skew))
-        return made.reason = Reason::kUnknownKey, made;
-    const std::string print = key->signing.print();
-    auto claims = cache_.find(credential.token, print);
-    if (claims) {
+    // A token that was proven before is neither read nor verified again; all else is judged as for a fresh
+    // one.
+    TokenCache::Proven proof = cache_.find(credential.token);
+    const bool fresh = proof.claims == nullptr;
+    if (!fresh) {
         ++counts_.from_cache;
+        made.key = proof.claims->key;
     } else {
+        const TokenForm form = read_token(credential.token, policy_->terms.most_token);
+        if (const auto* reason = std::get_if<Reason>(&form)) return made.reason = *reason, made;
+        const ReadToken& token = std::get<ReadToken>(form);
+        made.key = token.claims.key;
+        const Key* key = policy_->ring.find(token.claims.key);
+        // A key that is not active yet, or gone, is as good as none: that it exists is told to nobody.
+        if (key == nullptr || !key->verifies(now, policy_->terms.skew))
+            return made.reason = Reason::kUnknownKey, made;
         ++counts_.verified;
         if (!proven(token, *key)) return made.reason = Reason::kBadSignature, made;
-        claims = std::make_shared<const Claims>(token.claims);
+        proof = {std::make_shared<const Claims>(token.claims), key->signing.print()};
     }
-    made.reason = judge_claims(*claims, print, now, true);
+    made.reason = judge_claims(*proof.claims, proof.key_print, now, true);
     if (made.reason != Reason::kAdmitted) return made;
-    cache_.put(credential.token, print, claims);
-    made.caller = claims->caller;
-    made.proof.claims = std::move(claims), made.proof.key_print = print;
+    if (fresh) cache_.put(credential.token, proof);
+    made.caller = proof.claims->caller;
+    made.proof.claims = std::move(proof.claims), made.proof.key_print = std::move(proof.key_print);
     return made;
 }
 
--- a/src/lab/hall.hpp
+++ b/src/lab/hall.hpp
@@ -37,6 +37,7 @@
                       Tenths lives = 600 * kTenthsPerSecond, std::vector<std::string> own = {"g1"},
                       bool write = true) const;
     const access::Key& key() const { return keys_.back(); } // the newest
+    const std::vector<access::Key>& keys() const { return keys_; }
     // Makes a key, active at once, and lets those before it go out, gone after `overlap`.
     void rotate(const std::string& name, access::Algorithm algorithm, Tenths overlap);
     void write_key(const access::Key& key) const;
--- a/src/program/audit.cpp
+++ b/src/program/audit.cpp
@@ -4,6 +4,8 @@
 
 #include <spdlog/sinks/basic_file_sink.h>
 
+#include <utility>
+
 namespace ivyrill::program {
 
 using nlohmann::ordered_json;
@@ -16,17 +18,20 @@
     logger_->flush_on(spdlog::level::info);
 }
 
-bool AuditLog::may_write(Tenths now) {
+bool AuditLog::may_write(Budget& budget, Tenths now) {
     const Tenths second = now / kTenthsPerSecond;
     if (second != second_) {
-        second_ = second, lines_ = 0;
-        if (left_out_ > 0) {
-            const std::uint64_t count = std::exchange(left_out_, 0);
-            write(ordered_json{{"what", "left-out"}, {"lines", count}}, now);
+        second_ = second;
+        for (Budget* each : {&refusals_, &changes_}) {
+            each->lines = 0;
+            if (each->left_out > 0)
+                put({{"what", each == &refusals_ ? "refusals-left-out" : "changes-left-out"},
+                     {"lines", std::exchange(each->left_out, 0)}},
+                    now);
         }
     }
-    if (lines_ >= most_) return ++left_out_, false;
-    return ++lines_, true;
+    if (budget.lines >= most_) return ++budget.left_out, false;
+    return ++budget.lines, true;
 }
 
 void AuditLog::write(const routing::Audit& line, Tenths now) {
@@ -36,11 +41,14 @@
          {std::pair{"club", &line.club}, std::pair{"member", &line.member}, std::pair{"key", &line.key},
           std::pair{"product", &line.product}, std::pair{"search", &line.search}})
         if (!text->empty()) made[name] = text->substr(0, 128);
-    write(std::move(made), now);
+    if (may_write(line.what == "refused" ? refusals_ : changes_, now)) put(std::move(made), now);
 }
 
 void AuditLog::write(ordered_json line, Tenths now) {
-    if (!may_write(now)) return;
+    if (may_write(changes_, now)) put(std::move(line), now);
+}
+
+void AuditLog::put(ordered_json line, Tenths now) {
     line["at_ms"] = now / (kTenthsPerSecond / 1000);
     const std::string text = line.dump(-1, ' ', true, ordered_json::error_handler_t::replace);
     if (logger_)
--- a/tests/access_stories.cpp
+++ b/tests/access_stories.cpp
@@ -310,22 +310,21 @@
 }
 
 void cache_is_bounded_and_forgets_the_unused() {
-    Post post;
+    const TokenCache::Proven proof{std::make_shared<const Claims>(claims_for()), "key"};
     TokenCache cache(16);
-    const auto claims = std::make_shared<const Claims>(claims_for());
-    for (int i = 0; i < 1000; ++i) cache.put("token" + std::to_string(i), "key", claims);
+    for (int i = 0; i < 1000; ++i) cache.put("token" + std::to_string(i), proof);
     assert(cache.held() <= cache.room() && cache.room() == 16);
     TokenCache one(8); // one set: who is used stays while others come and go
-    one.put("kept", "key", claims);
+    one.put("kept", proof);
     for (int i = 0; i < 100; ++i) {
-        assert(one.find("kept", "key") && !one.find("kept", "another key"));
-        one.put("token" + std::to_string(i), "key", claims);
+        assert(one.find("kept").key_print == "key" && !one.find("kept ").claims);
+        one.put("token" + std::to_string(i), proof);
     }
     one.drop([](const Claims&) { return true; });
-    assert(one.held() == 0 && !one.find("kept", "key"));
+    assert(one.held() == 0 && !one.find("kept").claims);
     TokenCache none(0);
-    none.put("kept", "key", claims);
-    assert(!none.find("kept", "key"));
+    none.put("kept", proof);
+    assert(!none.find("kept").claims);
 }
 
 // ---- certificates
--- a/tests/caller_stories.cpp
+++ b/tests/caller_stories.cpp
@@ -189,6 +189,18 @@
     assert(status(client, {"a1", "find", "", hall.token("anna", hall.key())}) == 200);
 }
 
+// Refusals, which any stranger can cause by the thousand, crowd no change out of the audit log.
+void flood_of_refusals_hides_no_change() {
+    Hall hall({});
+    Client client(hall.plain());
+    for (int i = 0; i < 1000; ++i) client.say(search_bytes({"a" + std::to_string(i)})), client.answer();
+    hall.rotate("k1", Algorithm::kEdDsa, kHour);
+    for (int i = 0; i < 1000; ++i) client.say(search_bytes({"b" + std::to_string(i)})), client.answer();
+    assert(hall.await_audit("swapped", 2));
+    hall.write("keys/k9.jwk", "{");
+    assert(hall.await_audit("kept"));
+}
+
 void without_an_operators_file_nobody_is_asked() {
     Hall hall({2, Effect::kReissuable, false, {}, 512});
     assert(once(hall.plain(), {"a1"}) == 200 && once(hall.plain(), {"a2", "find", "", "nonsense"}) == 200);
@@ -205,6 +217,7 @@
     STORY(order_to_stop_behind_a_reload_is_kept),
     STORY(half_handshakes_delay_nobody),
     STORY(nobody_renegotiates_and_protocols_are_agreed),
+    STORY(flood_of_refusals_hides_no_change),
     STORY(without_an_operators_file_nobody_is_asked),
 };
 
