--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,10 @@
 fuzz:
 	cmake -B $(FUZZED) -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_COMPILER=clang++ -DIVYRILL_FUZZ=ON -DBUILD_TESTING=OFF
 	cmake --build $(FUZZED) -j4 --target fuzz_$(NAME)
+	$(if $(RUNS),rm -rf $(FUZZED)/found_$(NAME))
+	mkdir -p $(FUZZED)/found_$(NAME)
 	$(FUZZED)/fuzz_$(NAME) -seed=1 $(if $(RUNS),-runs=$(RUNS),-max_total_time=$(SECONDS)) -timeout=10 -verbosity=0 \
-	  -print_final_stats=1
+	  -max_len=4096 -artifact_prefix=$(FUZZED)/ $(FUZZED)/found_$(NAME) fuzz/seeds/$(NAME)
 
 clean:
 	rm -rf $(BUILD) $(SANITIZED) $(FUZZED)
--- /dev/null
+++ b/fuzz/seeds/script/whole.star
@@ -0,0 +1,2 @@
+def club(name, share = 10, *, tenant = None):
+    return {"name": name}
--- a/src/access/certificate.cpp
+++ b/src/access/certificate.cpp
@@ -169,11 +169,11 @@
         held->crls.push_back(std::move(crl));
     }
     if (before != nullptr)
-        for (const auto& [name, list] : before->held_->lists) {
+        for (const auto& old : before->held_->lists) {
             const bool needed = std::ranges::any_of(held->certificates, [&](auto& one) {
-                return issuer_of(X509_get_subject_name(one.get())) == name;
+                return issuer_of(X509_get_subject_name(one.get())) == old.first;
             });
-            if (needed && !held->lists.contains(name))
+            if (needed && !held->lists.contains(old.first))
                 throw AccessError("the list of an authority that had one is missing");
         }
     auto made = std::make_shared<Authorities>();
--- a/src/access/gate.cpp
+++ b/src/access/gate.cpp
@@ -19,7 +19,7 @@
     if (!files.authorities.empty())
         made->authorities = Authorities::read(files.authorities, files.crls, now, terms.crl_grace,
                                               before != nullptr ? before->authorities.get() : nullptr);
-    made->revoked.forget(now, terms.skew);
+    made->revoked.forget(now, terms.skew, terms.longest_life);
     made->terms = std::move(terms);
     made->generation = before != nullptr ? before->generation + 1 : 1;
     return made;
@@ -85,6 +85,7 @@
         return Reason::kUnknownKey;
     if (claims.issuer != terms.issuer || std::ranges::count(claims.audience, terms.audience) == 0)
         return Reason::kWrongAudience;
+    if (claims.expires - claims.issued > terms.longest_life) return Reason::kMalformed;
     if (timed && now >= claims.expires + terms.skew) return Reason::kExpired;
     if (timed && (now + terms.skew < claims.not_before || now + terms.skew < claims.issued))
         return Reason::kNotYet;
--- a/src/access/gate.hpp
+++ b/src/access/gate.hpp
@@ -21,11 +21,12 @@
 // What the operator's file says of access.
 struct AccessTerms {
     std::string issuer, audience;
-    Tenths skew = 0;            // by which signers' clocks may differ from ours
-    Tenths settle = 0;          // how long a jump of the clock must stand before it is believed
-    Tenths crl_grace = 0;       // how long a CRL counts past its time
-    std::size_t most_token = 0; // bytes
-    std::size_t cached = 0;     // tokens whose signature is remembered
+    Tenths skew = 0;             // by which signers' clocks may differ from ours
+    Tenths settle = 0;           // how long a jump of the clock must stand before it is believed
+    Tenths crl_grace = 0;        // how long a CRL counts past its time
+    Tenths longest_life = kEver; // from a token's `iat` to its `exp`: bounds how long revocations are kept
+    std::size_t most_token = 0;  // bytes
+    std::size_t cached = 0;      // tokens whose signature is remembered
     std::map<std::string, std::string, std::less<>> clubs; // to the tenant that bears its share
     std::map<std::string, Right, std::less<>> products;    // the right that each asks for
     std::optional<Right> other_products;                   // ... of the others; nothing: nobody may
--- a/src/access/keys.cpp
+++ b/src/access/keys.cpp
@@ -172,7 +172,9 @@
     return json.dump(2) + "\n";
 }
 
-void Revocations::forget(Tenths now, Tenths skew) {
+void Revocations::forget(Tenths now, Tenths skew, Tenths longest_life) {
+    if (longest_life != kEver)
+        std::erase_if(members, [&](auto& held) { return held.second + longest_life + skew < now; });
     std::erase_if(tokens, [&](auto& held) { return held.second + skew < now; });
 }
 
--- a/src/access/keys.hpp
+++ b/src/access/keys.hpp
@@ -67,7 +67,8 @@
     std::map<std::string, Tenths, std::less<>> certificates; // when that was said
     static Revocations read(const NamedText& file);          // throws AccessError
     std::string write() const;
-    void forget(Tenths now, Tenths skew); // tokens that have expired by themselves
+    // Tokens that have expired by themselves, and members none of whose tokens from before can still be good.
+    void forget(Tenths now, Tenths skew, Tenths longest_life);
 };
 
 // What a rotation makes of a ring: a fresh key of the same algorithm, announced now and active after `lead`;
--- a/src/operator/orders.cpp
+++ b/src/operator/orders.cpp
@@ -44,6 +44,7 @@
     terms.settle = seconds(fields.whole("settle_s", 0, 3600, 10));
     terms.crl_grace = seconds(fields.whole("crl_grace_s", 0, 7 * 86400, 3600));
     terms.most_token = static_cast<std::size_t>(fields.whole("token_bytes", 256, 8192, 4096));
+    terms.longest_life = seconds(fields.whole("token_life_s", 60, 366 * 86'400, 31 * 86'400));
     terms.cached = static_cast<std::size_t>(fields.whole("cached_tokens", 0, 1'000'000, 4096));
     fields.each_named("clubs", [&](const std::string& club, const auto& tenant, const std::string& path) {
         if (!tenant.is_string()) throw OrderError(path + ": expected the tenant's name");
--- a/src/program/credentials.cpp
+++ b/src/program/credentials.cpp
@@ -17,6 +17,9 @@
 namespace fs = std::filesystem;
 using namespace access;
 
+// The longest that a token may live by the operator's file: revocations are kept for as long.
+constexpr Tenths kMostLife = Tenths{366} * 86'400 * kTenthsPerSecond;
+
 // All options of all commands; each takes those that it knows.
 struct Orders {
     std::string folder = "keys", name, algorithm, club, member, issuer = "ivyrill", audience = "ivyrill";
@@ -104,7 +107,7 @@
         std::cout << key.name << ": gone\n";
     }
     Revocations held = read_revocations(orders);
-    held.forget(now, 3600 * kTenthsPerSecond);
+    held.forget(now, 3600 * kTenthsPerSecond, kMostLife);
     const bool member = !orders.club.empty() || !orders.member.empty();
     if (member && (orders.club.empty() || orders.member.empty()))
         throw AccessError("a member needs --club and --member");
--- a/tests/access_stories.cpp
+++ b/tests/access_stories.cpp
@@ -177,6 +177,30 @@
     assert(post.reason(claims) == Reason::kWrongAudience);
 }
 
+// Revocations of members are kept as long as a token can live, and no longer.
+void token_lives_no_longer_than_revocations_are_kept() {
+    AccessTerms terms = plain_access();
+    terms.longest_life = s(3600);
+    const Key key = make_key("k");
+    AccessFiles files;
+    files.keys = {file_of(key)};
+    Revocations kept;
+    kept.members = {{"etna/old", kNow - s(4000)}, {"etna/anna", kNow - s(3000)}};
+    files.revocations = NamedText{"r", kept.write()};
+    Gate gate(read_policy(terms, files, nullptr, kNow));
+    assert(gate.policy().revoked.members.size() == 1);
+    Claims claims = claims_for("bruno");
+    const auto reason = [&] {
+        return gate.admit({sign_token(claims, key), false, nullptr}, {"find", "", ""}, kNow).reason;
+    };
+    claims.expires = claims.issued + s(3600);
+    assert(reason() == Reason::kAdmitted);
+    claims.expires += s(1);
+    assert(reason() == Reason::kMalformed);
+    claims.issued = 0;
+    assert(reason() == Reason::kMalformed);
+}
+
 void rights_clubs_and_owners() {
     Post post;
     const Claims anna = claims_for();
@@ -480,6 +504,7 @@
     STORY(algorithm_is_the_keys_and_not_the_tokens),
     STORY(what_can_be_read_two_ways_is_malformed),
     STORY(token_counts_in_its_time_and_for_its_audience),
+    STORY(token_lives_no_longer_than_revocations_are_kept),
     STORY(rights_clubs_and_owners),
     STORY(key_verifies_from_active_until_gone),
     STORY(rotation_leaves_no_moment_without_a_key),
