--- a/tests/access_stories.cpp
+++ b/tests/access_stories.cpp
@@ -119,6 +119,10 @@
     assert(post.reason(body + ".") == Reason::kMalformed);
     assert(post.reason(forge({{"alg", "ES256"}, {"kid", "ed"}, {"typ", kTokenSort}}, claims,
                              std::string(64, 1))) == Reason::kBadSignature);
+    // The key's own signature under another algorithm's name.
+    const json renamed = {{"alg", "ES256"}, {"kid", "ed"}, {"typ", kTokenSort}};
+    const std::string text = base64url(renamed.dump()) + "." + base64url(claims.dump());
+    assert(post.reason(text + "." + base64url(post.keys[0].signing.sign(text))) == Reason::kBadSignature);
     // The key is not taken from the token, whatever it offers.
     const json offered = {{"alg", "EdDSA"}, {"typ", kTokenSort}, {"jwk", post.keys[0].signing.to_jwk(false)}};
     assert(post.reason(forge(offered, claims, std::string(64, 1))) == Reason::kMalformed);
@@ -411,6 +415,9 @@
     }
     ten.certificates.insert(ten.certificates.begin(), last.issue(wish).der);
     assert(post.shown(ten) == Reason::kMalformed);
+    const std::string leaf = office.anna.der; // good by itself, and too much beside it
+    assert(post.shown({{leaf, leaf, leaf, leaf}}) == Reason::kAdmitted);
+    assert(post.shown({{leaf, leaf, leaf, leaf, leaf}}) == Reason::kMalformed);
 }
 
 void revoked_certificate_is_known_by_list_or_serial() {
