Doors: a protocol's state machine apart from connection and reducer; HTTP/2 as the second

Need: further ways in are to come, and the reducer took a connection and a search for one thing. Change: src/doors/ holds the interface, HTTP/1.1 behind it byte for byte, and HTTP/2 on libnghttp2 (off unless the operator's file names a listener for it); a client has several searches by stream; what a connection may cost is decided in src/limits/. Answers are made apart from their framing.

--- /dev/null
+++ b/src/doors/http1/door.cpp
@@ -0,0 +1,52 @@
+#include "doors/http1/door.hpp"
+
+namespace ivyrill::doors {
+
+std::size_t Http1Door::feed(std::string_view bytes) {
+    if (!reads()) return 0;
+    const std::size_t taken = parser_.feed(bytes);
+    if (parser_.broken() != 0)
+        say(protocol::plain_reply(parser_.broken(), "not understood"), true);
+    else if (parser_.complete())
+        take(parser_.take());
+    return taken;
+}
+
+void Http1Door::take(const protocol::HttpMessage& message) {
+    closing_ = message.close;
+    protocol::ClientRequest request = protocol::read_client_request(message);
+    if (auto* search = std::get_if<protocol::SearchRequest>(&request)) {
+        busy_ = true;
+        news_.emplace_back(SearchCame{0, std::move(*search)});
+        return;
+    }
+    if (const auto* bad = std::get_if<protocol::BadRequest>(&request))
+        say(protocol::plain_reply(bad->status, bad->why), false);
+    else
+        say(protocol::ready_reply(around_.ready), false);
+    news_.emplace_back(AnsweredHere{});
+}
+
+// An answer is the last word on its connection where the reducer or the client's request says so.
+void Http1Door::say(const protocol::Reply& reply, bool last) {
+    busy_ = false, closing_ = closing_ || last;
+    out_ += protocol::write_reply(reply, closing_);
+}
+
+void Http1Door::answer(StreamNo, const protocol::FinalAnswer& answer, bool last) {
+    say(protocol::reply_to_search(answer), last);
+}
+
+void Http1Door::reject(StreamNo, int status, std::string_view why, std::string_view challenge, bool last) {
+    say(protocol::plain_reply(status, why, challenge), last);
+}
+
+// An answer for which there is no room ends the connection: half of one would be worse.
+std::string Http1Door::take_out(std::size_t room) {
+    if (out_.size() <= room) return std::exchange(out_, {});
+    closing_ = true;
+    out_.clear();
+    return {};
+}
+
+} // namespace ivyrill::doors
--- /dev/null
+++ b/src/doors/http2/door.cpp
@@ -0,0 +1,323 @@
+#include "doors/http2/door.hpp"
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <new>
+
+namespace ivyrill::doors {
+
+using limits::Deed;
+
+namespace {
+
+constexpr std::size_t kFieldCost = 32; // of each field beside its bytes (RFC 9113, 6.5.2)
+// A leaving client's last PING: its answer tells that it has heard of our leaving.
+constexpr std::array<std::uint8_t, 8> kLeavingPing = {'i', 'v', 'y', 'l', 'e', 'a', 'v', 'e'};
+
+std::string lower(std::string text) {
+    std::ranges::transform(text, text.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return text;
+}
+
+} // namespace
+
+// What the library calls. Nothing is thrown through it: an error code goes back.
+struct Http2Door::Wire {
+    static Http2Door& door(void* user) { return *static_cast<Http2Door*>(user); }
+
+    static int begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* user) {
+        Http2Door& self = door(user);
+        self.in_block_ = true, self.block_bytes_ = 0;
+        if (frame->hd.type != NGHTTP2_HEADERS || frame->headers.cat != NGHTTP2_HCAT_REQUEST) return 0;
+        ++self.counts_.streams;
+        if (!self.budget_.takes_stream(self.streams_.size(), self.held_)) {
+            ++self.counts_.refused;
+            // Not processed, so it may be asked again elsewhere (RFC 9113, 8.7).
+            nghttp2_submit_rst_stream(self.session_, NGHTTP2_FLAG_NONE, frame->hd.stream_id,
+                                      NGHTTP2_REFUSED_STREAM);
+            return 0;
+        }
+        self.streams_.emplace(static_cast<StreamNo>(frame->hd.stream_id), Stream{}), ++self.half_;
+        return 0;
+    }
+
+    static int header(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                      std::size_t name_size, const std::uint8_t* value, std::size_t value_size, std::uint8_t,
+                      void* user) {
+        Http2Door& self = door(user);
+        const auto found = self.streams_.find(static_cast<StreamNo>(frame->hd.stream_id));
+        if (found == self.streams_.end() || frame->headers.cat != NGHTTP2_HCAT_REQUEST)
+            return 0; // trailers: unread
+        Stream& stream = found->second;
+        stream.fields += name_size + value_size + kFieldCost;
+        if (stream.fields > self.budget_.terms().most_fields) return stream.too_large = true, 0;
+        std::string key(reinterpret_cast<const char*>(name), name_size);
+        std::string text(reinterpret_cast<const char*>(value), value_size);
+        if (key == ":method")
+            stream.message.method = std::move(text);
+        else if (key == ":path")
+            stream.message.target = std::move(text);
+        else if (key == ":authority")
+            stream.authority = std::move(text);
+        else if (!key.starts_with(':'))
+            stream.message.headers.emplace_back(std::move(key), std::move(text));
+        return 0;
+    }
+
+    static int data(nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* bytes,
+                    std::size_t size, void* user) {
+        Http2Door& self = door(user);
+        const auto found = self.streams_.find(static_cast<StreamNo>(id));
+        if (found == self.streams_.end() || found->second.phase != Phase::kHalf) return 0;
+        Stream& stream = found->second;
+        if (!self.budget_.takes_body(stream.message.body.size() + size, self.held_ + size)) {
+            stream.too_large = true;
+            return 0;
+        }
+        stream.message.body.append(reinterpret_cast<const char*>(bytes), size);
+        self.held_ += size;
+        return 0;
+    }
+
+    static int frame_came(nghttp2_session*, const nghttp2_frame* frame, void* user) {
+        Http2Door& self = door(user);
+        self.in_block_ = false;
+        const auto number = static_cast<StreamNo>(frame->hd.stream_id);
+        const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        switch (frame->hd.type) {
+        case NGHTTP2_SETTINGS:
+            if ((frame->hd.flags & NGHTTP2_FLAG_ACK) == 0) self.spend(Deed::kSettings);
+            break;
+        case NGHTTP2_PING:
+            if ((frame->hd.flags & NGHTTP2_FLAG_ACK) == 0) {
+                self.spend(Deed::kPing);
+            } else if (self.leaving_ == Leaving::kAnnounced &&
+                       std::memcmp(frame->ping.opaque_data, kLeavingPing.data(), kLeavingPing.size()) == 0) {
+                // The round trip is over: no stream that it opened before it knew is still on its way.
+                self.leaving_ = Leaving::kSaid;
+                nghttp2_submit_goaway(self.session_, NGHTTP2_FLAG_NONE,
+                                      nghttp2_session_get_last_proc_stream_id(self.session_),
+                                      NGHTTP2_NO_ERROR, nullptr, 0);
+            }
+            break;
+        case NGHTTP2_PRIORITY: // RFC 9113, 5.3: nothing depends on it here
+            self.spend(Deed::kEmpty);
+            break;
+        case NGHTTP2_WINDOW_UPDATE:
+            self.spend(Deed::kWindow);
+            break;
+        case NGHTTP2_RST_STREAM:
+            self.spend(Deed::kReset);
+            break;
+        case NGHTTP2_DATA:
+            if (frame->hd.length == 0 && !ends) self.spend(Deed::kEmpty);
+            break;
+        default:
+            break;
+        }
+        if (ends && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS))
+            if (const auto found = self.streams_.find(number);
+                found != self.streams_.end() && found->second.phase == Phase::kHalf)
+                self.request_done(number, found->second);
+        return 0;
+    }
+
+    static int invalid_frame(nghttp2_session*, const nghttp2_frame*, int, void* user) {
+        door(user).spend(Deed::kBad);
+        return 0;
+    }
+
+    static int stream_closed(nghttp2_session*, std::int32_t id, std::uint32_t, void* user) {
+        door(user).close_stream(static_cast<StreamNo>(id));
+        return 0;
+    }
+
+    static ssize_t read_body(nghttp2_session*, std::int32_t id, std::uint8_t* into, std::size_t most,
+                             std::uint32_t* flags, nghttp2_data_source*, void* user) {
+        Http2Door& self = door(user);
+        const auto found = self.streams_.find(static_cast<StreamNo>(id));
+        if (found == self.streams_.end()) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        Stream& stream = found->second;
+        const std::size_t count = std::min(most, stream.body.size() - stream.sent);
+        std::memcpy(into, stream.body.data() + stream.sent, count);
+        stream.sent += count;
+        if (stream.sent == stream.body.size()) *flags |= NGHTTP2_DATA_FLAG_EOF;
+        return static_cast<ssize_t>(count);
+    }
+};
+
+Http2Door::Http2Door(const Around& around, const limits::ConnectionTerms& terms)
+    : around_(around), budget_(terms, around.now) {
+    nghttp2_session_callbacks* calls = nullptr;
+    nghttp2_option* option = nullptr;
+    if (nghttp2_session_callbacks_new(&calls) != 0 || nghttp2_option_new(&option) != 0)
+        throw std::bad_alloc();
+    nghttp2_session_callbacks_set_on_begin_headers_callback(calls, Wire::begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(calls, Wire::header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(calls, Wire::data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(calls, Wire::frame_came);
+    nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(calls, Wire::invalid_frame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(calls, Wire::stream_closed);
+    nghttp2_option_set_no_closed_streams(option, 1);
+    nghttp2_option_set_max_outbound_ack(option, terms.most_streams);
+    const int made = nghttp2_session_server_new2(&session_, calls, this, option);
+    nghttp2_session_callbacks_del(calls);
+    nghttp2_option_del(option);
+    if (made != 0) throw std::bad_alloc();
+    const std::array<nghttp2_settings_entry, 3> settings = {{
+        {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, static_cast<std::uint32_t>(terms.most_streams)},
+        {NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<std::uint32_t>(terms.most_fields)},
+        {NGHTTP2_SETTINGS_ENABLE_PUSH, 0},
+    }};
+    nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+}
+
+Http2Door::~Http2Door() {
+    for (const auto& [number, stream] : streams_) counts_.unheard += stream.phase == Phase::kAnswered;
+    nghttp2_session_del(session_);
+}
+
+bool Http2Door::finished() const {
+    return nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
+}
+
+std::size_t Http2Door::feed(std::string_view bytes) {
+    if (!reads()) return bytes.size();
+    bytes = bytes.substr(0, budget_.terms().turn_bytes);
+    const ssize_t taken =
+        nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    if (taken < 0) {
+        // What cannot be read at all. The library has queued its GOAWAY where one is due.
+        failed_ = true;
+        out_ += take_out(budget_.terms().turn_bytes);
+        return bytes.size();
+    }
+    // A block of CONTINUATION frames that does not end tells nothing and costs: nothing else may come
+    // meanwhile.
+    if (in_block_) block_bytes_ += bytes.size();
+    if (in_block_ && block_bytes_ > 2 * budget_.terms().most_fields + budget_.terms().turn_bytes)
+        end_calmly(Deed::kBad);
+    return static_cast<std::size_t>(taken);
+}
+
+void Http2Door::spend(Deed deed) {
+    if (!budget_.spend(deed, around_.now)) end_calmly(deed);
+}
+
+void Http2Door::end_calmly(Deed) {
+    if (std::exchange(calmed_, true)) return;
+    ++counts_.calmed;
+    nghttp2_session_terminate_session(session_, NGHTTP2_ENHANCE_YOUR_CALM);
+    std::vector<StreamNo> open;
+    for (const auto& [number, stream] : streams_) open.push_back(number);
+    for (const StreamNo number : open) close_stream(number); // their searches go with the connection
+}
+
+void Http2Door::close_stream(StreamNo number) {
+    const auto found = streams_.find(number);
+    if (found == streams_.end()) return;
+    Stream& stream = found->second;
+    if (stream.phase == Phase::kHalf) --half_;
+    if (stream.phase == Phase::kSearching) news_.emplace_back(SearchLeft{number}), ++counts_.taken_back;
+    if (stream.phase == Phase::kAnswered && stream.sent < stream.body.size()) ++counts_.unheard;
+    held_ -= stream.message.body.size() + stream.body.size();
+    streams_.erase(found);
+}
+
+// The same reading as on HTTP/1.1, of the same message: pseudo-fields, forbidden fields and lengths were
+// checked by the library on the way.
+void Http2Door::request_done(StreamNo number, Stream& stream) {
+    protocol::HttpMessage message = std::move(stream.message);
+    held_ -= message.body.size();
+    stream.message = {};
+    stream.phase = Phase::kSearching, --half_;
+    const auto refuse = [&](int status, std::string_view why) {
+        spend(Deed::kBad);
+        if (streams_.contains(number)) reply(number, protocol::plain_reply(status, why));
+        news_.emplace_back(AnsweredHere{});
+    };
+    if (stream.too_large) return refuse(stream.fields > budget_.terms().most_fields ? 431 : 413, "too large");
+    const std::string_view host = message.header("host");
+    if (!host.empty() && !stream.authority.empty() && lower(std::string(host)) != lower(stream.authority))
+        return refuse(400, "host and :authority differ");
+    if (host.empty() && !stream.authority.empty()) message.headers.emplace_back("host", stream.authority);
+    protocol::ClientRequest request = protocol::read_client_request(message);
+    if (auto* search = std::get_if<protocol::SearchRequest>(&request)) {
+        ++counts_.searches;
+        news_.emplace_back(SearchCame{number, std::move(*search)});
+    } else if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
+        refuse(bad->status, bad->why);
+    } else {
+        reply(number, protocol::ready_reply(around_.ready));
+        news_.emplace_back(AnsweredHere{});
+    }
+}
+
+void Http2Door::reply(StreamNo number, const protocol::Reply& reply) {
+    const auto found = streams_.find(number);
+    if (found == streams_.end() || found->second.phase == Phase::kAnswered) return;
+    Stream& stream = found->second;
+    if (stream.phase == Phase::kHalf) --half_, held_ -= stream.message.body.size(), stream.message = {};
+    stream.phase = Phase::kAnswered, stream.body = reply.body;
+    held_ += stream.body.size();
+    std::vector<std::pair<std::string, std::string>> fields = {{":status", std::to_string(reply.status)}};
+    for (const auto& [name, value] : reply.fields) fields.emplace_back(lower(name), value);
+    fields.emplace_back("content-length", std::to_string(reply.body.size()));
+    std::vector<nghttp2_nv> pairs;
+    for (auto& [name, value] : fields)
+        pairs.push_back({reinterpret_cast<std::uint8_t*>(name.data()),
+                         reinterpret_cast<std::uint8_t*>(value.data()), name.size(), value.size(),
+                         NGHTTP2_NV_FLAG_NONE});
+    nghttp2_data_provider body{};
+    body.read_callback = Wire::read_body;
+    nghttp2_submit_response(session_, static_cast<std::int32_t>(number), pairs.data(), pairs.size(), &body);
+}
+
+// `last` is the reducer's word that it drains: here the whole connection hears of it, and its other streams
+// go on.
+void Http2Door::answer(StreamNo stream, const protocol::FinalAnswer& answer, bool last) {
+    reply(stream, protocol::reply_to_search(answer));
+    if (last) drain();
+}
+
+void Http2Door::reject(StreamNo stream, int status, std::string_view why, std::string_view challenge,
+                       bool last) {
+    if (stream == 0) { // about the connection: its half-sent requests are out of time
+        std::vector<StreamNo> late;
+        for (const auto& [number, held] : streams_)
+            if (held.phase == Phase::kHalf) late.push_back(number);
+        for (const StreamNo number : late) reply(number, protocol::plain_reply(status, why));
+    } else {
+        reply(stream, protocol::plain_reply(status, why, challenge));
+    }
+    if (last) drain();
+}
+
+// In two steps, so that no stream which is on its way is lost: all streams may still come, then, after a
+// round trip, none that we have not seen (RFC 9113, 6.8).
+void Http2Door::drain() {
+    if (leaving_ != Leaving::kNo || failed_) return;
+    leaving_ = Leaving::kAnnounced;
+    nghttp2_submit_shutdown_notice(session_);
+    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, kLeavingPing.data());
+}
+
+std::string Http2Door::take_out(std::size_t room) {
+    std::string made = std::exchange(out_, {});
+    while (made.size() < room) {
+        const std::uint8_t* bytes = nullptr;
+        const ssize_t count = nghttp2_session_mem_send(session_, &bytes);
+        if (count <= 0) break;
+        made.append(reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(count));
+    }
+    if (made.size() > room) out_ = made.substr(room), made.resize(room); // a frame that did not fit whole
+    return made;
+}
+
+} // namespace ivyrill::doors
--- a/src/operator/orders.cpp
+++ b/src/operator/orders.cpp
@@ -84,7 +84,16 @@
 ListenerOrders read_listener(Fields fields, const Orders& orders) {
     ListenerOrders made;
     made.name = fields.text("name"), made.address = fields.text("address");
-    made.certificate = fields.text("certificate"), made.key = fields.text("key");
+    made.certificate = fields.text("certificate", ""), made.key = fields.text("key", "");
+    if (made.certificate.empty() != made.key.empty())
+        fields.fail("key", "expected a certificate and its key, or neither");
+    made.protocols = fields.texts("protocols");
+    if (made.protocols.empty()) made.protocols = {"http/1.1"};
+    for (const std::string& protocol : made.protocols)
+        if (protocol != "h2" && protocol != "http/1.1")
+            fields.fail("protocols", "expected \"h2\" or \"http/1.1\", got '" + protocol + "'");
+    if (made.certificate.empty() && made.protocols.size() != 1)
+        fields.fail("protocols", "expected one: on a plain listener nobody can agree on another");
     const std::string clients =
         fields.one_of("client_certificates", {"none", "optional", "required"}, "none");
     made.clients = clients == "none"       ? transport::ClientCertificates::kNone
@@ -92,6 +101,8 @@
                                            : transport::ClientCertificates::kRequired;
     made.guarded = fields.flag("guarded", orders.access.has_value());
     if (made.guarded && !orders.access) fields.fail("guarded", "there is no section 'access'");
+    if (clients != "none" && made.certificate.empty())
+        fields.fail("client_certificates", "expected a certificate of ours");
     if (clients != "none" && (!orders.access || orders.access->authorities.empty()))
         fields.fail("client_certificates", "no authority is named in 'access'");
     fields.done();
@@ -118,6 +129,12 @@
     made.handshakes.steps_a_turn = static_cast<std::size_t>(tls.whole("handshake_steps_a_turn", 1, 100, 4));
     made.ticket_span = seconds(tls.whole("ticket_span_s", 1, 86'400, 3600));
     tls.done();
+    Fields http2 = top.object("http2").value_or(Fields(none, "http2"));
+    limits::ConnectionTerms& terms = made.connections;
+    terms.most_streams = static_cast<std::size_t>(http2.whole("open_streams", 1, 10'000, 100));
+    terms.most_fields = static_cast<std::size_t>(http2.whole("fields_bytes", 1024, 65'536, 16'384));
+    terms.most_held = static_cast<std::size_t>(http2.whole("held_bytes", 65'536, 64 << 20, 1 << 20));
+    http2.done();
     Fields audit = top.object("audit").value_or(Fields(none, "audit"));
     made.audit.file = audit.text("file", "");
     made.audit.lines_a_second = static_cast<int>(audit.whole("lines_a_second", 1, 10'000, 20));
--- a/src/operator/orders.hpp
+++ b/src/operator/orders.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "access/gate.hpp"
 #include "access/handshakes.hpp"
+#include "limits/connection_budget.hpp"
 #include "operator/fields.hpp"
 #include "transport/tls.hpp"
 
@@ -23,7 +24,8 @@
 };
 
 struct ListenerOrders {
-    std::string name, address, certificate, key; // the latter two are files
+    std::string name, address, certificate, key; // the latter two are files; empty: a plain listener
+    std::vector<std::string> protocols;          // `h2`, `http/1.1`: of ALPN, or the one of a plain listener
     transport::ClientCertificates clients = transport::ClientCertificates::kNone;
     bool guarded = true;
 };
@@ -37,6 +39,7 @@
     std::optional<AccessOrders> access;
     std::vector<ListenerOrders> listeners;
     access::HandshakeTerms handshakes;
+    limits::ConnectionTerms connections;
     Tenths ticket_span = 0;
     AuditOrders audit;
 };
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -1,5 +1,7 @@
 #include "program/node.hpp"
 
+#include "doors/http1/door.hpp"
+#include "doors/http2/door.hpp"
 #include "program/log.hpp"
 
 #include <algorithm>
@@ -70,9 +72,10 @@
 }
 
 Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor,
-                     std::unique_ptr<transport::TlsSession> session)
+                     std::unique_ptr<transport::TlsSession> session, std::unique_ptr<doors::Door> own)
     : id(number), stream(loop, descriptor, kMostRead, session ? kMostAnswer + kMostSeals : kMostAnswer,
-                         std::move(session)) {}
+                         std::move(session)),
+      door(std::move(own)) {}
 
 Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor, std::size_t most_out)
     : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostRead, most_out) {}
@@ -96,10 +99,12 @@
         router_->guard(operator_side_->policy, ordered.access->key_is_query, loop_.now(),
                        transport::Loop::wall());
     doors_.front()->guarded = ordered.access && ordered.access->plain_guarded;
+    connection_terms_ = ordered.connections;
     router_->bound_handshakes(ordered.handshakes, loop_.now());
     for (std::size_t i = 0; i < ordered.listeners.size(); ++i) {
         doors_.push_back(std::make_unique<Door>(loop_, ordered.listeners[i].address));
         doors_.back()->tls = operator_side_->tls[i], doors_.back()->guarded = ordered.listeners[i].guarded;
+        doors_.back()->protocol = ordered.listeners[i].protocols.front();
     }
     changes_.emplace(loop_, inotify_init1(IN_NONBLOCK | IN_CLOEXEC));
     for (const std::string& folder : operator_side_->folders)
@@ -127,6 +132,7 @@
 // All that one wake-up brought goes through the reducer, oldest first; what its effects bring at once too.
 void Node::turn() {
     if (std::exchange(accept_short_, false)) accept_all(); // no edge comes for those who wait already
+    around_ = {phases_.now() == Phase::kServing, loop_.now()};
     if (loop_.now() >= stuck_at_) drop_stuck();
     if (operator_side_ && operator_side_->policy)
         inbox_.push_front(routing::WallTold{transport::Loop::wall()});
@@ -267,7 +273,8 @@
         const routing::ClientId id{next_client_++};
         try {
             auto session = door.tls ? std::make_unique<transport::TlsSession>(door.tls) : nullptr;
-            auto client = std::make_unique<Client>(id, loop_, descriptor, std::move(session));
+            auto client = std::make_unique<Client>(id, loop_, descriptor, std::move(session),
+                                                   door.tls ? nullptr : make_door(door.protocol));
             client->task = serve_client(*client);
             Client& held = *clients_.emplace(id, std::move(client)).first->second;
             post(routing::ClientOpened{id, door.guarded, door.tls != nullptr});
@@ -286,6 +293,11 @@
     }
 }
 
+std::unique_ptr<doors::Door> Node::make_door(const std::string& protocol) const {
+    if (protocol == "h2") return std::make_unique<doors::Http2Door>(around_, connection_terms_);
+    return std::make_unique<doors::Http1Door>(around_);
+}
+
 // An exception ends the connection that met it, and no more than that.
 Task Node::serve_client(Client& client) {
     transport::Channel& stream = client.stream;
@@ -295,25 +307,24 @@
             if (stream.shake_due()) post(routing::ShakeWanted{client.id});
             co_await changed;
         }
-        while (!client.closing && !stream.ended()) {
-            while (!client.closing && !client.parser.complete() && client.parser.broken() == 0) {
-                if (stream.unread())
-                    stream.feed(client.parser);
-                else if (stream.ended())
-                    break;
-                else {
-                    if (client.parser.begun()) post(routing::ClientMidway{client.id});
-                    co_await changed;
-                }
+        if (!client.door) client.door = make_door(stream.protocol());
+        doors::Door& door = *client.door;
+        write_out(client);
+        std::size_t taken = 0;
+        while (!door.over() && !stream.ended()) {
+            if (door.reads() && stream.unread()) {
+                taken += stream.feed(door);
+                tell_news(client);
+                write_out(client);
+                if (taken < connection_terms_.turn_bytes) continue;
+                changed.wake(); // others have their turn
+            } else if (door.midway()) {
+                post(routing::ClientMidway{client.id});
             }
-            if (client.parser.broken() != 0) {
-                client.closing = true;
-                stream.send(protocol::write_plain_answer(client.parser.broken(), "not understood", true));
-            } else if (client.parser.complete()) {
-                const protocol::HttpMessage message = client.parser.take();
-                handle_request(client, message);
-            }
-            while (client.busy && !stream.ended()) co_await changed;
+            taken = 0;
+            if (door.over() || stream.ended()) break;
+            co_await changed;
+            write_out(client);
         }
         // The last word is out: the client closes, and what it may still send is read, lest it be reset.
         for (bool left = false; !stream.ended();) {
@@ -328,11 +339,28 @@
     post(routing::ClientGone{client.id});
 }
 
+void Node::tell_news(Client& client) {
+    for (doors::News& news : client.door->news()) {
+        if (auto* search = std::get_if<doors::SearchCame>(&news))
+            post(routing::SearchRead{client.id, std::move(search->request), client.stream.age(),
+                                     search->stream});
+        else if (const auto* left = std::get_if<doors::SearchLeft>(&news))
+            post(routing::SearchLeft{client.id, left->stream});
+        else
+            post(routing::ClientAnswered{client.id});
+    }
+}
+
+void Node::write_out(Client& client) {
+    const std::string bytes = client.door->take_out(client.stream.room());
+    if (!bytes.empty()) client.stream.send(bytes);
+}
+
 // An answer that is not read: after the longest time that any client waits it holds no descriptor and no
 // memory.
 void Node::drop_stuck() {
     for (const auto& [id, client] : clients_) {
-        const bool owing = client->stream.unwritten() > 0;
+        const bool owing = client->stream.unwritten() > 0 || (client->door && client->door->owes() > 0);
         const std::uint64_t moved = client->stream.moved();
         if (owing && moved == client->moved) post(routing::ClientGone{id});
         client->moved = moved;
@@ -340,42 +368,33 @@
     stuck_at_ = loop_.now() + stuck_after_;
 }
 
-void Node::handle_request(Client& client, const protocol::HttpMessage& message) {
-    client.closing = message.close;
-    const protocol::ClientRequest request = protocol::read_client_request(message);
-    if (const auto* search = std::get_if<protocol::SearchRequest>(&request)) {
-        client.busy = true;
-        return post(routing::SearchRead{client.id, *search, client.stream.age()});
-    }
-    if (const auto* bad = std::get_if<protocol::BadRequest>(&request)) {
-        client.stream.send(protocol::write_plain_answer(bad->status, bad->why, client.closing));
-    } else {
-        const bool ready = phases_.now() == Phase::kServing;
-        client.stream.send(ready ? protocol::http_response(200, "", "ready\n", client.closing)
-                                 : protocol::write_plain_answer(503, "not ready", client.closing));
-    }
-    post(routing::ClientAnswered{client.id});
-}
-
-// An answer is the last word on its connection where the reducer or the client's request says so.
-template <class Write> void Node::answer_client(routing::ClientId id, bool close, Write write) {
+Node::Client* Node::find_client(routing::ClientId id) {
     const auto found = clients_.find(id);
-    if (found == clients_.end()) return;
-    Client& client = *found->second;
-    client.busy = false, client.closing = client.closing || close;
-    if (!client.stream.send(write(client.closing))) client.closing = true;
-    client.stream.changed.wake();
+    return found == clients_.end() || !found->second->door ? nullptr : found->second.get();
 }
 
 void Node::carry_out(const routing::AnswerClient& effect) {
-    answer_client(effect.client, effect.close,
-                  [&](bool close) { return protocol::write_final_answer(effect.answer, close); });
+    Client* client = find_client(effect.client);
+    if (client == nullptr) return;
+    client->door->answer(effect.stream, effect.answer, effect.close);
+    write_out(*client);
+    client->stream.changed.wake();
 }
 
 void Node::carry_out(const routing::RejectClient& effect) {
-    answer_client(effect.client, effect.close, [&](bool close) {
-        return protocol::write_plain_answer(effect.status, effect.why, close, effect.challenge);
-    });
+    Client* client = find_client(effect.client);
+    if (client == nullptr) return;
+    client->door->reject(effect.stream, effect.status, effect.why, effect.challenge, effect.close);
+    write_out(*client);
+    client->stream.changed.wake();
+}
+
+void Node::carry_out(const routing::DrainClient& effect) {
+    Client* client = find_client(effect.client);
+    if (client == nullptr) return;
+    client->door->drain();
+    write_out(*client);
+    client->stream.changed.wake();
 }
 
 void Node::carry_out(const routing::ShakeHands& effect) {
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -2,6 +2,8 @@
 // these are carried out here. Connections are owned by the tables below and freed only between turns.
 #pragma once
 #include "access/ticket_keys.hpp"
+#include "doors/door.hpp"
+#include "limits/connection_budget.hpp"
 #include "program/audit.hpp"
 #include "program/operator_files.hpp"
 #include "program/phases.hpp"
@@ -52,12 +54,11 @@
   private:
     struct Client {
         Client(routing::ClientId id, transport::Loop& loop, int descriptor,
-               std::unique_ptr<transport::TlsSession> session);
+               std::unique_ptr<transport::TlsSession> session, std::unique_ptr<doors::Door> door);
         routing::ClientId id;
-        protocol::HttpParser parser{protocol::HttpParser::Side::kRequests};
         transport::Channel stream;
-        std::uint64_t moved = 0;            // bytes both ways, when last looked at
-        bool busy = false, closing = false; // a search is out; its answer is the last word here
+        std::uint64_t moved = 0;           // bytes both ways, when last looked at
+        std::unique_ptr<doors::Door> door; // null until a handshake has agreed on one
         transport::Task task;
     };
     struct Link {
@@ -76,6 +77,7 @@
         transport::Slot on;                               // clients are let in again
         std::shared_ptr<const transport::TlsContext> tls; // null: plain
         bool guarded = true;
+        std::string protocol = "http/1.1"; // of a plain one
         transport::Task task;
     };
     struct Discovery {
@@ -92,7 +94,10 @@
     transport::Task serve_client(Client& client);
     transport::Task serve_link(Link& link);
     transport::Task serve_discovery();
-    void handle_request(Client& client, const protocol::HttpMessage& message);
+    std::unique_ptr<doors::Door> make_door(const std::string& protocol) const;
+    void tell_news(Client& client);
+    void write_out(Client& client);
+    Client* find_client(routing::ClientId id);
     void handle_frame(Link& link, const protocol::Frame& frame);
     void tell_link(Link& link);
     void accept_all(Door& door);
@@ -106,12 +111,12 @@
     void carry_out(const routing::RejectClient& effect);
     void carry_out(const routing::ShakeHands& effect);
     void carry_out(const routing::Audit& effect);
+    void carry_out(const routing::DrainClient& effect);
     void carry_out(const routing::CloseClient& effect);
     void carry_out(const routing::AcceptClients& effect);
     void carry_out(const routing::AskDiscovery& effect);
     void carry_out(const routing::DropAsk& effect);
     void carry_out(const routing::ArmTimer& effect);
-    template <class Write> void answer_client(routing::ClientId id, bool close, Write write);
     void read_orders_again();
     void keep_phase();
     void enter(Phase phase);
@@ -124,6 +129,8 @@
     ReadAgain read_again_;
     transport::Loop loop_;
     Phases phases_;
+    doors::Around around_;
+    limits::ConnectionTerms connection_terms_;
     std::deque<routing::Event> inbox_;
     std::unique_ptr<routing::Router> router_;
     std::optional<transport::Source> signals_, changes_; // the latter: of the operator's files
--- a/src/program/operator_files.cpp
+++ b/src/program/operator_files.cpp
@@ -82,7 +82,12 @@
         made.policy = access::read_policy(access->terms, files, before, wall);
     }
     for (const operators::ListenerOrders& listener : made.orders.listeners) {
+        if (listener.certificate.empty()) {
+            made.tls.push_back(nullptr);
+            continue;
+        }
         transport::TlsTerms terms;
+        terms.protocols = listener.protocols;
         terms.certificate = load(listener.certificate).text, terms.key = load(listener.key).text;
         terms.clients = listener.clients, terms.tickets = tickets;
         try {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -124,36 +124,47 @@
     } catch (const ProtocolError& error) { return BadRequest{400, error.what()}; }
 }
 
-std::string write_plain_answer(int status, std::string_view words, bool close, std::string_view challenge) {
-    std::string body = "{\"error\":";
-    write_json_text(body, words);
-    body += "}";
-    std::string fields = "Content-Type: application/json\r\n";
-    if (!challenge.empty()) fields += "WWW-Authenticate: " + std::string(challenge) + "\r\n";
-    return http_response(status, fields, body, close);
+Reply plain_reply(int status, std::string_view words, std::string_view challenge) {
+    Reply reply{status, {{"Content-Type", "application/json"}}, "{\"error\":"};
+    write_json_text(reply.body, words);
+    reply.body += "}";
+    if (!challenge.empty()) reply.fields.emplace_back("WWW-Authenticate", challenge);
+    return reply;
 }
 
-std::string write_final_answer(const FinalAnswer& answer, bool close) {
+Reply ready_reply(bool ready) { return ready ? Reply{200, {}, "ready\n"} : plain_reply(503, "not ready"); }
+
+Reply reply_to_search(const FinalAnswer& answer) {
     if (answer.verdict == Verdict::kScrapped)
-        return write_plain_answer(502, "the search failed and may have run in part", close);
+        return plain_reply(502, "the search failed and may have run in part");
     if (answer.verdict == Verdict::kPushedBack) {
-        std::string fields = "Content-Type: application/json\r\n";
+        Reply reply = plain_reply(503, "pushed back, nothing has run");
         if (answer.come_back > 0) {
             char seconds[32];
             std::snprintf(seconds, sizeof seconds, "%.4f",
                           static_cast<double>(answer.come_back) / kTenthsPerSecond);
-            fields += std::string("Retry-After: ") + seconds + "\r\n";
+            reply.fields.emplace_back("Retry-After", seconds);
         }
-        return http_response(503, fields, "{\"error\":\"pushed back, nothing has run\"}", close);
+        return reply;
     }
-    std::string body = answer.whole ? "{\"whole\":true,\"results\":[" : "{\"whole\":false,\"results\":[";
+    Reply reply{200, {{"Content-Type", "application/json"}}, {}};
+    std::string& body = reply.body;
+    body = answer.whole ? "{\"whole\":true,\"results\":[" : "{\"whole\":false,\"results\":[";
     for (std::size_t i = 0; i < answer.results.size(); ++i) {
         body += (i > 0 ? ",{\"partition\":" : "{\"partition\":") + std::to_string(answer.results[i].shard);
         body += ",\"value\":";
         write_json_text(body, answer.results[i].value);
         body += "}";
     }
-    return http_response(200, "Content-Type: application/json\r\n", body + "]}", close);
+    body += "]}";
+    return reply;
+}
+
+std::string write_reply(const Reply& reply, bool close) {
+    std::string fields;
+    for (const auto& [name, value] : reply.fields)
+        fields.append(name).append(": ").append(value).append("\r\n");
+    return http_response(reply.status, fields, reply.body, close);
 }
 
 ServerList read_server_list(const Json& json) {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -45,10 +46,16 @@
     std::vector<PartResult> results;
     Tenths come_back = 0; // 0: no advice
 };
-std::string write_final_answer(const FinalAnswer& answer, bool close);
+struct Reply { // of any door that speaks HTTP, before it is framed
+    int status = 200;
+    std::vector<std::pair<std::string, std::string>> fields; // names as HTTP/1.1 is used to writing them
+    std::string body;
+};
+Reply reply_to_search(const FinalAnswer& answer);
 // `challenge` goes into WWW-Authenticate where it is not empty.
-std::string write_plain_answer(int status, std::string_view words, bool close,
-                               std::string_view challenge = {});
+Reply plain_reply(int status, std::string_view words, std::string_view challenge = {});
+Reply ready_reply(bool ready);
+std::string write_reply(const Reply& reply, bool close); // in HTTP/1.1
 
 struct ServerEntry { // as discovery lists it
     std::string id, address, zone, kind;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -30,9 +30,10 @@
     return made;
 }
 
-void Router::refuse(ClientId client, access::Reason why) {
+void Router::refuse(ClientId client, StreamNo stream, access::Reason why) {
     const access::Refusal told = access::refusal_of(why);
-    effects_.push_back(RejectClient{client, told.status, std::string(told.words), draining_, told.challenge});
+    effects_.push_back(
+        RejectClient{client, told.status, std::string(told.words), draining_, told.challenge, stream});
 }
 
 // A search that nothing was launched for is refused at once. Else what is out may answer, and what is in
@@ -83,7 +84,7 @@
     for (const auto& [id, reason] : barred) bar(id, reason);
     for (auto next = clients_.begin(); next != clients_.end();) {
         const auto here = next++;
-        if (here->second.distrusted && !here->second.search && !here->second.leaving)
+        if (here->second.distrusted && here->second.searches.empty() && !here->second.leaving)
             close_client(here->first);
     }
     let_in();
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -15,7 +15,8 @@
 
 using ClientId = Id<struct ClientTag, std::uint64_t>; // a client's connection
 using LinkId = Id<struct LinkTag, std::uint64_t>;     // a connection to an index server
-using AskId = Id<struct AskTag, std::uint64_t>;       // a call to discovery
+using StreamNo = std::uint32_t; // of a search on its client's connection, 0 where there is one at a time
+using AskId = Id<struct AskTag, std::uint64_t>; // a call to discovery
 
 struct ClientOpened {
     ClientId client;
@@ -33,6 +34,11 @@
     ClientId client;
     protocol::SearchRequest request;
     Tenths age = 0; // it reached this machine so long ago
+    StreamNo stream = 0;
+};
+struct SearchLeft { // its client has taken it back, and keeps its connection
+    ClientId client;
+    StreamNo stream = 0;
 };
 struct ClientMidway { // a request has begun and is not whole
     ClientId client;
@@ -91,9 +97,9 @@
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
 using Event = std::variant<ClientOpened, ShakeWanted, ClientSecured, PolicyRead, WallTold, SearchRead,
-                           ClientMidway, ClientAnswered, ClientLeaving, ClientGone, LinkUp, LinkWrote,
-                           LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold, ListTold, ListLost,
-                           DiscoveryNamed, DrainOrdered, QuietOrdered>;
+                           SearchLeft, ClientMidway, ClientAnswered, ClientLeaving, ClientGone, LinkUp,
+                           LinkWrote, LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold, ListTold,
+                           ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
@@ -110,6 +116,7 @@
     ClientId client;
     protocol::FinalAnswer answer;
     bool close = false;
+    StreamNo stream = 0;
 };
 struct RejectClient { // an error in the request itself, or a search we know already
     ClientId client;
@@ -117,6 +124,7 @@
     std::string why;
     bool close = false;
     std::string_view challenge = {}; // of a credential that is not good: text that stands for ever
+    StreamNo stream = 0;             // 0 also where the connection itself is meant
 };
 struct ShakeHands { // one step of its handshake
     ClientId client;
@@ -127,6 +135,9 @@
     std::string club, member, key; // the first two only where they are proven
     std::string product, search;
 };
+struct DrainClient { // it should go elsewhere, where its protocol can say so
+    ClientId client;
+};
 struct CloseClient {
     ClientId client;
 };
@@ -146,6 +157,6 @@
     Tenths at = 0;
 };
 using Effect = std::variant<OpenLink, WriteLink, CloseLink, AnswerClient, RejectClient, ShakeHands, Audit,
-                            CloseClient, AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
+                            DrainClient, CloseClient, AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
 
 } // namespace ivyrill::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,5 +1,7 @@
 #include "routing/router.hpp"
 
+#include "limits/connection_budget.hpp"
+
 #include <algorithm>
 
 namespace ivyrill::routing {
@@ -46,6 +48,7 @@
 void Router::apply(const ClientOpened& event) {
     Client& client = clients_[event.client];
     client.idle_since = now_, client.guarded = event.guarded;
+    if (draining_) effects_.push_back(DrainClient{event.client});
     if (event.sealed && handshakes_)
         if (const auto gone = handshakes_->begin(event.client)) close_client(*gone);
     await_word(event.client, client);
@@ -60,7 +63,7 @@
 
 void Router::due(const WordDue& what) {
     const auto found = clients_.find(what.client);
-    if (found == clients_.end() || now_ < found->second.word_by || found->second.search) return;
+    if (found == clients_.end() || now_ < found->second.word_by || !found->second.searches.empty()) return;
     if (found->second.leaving)
         close_client(what.client);
     else if (found->second.midway)
@@ -71,7 +74,9 @@
 
 void Router::apply(const ClientMidway& event) {
     const auto found = clients_.find(event.client);
-    if (found == clients_.end() || found->second.search || std::exchange(found->second.midway, true)) return;
+    if (found == clients_.end() || !found->second.searches.empty() ||
+        std::exchange(found->second.midway, true))
+        return;
     if (found->second.asked) await_word(event.client, found->second); // else its time runs since it came
 }
 
@@ -82,7 +87,9 @@
 
 void Router::apply(const ClientLeaving& event) {
     const auto found = clients_.find(event.client);
-    if (found == clients_.end() || found->second.search || std::exchange(found->second.leaving, true)) return;
+    if (found == clients_.end() || !found->second.searches.empty() ||
+        std::exchange(found->second.leaving, true))
+        return;
     await_word(event.client, found->second);
 }
 
@@ -104,7 +111,7 @@
     std::size_t asked = 0;
     for (const auto& [id, client] : clients_) {
         asked += client.asked;
-        if (client.search || id == newest) continue;
+        if (!client.searches.empty() || id == newest) continue;
         const std::pair mine{Rank{client.asked, client.idle_since}, id};
         if (!first || mine < *first) first = mine;
         if (client.asked && (!kept || mine < *kept)) kept = mine;
@@ -122,9 +129,9 @@
 void Router::apply(const ClientGone& event) {
     const auto found = clients_.find(event.client);
     if (found == clients_.end()) return;
-    const std::optional<SearchId> search = found->second.search;
+    const auto searches = std::move(found->second.searches);
     close_client(event.client);
-    if (search) lapse(*search);
+    for (const auto& [stream, search] : searches) lapse(search);
     let_in();
 }
 
@@ -134,15 +141,15 @@
 
 void Router::apply(const SearchRead& event) {
     const auto found = clients_.find(event.client);
-    if (found == clients_.end() || found->second.search) return;
+    if (found == clients_.end() || found->second.searches.contains(event.stream)) return;
     const protocol::SearchRequest& request = event.request;
     found->second.midway = false, found->second.idle_since = now_;
     const auto reject = [&](int status, const char* why) {
-        effects_.push_back(RejectClient{event.client, status, why, draining_});
+        effects_.push_back(RejectClient{event.client, status, why, draining_, {}, event.stream});
     };
     const auto decision = admit(found->second, event);
     if (decision && decision->reason != access::Reason::kAdmitted)
-        return refuse(event.client, decision->reason);
+        return refuse(event.client, event.stream, decision->reason);
     const auto product = std::ranges::find(terms_.products, request.product);
     if (product == terms_.products.end()) return reject(404, "no such product");
     if (std::ranges::any_of(request.targets, [&](auto& t) { return t.shard >= terms_.shards; }))
@@ -152,10 +159,10 @@
     const Tenths left = tenths_to_use(request.left_us) - event.age;
     const bool full = terms_.most_open > 0 &&
                       searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
-    if (full || left <= 0) {
+    if (full || left <= 0 || over_share(event.client, found->second)) {
         ++counts_.over_full, ++counts_.pushed_back;
-        effects_.push_back(
-            AnswerClient{event.client, {protocol::Verdict::kPushedBack, false, {}, 0}, draining_});
+        effects_.push_back(AnswerClient{
+            event.client, {protocol::Verdict::kPushedBack, false, {}, 0}, draining_, event.stream});
         return;
     }
     const SearchId id{next_id_++};
@@ -165,9 +172,10 @@
         tenant == terms_.tenants.end() ? -1 : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
     const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
     Search& search = searches_[id];
-    search.client = event.client, search.wire_id = request.id, search.query = request.query;
+    search.client = event.client, search.stream = event.stream, search.wire_id = request.id,
+    search.query = request.query;
     if (decision) search.proof = decision->proof;
-    found->second.search = id, found->second.asked = true;
+    found->second.searches[event.stream] = id, found->second.asked = true;
     open_ids_.insert(request.id);
     tell(SearchTaken{id, job, number, payer, left, request.repeat});
     for (const protocol::Target& target : request.targets) {
@@ -201,15 +209,15 @@
         parts_.erase(part);
     }
     if (const auto client = clients_.find(search.client); client != clients_.end()) {
-        client->second.search.reset();
+        client->second.searches.erase(search.stream);
         client->second.idle_since = now_;
         const bool close = draining_ || client->second.distrusted;
         if (search.barred != access::Reason::kAdmitted && answer.verdict == protocol::Verdict::kPushedBack) {
             const access::Refusal told = access::refusal_of(search.barred); // nothing has run, nor will it
-            effects_.push_back(
-                RejectClient{search.client, told.status, std::string(told.words), close, told.challenge});
+            effects_.push_back(RejectClient{search.client, told.status, std::string(told.words), close,
+                                            told.challenge, search.stream});
         } else {
-            effects_.push_back(AnswerClient{search.client, std::move(answer), close});
+            effects_.push_back(AnswerClient{search.client, std::move(answer), close, search.stream});
         }
         let_in();
         make_room({});
@@ -229,14 +237,38 @@
 
 void Router::scrap(SearchId search) { counts_.scrapped += finish(search, {}); }
 
-void Router::apply(const DrainOrdered&) { draining_ = true; }
+void Router::apply(const DrainOrdered&) {
+    draining_ = true;
+    for (const auto& [id, client] : clients_) effects_.push_back(DrainClient{id});
+}
+
+// The client takes one search back and keeps the others: what is out for it is called off, and it is owed
+// nothing.
+void Router::apply(const SearchLeft& event) {
+    const auto found = clients_.find(event.client);
+    if (found == clients_.end()) return;
+    const auto search = found->second.searches.find(event.stream);
+    if (search != found->second.searches.end()) lapse(search->second);
+}
+
+// One connection may carry many searches: beside others that search it may hold no more than its share of
+// what the front node holds. The first of a connection is never held back here.
+bool Router::over_share(ClientId id, const Client& client) const {
+    if (client.searches.empty() || terms_.most_open <= 0) return false;
+    const auto others = std::ranges::count_if(
+        clients_, [id](auto& held) { return held.first != id && !held.second.searches.empty(); });
+    std::size_t held = client.searches.size();
+    for (const auto& [stream, search] : client.searches) held += searches_.at(search).parts.size();
+    return held >= limits::share_of_searches(static_cast<std::size_t>(terms_.most_open),
+                                             static_cast<std::size_t>(others));
+}
 
 void Router::apply(const QuietOrdered&) {
     quiet_ = draining_ = true, accepting_ = false;
     effects_.push_back(AcceptClients{false});
     for (auto next = clients_.begin(); next != clients_.end();) {
         const auto here = next++;
-        if (!here->second.search) close_client(here->first);
+        if (here->second.searches.empty()) close_client(here->first);
     }
 }
 
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -53,7 +53,7 @@
     using LaunchKey = std::pair<PartId, LaunchNo>;
 
     struct Client {
-        std::optional<SearchId> search;
+        std::map<StreamNo, SearchId> searches; // that are open
         Tenths idle_since = 0;
         Tenths word_by = 0;      // until when its request is waited for, or its leaving
         bool asked = false;      // for a search, once at least
@@ -72,6 +72,7 @@
     };
     struct Search {
         ClientId client;
+        StreamNo stream = 0;
         std::string wire_id;
         std::string query;
         std::vector<PartId> parts;
@@ -177,6 +178,7 @@
     void apply(const PolicyRead& event);
     void apply(const WallTold& event);
     void apply(const SearchRead& event);
+    void apply(const SearchLeft& event);
     void apply(const ClientMidway& event);
     void apply(const ClientAnswered& event);
     void apply(const ClientLeaving& event);
@@ -215,7 +217,8 @@
     std::optional<access::Decision> admit(const Client& client, const SearchRead& event);
     void judge_all_again();
     void bar(SearchId id, access::Reason why);
-    void refuse(ClientId client, access::Reason why);
+    void refuse(ClientId client, StreamNo stream, access::Reason why);
+    bool over_share(ClientId id, const Client& client) const;
     void let_shake();
     void await_access_change();
     Tenths access_now() const { return clock_.at(now_); }
--- a/src/transport/channel.hpp
+++ b/src/transport/channel.hpp
@@ -4,6 +4,7 @@
 #include "transport/stream.hpp"
 #include "transport/tls.hpp"
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <string>
@@ -24,19 +25,27 @@
     // Nothing comes any more, nothing can be written.
     bool ended() const { return stream_.ended() || (session_ && session_->over() && opened_.empty()); }
     bool unread();
-    template <class Parser> void feed(Parser& parser) {
+    template <class Parser> std::size_t feed(Parser& parser) { // so many bytes it took
         if (!session_) return stream_.feed(parser);
         open_some();
-        opened_.erase(0, parser.feed(opened_));
+        const std::size_t taken = parser.feed(opened_);
+        opened_.erase(0, taken);
+        return taken;
     }
     void discard();                    // what has come
     bool send(std::string_view bytes); // false where there is no room or nobody listens
     void finish();
     std::uint64_t moved() const { return stream_.moved(); }
     std::size_t unwritten() const { return stream_.unwritten(); }
+    // For bytes that are yet to be sealed, which makes them a little longer.
+    std::size_t room() const {
+        return session_ ? stream_.room() - std::min(stream_.room(), kSeals) : stream_.room();
+    }
+    std::string protocol() const { return session_ ? session_->protocol() : std::string(); }
     Tenths age() const { return stream_.age(); }
 
   private:
+    static constexpr std::size_t kSeals = 4 * 1024; // what TLS adds to a ring full of answers
     void open_some();
     bool flush();
 
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -34,13 +34,16 @@
     std::uint64_t written() const { return written_; } // bytes that the system has taken so far
     std::uint64_t moved() const { return received_ + written_; }
     std::size_t unwritten() const { return out_.size(); }
+    std::size_t room() const { return out_.room(); }
     Tenths age() const;                // of the last bytes that reached this machine, read or not
     bool send(std::string_view bytes); // false where the ring has no room for them
     void finish();                     // nothing more will be sent; the other side is told
     // Hands what has come to a parser, as far as it takes it; the room is read into again.
-    template <class Parser> void feed(Parser& parser) {
-        in_.consume(parser.feed(in_.front()));
+    template <class Parser> std::size_t feed(Parser& parser) { // so many bytes it took
+        const std::size_t taken = parser.feed(in_.front());
+        in_.consume(taken);
         space_.wake();
+        return taken;
     }
     void discard() { // what has come
         in_.consume(in_.front().size());
