--- a/src/access/certificate.cpp
+++ b/src/access/certificate.cpp
@@ -1,5 +1,7 @@
 #include "access/certificate.hpp"
 
+#include "access/freed.hpp"
+
 #include <openssl/asn1.h>
 #include <openssl/bio.h>
 #include <openssl/bn.h>
@@ -18,9 +20,6 @@
 
 namespace {
 
-template <auto Free> struct Freed {
-    template <class What> void operator()(What* what) const { Free(what); }
-};
 using Certificate = std::unique_ptr<X509, Freed<X509_free>>;
 using Crl = std::unique_ptr<X509_CRL, Freed<X509_CRL_free>>;
 using Store = std::unique_ptr<X509_STORE, Freed<X509_STORE_free>>;
--- /dev/null
+++ b/src/access/freed.hpp
@@ -0,0 +1,10 @@
+// Owns what OpenSSL hands out, with the function that frees it.
+#pragma once
+
+namespace ivyrill::access {
+
+template <auto Free> struct Freed {
+    template <class What> void operator()(What* what) const { Free(what); }
+};
+
+} // namespace ivyrill::access
--- a/src/access/signature.cpp
+++ b/src/access/signature.cpp
@@ -1,5 +1,6 @@
 #include "access/signature.hpp"
 
+#include "access/freed.hpp"
 #include "access/text.hpp"
 #include "access/types.hpp"
 
@@ -21,9 +22,6 @@
 
 constexpr std::size_t kEdBytes = 32, kFieldBytes = 32, kLeastSecret = 32; // the last: RFC 7518, 3.2
 
-template <auto Free> struct Freed {
-    template <class What> void operator()(What* what) const { Free(what); }
-};
 using Context = std::unique_ptr<EVP_MD_CTX, Freed<EVP_MD_CTX_free>>;
 using KeyContext = std::unique_ptr<EVP_PKEY_CTX, Freed<EVP_PKEY_CTX_free>>;
 using Number = std::unique_ptr<BIGNUM, Freed<BN_free>>;
--- a/src/doors/http2/door.hpp
+++ b/src/doors/http2/door.hpp
@@ -49,7 +49,7 @@
         protocol::HttpMessage message;
         std::string authority, body; // the latter: of the answer
         std::size_t sent = 0, fields = 0;
-        bool pseudo_done = false, too_large = false, has_host = false;
+        bool too_large = false;
     };
     bool finished() const;
     void end_calmly(limits::Deed deed); // GOAWAY with ENHANCE_YOUR_CALM
