--- a/src/membership/datagrams.cpp
+++ b/src/membership/datagrams.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr int kVersion = 1;
-constexpr std::size_t kMac = 32, kLeastSecret = 32;
+constexpr std::size_t kLeastSecret = 32;
 
 access::SigningKey key_of(std::string_view secret) {
     if (secret.size() < kLeastSecret) throw access::AccessError("the members' secret: at least 32 bytes");
@@ -65,18 +65,29 @@
             json::to_cbor(json::array({kVersion, static_cast<int>(datagram.kind), datagram.from,
                                        datagram.address, datagram.serial, datagram.target, rumours}));
         std::string bytes(packed.begin(), packed.end());
-        if (bytes.size() + kMac <= kMostBytes) return bytes + key_.sign(bytes);
+        if (bytes.size() + kMac <= kMostBytes) return seal(std::move(bytes));
         if (rumours.empty()) return {};
     }
 }
 
-std::optional<Datagram> Seal::open(std::string_view bytes) {
+std::string Seal::seal(std::string bytes) const {
+    const std::string mac = key_.sign(bytes);
+    return std::move(bytes) + mac;
+}
+
+std::optional<std::string_view> Seal::unseal(std::string_view bytes) {
     if (bytes.size() > kMostBytes) return ++counts_.too_long, std::nullopt;
     const std::size_t size = bytes.size() < kMac ? 0 : bytes.size() - kMac;
     if (size == 0 || !key_.verify(bytes.substr(0, size), bytes.substr(size)))
         return ++counts_.strangers, std::nullopt;
+    return bytes.substr(0, size);
+}
+
+std::optional<Datagram> Seal::open(std::string_view bytes) {
+    const auto told = unseal(bytes);
+    if (!told) return {};
     try {
-        const json packed = json::from_cbor(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size));
+        const json packed = json::from_cbor(told->begin(), told->end());
         if (!packed.is_array() || packed.size() != 7 || packed[0] != kVersion || !packed[6].is_array())
             throw std::out_of_range("another version");
         Datagram datagram{word_in(packed[1], Kind::kPingFor),
--- a/src/membership/datagrams.hpp
+++ b/src/membership/datagrams.hpp
@@ -26,6 +26,12 @@
     // Nothing where a name is too long. Rumours that find no room are left out, the last ones first.
     std::optional<std::string> close(const Datagram& datagram) const;
     std::optional<Datagram> open(std::string_view bytes);
+    // Any bytes, for what else goes between members; the MAC stands behind them.
+    static constexpr std::size_t kMac = 32;
+    std::string seal(std::string bytes) const;
+    std::optional<std::string_view> unseal(std::string_view bytes); // what was sealed; counts what was not
+    void count_spoilt() { ++counts_.spoilt; }
+    void count_opened() { ++counts_.opened; }
     const SealCounts& counts() const { return counts_; }
 
   private:
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -42,6 +42,18 @@
     return found == members_.end() ? Standing::kFailed : found->second.standing;
 }
 
+std::vector<Roster::Seen> Roster::seen() const {
+    std::vector<Seen> all;
+    for (const auto& [name, member] : members_)
+        all.push_back({name, member.address, member.standing, member.since});
+    return all;
+}
+
+const std::string* Roster::address_of(const std::string& name) const {
+    const auto found = members_.find(name);
+    return found == members_.end() ? nullptr : &found->second.address;
+}
+
 double Roster::logarithm() const { return std::max(1.0, std::log10(static_cast<double>(present()))); }
 
 Tenths Roster::suspicion_span() const {
--- a/src/membership/roster.hpp
+++ b/src/membership/roster.hpp
@@ -80,6 +80,13 @@
     std::size_t present() const;
     Standing standing_of(const std::string& name) const; // kFailed where it is not known
     Incarnation incarnation() const { return incarnation_; }
+    struct Seen {
+        std::string name, address;
+        Standing standing = Standing::kAlive;
+        Tenths since = 0;
+    };
+    std::vector<Seen> seen() const; // the others, by name
+    const std::string* address_of(const std::string& name) const;
     int ill_health() const {
         return ill_;
     } // 0: answers come; more: we are slow to hear, and patient with others
