Council: a follower tells no more of its log than was shown to be the same

Change: results are capped at what this term's messages have shown equal; transfers go to a voter that is there and end with a fresh start from the ledger.

--- a/src/rota/council.cpp
+++ b/src/rota/council.cpp
@@ -17,6 +17,7 @@
 constexpr int kRoll = 20, kRollAnswer = 21; // kinds of letters beside the library's own
 constexpr std::size_t kMostEntries = 10'000;
 constexpr int kReopenGap = 10; // heartbeats until a ledger that could not be written is tried again
+constexpr int kTransferBeats = 3; // elections' spans that a transfer of the lead may take
 constexpr int kRollGap = 3;    // heartbeats between calls of the roll
 
 using words::count_in;
@@ -253,11 +254,13 @@
         };
         io.send = [](raft_io* at, raft_io_send* request, const raft_message* message, raft_io_send_cb cb) {
             Raft& own = of(at);
+            raft_message told = *message;
+            if (told.type == RAFT_IO_APPEND_ENTRIES_RESULT) own.say_matched(told.append_entries_result);
             // Whose log is shorter than what others had when we started does not stand for election.
-            const bool stands = message->type == RAFT_IO_REQUEST_VOTE;
+            const bool stands = told.type == RAFT_IO_REQUEST_VOTE;
             if (!stands || !own.council.extent().shorter_than(own.council.least_))
                 own.council.letters_.push_back(
-                    {message->server_address, words::pack(row_of(*message, own.id))});
+                    {message->server_address, words::pack(row_of(told, own.id))});
             own.council.later_.push_back([request, cb] {
                 if (cb != nullptr) cb(request, 0);
             });
@@ -343,6 +346,31 @@
         };
     }
     std::uint64_t next_index = 1; // of the ledger
+
+    // The library tells a leader how long our log is, also in answer to an empty message that proves only its
+    // beginning. Behind that may stand entries of an earlier leader, in the place of others that the new one
+    // has: it would count us among those who hold its own, and take for agreed on what is not. So no more is
+    // told than this term's messages have shown to be the same.
+    raft_term matched_term = 0;
+    raft_index matched = 0, matching = 0;
+    bool rejected = false;
+    void say_matched(raft_append_entries_result& result) {
+        if (result.rejected != 0) return void(rejected = true);
+        const raft_index most = std::max(matching, result.term == matched_term ? matched : 0);
+        result.last_log_index = std::min(result.last_log_index, most);
+    }
+    void hear(raft_message& message) {
+        const bool append = message.type == RAFT_IO_APPEND_ENTRIES;
+        const raft_term term = append ? message.append_entries.term : 0;
+        const raft_index end = append ? message.append_entries.prev_log_index + message.append_entries.n_entries : 0;
+        rejected = false, matching = end;
+        recv(&io, &message);
+        if (append && !rejected && term == machine.current_term) {
+            if (term != matched_term) matched_term = term, matched = 0;
+            matched = std::max(matched, end);
+        }
+        matching = 0;
+    }
 };
 
 Council::Council(CouncilTerms terms, Ledger& ledger, Tenths now)
@@ -476,6 +504,10 @@
 
 void Council::step(Tenths now) {
     now_ = std::max(now_, now);
+    // A transfer to one that does not answer is never ended by the library, and nothing is agreed on meanwhile.
+    if (raft_ && raft_->transferring &&
+        now_ > transfer_at_ + kTransferBeats * terms_.patience * terms_.heartbeat)
+        raft_->failed = true;
     if (raft_ && raft_->failed) {
         // What the library holds in memory may be more than the ledger does: only the ledger counts.
         close();
@@ -560,14 +592,20 @@
     return false;
 }
 
-void Council::hand_over() {
+void Council::hand_over(const std::set<std::string>& fit) {
     if (!leads() || raft_->transferring) return;
-    raft_->transfer.data = raft_.get();
-    raft_->transferring =
-        raft_transfer(&raft_->machine, &raft_->transfer, 0, [](struct raft_transfer* done) {
-            static_cast<Raft*>(done->data)->transferring = false;
-        }) == 0;
-    run_later();
+    for (unsigned i = 0; i < raft_->machine.configuration.n; ++i) {
+        const raft_server& there = raft_->machine.configuration.servers[i];
+        if (there.role != RAFT_VOTER || there.address == terms_.name || !fit.contains(there.address)) continue;
+        raft_->transfer.data = raft_.get();
+        raft_->transferring =
+            raft_transfer(&raft_->machine, &raft_->transfer, there.id, [](struct raft_transfer* done) {
+                static_cast<Raft*>(done->data)->transferring = false;
+            }) == 0;
+        transfer_at_ = now_;
+        run_later();
+        return;
+    }
 }
 
 bool Council::changing() const { return raft_ && raft_->changing; }
@@ -594,6 +632,8 @@
     return own.changing;
 }
 
+std::string Council::trouble() const { return raft_ ? raft_errmsg(&raft_->machine) : ""; }
+
 bool Council::remove(const std::string& name) {
     if (!leads() || raft_->changing) return false;
     Raft& own = *raft_;
@@ -718,7 +758,7 @@
     message.server_address = from.c_str();
     if (message.type == RAFT_IO_APPEND_ENTRIES || message.type == RAFT_IO_INSTALL_SNAPSHOT)
         heard_leader_at_ = now_;
-    raft_->recv(&raft_->io, &message);
+    raft_->hear(message);
     run_later();
     step(now_);
 }
--- a/src/rota/council.hpp
+++ b/src/rota/council.hpp
@@ -57,11 +57,12 @@
     std::set<std::string> voters() const;   // of the log's latest word on it
     // False: not by us, or not now. `done` hears whether it was agreed on, once that is known.
     bool propose(const Command& command, std::function<void(bool)> done = {});
-    void hand_over();                       // lets another lead, while we do
+    void hand_over(const std::set<std::string>& fit); // lets another lead, one of these
     // The leader's changes of who votes, one at a time; false where one is under way.
     bool admit(const std::string& name, Life life);
     bool remove(const std::string& name);
     bool changing() const;
+    std::string trouble() const; // the library's latest, for the log
     Tenths leads_since() const { return leads_since_; }
     // Commands as they are applied, with what came of them.
     std::function<void(const Command&, const Verdict&)> on_applied;
@@ -101,7 +102,7 @@
     CouncilTerms terms_;
     Ledger& ledger_;
     Pcg chance_;
-    Tenths now_, tick_at_ = 0, heard_leader_at_ = 0, roll_at_ = 0, open_at_ = 0, leads_since_ = 0;
+    Tenths now_, tick_at_ = 0, heard_leader_at_ = 0, roll_at_ = 0, open_at_ = 0, leads_since_ = 0, transfer_at_ = 0;
     bool led_ = false;
     Life life_;
     bool fresh_ = false, proven_ = false; // the ledger is new, or vouched for
--- a/src/rota/warden.cpp
+++ b/src/rota/warden.cpp
@@ -391,10 +391,21 @@
         });
         if (!sent && outstanding_ > 0) --outstanding_;
     }
-    if (wanted.hand_over) council_->hand_over();
+    if (wanted.hand_over) hand_over(seen);
     if (wanted.commands.empty()) mind_seats(seen);
 }
 
+void Warden::hand_over(const Outlook& seen) {
+    std::set<std::string> fit;
+    for (const std::string& voter : seen.voters) {
+        const Turn* turn = evening().turn(voter);
+        if (!seen.absent.contains(voter) && !seen.disowned.contains(voter) &&
+            (turn == nullptr || !is_out(turn->state)))
+            fit.insert(voter);
+    }
+    council_->hand_over(fit);
+}
+
 // A voter that is gone for long, or has lost its ledger, gives its seat up; a candidate that is there takes one.
 void Warden::mind_seats(const Outlook& seen) {
     if (council_->changing()) return;
@@ -409,8 +420,10 @@
     for (const std::string& voter : voters) {
         if (voter == terms_.name) continue;
         if (seen.disowned.contains(voter)) {
-            say("seat", {{"lost", voter}, {"why", "its ledger is another one"}});
-            return void(council_->remove(voter));
+            const bool begun = council_->remove(voter);
+            return say("seat", {{"lost", voter},
+                                {"why", "its ledger is another one"},
+                                {"trouble", begun ? "" : council_->trouble()}});
         }
         if (there(voter)) {
             gone_since_.erase(voter);
@@ -422,8 +435,8 @@
                    council_->lives().contains(other.name);
         });
         if (now_ < since + terms_.replace_after || !spare) continue;
-        say("seat", {{"lost", voter}, {"why", "it is gone"}});
-        return void(council_->remove(voter));
+        const bool begun = council_->remove(voter);
+        return say("seat", {{"lost", voter}, {"why", "it is gone"}, {"trouble", begun ? "" : council_->trouble()}});
     }
     if (voters.size() >= terms_.council) return;
     for (const Candidate& candidate : terms_.candidates) {
@@ -442,7 +455,7 @@
     now_ = std::max(now_, now);
     if (!terms_.candidates.empty())
         for (const Command& command : hand_.give_back(evening())) propose(command);
-    if (council_ && council_->leads()) council_->hand_over(), post_letters();
+    if (council_ && council_->leads()) hand_over(outlook()), post_letters();
     take(roster_.leave(now_));
 }
 
--- a/src/rota/warden.hpp
+++ b/src/rota/warden.hpp
@@ -101,6 +101,7 @@
     void propose(const Command& command, const std::string& asked_by = {}, int hops = 0);
     void heard_of(const Command& command, const Verdict& verdict);
     void lead();
+    void hand_over(const Outlook& outlook);
     void mind_seats(const Outlook& outlook);
     void take_ask(const Parcel& parcel);
     void take_propose(const Parcel& parcel);
