--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -130,6 +130,7 @@
             searches_.at(job->second).barred = true;
     }
 
+    void hear(const FrontNodesSeen& event) { front_nodes_ = std::max(1, event.count); }
     void hear(const ListNews& news) {
         if (news.kind == ListKind::kLost) {
             ask_wanted_ = terms_.list_mode == ListMode::kAsked;
@@ -441,9 +442,8 @@
     double score(const IndexServer& server) const {
         const double service = service_of(server);
         // A sibling in the same call spares the work of a call of its own, and no other front node sends it.
-        const double joined =
-            terms_.call_work > 0 ? service / (service + terms_.call_work) : terms_.front_nodes;
-        const double before = (server.out() - server.joining) * terms_.front_nodes;
+        const double joined = terms_.call_work > 0 ? service / (service + terms_.call_work) : front_nodes_;
+        const double before = (server.out() - server.joining) * front_nodes_;
         const double waiting = 1 + before + server.joining * joined + queue_of(server);
         return response_of(server) - service + waiting * waiting * waiting * service;
     }
@@ -485,7 +485,8 @@
         const double budget = full * share * terms_.fall_span;
         // The rate whose sum by chance, and a deviation more, is the budget.
         const double sure = budget > 0 ? std::pow(std::sqrt(budget + 0.25) - 0.5, 2) / budget : 1;
-        const double need = launches * terms_.front_nodes / full / (budget < terms_.front_nodes ? sure : 1);
+        const double nodes = std::max<double>(front_nodes_, terms_.front_nodes); // fewer seen may be a cut
+        const double need = launches * nodes / full / (budget < nodes ? sure : 1);
         const double gap =
             rise > 0 ? (std::sqrt(share * share + 2 * rise * need) - share) / rise : need / share;
         return now_ + static_cast<Tenths>(gap);
@@ -827,8 +828,8 @@
 
     OpeningTerms terms_;
     Pcg chance_;
-    double pace_ = 1e9; // the shortest due span: what counts as a while here
-    double full_ = 0;   // the pressure at the start of this decision
+    double front_nodes_ = terms_.front_nodes, pace_ = 1e9; // as seen; the shortest due span, a while here
+    double full_ = 0;                                      // the pressure at the start of this decision
     Tenths now_ = 0, next_ = kNever, alarm_ = 0;
     std::vector<ProductView> products_;
     std::vector<TenantView> tenants_;
@@ -843,10 +844,9 @@
     mutable double fleet_service_ = 0;
     double usual_queue_ = 0, usual_response_ = 0; // means over all answers
     std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
-    double rested_loss_ = 0, busy_loss_ = 0,
-           renewed_loss_ = 0; // no answer over idle connections, others, new
-    double news_gap_ = 0;     // between two answers of a server, mean
-    double storm_ = 0;        // servers that broke or started anew of late, fading, at:
+    double rested_loss_ = 0, busy_loss_ = 0, renewed_loss_ = 0; // no answer over idle, other, new connections
+    double news_gap_ = 0;                                       // between two answers of a server, mean
+    double storm_ = 0; // servers that broke or started anew of late, fading, at:
     Tenths usual_at_ = 0, storm_at_ = 0, renew_until_ = 0, ask_at_ = 0;
     std::deque<Tenths> taken_, further_;
     bool ask_wanted_ = false; // a subscription to the list
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -131,8 +131,12 @@
     std::vector<ListEntry> entries;
 };
 
-using Event =
-    std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, SearchBarred, ListNews>;
+struct FrontNodesSeen { // so many are there, as far as this one knows; it may be wrong
+    int count = 1;
+};
+
+using Event = std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, SearchBarred,
+                           ListNews, FrontNodesSeen>;
 
 class Host {
   public:
--- a/src/operator/orders.cpp
+++ b/src/operator/orders.cpp
@@ -1,5 +1,6 @@
 #include "operator/orders.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace ivyrill::operators {
@@ -109,11 +110,100 @@
     return made;
 }
 
+Tenths millis(std::int64_t count) { return count * kTenthsPerSecond / 1000; }
+
+MemberOrders read_members(Fields fields) {
+    MemberOrders made;
+    made.address = fields.text("address"), made.secret = fields.text("secret");
+    made.peers = fields.texts("peers");
+    made.probe_gap = millis(fields.whole("probe_ms", 50, 60'000, 1000));
+    fields.done();
+    return made;
+}
+
+rota::Answer read_answer(Fields& fields, const std::string& name, rota::Answer otherwise) {
+    static const std::vector<std::string> kWords{"wait", "skip", "put_back", "stop", "call"};
+    const std::string word = fields.one_of(name, kWords, kWords[static_cast<std::size_t>(otherwise)]);
+    return static_cast<rota::Answer>(std::ranges::find(kWords, word) - kWords.begin());
+}
+
+RotaOrders read_rota(Fields fields, const Orders& orders) {
+    RotaOrders made;
+    if (!orders.members) throw OrderError("rota: there is no section 'members': nobody to settle anything with");
+    fields.each_named("candidates", [&](const std::string& name, const auto& address, const std::string& path) {
+        if (!address.is_string()) throw OrderError(path + ": expected an address");
+        made.candidates.emplace_back(name, address.template get<std::string>());
+    });
+    made.council = static_cast<std::size_t>(fields.whole("council", 1, 7, 3));
+    if (made.council % 2 == 0) fields.fail("council", "expected 1, 3, 5 or 7: an even one stands no more failures");
+    if (made.candidates.size() < made.council)
+        fields.fail("candidates", "expected as many as the council has seats, or more");
+    made.ledger = fields.text("ledger", "rota/ledger.db"), made.witness = fields.text("witness", "");
+    if (made.ledger.find('/') == std::string::npos)
+        fields.fail("ledger", "expected a folder of its own, as in \"rota/ledger.db\": this one is watched for changes");
+    made.heartbeat = millis(fields.whole("heartbeat_ms", 10, 5000, 100));
+    made.replace_after = seconds(fields.whole("replace_after_s", 1, 86'400, 60));
+    nlohmann::ordered_json none = nlohmann::ordered_json::object();
+    const auto group = [&](const char* name) {
+        return fields.object(name).value_or(Fields(none, fields.path() + "." + name));
+    };
+    Fields limits = group("limits");
+    made.limits.floor = static_cast<int>(limits.whole("replicas_stay", 1, 100, 1));
+    made.limits.zone_share = limits.number("zone_share", 0.001, 1, 0.34);
+    made.limits.shard_share = limits.number("shard_share", 0.001, 1, 0.5);
+    made.limits.fleet_share = limits.number("fleet_share", 0.001, 1, 0.2);
+    made.limits.front_share = limits.number("front_share", 0.001, 1, 0.2);
+    limits.done();
+    Fields spans = group("spans");
+    rota::Spans& s = made.spans;
+    s.grant = millis(spans.whole("grant_ms", 200, 600'000, 10'000));
+    s.drain = millis(spans.whole("drain_ms", 100, 86'400'000, 60'000));
+    s.work = millis(spans.whole("work_ms", 100, 86'400'000, 1'800'000));
+    s.back = millis(spans.whole("back_ms", 100, 86'400'000, 120'000));
+    s.warm = millis(spans.whole("warm_ms", 100, 86'400'000, 120'000));
+    s.act = millis(spans.whole("act_ms", 20, 600'000, 2'000));
+    s.settle = millis(spans.whole("settle_ms", 0, 600'000, 3'000));
+    s.clock_error = spans.number("clock_error", 0, 0.2, 0.01);
+    s.most_setbacks = static_cast<int>(spans.whole("setbacks", 0, 100, 3));
+    s.most_strain = spans.number("strain", 0, 1, 0.05);
+    if (s.act >= s.grant)
+        spans.fail("act_ms", "expected less than grant_ms: a grant would end within one act");
+    const Tenths election = 16 * made.heartbeat;
+    if (s.grant <= election)
+        spans.fail("grant_ms", "expected more than 16 heartbeats: grants would end at each change of the leader");
+    spans.done();
+    Fields answers = group("answers");
+    rota::Answers& a = made.answers;
+    a.drain_late = read_answer(answers, "drain_late", a.drain_late);
+    a.work_late = read_answer(answers, "work_late", a.work_late);
+    a.back_late = read_answer(answers, "back_late", a.back_late);
+    a.broken = read_answer(answers, "broken", a.broken);
+    a.cold_late = read_answer(answers, "cold_late", a.cold_late);
+    a.neighbour_down = read_answer(answers, "neighbour_down", a.neighbour_down);
+    if (a.broken == rota::Answer::kPutBack || a.back_late == rota::Answer::kPutBack)
+        answers.fail("broken", "what does not come back cannot be put back: expected another answer");
+    answers.done();
+    fields.each_named("work_ms", [&](const std::string& kind, const auto& count, const std::string& path) {
+        if (!count.is_number_integer() || count.template get<std::int64_t>() <= 0)
+            throw OrderError(path + ": expected milliseconds, a whole number");
+        made.work[kind == "other" ? "" : kind] = millis(count.template get<std::int64_t>());
+    });
+    Fields keeper = fields.object("keeper").value_or(Fields(none, fields.path() + ".keeper"));
+    made.keeper_command = keeper.texts("command"), made.keeper_address = keeper.text("address", "");
+    if (made.keeper_command.empty() == made.keeper_address.empty())
+        keeper.fail("command", "expected a command or an address, one of the two");
+    keeper.done();
+    fields.done();
+    return made;
+}
+
 } // namespace
 
 Orders read_orders(const nlohmann::ordered_json& evaluated) {
     Orders made;
     Fields top(evaluated, "");
+    if (auto fields = top.object("members")) made.members = read_members(std::move(*fields));
+    if (auto fields = top.object("rota")) made.rota = read_rota(std::move(*fields), made);
     if (auto fields = top.object("access")) made.access = read_access(std::move(*fields));
     std::set<std::string> seen;
     top.each("listeners", [&](Fields fields) {
--- a/src/operator/orders.hpp
+++ b/src/operator/orders.hpp
@@ -5,10 +5,12 @@
 #include "access/handshakes.hpp"
 #include "limits/connection_budget.hpp"
 #include "operator/fields.hpp"
+#include "rota/outlook.hpp"
 #include "transport/tls.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,7 +37,29 @@
     int lines_a_second = 20;
 };
 
+struct MemberOrders { // front nodes that may talk to each other
+    std::string address; // where we hear the others
+    std::vector<std::string> peers;
+    std::string secret; // a file, 32 bytes or more, the same for all
+    Tenths probe_gap = kTenthsPerSecond;
+};
+
+struct RotaOrders { // machines taken out for work, in an order that the front nodes settle
+    std::vector<std::pair<std::string, std::string>> candidates; // front nodes with a disk: name, address
+    std::size_t council = 3;
+    std::string ledger, witness; // files
+    Tenths heartbeat = kTenthsPerSecond / 10, replace_after = 0;
+    rota::Limits limits;
+    rota::Spans spans;
+    rota::Answers answers;
+    std::vector<std::string> keeper_command; // one of the two
+    std::string keeper_address;
+    std::map<std::string, Tenths> work; // how long it takes by kind of machine; "" for all others
+};
+
 struct Orders {
+    std::optional<MemberOrders> members;
+    std::optional<RotaOrders> rota;
     std::optional<AccessOrders> access;
     std::vector<ListenerOrders> listeners;
     access::HandshakeTerms handshakes;
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 void open_log(const std::string& name, const std::string& level) {
-    auto logger = spdlog::stderr_logger_st(name.empty() ? "ivyrill" : name);
+    auto logger = spdlog::stderr_logger_mt(name.empty() ? "ivyrill" : name);
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
     logger->set_level(spdlog::level::from_str(level));
     spdlog::set_default_logger(std::move(logger));
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -2,6 +2,7 @@
 #include "program/credentials.hpp"
 #include "program/log.hpp"
 #include "program/node.hpp"
+#include "program/work.hpp"
 
 #include "protocol/values.hpp"
 
@@ -75,6 +76,7 @@
             ->check(CLI::ExistingFile);
     }
     add_credential_commands(app, run);
+    add_work_commands(app, run);
     serving->add_option("--log-level", level, "trace, debug, info, warn or error")
         ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error"}));
     CLI11_PARSE(app, argc, argv);
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -28,6 +28,7 @@
 // The platform's word: no request is on its way any more so long after the order to stop.
 constexpr Tenths kCrossing = kTenthsPerSecond * 7 / 10;
 constexpr Tenths kCountsEvery = 10 * kTenthsPerSecond;
+constexpr Tenths kStrainSpan = 2 * kTenthsPerSecond;
 
 int open_signals() {
     std::signal(SIGPIPE, SIG_IGN);
@@ -95,6 +96,14 @@
     check_names(ordered, orders_.terms.products, orders_.terms.tenants);
     tickets_.emplace(loop_, ordered.ticket_span);
     audit_.emplace(ordered.audit);
+    if (ordered.members) {
+        rota_ = std::make_unique<RotaSide>(ordered, operator_side_->secret, orders_.terms, orders_.name,
+                                           orders_.terms.opening.seed);
+        members_.emplace(loop_, dup(rota_->news()));
+        protocol::ServerList known = orders_.known;
+        known.full = true;
+        rota_->told(known);
+    }
     if (operator_side_->policy)
         router_->guard(operator_side_->policy, ordered.access->key_is_query, loop_.now(),
                        transport::Loop::wall());
@@ -117,10 +126,12 @@
     discovery_task_ = serve_discovery(), discovery_task_.start();
     if (phases_.now() == Phase::kStarting) enter(Phase::kServing); // before the first client is heard
     if (changes_) change_task_ = await_changes(), change_task_.start();
+    if (rota_) rota_->start(), member_task_ = await_members(), member_task_.start();
     for (auto& door : doors_) door->task = accept_clients(*door), door->task.start();
     counts_at_ = loop_.now() + kCountsEvery;
     while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
         Tenths until = std::min(counts_at_, stuck_at_);
+        if (rota_) until = std::min(until, strain_at_);
         if (timer_ > 0) until = std::min(until, timer_);
         if (phases_.now() == Phase::kDraining) until = std::min(until, phases_.since() + kCrossing);
         loop_.wait(until);
@@ -143,6 +154,7 @@
         write_all_out();
     } while (!inbox_.empty());
     if (loop_.now() >= counts_at_) tell_counts();
+    if (rota_ && loop_.now() >= strain_at_) tell_strain();
 }
 
 // ---- phases
@@ -184,6 +196,7 @@
                 continue;
             }
             if (phases_.now() == Phase::kServing) post(routing::DrainOrdered{});
+            if (rota_) rota_->leave();
             enter(phases_.now() == Phase::kStarting ? Phase::kStopped : Phase::kDraining);
         }
         co_await next;
@@ -234,6 +247,26 @@
     }
 }
 
+// How many are there is for the module to make something of.
+Task Node::await_members() {
+    transport::Slot& next = members_->readable;
+    for (std::size_t before = 0;;) {
+        const std::size_t present = rota_->present();
+        if (present != std::exchange(before, present)) post(routing::MembersCounted{present});
+        co_await next;
+    }
+}
+
+// What share of the searches of the last while was pushed back: machines go out only where load leaves room.
+void Node::tell_strain() {
+    const routing::Counts& c = router_->counts();
+    const std::uint64_t pushed = c.pushed_back + c.over_full;
+    const auto fresh = static_cast<double>(c.searches - strain_searches_);
+    if (fresh > 0) rota_->strained(static_cast<double>(pushed - strain_pushed_) / fresh);
+    strain_searches_ = c.searches, strain_pushed_ = pushed;
+    strain_at_ = loop_.now() + kStrainSpan;
+}
+
 void Node::tell_counts() {
     const routing::Counts& c = router_->counts();
     counts_at_ = loop_.now() + kCountsEvery;
@@ -542,6 +575,7 @@
                 if (!list.servers.empty())
                     log().info("list version={} full={} entries={}", list.version, list.full,
                                list.servers.size());
+                if (rota_) rota_->told(list);
                 news = routing::ListTold{id, std::move(list)};
             } catch (const protocol::ProtocolError& error) { log_some("discovery: {}", error.what()); }
         }
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -7,6 +7,7 @@
 #include "program/audit.hpp"
 #include "program/operator_files.hpp"
 #include "program/phases.hpp"
+#include "program/rota_side.hpp"
 #include "protocol/frames.hpp"
 #include "protocol/http.hpp"
 #include "protocol/messages.hpp"
@@ -50,6 +51,7 @@
     int port(std::size_t door = 0) const {
         return transport::port_of(doors_.at(door)->listener.descriptor());
     }
+    int members_port() const { return rota_ ? rota_->port() : 0; }
     int run(); // until it is told to stop; the exit status
 
   private:
@@ -90,6 +92,8 @@
 
     transport::Task accept_clients(Door& door);
     transport::Task await_changes();
+    transport::Task await_members();
+    void tell_strain();
     void read_operator_file();
     transport::Task await_signals();
     transport::Task serve_client(Client& client);
@@ -140,6 +144,10 @@
     std::optional<Tickets> tickets_;
     std::optional<OperatorSide> operator_side_;
     std::optional<AuditLog> audit_;
+    std::unique_ptr<RotaSide> rota_; // where front nodes may talk to each other
+    std::optional<transport::Source> members_;
+    std::uint64_t strain_searches_ = 0, strain_pushed_ = 0;
+    Tenths strain_at_ = 0;
     std::vector<std::unique_ptr<Door>> doors_;     // the platform's first
     bool accepting_ = true, accept_short_ = false; // the latter: the system had no descriptor for a client
     std::uint64_t next_client_ = 1;
@@ -149,7 +157,7 @@
     std::set<routing::ClientId> spoken_; // whose door has something to say since the round began
     std::map<routing::LinkId, std::unique_ptr<Link>> links_;
     std::optional<Discovery> discovery_;
-    transport::Task signal_task_, change_task_, discovery_task_;
+    transport::Task signal_task_, change_task_, member_task_, discovery_task_;
 };
 
 } // namespace ivyrill::program
--- a/src/program/operator_files.cpp
+++ b/src/program/operator_files.cpp
@@ -96,6 +96,11 @@
             throw std::runtime_error("listener '" + listener.name + "': " + error.what());
         }
     }
+    if (const auto& members = made.orders.members) made.secret = load(members->secret).text;
+    if (auto& rota = made.orders.rota) {
+        rota->ledger = beside(folder, rota->ledger);
+        if (!rota->witness.empty()) rota->witness = beside(folder, rota->witness);
+    }
     made.folders.assign(folders.begin(), folders.end());
     return made;
 }
--- a/src/program/operator_files.hpp
+++ b/src/program/operator_files.hpp
@@ -15,6 +15,7 @@
     operators::Orders orders;
     std::shared_ptr<const access::Policy> policy;                  // null: access is off
     std::vector<std::shared_ptr<const transport::TlsContext>> tls; // one for each listener
+    std::string secret; // of the members, empty without them
     std::vector<std::string> folders;                              // where a change means reading again
 };
 
--- /dev/null
+++ b/src/program/rota_side.cpp
@@ -0,0 +1,249 @@
+#include "program/rota_side.hpp"
+
+#include "access/signature.hpp"
+#include "program/keepers.hpp"
+#include "program/log.hpp"
+#include "store/sqlite_ledger.hpp"
+#include "transport/datagrams.hpp"
+#include "transport/stream.hpp"
+
+#include <cstring>
+#include <filesystem>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+
+namespace ivyrill::program {
+
+using transport::Loop;
+using transport::Task;
+
+namespace {
+
+constexpr Tenths kCountsEvery = 10 * kTenthsPerSecond;
+constexpr Tenths kLedgerGap = 5 * kTenthsPerSecond; // until a ledger that cannot be opened is tried again
+
+std::uint64_t drawn(std::uint64_t seed) {
+    std::uint64_t made = 0;
+    std::memcpy(&made, access::random_bytes(sizeof made).data(), sizeof made);
+    return made ^ seed;
+}
+
+} // namespace
+
+struct RotaSide::Inside {
+    Inside(const operators::Orders& orders, const std::string& secret, protocol::NodeTerms node_terms,
+           const std::string& name, std::uint64_t seed)
+        : terms(std::move(node_terms)), socket(loop, transport::bind_datagrams(orders.members->address)),
+          stirred(loop, eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), told_out(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+        rota::WardenTerms made;
+        made.name = name, made.address = orders.members->address, made.secret = secret;
+        made.peers = orders.members->peers, made.probe_gap = orders.members->probe_gap;
+        made.seed = drawn(seed);
+        // Without a store the clock is the one thing that grows from start to start.
+        made.incarnation = static_cast<std::uint64_t>(Loop::wall());
+        if (orders.rota) {
+            const operators::RotaOrders& rota = *orders.rota;
+            work = rota.work;
+            for (const auto& [who, where] : rota.candidates) made.candidates.push_back({who, where});
+            made.council = rota.council, made.limits = rota.limits, made.spans = rota.spans;
+            made.answers = rota.answers, made.heartbeat = rota.heartbeat, made.replace_after = rota.replace_after;
+            const bool candidate = std::ranges::any_of(
+                rota.candidates, [&](const auto& held) { return held.first == name; });
+            if (candidate) {
+                std::filesystem::create_directories(std::filesystem::path(rota.ledger).parent_path());
+                ledger = std::make_unique<store::SqliteLedger>(rota.ledger, rota.witness);
+                made.incarnation = ledger->next_incarnation();
+            }
+            keepers = std::make_unique<Keepers>(loop, rota.keeper_command, rota.keeper_address, rota.spans.act);
+        }
+        warden = std::make_unique<rota::Warden>(made, ledger.get(), loop.now(), Loop::wall());
+        if (loop.now() == 0 || told_out < 0) throw std::runtime_error("no clock, or no descriptor");
+    }
+    ~Inside() { close(told_out); }
+
+    Task receive() {
+        transport::Slot& next = socket.readable;
+        for (;;) {
+            while (auto came = transport::receive_datagram(socket.descriptor()))
+                warden->hear(loop.now(), came->from, came->bytes), carry_out();
+            co_await next;
+        }
+    }
+
+    void run() {
+        receiving = receive(), receiving.start();
+        Tenths counts_at = loop.now() + kCountsEvery;
+        while (!stop) {
+            {
+                const std::lock_guard lock(mutex);
+                list_now.version = list.version;
+                if (list_new) list_now = list, list_new = false;
+            }
+            std::uint64_t count = 0;
+            while (read(stirred.descriptor(), &count, sizeof count) > 0) {}
+            // What is cold grows warm without news, so the machines are looked at each time.
+            if (loop.now() >= look_at || list_seen != list_now.version) {
+                look_at = loop.now() + kTenthsPerSecond / 10, list_seen = list_now.version;
+                warden->told(RotaSide::machines(list_now, terms, work, Loop::wall()), strain);
+            }
+            warden->step(loop.now(), Loop::wall());
+            if (leaving && !left) left = true, warden->leave(loop.now());
+            carry_out();
+            if (keepers) {
+                keepers->step(loop.now());
+                for (const Keepers::Said& said : keepers->take())
+                    warden->kept(loop.now(), said.serial, said.machine, said.kept);
+            }
+            if (loop.now() >= counts_at) tell_counts(), counts_at = loop.now() + kCountsEvery;
+            Tenths until = std::min({warden->next(), look_at, counts_at});
+            if (keepers) until = std::min(until, keepers->next());
+            loop.wait(until);
+        }
+        receiving = {};
+    }
+
+    void carry_out() {
+        for (rota::WardenEffect& effect : warden->take_effects()) {
+            if (const auto* sent = std::get_if<rota::SendBytes>(&effect)) {
+                transport::send_datagram(socket.descriptor(), sent->address, sent->bytes);
+            } else if (const auto* act = std::get_if<rota::KeeperAct>(&effect)) {
+                if (keepers) keepers->act(loop.now(), *act);
+            } else if (const auto* line = std::get_if<rota::Line>(&effect)) {
+                std::string words = line->what;
+                for (const auto& [name, value] : line->fields) words += " " + name + "=\"" + value + "\"";
+                if (line->loud)
+                    log().error("{}", words);
+                else
+                    log().info("{}", words);
+            } else {
+                present = std::get<rota::MembersSeen>(effect).present;
+                const std::uint64_t one = 1;
+                if (write(told_out, &one, sizeof one) < 0) continue; // it is told already
+            }
+        }
+    }
+
+    void tell_counts() const {
+        const auto& roster = warden->roster().counts();
+        const auto& seals = warden->seals();
+        const auto& hand = warden->hand().counts();
+        log().info("members present={} sent={} heard={} suspected={} refuted={} stalls={} twins={} strangers={} "
+                   "spoilt={} too_long={} crowded={} parcels={} pieces={} asked_again={} acts={} strange={} "
+                   "refused={} lapsed={} proposals={}",
+                   warden->roster().present(), roster.sent, roster.heard, roster.suspected, roster.refuted,
+                   roster.stalls, roster.twins, seals.strangers, seals.spoilt, seals.too_long,
+                   warden->counts().crowded, warden->parcels().sent, warden->parcels().pieces,
+                   warden->parcels().asked_again, hand.acts, hand.strange, hand.refused, hand.lapsed,
+                   warden->counts().proposals);
+    }
+
+    protocol::NodeTerms terms;
+    std::map<std::string, Tenths> work;
+    Loop loop;
+    transport::Source socket, stirred; // the latter: the front node has told us something
+    int told_out;
+    std::unique_ptr<store::SqliteLedger> ledger;
+    std::unique_ptr<Keepers> keepers;
+    std::unique_ptr<rota::Warden> warden;
+    Task receiving;
+    protocol::ServerList list_now;
+    std::int64_t list_seen = -1;
+    Tenths look_at = 0;
+    bool left = false;
+
+    std::mutex mutex; // for the next three
+    protocol::ServerList list;
+    bool list_new = false;
+    std::atomic<double> strain = 0;
+    std::atomic<bool> stop = false, leaving = false;
+    std::atomic<std::size_t> present = 1;
+    std::thread thread;
+
+    void stir() {
+        const std::uint64_t one = 1;
+        if (write(stirred.descriptor(), &one, sizeof one) < 0) return; // it is stirred already
+    }
+};
+
+RotaSide::RotaSide(const operators::Orders& orders, const std::string& secret, const protocol::NodeTerms& terms,
+                   const std::string& name, std::uint64_t seed)
+    : inside_(std::make_unique<Inside>(orders, secret, terms, name, seed)) {}
+
+RotaSide::~RotaSide() {
+    if (!inside_->thread.joinable()) return;
+    inside_->stop = true;
+    inside_->stir();
+    inside_->thread.join();
+}
+
+void RotaSide::start() {
+    inside_->thread = std::thread([inside = inside_.get()] {
+        try {
+            inside->run();
+        } catch (const std::exception& error) { log().error("members: {}", error.what()); }
+    });
+}
+
+// Changes come as changes: what is known of the others stays.
+void RotaSide::told(const protocol::ServerList& fresh) {
+    {
+        const std::lock_guard lock(inside_->mutex);
+        protocol::ServerList& list = inside_->list;
+        if (fresh.full) {
+            for (protocol::ServerEntry& old : list.servers) old.listed = Listed::kGone;
+        }
+        for (const protocol::ServerEntry& entry : fresh.servers) {
+            const auto known = std::ranges::find(list.servers, entry.id, &protocol::ServerEntry::id);
+            if (known == list.servers.end())
+                list.servers.push_back(entry);
+            else
+                *known = entry;
+        }
+        list.version = fresh.version;
+        inside_->list_new = true;
+    }
+    inside_->stir();
+}
+
+void RotaSide::strained(double share) { inside_->strain = share; }
+
+void RotaSide::leave() {
+    inside_->leaving = true;
+    inside_->stir();
+}
+
+std::size_t RotaSide::present() const {
+    std::uint64_t count = 0;
+    if (read(inside_->told_out, &count, sizeof count) < 0) return inside_->present;
+    return inside_->present;
+}
+
+int RotaSide::news() const { return inside_->told_out; }
+int RotaSide::port() const { return transport::port_of(inside_->socket.descriptor()); }
+
+std::map<std::string, rota::MachineSeen> RotaSide::machines(const protocol::ServerList& list,
+                                                            const protocol::NodeTerms& terms,
+                                                            const std::map<std::string, Tenths>& work,
+                                                            Tenths wall) {
+    std::map<std::string, rota::MachineSeen> made;
+    for (const protocol::ServerEntry& entry : list.servers) {
+        rota::MachineSeen machine;
+        machine.facts.name = entry.id, machine.facts.zone = entry.zone;
+        machine.facts.power = entry.weight > 0 ? entry.weight : 1;
+        for (int shard = 0; shard < terms.shards; ++shard)
+            if (terms.opening.holds(CellNo{entry.cell}, ShardNo{shard})) machine.facts.shards.push_back(shard);
+        auto known = work.find(entry.kind);
+        if (known == work.end()) known = work.find("");
+        machine.facts.work = known == work.end() ? 600 * kTenthsPerSecond : known->second;
+        const Tenths born = entry.started_ms * (kTenthsPerSecond / 1000);
+        machine.health = entry.listed == Listed::kGone       ? rota::Health::kGone
+                         : entry.listed == Listed::kDraining ? rota::Health::kDrains
+                         : entry.started_ms > 0 && wall < born + terms.opening.cold_span ? rota::Health::kCold
+                                                                                         : rota::Health::kWarm;
+        made[entry.id] = std::move(machine);
+    }
+    return made;
+}
+
+} // namespace ivyrill::program
--- /dev/null
+++ b/src/rota/chart.cpp
@@ -0,0 +1,97 @@
+#include "rota/chart.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <vector>
+
+namespace ivyrill::rota {
+
+namespace {
+
+struct Change {
+    std::int64_t at = 0;
+    std::string state, holder;
+};
+
+std::optional<std::string> field(const std::string& line, const std::string& name) {
+    const std::string key = " " + name + "=\"";
+    const std::size_t begin = line.find(key);
+    if (begin == std::string::npos) return {};
+    const std::size_t from = begin + key.size(), end = line.find('"', from);
+    if (end == std::string::npos) return {};
+    return line.substr(from, end - from);
+}
+
+std::string plain(const std::string& text) { // for SVG
+    std::string out;
+    for (const char c : text) {
+        if (c == '<') out += "&lt;";
+        else if (c == '&') out += "&amp;";
+        else if (c == '"') out += "&quot;";
+        else out += c;
+    }
+    return out;
+}
+
+const char* colour_of(const std::string& state) {
+    static const std::map<std::string, const char*> kColours{
+        {"granted", "#c9d7f0"}, {"draining", "#f3d48b"}, {"out", "#d9705f"},
+        {"returning", "#9ccb8a"}, {"warm", "#5fa35f"},   {"given up", "#777777"}};
+    const auto found = kColours.find(state);
+    return found == kColours.end() ? nullptr : found->second;
+}
+
+} // namespace
+
+std::string chart_of(std::istream& log) {
+    std::map<std::string, std::vector<Change>> machines;
+    std::int64_t first = INT64_MAX, last = 0;
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(" turn machine=\"") == std::string::npos) continue;
+        const auto machine = field(line, "machine"), state = field(line, "state"), at = field(line, "at_ms");
+        if (!machine || !state || !at) continue;
+        std::int64_t ms = 0;
+        std::istringstream(*at) >> ms;
+        if (ms <= 0) continue;
+        auto& changes = machines[*machine];
+        if (!changes.empty() && changes.back().state == *state) continue;
+        changes.push_back({ms, *state, field(line, "holder").value_or("")});
+        first = std::min(first, ms), last = std::max(last, ms);
+    }
+    constexpr int kLeft = 120, kRow = 22, kWide = 900, kTop = 40;
+    const auto rows = static_cast<int>(machines.size());
+    const double span = static_cast<double>(std::max<std::int64_t>(1, last - first));
+    const auto x = [&](std::int64_t at) { return kLeft + kWide * static_cast<double>(at - first) / span; };
+    std::ostringstream out;
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << kLeft + kWide + 20 << "\" height=\""
+        << kTop + rows * kRow + 30 << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+        << "<text x=\"8\" y=\"18\">machines out for work, " << (rows > 0 ? (last - first) / 1000.0 : 0.0)
+        << " s</text>\n";
+    int row = 0;
+    for (const auto& [name, changes] : machines) {
+        const int y = kTop + row++ * kRow;
+        out << "<text x=\"8\" y=\"" << y + 14 << "\">" << plain(name) << "</text>\n";
+        for (std::size_t i = 0; i < changes.size(); ++i) {
+            const char* colour = colour_of(changes[i].state);
+            if (colour == nullptr) continue;
+            const std::int64_t end = i + 1 < changes.size() ? changes[i + 1].at : last;
+            out << "<rect x=\"" << x(changes[i].at) << "\" y=\"" << y << "\" width=\""
+                << std::max(1.0, x(end) - x(changes[i].at)) << "\" height=\"" << kRow - 4 << "\" fill=\"" << colour
+                << "\"><title>" << plain(name + " " + changes[i].state + " by " + changes[i].holder)
+                << "</title></rect>\n";
+        }
+    }
+    for (int i = 0; i <= 6; ++i) {
+        const double at = kLeft + kWide * i / 6.0;
+        out << "<text x=\"" << at << "\" y=\"" << kTop + rows * kRow + 18 << "\" text-anchor=\"middle\">"
+            << span * i / 6.0 / 1000.0 << " s</text>\n";
+    }
+    out << "</svg>\n";
+    return out.str();
+}
+
+} // namespace ivyrill::rota
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -94,12 +94,15 @@
 struct WallTold { // what the system's clock says now
     Tenths wall = 0;
 };
+struct MembersCounted { // front nodes that are there, ourselves among them
+    std::size_t present = 1;
+};
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
 using Event = std::variant<ClientOpened, ShakeWanted, ClientSecured, PolicyRead, WallTold, SearchRead,
                            SearchLeft, ClientMidway, ClientAnswered, ClientLeaving, ClientGone, LinkUp,
                            LinkWrote, LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold, ListTold,
-                           ListLost, DiscoveryNamed, DrainOrdered, QuietOrdered>;
+                           ListLost, DiscoveryNamed, MembersCounted, DrainOrdered, QuietOrdered>;
 
 struct OpenLink {
     LinkId link;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -237,6 +237,8 @@
 
 void Router::scrap(SearchId search) { counts_.scrapped += finish(search, {}); }
 
+void Router::apply(const MembersCounted& event) { tell(FrontNodesSeen{static_cast<int>(event.present)}); }
+
 void Router::apply(const DrainOrdered&) {
     draining_ = true;
     for (const auto& [id, client] : clients_) effects_.push_back(DrainClient{id});
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -194,6 +194,7 @@
     void apply(const ListTold& event);
     void apply(const ListLost& event);
     void apply(const DiscoveryNamed& event);
+    void apply(const MembersCounted& event);
     void apply(const DrainOrdered& event);
     void apply(const QuietOrdered& event);
 
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -13,20 +13,6 @@
 
 namespace {
 
-sockaddr_in read_address(const std::string& text) {
-    const std::size_t colon = text.rfind(':');
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    unsigned port = 0;
-    const char* const begin = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
-    const auto [end, error] = std::from_chars(begin, text.data() + text.size(), port);
-    if (colon == std::string::npos || error != std::errc{} || end != text.data() + text.size() ||
-        port > 65535 || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
-        throw AddressError("not an address: '" + text.substr(0, 80) + "'");
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    return address;
-}
-
 int open_socket() { return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
 void send_at_once(int descriptor) {
@@ -42,6 +28,20 @@
 
 } // namespace
 
+sockaddr_in read_address(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    unsigned port = 0;
+    const char* const begin = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
+    const auto [end, error] = std::from_chars(begin, text.data() + text.size(), port);
+    if (colon == std::string::npos || error != std::errc{} || end != text.data() + text.size() ||
+        port > 65535 || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
+        throw AddressError("not an address: '" + text.substr(0, 80) + "'");
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
 int listen_at(const std::string& text) {
     const sockaddr_in address = read_address(text);
     const int descriptor = open_socket();
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -1,5 +1,6 @@
 // A TCP connection: a ring a direction, and two coroutines that keep the rings and the system in step.
 #pragma once
+#include "transport/address.hpp"
 #include "transport/loop.hpp"
 #include "transport/ring.hpp"
 #include "transport/task.hpp"
@@ -11,11 +12,6 @@
 
 namespace ivyrill::transport {
 
-class AddressError : public std::runtime_error {
-  public:
-    using std::runtime_error::runtime_error;
-};
-
 int listen_at(const std::string& address);  // `1.2.3.4:80`; throws AddressError or std::system_error
 int port_of(int descriptor);                // the local one
 int connect_to(const std::string& address); // does not wait; below zero where it fails at once
