--- a/src/lab/evening_world.cpp
+++ b/src/lab/evening_world.cpp
@@ -130,10 +130,10 @@
     terms.answers = plan_.answers, terms.heartbeat = plan_.heartbeat;
     terms.seed = plan_.seed * 1000 + static_cast<std::uint64_t>(i) + 100 * ++front.starts;
     terms.incarnation = ++front.incarnation;
-    terms.replace_after = 15 * kTenthsPerSecond;
+    terms.replace_after = 15 * kTenthsPerSecond, terms.front_work = plan_.work * 5 / 4;
     front.warden = std::make_unique<Warden>(terms, front.ledger.get(), clock_of(front), now_);
     front.warden->on_agreed = [this, i](const Command& command, const Verdict& verdict) {
-        const Evening& state = fronts_[i].warden->evening();
+        const Evening& state = fronts_[i].warden->council()->evening(); // seated or not, as it applies it
         const std::string words = as_words(command) + (verdict.done ? "" : " (refused)");
         const auto [place, fresh] = agreed_.emplace(state.applied(), words);
         if (!fresh && place->second != words)
--- /dev/null
+++ b/src/lab/rig.cpp
@@ -0,0 +1,764 @@
+#include "lab/rig.hpp"
+
+#include "lab/client.hpp"
+#include "program/operator_files.hpp"
+#include "protocol/json.hpp"
+#include "protocol/values.hpp"
+#include "transport/datagrams.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ivyrill::lab {
+
+using rota::Kept;
+using transport::Stream;
+using transport::Task;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kDiscovery = -1, kKeeper = -2;
+constexpr Tenths kMs = kTenthsPerSecond / 1000;
+constexpr Tenths kGrace = 300 * kMs; // of rule 3 as the rig judges it: the settings' and the way there
+constexpr int kExpiryMs = 1500, kDueMs = 500;
+constexpr std::array<const char*, 3> kProducts{"find", "note", "mark"}; // reissuable, at-most-once, numbered
+
+std::string frame(char letter, const std::string& rest) {
+    const std::size_t size = rest.size() + 1;
+    std::string out;
+    for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(size >> shift & 0xFFU);
+    return out + letter + rest;
+}
+
+// A port that nobody has now; the system gives it to nobody else for a while.
+std::string free_address(bool datagrams) {
+    const int descriptor =
+        datagrams ? transport::bind_datagrams("127.0.0.1:0") : transport::listen_at("127.0.0.1:0");
+    const int port = transport::port_of(descriptor);
+    close(descriptor);
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string name_of(int front) { return "n" + std::to_string(front); }
+
+bool is_down(HallMachine::Is is) {
+    return is != HallMachine::Is::kServing && is != HallMachine::Is::kDraining && is != HallMachine::Is::kDrained;
+}
+
+} // namespace
+
+Rig::Peer::Peer(transport::Loop& loop, int descriptor, int own_front, int own_target)
+    : front(own_front), target(own_target),
+      stream(loop, descriptor, Stream::Start::kConnected, 64 * 1024, 4 * 1024 * 1024) {}
+
+Rig::Rig(const RigPlan& plan) : plan_(plan) {
+    std::string form = (fs::temp_directory_path() / "ivyrill-rig-XXXXXX").string();
+    if (mkdtemp(form.data()) == nullptr) throw std::runtime_error("no folder");
+    folder_ = form;
+    const int cells = std::max(1, plan.servers / plan.replicas);
+    for (int i = 0; i < plan.servers; ++i) {
+        HallMachine made;
+        made.facts.name = "s" + std::to_string(i);
+        made.facts.zone = std::string(1, static_cast<char>('a' + i / cells % plan.zones));
+        for (int shard = 0; shard < plan.shards; ++shard)
+            if (shard % cells == i % cells) made.facts.shards.push_back(shard);
+        made.works_for = plan.work, made.drains_for = 100 * kMs, made.starts_for = 50 * kMs;
+        made.warms_for = 300 * kMs;
+        machines_[made.facts.name] = made;
+        seen_[made.facts.name] = made.is, changed_[made.facts.name] = 1, born_[made.facts.name] = 0;
+    }
+    fronts_.resize(static_cast<std::size_t>(plan.fronts));
+    for (int i = 0; i < plan.fronts; ++i) {
+        Front& front = fronts_[i];
+        front.listen = free_address(false), front.bound = free_address(true);
+        front.relay = std::make_unique<transport::Source>(loop_, transport::bind_datagrams("127.0.0.1:0"));
+        front.told = "127.0.0.1:" + std::to_string(transport::port_of(front.relay->descriptor()));
+        HallMachine made;
+        made.facts.name = name_of(i), made.facts.front_node = true;
+        made.works_for = plan.work, made.starts_for = 0, made.never_drains = true;
+        machines_[name_of(i)] = made;
+        for (int target = kKeeper; target < plan.servers; ++target) doors_.push_back({i, target, "127.0.0.1:0", {}, {}});
+    }
+    for (int target = kKeeper; target < plan.servers; ++target) open_doors(target, true);
+    for (int i = 0; i < plan.fronts; ++i) {
+        fs::create_directory(file(name_of(i)));
+        write_files(i);
+    }
+    began_ = passed_at_ = loop_.now();
+    for (int i = 0; i < plan.fronts; ++i) spawn(i, true); // before any thread of ours
+    thread_ = std::thread([this] { run(); });
+}
+
+Rig::~Rig() {
+    stop_clients_ = true;
+    for (auto& client : clients_)
+        if (client.joinable()) client.join();
+    stop_ = true;
+    thread_.join();
+    for (Front& front : fronts_)
+        if (front.process > 0) ::kill(front.process, SIGKILL), waitpid(front.process, nullptr, 0);
+    std::error_code error;
+    fs::remove_all(folder_, error);
+}
+
+void Rig::write_files(int i) const {
+    const std::string at = file(name_of(i));
+    const int cells = std::max(1, plan_.servers / plan_.replicas);
+    const auto door = [&](int target) {
+        for (const Door& door : doors_)
+            if (door.front == i && door.target == target) return door.address;
+        return std::string();
+    };
+    nlohmann::json grades = nlohmann::json::array();
+    const char* kinds[] = {"read_like", "non_idempotent", "idempotency_key"};
+    for (std::size_t p = 0; p < kProducts.size(); ++p)
+        grades.push_back({{"Name", kProducts[p]}, {"AimUs", kDueMs * 1000}, {"DeadlineUs", kExpiryMs * 1000},
+                          {"WindowUs", 800'000}, {"Idempotency", kinds[p]}, {"Worth", 1.0}, {"LateShare", 0.1}});
+    nlohmann::json settings{
+        {"Grades", grades},
+        {"PeersTotal", plan_.stated_nodes > 0 ? plan_.stated_nodes : plan_.fronts},
+        {"Limits", {{"ConnIdleUs", 15'000'000}, {"ConnectTimeoutUs", 250'000}, {"MaxOpen", 400},
+                    {"MayCancel", true}, {"MostTries", 3}, {"Probes", true}, {"StreamsPerConn", 100}}},
+        {"Contract", {{"ColdUs", 300'000}, {"ColdShare", 0.3}, {"FallUs", 1'000'000}, {"OverloadFactor", 4.0},
+                      {"AskWithinUs", 4'000'000}}},
+        {"QuantumUs", 5000},
+        {"Specifics", {{"Batch", 1}, {"Places", cells}, {"Slabs", plan_.shards}, {"Span", 1}}},
+        {"Kinds", {"m"}}, {"Zones", {"a", "b", "c"}}};
+    nlohmann::json known{{"version", 0}, {"full", true}, {"servers", nlohmann::json::array()}};
+    const nlohmann::json list = nlohmann::json::parse(list_for(i, -1));
+    known["servers"] = list["servers"];
+    program::write_file(at + "/config.json",
+                        nlohmann::json{{"name", name_of(i)}, {"listen", fronts_[i].listen},
+                                       {"discovery", door(kDiscovery)}, {"seed", "8c1f30d27a5be9" + std::to_string(10 + i)},
+                                       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 512}}},
+                                       {"known", known}, {"settings", settings}}.dump(),
+                        false);
+    program::write_file(at + "/secret", "thirty-two bytes and more that only a rig would take for secret", true);
+    std::string peers, candidates;
+    for (int other = 0; other < plan_.fronts; ++other) {
+        if (other < 2) peers += "\"" + fronts_[other].told + "\", ";
+        if (other < plan_.candidates) candidates += "\"" + name_of(other) + "\": \"" + fronts_[other].told + "\", ";
+    }
+    std::string words = "members = {\"address\": \"" + fronts_[i].told + "\", \"bind\": \"" + fronts_[i].bound +
+                        "\", \"peers\": [" + peers + "], \"secret\": \"secret\", \"probe_ms\": 200}\n";
+    if (plan_.with_rota)
+        words += "rota = {\"candidates\": {" + candidates + "}, \"council\": " + std::to_string(plan_.council) +
+                 ", \"ledger\": \"rota/ledger.db\", \"witness\": \"rota/witness\", \"heartbeat_ms\": 50, "
+                 "\"replace_after_s\": 5,\n  \"keeper\": {\"address\": \"" + door(kKeeper) + "\"},\n"
+                 "  \"limits\": {\"replicas_stay\": 2, \"zone_share\": 0.5, \"fleet_share\": 0.34, \"front_share\": 0.25},\n"
+                 "  \"spans\": {\"grant_ms\": 1500, \"act_ms\": 400, \"drain_ms\": 4000, \"work_ms\": 6000, "
+                 "\"back_ms\": 5000, \"warm_ms\": 5000, \"settle_ms\": 300, \"strain\": 0.3},\n"
+                 "  \"work_ms\": {\"other\": 1000, \"front\": 1500}}\n";
+    program::write_file(at + "/ivyrill.star", words + plan_.more, false);
+}
+
+// ---- processes
+
+void Rig::spawn(int i, bool rebooted) {
+    Front& front = fronts_[i];
+    const std::string at = file(name_of(i));
+    if (rebooted) fs::remove(at + "/rota/witness");
+    ++front.starts;
+    const std::string program = plan_.program, config = at + "/config.json", star = at + "/ivyrill.star",
+                      log = at + "/log";
+    std::array<const char*, 7> argv{program.c_str(), "serve", "--config", config.c_str(), "--operator",
+                                    star.c_str(), nullptr};
+    const pid_t made = fork();
+    if (made == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // who fails leaves nobody behind
+        const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        if (out >= 0) dup2(out, 1), dup2(out, 2);
+        execv(argv[0], const_cast<char* const*>(argv.data()));
+        _exit(127);
+    }
+    front.process = made;
+}
+
+void Rig::start(int i) {
+    {
+        const std::lock_guard lock(mutex_);
+        fronts_[i].wanted = true;
+        if (fronts_[i].process < 0) spawn(i, false);
+    }
+    if (!ready(i)) throw std::runtime_error(name_of(i) + " did not start");
+}
+
+bool Rig::ready(int i, int patience_ms) const {
+    return await(
+        [&] {
+            try {
+                Client client(fronts_[i].listen, 300);
+                client.say("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+                return client.answer().status == 200;
+            } catch (const std::exception&) { return false; }
+        },
+        patience_ms);
+}
+
+void Rig::kill(int i) {
+    const std::lock_guard lock(mutex_);
+    Front& front = fronts_[i];
+    front.wanted = false, ++faults_;
+    if (front.process <= 0) return;
+    ::kill(front.process, SIGKILL);
+    waitpid(front.process, nullptr, 0);
+    front.process = -1, front.stalled = false;
+    note({RigEvent::What::kFault, loop_.now(), i, name_of(i), "killed", 0});
+}
+
+void Rig::stall(int i, bool on) {
+    const std::lock_guard lock(mutex_);
+    Front& front = fronts_[i];
+    if (front.process <= 0) return;
+    faults_ += on ? 1 : 0;
+    ::kill(front.process, on ? SIGSTOP : SIGCONT);
+    front.stalled = on;
+    note({RigEvent::What::kFault, loop_.now(), i, name_of(i), on ? "stalled" : "goes on", 0});
+}
+
+void Rig::lose_disk(int i) { fs::remove_all(file(name_of(i) + "/rota")), ++faults_; }
+void Rig::keep_copy(int i) {
+    fs::remove_all(file(name_of(i) + "/copy"));
+    fs::copy(file(name_of(i) + "/rota"), file(name_of(i) + "/copy"), fs::copy_options::recursive);
+}
+void Rig::put_back_copy(int i) {
+    lose_disk(i);
+    fs::copy(file(name_of(i) + "/copy"), file(name_of(i) + "/rota"), fs::copy_options::recursive);
+    fs::remove(file(name_of(i) + "/rota/witness"));
+}
+
+bool Rig::running(int i) const {
+    const std::lock_guard lock(mutex_);
+    return fronts_[i].process > 0;
+}
+
+// ---- links
+
+void Rig::cut(const std::set<int>& one_side, bool both_ways) {
+    const std::lock_guard lock(mutex_);
+    ++faults_;
+    for (int a = 0; a < plan_.fronts; ++a)
+        for (int b = 0; b < plan_.fronts; ++b)
+            if (one_side.contains(a) && !one_side.contains(b)) {
+                cuts_.insert({a, b});
+                if (both_ways) cuts_.insert({b, a});
+            }
+}
+
+void Rig::cut_from_world(int i, bool on) {
+    const std::lock_guard lock(mutex_);
+    faults_ += on ? 1 : 0;
+    if (on)
+        cut_from_world_.insert(i);
+    else
+        cut_from_world_.erase(i);
+}
+
+void Rig::lose(double share, double doubled, Tenths most_delay) {
+    const std::lock_guard lock(mutex_);
+    faults_ += share > 0 ? 1 : 0;
+    loss_ = share, doubled_ = doubled, most_delay_ = most_delay;
+}
+
+void Rig::heal() {
+    const std::lock_guard lock(mutex_);
+    cuts_.clear(), cut_from_world_.clear();
+    loss_ = doubled_ = 0, most_delay_ = 0;
+}
+
+bool Rig::cut_now(int from, int to) const { return cuts_.contains({from, to}); }
+
+Task Rig::relay(int to) {
+    transport::Slot& next = fronts_[to].relay->readable;
+    for (;;) {
+        while (auto came = transport::receive_datagram(fronts_[to].relay->descriptor())) {
+            const std::lock_guard lock(mutex_);
+            int from = -1;
+            for (std::size_t i = 0; i < fronts_.size(); ++i)
+                if (fronts_[i].bound == came->from) from = static_cast<int>(i);
+            if (from >= 0 && (cut_now(from, to) || chance_.unit() < loss_)) continue;
+            const int copies = from >= 0 && chance_.unit() < doubled_ ? 2 : 1;
+            for (int c = 0; c < copies; ++c)
+                later_.push({loop_.now() + static_cast<Tenths>(chance_.unit() * static_cast<double>(most_delay_)),
+                             ++order_, to, came->bytes});
+        }
+        co_await next;
+    }
+}
+
+// ---- the loop
+
+void Rig::run() {
+    for (std::size_t i = 0; i < fronts_.size(); ++i)
+        fronts_[i].relaying = relay(static_cast<int>(i)), fronts_[i].relaying.start();
+    while (!stop_) {
+        Tenths until = loop_.now() + 5 * kMs;
+        {
+            const std::lock_guard lock(mutex_);
+            while (!later_.empty() && later_.top().at <= loop_.now()) {
+                const Later& one = later_.top();
+                transport::send_datagram(fronts_[one.to].relay->descriptor(), fronts_[one.to].bound, one.bytes);
+                later_.pop();
+            }
+            if (!later_.empty()) until = std::min(until, later_.top().at);
+            pass_machines();
+            answer_watches();
+            std::erase_if(peers_, [](auto& peer) { return peer->over; });
+        }
+        loop_.wait(until);
+    }
+    peers_.clear();
+    for (Door& door : doors_) door.task = {};
+    for (Front& front : fronts_) front.relaying = {};
+}
+
+void Rig::open_doors(int target, bool on) {
+    for (Door& door : doors_) {
+        if (door.target != target) continue;
+        if (!on) {
+            door.task = {}, door.source.reset();
+            continue;
+        }
+        if (door.source) continue;
+        door.source = std::make_unique<transport::Source>(loop_, transport::listen_at(door.address));
+        door.address = "127.0.0.1:" + std::to_string(transport::port_of(door.source->descriptor()));
+        door.task = accept(door);
+        door.task.start();
+    }
+    if (!on)
+        for (auto& peer : peers_) peer->over = peer->over || peer->target == target;
+}
+
+Task Rig::accept(Door& door) {
+    for (;;) {
+        for (int descriptor; (descriptor = transport::accept_from(door.source->descriptor())) >= 0;) {
+            auto peer = std::make_unique<Peer>(loop_, descriptor, door.front, door.target);
+            peer->task = serve(*peer);
+            peers_.push_back(std::move(peer));
+            peers_.back()->task.start();
+        }
+        transport::Slot& next = door.source->readable;
+        co_await next;
+    }
+}
+
+Task Rig::serve(Peer& peer) {
+    Stream& stream = peer.stream;
+    struct Line {
+        std::string& into;
+        std::size_t feed(std::string_view bytes) { return into.append(bytes), bytes.size(); }
+    };
+    while (!stream.ended()) {
+        while (stream.unread()) {
+            bool silent = false;
+            {
+                const std::lock_guard lock(mutex_);
+                silent = cut_from_world_.contains(peer.front);
+            }
+            if (silent) { // it lies where it is until the link is whole again
+                stream.changed.wake();
+                co_await stream.changed;
+                continue;
+            }
+            if (peer.target == kKeeper) {
+                Line line{peer.line};
+                stream.feed(line);
+                if (peer.line.find('\n') != std::string::npos) take_line(peer);
+            } else if (peer.target == kDiscovery) {
+                stream.feed(peer.requests);
+                if (!peer.requests.complete()) continue;
+                const std::string asked = peer.requests.take().target;
+                const std::lock_guard lock(mutex_);
+                const std::size_t after = asked.find("after=");
+                if (after == std::string::npos) {
+                    stream.send(protocol::http_response(200, "", list_for(peer.front, -1), false));
+                } else {
+                    peer.watch_after = std::stoll(asked.substr(after + 6));
+                    const std::size_t wait = asked.find("wait_ms=");
+                    peer.watch_until =
+                        loop_.now() + (wait == std::string::npos ? 0 : std::stoll(asked.substr(wait + 8)) * kMs);
+                }
+            } else {
+                stream.feed(peer.frames);
+                if (peer.frames.complete()) take(peer, peer.frames.take());
+            }
+        }
+        if (!stream.ended()) co_await stream.changed;
+    }
+    peer.over = true;
+}
+
+void Rig::take(Peer& peer, const protocol::Frame& came) {
+    if (came.letter == 'M') peer.stream.send(frame('M', "inflight=0,queue=0"));
+    if (came.letter == 'H') peer.stream.send(frame('H', "done"));
+    if (came.letter != 'S') return;
+    const std::lock_guard lock(mutex_);
+    const std::string name = "s" + std::to_string(peer.target);
+    std::string_view rest = came.rest;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        const auto words = protocol::split(rest.substr(0, end), ' ');
+        const auto length = static_cast<std::size_t>(protocol::to_integer(words.at(3), "length"));
+        const std::string id(words.at(0)), query(rest.substr(end + 1, length));
+        rest.remove_prefix(end + 1 + length);
+        note({RigEvent::What::kLaunch, loop_.now(), peer.front, id, name, 0});
+        peer.stream.send(frame('R', id + " done 1 inflight=0,queue=0\n" + query));
+    }
+}
+
+// ACT MACHINE NUMBER SERIAL
+void Rig::take_line(Peer& peer) {
+    const auto words = protocol::split(std::string_view(peer.line).substr(0, peer.line.find('\n')), ' ');
+    if (words.size() != 4) return void(peer.over = true);
+    const std::string name(words[1]);
+    const rota::Fence fence{static_cast<std::uint64_t>(protocol::to_integer(words[2], "fence"))};
+    const std::lock_guard lock(mutex_);
+    const auto found = machines_.find(name);
+    if (found == machines_.end()) return void(peer.over = true);
+    HallMachine& machine = found->second;
+    const rota::Act act = words[0] == "drain" ? rota::Act::kDrain
+                          : words[0] == "out" ? rota::Act::kOut
+                          : words[0] == "back" ? rota::Act::kBack
+                                               : rota::Act::kLook;
+    const rota::Fence before = machine.highest;
+    const HallMachine::Is was = machine.is;
+    const Kept kept = machine.act(loop_.now(), act, fence);
+    note({kept == Kept::kRefused ? RigEvent::What::kRefusedAct : RigEvent::What::kAct, loop_.now(), peer.front,
+          name, std::string(words[0]), fence.value});
+    if (fence < before && machine.is != was) broken_.push_back("a stale act was accepted at " + name);
+    if (machine.facts.front_node && was == HallMachine::Is::kServing && machine.is == HallMachine::Is::kDraining) {
+        const int own = std::stoi(name.substr(1));
+        if (fronts_[own].process > 0) ::kill(fronts_[own].process, SIGTERM);
+        fronts_[own].wanted = false;
+    }
+    peer.stream.send(std::string(words[3]) + " " + name + " " + rota::word_of(kept) + "\n");
+    peer.stream.finish();
+    peer.line.clear();
+}
+
+// What becomes of machines by themselves: servers stop and come back, front nodes end and are started.
+void Rig::pass_machines() {
+    const Tenths now = loop_.now();
+    std::map<int, int> sound;
+    for (auto& [name, machine] : machines_) {
+        machine.pass(now);
+        if (machine.facts.front_node) {
+            const int own = std::stoi(name.substr(1));
+            Front& front = fronts_[own];
+            if (front.process > 0 && waitpid(front.process, nullptr, WNOHANG) != 0) front.process = -1;
+            if (machine.is == HallMachine::Is::kDraining && front.process < 0)
+                machine.is = HallMachine::Is::kDrained, machine.since = now;
+            const bool back = machine.is == HallMachine::Is::kServing && seen_[name] != HallMachine::Is::kServing;
+            if (back && front.process < 0) front.wanted = true, spawn(own, true);
+        } else if (machine.is != seen_[name]) {
+            changed_[name] = ++version_;
+            const bool was_down = is_down(seen_[name]), down = is_down(machine.is);
+            const int number = std::stoi(name.substr(1));
+            if (down && !was_down) open_doors(number, false);
+            if (!down && was_down) open_doors(number, true), born_[name] = transport::Loop::wall();
+        }
+        if (machine.is != seen_[name])
+            note({is_down(machine.is) ? RigEvent::What::kOut : RigEvent::What::kBack, now, -1, name,
+                  std::to_string(static_cast<int>(machine.is)), 0});
+        seen_[name] = machine.is;
+        const bool planned = machine.is == HallMachine::Is::kWorking || machine.is == HallMachine::Is::kWorked ||
+                             machine.is == HallMachine::Is::kStarting;
+        for (const int shard : machine.facts.shards) sound[shard] += planned ? 0 : 1;
+    }
+    for (const auto& [shard, count] : sound)
+        if (count < 2) {
+            under_floor_ += now - passed_at_;
+            broken_.push_back("shard " + std::to_string(shard) + " is under its number by plan");
+            break;
+        }
+    passed_at_ = now;
+}
+
+std::string Rig::list_for(int i, std::int64_t after) const {
+    nlohmann::json rows = nlohmann::json::array();
+    const int cells = std::max(1, plan_.servers / plan_.replicas);
+    for (const Door& door : doors_) {
+        if (door.front != i || door.target < 0) continue;
+        const std::string name = "s" + std::to_string(door.target);
+        if (changed_.at(name) <= after) continue;
+        const HallMachine& machine = machines_.at(name);
+        const HallMachine::Is is = seen_.at(name);
+        const char* state = is == HallMachine::Is::kServing ? "SERVING" : is_down(is) ? "DELETED" : "DRAINING";
+        if (after < 0 && is_down(is)) continue;
+        rows.push_back({{"id", name}, {"addr", door.address}, {"zone", machine.facts.zone}, {"kind", "m"},
+                        {"cell", door.target % cells}, {"state", state}, {"weight", 1.0},
+                        {"started_ms", born_.at(name) / 10}});
+    }
+    return nlohmann::json{{"version", version_}, {"full", after < 0}, {"servers", rows}}.dump();
+}
+
+void Rig::answer_watches() {
+    for (auto& peer : peers_) {
+        if (peer->target != kDiscovery || peer->watch_after < 0 || peer->stream.ended()) continue;
+        if (cut_from_world_.contains(peer->front)) continue;
+        if (peer->watch_after >= version_ && loop_.now() < peer->watch_until) continue;
+        peer->stream.send(protocol::http_response(200, "", list_for(peer->front, peer->watch_after), false));
+        peer->watch_after = -1;
+        note({RigEvent::What::kListTold, loop_.now(), peer->front, std::to_string(version_), "", 0});
+    }
+}
+
+void Rig::note(RigEvent event) { history_.push_back(std::move(event)); }
+
+void Rig::with_machine(const std::string& name, const std::function<void(HallMachine&)>& change) {
+    const std::lock_guard lock(mutex_);
+    change(machines_.at(name));
+}
+
+bool Rig::await(const std::function<bool()>& holds, int patience_ms) const {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(patience_ms);
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() >= end) return false;
+        poll(nullptr, 0, 10); // until it is looked at again: what is awaited is another process
+    }
+    return true;
+}
+
+// ---- operators
+
+std::pair<int, std::string> Rig::work(int i, const std::vector<std::string>& words, const std::string& request) const {
+    std::vector<std::string> all{plan_.program, "work"};
+    all.insert(all.end(), words.begin(), words.end());
+    if (words.front() != "chart") {
+        for (const std::string& more : {std::string("--node"), fronts_[i].bound, std::string("--secret"),
+                                        file(name_of(i) + "/secret"), std::string("--patience-ms"), std::string("3000")})
+            all.push_back(more);
+        if (!request.empty()) all.push_back("--request"), all.push_back(request);
+    }
+    std::vector<char*> argv;
+    for (std::string& word : all) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    const pid_t process = fork();
+    if (process == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(ends[1], 1), dup2(ends[1], 2);
+        execv(argv[0], argv.data());
+        _exit(127);
+    }
+    close(ends[1]);
+    std::string out;
+    std::array<char, 4096> bytes;
+    for (ssize_t count; (count = read(ends[0], bytes.data(), bytes.size())) > 0;)
+        out.append(bytes.data(), static_cast<std::size_t>(count));
+    close(ends[0]);
+    int status = 0;
+    waitpid(process, &status, 0);
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, out};
+}
+
+nlohmann::json Rig::show(int i) const {
+    const auto [status, text] = work(i, {"show", "--json"});
+    return status == 0 ? nlohmann::json::parse(text, nullptr, false) : nlohmann::json();
+}
+
+bool Rig::evening_over(int i) const {
+    const nlohmann::json seen = show(i);
+    if (!seen.is_object() || seen["turns"].empty()) return false;
+    return std::ranges::all_of(seen["turns"], [](const nlohmann::json& turn) {
+        return turn["state"] == "done" || turn["state"] == "given up";
+    });
+}
+
+// ---- clients
+
+void Rig::start_clients(int threads, int a_second) {
+    stop_clients_ = false;
+    {
+        const std::lock_guard lock(mutex_);
+        counts_ = {};
+    }
+    for (int i = 0; i < threads; ++i)
+        clients_.emplace_back([this, i, threads, a_second] { client(i, std::max(1, a_second / threads)); });
+}
+
+SearchCounts Rig::stop_clients() {
+    stop_clients_ = true;
+    for (auto& client : clients_) client.join();
+    clients_.clear();
+    return counts();
+}
+
+SearchCounts Rig::counts() const {
+    const std::lock_guard lock(mutex_);
+    return counts_;
+}
+
+// One client keeps a connection to each front node; it takes those that serve in turn, and every product.
+void Rig::client(int number, int a_second) {
+    std::vector<std::unique_ptr<Client>> kept(fronts_.size());
+    const auto gap = std::chrono::microseconds(1'000'000 / a_second);
+    auto at = std::chrono::steady_clock::now();
+    for (std::uint64_t nth = 0; !stop_clients_; ++nth) {
+        at += gap;
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(at - std::chrono::steady_clock::now());
+        if (left.count() > 0) poll(nullptr, 0, static_cast<int>(left.count()));
+        const std::size_t which = (nth + static_cast<std::size_t>(number)) % fronts_.size();
+        int starts = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            const Front& front = fronts_[which];
+            const auto is = machines_.at(name_of(static_cast<int>(which))).is;
+            if (front.process <= 0 || front.stalled || !front.wanted || is != HallMachine::Is::kServing) {
+                kept[which].reset();
+                continue;
+            }
+            starts = front.starts;
+        }
+        const std::size_t product = nth % kProducts.size();
+        const std::string id = "c" + std::to_string(number) + "x" + std::to_string(nth);
+        nlohmann::json targets = nlohmann::json::array();
+        for (int shard = 0; shard < plan_.shards; ++shard)
+            targets.push_back({{"partition", shard}, {"share", 1.0 / plan_.shards}});
+        const std::string body = nlohmann::json{{"targets", targets}, {"query", "q" + id}}.dump();
+        const std::string bytes = std::string("POST /") + kProducts[product] + (product == 2 ? "?k=" + id : "") +
+                                  " HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id + "\r\nX-Timeout: " +
+                                  std::to_string(kExpiryMs) + "m\r\nContent-Length: " + std::to_string(body.size()) +
+                                  "\r\n\r\n" + body;
+        const auto begun = std::chrono::steady_clock::now();
+        int status = 0;
+        bool ended = false;
+        for (int again = 0; again < 2 && status == 0; ++again) {
+            try {
+                const bool fresh = !kept[which];
+                if (fresh) kept[which] = std::make_unique<Client>(fronts_[which].listen, kExpiryMs + 500);
+                kept[which]->say(bytes);
+                const protocol::HttpMessage answer = kept[which]->answer();
+                status = answer.status;
+                if (answer.close) kept[which].reset();
+            } catch (const std::exception&) {
+                kept[which].reset();
+                ended = true; // closed between two requests: it goes once more, on a new connection
+            }
+        }
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
+        const std::lock_guard lock(mutex_);
+        const Front& front = fronts_[which];
+        const bool there = front.process > 0 && front.starts == starts && !front.stalled && front.wanted;
+        ++counts_.asked;
+        counts_.most_payoff += 1;
+        if (status == 200) ++counts_.delivered;
+        if (status == 503) ++counts_.pushed_back;
+        if (status == 502) ++counts_.scrapped;
+        if (status == 0) ++counts_.broken;
+        if (status == 0 && there && ended) ++counts_.lost;
+        if (status != 0 && took.count() > kExpiryMs + 50 && there) ++counts_.lost;
+        if (status == 200) counts_.payoff += took.count() <= kDueMs ? 1 : 0.1;
+    }
+}
+
+// ---- judgement
+
+std::vector<RigEvent> Rig::history() const {
+    const std::lock_guard lock(mutex_);
+    return history_;
+}
+
+std::uint64_t Rig::doubled_launches() const {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, int> launches;
+    std::uint64_t doubled = 0;
+    for (const RigEvent& event : history_)
+        if (event.what == RigEvent::What::kLaunch && ++launches[event.name] == 2) ++doubled;
+    return doubled;
+}
+
+std::size_t Rig::turns_done() const {
+    std::set<std::pair<std::string, std::string>> done;
+    for (int i = 0; i < plan_.fronts; ++i) {
+        std::istringstream lines(log_of(i));
+        for (std::string line; std::getline(lines, line);) {
+            const std::size_t turn = line.find(" turn machine=\""), state = line.find(" state=\"done\"");
+            const std::size_t fence = line.find(" fence=\"");
+            if (turn == std::string::npos || state == std::string::npos) continue;
+            done.insert({line.substr(turn + 15, line.find('"', turn + 15) - turn - 15),
+                         line.substr(fence + 8, line.find('"', fence + 8) - fence - 8)});
+        }
+    }
+    return done.size();
+}
+
+std::string Rig::log_of(int i) const {
+    std::ifstream log(file(name_of(i) + "/log"));
+    std::ostringstream text;
+    text << log.rdbuf();
+    return text.str();
+}
+
+std::vector<std::string> Rig::judge() const {
+    std::vector<std::string> wrong;
+    {
+        const std::lock_guard lock(mutex_);
+        wrong = broken_;
+        if (counts_.lost > 0) wrong.push_back(std::to_string(counts_.lost) + " searches were lost");
+        // Rule 2: what may run once ran once; the second product's searches are every third of each client's.
+        std::map<std::string, int> launches;
+        std::map<std::string, std::uint64_t> fences;
+        // Rule 3: nothing new once the news that it drains is a grace old at that front node.
+        std::map<std::pair<int, std::string>, Tenths> told;
+        std::set<std::string> draining;
+        for (const RigEvent& event : history_) {
+            if (event.what == RigEvent::What::kLaunch) {
+                const std::size_t x = event.name.find('x'), dot = event.name.find('.');
+                const bool once = x != std::string::npos && std::stoull(event.name.substr(x + 1, dot - x - 1)) % 3 == 1;
+                if (++launches[event.name] == 2 && once) wrong.push_back("launched twice: " + event.name);
+                const auto since = told.find({event.front, event.detail});
+                if (since != told.end() && event.at > since->second + kGrace)
+                    wrong.push_back("launched at " + event.detail + " by " + name_of(event.front) +
+                                    " after it was told that it drains");
+            } else if (event.what == RigEvent::What::kAct) {
+                std::uint64_t& highest = fences[event.name];
+                if (event.fence < highest) wrong.push_back("an older number was taken at " + event.name);
+                highest = std::max(highest, event.fence);
+            } else if (event.what == RigEvent::What::kBack) {
+                if (event.detail == std::to_string(static_cast<int>(HallMachine::Is::kDraining)))
+                    draining.insert(event.name);
+                if (event.detail == std::to_string(static_cast<int>(HallMachine::Is::kServing))) {
+                    draining.erase(event.name);
+                    std::erase_if(told, [&](auto& held) { return held.first.second == event.name; });
+                }
+            } else if (event.what == RigEvent::What::kListTold) {
+                for (const std::string& name : draining) told.try_emplace({event.front, name}, event.at);
+            }
+        }
+    }
+    // One holder a number, one order of states a machine, on every front node that wrote of it.
+    std::map<std::string, std::string> holders;
+    for (int i = 0; i < plan_.fronts; ++i) {
+        std::istringstream lines(log_of(i));
+        for (std::string line; std::getline(lines, line);) {
+            const std::size_t turn = line.find(" turn machine=\"");
+            if (turn == std::string::npos) continue;
+            const auto field = [&](const char* name) {
+                const std::string key = std::string(" ") + name + "=\"";
+                const std::size_t at = line.find(key, turn);
+                if (at == std::string::npos) return std::string();
+                return line.substr(at + key.size(), line.find('"', at + key.size()) - at - key.size());
+            };
+            const std::string holder = field("holder"), key = field("machine") + "#" + field("fence");
+            if (holder == "-" || holder.empty()) continue;
+            const auto [place, fresh] = holders.emplace(key, holder);
+            if (!fresh && place->second != holder)
+                wrong.push_back("two holders of " + key + ": " + place->second + " and " + holder);
+        }
+    }
+    return wrong;
+}
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/src/lab/rig.hpp
@@ -0,0 +1,173 @@
+// Several processes of the program with faults between them: front nodes as they are served (`ivyrill serve`),
+// round them index servers, discovery, keepers and the links between any two, played in one thread on loopback.
+// Every link can be cut, one way or both, lose, double and delay; processes can be stalled, killed and started
+// with their disk or without. What servers, keepers and clients saw goes into one history, by one clock, and is
+// judged afterwards.
+#pragma once
+#include "lab/evening_world.hpp"
+#include "protocol/frames.hpp"
+#include "protocol/http.hpp"
+#include "transport/stream.hpp"
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <sys/types.h>
+#include <thread>
+
+namespace ivyrill::lab {
+
+struct RigPlan {
+    std::string program; // the path of `ivyrill`
+    int fronts = 5, candidates = 5, servers = 12, shards = 6, zones = 3, replicas = 3;
+    std::size_t council = 3;
+    Tenths work = kTenthsPerSecond / 2;
+    std::string more; // lines behind the operator's file
+    bool with_rota = true;
+    int stated_nodes = 0; // what the settings say of the front nodes' number; 0: as many as there are
+};
+
+// What was seen; `at` by the rig's own clock.
+struct RigEvent {
+    enum class What { kLaunch, kAct, kRefusedAct, kListTold, kOut, kBack, kFault } what;
+    Tenths at = 0;
+    int front = -1;
+    std::string name, detail; // a part's id or a machine; a product, an act or a state
+    std::uint64_t fence = 0;
+};
+
+struct SearchCounts {
+    std::uint64_t asked = 0, delivered = 0, pushed_back = 0, scrapped = 0, broken = 0; // the last: no whole answer
+    std::uint64_t lost = 0; // not answered in time by one that was there all along
+    double payoff = 0, most_payoff = 0;
+};
+
+class Rig {
+  public:
+    explicit Rig(const RigPlan& plan);
+    ~Rig();
+    Rig(const Rig&) = delete;
+    Rig& operator=(const Rig&) = delete;
+
+    // Processes. Each waits until it has come to that, with a bound.
+    void start(int front);
+    bool ready(int front, int patience_ms = 10'000) const; // it serves
+    void kill(int front);                                  // SIGKILL
+    void stall(int front, bool on);                        // SIGSTOP, SIGCONT
+    void lose_disk(int front);
+    void keep_copy(int front);
+    void put_back_copy(int front);
+    bool running(int front) const;
+
+    // Links, by front node; -1 stands for all index servers, discovery and keepers.
+    void cut(const std::set<int>& one_side, bool both_ways = true);
+    void cut_from_world(int front, bool on); // its index servers, discovery and keeper fall silent
+    void lose(double share, double doubled, Tenths most_delay);
+    void heal();
+
+    void with_machine(const std::string& name, const std::function<void(HallMachine&)>& change);
+    bool await(const std::function<bool()>& holds, int patience_ms = 20'000) const;
+
+    // Operators: the program's own command line against a running front node.
+    std::pair<int, std::string> work(int front, const std::vector<std::string>& words, const std::string& request = {}) const;
+    nlohmann::json show(int front) const; // null where it does not answer
+    bool evening_over(int front) const;
+
+    // Clients, until `stop_clients`.
+    void start_clients(int threads, int a_second);
+    SearchCounts stop_clients();
+    SearchCounts counts() const;
+
+    std::vector<RigEvent> history() const;
+    std::vector<std::string> judge() const; // broken promises, in words
+    std::size_t turns_done() const;
+    std::uint64_t doubled_launches() const;
+    std::string log_of(int front) const;
+    std::string folder() const { return folder_; }
+    Tenths now() const { return loop_.now(); }
+    int faults() const { return faults_; }
+    Tenths under_floor() const { return under_floor_; }
+
+  private:
+    struct Peer {
+        Peer(transport::Loop& loop, int descriptor, int front, int target);
+        int front, target; // server's number; -1 discovery, -2 keeper
+        transport::Stream stream;
+        protocol::FrameParser frames;
+        protocol::HttpParser requests{protocol::HttpParser::Side::kRequests};
+        std::string line;
+        std::int64_t watch_after = -1;
+        Tenths watch_until = 0;
+        bool over = false;
+        transport::Task task;
+    };
+    struct Door {
+        int front, target;
+        std::string address;
+        std::unique_ptr<transport::Source> source;
+        transport::Task task;
+    };
+    struct Front {
+        std::string listen, told, bound; // the members' address as others know it, and as it is
+        std::unique_ptr<transport::Source> relay;
+        transport::Task relaying;
+        pid_t process = -1;
+        bool stalled = false, wanted = true;
+        int starts = 0;
+    };
+    struct Later {
+        Tenths at;
+        std::uint64_t order;
+        int to;
+        std::string bytes;
+        bool operator>(const Later& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
+    };
+    void run();
+    transport::Task accept(Door& door);
+    transport::Task serve(Peer& peer);
+    transport::Task relay(int front);
+    void take(Peer& peer, const protocol::Frame& frame);
+    void take_line(Peer& peer);
+    void answer_watches();
+    std::string list_for(int front, std::int64_t after) const;
+    void open_doors(int target, bool on);
+    void pass_machines();
+    void client(int number, int a_second);
+    void write_files(int front) const;
+    void spawn(int front, bool rebooted);
+    bool cut_now(int from, int to) const;
+    void note(RigEvent event);
+    std::string file(const std::string& name) const { return folder_ + "/" + name; }
+
+    RigPlan plan_;
+    std::string folder_;
+    mutable std::mutex mutex_; // for all that follows but the loop's own
+    transport::Loop loop_;
+    std::list<Door> doors_;
+    std::vector<std::unique_ptr<Peer>> peers_;
+    std::vector<Front> fronts_;
+    std::map<std::string, HallMachine> machines_;
+    std::map<std::string, HallMachine::Is> seen_;
+    std::map<std::string, std::int64_t> changed_; // the version in which a server's entry changed last
+    std::map<std::string, Tenths> born_;
+    std::int64_t version_ = 1;
+    std::set<std::pair<int, int>> cuts_;
+    std::set<int> cut_from_world_;
+    double loss_ = 0, doubled_ = 0;
+    Tenths most_delay_ = 0;
+    std::priority_queue<Later, std::vector<Later>, std::greater<>> later_;
+    std::uint64_t order_ = 0;
+    Pcg chance_{11};
+    std::vector<RigEvent> history_;
+    std::vector<std::string> broken_;
+    SearchCounts counts_;
+    Tenths under_floor_ = 0, passed_at_ = 0;
+    std::atomic<int> faults_ = 0;
+    std::atomic<bool> stop_ = false, stop_clients_ = false;
+    std::thread thread_;
+    std::vector<std::thread> clients_;
+    Tenths began_ = 0;
+};
+
+} // namespace ivyrill::lab
--- a/src/operator/orders.cpp
+++ b/src/operator/orders.cpp
@@ -115,7 +115,7 @@
 MemberOrders read_members(Fields fields) {
     MemberOrders made;
     made.address = fields.text("address"), made.secret = fields.text("secret");
-    made.peers = fields.texts("peers");
+    made.peers = fields.texts("peers"), made.bind = fields.text("bind", made.address);
     made.probe_gap = millis(fields.whole("probe_ms", 50, 60'000, 1000));
     fields.done();
     return made;
--- a/src/operator/orders.hpp
+++ b/src/operator/orders.hpp
@@ -38,7 +38,8 @@
 };
 
 struct MemberOrders { // front nodes that may talk to each other
-    std::string address; // where we hear the others
+    std::string address; // where the others reach us
+    std::string bind;    // where we hear them, the same unless something stands between
     std::vector<std::string> peers;
     std::string secret; // a file, 32 bytes or more, the same for all
     Tenths probe_gap = kTenthsPerSecond;
--- a/src/program/keepers.cpp
+++ b/src/program/keepers.cpp
@@ -108,6 +108,7 @@
         while (stream.unread()) stream.feed(taker);
         if (errand.heard.find('\n') == std::string::npos && !stream.ended()) co_await stream.changed;
     }
+    while (stream.unread()) stream.feed(taker); // the answer and the end came together
     errand.over = true;
 }
 
--- a/src/program/rota_side.cpp
+++ b/src/program/rota_side.cpp
@@ -34,7 +34,7 @@
 struct RotaSide::Inside {
     Inside(const operators::Orders& orders, const std::string& secret, protocol::NodeTerms node_terms,
            const std::string& name, std::uint64_t seed)
-        : terms(std::move(node_terms)), socket(loop, transport::bind_datagrams(orders.members->address)),
+        : terms(std::move(node_terms)), socket(loop, transport::bind_datagrams(orders.members->bind)),
           stirred(loop, eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), told_out(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
         rota::WardenTerms made;
         made.name = name, made.address = orders.members->address, made.secret = secret;
@@ -45,6 +45,7 @@
         if (orders.rota) {
             const operators::RotaOrders& rota = *orders.rota;
             work = rota.work;
+            if (const auto front = work.find("front"); front != work.end()) made.front_work = front->second;
             for (const auto& [who, where] : rota.candidates) made.candidates.push_back({who, where});
             made.council = rota.council, made.limits = rota.limits, made.spans = rota.spans;
             made.answers = rota.answers, made.heartbeat = rota.heartbeat, made.replace_after = rota.replace_after;
--- a/src/rota/council.cpp
+++ b/src/rota/council.cpp
@@ -491,6 +491,49 @@
     return made;
 }
 
+// What those before us agreed on becomes known to be so only with an entry of our own term behind it: until that
+// is applied, we know less than we think.
+void Council::begin_to_lead() {
+    leads_since_ = now_, current_ = false;
+    lead_index_ = extent().last_index;
+    struct Request {
+        struct raft_barrier barrier {};
+        Council* council = nullptr;
+        std::uint64_t term = 0;
+    };
+    auto* request = new Request{};
+    request->council = this, request->term = term(), request->barrier.data = request;
+    const int failed = ::raft_barrier(&raft_->machine, &request->barrier, [](struct raft_barrier* over, int status) {
+        const std::unique_ptr<Request> own(static_cast<Request*>(over->data));
+        if (status == 0 && own->council->term() == own->term) own->council->current_ = true;
+    });
+    if (failed != 0) {
+        delete request;
+        led_ = false; // tried again at the next step
+    }
+    run_later();
+}
+
+// While we lead, what has been added since is promised by those alone who told us that they have it.
+Council::Extent Council::extent_for(const std::string& voter) const {
+    Extent made = extent();
+    if (!leads() || !led_) return made;
+    const auto ack = acked_.find(voter);
+    std::uint64_t index = lead_index_;
+    if (ack != acked_.end() && ack->second.term == made.term) index = std::max(index, ack->second.index);
+    if (index >= made.last_index) return made;
+    const raft_log& log = raft_->machine.log;
+    const std::size_t count = log.front <= log.back ? log.back - log.front : log.size - log.front + log.back;
+    if (index <= log.offset || index > log.offset + count) {
+        made.last_index = std::max<std::uint64_t>(index, log.snapshot.last_index);
+        made.last_term = log.snapshot.last_term;
+        return made;
+    }
+    made.last_index = index;
+    made.last_term = log.entries[(log.front + (index - log.offset - 1)) % log.size].term;
+    return made;
+}
+
 void Council::note_voters() {
     if (!raft_ || !raft_->started || raft_->failed) return;
     const std::set<std::string> names = voters();
@@ -523,8 +566,8 @@
         run_later();
     }
     if (leads()) heard_leader_at_ = now_;
-    if (leads() && !std::exchange(led_, true)) leads_since_ = now_;
-    if (!leads()) led_ = false;
+    if (leads() && !std::exchange(led_, true)) begin_to_lead();
+    if (!leads()) led_ = current_ = false;
 }
 
 Tenths Council::next() const {
@@ -551,6 +594,14 @@
     return name == nullptr ? "" : name;
 }
 
+bool Council::votes_here() const {
+    if (!raft_ || !raft_->started) return false;
+    const raft_configuration& all = raft_->machine.configuration;
+    for (unsigned i = 0; i < all.n; ++i)
+        if (all.servers[i].id == raft_->id) return all.servers[i].role == RAFT_VOTER;
+    return false;
+}
+
 std::set<std::string> Council::voters() const {
     std::set<std::string> names;
     if (raft_ && raft_->started)
@@ -687,7 +738,7 @@
         }
     } catch (const LedgerError&) { return; }
     const Ack ack = acked_[from];
-    const Extent own = extent();
+    const Extent own = extent_for(from);
     letters_.push_back(
         {from, words::pack({kRollAnswer, life.mark, known.number, known.mark, known.seat, ack.term, ack.index,
                             own.term, own.last_term, own.last_index})});
--- a/src/rota/council.hpp
+++ b/src/rota/council.hpp
@@ -54,6 +54,7 @@
     CouncilPhase phase() const;
     bool leads() const;
     std::string leader() const;             // as far as it is known; empty: nobody
+    bool votes_here() const;                // we have a seat, as far as our log goes
     std::set<std::string> voters() const;   // of the log's latest word on it
     // False: not by us, or not now. `done` hears whether it was agreed on, once that is known.
     bool propose(const Command& command, std::function<void(bool)> done = {});
@@ -63,6 +64,8 @@
     bool remove(const std::string& name);
     bool changing() const;
     std::string trouble() const; // the library's latest, for the log
+    // We lead, and what those before us agreed on has all been applied here.
+    bool current() const { return leads() && current_; }
     Tenths leads_since() const { return leads_since_; }
     // Commands as they are applied, with what came of them.
     std::function<void(const Command&, const Verdict&)> on_applied;
@@ -93,6 +96,8 @@
         std::uint64_t term = 0, index = 0;
     };
     Extent extent() const; // of our log
+    Extent extent_for(const std::string& voter) const; // as far as that one may have promised it
+    void begin_to_lead();
     void answer_roll(const std::string& from, Life life, const Extent& extent);
     void hear_roll(const std::string& from, Life known, Ack remembered, const Extent& theirs);
     void disown(std::uint64_t known_life);
@@ -103,7 +108,8 @@
     Ledger& ledger_;
     Pcg chance_;
     Tenths now_, tick_at_ = 0, heard_leader_at_ = 0, roll_at_ = 0, open_at_ = 0, leads_since_ = 0, transfer_at_ = 0;
-    bool led_ = false;
+    bool led_ = false, current_ = false;
+    std::uint64_t lead_index_ = 0; // of the log when we began to lead
     Life life_;
     bool fresh_ = false, proven_ = false; // the ledger is new, or vouched for
     bool disowned_ = false;
--- a/src/rota/evening.cpp
+++ b/src/rota/evening.cpp
@@ -264,6 +264,7 @@
     if (!may_follow(turn->state, command.to)) return refused("it is not there");
     turn->state = command.to;
     if (!command.why.empty()) turn->why = command.why;
+    turn->recalled = turn->recalled || command.undone;
     if (command.to == TurnState::kProposed) {
         ++turn->setbacks, turn->holder.clear();
         if (turn->withdrawn) turn->state = TurnState::kGivenUp;
--- a/src/rota/hand.cpp
+++ b/src/rota/hand.cpp
@@ -135,8 +135,10 @@
             return answer(now, terms_.answers.drain_late, turn, task, "it does not drain", evening, out);
         return act(now, turn.machine, task, Act::kLook, out);
     case TurnState::kOut:
-        if (undo || kept == Kept::kWorked || kept == Kept::kServing || kept == Kept::kStarting)
+        if (undo || kept == Kept::kWorked)
             return move(now, turn, task, TurnState::kReturning, undo ? turn.why : "its work is done", out);
+        if (kept == Kept::kServing || kept == Kept::kStarting) // somebody brought it back
+            return move(now, turn, task, TurnState::kReturning, "it came back by itself", out);
         if (kept == Kept::kBroken)
             return answer(now, terms_.answers.broken, turn, task, "it broke during its work", evening, out);
         if (waited > terms_.spans.work)
@@ -203,7 +205,8 @@
 void Hand::move(Tenths now, const Turn& turn, Task& task, TurnState to, std::string why, HandOut& out) {
     if (now < task.move_at) return;
     task.move_at = task.act_at = now + terms_.spans.act / kLooks; // said again until it is agreed on
-    out.commands.emplace_back(Move{turn.machine, turn.fence, to, std::move(why)});
+    const bool undone = to == TurnState::kReturning && task.kept != Kept::kWorked;
+    out.commands.emplace_back(Move{turn.machine, turn.fence, to, std::move(why), undone});
 }
 
 void Hand::hear(Tenths now, std::uint64_t serial, const std::string& machine, Kept kept) {
--- a/src/rota/types.hpp
+++ b/src/rota/types.hpp
@@ -102,6 +102,7 @@
     Fence fence;
     TurnState to = TurnState::kDraining;
     std::string why;
+    bool undone = false; // to kReturning: its work was not done, it comes again
 };
 struct Lapse { // the holder has not said a word for longer than its grant lasts
     std::string machine;
--- a/src/rota/warden.cpp
+++ b/src/rota/warden.cpp
@@ -73,10 +73,13 @@
     act_next_ = now;
 }
 
-const Evening& Warden::evening() const { return council_ ? council_->evening() : view_; }
+// A candidate without a seat is told, as everybody else is.
+bool Warden::seated() const { return council_ && council_->votes_here(); }
+
+const Evening& Warden::evening() const { return seated() ? council_->evening() : view_; }
 
 Tenths Warden::view_age(Tenths now) const {
-    const Tenths at = council_ ? council_->heard_leader_at() : view_at_;
+    const Tenths at = seated() ? council_->heard_leader_at() : view_at_;
     return at == 0 ? now : now - at;
 }
 
@@ -86,7 +89,7 @@
     return now_ > since + kUnledGrants * terms_.spans.grant;
 }
 
-std::string Warden::leader() const { return council_ ? council_->leader() : view_leader_; }
+std::string Warden::leader() const { return seated() ? council_->leader() : view_leader_; }
 
 const std::string* Warden::address_of(const std::string& name) const {
     if (const std::string* known = roster_.address_of(name)) return known;
@@ -133,7 +136,7 @@
     case ParcelKind::kPropose: return take_propose(parcel);
     case ParcelKind::kVerdict: return take_verdict(parcel);
     case ParcelKind::kViewAsked:
-        if (council_) tell_view(parcel.address);
+        if (seated()) tell_view(parcel.address);
         return;
     case ParcelKind::kView: return take_view(parcel);
     case ParcelKind::kAsk: return take_ask(parcel);
@@ -199,8 +202,8 @@
     if (to == terms_.name || hops >= kMostHops) return;
     if (to.empty()) { // a voter may know
         std::vector<std::string> voters(view_voters_.begin(), view_voters_.end());
-        if (council_ || voters.empty()) {
-            if (council_) return;
+        if (seated()) return;
+        if (voters.empty()) {
             for (const Candidate& candidate : terms_.candidates) voters.push_back(candidate.name);
         }
         if (voters.empty()) return;
@@ -274,12 +277,11 @@
         if (now_ >= council_->next()) council_->step(now_);
         lead();
         post_letters();
-    } else if (!terms_.candidates.empty() && now_ >= ask_view_at_) {
-        ask_for_view();
     }
+    if (!terms_.candidates.empty() && !seated() && now_ >= ask_view_at_) ask_for_view();
     if (!terms_.candidates.empty() && now_ >= act_next_) {
         HandOut out = hand_.carry(now_, evening(), outlook());
-        if (council_ && unled()) {
+        if (seated() && unled()) {
             if (now_ >= perhaps_at_) perhaps_ = council_->perhaps(), perhaps_at_ = now_ + terms_.spans.grant;
             auto acts = hand_.foster(now_, perhaps_);
             out.acts.insert(out.acts.end(), acts.begin(), acts.end());
@@ -294,7 +296,7 @@
         }
         for (const std::string& call : out.calls) say("call", {{"why", call}}, true);
         act_next_ = hand_.next(now_);
-        if (council_ && unled()) act_next_ = std::min(act_next_, now_ + terms_.spans.act);
+        if (seated() && unled()) act_next_ = std::min(act_next_, now_ + terms_.spans.act);
     }
     for (auto next = waiting_.begin(); next != waiting_.end();) {
         auto& [request, asked] = *next;
@@ -320,7 +322,7 @@
     if (!terms_.candidates.empty()) first = std::min(first, act_next_);
     if (council_) first = std::min(first, council_->next());
     if (council_ && council_->leads() && outstanding_ == 0) first = std::min(first, lead_at_);
-    if (!council_ && !terms_.candidates.empty()) first = std::min(first, ask_view_at_);
+    if (!seated() && !terms_.candidates.empty()) first = std::min(first, ask_view_at_);
     for (const auto& [request, asked] : waiting_) first = std::min(first, asked.again_at);
     return std::max(first, now_ + 1);
 }
@@ -329,11 +331,11 @@
     Outlook seen;
     seen.self = terms_.name, seen.wall = wall_, seen.strain = strain_;
     seen.machines = servers_;
-    seen.voters = council_ ? council_->voters() : view_voters_;
+    seen.voters = seated() ? council_->voters() : view_voters_;
     const auto front = [&](const std::string& name, bool there) {
         MachineSeen machine;
         machine.facts.name = name, machine.facts.front_node = true;
-        machine.facts.work = terms_.spans.back;
+        machine.facts.work = terms_.front_work;
         machine.health = there ? Health::kWarm : Health::kGone;
         seen.machines[name] = std::move(machine);
         if (!there) seen.absent.insert(name);
@@ -378,7 +380,7 @@
         led_ = false, proposed_for_.clear();
         return;
     }
-    if (outstanding_ > 0 || now_ < lead_at_) return; // what was proposed last is still on its way
+    if (!council_->current() || outstanding_ > 0 || now_ < lead_at_) return; // what was proposed last is still on its way
     lead_at_ = now_ + terms_.heartbeat / 2;
     const Outlook seen = outlook();
     const Wanted wanted = steward_.want(now_, council_->leads_since(), evening(), seen);
@@ -481,7 +483,7 @@
 }
 
 void Warden::take_view(const Parcel& parcel) {
-    if (council_) return;
+    if (seated()) return;
     try {
         const Json row = Json::from_cbor(parcel.bytes.begin(), parcel.bytes.end());
         const auto& bytes = row.at(4).get_binary();
--- a/src/rota/warden.hpp
+++ b/src/rota/warden.hpp
@@ -30,6 +30,7 @@
     Tenths probe_gap = kTenthsPerSecond;
     Tenths heartbeat = kTenthsPerSecond / 10;
     Tenths replace_after = 60 * kTenthsPerSecond; // a voter gone for so long gives its seat to another
+    Tenths front_work = 60 * kTenthsPerSecond; // of a front node, for the plan
     std::uint64_t seed = 0;
     std::uint64_t incarnation = 1;
     double most_datagrams = 20'000; // a second; what comes beyond is dropped unread
@@ -112,6 +113,7 @@
     void say(std::string what, std::vector<std::pair<std::string, std::string>> fields, bool loud = false);
     const std::string* address_of(const std::string& name) const;
     std::string leader() const;
+    bool seated() const;
     bool unled() const;
 
     WardenTerms terms_;
--- a/src/rota/words.cpp
+++ b/src/rota/words.cpp
@@ -106,7 +106,7 @@
 }
 Json row_of(const Take& c) { return Json::array({c.machine, c.holder, c.fence.value, c.stamp}); }
 Json row_of(const Move& c) {
-    return Json::array({c.machine, c.fence.value, static_cast<int>(c.to), c.why});
+    return Json::array({c.machine, c.fence.value, static_cast<int>(c.to), c.why, c.undone});
 }
 Json row_of(const Lapse& c) { return Json::array({c.machine, c.fence.value}); }
 Json row_of(const Recall& c) { return Json::array({c.machine, c.fence.value, c.why}); }
@@ -140,7 +140,8 @@
     case 8: {
         const std::uint64_t to = count_in(row.at(2));
         if (to > static_cast<std::uint64_t>(TurnState::kGivenUp)) throw std::out_of_range("no state");
-        return Move{text_in(row.at(0)), fence(1), static_cast<TurnState>(to), text_in(row.at(3))};
+        return Move{text_in(row.at(0)), fence(1), static_cast<TurnState>(to), text_in(row.at(3)),
+                    row.at(4).get<bool>()};
     }
     case 9: return Lapse{text_in(row.at(0)), fence(1)};
     case 10: return Recall{text_in(row.at(0)), fence(1), text_in(row.at(2))};
