--- a/src/lab/evening_world.cpp
+++ b/src/lab/evening_world.cpp
@@ -121,7 +121,7 @@
     tell("start " + front.name + (disk == Disk::kLost ? " without its disk" : disk == Disk::kOld ? " with an old disk" : ""));
     if (front.ledger && disk == Disk::kLost) *front.ledger = {};
     if (front.ledger && disk == Disk::kOld && copies_.contains(i)) *front.ledger = copies_.at(i);
-    if (front.ledger) front.ledger->witnessed = disk == Disk::kKept;
+    if (front.ledger && disk != Disk::kKept) front.ledger->witnessed = false;
     WardenTerms terms;
     terms.name = front.name, terms.address = front.address, terms.secret = kSecret;
     for (int c = 0; c < plan_.candidates; ++c) terms.candidates.push_back({name_of(c), fronts_[c].address});
@@ -199,6 +199,14 @@
     machine.back_broken = machine.never_back = machine.never_drains = false;
 }
 
+void EveningWorld::bring_back_fronts() {
+    for (auto& [name, machine] : machines_) {
+        if (!machine.facts.front_node || machine.serves()) continue;
+        tell("the operator brings back " + name);
+        machine.is = HallMachine::Is::kStarting, machine.since = now_;
+    }
+}
+
 void EveningWorld::tell_list(int i) {
     Front& front = fronts_[i];
     if (!front.warden || now_ < front.list_at) return;
@@ -593,8 +601,13 @@
     world.heal();
     // Whatever stopped the evening is over: the operator lets it go on, and it ends.
     int nth = 0;
+    Tenths led_at = world.now();
     const bool over = world.until(
         [&] {
+            if (world.leader() >= 0) led_at = world.now();
+            // Of three voters one is out and one has lost its disk: nobody may know any more that the first is
+            // out, and the operator brings it back by hand.
+            if (world.now() > led_at + 60 * kTenthsPerSecond) world.bring_back_fronts(), led_at = world.now();
             if (world.evening().held() && world.leader() >= 0)
                 world.ask(world.leader(), {{"request", "resume" + std::to_string(++nth)}, {"verb", "resume"}});
             if (world.evening().turns().empty() && world.leader() >= 0)
--- a/src/lab/evening_world.hpp
+++ b/src/lab/evening_world.hpp
@@ -81,6 +81,7 @@
     void cut(std::set<int> one_side, bool both_ways = true); // from all others
     void heal();
     void kill_machine(const std::string& name);
+    void bring_back_fronts(); // by hand
     void revive_machine(const std::string& name);
     HallMachine& machine(const std::string& name) { return machines_.at(name); }
     std::function<bool(int, int)> drops; // a link at this moment, beside the cuts
--- a/src/rota/council.cpp
+++ b/src/rota/council.cpp
@@ -405,7 +405,7 @@
             if (kept.snapshot) kept_.last_term = kept.snapshot->term, kept_.last_index = kept.snapshot->index;
             if (!kept.entries.empty())
                 kept_.last_term = kept.entries.back().term, kept_.last_index = kept.first + kept.entries.size() - 1;
-            rolled_.clear(), least_ = {}, roll_at_ = now_;
+            rolled_.clear(), told_.clear(), least_ = {}, roll_at_ = now_;
         }
         if (!rolled()) return;
         const LedgerKept kept = ledger_.load();
@@ -560,6 +560,9 @@
     if (life_.number != 0 && now_ >= roll_at_) call_roll();
     if (rolled() && !raft_ && now_ >= open_at_) open();
     note_voters();
+    // Only a ledger that holds all that others had when we started may vouch for itself at the next.
+    if (raft_ && raft_->started && !raft_->failed && !vouched_ && !extent().shorter_than(least_))
+        vouched_ = true, ledger_.vouch();
     if (raft_ && raft_->started && !raft_->failed && now_ >= tick_at_) {
         tick_at_ = now_ + std::max<Tenths>(1, terms_.heartbeat / 2);
         raft_->tick(&raft_->io);
@@ -733,7 +736,9 @@
     try {
         if (life.number > known.number) {
             ledger_.remember(from, life); // before it is answered
-            if (life.seat != known.seat) acked_.erase(from);
+            // Its ledger is lost. What only it held can be had from nobody, and is not waited for: agreement
+            // rests on it that no more than a minority loses theirs.
+            if (life.seat != known.seat) acked_.erase(from), told_.erase(from), weigh_told();
             known = life;
         }
     } catch (const LedgerError&) { return; }
@@ -757,9 +762,17 @@
         return disown(life_.number);
     rolled_.insert(from);
     if (proven_) return;
-    least_.term = std::max(least_.term, theirs.term);
-    if (least_.shorter_than(theirs))
-        least_.last_term = theirs.last_term, least_.last_index = theirs.last_index;
+    told_[from] = theirs;
+    weigh_told();
+}
+
+void Council::weigh_told() {
+    least_ = {};
+    for (const auto& [name, theirs] : told_) {
+        least_.term = std::max(least_.term, theirs.term);
+        if (least_.shorter_than(theirs))
+            least_.last_term = theirs.last_term, least_.last_index = theirs.last_index;
+    }
 }
 
 void Council::disown(std::uint64_t known_life) {
@@ -769,8 +782,8 @@
         const Life life{known_life + 1, chance_.next() | std::uint64_t{chance_.next()} << 32U, known_life + 1};
         ledger_.clear();
         ledger_.set_life(life);
-        life_ = life, fresh_ = false, evening_ = {}, kept_ = {};
-        rolled_.clear(), least_ = {};
+        life_ = life, fresh_ = vouched_ = false, evening_ = {}, kept_ = {};
+        rolled_.clear(), told_.clear(), least_ = {};
         roll_at_ = now_;
     } catch (const LedgerError&) {
         life_ = {};
--- a/src/rota/council.hpp
+++ b/src/rota/council.hpp
@@ -100,6 +100,7 @@
     void begin_to_lead();
     void answer_roll(const std::string& from, Life life, const Extent& extent);
     void hear_roll(const std::string& from, Life known, Ack remembered, const Extent& theirs);
+    void weigh_told();
     void disown(std::uint64_t known_life);
     bool rolled() const; // enough have answered
     void note_voters();
@@ -112,11 +113,12 @@
     std::uint64_t lead_index_ = 0; // of the log when we began to lead
     Life life_;
     bool fresh_ = false, proven_ = false; // the ledger is new, or vouched for
-    bool disowned_ = false;
+    bool disowned_ = false, vouched_ = false;
     std::set<std::string> rolled_; // who have written our life down
     std::vector<std::string> voters_noted_;
     Extent kept_;                       // of the ledger at this start
-    Extent least_;                      // the furthest of the others' logs and terms, as the roll told
+    std::map<std::string, Extent> told_; // the others' logs and terms, as the roll told
+    Extent least_;                       // the furthest of those
     std::map<std::string, Ack> acked_;
     std::map<std::string, Life> lives_;
     std::vector<Letter> letters_;
--- a/src/rota/ledger.hpp
+++ b/src/rota/ledger.hpp
@@ -53,6 +53,7 @@
 
     // Something beside the disk, that a restart of the process outlives, says that this is all that was written.
     virtual bool proven() const = 0;
+    virtual void vouch() = 0; // from here on: others have confirmed that nothing is missing from it
     virtual Life life() = 0;
     virtual void set_life(Life life) = 0;
     virtual std::vector<std::string> voters() = 0; // as last known here; empty: never
@@ -104,6 +105,7 @@
         kept_ = {}, voters_.clear();
     }
     bool proven() const override { return witnessed; }
+    void vouch() override { witnessed = true; }
     Life life() override { return life_; }
     void set_life(Life life) override {
         write();
--- a/src/store/sqlite_ledger.cpp
+++ b/src/store/sqlite_ledger.cpp
@@ -92,7 +92,14 @@
     if (witness_.empty()) return;
     std::ifstream beside(witness_);
     std::uint64_t told = 0;
-    proven_ = writes_ > 0 && beside >> told && told == writes_;
+    proven_ = vouched_ = writes_ > 0 && beside >> told && told == writes_;
+    // One that was put back is not to vouch for itself by what it writes from now on.
+    if (!proven_) unlink(witness_.c_str());
+}
+
+void SqliteLedger::vouch() {
+    vouched_ = true;
+    bear_witness();
 }
 
 SqliteLedger::~SqliteLedger() { sqlite3_close(base_); }
@@ -116,11 +123,11 @@
         throw;
     }
     ++writes_;
-    vouch();
+    if (vouched_) bear_witness();
 }
 
 // Written in place: a crash between the ledger's word and this one leaves them apart, and nothing is proven.
-void SqliteLedger::vouch() const {
+void SqliteLedger::bear_witness() const {
     if (witness_.empty()) return;
     const int file = open(witness_.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
     if (file < 0) return;
--- a/src/store/sqlite_ledger.hpp
+++ b/src/store/sqlite_ledger.hpp
@@ -30,6 +30,7 @@
     void put_snapshot(const rota::SnapshotKept& snapshot, std::uint64_t trailing) override;
     void clear() override;
     bool proven() const override { return proven_; }
+    void vouch() override;
     rota::Life life() override;
     void set_life(rota::Life life) override;
     std::vector<std::string> voters() override;
@@ -47,12 +48,12 @@
     void run(const char* words);
     std::uint64_t number(const char* name);
     void set_number(const char* name, std::uint64_t value);
-    void vouch() const;
+    void bear_witness() const;
 
     sqlite3* base_ = nullptr;
     std::string witness_;
     std::uint64_t writes_ = 0;
-    bool proven_ = false;
+    bool proven_ = false, vouched_ = false;
 };
 
 } // namespace ivyrill::store
