--- a/src/lab/evening_world.cpp
+++ b/src/lab/evening_world.cpp
@@ -64,7 +64,8 @@
 
 // ---- the world
 
-EveningWorld::EveningWorld(const WorldPlan& plan) : plan_(plan), chance_(plan.seed), seal_(kSecret) {
+EveningWorld::EveningWorld(const WorldPlan& plan, Planted planted)
+    : plan_(plan), planted_(std::move(planted)), chance_(plan.seed), seal_(kSecret) {
     operator_ = std::make_unique<Parcels>("operator", "operator", seal_, 1);
     for (int i = 0; i < plan.servers; ++i) {
         HallMachine made;
@@ -84,13 +85,15 @@
         front.name = name_of(i), front.address = "10.0.0." + std::to_string(i) + ":7";
         front.rate = 1 + plan.clock_error * (2 * chance_.unit() - 1);
         front.offset = static_cast<Tenths>(chance_.unit() * 1000 * kTenthsPerSecond);
-        if (i < plan.candidates) front.ledger = std::make_shared<LedgerInMemory>();
+        if (i < plan.candidates)
+            front.ledger = planted_.ledger ? planted_.ledger() : std::make_shared<LedgerInMemory>();
         fronts_.push_back(std::move(front));
         HallMachine made; // front nodes are machines too
         made.facts.name = name_of(i), made.facts.front_node = true;
         made.drains_for = plan.work / 8, made.starts_for = plan.work / 8, made.works_for = plan.work;
         machines_[name_of(i)] = made;
     }
+    for (auto& [name, machine] : machines_) machine.checks_fence = !planted_.careless_keepers;
     dues_.resize(fronts_.size());
     for (int i = 0; i < plan.fronts; ++i) start(i);
     story_.clear();
@@ -119,8 +122,8 @@
     Front& front = fronts_[i];
     if (front.warden) return;
     tell("start " + front.name + (disk == Disk::kLost ? " without its disk" : disk == Disk::kOld ? " with an old disk" : ""));
-    if (front.ledger && disk == Disk::kLost) *front.ledger = {};
-    if (front.ledger && disk == Disk::kOld && copies_.contains(i)) *front.ledger = copies_.at(i);
+    if (front.ledger && disk == Disk::kLost) front.ledger->become({});
+    if (front.ledger && disk == Disk::kOld && copies_.contains(i)) front.ledger->become(copies_.at(i));
     if (front.ledger && disk != Disk::kKept) front.ledger->witnessed = false;
     WardenTerms terms;
     terms.name = front.name, terms.address = front.address, terms.secret = kSecret;
@@ -131,6 +134,7 @@
     terms.seed = plan_.seed * 1000 + static_cast<std::uint64_t>(i) + 100 * ++front.starts;
     terms.incarnation = ++front.incarnation;
     terms.replace_after = 15 * kTenthsPerSecond, terms.front_work = plan_.work * 5 / 4;
+    if (planted_.terms) planted_.terms(i, terms);
     front.warden = std::make_unique<Warden>(terms, front.ledger.get(), clock_of(front), now_);
     front.warden->on_agreed = [this, i](const Command& command, const Verdict& verdict) {
         const Evening& state = fronts_[i].warden->council()->evening(); // seated or not, as it applies it
@@ -479,14 +483,8 @@
     return made;
 }
 
-ScheduleResult play(const Schedule& schedule) {
-    EveningWorld world(schedule.plan);
-    if (std::getenv("ROTA_LINES") != nullptr)
-        world.on_line = [&world](int i, const Line& line) {
-            std::string words = std::to_string(world.now() / 10) + "ms n" + std::to_string(i) + " " + line.what;
-            for (auto& [k, v] : line.fields) words += " " + k + "=" + v;
-            std::fprintf(stderr, "%s\n", words.c_str());
-        };
+ScheduleResult play(const Schedule& schedule, const Planted& planted) {
+    EveningWorld world(schedule.plan, planted);
     const int fronts = schedule.plan.fronts;
     world.until([&] { return world.leader() >= 0; }, 30 * kTenthsPerSecond);
     world.until([&] { return !world.evening().fleet().empty(); }, 30 * kTenthsPerSecond);
--- a/src/lab/evening_world.hpp
+++ b/src/lab/evening_world.hpp
@@ -54,6 +54,13 @@
                   turns_done = 0, crashes = 0;
 };
 
+// What a front node is given in place of what it should: faults that are planted.
+struct Planted {
+    std::function<void(int, rota::WardenTerms&)> terms;
+    std::function<std::shared_ptr<rota::LedgerInMemory>()> ledger;
+    bool careless_keepers = false; // older numbers are taken
+};
+
 class EveningWorld {
   public:
     struct Front {
@@ -66,7 +73,7 @@
         std::uint64_t incarnation = 0;
         bool failed = false; // it may be started again
     };
-    explicit EveningWorld(const WorldPlan& plan);
+    explicit EveningWorld(const WorldPlan& plan, Planted planted = {});
 
     void pass(Tenths span);
     // Passes until that holds, at most so long; whether it came to hold.
@@ -146,6 +153,7 @@
     void operator_hears(const std::string& bytes);
 
     WorldPlan plan_;
+    Planted planted_;
     Pcg chance_;
     Tenths now_ = 1000 * kTenthsPerSecond;
     std::uint64_t order_ = 0;
@@ -185,7 +193,7 @@
     Tenths length = 0, under_floor = 0;
     std::vector<Tenths> failovers;
 };
-ScheduleResult play(const Schedule& schedule);
+ScheduleResult play(const Schedule& schedule, const Planted& planted = {});
 // The fewest faults of it that still break something.
 Schedule shrink(const Schedule& schedule);
 
--- a/src/rota/ledger.hpp
+++ b/src/rota/ledger.hpp
@@ -121,10 +121,14 @@
         write();
         lives_[name] = life;
     }
+    void become(const LedgerInMemory& other) { // another disk in its place
+        kept_ = other.kept_, life_ = other.life_, voters_ = other.voters_, lives_ = other.lives_;
+        witnessed = other.witnessed;
+    }
     bool full = false; // nothing more can be written
     bool witnessed = false;
 
-  private:
+  protected:
     void write() const {
         if (full) throw LedgerError("the disk is full");
     }
