--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # Debian 12's clang cannot read the module's views together with GCC 12's library.
 TIDIED := $(filter-out src/brain.cpp,$(filter %.cpp,$(SOURCES)))
 
-.PHONY: build test sanitize lint format run clean measure fuzz
+.PHONY: build test sanitize lint format run clean measure fuzz rota-long
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -37,7 +37,12 @@
 	cmake --build $(BUILD) -j4 --target measure_$(NAME)
 	$(BUILD)/measure_$(NAME)
 
-# NAME=token, script, certificate, h2 or members; SECONDS=... or, for a fixed count of inputs, RUNS=...
+# The order of work for longer: ten times the schedules, five evenings of processes.
+rota-long: build
+	cmake --build $(BUILD) -j4 --target measure_rota
+	$(BUILD)/measure_rota --long
+
+# NAME=token, script, certificate, h2, members or parcels; SECONDS=... or, for a fixed count of inputs, RUNS=...
 FUZZED := build-fuzz
 SECONDS ?= 60
 fuzz:
--- a/src/lab/evening_world.cpp
+++ b/src/lab/evening_world.cpp
@@ -31,14 +31,22 @@
     }
     pass(now);
     switch (is) {
-    case Is::kServing: return Kept::kServing;
-    case Is::kDraining: return Kept::kDraining;
-    case Is::kDrained: return Kept::kDrained;
-    case Is::kWorking: return Kept::kWorking;
-    case Is::kWorked: return Kept::kWorked;
-    case Is::kStarting: return Kept::kStarting;
-    case Is::kBroken: return Kept::kBroken;
-    case Is::kDead: break;
+    case Is::kServing:
+        return Kept::kServing;
+    case Is::kDraining:
+        return Kept::kDraining;
+    case Is::kDrained:
+        return Kept::kDrained;
+    case Is::kWorking:
+        return Kept::kWorking;
+    case Is::kWorked:
+        return Kept::kWorked;
+    case Is::kStarting:
+        return Kept::kStarting;
+    case Is::kBroken:
+        return Kept::kBroken;
+    case Is::kDead:
+        break;
     }
     return Kept::kUnknown;
 }
@@ -55,10 +63,13 @@
 
 Health HallMachine::health(Tenths now) const {
     switch (is) {
-    case Is::kServing: return now >= warm_at ? Health::kWarm : Health::kCold;
+    case Is::kServing:
+        return now >= warm_at ? Health::kWarm : Health::kCold;
     case Is::kDraining:
-    case Is::kDrained: return Health::kDrains;
-    default: return Health::kGone;
+    case Is::kDrained:
+        return Health::kDrains;
+    default:
+        return Health::kGone;
     }
 }
 
@@ -121,7 +132,10 @@
 void EveningWorld::start(int i, Disk disk) {
     Front& front = fronts_[i];
     if (front.warden) return;
-    tell("start " + front.name + (disk == Disk::kLost ? " without its disk" : disk == Disk::kOld ? " with an old disk" : ""));
+    tell("start " + front.name +
+         (disk == Disk::kLost  ? " without its disk"
+          : disk == Disk::kOld ? " with an old disk"
+                               : ""));
     if (front.ledger && disk == Disk::kLost) front.ledger->become({});
     if (front.ledger && disk == Disk::kOld && copies_.contains(i)) front.ledger->become(copies_.at(i));
     if (front.ledger && disk != Disk::kKept) front.ledger->witnessed = false;
@@ -221,7 +235,8 @@
         Health health = machine.health(now_);
         if (plan_.list_age > 0) { // as it was some time ago
             auto& past = healths_[name];
-            const Tenths then = now_ - static_cast<Tenths>(chance_.unit() * static_cast<double>(plan_.list_age));
+            const Tenths then =
+                now_ - static_cast<Tenths>(chance_.unit() * static_cast<double>(plan_.list_age));
             for (const auto& [at, was] : past)
                 if (at <= then) health = was;
         }
@@ -248,10 +263,11 @@
             }
             const int copies = chance_.unit() < plan_.doubled ? 2 : 1;
             for (int c = 0; c < copies; ++c)
-                flights_.push({now_ + plan_.least_delay +
-                                   static_cast<Tenths>(chance_.unit() * static_cast<double>(
-                                                                            plan_.most_delay - plan_.least_delay)),
-                               ++order_, to, i, front.address, sent->bytes});
+                flights_.push(
+                    {now_ + plan_.least_delay +
+                         static_cast<Tenths>(chance_.unit() *
+                                             static_cast<double>(plan_.most_delay - plan_.least_delay)),
+                     ++order_, to, i, front.address, sent->bytes});
         } else if (const auto* line = std::get_if<Line>(&effect)) {
             if (on_line) on_line(i, *line);
         } else if (auto* act = std::get_if<KeeperAct>(&effect)) {
@@ -283,7 +299,8 @@
     const std::set<std::string>& voters = evening().voters();
     for (auto& [name, machine] : machines_) {
         machine.pass(now_);
-        const bool planned = machine.is == HallMachine::Is::kWorking || machine.is == HallMachine::Is::kWorked ||
+        const bool planned = machine.is == HallMachine::Is::kWorking ||
+                             machine.is == HallMachine::Is::kWorked ||
                              machine.is == HallMachine::Is::kStarting;
         for (const int shard : machine.facts.shards) sound[shard] += planned ? 0 : 1;
         voters_out += planned && voters.contains(name) ? 1 : 0;
@@ -307,7 +324,8 @@
     std::uint64_t term = 0;
     for (std::size_t i = 0; i < fronts_.size(); ++i) {
         const Front& front = fronts_[i];
-        if (!front.warden || front.warden->council() == nullptr || !front.warden->council()->leads()) continue;
+        if (!front.warden || front.warden->council() == nullptr || !front.warden->council()->leads())
+            continue;
         if (now_ < front.stalled_until) continue;
         if (best < 0 || front.warden->council()->term() > term)
             best = static_cast<int>(i), term = front.warden->council()->term();
@@ -346,20 +364,24 @@
             const Fence before = machine.highest;
             const HallMachine::Is was = machine.is;
             errand.kept = machine.act(now_, errand.act.act, errand.act.fence);
-            if (errand.kept == Kept::kRefused) ++counts_.refused_acts;
-            else ++counts_.accepted;
+            if (errand.kept == Kept::kRefused)
+                ++counts_.refused_acts;
+            else
+                ++counts_.accepted;
             if (errand.act.fence < before && machine.is != was)
                 fail("a stale act was accepted: " + std::string(word_of(errand.act.act)) + " of " +
                      errand.act.machine);
             if (machine.facts.front_node) { // its process goes and comes with it
                 const int own = std::stoi(errand.act.machine.substr(1));
                 if (machine.is == HallMachine::Is::kWorking && fronts_[own].warden) kill(own);
-                if (machine.is == HallMachine::Is::kStarting && was != machine.is) fronts_[own].failed = false;
+                if (machine.is == HallMachine::Is::kStarting && was != machine.is)
+                    fronts_[own].failed = false;
             }
             errand.answer = true;
             std::vector<Tenths> late{10};
             if (answers_as) late = answers_as(errand.act.machine);
-            for (const Tenths by : late) errand.at = now_ + by, errand.order = ++order_, errands_.push(errand);
+            for (const Tenths by : late)
+                errand.at = now_ + by, errand.order = ++order_, errands_.push(errand);
             continue;
         }
         if (!flights_.empty() && flight_at <= at && flight_at < end) {
@@ -389,7 +411,8 @@
             }
             if (!machine.facts.front_node || machine.is != HallMachine::Is::kServing) continue;
             const int own = std::stoi(name.substr(1));
-            if (!fronts_[own].warden && !fronts_[own].failed) start(own, Disk::kRebooted); // its machine is back
+            if (!fronts_[own].warden && !fronts_[own].failed)
+                start(own, Disk::kRebooted); // its machine is back
         }
         tell_list(turn);
         fronts_[turn].warden->step(clock_of(fronts_[turn]), now_);
@@ -430,9 +453,7 @@
     return names;
 }
 
-bool EveningWorld::all_over() const {
-    return !evening().turns().empty() && evening().open() == 0;
-}
+bool EveningWorld::all_over() const { return !evening().turns().empty() && evening().open() == 0; }
 
 nlohmann::json EveningWorld::ask(int i, nlohmann::json what) {
     what["wall"] = static_cast<std::uint64_t>(now_), what["by"] = "the operator";
@@ -534,7 +555,9 @@
             world.cut({a}, false);
             ends.push_back({over, [&] { world.heal(); }});
             break;
-        case 3: world.stall(a, fault.span); break;
+        case 3:
+            world.stall(a, fault.span);
+            break;
         case 4: // the leader, so that its turn goes to another before it wakes
             if (world.leader() >= 0) world.stall(world.leader(), fault.span);
             break;
@@ -552,13 +575,15 @@
             world.keep_copy(a);
             ends.push_back({over, [&world, a, b] {
                                 world.kill(a);
-                                world.start(a, b % 2 == 0 ? EveningWorld::Disk::kLost : EveningWorld::Disk::kOld);
+                                world.start(a, b % 2 == 0 ? EveningWorld::Disk::kLost
+                                                          : EveningWorld::Disk::kOld);
                             }});
             break;
         case 8: // all restarted, in one instant
             for (int i = 0; i < fronts; ++i) world.kill(i), world.front(i).failed = true;
             ends.push_back({world.now() + fault.span / 4, [&world, fronts] {
-                                for (int i = 0; i < fronts; ++i) world.front(i).failed = false, world.start(i);
+                                for (int i = 0; i < fronts; ++i)
+                                    world.front(i).failed = false, world.start(i);
                             }});
             break;
         case 9:
@@ -586,7 +611,9 @@
         }
         default:
             if (fault.b % 2 == 0) {
-                world.ask(a, {{"request", "w" + std::to_string(fault.at)}, {"verb", "withdraw"}, {"machine", machine}});
+                world.ask(a, {{"request", "w" + std::to_string(fault.at)},
+                              {"verb", "withdraw"},
+                              {"machine", machine}});
                 break;
             }
             ++held;
@@ -603,26 +630,31 @@
     const bool over = world.until(
         [&] {
             if (world.leader() >= 0) led_at = world.now();
-            // Of three voters one is out and one has lost its disk: nobody may know any more that the first is
-            // out, and the operator brings it back by hand.
+            // Of three voters one is out and one has lost its disk: nobody may know any more that the first
+            // is out, and the operator brings it back by hand.
             if (world.now() > led_at + 60 * kTenthsPerSecond) world.bring_back_fronts(), led_at = world.now();
             if (world.evening().held() && world.leader() >= 0)
-                world.ask(world.leader(), {{"request", "resume" + std::to_string(++nth)}, {"verb", "resume"}});
+                world.ask(world.leader(),
+                          {{"request", "resume" + std::to_string(++nth)}, {"verb", "resume"}});
             if (world.evening().turns().empty() && world.leader() >= 0)
                 world.order(world.leader(), ordered, "first"); // it was lost: the operator asks again
             return world.all_over();
         },
         400 * kTenthsPerSecond);
-    ScheduleResult result{world.broken(), world.story(), world.counts(),
-                          world.ended - world.began, world.under_floor(), world.failovers};
+    ScheduleResult result{world.broken(),      world.story(),  world.counts(), world.ended - world.began,
+                          world.under_floor(), world.failovers};
     result.counts.faults = extra.faults;
     if (!over) {
         std::string words = "the evening does not end:";
         for (const auto& [name, turn] : world.evening().turns())
             if (!is_over(turn.state))
-                words += " " + name + " " + word_of(turn.state) + " (" + turn.why + ", holder " + turn.holder + ")";
-        if (world.leader() < 0) words += ", nobody leads";
-        else words += ", waits: " + world.front(world.leader()).warden->answer({{"verb", "show"}}).value("waits_for", "");
+                words += " " + name + " " + word_of(turn.state) + " (" + turn.why + ", holder " +
+                         turn.holder + ")";
+        if (world.leader() < 0)
+            words += ", nobody leads";
+        else
+            words += ", waits: " +
+                     world.front(world.leader()).warden->answer({{"verb", "show"}}).value("waits_for", "");
         result.broken.push_back(words);
     }
     return result;
--- a/src/lab/evening_world.hpp
+++ b/src/lab/evening_world.hpp
@@ -1,6 +1,7 @@
 // Front nodes' wardens in virtual time, round them machines with their keepers, a network that loses, delays,
 // doubles and cuts as it is told, clocks that differ, stalls, crashes with and without their disks. Whatever
-// happens is checked as it happens; a broken promise is kept in words. From one seed all is the same each time.
+// happens is checked as it happens; a broken promise is kept in words. From one seed all is the same each
+// time.
 #pragma once
 #include "rota/warden.hpp"
 
@@ -36,9 +37,16 @@
     std::size_t council = 3;
     int servers = 8, shards = 4, replicas = 3, zones = 2;
     rota::Limits limits{2, 0.5, 0.5, 0.34, 0.34, 0};
-    rota::Spans spans{4 * kTenthsPerSecond,  20 * kTenthsPerSecond, 30 * kTenthsPerSecond,
-                      20 * kTenthsPerSecond, 20 * kTenthsPerSecond, kTenthsPerSecond,
-                      kTenthsPerSecond,      0.02,                  3, 0.05};
+    rota::Spans spans{4 * kTenthsPerSecond,
+                      20 * kTenthsPerSecond,
+                      30 * kTenthsPerSecond,
+                      20 * kTenthsPerSecond,
+                      20 * kTenthsPerSecond,
+                      kTenthsPerSecond,
+                      kTenthsPerSecond,
+                      0.02,
+                      3,
+                      0.05};
     rota::Answers answers;
     Tenths heartbeat = kTenthsPerSecond / 4;
     Tenths work = 4 * kTenthsPerSecond; // of each machine, mean
@@ -103,7 +111,7 @@
     std::map<std::string, std::pair<bool, std::string>> answers;
 
     // What is
-    int leader() const; // -1: none that a majority follows
+    int leader() const;                   // -1: none that a majority follows
     const rota::Evening& evening() const; // as the node knows it that has applied most
     bool all_over() const;                // every turn, and every machine serves again
     std::size_t count(rota::TurnState state) const;
--- a/src/lab/rig.cpp
+++ b/src/lab/rig.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdio>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -52,7 +53,8 @@
 std::string name_of(int front) { return "n" + std::to_string(front); }
 
 bool is_down(HallMachine::Is is) {
-    return is != HallMachine::Is::kServing && is != HallMachine::Is::kDraining && is != HallMachine::Is::kDrained;
+    return is != HallMachine::Is::kServing && is != HallMachine::Is::kDraining &&
+           is != HallMachine::Is::kDrained;
 }
 
 } // namespace
@@ -87,7 +89,8 @@
         made.facts.name = name_of(i), made.facts.front_node = true;
         made.works_for = plan.work, made.starts_for = 0, made.never_drains = true;
         machines_[name_of(i)] = made;
-        for (int target = kKeeper; target < plan.servers; ++target) doors_.push_back({i, target, "127.0.0.1:0", {}, {}});
+        for (int target = kKeeper; target < plan.servers; ++target)
+            doors_.push_back({i, target, "127.0.0.1:0", {}, {}});
     }
     for (int target = kKeeper; target < plan.servers; ++target) open_doors(target, true);
     for (int i = 0; i < plan.fronts; ++i) {
@@ -122,43 +125,71 @@
     nlohmann::json grades = nlohmann::json::array();
     const char* kinds[] = {"read_like", "non_idempotent", "idempotency_key"};
     for (std::size_t p = 0; p < kProducts.size(); ++p)
-        grades.push_back({{"Name", kProducts[p]}, {"AimUs", kDueMs * 1000}, {"DeadlineUs", kExpiryMs * 1000},
-                          {"WindowUs", 800'000}, {"Idempotency", kinds[p]}, {"Worth", 1.0}, {"LateShare", 0.1}});
+        grades.push_back({{"Name", kProducts[p]},
+                          {"AimUs", kDueMs * 1000},
+                          {"DeadlineUs", kExpiryMs * 1000},
+                          {"WindowUs", 800'000},
+                          {"Idempotency", kinds[p]},
+                          {"Worth", 1.0},
+                          {"LateShare", 0.1}});
     nlohmann::json settings{
         {"Grades", grades},
         {"PeersTotal", plan_.stated_nodes > 0 ? plan_.stated_nodes : plan_.fronts},
-        {"Limits", {{"ConnIdleUs", 15'000'000}, {"ConnectTimeoutUs", 250'000}, {"MaxOpen", 400},
-                    {"MayCancel", true}, {"MostTries", 3}, {"Probes", true}, {"StreamsPerConn", 100}}},
-        {"Contract", {{"ColdUs", 300'000}, {"ColdShare", 0.3}, {"FallUs", 1'000'000}, {"OverloadFactor", 4.0},
-                      {"AskWithinUs", 4'000'000}}},
+        {"Limits",
+         {{"ConnIdleUs", 15'000'000},
+          {"ConnectTimeoutUs", 250'000},
+          {"MaxOpen", 400},
+          {"MayCancel", true},
+          {"MostTries", 3},
+          {"Probes", true},
+          {"StreamsPerConn", 100}}},
+        {"Contract",
+         {{"ColdUs", 300'000},
+          {"ColdShare", 0.3},
+          {"FallUs", 1'000'000},
+          {"OverloadFactor", 4.0},
+          {"AskWithinUs", 4'000'000}}},
         {"QuantumUs", 5000},
         {"Specifics", {{"Batch", 1}, {"Places", cells}, {"Slabs", plan_.shards}, {"Span", 1}}},
-        {"Kinds", {"m"}}, {"Zones", {"a", "b", "c"}}};
+        {"Kinds", {"m"}},
+        {"Zones", {"a", "b", "c"}}};
     nlohmann::json known{{"version", 0}, {"full", true}, {"servers", nlohmann::json::array()}};
     const nlohmann::json list = nlohmann::json::parse(list_for(i, -1));
     known["servers"] = list["servers"];
     program::write_file(at + "/config.json",
-                        nlohmann::json{{"name", name_of(i)}, {"listen", fronts_[i].listen},
-                                       {"discovery", door(kDiscovery)}, {"seed", "8c1f30d27a5be9" + std::to_string(10 + i)},
+                        nlohmann::json{{"name", name_of(i)},
+                                       {"listen", fronts_[i].listen},
+                                       {"discovery", door(kDiscovery)},
+                                       {"seed", "8c1f30d27a5be9" + std::to_string(10 + i)},
                                        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 512}}},
-                                       {"known", known}, {"settings", settings}}.dump(),
+                                       {"known", known},
+                                       {"settings", settings}}
+                            .dump(),
                         false);
-    program::write_file(at + "/secret", "thirty-two bytes and more that only a rig would take for secret", true);
+    program::write_file(at + "/secret", "thirty-two bytes and more that only a rig would take for secret",
+                        true);
     std::string peers, candidates;
     for (int other = 0; other < plan_.fronts; ++other) {
         if (other < 2) peers += "\"" + fronts_[other].told + "\", ";
-        if (other < plan_.candidates) candidates += "\"" + name_of(other) + "\": \"" + fronts_[other].told + "\", ";
+        if (other < plan_.candidates)
+            candidates += "\"" + name_of(other) + "\": \"" + fronts_[other].told + "\", ";
     }
-    std::string words = "members = {\"address\": \"" + fronts_[i].told + "\", \"bind\": \"" + fronts_[i].bound +
-                        "\", \"peers\": [" + peers + "], \"secret\": \"secret\", \"probe_ms\": 200}\n";
+    std::string words = "members = {\"address\": \"" + fronts_[i].told + "\", \"bind\": \"" +
+                        fronts_[i].bound + "\", \"peers\": [" + peers +
+                        "], \"secret\": \"secret\", \"probe_ms\": 200}\n";
     if (plan_.with_rota)
-        words += "rota = {\"candidates\": {" + candidates + "}, \"council\": " + std::to_string(plan_.council) +
+        words += "rota = {\"candidates\": {" + candidates +
+                 "}, \"council\": " + std::to_string(plan_.council) +
                  ", \"ledger\": \"rota/ledger.db\", \"witness\": \"rota/witness\", \"heartbeat_ms\": 50, "
-                 "\"replace_after_s\": 5,\n  \"keeper\": {\"address\": \"" + door(kKeeper) + "\"},\n"
-                 "  \"limits\": {\"replicas_stay\": 2, \"zone_share\": 0.5, \"fleet_share\": 0.34, \"front_share\": 0.25},\n"
+                 "\"replace_after_s\": 5,\n  \"keeper\": {\"address\": \"" +
+                 door(kKeeper) +
+                 "\"},\n"
+                 "  \"limits\": {\"replicas_stay\": 2, \"zone_share\": 0.5, \"fleet_share\": 0.34, "
+                 "\"front_share\": 0.25},\n"
                  "  \"spans\": {\"grant_ms\": 1500, \"act_ms\": 400, \"drain_ms\": 4000, \"work_ms\": 6000, "
                  "\"back_ms\": 5000, \"warm_ms\": 5000, \"settle_ms\": 300, \"strain\": 0.3},\n"
                  "  \"work_ms\": {\"other\": 1000, \"front\": 1500}}\n";
+    if (!plan_.talks) words = "audit = {\"lines_a_second\": 20}\n";
     program::write_file(at + "/ivyrill.star", words + plan_.more, false);
 }
 
@@ -168,11 +199,11 @@
     Front& front = fronts_[i];
     const std::string at = file(name_of(i));
     if (rebooted) fs::remove(at + "/rota/witness");
-    ++front.starts;
+    ++front.epoch;
     const std::string program = plan_.program, config = at + "/config.json", star = at + "/ivyrill.star",
                       log = at + "/log";
-    std::array<const char*, 7> argv{program.c_str(), "serve", "--config", config.c_str(), "--operator",
-                                    star.c_str(), nullptr};
+    std::array<const char*, 7> argv{program.c_str(), "serve",      "--config", config.c_str(),
+                                    "--operator",    star.c_str(), nullptr};
     const pid_t made = fork();
     if (made == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL); // who fails leaves nobody behind
@@ -208,7 +239,7 @@
 void Rig::kill(int i) {
     const std::lock_guard lock(mutex_);
     Front& front = fronts_[i];
-    front.wanted = false, ++faults_;
+    front.wanted = false, ++faults_, ++front.epoch;
     if (front.process <= 0) return;
     ::kill(front.process, SIGKILL);
     waitpid(front.process, nullptr, 0);
@@ -222,7 +253,7 @@
     if (front.process <= 0) return;
     faults_ += on ? 1 : 0;
     ::kill(front.process, on ? SIGSTOP : SIGCONT);
-    front.stalled = on;
+    front.stalled = on, ++front.epoch;
     note({RigEvent::What::kFault, loop_.now(), i, name_of(i), on ? "stalled" : "goes on", 0});
 }
 
@@ -289,8 +320,9 @@
             if (from >= 0 && (cut_now(from, to) || chance_.unit() < loss_)) continue;
             const int copies = from >= 0 && chance_.unit() < doubled_ ? 2 : 1;
             for (int c = 0; c < copies; ++c)
-                later_.push({loop_.now() + static_cast<Tenths>(chance_.unit() * static_cast<double>(most_delay_)),
-                             ++order_, to, came->bytes});
+                later_.push(
+                    {loop_.now() + static_cast<Tenths>(chance_.unit() * static_cast<double>(most_delay_)),
+                     ++order_, to, came->bytes});
         }
         co_await next;
     }
@@ -307,7 +339,8 @@
             const std::lock_guard lock(mutex_);
             while (!later_.empty() && later_.top().at <= loop_.now()) {
                 const Later& one = later_.top();
-                transport::send_datagram(fronts_[one.to].relay->descriptor(), fronts_[one.to].bound, one.bytes);
+                transport::send_datagram(fronts_[one.to].relay->descriptor(), fronts_[one.to].bound,
+                                         one.bytes);
                 later_.pop();
             }
             if (!later_.empty()) until = std::min(until, later_.top().at);
@@ -386,7 +419,8 @@
                     peer.watch_after = std::stoll(asked.substr(after + 6));
                     const std::size_t wait = asked.find("wait_ms=");
                     peer.watch_until =
-                        loop_.now() + (wait == std::string::npos ? 0 : std::stoll(asked.substr(wait + 8)) * kMs);
+                        loop_.now() +
+                        (wait == std::string::npos ? 0 : std::stoll(asked.substr(wait + 8)) * kMs);
                 }
             } else {
                 stream.feed(peer.frames);
@@ -426,20 +460,21 @@
     const auto found = machines_.find(name);
     if (found == machines_.end()) return void(peer.over = true);
     HallMachine& machine = found->second;
-    const rota::Act act = words[0] == "drain" ? rota::Act::kDrain
-                          : words[0] == "out" ? rota::Act::kOut
+    const rota::Act act = words[0] == "drain"  ? rota::Act::kDrain
+                          : words[0] == "out"  ? rota::Act::kOut
                           : words[0] == "back" ? rota::Act::kBack
                                                : rota::Act::kLook;
     const rota::Fence before = machine.highest;
     const HallMachine::Is was = machine.is;
     const Kept kept = machine.act(loop_.now(), act, fence);
-    note({kept == Kept::kRefused ? RigEvent::What::kRefusedAct : RigEvent::What::kAct, loop_.now(), peer.front,
-          name, std::string(words[0]), fence.value});
+    note({kept == Kept::kRefused ? RigEvent::What::kRefusedAct : RigEvent::What::kAct, loop_.now(),
+          peer.front, name, std::string(words[0]), fence.value});
     if (fence < before && machine.is != was) broken_.push_back("a stale act was accepted at " + name);
-    if (machine.facts.front_node && was == HallMachine::Is::kServing && machine.is == HallMachine::Is::kDraining) {
+    if (machine.facts.front_node && was == HallMachine::Is::kServing &&
+        machine.is == HallMachine::Is::kDraining) {
         const int own = std::stoi(name.substr(1));
         if (fronts_[own].process > 0) ::kill(fronts_[own].process, SIGTERM);
-        fronts_[own].wanted = false;
+        fronts_[own].wanted = false, ++fronts_[own].epoch;
     }
     peer.stream.send(std::string(words[3]) + " " + name + " " + rota::word_of(kept) + "\n");
     peer.stream.finish();
@@ -458,7 +493,8 @@
             if (front.process > 0 && waitpid(front.process, nullptr, WNOHANG) != 0) front.process = -1;
             if (machine.is == HallMachine::Is::kDraining && front.process < 0)
                 machine.is = HallMachine::Is::kDrained, machine.since = now;
-            const bool back = machine.is == HallMachine::Is::kServing && seen_[name] != HallMachine::Is::kServing;
+            const bool back =
+                machine.is == HallMachine::Is::kServing && seen_[name] != HallMachine::Is::kServing;
             if (back && front.process < 0) front.wanted = true, spawn(own, true);
         } else if (machine.is != seen_[name]) {
             changed_[name] = ++version_;
@@ -471,7 +507,8 @@
             note({is_down(machine.is) ? RigEvent::What::kOut : RigEvent::What::kBack, now, -1, name,
                   std::to_string(static_cast<int>(machine.is)), 0});
         seen_[name] = machine.is;
-        const bool planned = machine.is == HallMachine::Is::kWorking || machine.is == HallMachine::Is::kWorked ||
+        const bool planned = machine.is == HallMachine::Is::kWorking ||
+                             machine.is == HallMachine::Is::kWorked ||
                              machine.is == HallMachine::Is::kStarting;
         for (const int shard : machine.facts.shards) sound[shard] += planned ? 0 : 1;
     }
@@ -493,10 +530,17 @@
         if (changed_.at(name) <= after) continue;
         const HallMachine& machine = machines_.at(name);
         const HallMachine::Is is = seen_.at(name);
-        const char* state = is == HallMachine::Is::kServing ? "SERVING" : is_down(is) ? "DELETED" : "DRAINING";
+        const char* state = is == HallMachine::Is::kServing ? "SERVING"
+                            : is_down(is)                   ? "DELETED"
+                                                            : "DRAINING";
         if (after < 0 && is_down(is)) continue;
-        rows.push_back({{"id", name}, {"addr", door.address}, {"zone", machine.facts.zone}, {"kind", "m"},
-                        {"cell", door.target % cells}, {"state", state}, {"weight", 1.0},
+        rows.push_back({{"id", name},
+                        {"addr", door.address},
+                        {"zone", machine.facts.zone},
+                        {"kind", "m"},
+                        {"cell", door.target % cells},
+                        {"state", state},
+                        {"weight", 1.0},
                         {"started_ms", born_.at(name) / 10}});
     }
     return nlohmann::json{{"version", version_}, {"full", after < 0}, {"servers", rows}}.dump();
@@ -531,12 +575,14 @@
 
 // ---- operators
 
-std::pair<int, std::string> Rig::work(int i, const std::vector<std::string>& words, const std::string& request) const {
+std::pair<int, std::string> Rig::work(int i, const std::vector<std::string>& words,
+                                      const std::string& request) const {
     std::vector<std::string> all{plan_.program, "work"};
     all.insert(all.end(), words.begin(), words.end());
     if (words.front() != "chart") {
-        for (const std::string& more : {std::string("--node"), fronts_[i].bound, std::string("--secret"),
-                                        file(name_of(i) + "/secret"), std::string("--patience-ms"), std::string("3000")})
+        for (const std::string& more :
+             {std::string("--node"), fronts_[i].bound, std::string("--secret"), file(name_of(i) + "/secret"),
+              std::string("--patience-ms"), std::string("3000")})
             all.push_back(more);
         if (!request.empty()) all.push_back("--request"), all.push_back(request);
     }
@@ -582,6 +628,7 @@
     stop_clients_ = false;
     {
         const std::lock_guard lock(mutex_);
+        ++run_;
         counts_ = {};
     }
     for (int i = 0; i < threads; ++i)
@@ -607,10 +654,11 @@
     auto at = std::chrono::steady_clock::now();
     for (std::uint64_t nth = 0; !stop_clients_; ++nth) {
         at += gap;
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(at - std::chrono::steady_clock::now());
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(at - std::chrono::steady_clock::now());
         if (left.count() > 0) poll(nullptr, 0, static_cast<int>(left.count()));
         const std::size_t which = (nth + static_cast<std::size_t>(number)) % fronts_.size();
-        int starts = 0;
+        std::uint64_t epoch = 0;
         {
             const std::lock_guard lock(mutex_);
             const Front& front = fronts_[which];
@@ -619,46 +667,59 @@
                 kept[which].reset();
                 continue;
             }
-            starts = front.starts;
+            epoch = front.epoch;
         }
         const std::size_t product = nth % kProducts.size();
-        const std::string id = "c" + std::to_string(number) + "x" + std::to_string(nth);
+        const std::string id =
+            "r" + std::to_string(run_) + "c" + std::to_string(number) + "x" + std::to_string(nth);
         nlohmann::json targets = nlohmann::json::array();
         for (int shard = 0; shard < plan_.shards; ++shard)
             targets.push_back({{"partition", shard}, {"share", 1.0 / plan_.shards}});
         const std::string body = nlohmann::json{{"targets", targets}, {"query", "q" + id}}.dump();
-        const std::string bytes = std::string("POST /") + kProducts[product] + (product == 2 ? "?k=" + id : "") +
-                                  " HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id + "\r\nX-Timeout: " +
-                                  std::to_string(kExpiryMs) + "m\r\nContent-Length: " + std::to_string(body.size()) +
-                                  "\r\n\r\n" + body;
+        const std::string bytes =
+            std::string("POST /") + kProducts[product] + (product == 2 ? "?k=" + id : "") +
+            " HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + std::to_string(kExpiryMs) +
+            "m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         const auto begun = std::chrono::steady_clock::now();
         int status = 0;
         bool ended = false;
         for (int again = 0; again < 2 && status == 0; ++again) {
+            {
+                // What may run once is not sent again where its front node may have sent it on before it
+                // ended.
+                const std::lock_guard lock(mutex_);
+                if (again > 0 && fronts_[which].epoch != epoch) break;
+            }
             try {
-                const bool fresh = !kept[which];
-                if (fresh) kept[which] = std::make_unique<Client>(fronts_[which].listen, kExpiryMs + 500);
+                ended = false;
+                if (!kept[which])
+                    kept[which] = std::make_unique<Client>(fronts_[which].listen, kExpiryMs + 500);
+                ended = true; // unless an answer comes: it was taken, or closed between two requests
                 kept[which]->say(bytes);
                 const protocol::HttpMessage answer = kept[which]->answer();
                 status = answer.status;
                 if (answer.close) kept[which].reset();
             } catch (const std::exception&) {
-                kept[which].reset();
-                ended = true; // closed between two requests: it goes once more, on a new connection
+                kept[which].reset(); // it goes once more, on a new connection
             }
         }
-        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
+        const auto took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
         const std::lock_guard lock(mutex_);
         const Front& front = fronts_[which];
-        const bool there = front.process > 0 && front.starts == starts && !front.stalled && front.wanted;
+        const bool there = front.epoch == epoch;
         ++counts_.asked;
         counts_.most_payoff += 1;
         if (status == 200) ++counts_.delivered;
         if (status == 503) ++counts_.pushed_back;
         if (status == 502) ++counts_.scrapped;
         if (status == 0) ++counts_.broken;
-        if (status == 0 && there && ended) ++counts_.lost;
-        if (status != 0 && took.count() > kExpiryMs + 50 && there) ++counts_.lost;
+        if (status == 0 && there && ended)
+            ++counts_.lost, std::fprintf(stderr, "lost %s at n%zu after %lld ms\n", id.c_str(), which,
+                                         static_cast<long long>(took.count()));
+        if (status != 0 && took.count() > kExpiryMs + 50 && there)
+            ++counts_.lost, std::fprintf(stderr, "late %s at n%zu after %lld ms\n", id.c_str(), which,
+                                         static_cast<long long>(took.count()));
         if (status == 200) counts_.payoff += took.count() <= kDueMs ? 1 : 0.1;
     }
 }
@@ -716,7 +777,8 @@
         for (const RigEvent& event : history_) {
             if (event.what == RigEvent::What::kLaunch) {
                 const std::size_t x = event.name.find('x'), dot = event.name.find('.');
-                const bool once = x != std::string::npos && std::stoull(event.name.substr(x + 1, dot - x - 1)) % 3 == 1;
+                const bool once =
+                    x != std::string::npos && std::stoull(event.name.substr(x + 1, dot - x - 1)) % 3 == 1;
                 if (++launches[event.name] == 2 && once) wrong.push_back("launched twice: " + event.name);
                 const auto since = told.find({event.front, event.detail});
                 if (since != told.end() && event.at > since->second + kGrace)
--- a/src/lab/rig.hpp
+++ b/src/lab/rig.hpp
@@ -1,8 +1,8 @@
-// Several processes of the program with faults between them: front nodes as they are served (`ivyrill serve`),
-// round them index servers, discovery, keepers and the links between any two, played in one thread on loopback.
-// Every link can be cut, one way or both, lose, double and delay; processes can be stalled, killed and started
-// with their disk or without. What servers, keepers and clients saw goes into one history, by one clock, and is
-// judged afterwards.
+// Several processes of the program with faults between them: front nodes as they are served (`ivyrill
+// serve`), round them index servers, discovery, keepers and the links between any two, played in one thread
+// on loopback. Every link can be cut, one way or both, lose, double and delay; processes can be stalled,
+// killed and started with their disk or without. What servers, keepers and clients saw goes into one history,
+// by one clock, and is judged afterwards.
 #pragma once
 #include "lab/evening_world.hpp"
 #include "protocol/frames.hpp"
@@ -23,8 +23,8 @@
     int fronts = 5, candidates = 5, servers = 12, shards = 6, zones = 3, replicas = 3;
     std::size_t council = 3;
     Tenths work = kTenthsPerSecond / 2;
-    std::string more; // lines behind the operator's file
-    bool with_rota = true;
+    std::string more;                    // lines behind the operator's file
+    bool with_rota = true, talks = true; // the latter: they are members
     int stated_nodes = 0; // what the settings say of the front nodes' number; 0: as many as there are
 };
 
@@ -38,8 +38,9 @@
 };
 
 struct SearchCounts {
-    std::uint64_t asked = 0, delivered = 0, pushed_back = 0, scrapped = 0, broken = 0; // the last: no whole answer
-    std::uint64_t lost = 0; // not answered in time by one that was there all along
+    std::uint64_t asked = 0, delivered = 0, pushed_back = 0, scrapped = 0,
+                  broken = 0; // the last: no whole answer
+    std::uint64_t lost = 0;   // not answered in time by one that was there all along
     double payoff = 0, most_payoff = 0;
 };
 
@@ -70,7 +71,8 @@
     bool await(const std::function<bool()>& holds, int patience_ms = 20'000) const;
 
     // Operators: the program's own command line against a running front node.
-    std::pair<int, std::string> work(int front, const std::vector<std::string>& words, const std::string& request = {}) const;
+    std::pair<int, std::string> work(int front, const std::vector<std::string>& words,
+                                     const std::string& request = {}) const;
     nlohmann::json show(int front) const; // null where it does not answer
     bool evening_over(int front) const;
 
@@ -114,7 +116,7 @@
         transport::Task relaying;
         pid_t process = -1;
         bool stalled = false, wanted = true;
-        int starts = 0;
+        std::uint64_t epoch = 0; // raised whenever something befalls it
     };
     struct Later {
         Tenths at;
@@ -168,6 +170,7 @@
     std::thread thread_;
     std::vector<std::thread> clients_;
     Tenths began_ = 0;
+    int run_ = 0; // of the clients
 };
 
 } // namespace ivyrill::lab
--- a/src/program/keepers.cpp
+++ b/src/program/keepers.cpp
@@ -43,8 +43,8 @@
     } else {
         const int descriptor = transport::connect_to(address_);
         if (descriptor < 0) return finish(errand);
-        errand.stream = std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting, kMostHeard,
-                                                 kMostHeard);
+        errand.stream =
+            std::make_unique<Stream>(loop_, descriptor, Stream::Start::kConnecting, kMostHeard, kMostHeard);
         errand.task = ask(errand);
     }
     errand.task.start();
@@ -104,7 +104,8 @@
         std::string& into;
         std::size_t feed(std::string_view bytes) { return into.append(bytes), bytes.size(); }
     } taker{errand.heard};
-    while (!stream.ended() && errand.heard.find('\n') == std::string::npos && errand.heard.size() < kMostHeard) {
+    while (!stream.ended() && errand.heard.find('\n') == std::string::npos &&
+           errand.heard.size() < kMostHeard) {
         while (stream.unread()) stream.feed(taker);
         if (errand.heard.find('\n') == std::string::npos && !stream.ended()) co_await stream.changed;
     }
--- a/src/program/keepers.hpp
+++ b/src/program/keepers.hpp
@@ -1,7 +1,7 @@
 // Keepers of machines, as the operator's file names them: a command that is run as a process of its own
-// (COMMAND... ACT MACHINE NUMBER, its first word on standard output is the machine's state), or an address where
-// one line is asked and one answered (ACT MACHINE NUMBER SERIAL, then SERIAL MACHINE STATE). Nothing here waits:
-// what has not answered within an act's span is ended and says nothing.
+// (COMMAND... ACT MACHINE NUMBER, its first word on standard output is the machine's state), or an address
+// where one line is asked and one answered (ACT MACHINE NUMBER SERIAL, then SERIAL MACHINE STATE). Nothing
+// here waits: what has not answered within an act's span is ended and says nothing.
 #pragma once
 #include "rota/hand.hpp"
 #include "transport/stream.hpp"
--- a/src/program/rota_side.cpp
+++ b/src/program/rota_side.cpp
@@ -35,7 +35,8 @@
     Inside(const operators::Orders& orders, const std::string& secret, protocol::NodeTerms node_terms,
            const std::string& name, std::uint64_t seed)
         : terms(std::move(node_terms)), socket(loop, transport::bind_datagrams(orders.members->bind)),
-          stirred(loop, eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), told_out(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+          stirred(loop, eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+          told_out(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
         rota::WardenTerms made;
         made.name = name, made.address = orders.members->address, made.secret = secret;
         made.peers = orders.members->peers, made.probe_gap = orders.members->probe_gap;
@@ -48,15 +49,17 @@
             if (const auto front = work.find("front"); front != work.end()) made.front_work = front->second;
             for (const auto& [who, where] : rota.candidates) made.candidates.push_back({who, where});
             made.council = rota.council, made.limits = rota.limits, made.spans = rota.spans;
-            made.answers = rota.answers, made.heartbeat = rota.heartbeat, made.replace_after = rota.replace_after;
-            const bool candidate = std::ranges::any_of(
-                rota.candidates, [&](const auto& held) { return held.first == name; });
+            made.answers = rota.answers, made.heartbeat = rota.heartbeat,
+            made.replace_after = rota.replace_after;
+            const bool candidate =
+                std::ranges::any_of(rota.candidates, [&](const auto& held) { return held.first == name; });
             if (candidate) {
                 std::filesystem::create_directories(std::filesystem::path(rota.ledger).parent_path());
                 ledger = std::make_unique<store::SqliteLedger>(rota.ledger, rota.witness);
                 made.incarnation = ledger->next_incarnation();
             }
-            keepers = std::make_unique<Keepers>(loop, rota.keeper_command, rota.keeper_address, rota.spans.act);
+            keepers =
+                std::make_unique<Keepers>(loop, rota.keeper_command, rota.keeper_address, rota.spans.act);
         }
         warden = std::make_unique<rota::Warden>(made, ledger.get(), loop.now(), Loop::wall());
         if (loop.now() == 0 || told_out < 0) throw std::runtime_error("no clock, or no descriptor");
@@ -129,14 +132,15 @@
         const auto& roster = warden->roster().counts();
         const auto& seals = warden->seals();
         const auto& hand = warden->hand().counts();
-        log().info("members present={} sent={} heard={} suspected={} refuted={} stalls={} twins={} strangers={} "
-                   "spoilt={} too_long={} crowded={} parcels={} pieces={} asked_again={} acts={} strange={} "
-                   "refused={} lapsed={} proposals={}",
-                   warden->roster().present(), roster.sent, roster.heard, roster.suspected, roster.refuted,
-                   roster.stalls, roster.twins, seals.strangers, seals.spoilt, seals.too_long,
-                   warden->counts().crowded, warden->parcels().sent, warden->parcels().pieces,
-                   warden->parcels().asked_again, hand.acts, hand.strange, hand.refused, hand.lapsed,
-                   warden->counts().proposals);
+        log().info(
+            "members present={} sent={} heard={} suspected={} refuted={} stalls={} twins={} strangers={} "
+            "spoilt={} too_long={} crowded={} parcels={} pieces={} asked_again={} acts={} strange={} "
+            "refused={} lapsed={} proposals={}",
+            warden->roster().present(), roster.sent, roster.heard, roster.suspected, roster.refuted,
+            roster.stalls, roster.twins, seals.strangers, seals.spoilt, seals.too_long,
+            warden->counts().crowded, warden->parcels().sent, warden->parcels().pieces,
+            warden->parcels().asked_again, hand.acts, hand.strange, hand.refused, hand.lapsed,
+            warden->counts().proposals);
     }
 
     protocol::NodeTerms terms;
@@ -167,8 +171,8 @@
     }
 };
 
-RotaSide::RotaSide(const operators::Orders& orders, const std::string& secret, const protocol::NodeTerms& terms,
-                   const std::string& name, std::uint64_t seed)
+RotaSide::RotaSide(const operators::Orders& orders, const std::string& secret,
+                   const protocol::NodeTerms& terms, const std::string& name, std::uint64_t seed)
     : inside_(std::make_unique<Inside>(orders, secret, terms, name, seed)) {}
 
 RotaSide::~RotaSide() {
@@ -233,15 +237,17 @@
         machine.facts.name = entry.id, machine.facts.zone = entry.zone;
         machine.facts.power = entry.weight > 0 ? entry.weight : 1;
         for (int shard = 0; shard < terms.shards; ++shard)
-            if (terms.opening.holds(CellNo{entry.cell}, ShardNo{shard})) machine.facts.shards.push_back(shard);
+            if (terms.opening.holds(CellNo{entry.cell}, ShardNo{shard}))
+                machine.facts.shards.push_back(shard);
         auto known = work.find(entry.kind);
         if (known == work.end()) known = work.find("");
         machine.facts.work = known == work.end() ? 600 * kTenthsPerSecond : known->second;
         const Tenths born = entry.started_ms * (kTenthsPerSecond / 1000);
         machine.health = entry.listed == Listed::kGone       ? rota::Health::kGone
                          : entry.listed == Listed::kDraining ? rota::Health::kDrains
-                         : entry.started_ms > 0 && wall < born + terms.opening.cold_span ? rota::Health::kCold
-                                                                                         : rota::Health::kWarm;
+                         : entry.started_ms > 0 && wall < born + terms.opening.cold_span
+                             ? rota::Health::kCold
+                             : rota::Health::kWarm;
         made[entry.id] = std::move(machine);
     }
     return made;
--- a/src/program/rota_side.hpp
+++ b/src/program/rota_side.hpp
@@ -1,6 +1,6 @@
-// The warden on its socket, its ledger and its machines' keepers, in a thread of its own: a ledger is synced to
-// the disk before a word goes out, and no search waits for that. The front node tells it the list and hears how
-// many members there are; nothing else passes between the two.
+// The warden on its socket, its ledger and its machines' keepers, in a thread of its own: a ledger is synced
+// to the disk before a word goes out, and no search waits for that. The front node tells it the list and
+// hears how many members there are; nothing else passes between the two.
 #pragma once
 #include "operator/orders.hpp"
 #include "protocol/messages.hpp"
@@ -27,10 +27,10 @@
 
     // From the front node's thread.
     void told(const protocol::ServerList& list);
-    void strained(double share);  // of the searches that were pushed back of late
-    void leave();                 // tells the others; ends with the object
-    std::size_t present() const;  // members, ourselves among them
-    int news() const;             // a descriptor that can be read when that number has changed
+    void strained(double share); // of the searches that were pushed back of late
+    void leave();                // tells the others; ends with the object
+    std::size_t present() const; // members, ourselves among them
+    int news() const;            // a descriptor that can be read when that number has changed
     int port() const;
     // Every machine's facts by the settings, and how it is by the list at that time.
     static std::map<std::string, rota::MachineSeen> machines(const protocol::ServerList& list,
--- a/src/program/work.cpp
+++ b/src/program/work.cpp
@@ -45,8 +45,8 @@
     const auto evaluated = evaluate(ask.operator_file);
     const std::string file = evaluated.at("members").at("secret").get<std::string>();
     const auto folder = std::filesystem::path(ask.operator_file).parent_path();
-    return read_file((std::filesystem::path(file).is_absolute() ? std::filesystem::path(file) : folder / file)
-                         .string());
+    return read_file(
+        (std::filesystem::path(file).is_absolute() ? std::filesystem::path(file) : folder / file).string());
 }
 
 std::string node_of(const Ask& ask) {
@@ -58,7 +58,8 @@
 // Asks again until it is answered: the request's name makes the second time the same as the first.
 Told ask_node(const Ask& ask, json question) {
     const int descriptor = transport::bind_datagrams("127.0.0.1:0");
-    const std::unique_ptr<const int, void (*)(const int*)> closes(&descriptor, [](const int* d) { close(*d); });
+    const std::unique_ptr<const int, void (*)(const int*)> closes(&descriptor,
+                                                                  [](const int* d) { close(*d); });
     const std::string node = node_of(ask);
     const std::string address = "127.0.0.1:" + std::to_string(transport::port_of(descriptor));
     membership::Seal seal(secret_of(ask));
@@ -87,7 +88,8 @@
             const auto parcel = parcels.hear(clock.now(), came->bytes);
             if (!parcel || parcel->kind != ParcelKind::kAnswer) continue;
             const json row = json::from_cbor(parcel->bytes.begin(), parcel->bytes.end());
-            if (row.at(0) == request || row.at(0) == "") return {row.at(1).get<bool>(), row.at(2).get<std::string>()};
+            if (row.at(0) == request || row.at(0) == "")
+                return {row.at(1).get<bool>(), row.at(2).get<std::string>()};
         }
     }
     throw std::runtime_error("no answer from " + node + " in time (request " + request + ")");
@@ -131,16 +133,19 @@
     if (answer.at("held").get<bool>()) std::cout << "held: " << cell(answer.at("held_why")) << "\n";
     if (answer.contains("waits_for") && answer["waits_for"] != "")
         std::cout << "waits for: " << cell(answer["waits_for"]) << "\n";
-    if (answer.contains("turns")) print_table(answer["turns"], {"machine", "state", "holder", "fence", "setbacks", "why"});
+    if (answer.contains("turns"))
+        print_table(answer["turns"], {"machine", "state", "holder", "fence", "setbacks", "why"});
     if (answer.contains("steps")) {
         print_table(answer["steps"], {"machine", "begins_ms", "ends_ms", "why"});
-        std::cout << "length " << answer["length_ms"] << " ms; first come, first served " << answer["first_come_ms"]
-                  << " ms; no order is shorter than " << answer["least_ms"] << " ms\n";
+        std::cout << "length " << answer["length_ms"] << " ms; first come, first served "
+                  << answer["first_come_ms"] << " ms; no order is shorter than " << answer["least_ms"]
+                  << " ms\n";
         for (const auto& [machine, why] : answer["never"].items())
             std::cout << machine << " can't go: " << cell(why) << "\n";
     }
     if (answer.contains("objection")) {
-        if (answer.contains("turn")) print_table(json::array({answer["turn"]}), {"machine", "state", "holder", "why"});
+        if (answer.contains("turn"))
+            print_table(json::array({answer["turn"]}), {"machine", "state", "holder", "why"});
         std::cout << cell(answer["machine"]) << " is " << cell(answer["health"])
                   << "; against its going: " << cell(answer["objection"]) << "\n";
     }
@@ -185,12 +190,14 @@
     const auto ask = std::make_shared<Ask>();
     auto* work = app.add_subcommand("work", "machines taken out for work: ask a running front node");
     work->require_subcommand(1);
-    const auto command = [&run, ask, work](const char* name, const char* words, std::function<int(const Ask&)> act) {
+    const auto command = [&run, ask, work](const char* name, const char* words,
+                                           std::function<int(const Ask&)> act) {
         auto* made = work->add_subcommand(name, words);
         made->callback([&run, ask, act] { run = [ask, act] { return act(*ask); }; });
         return made;
     };
-    const auto asking = [&](const char* name, const char* words, std::function<void(const Ask&, json&)> fill) {
+    const auto asking = [&](const char* name, const char* words,
+                            std::function<void(const Ask&, json&)> fill) {
         auto* made = command(name, words, [name, fill](const Ask& ask) {
             json question{{"verb", name}};
             fill(ask, question);
--- a/src/rota/chart.cpp
+++ b/src/rota/chart.cpp
@@ -28,18 +28,22 @@
 std::string plain(const std::string& text) { // for SVG
     std::string out;
     for (const char c : text) {
-        if (c == '<') out += "&lt;";
-        else if (c == '&') out += "&amp;";
-        else if (c == '"') out += "&quot;";
-        else out += c;
+        if (c == '<')
+            out += "&lt;";
+        else if (c == '&')
+            out += "&amp;";
+        else if (c == '"')
+            out += "&quot;";
+        else
+            out += c;
     }
     return out;
 }
 
 const char* colour_of(const std::string& state) {
-    static const std::map<std::string, const char*> kColours{
-        {"granted", "#c9d7f0"}, {"draining", "#f3d48b"}, {"out", "#d9705f"},
-        {"returning", "#9ccb8a"}, {"warm", "#5fa35f"},   {"given up", "#777777"}};
+    static const std::map<std::string, const char*> kColours{{"granted", "#c9d7f0"}, {"draining", "#f3d48b"},
+                                                             {"out", "#d9705f"},     {"returning", "#9ccb8a"},
+                                                             {"warm", "#5fa35f"},    {"given up", "#777777"}};
     const auto found = kColours.find(state);
     return found == kColours.end() ? nullptr : found->second;
 }
@@ -80,8 +84,8 @@
             if (colour == nullptr) continue;
             const std::int64_t end = i + 1 < changes.size() ? changes[i + 1].at : last;
             out << "<rect x=\"" << x(changes[i].at) << "\" y=\"" << y << "\" width=\""
-                << std::max(1.0, x(end) - x(changes[i].at)) << "\" height=\"" << kRow - 4 << "\" fill=\"" << colour
-                << "\"><title>" << plain(name + " " + changes[i].state + " by " + changes[i].holder)
+                << std::max(1.0, x(end) - x(changes[i].at)) << "\" height=\"" << kRow - 4 << "\" fill=\""
+                << colour << "\"><title>" << plain(name + " " + changes[i].state + " by " + changes[i].holder)
                 << "</title></rect>\n";
         }
     }
--- a/src/rota/council.cpp
+++ b/src/rota/council.cpp
@@ -16,9 +16,9 @@
 
 constexpr int kRoll = 20, kRollAnswer = 21; // kinds of letters beside the library's own
 constexpr std::size_t kMostEntries = 10'000;
-constexpr int kReopenGap = 10; // heartbeats until a ledger that could not be written is tried again
+constexpr int kReopenGap = 10;    // heartbeats until a ledger that could not be written is tried again
 constexpr int kTransferBeats = 3; // elections' spans that a transfer of the lead may take
-constexpr int kRollGap = 3;    // heartbeats between calls of the roll
+constexpr int kRollGap = 3;       // heartbeats between calls of the roll
 
 using words::count_in;
 using words::Json;
@@ -103,7 +103,8 @@
         for (const std::uint64_t n : {m.term, m.last_log_index, m.last_log_term}) row.push_back(n);
         break;
     }
-    default: break;
+    default:
+        break;
     }
     return row;
 }
@@ -114,8 +115,8 @@
     const auto number = [&](std::size_t at) { return count_in(row.at(at)); };
     switch (message.type) {
     case RAFT_IO_REQUEST_VOTE:
-        message.request_vote = {number(2), number(3),         number(4),
-                                number(5), row.at(6).get<bool>(), row.at(7).get<bool>()};
+        message.request_vote = {
+            number(2), number(3), number(4), number(5), row.at(6).get<bool>(), row.at(7).get<bool>()};
         return;
     case RAFT_IO_REQUEST_VOTE_RESULT:
         message.request_vote_result = {number(2), row.at(3).get<bool>(),
@@ -129,8 +130,8 @@
         std::vector<LogEntry> entries;
         std::string all;
         for (const auto& one : rows) {
-            entries.push_back({count_in(one.at(0)), static_cast<int>(count_in(one.at(1))),
-                               bytes_in(one.at(2))});
+            entries.push_back(
+                {count_in(one.at(0)), static_cast<int>(count_in(one.at(1))), bytes_in(one.at(2))});
             if (entries.back().kind < RAFT_COMMAND || entries.back().kind > RAFT_CHANGE)
                 throw std::out_of_range("no such entry");
             all += entries.back().bytes;
@@ -139,8 +140,10 @@
         auto* made = static_cast<raft_entry*>(raft_malloc(sizeof(raft_entry) * entries.size()));
         std::size_t at = 0;
         for (std::size_t i = 0; i < entries.size(); ++i) {
-            made[i] = {entries[i].term, static_cast<unsigned short>(entries[i].kind),
-                       {batch + at, entries[i].bytes.size()}, batch};
+            made[i] = {entries[i].term,
+                       static_cast<unsigned short>(entries[i].kind),
+                       {batch + at, entries[i].bytes.size()},
+                       batch};
             at += entries[i].bytes.size();
         }
         message.append_entries.entries = made;
@@ -161,7 +164,8 @@
     case RAFT_IO_TIMEOUT_NOW:
         message.timeout_now = {number(2), number(3), number(4)};
         return;
-    default: throw std::out_of_range("no such message");
+    default:
+        throw std::out_of_range("no such message");
     }
 }
 
@@ -210,8 +214,8 @@
         io.close = [](raft_io* at, raft_io_close_cb cb) {
             of(at).council.later_.push_back([at, cb] { cb(at); });
         };
-        io.load = [](raft_io* at, raft_term* term, raft_id* vote, raft_snapshot** snapshot,
-                     raft_index* first, raft_entry** entries, size_t* count) {
+        io.load = [](raft_io* at, raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
+                     raft_entry** entries, size_t* count) {
             return of(at).write([&](Ledger& ledger) {
                 const LedgerKept kept = ledger.load();
                 *term = kept.term, *vote = kept.vote, *first = kept.first;
@@ -225,8 +229,10 @@
                 char* batch = static_cast<char*>(copy_of(all));
                 std::size_t done = 0, i = 0;
                 for (const LogEntry& entry : kept.entries) {
-                    (*entries)[i++] = {entry.term, static_cast<unsigned short>(entry.kind),
-                                       {batch + done, entry.bytes.size()}, batch};
+                    (*entries)[i++] = {entry.term,
+                                       static_cast<unsigned short>(entry.kind),
+                                       {batch + done, entry.bytes.size()},
+                                       batch};
                     done += entry.bytes.size();
                 }
             });
@@ -259,8 +265,7 @@
             // Whose log is shorter than what others had when we started does not stand for election.
             const bool stands = told.type == RAFT_IO_REQUEST_VOTE;
             if (!stands || !own.council.extent().shorter_than(own.council.least_))
-                own.council.letters_.push_back(
-                    {message->server_address, words::pack(row_of(told, own.id))});
+                own.council.letters_.push_back({message->server_address, words::pack(row_of(told, own.id))});
             own.council.later_.push_back([request, cb] {
                 if (cb != nullptr) cb(request, 0);
             });
@@ -269,7 +274,8 @@
         io.append = [](raft_io* at, raft_io_append* request, const raft_entry* entries, unsigned count,
                        raft_io_append_cb cb) {
             Raft& own = of(at);
-            // The ledger counts on from its own last entry: the library appends in order, and truncates first.
+            // The ledger counts on from its own last entry: the library appends in order, and truncates
+            // first.
             const int status = own.write([&](Ledger& ledger) {
                 std::vector<LogEntry> rows;
                 for (unsigned i = 0; i < count; ++i)
@@ -291,8 +297,11 @@
                              const raft_snapshot* snapshot, raft_io_snapshot_put_cb cb) {
             Raft& own = of(at);
             const int status = own.write([&](Ledger& ledger) {
-                SnapshotKept kept{snapshot->index, snapshot->term, snapshot->configuration_index,
-                                  words::pack(row_of(snapshot->configuration)), {}};
+                SnapshotKept kept{snapshot->index,
+                                  snapshot->term,
+                                  snapshot->configuration_index,
+                                  words::pack(row_of(snapshot->configuration)),
+                                  {}};
                 for (unsigned i = 0; i < snapshot->n_bufs; ++i) kept.state += text_of(snapshot->bufs[i]);
                 ledger.put_snapshot(kept, trailing);
                 if (trailing == 0) own.next_index = snapshot->index + 1;
@@ -362,7 +371,8 @@
     void hear(raft_message& message) {
         const bool append = message.type == RAFT_IO_APPEND_ENTRIES;
         const raft_term term = append ? message.append_entries.term : 0;
-        const raft_index end = append ? message.append_entries.prev_log_index + message.append_entries.n_entries : 0;
+        const raft_index end =
+            append ? message.append_entries.prev_log_index + message.append_entries.n_entries : 0;
         rejected = false, matching = end;
         recv(&io, &message);
         if (append && !rejected && term == machine.current_term) {
@@ -388,8 +398,8 @@
         if (life_.number == 0) {
             const Life before = ledger_.life();
             const auto place = std::ranges::find(terms_.candidates, terms_.name) - terms_.candidates.begin();
-            const bool founder = place < static_cast<std::ptrdiff_t>(
-                                             std::min(terms_.size, terms_.candidates.size()));
+            const bool founder =
+                place < static_cast<std::ptrdiff_t>(std::min(terms_.size, terms_.candidates.size()));
             Life life{before.number + 1, chance_.next() | std::uint64_t{chance_.next()} << 32U, before.seat};
             if (before.number == 0) life.seat = founder ? 0 : life.number;
             ledger_.set_life(life);
@@ -398,13 +408,14 @@
             life_ = life, lives_ = ledger_.lives(), voters_noted_ = ledger_.voters();
             if (voters_noted_.empty())
                 voters_noted_ = {terms_.candidates.begin(),
-                                 terms_.candidates.begin() +
-                                     static_cast<std::ptrdiff_t>(std::min(terms_.size, terms_.candidates.size()))};
+                                 terms_.candidates.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                                                 terms_.size, terms_.candidates.size()))};
             const LedgerKept kept = ledger_.load();
             kept_ = {kept.term, 0, 0};
             if (kept.snapshot) kept_.last_term = kept.snapshot->term, kept_.last_index = kept.snapshot->index;
             if (!kept.entries.empty())
-                kept_.last_term = kept.entries.back().term, kept_.last_index = kept.first + kept.entries.size() - 1;
+                kept_.last_term = kept.entries.back().term,
+                kept_.last_index = kept.first + kept.entries.size() - 1;
             rolled_.clear(), told_.clear(), least_ = {}, roll_at_ = now_;
         }
         if (!rolled()) return;
@@ -491,8 +502,8 @@
     return made;
 }
 
-// What those before us agreed on becomes known to be so only with an entry of our own term behind it: until that
-// is applied, we know less than we think.
+// What those before us agreed on becomes known to be so only with an entry of our own term behind it: until
+// that is applied, we know less than we think.
 void Council::begin_to_lead() {
     leads_since_ = now_, current_ = false;
     lead_index_ = extent().last_index;
@@ -503,10 +514,11 @@
     };
     auto* request = new Request{};
     request->council = this, request->term = term(), request->barrier.data = request;
-    const int failed = ::raft_barrier(&raft_->machine, &request->barrier, [](struct raft_barrier* over, int status) {
-        const std::unique_ptr<Request> own(static_cast<Request*>(over->data));
-        if (status == 0 && own->council->term() == own->term) own->council->current_ = true;
-    });
+    const int failed =
+        ::raft_barrier(&raft_->machine, &request->barrier, [](struct raft_barrier* over, int status) {
+            const std::unique_ptr<Request> own(static_cast<Request*>(over->data));
+            if (status == 0 && own->council->term() == own->term) own->council->current_ = true;
+        });
     if (failed != 0) {
         delete request;
         led_ = false; // tried again at the next step
@@ -537,7 +549,8 @@
 void Council::note_voters() {
     if (!raft_ || !raft_->started || raft_->failed) return;
     const std::set<std::string> names = voters();
-    if (names.empty() || std::ranges::equal(names, std::set<std::string>(voters_noted_.begin(), voters_noted_.end())))
+    if (names.empty() ||
+        std::ranges::equal(names, std::set<std::string>(voters_noted_.begin(), voters_noted_.end())))
         return;
     try {
         ledger_.set_voters({names.begin(), names.end()});
@@ -547,7 +560,8 @@
 
 void Council::step(Tenths now) {
     now_ = std::max(now_, now);
-    // A transfer to one that does not answer is never ended by the library, and nothing is agreed on meanwhile.
+    // A transfer to one that does not answer is never ended by the library, and nothing is agreed on
+    // meanwhile.
     if (raft_ && raft_->transferring &&
         now_ > transfer_at_ + kTransferBeats * terms_.patience * terms_.heartbeat)
         raft_->failed = true;
@@ -650,7 +664,8 @@
     if (!leads() || raft_->transferring) return;
     for (unsigned i = 0; i < raft_->machine.configuration.n; ++i) {
         const raft_server& there = raft_->machine.configuration.servers[i];
-        if (there.role != RAFT_VOTER || there.address == terms_.name || !fit.contains(there.address)) continue;
+        if (there.role != RAFT_VOTER || there.address == terms_.name || !fit.contains(there.address))
+            continue;
         raft_->transfer.data = raft_.get();
         raft_->transferring =
             raft_transfer(&raft_->machine, &raft_->transfer, there.id, [](struct raft_transfer* done) {
@@ -724,8 +739,8 @@
 
 void Council::call_roll() {
     roll_at_ = now_ + kRollGap * terms_.heartbeat;
-    const std::string bytes = words::pack({kRoll, life_.number, life_.mark, life_.seat, kept_.term,
-                                           kept_.last_term, kept_.last_index});
+    const std::string bytes = words::pack(
+        {kRoll, life_.number, life_.mark, life_.seat, kept_.term, kept_.last_term, kept_.last_index});
     for (const std::string& name : terms_.candidates)
         if (name != terms_.name && !rolled_.contains(name)) letters_.push_back({name, bytes});
 }
@@ -744,9 +759,8 @@
     } catch (const LedgerError&) { return; }
     const Ack ack = acked_[from];
     const Extent own = extent_for(from);
-    letters_.push_back(
-        {from, words::pack({kRollAnswer, life.mark, known.number, known.mark, known.seat, ack.term, ack.index,
-                            own.term, own.last_term, own.last_index})});
+    letters_.push_back({from, words::pack({kRollAnswer, life.mark, known.number, known.mark, known.seat,
+                                           ack.term, ack.index, own.term, own.last_term, own.last_index})});
 }
 
 void Council::hear_roll(const std::string& from, Life known, Ack remembered, const Extent& theirs) {
@@ -779,7 +793,8 @@
     if (raft_) return; // answers that come later than enough of them say nothing new: their sum was enough
     disowned_ = true;
     try {
-        const Life life{known_life + 1, chance_.next() | std::uint64_t{chance_.next()} << 32U, known_life + 1};
+        const Life life{known_life + 1, chance_.next() | std::uint64_t{chance_.next()} << 32U,
+                        known_life + 1};
         ledger_.clear();
         ledger_.set_life(life);
         life_ = life, fresh_ = vouched_ = false, evening_ = {}, kept_ = {};
--- a/src/rota/council.hpp
+++ b/src/rota/council.hpp
@@ -1,14 +1,14 @@
-// The council: a few front nodes that agree on one log, by C-Raft (libraft; D. Ongaro, J. Ousterhout, "In Search
-// of an Understandable Consensus Algorithm", USENIX ATC 2014). The library's core does no I/O of its own: time,
-// chance, messages and the ledger are handed in here. What the log holds drives an Evening.
+// The council: a few front nodes that agree on one log, by C-Raft (libraft; D. Ongaro, J. Ousterhout, "In
+// Search of an Understandable Consensus Algorithm", USENIX ATC 2014). The library's core does no I/O of its
+// own: time, chance, messages and the ledger are handed in here. What the log holds drives an Evening.
 //
-// Before a voter takes part it calls the roll: it tells the others which life of its ledger this is and how far
-// its log goes, and goes on only when a majority of them has answered and none remembers more of it than it does
-// itself. So a ledger that was lost, or put back from an old copy, is known before it votes: whoever relied on
-// what it has forgotten is among those who answer. Such a voter is `disowned`: its seat is never used again, it
-// begins anew and waits until the council gives it another. What nobody remembers but may have been promised is
-// provided for: it votes in no term that any of them has seen, and for no log shorter than any of theirs. A ledger
-// that something beside the disk vouches for needs nobody's word.
+// Before a voter takes part it calls the roll: it tells the others which life of its ledger this is and how
+// far its log goes, and goes on only when a majority of them has answered and none remembers more of it than
+// it does itself. So a ledger that was lost, or put back from an old copy, is known before it votes: whoever
+// relied on what it has forgotten is among those who answer. Such a voter is `disowned`: its seat is never
+// used again, it begins anew and waits until the council gives it another. What nobody remembers but may have
+// been promised is provided for: it votes in no term that any of them has seen, and for no log shorter than
+// any of theirs. A ledger that something beside the disk vouches for needs nobody's word.
 #pragma once
 #include "base/pcg.hpp"
 #include "rota/evening.hpp"
@@ -53,9 +53,9 @@
 
     CouncilPhase phase() const;
     bool leads() const;
-    std::string leader() const;             // as far as it is known; empty: nobody
-    bool votes_here() const;                // we have a seat, as far as our log goes
-    std::set<std::string> voters() const;   // of the log's latest word on it
+    std::string leader() const;           // as far as it is known; empty: nobody
+    bool votes_here() const;              // we have a seat, as far as our log goes
+    std::set<std::string> voters() const; // of the log's latest word on it
     // False: not by us, or not now. `done` hears whether it was agreed on, once that is known.
     bool propose(const Command& command, std::function<void(bool)> done = {});
     void hand_over(const std::set<std::string>& fit); // lets another lead, one of these
@@ -95,7 +95,7 @@
     struct Ack { // the furthest that a voter has told us it has, and in which term
         std::uint64_t term = 0, index = 0;
     };
-    Extent extent() const; // of our log
+    Extent extent() const;                             // of our log
     Extent extent_for(const std::string& voter) const; // as far as that one may have promised it
     void begin_to_lead();
     void answer_roll(const std::string& from, Life life, const Extent& extent);
@@ -108,7 +108,8 @@
     CouncilTerms terms_;
     Ledger& ledger_;
     Pcg chance_;
-    Tenths now_, tick_at_ = 0, heard_leader_at_ = 0, roll_at_ = 0, open_at_ = 0, leads_since_ = 0, transfer_at_ = 0;
+    Tenths now_, tick_at_ = 0, heard_leader_at_ = 0, roll_at_ = 0, open_at_ = 0, leads_since_ = 0,
+                 transfer_at_ = 0;
     bool led_ = false, current_ = false;
     std::uint64_t lead_index_ = 0; // of the log when we began to lead
     Life life_;
@@ -116,7 +117,7 @@
     bool disowned_ = false, vouched_ = false;
     std::set<std::string> rolled_; // who have written our life down
     std::vector<std::string> voters_noted_;
-    Extent kept_;                       // of the ledger at this start
+    Extent kept_;                        // of the ledger at this start
     std::map<std::string, Extent> told_; // the others' logs and terms, as the roll told
     Extent least_;                       // the furthest of those
     std::map<std::string, Ack> acked_;
--- a/src/rota/evening.cpp
+++ b/src/rota/evening.cpp
@@ -22,14 +22,18 @@
     case TurnState::kGranted:
         return to == TurnState::kDraining || to == TurnState::kReturning || to == TurnState::kProposed ||
                to == TurnState::kGivenUp;
-    case TurnState::kDraining: return to == TurnState::kOut || to == TurnState::kReturning;
-    case TurnState::kOut: return to == TurnState::kReturning;
+    case TurnState::kDraining:
+        return to == TurnState::kOut || to == TurnState::kReturning;
+    case TurnState::kOut:
+        return to == TurnState::kReturning;
     case TurnState::kReturning:
         return to == TurnState::kWarm || to == TurnState::kProposed || to == TurnState::kGivenUp;
-    case TurnState::kWarm: return to == TurnState::kDone;
+    case TurnState::kWarm:
+        return to == TurnState::kDone;
     case TurnState::kProposed:
     case TurnState::kDone:
-    case TurnState::kGivenUp: return false;
+    case TurnState::kGivenUp:
+        return false;
     }
     return false;
 }
@@ -38,14 +42,22 @@
 
 const char* word_of(TurnState state) {
     switch (state) {
-    case TurnState::kProposed: return "proposed";
-    case TurnState::kGranted: return "granted";
-    case TurnState::kDraining: return "draining";
-    case TurnState::kOut: return "out";
-    case TurnState::kReturning: return "returning";
-    case TurnState::kWarm: return "warm";
-    case TurnState::kDone: return "done";
-    case TurnState::kGivenUp: return "given up";
+    case TurnState::kProposed:
+        return "proposed";
+    case TurnState::kGranted:
+        return "granted";
+    case TurnState::kDraining:
+        return "draining";
+    case TurnState::kOut:
+        return "out";
+    case TurnState::kReturning:
+        return "returning";
+    case TurnState::kWarm:
+        return "warm";
+    case TurnState::kDone:
+        return "done";
+    case TurnState::kGivenUp:
+        return "given up";
     }
     return "?";
 }
@@ -85,8 +97,7 @@
             return "as many front nodes as may be are out";
         // The council never gives its own majority away.
         if (voters_.contains(machine)) {
-            const std::size_t gone =
-                counted([&](const Facts& f) { return voters_.contains(f.name); }) + 1;
+            const std::size_t gone = counted([&](const Facts& f) { return voters_.contains(f.name); }) + 1;
             if (voters_.size() - std::min(gone, voters_.size()) < voters_.size() / 2 + 1)
                 return "the council would lose its majority";
         }
@@ -262,7 +273,7 @@
     Turn* turn = fenced(command.machine, command.fence);
     if (turn == nullptr || turn->holder.empty()) return refused("it belongs to another");
     if (!may_follow(turn->state, command.to)) return refused("it is not there");
-    turn->state = command.to;
+    turn->state = command.to, turn->handed = 0;
     if (!command.why.empty()) turn->why = command.why;
     turn->recalled = turn->recalled || command.undone;
     if (command.to == TurnState::kProposed) {
@@ -277,7 +288,7 @@
 Verdict Evening::take(const Lapse& command) {
     Turn* turn = fenced(command.machine, command.fence);
     if (turn == nullptr || turn->holder.empty()) return refused("it has lapsed already");
-    turn->holder.clear(), turn->taken = false;
+    turn->holder.clear(), turn->taken = false, ++turn->handed;
     return kDone();
 }
 
--- a/src/rota/evening.hpp
+++ b/src/rota/evening.hpp
@@ -1,7 +1,7 @@
-// The order of work as all agree on it: a state machine that the council's log drives. Every node that applies
-// the same commands in the same order holds the same state; it asks neither clock nor chance nor network. What
-// it refuses, it refuses everywhere: a grant that would leave a shard under its floor is void whoever gave it,
-// and whatever that node believed.
+// The order of work as all agree on it: a state machine that the council's log drives. Every node that
+// applies the same commands in the same order holds the same state; it asks neither clock nor chance nor
+// network. What it refuses, it refuses everywhere: a grant that would leave a shard under its floor is void
+// whoever gave it, and whatever that node believed.
 #pragma once
 #include "rota/types.hpp"
 
@@ -65,7 +65,8 @@
 // What may go with what, and how much of it at once. Shared by the state machine, the plan and its baselines.
 class Room {
   public:
-    Room(const Limits& limits, const std::map<std::string, Facts>& fleet, const std::set<std::string>& voters);
+    Room(const Limits& limits, const std::map<std::string, Facts>& fleet,
+         const std::set<std::string>& voters);
     // Why `machine` may not be down beside `down`; empty: it may.
     std::string objection(const std::string& machine, const std::set<std::string>& down) const;
 
--- a/src/rota/hand.cpp
+++ b/src/rota/hand.cpp
@@ -11,6 +11,7 @@
 constexpr int kRenewals = 3; // in one grant's span
 constexpr int kLooks = 8;    // at a machine, in one act's span
 constexpr int kMostSilent = 4;
+constexpr int kMostHanded = 2; // times that a turn passes from holder to holder in one state
 constexpr std::size_t kMostAsked = 16;
 
 constexpr std::array<const char*, 4> kActs{"state", "drain", "out", "back"};
@@ -54,8 +55,8 @@
         if (task.fence != turn.fence) task = {}, task.fence = turn.fence;
         if (task.out && now >= task.act_by) task.out.reset(), task.kept = Kept::kUnknown;
         if (task.refused) continue;
-        const bool idle = task.kept == Kept::kWorked || task.kept == Kept::kDrained ||
-                          task.kept == Kept::kDraining;
+        const bool idle =
+            task.kept == Kept::kWorked || task.kept == Kept::kDrained || task.kept == Kept::kDraining;
         if (!task.out && now >= task.act_at) ++counts_.unled;
         act(now, machine, task, idle ? Act::kBack : Act::kLook, out);
     }
@@ -109,6 +110,12 @@
     const Tenths waited = now - task.since;
     // Whatever our forerunner has left under way: its keeper hears our number before we rely on anything.
     if (!task.claimed || task.kept == Kept::kUnknown) {
+        // Its keeper may be silent to us alone: others try before anything is made of it.
+        if (task.silent >= kMostSilent && turn.handed < kMostHanded) {
+            task.silent = 0, task.move_at = task.act_at = now + terms_.spans.act;
+            out.commands.emplace_back(Lapse{turn.machine, turn.fence});
+            return;
+        }
         if (task.silent >= kMostSilent && !task.called && turn.state != TurnState::kGranted)
             answer(now, terms_.answers.broken, turn, task, "its keeper does not answer", evening, out);
         // Somebody may have told it to drain, and the answer was lost: it has to be brought back for sure.
@@ -163,10 +170,12 @@
                    task, kept == Kept::kServing ? "it stays cold" : "it does not come back", evening, out);
         return act(now, turn.machine, task, Act::kLook, out);
     }
-    case TurnState::kWarm: return move(now, turn, task, TurnState::kDone, "", out);
+    case TurnState::kWarm:
+        return move(now, turn, task, TurnState::kDone, "", out);
     case TurnState::kProposed:
     case TurnState::kDone:
-    case TurnState::kGivenUp: return;
+    case TurnState::kGivenUp:
+        return;
     }
 }
 
@@ -175,10 +184,10 @@
     const std::string words = turn.machine + ": " + why;
     const bool said = std::exchange(task.called, true);
     switch (how) {
-    case Answer::kWait: break;
+    case Answer::kWait:
+        break;
     case Answer::kSkip:
-        if (turn.state == TurnState::kReturning)
-            return move(now, turn, task, TurnState::kGivenUp, why, out);
+        if (turn.state == TurnState::kReturning) return move(now, turn, task, TurnState::kGivenUp, why, out);
         [[fallthrough]];
     case Answer::kPutBack:
         if (turn.state != TurnState::kReturning)
@@ -191,7 +200,9 @@
         if (!evening.held() && !said) out.commands.emplace_back(Hold{{}, words});
         break;
     }
-    if (!task.out && now >= task.act_at) act(now, turn.machine, task, Act::kLook, out); // it may still come
+    // It may still come to that; one that is to come back is told so again instead.
+    if (turn.state != TurnState::kReturning || task.kept == Kept::kUnknown || task.kept == Kept::kBroken)
+        act(now, turn.machine, task, Act::kLook, out);
 }
 
 void Hand::act(Tenths now, const std::string& machine, Task& task, Act what, HandOut& out) {
--- a/src/rota/hand.hpp
+++ b/src/rota/hand.hpp
@@ -1,8 +1,8 @@
 // The holder's part: carries out the turns that are granted to this front node, act by act, through the
-// machine's keeper. It acts only while its grant lasts by its own clock, counted from when it asked, and every
-// act bears the grant's number: a keeper that has heard a larger one refuses it, however late it comes. To
-// bring a machine back is the one thing that whoever knows of it may try when nobody can agree on anything: that
-// harms no shard, and the number guards it as before.
+// machine's keeper. It acts only while its grant lasts by its own clock, counted from when it asked, and
+// every act bears the grant's number: a keeper that has heard a larger one refuses it, however late it comes.
+// To bring a machine back is the one thing that whoever knows of it may try when nobody can agree on
+// anything: that harms no shard, and the number guards it as before.
 #pragma once
 #include "rota/evening.hpp"
 #include "rota/outlook.hpp"
@@ -75,12 +75,12 @@
         Tenths until = 0;              // the grant lasts until then
         Tenths ask_at = 0;
         TurnState state = TurnState::kProposed;
-        Tenths since = 0;       // in this state
-        bool claimed = false;   // the keeper knows our number
+        Tenths since = 0;     // in this state
+        bool claimed = false; // the keeper knows our number
         Kept kept = Kept::kUnknown;
         std::optional<KeeperAct> out; // waits for its answer
         Tenths act_by = 0, act_at = 0, move_at = 0;
-        int silent = 0;         // acts in a row without an answer
+        int silent = 0; // acts in a row without an answer
         bool refused = false, called = false;
     };
     void tend(Tenths now, const Turn& turn, Task& task, const Evening& evening, const Outlook& outlook,
--- a/src/rota/ledger.hpp
+++ b/src/rota/ledger.hpp
@@ -33,7 +33,7 @@
     std::uint64_t first = 1; // index of the first entry
     std::vector<LogEntry> entries;
 };
-struct Life { // of a voter's ledger: raised at each start
+struct Life {                           // of a voter's ledger: raised at each start
     std::uint64_t number = 0, mark = 0; // the latter is drawn anew each time
     std::uint64_t seat = 0;             // under which it votes: 0 of a founder's first ledger
     friend bool operator==(const Life&, const Life&) = default;
@@ -51,7 +51,8 @@
     virtual void put_snapshot(const SnapshotKept& snapshot, std::uint64_t trailing) = 0;
     virtual void clear() = 0; // the log, term, vote and snapshot; not the lives
 
-    // Something beside the disk, that a restart of the process outlives, says that this is all that was written.
+    // Something beside the disk, that a restart of the process outlives, says that this is all that was
+    // written.
     virtual bool proven() const = 0;
     virtual void vouch() = 0; // from here on: others have confirmed that nothing is missing from it
     virtual Life life() = 0;
@@ -96,8 +97,7 @@
         }
         if (snapshot.index < trailing || keep_from <= kept_.first) return;
         const std::uint64_t drop = std::min<std::uint64_t>(keep_from - kept_.first, kept_.entries.size());
-        kept_.entries.erase(kept_.entries.begin(),
-                            kept_.entries.begin() + static_cast<std::ptrdiff_t>(drop));
+        kept_.entries.erase(kept_.entries.begin(), kept_.entries.begin() + static_cast<std::ptrdiff_t>(drop));
         kept_.first = keep_from;
     }
     void clear() override {
--- a/src/rota/outlook.hpp
+++ b/src/rota/outlook.hpp
@@ -16,34 +16,34 @@
     std::string self;
     Tenths wall = 0; // Unix time
     std::map<std::string, MachineSeen> machines;
-    std::set<std::string> voters; // of the council
-    std::set<std::string> absent; // front nodes that do not answer, the doubted ones among them
+    std::set<std::string> voters;   // of the council
+    std::set<std::string> absent;   // front nodes that do not answer, the doubted ones among them
     bool council_settled = true;    // it has all its voters, and the evening knows them
     std::set<std::string> disowned; // voters that have lost their ledger
-    double strain = 0;            // share of the searches that this node pushes back of late
-    std::string lost_site;        // a zone most of which is gone and was not sent out; empty: none
+    double strain = 0;              // share of the searches that this node pushes back of late
+    std::string lost_site;          // a zone most of which is gone and was not sent out; empty: none
 };
 
 // What to do when something goes wrong, in the operator's words.
 enum class Answer { kWait, kSkip, kPutBack, kStop, kCall };
 
 struct Answers {
-    Answer drain_late = Answer::kPutBack;      // it does not drain
-    Answer work_late = Answer::kCall;          // its work does not end
-    Answer back_late = Answer::kStop;          // it does not come back
-    Answer broken = Answer::kStop;             // it came back and does not serve
-    Answer cold_late = Answer::kWait;          // it came back and stays cold
-    Answer neighbour_down = Answer::kPutBack;  // another one that holds what it holds has failed meanwhile
+    Answer drain_late = Answer::kPutBack;     // it does not drain
+    Answer work_late = Answer::kCall;         // its work does not end
+    Answer back_late = Answer::kStop;         // it does not come back
+    Answer broken = Answer::kStop;            // it came back and does not serve
+    Answer cold_late = Answer::kWait;         // it came back and stays cold
+    Answer neighbour_down = Answer::kPutBack; // another one that holds what it holds has failed meanwhile
 };
 
-struct Spans { // of a turn, each from the state before
+struct Spans {                            // of a turn, each from the state before
     Tenths grant = 10 * kTenthsPerSecond; // lasts so long by its holder's clock, from when it asked
     Tenths drain = 60 * kTenthsPerSecond, work = 1800 * kTenthsPerSecond, back = 120 * kTenthsPerSecond,
            warm = 120 * kTenthsPerSecond;
-    Tenths act = 10 * kTenthsPerSecond; // one act of the keeper
+    Tenths act = 10 * kTenthsPerSecond;   // one act of the keeper
     Tenths settle = 3 * kTenthsPerSecond; // until a change of the fleet is taken for one
-    double clock_error = 0.01;          // by which two clocks' rates may differ
-    int most_setbacks = 3;              // put back more often, it is given up
+    double clock_error = 0.01;            // by which two clocks' rates may differ
+    int most_setbacks = 3;                // put back more often, it is given up
     double most_strain = 0.05;
 };
 
--- a/src/rota/parcels.cpp
+++ b/src/rota/parcels.cpp
@@ -35,8 +35,8 @@
 void Parcels::put(const std::string& to, ParcelKind kind, std::uint64_t serial, std::size_t piece,
                   std::size_t of, std::string_view bytes) {
     ++counts_.pieces;
-    const Json row = Json::array(
-        {kVersion, static_cast<int>(kind), name_, address_, serial, piece, of, binary(bytes)});
+    const Json row =
+        Json::array({kVersion, static_cast<int>(kind), name_, address_, serial, piece, of, binary(bytes)});
     out_.push_back({to, seal_.seal(words::pack(row))});
 }
 
@@ -89,12 +89,13 @@
         auto found = open_.find(key);
         if (found == open_.end()) {
             if (open_.size() >= kMostOpen) { // the oldest goes: whoever sent it will send again
-                const auto oldest = std::ranges::min_element(
-                    open_, {}, [](const auto& held) { return held.second.begun; });
+                const auto oldest =
+                    std::ranges::min_element(open_, {}, [](const auto& held) { return held.second.begun; });
                 open_.erase(oldest), ++counts_.dropped;
             }
-            found = open_.emplace(key, Open{parcel, std::vector<std::string>(of), std::vector<bool>(of), 0,
-                                            now, now + kMissingAfter, 0})
+            found = open_
+                        .emplace(key, Open{parcel, std::vector<std::string>(of), std::vector<bool>(of), 0,
+                                           now, now + kMissingAfter, 0})
                         .first;
         }
         Open& open = found->second;
--- a/src/rota/parcels.hpp
+++ b/src/rota/parcels.hpp
@@ -1,6 +1,6 @@
-// What is too large for one datagram goes in pieces: each sealed by itself, put together again in bounded room,
-// and what got lost is asked for by number. Free of I/O. Whole parcels may come twice, late or not at all; those
-// who send them know that.
+// What is too large for one datagram goes in pieces: each sealed by itself, put together again in bounded
+// room, and what got lost is asked for by number. Free of I/O. Whole parcels may come twice, late or not at
+// all; those who send them know that.
 #pragma once
 #include "base/time.hpp"
 #include "membership/datagrams.hpp"
@@ -72,7 +72,7 @@
     membership::Seal& seal_;
     std::uint64_t serial_;
     std::map<std::pair<std::string, std::uint64_t>, Open> open_; // by sender's address and its serial
-    std::deque<Kept> kept_;                                      // of several pieces, should some be asked for
+    std::deque<Kept> kept_; // of several pieces, should some be asked for
     std::vector<Sealed> out_;
     ParcelCounts counts_;
 };
--- a/src/rota/plan.cpp
+++ b/src/rota/plan.cpp
@@ -54,9 +54,8 @@
             if (task->earliest > now && (then < 0 || task->earliest < then)) then = task->earliest;
         if (then < 0) break; // nothing runs and nobody may go: told apart above, so it cannot be
         now = then;
-        std::erase_if(running, [&](const Running& one) {
-            return one.ends <= now && (out.erase(one.machine), true);
-        });
+        std::erase_if(running,
+                      [&](const Running& one) { return one.ends <= now && (out.erase(one.machine), true); });
     }
     for (const Step& step : plan.steps) plan.length = std::max(plan.length, step.ends);
     return plan;
@@ -198,7 +197,9 @@
     Plan best = plan_in_order(room, order, down);
     const auto bound = static_cast<Tenths>(narrows.most());
     Pcg chance(seed);
-    const auto pick = [&] { return static_cast<std::size_t>(chance.unit() * static_cast<double>(order.size())); };
+    const auto pick = [&] {
+        return static_cast<std::size_t>(chance.unit() * static_cast<double>(order.size()));
+    };
     for (int trial = 0; trial < trials && order.size() > 2 && best.length > bound; ++trial) {
         std::vector<Task> other = order;
         const std::size_t a = pick(), b = pick();
--- a/src/rota/plan.hpp
+++ b/src/rota/plan.hpp
@@ -1,5 +1,5 @@
-// In which order machines go out for work: computed, with its reason for each step, and measured against first
-// come, first served and, on small cases, the best that there is. Free of I/O; chance is seeded.
+// In which order machines go out for work: computed, with its reason for each step, and measured against
+// first come, first served and, on small cases, the best that there is. Free of I/O; chance is seeded.
 #pragma once
 #include "rota/evening.hpp"
 
--- a/src/rota/steward.cpp
+++ b/src/rota/steward.cpp
@@ -7,19 +7,20 @@
 
 namespace {
 
-constexpr int kMostTrialWork = 40'000; // trials of a plan, times its machines squared
-constexpr int kMostTrials = 200;
+constexpr int kMostTrialWork = 10'000; // trials of a plan, times its machines squared
+constexpr int kMostTrials = 100;
 constexpr int kForget = 60; // spans until a front node that nobody sees is no machine any more
 constexpr std::size_t kFailed = 100;
-constexpr std::size_t kOwnTurn = 1000; // turns that another would have to hold to be as unfit as one that is to go
+constexpr std::size_t kOwnTurn =
+    1000; // turns that another would have to hold to be as unfit as one that is to go
 constexpr double kClockSlack = 0.5;    // grants' spans, over which a clock is measured at the least
 constexpr double kMeasureNoise = 0.05; // of that: what delays may make of it, beside the error assumed
 
 } // namespace
 
 Tenths Steward::patience() const {
-    // The holder counts from when it asked, we from when we heard it agreed on: ours begins later in any case.
-    // Its clock may be slow and ours fast.
+    // The holder counts from when it asked, we from when we heard it agreed on: ours begins later in any
+    // case. Its clock may be slow and ours fast.
     return static_cast<Tenths>(
                std::ceil(static_cast<double>(terms_.spans.grant) * (1 + 2 * terms_.spans.clock_error))) +
            1;
@@ -122,6 +123,10 @@
                            Wanted& wanted) {
     std::erase_if(heard_, [&](auto& held) {
         const Turn* turn = evening.turn(held.first);
+        // It gave its turn back: perhaps it alone cannot reach the machine.
+        if (turn != nullptr && turn->holder.empty() && turn->fence == held.second.fence &&
+            !is_over(turn->state))
+            failed_.insert(held.second.holder);
         return turn == nullptr || turn->holder.empty() || turn->fence != held.second.fence;
     });
     for (const auto& [machine, turn] : evening.turns()) {
@@ -132,17 +137,17 @@
                 wanted.commands.emplace_back(Grant{machine, holder, turn.fence, {}, outlook.wall});
             continue;
         }
-        auto [place, fresh] = heard_.try_emplace(machine, Heard{turn.fence, turn.stamp, now});
+        auto [place, fresh] = heard_.try_emplace(machine, Heard{turn.holder, turn.fence, turn.stamp, now});
         Heard& heard = place->second;
         if (!fresh && heard.stamp != turn.stamp) {
             measure_clock(now, turn);
-            heard = {turn.fence, turn.stamp, now};
+            heard = {turn.holder, turn.fence, turn.stamp, now};
         }
         // A new leader does not know when the last word came: at the latest when it began to lead.
         if (now > std::max(heard.at, leads_since) + patience())
             wanted.commands.emplace_back(Lapse{machine, turn.fence}), failed_.insert(turn.holder);
-        else if (turn.taken)
-            failed_.erase(turn.holder);
+        else if (turn.state != TurnState::kGranted && turn.handed == 0)
+            failed_.erase(turn.holder); // it has brought a machine on
     }
 }
 
@@ -172,13 +177,13 @@
     for (const std::string& voter : outlook.voters) {
         const Turn* own = evening.turn(voter);
         const bool leaves = own != nullptr && is_out(own->state);
-        if (voter == turn.machine || leaves || outlook.absent.contains(voter) || distrusted_.contains(voter) ||
-            outlook.disowned.contains(voter))
+        if (voter == turn.machine || leaves || outlook.absent.contains(voter) ||
+            distrusted_.contains(voter) || outlook.disowned.contains(voter))
             continue;
         std::size_t load = 0;
         for (const auto& [name, other] : evening.turns()) load += other.holder == voter ? 2 : 0;
-        load += voter == outlook.self ? 1 : 0; // the leader has enough to do
-        load += failed_.contains(voter) ? kFailed : 0; // it let a grant lapse: others first
+        load += voter == outlook.self ? 1 : 0;                        // the leader has enough to do
+        load += failed_.contains(voter) ? kFailed : 0;                // it let a grant lapse: others first
         if (own != nullptr && !is_over(own->state)) load += kOwnTurn; // it could not go while it holds one
         if (best.empty() || load < least) best = voter, least = load;
     }
@@ -209,8 +214,8 @@
     asked += std::to_string(evening.fleet().size());
     if (asked != planned_for_) {
         const auto size = static_cast<int>(std::max<std::size_t>(1, tasks.size()));
-        const Plan plan = plan_well(evening, tasks, {}, terms_.seed,
-                                    std::min(kMostTrials, kMostTrialWork / (size * size)));
+        const Plan plan =
+            plan_well(evening, tasks, {}, terms_.seed, std::min(kMostTrials, kMostTrialWork / (size * size)));
         order_.clear(), planned_for_ = asked;
         for (const Step& step : plan.steps) order_.push_back(step.machine);
     }
@@ -223,7 +228,8 @@
         if (std::ranges::find(tasks, machine, &Task::machine) == tasks.end()) continue;
         // One that is gone already costs nothing more; one that comes or goes by itself is waited for.
         const auto seen = outlook.machines.find(machine);
-        if (down.contains(machine) && seen != outlook.machines.end() && seen->second.health != Health::kGone) {
+        if (down.contains(machine) && seen != outlook.machines.end() &&
+            seen->second.health != Health::kGone) {
             wanted.why = machine + " is coming or going by itself";
             continue;
         }
@@ -232,8 +238,8 @@
             continue;
         }
         // A front node that carries out turns goes once they are over.
-        const bool holds = std::ranges::any_of(
-            evening.turns(), [&](auto& held) { return held.second.holder == machine; });
+        const bool holds =
+            std::ranges::any_of(evening.turns(), [&](auto& held) { return held.second.holder == machine; });
         if (holds) {
             wanted.why = machine + " carries out other turns";
             continue;
--- a/src/rota/steward.hpp
+++ b/src/rota/steward.hpp
@@ -1,6 +1,6 @@
 // The leader's part: looks at the evening as agreed and at the fleet as it sees it, and says what should be
-// agreed on next. It holds nothing that has to outlive it but what it has heard of grants, by its own clock; a
-// new leader hears everything anew from the moment that it leads.
+// agreed on next. It holds nothing that has to outlive it but what it has heard of grants, by its own clock;
+// a new leader hears everything anew from the moment that it leads.
 #pragma once
 #include "rota/outlook.hpp"
 #include "rota/plan.hpp"
@@ -27,7 +27,9 @@
   public:
     explicit Steward(StewardTerms terms) : terms_(std::move(terms)) {}
     Wanted want(Tenths now, Tenths leads_since, const Evening& evening, const Outlook& outlook);
-    void forget() { heard_.clear(), settling_ = 0, put_back_.clear(), surveyed_ = 0, clocks_.clear(), failed_.clear(); }
+    void forget() {
+        heard_.clear(), settling_ = 0, put_back_.clear(), surveyed_ = 0, clocks_.clear(), failed_.clear();
+    }
 
     // Machines that do not serve and were not sent out.
     static std::set<std::string> down(const Evening& evening, const Outlook& outlook);
@@ -37,6 +39,7 @@
 
   private:
     struct Heard {
+        std::string holder;
         Fence fence;
         std::uint64_t stamp = 0;
         Tenths at = 0;
--- a/src/rota/types.hpp
+++ b/src/rota/types.hpp
@@ -27,7 +27,7 @@
     friend bool operator==(const Facts&, const Facts&) = default;
 };
 
-struct Limits { // what may go when; shares are of the machines surveyed, and always let one go
+struct Limits {               // what may go when; shares are of the machines surveyed, and always let one go
     int floor = 1;            // replicas of each shard that stay
     double zone_share = 0.34; // of a zone's index servers
     double shard_share = 0.5; // of the power of a shard's replicas
@@ -44,16 +44,17 @@
     std::string machine;
     OrderNo order;
     TurnState state = TurnState::kProposed;
-    std::string holder;       // the front node that carries it out; empty: nobody at present
-    Fence fence;              // of its latest grant
-    bool taken = false;       // its holder has said that it knows
-    std::uint64_t stamp = 0;  // of the holder's latest word, by its own clock
-    bool hurried = false;     // goes before those that are not
-    bool withdrawn = false;   // is to be put back and not tried again
-    bool recalled = false;    // is to be put back, and comes again later
-    int setbacks = 0;         // times that it was put back
+    std::string holder;              // the front node that carries it out; empty: nobody at present
+    Fence fence;                     // of its latest grant
+    bool taken = false;              // its holder has said that it knows
+    std::uint64_t stamp = 0;         // of the holder's latest word, by its own clock
+    bool hurried = false;            // goes before those that are not
+    bool withdrawn = false;          // is to be put back and not tried again
+    bool recalled = false;           // is to be put back, and comes again later
+    int setbacks = 0;                // times that it was put back
+    int handed = 0;                  // ... that it lapsed in this state
     Tenths earliest = 0, latest = 0; // Unix time, 0: any
-    std::string why;          // of its last change
+    std::string why;                 // of its last change
 };
 // Between its grant and its end the machine may be down: it counts as out.
 constexpr bool is_out(TurnState state) {
@@ -88,8 +89,8 @@
 };
 struct Grant { // also to another holder, of a turn under way
     std::string machine, holder;
-    Fence before;                    // the turn's fence as the giver knows it: of two grants one is void
-    std::set<std::string> down;      // machines that the giver takes for down, beside those that are out
+    Fence before;               // the turn's fence as the giver knows it: of two grants one is void
+    std::set<std::string> down; // machines that the giver takes for down, beside those that are out
     Tenths wall = 0;
 };
 struct Take { // the holder knows of its grant; said again to keep it
--- a/src/rota/warden.cpp
+++ b/src/rota/warden.cpp
@@ -12,13 +12,13 @@
 using words::Json;
 
 constexpr std::size_t kMostBuckets = 2'000, kMostWaiting = 200;
-constexpr double kBurst = 0.5;   // seconds of a rate that may come at once
-constexpr int kViewBeats = 10;   // heartbeats between two askings for the view
-constexpr int kAgainBeats = 6;   // ... until a proposal that nobody confirmed is made again
-constexpr int kMostHops = 2;     // of a proposal on its way to the leader
+constexpr double kBurst = 0.5; // seconds of a rate that may come at once
+constexpr int kViewBeats = 10; // heartbeats between two askings for the view
+constexpr int kAgainBeats = 6; // ... until a proposal that nobody confirmed is made again
+constexpr int kMostHops = 2;   // of a proposal on its way to the leader
 constexpr Tenths kAskLife = 300 * kTenthsPerSecond; // an operator's word that is older is not taken
 constexpr Tenths kAskPatience = 10 * kTenthsPerSecond;
-constexpr int kUnledGrants = 3;  // grants' spans without a leader until what is out is brought back by anyone
+constexpr int kUnledGrants = 3; // grants' spans without a leader until what is out is brought back by anyone
 constexpr double kSiteShare = 0.6; // of a zone's machines gone by themselves: it is lost
 
 membership::RosterTerms roster_terms(const WardenTerms& terms) {
@@ -41,17 +41,18 @@
 }
 
 bool votes(const WardenTerms& terms, const Ledger* ledger) {
-    return ledger != nullptr && std::ranges::find(terms.candidates, terms.name, &Candidate::name) !=
-                                    terms.candidates.end();
+    return ledger != nullptr &&
+           std::ranges::find(terms.candidates, terms.name, &Candidate::name) != terms.candidates.end();
 }
 
 std::string numbered(Tenths time) { return std::to_string(time * 1000 / kTenthsPerSecond); }
 
 Json turn_row(const Turn& turn) {
-    return {{"machine", turn.machine},   {"state", word_of(turn.state)}, {"holder", turn.holder},
-            {"fence", turn.fence.value}, {"order", turn.order.value},    {"hurried", turn.hurried},
-            {"withdrawn", turn.withdrawn}, {"recalled", turn.recalled},  {"setbacks", turn.setbacks},
-            {"why", turn.why}};
+    return {{"machine", turn.machine},     {"state", word_of(turn.state)},
+            {"holder", turn.holder},       {"fence", turn.fence.value},
+            {"order", turn.order.value},   {"hurried", turn.hurried},
+            {"withdrawn", turn.withdrawn}, {"recalled", turn.recalled},
+            {"setbacks", turn.setbacks},   {"why", turn.why}};
 }
 
 } // namespace
@@ -116,8 +117,7 @@
     now_ = std::max(now_, now);
     ++counts_.datagrams;
     if (buckets_.size() >= kMostBuckets) buckets_.clear();
-    if (!lets_in(now_, all_, terms_.most_datagrams) ||
-        !lets_in(now_, buckets_[from], terms_.most_from_one))
+    if (!lets_in(now_, all_, terms_.most_datagrams) || !lets_in(now_, buckets_[from], terms_.most_from_one))
         return void(++counts_.crowded);
     if (!Parcels::is_piece(bytes)) {
         if (const auto datagram = seal_.open(bytes)) take(roster_.hear(now_, *datagram));
@@ -133,15 +133,20 @@
     case ParcelKind::kLetter:
         if (council_) council_->hear(now_, parcel.from, parcel.bytes), post_letters();
         return;
-    case ParcelKind::kPropose: return take_propose(parcel);
-    case ParcelKind::kVerdict: return take_verdict(parcel);
+    case ParcelKind::kPropose:
+        return take_propose(parcel);
+    case ParcelKind::kVerdict:
+        return take_verdict(parcel);
     case ParcelKind::kViewAsked:
         if (seated()) tell_view(parcel.address);
         return;
-    case ParcelKind::kView: return take_view(parcel);
-    case ParcelKind::kAsk: return take_ask(parcel);
+    case ParcelKind::kView:
+        return take_view(parcel);
+    case ParcelKind::kAsk:
+        return take_ask(parcel);
     case ParcelKind::kAnswer:
-    case ParcelKind::kMissing: return;
+    case ParcelKind::kMissing:
+        return;
     }
 }
 
@@ -212,11 +217,10 @@
     ++counts_.passed_on;
     send(to, ParcelKind::kPropose,
          words::pack(Json::array({hops + 1, asked_by.empty() ? terms_.address : asked_by,
-                                  Json::binary(std::vector<std::uint8_t>(
-                                      [&] {
-                                          const std::string bytes = encode(command);
-                                          return std::vector<std::uint8_t>(bytes.begin(), bytes.end());
-                                      }()))})));
+                                  Json::binary(std::vector<std::uint8_t>([&] {
+                                      const std::string bytes = encode(command);
+                                      return std::vector<std::uint8_t>(bytes.begin(), bytes.end());
+                                  }()))})));
 }
 
 void Warden::take_propose(const Parcel& parcel) {
@@ -290,7 +294,8 @@
         }
         for (const Command& command : out.commands) propose(command);
         for (KeeperAct& act : out.acts) {
-            say("act", {{"machine", act.machine}, {"act", word_of(act.act)},
+            say("act", {{"machine", act.machine},
+                        {"act", word_of(act.act)},
                         {"fence", std::to_string(act.fence.value)}});
             effects_.emplace_back(std::move(act));
         }
@@ -350,7 +355,8 @@
         if (voter == terms_.name) continue;
         if (roster_.address_of(voter) == nullptr) seen.absent.insert(voter);
         // One that has lost its ledger is there, and no vote can be had of it.
-        const auto life = council_ ? council_->lives().find(voter) : std::map<std::string, Life>::const_iterator{};
+        const auto life =
+            council_ ? council_->lives().find(voter) : std::map<std::string, Life>::const_iterator{};
         if (council_ && council_->leads() && life != council_->lives().end() &&
             !council_->holds_seat(voter, life->second) && seen.machines.contains(voter))
             seen.disowned.insert(voter);
@@ -380,7 +386,8 @@
         led_ = false, proposed_for_.clear();
         return;
     }
-    if (!council_->current() || outstanding_ > 0 || now_ < lead_at_) return; // what was proposed last is still on its way
+    if (!council_->current() || outstanding_ > 0 || now_ < lead_at_)
+        return; // what was proposed last is still on its way
     lead_at_ = now_ + terms_.heartbeat / 2;
     const Outlook seen = outlook();
     const Wanted wanted = steward_.want(now_, council_->leads_since(), evening(), seen);
@@ -408,7 +415,8 @@
     council_->hand_over(fit);
 }
 
-// A voter that is gone for long, or has lost its ledger, gives its seat up; a candidate that is there takes one.
+// A voter that is gone for long, or has lost its ledger, gives its seat up; a candidate that is there takes
+// one.
 void Warden::mind_seats(const Outlook& seen) {
     if (council_->changing()) return;
     const std::set<std::string> voters = council_->voters();
@@ -438,7 +446,8 @@
         });
         if (now_ < since + terms_.replace_after || !spare) continue;
         const bool begun = council_->remove(voter);
-        return say("seat", {{"lost", voter}, {"why", "it is gone"}, {"trouble", begun ? "" : council_->trouble()}});
+        return say("seat",
+                   {{"lost", voter}, {"why", "it is gone"}, {"trouble", begun ? "" : council_->trouble()}});
     }
     if (voters.size() >= terms_.council) return;
     for (const Candidate& candidate : terms_.candidates) {
@@ -514,7 +523,8 @@
             ++counts_.stale_asks;
             return reply(request, false, "this request is of another time: look at the clocks");
         }
-        if (verb == "show" || verb == "plan" || verb == "explain") return reply(request, true, answer(ask).dump());
+        if (verb == "show" || verb == "plan" || verb == "explain")
+            return reply(request, true, answer(ask).dump());
         if (terms_.candidates.empty()) return reply(request, false, "there is no rota here: no candidates");
         const auto text = [&](const char* name) { return words::text_in(ask.value(name, Json(""))); };
         std::optional<Command> command;
@@ -525,9 +535,9 @@
                           words::texts_in<std::vector<std::string>>(ask.at("machines")),
                           static_cast<Tenths>(words::count_in(ask.value("earliest", Json(0U)))),
                           static_cast<Tenths>(words::count_in(ask.value("latest", Json(0U))))};
-        if (verb == "withdraw")
-            command = Withdraw{request, text("machine"), "withdrawn by " + text("by")};
-        if (verb == "hold") command = Hold{request, text("why").empty() ? "held by " + text("by") : text("why")};
+        if (verb == "withdraw") command = Withdraw{request, text("machine"), "withdrawn by " + text("by")};
+        if (verb == "hold")
+            command = Hold{request, text("why").empty() ? "held by " + text("by") : text("why")};
         if (verb == "resume") command = Resume{request};
         if (verb == "hurry") command = Hurry{request, text("machine")};
         if (!command) return reply(request, false, "no such request: " + verb);
@@ -556,14 +566,10 @@
     const Evening& state = evening();
     const Outlook seen = outlook();
     const std::set<std::string> down = Steward::down(state, seen);
-    Json made{{"node", terms_.name},
-              {"age_ms", view_age(now_) * 1000 / kTenthsPerSecond},
-              {"leader", leader()},
-              {"voters", seen.voters},
-              {"members", roster_.present()},
-              {"held", state.held()},
-              {"held_why", state.held_why()},
-              {"applied", state.applied()}};
+    Json made{{"node", terms_.name},          {"age_ms", view_age(now_) * 1000 / kTenthsPerSecond},
+              {"leader", leader()},           {"voters", seen.voters},
+              {"members", roster_.present()}, {"held", state.held()},
+              {"held_why", state.held_why()}, {"applied", state.applied()}};
     if (council_) {
         static constexpr const char* kPhases[] = {"roll call", "takes part", "disowned", "unable"};
         made["phase"] = kPhases[static_cast<int>(council_->phase())];
@@ -605,7 +611,8 @@
     if (const Turn* turn = state.turn(machine)) made["turn"] = turn_row(*turn);
     const auto health = seen.machines.find(machine);
     static constexpr const char* kHealth[] = {"warm", "cold", "drains", "gone"};
-    made["health"] = health == seen.machines.end() ? "unknown" : kHealth[static_cast<int>(health->second.health)];
+    made["health"] =
+        health == seen.machines.end() ? "unknown" : kHealth[static_cast<int>(health->second.health)];
     std::set<std::string> busy = state.out();
     busy.insert(down.begin(), down.end());
     const std::string objection = room.objection(machine, busy);
--- a/src/rota/warden.hpp
+++ b/src/rota/warden.hpp
@@ -1,5 +1,5 @@
-// A front node's side of all this in one object, free of I/O: who is there, the council, the leader's part, the
-// holder's part, and the operators' questions. Datagrams, keepers' answers, the list and the time go in;
+// A front node's side of all this in one object, free of I/O: who is there, the council, the leader's part,
+// the holder's part, and the operators' questions. Datagrams, keepers' answers, the list and the time go in;
 // datagrams, keepers' acts and lines for the log come out. It runs alike on sockets and in virtual time.
 #pragma once
 #include "membership/roster.hpp"
@@ -21,7 +21,7 @@
 
 struct WardenTerms {
     std::string name, address, secret;
-    std::vector<std::string> peers; // addresses; the candidates' are among them in any case
+    std::vector<std::string> peers;    // addresses; the candidates' are among them in any case
     std::vector<Candidate> candidates; // front nodes with a ledger; none: there is no rota, only members
     std::size_t council = 3;
     Limits limits;
@@ -30,7 +30,7 @@
     Tenths probe_gap = kTenthsPerSecond;
     Tenths heartbeat = kTenthsPerSecond / 10;
     Tenths replace_after = 60 * kTenthsPerSecond; // a voter gone for so long gives its seat to another
-    Tenths front_work = 60 * kTenthsPerSecond; // of a front node, for the plan
+    Tenths front_work = 60 * kTenthsPerSecond;    // of a front node, for the plan
     std::uint64_t seed = 0;
     std::uint64_t incarnation = 1;
     double most_datagrams = 20'000; // a second; what comes beyond is dropped unread
@@ -40,7 +40,7 @@
 struct SendBytes {
     std::string address, bytes;
 };
-struct Line { // for the log, with what belongs to it
+struct Line {          // for the log, with what belongs to it
     bool loud = false; // the operator is called
     std::string what;
     std::vector<std::pair<std::string, std::string>> fields;
--- a/src/rota/words.cpp
+++ b/src/rota/words.cpp
@@ -34,8 +34,9 @@
 
 Facts facts_in(const Json& row) {
     if (!row.is_array() || row.size() != 6 || row[3].size() > kMostRows) throw std::out_of_range("no facts");
-    Facts facts{text_in(row[0]), row[1].get<bool>(), text_in(row[2]), {}, number_in(row[4]),
-                static_cast<Tenths>(number_in(row[5]))};
+    Facts facts{text_in(row[0]),   row[1].get<bool>(),
+                text_in(row[2]),   {},
+                number_in(row[4]), static_cast<Tenths>(number_in(row[5]))};
     for (const auto& shard : row[3]) facts.shards.push_back(static_cast<int>(number_in(shard)));
     return facts;
 }
@@ -46,18 +47,22 @@
 
 Limits limits_in(const Json& row) {
     if (!row.is_array() || row.size() != 6) throw std::out_of_range("no limits");
-    return {static_cast<int>(number_in(row[0])), number_in(row[1]), number_in(row[2]),
-            number_in(row[3]),                   number_in(row[4]), static_cast<int>(number_in(row[5]))};
+    return {static_cast<int>(number_in(row[0])),
+            number_in(row[1]),
+            number_in(row[2]),
+            number_in(row[3]),
+            number_in(row[4]),
+            static_cast<int>(number_in(row[5]))};
 }
 
 Json row_of(const Turn& t) {
     return Json::array({t.machine, t.order.value, static_cast<int>(t.state), t.holder, t.fence.value, t.taken,
-                        t.stamp, t.hurried, t.withdrawn, t.recalled, t.setbacks, t.earliest, t.latest,
-                        t.why});
+                        t.stamp, t.hurried, t.withdrawn, t.recalled, t.setbacks, t.handed, t.earliest,
+                        t.latest, t.why});
 }
 
 Turn turn_in(const Json& row) {
-    if (!row.is_array() || row.size() != 14) throw std::out_of_range("no turn");
+    if (!row.is_array() || row.size() != 15) throw std::out_of_range("no turn");
     const std::uint64_t state = count_in(row[2]);
     if (state > static_cast<std::uint64_t>(TurnState::kGivenUp)) throw std::out_of_range("no state");
     return {text_in(row[0]),
@@ -71,9 +76,10 @@
             row[8].get<bool>(),
             row[9].get<bool>(),
             static_cast<int>(number_in(row[10])),
-            static_cast<Tenths>(number_in(row[11])),
+            static_cast<int>(number_in(row[11])),
             static_cast<Tenths>(number_in(row[12])),
-            text_in(row[13])};
+            static_cast<Tenths>(number_in(row[13])),
+            text_in(row[14])};
 }
 
 std::string pack(const Json& row) {
@@ -101,9 +107,7 @@
 Json row_of(const Hold& c) { return Json::array({c.request, c.why}); }
 Json row_of(const Resume& c) { return Json::array({c.request}); }
 Json row_of(const Hurry& c) { return Json::array({c.request, c.machine}); }
-Json row_of(const Grant& c) {
-    return Json::array({c.machine, c.holder, c.before.value, c.down, c.wall});
-}
+Json row_of(const Grant& c) { return Json::array({c.machine, c.holder, c.before.value, c.down, c.wall}); }
 Json row_of(const Take& c) { return Json::array({c.machine, c.holder, c.fence.value, c.stamp}); }
 Json row_of(const Move& c) {
     return Json::array({c.machine, c.fence.value, static_cast<int>(c.to), c.why, c.undone});
@@ -123,29 +127,34 @@
         return made;
     }
     case 1:
-        return Add{text_in(row.at(0)),
-                   text_in(row.at(1)),
-                   text_in(row.at(2)),
-                   words::texts_in<std::vector<std::string>>(row.at(3)),
-                   time_in(row.at(4)),
-                   time_in(row.at(5))};
-    case 2: return Withdraw{text_in(row.at(0)), text_in(row.at(1)), text_in(row.at(2))};
-    case 3: return Hold{text_in(row.at(0)), text_in(row.at(1))};
-    case 4: return Resume{text_in(row.at(0))};
-    case 5: return Hurry{text_in(row.at(0)), text_in(row.at(1))};
+        return Add{text_in(row.at(0)), text_in(row.at(1)),
+                   text_in(row.at(2)), words::texts_in<std::vector<std::string>>(row.at(3)),
+                   time_in(row.at(4)), time_in(row.at(5))};
+    case 2:
+        return Withdraw{text_in(row.at(0)), text_in(row.at(1)), text_in(row.at(2))};
+    case 3:
+        return Hold{text_in(row.at(0)), text_in(row.at(1))};
+    case 4:
+        return Resume{text_in(row.at(0))};
+    case 5:
+        return Hurry{text_in(row.at(0)), text_in(row.at(1))};
     case 6:
         return Grant{text_in(row.at(0)), text_in(row.at(1)), fence(2),
                      words::texts_in<std::set<std::string>>(row.at(3)), time_in(row.at(4))};
-    case 7: return Take{text_in(row.at(0)), text_in(row.at(1)), fence(2), count_in(row.at(3))};
+    case 7:
+        return Take{text_in(row.at(0)), text_in(row.at(1)), fence(2), count_in(row.at(3))};
     case 8: {
         const std::uint64_t to = count_in(row.at(2));
         if (to > static_cast<std::uint64_t>(TurnState::kGivenUp)) throw std::out_of_range("no state");
         return Move{text_in(row.at(0)), fence(1), static_cast<TurnState>(to), text_in(row.at(3)),
                     row.at(4).get<bool>()};
     }
-    case 9: return Lapse{text_in(row.at(0)), fence(1)};
-    case 10: return Recall{text_in(row.at(0)), fence(1), text_in(row.at(2))};
-    default: throw std::out_of_range("no such command");
+    case 9:
+        return Lapse{text_in(row.at(0)), fence(1)};
+    case 10:
+        return Recall{text_in(row.at(0)), fence(1), text_in(row.at(2))};
+    default:
+        throw std::out_of_range("no such command");
     }
 }
 
@@ -166,7 +175,8 @@
                                              "grant",  "take", "move",     "lapse", "recall"};
     const Json row = std::visit([](const auto& what) { return row_of(what); }, command);
     return std::string(kNames[command.index()]) + " " +
-           (std::holds_alternative<Survey>(command) ? std::to_string(row[1].size()) + " machines" : row.dump());
+           (std::holds_alternative<Survey>(command) ? std::to_string(row[1].size()) + " machines"
+                                                    : row.dump());
 }
 
 } // namespace ivyrill::rota
--- a/src/store/sqlite_ledger.cpp
+++ b/src/store/sqlite_ledger.cpp
@@ -38,8 +38,9 @@
     }
     Statement& put(const std::string& bytes, bool text = false) {
         const auto size = static_cast<int>(bytes.size());
-        const int result = text ? sqlite3_bind_text(statement_, ++bound_, bytes.data(), size, SQLITE_TRANSIENT)
-                                : sqlite3_bind_blob(statement_, ++bound_, bytes.data(), size, SQLITE_TRANSIENT);
+        const int result =
+            text ? sqlite3_bind_text(statement_, ++bound_, bytes.data(), size, SQLITE_TRANSIENT)
+                 : sqlite3_bind_blob(statement_, ++bound_, bytes.data(), size, SQLITE_TRANSIENT);
         if (result != SQLITE_OK) fail();
         return *this;
     }
@@ -68,7 +69,8 @@
 
 SqliteLedger::SqliteLedger(const std::string& file, std::string witness, int most_pages)
     : witness_(std::move(witness)) {
-    if (sqlite3_open_v2(file.c_str(), &base_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr) != SQLITE_OK) {
+    if (sqlite3_open_v2(file.c_str(), &base_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr) !=
+        SQLITE_OK) {
         const std::string why = base_ != nullptr ? sqlite3_errmsg(base_) : "no memory";
         sqlite3_close(base_);
         throw LedgerError(file + ": " + why);
@@ -149,7 +151,8 @@
 
 rota::LedgerKept SqliteLedger::load() {
     rota::LedgerKept kept;
-    kept.term = number("term"), kept.vote = number("vote"), kept.first = std::max<std::uint64_t>(1, number("first"));
+    kept.term = number("term"), kept.vote = number("vote"),
+    kept.first = std::max<std::uint64_t>(1, number("first"));
     Statement snapshot(base_, "select place, term, voters_place, voters, state from snapshot");
     if (snapshot.next())
         kept.snapshot = rota::SnapshotKept{snapshot.number(0), snapshot.number(1), snapshot.number(2),
@@ -213,7 +216,9 @@
 Life SqliteLedger::life() { return {number("life"), number("mark"), number("seat")}; }
 
 void SqliteLedger::set_life(Life life) {
-    write([&] { set_number("life", life.number), set_number("mark", life.mark), set_number("seat", life.seat); });
+    write([&] {
+        set_number("life", life.number), set_number("mark", life.mark), set_number("seat", life.seat);
+    });
 }
 
 std::vector<std::string> SqliteLedger::voters() {
--- a/src/store/sqlite_ledger.hpp
+++ b/src/store/sqlite_ledger.hpp
@@ -1,7 +1,7 @@
-// A voter's ledger in one SQLite file: each call is one transaction, synced before it returns. Beside it, best in
-// a folder of memory that outlives the process and not the machine's start (`witness`), stands the number of the
-// last write: where both agree at a start, the file is the one that this machine wrote last, and not a copy that
-// somebody has put back.
+// A voter's ledger in one SQLite file: each call is one transaction, synced before it returns. Beside it,
+// best in a folder of memory that outlives the process and not the machine's start (`witness`), stands the
+// number of the last write: where both agree at a start, the file is the one that this machine wrote last,
+// and not a copy that somebody has put back.
 #pragma once
 #include "rota/ledger.hpp"
 
--- a/tests/rota_stories.cpp
+++ b/tests/rota_stories.cpp
@@ -1,5 +1,5 @@
-// Machines taken out for work, in virtual time: front nodes' wardens round their machines, with faults between
-// them. `rota_stories NAME`.
+// Machines taken out for work, in virtual time: front nodes' wardens round their machines, with faults
+// between them. `rota_stories NAME`.
 #include "fake_host.hpp"
 #include "lab/evening_world.hpp"
 #include "rota/chart.hpp"
@@ -32,7 +32,8 @@
 
 // A world whose council has begun and knows the fleet.
 struct Begun : EveningWorld {
-    explicit Begun(const WorldPlan& plan = {}, Planted planted = {}) : EveningWorld(plan, std::move(planted)) {
+    explicit Begun(const WorldPlan& plan = {}, Planted planted = {})
+        : EveningWorld(plan, std::move(planted)) {
         assert(until([&] { return leader() >= 0 && !evening().fleet().empty(); }, 30 * kS));
     }
     void ordered(const std::vector<std::string>& machines, int at = 0) {
@@ -60,8 +61,10 @@
     Evening evening;
     Survey survey{{2, 1, 0.5, 0.5, 0.4, 3}, {}, {"n0", "n1", "n2"}};
     for (int i = 0; i < servers; ++i)
-        survey.fleet.push_back({"s" + std::to_string(i), false, i < servers / 2 ? "a" : "b", {i % 2}, 1, 10 * kS});
-    for (int i = 0; i < fronts; ++i) survey.fleet.push_back({"n" + std::to_string(i), true, "", {}, 1, 10 * kS});
+        survey.fleet.push_back(
+            {"s" + std::to_string(i), false, i < servers / 2 ? "a" : "b", {i % 2}, 1, 10 * kS});
+    for (int i = 0; i < fronts; ++i)
+        survey.fleet.push_back({"n" + std::to_string(i), true, "", {}, 1, 10 * kS});
     assert(evening.apply(survey).done);
     assert(evening.apply(Add{"r1", "op", "", {"s0", "s1", "s2", "s4", "n0", "n1"}, 0, 0}).done);
     return evening;
@@ -70,9 +73,11 @@
 void floor_is_kept_whoever_grants() {
     Evening evening = small_evening();
     assert(evening.apply(Grant{"s0", "n1", {0}, {}, 0}).done);
-    const Verdict second = evening.apply(Grant{"s2", "n2", {0}, {}, 0}); // holds the same shard, two must stay
+    const Verdict second =
+        evening.apply(Grant{"s2", "n2", {0}, {}, 0}); // holds the same shard, two must stay
     assert(!second.done && second.why.find("shard 0") != std::string::npos);
-    const Verdict down = evening.apply(Grant{"s1", "n2", {0}, {"s3", "s5"}, 0}); // others are down by themselves
+    const Verdict down =
+        evening.apply(Grant{"s1", "n2", {0}, {"s3", "s5"}, 0}); // others are down by themselves
     assert(!down.done && evening.out() == std::set<std::string>{"s0"});
 }
 
@@ -107,7 +112,8 @@
     Evening evening = small_evening();
     assert(evening.apply(Grant{"s0", "n1", {0}, {"s3"}, 77}).done);
     const auto read = Evening::decode(evening.encode());
-    assert(read && read->encode() == evening.encode() && read->turn("s0")->fence == evening.turn("s0")->fence);
+    assert(read && read->encode() == evening.encode() &&
+           read->turn("s0")->fence == evening.turn("s0")->fence);
     assert(!Evening::decode("nonsense") && !Evening::decode(evening.encode().substr(0, 40)));
     const Command commands[] = {Grant{"s1", "n2", {3}, {"a"}, 9}, Move{"s1", {4}, TurnState::kOut, "w", true},
                                 Take{"s1", "n2", {4}, 12}, Add{"r", "o", "n", {"a", "b"}, 1, 2}};
@@ -135,11 +141,16 @@
         Evening evening;
         Survey survey{{1, 0.5, 0.67, 0.4, 0.34, 3}, {}, {}};
         for (int i = 0; i < 8; ++i)
-            survey.fleet.push_back({"s" + std::to_string(i), false, std::string(1, static_cast<char>('a' + i % 3)),
-                                    {i % 2, 2 + i % 3}, 1, static_cast<Tenths>((1 + 9 * chance.unit()) * kS)});
+            survey.fleet.push_back({"s" + std::to_string(i),
+                                    false,
+                                    std::string(1, static_cast<char>('a' + i % 3)),
+                                    {i % 2, 2 + i % 3},
+                                    1,
+                                    static_cast<Tenths>((1 + 9 * chance.unit()) * kS)});
         evening.apply(survey);
         std::vector<Task> tasks;
-        for (int i = 0; i < 6; ++i) tasks.push_back({"s" + std::to_string(i), survey.fleet[i].work, false, 0});
+        for (int i = 0; i < 6; ++i)
+            tasks.push_back({"s" + std::to_string(i), survey.fleet[i].work, false, 0});
         const Room room(evening.limits(), evening.fleet(), evening.voters());
         const Plan ours = plan_well(evening, tasks, {}, seed), come = plan_first_come(room, tasks, {});
         const auto best = plan_best(room, tasks, {}, 6);
@@ -255,7 +266,8 @@
     assert(world.until([&] { return world.evening().held(); }, 120 * kS)); // it does not come back: stop
     for (int i = 0; i < 5; ++i) world.kill(i), world.front(i).failed = true;
     for (int i = 0; i < 5; ++i) world.front(i).failed = false, world.start(i);
-    assert(world.until([&] { return world.leader() >= 0 && world.evening().turn("s0") != nullptr; }, 60 * kS));
+    assert(
+        world.until([&] { return world.leader() >= 0 && world.evening().turn("s0") != nullptr; }, 60 * kS));
     assert(world.evening().held() && world.evening().held_why().find("s0") != std::string::npos);
     world.machine("s0").never_back = false;
     world.ask(1, {{"request", "on"}, {"verb", "resume"}});
@@ -298,7 +310,8 @@
     world.ordered({"s0", "s1"}, 1);
     assert(world.ends());
     const Council& council = *world.front(0).warden->council();
-    assert(council.phase() == CouncilPhase::kUnable || council.evening().applied() < world.evening().applied());
+    assert(council.phase() == CouncilPhase::kUnable ||
+           council.evening().applied() < world.evening().applied());
     world.front(0).ledger->full = false;
     assert(world.until([&] { return council.evening().applied() == world.evening().applied(); }, 60 * kS));
     assert(world.kept());
@@ -311,9 +324,12 @@
     world.ordered({"s0"}, 4); // it votes nowhere, and takes an order
     assert(world.ends());
     assert(world.front(4).warden->council() == nullptr);
-    assert(world.until([&] { return world.front(4).warden->evening().turn("s0") != nullptr &&
-                                    world.front(4).warden->evening().turn("s0")->state == TurnState::kDone; },
-                       20 * kS));
+    assert(world.until(
+        [&] {
+            return world.front(4).warden->evening().turn("s0") != nullptr &&
+                   world.front(4).warden->evening().turn("s0")->state == TurnState::kDone;
+        },
+        20 * kS));
     const auto told = world.front(4).warden->answer({{"verb", "show"}});
     assert(told["turns"].size() == 1 && told["age_ms"].get<std::int64_t>() < 10'000);
 }
@@ -351,8 +367,8 @@
     world.cut({0, 1});
     world.pass(10 * kS);
     world.order(0, {"s0", "s1"}, "minority"), world.order(3, {"s1", "s2"}, "majority");
-    assert(world.until([&] { return world.answers.contains("minority") && world.answers.contains("majority"); },
-                       40 * kS));
+    assert(world.until(
+        [&] { return world.answers.contains("minority") && world.answers.contains("majority"); }, 40 * kS));
     assert(!world.answers["minority"].first && world.answers["majority"].first);
     world.heal();
     assert(world.ends() && world.kept() && world.evening().turn("s0") == nullptr);
@@ -484,7 +500,8 @@
 
 void three_hundred_front_nodes() {
     WorldPlan plan;
-    plan.fronts = 300, plan.candidates = 7, plan.council = 5, plan.servers = 200, plan.shards = 40, plan.zones = 4;
+    plan.fronts = 300, plan.candidates = 7, plan.council = 5, plan.servers = 200, plan.shards = 40,
+    plan.zones = 4;
     plan.heartbeat = kS;
     plan.limits.fleet_share = 0.1;
     EveningWorld world(plan);
@@ -502,7 +519,8 @@
 void a_transfer_to_one_that_is_silent_ends() { assert(lab::play(lab::draw_schedule(537)).broken.empty()); }
 void a_leader_just_started_surveys_nothing() { assert(lab::play(lab::draw_schedule(990)).broken.empty()); }
 void schedules_of_all_sorts() {
-    for (std::uint64_t seed = 1; seed <= 40; ++seed) assert(lab::play(lab::draw_schedule(seed)).broken.empty());
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        assert(lab::play(lab::draw_schedule(seed)).broken.empty());
 }
 
 // ---- faults that are planted, and found by the checker
@@ -546,9 +564,15 @@
     return planted;
 }
 
-void planted_a_term_that_is_not_kept() { assert(found(forgetful([](Forgetful& f) { f.term = true; }))); }
-void planted_an_entry_that_is_not_kept() { assert(found(forgetful([](Forgetful& f) { f.entries = true; }))); }
-void planted_a_witness_that_lies() { assert(found(forgetful([](Forgetful& f) { f.lies = true; }), 285)); }
+void planted_a_term_that_is_not_kept() {
+    assert(found(forgetful([](Forgetful& f) { f.term = true; })));
+}
+void planted_an_entry_that_is_not_kept() {
+    assert(found(forgetful([](Forgetful& f) { f.entries = true; })));
+}
+void planted_a_witness_that_lies() {
+    assert(found(forgetful([](Forgetful& f) { f.lies = true; }), 285));
+}
 void planted_a_floor_that_is_ignored() {
     assert(found(altered([](int, WardenTerms& t) { t.limits.floor = 1, t.limits.shard_share = 1; })));
 }
@@ -579,11 +603,13 @@
     caught = machine.act(2, Act::kBack, {3}) != Kept::kRefused;
     HallMachine careful;
     careful.act(1, Act::kDrain, {7});
-    assert(caught && careful.act(2, Act::kBack, {3}) == Kept::kRefused && careful.is != HallMachine::Is::kServing);
+    assert(caught && careful.act(2, Act::kBack, {3}) == Kept::kRefused &&
+           careful.is != HallMachine::Is::kServing);
 }
 void planted_a_machine_that_two_keep_apart() { // one node surveys another fleet: it knows of no shards
     Planted planted = altered([](int front, WardenTerms& t) {
-        if (front == 0) t.limits.floor = 0, t.limits.shard_share = 1, t.limits.fleet_share = 1, t.limits.zone_share = 1;
+        if (front == 0)
+            t.limits.floor = 0, t.limits.shard_share = 1, t.limits.fleet_share = 1, t.limits.zone_share = 1;
     });
     assert(found(planted));
 }
@@ -625,7 +651,8 @@
 
 void a_flood_is_dropped_unread() {
     WardenTerms terms;
-    terms.name = "n0", terms.address = "10.0.0.1:7", terms.secret = "the secret of a story, thirty-two bytes or more";
+    terms.name = "n0", terms.address = "10.0.0.1:7",
+    terms.secret = "the secret of a story, thirty-two bytes or more";
     Warden warden(terms, nullptr, kS, kS);
     for (int i = 0; i < 50'000; ++i) warden.hear(kS + i / 100, "10.0.0.9:1", "\x88nothing that is sealed");
     assert(warden.counts().crowded > 40'000 && warden.seals().strangers < 10'000);
@@ -662,7 +689,8 @@
     store::SqliteLedger ledger(folder.path + "/l.db");
     const LedgerKept kept = ledger.load();
     assert(kept.term == 3 && kept.vote == 7 && kept.first == 2 && kept.entries.size() == 3);
-    assert(kept.entries[0].bytes == "two" && kept.entries[2].bytes == "four" && kept.snapshot->state == "state");
+    assert(kept.entries[0].bytes == "two" && kept.entries[2].bytes == "four" &&
+           kept.snapshot->state == "state");
     assert((ledger.life() == Life{2, 99, 0}) && (ledger.lives()["n1"] == Life{4, 5, 6}));
     assert(ledger.voters() == std::vector<std::string>({"n0", "n2"}));
 }
@@ -724,7 +752,8 @@
         assert(ledger.proven());
         ledger.set_term(3);
     }
-    std::filesystem::copy_file(folder.path + "/copy", file, std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy_file(folder.path + "/copy", file,
+                               std::filesystem::copy_options::overwrite_existing);
     {
         store::SqliteLedger ledger(file, witness);
         assert(!ledger.proven());
@@ -751,10 +780,11 @@
 }
 
 void an_evening_is_drawn_from_its_log() {
-    std::istringstream log("x info turn machine=\"s<0\" state=\"draining\" holder=\"n1\" fence=\"1\" at_ms=\"1000\" why=\"\"\n"
-                           "nothing of ours\n"
-                           "x info turn machine=\"s<0\" state=\"out\" holder=\"n1\" fence=\"1\" at_ms=\"2000\" why=\"\"\n"
-                           "x info turn machine=\"s<0\" state=\"done\" holder=\"-\" fence=\"1\" at_ms=\"4000\" why=\"\"\n");
+    std::istringstream log(
+        "x info turn machine=\"s<0\" state=\"draining\" holder=\"n1\" fence=\"1\" at_ms=\"1000\" why=\"\"\n"
+        "nothing of ours\n"
+        "x info turn machine=\"s<0\" state=\"out\" holder=\"n1\" fence=\"1\" at_ms=\"2000\" why=\"\"\n"
+        "x info turn machine=\"s<0\" state=\"done\" holder=\"-\" fence=\"1\" at_ms=\"4000\" why=\"\"\n");
     const std::string drawn = chart_of(log);
     assert(drawn.starts_with("<svg") && drawn.find("s&lt;0 out by n1") != std::string::npos);
     assert(drawn.find("3 s</text>") != std::string::npos);
