--- a/src/rota/steward.hpp
+++ b/src/rota/steward.hpp
@@ -28,7 +28,7 @@
     explicit Steward(StewardTerms terms) : terms_(std::move(terms)) {}
     Wanted want(Tenths now, Tenths leads_since, const Evening& evening, const Outlook& outlook);
     void forget() {
-        heard_.clear(), settling_ = 0, put_back_.clear(), surveyed_ = 0, clocks_.clear(), failed_.clear();
+        heard_.clear(), settling_ = strained_since_ = 0, put_back_.clear(), clocks_.clear(), failed_.clear();
     }
 
     // Machines that do not serve and were not sent out.
@@ -63,7 +63,7 @@
     std::map<std::string, Clock> clocks_;
     std::set<std::string> distrusted_; // holders whose clock goes otherwise than is assumed
     std::set<std::string> failed_;     // holders that let a grant lapse, until they keep one
-    Tenths settling_ = 0, surveyed_ = 0;
+    Tenths settling_ = 0, strained_since_ = 0;
     std::vector<std::string> order_; // of the plan, and for what it was made
     std::string planned_for_;
     std::uint64_t wrong_clocks_ = 0;
