--- a/src/lab/rig.hpp
+++ b/src/lab/rig.hpp
@@ -156,6 +156,7 @@
     std::int64_t version_ = 1;
     std::set<std::pair<int, int>> cuts_;
     std::set<int> cut_from_world_;
+    bool thaw_ = false; // links are whole again
     double loss_ = 0, doubled_ = 0;
     Tenths most_delay_ = 0;
     std::priority_queue<Later, std::vector<Later>, std::greater<>> later_;
