A closed descriptor is taken out of the epoll set by name

Cause: the address sanitizer showed events for a freed connection in the rig: a process being started beside the loop held a copy of the descriptor, so that close alone left it in the set. The front node's own keepers start processes too. Change: Source takes it out before it closes it (src/transport/loop.cpp).

--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -49,7 +49,12 @@
     }
 }
 
-Source::~Source() { close(descriptor_); } // which also takes it out of the epoll set
+// To close it would take it out of the epoll set, unless a process that is just being started holds a copy:
+// then events would go on coming for what is no more.
+Source::~Source() {
+    epoll_ctl(loop_.epoll_, EPOLL_CTL_DEL, descriptor_, nullptr);
+    close(descriptor_);
+}
 
 Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), steady_to_unix_us_(unix_us() - steady_us()) {
     if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
