A holder that gives its turn back holds it no more from then on

Cause: make measure NAME=rota showed 21 of 2,000 schedules with two holders: since holders may give a turn back, one went on believing its grant until it heard its own word agreed on. Change: it drops the grant as it says so; a story of it, and one of two processes with one name.

--- a/src/rota/hand.cpp
+++ b/src/rota/hand.cpp
@@ -76,6 +76,12 @@
         Task& task = place->second;
         if (fresh) task.fence = turn.fence;
         if (fresh || task.state != turn.state) task.state = turn.state, task.since = now, task.called = false;
+        if (task.given) { // said again until it is agreed on
+            if (now < task.ask_at) continue;
+            task.ask_at = now + terms_.spans.act;
+            out.commands.emplace_back(Lapse{machine, turn.fence});
+            continue;
+        }
         // Only a word of this life counts, and from the moment that we gave it.
         if (turn.taken && task.asked.contains(turn.stamp))
             task.until = std::max(task.until, static_cast<Tenths>(turn.stamp) + terms_.spans.grant);
@@ -112,7 +118,9 @@
     if (!task.claimed || task.kept == Kept::kUnknown) {
         // Its keeper may be silent to us alone: others try before anything is made of it.
         if (task.silent >= kMostSilent && turn.handed < kMostHanded) {
-            task.silent = 0, task.move_at = task.act_at = now + terms_.spans.act;
+            // From here on it is not ours, whatever the grant says: another may have it before we hear so.
+            task.given = true, task.until = 0;
+            task.ask_at = now + terms_.spans.act;
             out.commands.emplace_back(Lapse{turn.machine, turn.fence});
             return;
         }
@@ -243,9 +251,10 @@
     task.act_at = now + (what == Act::kLook ? terms_.spans.act / kLooks : 1);
 }
 
-std::vector<Command> Hand::give_back(const Evening& evening) const {
+std::vector<Command> Hand::give_back(const Evening& evening) {
     std::vector<Command> commands;
-    for (const auto& [machine, task] : tasks_) {
+    for (auto& [machine, task] : tasks_) {
+        task.given = true, task.until = 0;
         const Turn* turn = evening.turn(machine);
         if (turn != nullptr && turn->holder == terms_.self && !is_over(turn->state))
             commands.emplace_back(Lapse{machine, turn->fence});
--- a/src/rota/hand.hpp
+++ b/src/rota/hand.hpp
@@ -64,7 +64,7 @@
     void hear(Tenths now, std::uint64_t serial, const std::string& machine, Kept kept);
     bool holds(const std::string& machine, Tenths now) const; // its grant lasts
     Tenths held_until(const std::string& machine) const;
-    std::vector<Command> give_back(const Evening& evening) const; // we leave: others go on at once
+    std::vector<Command> give_back(const Evening& evening); // we leave: others go on at once
     Tenths next(Tenths now) const;
     const HandCounts& counts() const { return counts_; }
 
@@ -80,8 +80,8 @@
         Kept kept = Kept::kUnknown;
         std::optional<KeeperAct> out; // waits for its answer
         Tenths act_by = 0, act_at = 0, move_at = 0;
-        int silent = 0; // acts in a row without an answer
-        bool refused = false, called = false;
+        int silent = 0;                                      // acts in a row without an answer
+        bool refused = false, called = false, given = false; // the last: given back, not to be held again
     };
     void tend(Tenths now, const Turn& turn, Task& task, const Evening& evening, const Outlook& outlook,
               HandOut& out);
--- a/tests/rota_stories.cpp
+++ b/tests/rota_stories.cpp
@@ -413,6 +413,24 @@
     assert(hand.carry(kS + 11 * kS, evening, outlook).acts.empty()); // its grant has run out
 }
 
+// Its keeper is silent to it: it gives the turn back, and holds it no more from the moment that it says so.
+void what_is_given_back_is_not_held() {
+    Hand hand({"n0", {}, {}});
+    Evening evening = small_evening();
+    assert(evening.apply(Grant{"s0", "n0", {0}, {}, 0}).done);
+    Outlook outlook;
+    assert(evening.apply(hand.carry(kS, evening, outlook).commands[0]).done);
+    bool given = false;
+    for (Tenths now = 2 * kS; now < 200 * kS && !given; now += kS) {
+        for (const Command& command : hand.carry(now, evening, outlook).commands) {
+            given = given || std::holds_alternative<Lapse>(command);
+            if (!given) evening.apply(command);
+        }
+        assert(!given || !hand.holds("s0", now));
+    }
+    assert(given);
+}
+
 void one_that_does_not_drain_is_put_back() {
     Begun world;
     world.machine("s0").never_drains = true;
@@ -461,6 +479,17 @@
     assert(world.ends() && world.kept());
 }
 
+// A fifth process bears the first one's name, with a ledger of its own.
+void two_with_one_name_do_no_harm() {
+    Planted planted;
+    planted.terms = [](int front, WardenTerms& terms) { terms.name = front == 4 ? "n0" : terms.name; };
+    WorldPlan plan;
+    plan.candidates = 4;
+    Begun world(plan, planted);
+    world.ordered({"s0", "s1", "s2"}, 1);
+    assert(world.ends() && world.kept());
+}
+
 void a_site_is_lost_and_nothing_more_goes() {
     Begun world;
     world.ordered({"s0", "s1"});
@@ -817,10 +846,12 @@
     STORY(two_operators_on_both_sides_of_a_cut),
     STORY(keepers_answer_twice_late_or_never),
     STORY(an_answer_for_another_machine_is_no_answer),
+    STORY(what_is_given_back_is_not_held),
     STORY(one_that_does_not_drain_is_put_back),
     STORY(one_that_comes_back_broken_stops_the_evening),
     STORY(a_leader_hands_over_before_its_own_turn),
     STORY(a_voter_gone_for_long_gives_its_seat_to_another),
+    STORY(two_with_one_name_do_no_harm),
     STORY(a_site_is_lost_and_nothing_more_goes),
     STORY(a_hold_stands_until_it_is_lifted),
     STORY(clocks_that_differ_as_is_assumed_do_no_harm),
