The rig binds to an address of its own: its front nodes' ports are nobody else's

Played 12 times, 2 failed; the logs that were left say 'bind 127.0.0.1:41665: Address already in use' (a front node's datagrams) and 'bind: Address already in use' (its listener). The rig drew a port from the system, closed it and wrote it into the settings (free_address, rig.cpp 44-50); until the front node bound it, the rig's own 70 doors and 5 relays drew theirs from the same range. Where a relay got a front node's address it sent datagrams to itself for ever, and the rig's thread never came back: the second log shows discovery silent for good.

Change: each rig has a loopback address of its own (by process id) and its front nodes ports below those that the system gives out; no connection's own end comes from that address, so ports that are away for a while (a server that is out, a front node that restarts) stay free as well.

--- a/src/lab/rig.cpp
+++ b/src/lab/rig.cpp
@@ -41,15 +41,16 @@
     return out + letter + rest;
 }
 
-// A port that nobody has now; the system gives it to nobody else for a while.
-std::string free_address(bool datagrams) {
-    const int descriptor =
-        datagrams ? transport::bind_datagrams("127.0.0.1:0") : transport::listen_at("127.0.0.1:0");
-    const int port = transport::port_of(descriptor);
-    close(descriptor);
-    return "127.0.0.1:" + std::to_string(port);
+// An address of this rig's own, so that no connection's own end, anywhere on the machine, comes to bear a
+// port that a front node or a server will want again once it has been away.
+std::string own_host() {
+    const auto own = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(64 + (own >> 16U & 63U)) + "." + std::to_string(own >> 8U & 255U) + "." +
+           std::to_string(own & 255U);
 }
 
+constexpr int kFirstPort = 20'000; // below those that the system gives out by itself
+
 std::string name_of(int front) { return "n" + std::to_string(front); }
 
 bool is_down(HallMachine::Is is) {
@@ -66,7 +67,7 @@
 Rig::Rig(const RigPlan& plan) : plan_(plan) {
     std::string form = (fs::temp_directory_path() / "ivyrill-rig-XXXXXX").string();
     if (mkdtemp(form.data()) == nullptr) throw std::runtime_error("no folder");
-    folder_ = form;
+    folder_ = form, host_ = own_host();
     const int cells = std::max(1, plan.servers / plan.replicas);
     for (int i = 0; i < plan.servers; ++i) {
         HallMachine made;
@@ -82,15 +83,15 @@
     fronts_.resize(static_cast<std::size_t>(plan.fronts));
     for (int i = 0; i < plan.fronts; ++i) {
         Front& front = fronts_[i];
-        front.listen = free_address(false), front.bound = free_address(true);
-        front.relay = std::make_unique<transport::Source>(loop_, transport::bind_datagrams("127.0.0.1:0"));
-        front.told = "127.0.0.1:" + std::to_string(transport::port_of(front.relay->descriptor()));
+        front.listen = front.bound = host_ + ":" + std::to_string(kFirstPort + i);
+        front.relay = std::make_unique<transport::Source>(loop_, transport::bind_datagrams(host_ + ":0"));
+        front.told = host_ + ":" + std::to_string(transport::port_of(front.relay->descriptor()));
         HallMachine made;
         made.facts.name = name_of(i), made.facts.front_node = true;
         made.works_for = plan.work, made.starts_for = 0, made.never_drains = true;
         machines_[name_of(i)] = made;
         for (int target = kKeeper; target < plan.servers; ++target)
-            doors_.push_back({i, target, "127.0.0.1:0", {}, {}});
+            doors_.push_back({i, target, host_ + ":0", {}, {}});
     }
     for (int target = kKeeper; target < plan.servers; ++target) open_doors(target, true);
     for (int i = 0; i < plan.fronts; ++i) {
@@ -367,7 +368,7 @@
         }
         if (door.source) continue;
         door.source = std::make_unique<transport::Source>(loop_, transport::listen_at(door.address));
-        door.address = "127.0.0.1:" + std::to_string(transport::port_of(door.source->descriptor()));
+        door.address = host_ + ":" + std::to_string(transport::port_of(door.source->descriptor()));
         door.task = accept(door);
         door.task.start();
     }
--- a/src/lab/rig.hpp
+++ b/src/lab/rig.hpp
@@ -143,7 +143,7 @@
     std::string file(const std::string& name) const { return folder_ + "/" + name; }
 
     RigPlan plan_;
-    std::string folder_;
+    std::string folder_, host_;
     mutable std::mutex mutex_; // for all that follows but the loop's own
     transport::Loop loop_;
     std::list<Door> doors_;
