A full window of which nothing is owed lets the sending limit rise

Lines: Mind::adapt (src/brain.cpp) raised the limit only where answers exceed it, while choose() sends nothing over it, so the answers of a window can reach the limit and hardly ever exceed it. One client that asks again once it is answered got ten parts in 20 ms from servers that owed it nothing.

Change: the limit rises as well where this window's limit has been sent and all of it is answered (nothing out).

A story fails without it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -360,7 +360,8 @@
 
     void adapt(IndexServer& server) {
         const double answers = std::max(server.answers, server.last_answers);
-        if (answers > server.limit) {
+        // Answers cannot exceed what is not sent: a full window of which nothing is owed was too narrow.
+        if (answers > server.limit || (server.sent >= server.limit && server.out() == 0)) {
             const double reach = now_ - server.last_cut - std::cbrt(kCut * server.saturation / kGamma);
             const double cubic = kGamma * reach * reach * reach + server.saturation;
             server.limit = std::max(server.limit, std::min(server.limit + kStepCap, cubic));
@@ -418,8 +419,7 @@
         return std::max(known, static_cast<double>(now_ - std::max(oldest, server.last_answer)));
     }
 
-    // Without answers, what was high drains and what was low is forgotten, towards what is usual in the
-    // fleet.
+    // Without answers, what was high drains and what was low is forgotten, towards the fleet's usual.
     void drain(IndexServer& server) {
         roll_window(server);
         const double passed = static_cast<double>(now_ - server.drained);
@@ -714,8 +714,7 @@
         });
     }
 
-    // An overdue launch gets company where copies are allowed, else is called off, to go elsewhere once
-    // confirmed.
+    // An overdue launch gets company where copies are allowed, else it is called off to go elsewhere.
     void hurry(Search& search, Part& part, ProductView& product) {
         if (product.terms.effect == Effect::kAtMostOnce) return;
         Launch* last = nullptr;
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -50,6 +50,23 @@
     assert(host.sent.size() - before < 10);
 }
 
+// One client that asks again once it is answered met a limit of ten parts in 20 ms at servers that were idle.
+void an_idle_server_is_sent_to_at_its_clients_pace() {
+    FakeHost host(plain_terms(), 1);
+    host.warm(1, ms(5));
+    host.pass(ms(40));
+    host.sent.clear();
+    for (int i = 0; i < 40; ++i) { // within one window: each is answered before the next is asked for
+        host.search({0});
+        host.all_return(Outcome::kAnswered, 1);
+    }
+    assert(host.sent.size() == 40);
+    host.pass(ms(40));
+    host.sent.clear();
+    for (int i = 0; i < 200; ++i) host.search({0}); // what it has shown so is no leave to flood it
+    assert(host.sent.size() < 100);
+}
+
 void backlog_drains() {
     FakeHost host(plain_terms(), 1);
     host.warm(1, ms(5));
@@ -577,6 +594,7 @@
     STORY(outstanding_parts_spread),
     STORY(reported_queue_repels),
     STORY(limit_rises_and_is_cut),
+    STORY(an_idle_server_is_sent_to_at_its_clients_pace),
     STORY(backlog_drains),
     STORY(unheard_takes_the_mean),
     STORY(siblings_share_a_call),
