--- a/tests/script_stories.cpp
+++ b/tests/script_stories.cpp
@@ -202,6 +202,32 @@
     assert(refusal("listeners = 1") == "listeners: expected a list of dicts");
 }
 
+const std::string kRota = R"(
+members = {"address": "10.0.0.1:7946", "peers": ["10.0.0.2:7946"], "secret": "secret"}
+rota = {
+    "candidates": {"n0": "10.0.0.1:7946", "n1": "10.0.0.2:7946", "n2": "10.0.0.3:7946"},
+    "keeper": {"command": ["/usr/local/bin/machine"]},
+}
+)";
+
+void an_order_of_work_is_read_and_what_contradicts_itself_refused() {
+    const operators::Orders made = orders(kRota);
+    assert(made.members && made.members->bind == "10.0.0.1:7946" && made.rota->council == 3);
+    assert(made.rota->limits.floor == 1 && made.rota->spans.grant == 10 * kTenthsPerSecond);
+    const auto with = [](const std::string& more) { return refusal(kRota + more); };
+    assert(refusal("rota = {'candidates': {}}").find("rota: there is no section 'members'") == 0);
+    assert(with("rota['council'] = 4").find("rota.council: expected 1, 3, 5 or 7") == 0);
+    assert(with("rota['council'] = 5").find("rota.candidates: expected as many as the council has") == 0);
+    assert(with("rota['spans'] = {'grant_ms': 1500, 'act_ms': 400}").find("rota.spans.grant_ms: expected more than 16") == 0);
+    assert(with("rota['spans'] = {'grant_ms': 3000, 'act_ms': 3000}").find("rota.spans.act_ms") == 0);
+    assert(with("rota['answers'] = {'broken': 'put_back'}").find("what does not come back") !=
+           std::string::npos);
+    assert(with("rota['keeper'] = {}").find("rota.keeper.command: expected a command or an address") == 0);
+    assert(with("rota['ledger'] = 'ledger.db'").find("expected a folder of its own") != std::string::npos);
+    assert(with("rota['limits'] = {'zone_share': 2}").find("rota.limits.zone_share") == 0);
+    assert(with("members['probe_ms'] = 1").find("members.probe_ms") == 0);
+}
+
 const Story kStories[] = {
     STORY(values_and_operators_are_starlarks),
     STORY(functions_loops_and_comprehensions),
@@ -211,6 +237,7 @@
     STORY(same_text_gives_the_same_result_every_time),
     STORY(operators_file_is_read_by_type),
     STORY(what_nobody_knows_is_refused_with_the_nearest_name),
+    STORY(an_order_of_work_is_read_and_what_contradicts_itself_refused),
 };
 
 } // namespace
