A front node put back while it still ends is started once it has ended

Played 12 times with its folder kept, one failed: n3 was granted and told to drain (SIGTERM) at 03.264, recalled at 03.859 ('as many front nodes as may be are out', one of the others had been killed), its keeper said serving at once, its process ended at 03.964 and nobody started it. Lines: Rig::pass_machines looked at the one moment in which the machine came back and started it only where the process had ended by then. What a keeper of a real machine does (start it once it has stopped) the rig's did not.

Change: the rig remembers that a front node was told to end and starts it when it has ended and its machine serves. The holder calls the operator where a keeper says that a machine serves and nobody sees it past back_ms and warm_ms: it said nothing for 24 s.

--- a/src/lab/rig.cpp
+++ b/src/lab/rig.cpp
@@ -234,7 +234,7 @@
 void Rig::kill(int i) {
     const std::lock_guard lock(mutex_);
     Front& front = fronts_[i];
-    front.wanted = false, ++faults_, ++front.epoch;
+    front.wanted = front.ending = false, ++faults_, ++front.epoch;
     if (front.process <= 0) return;
     ::kill(front.process, SIGKILL);
     waitpid(front.process, nullptr, 0);
@@ -396,7 +396,7 @@
                 const std::lock_guard lock(mutex_);
                 silent = cut_from_world_.contains(peer.front);
             }
-            if (silent) { // it lies where it is until the link is whole again
+            if (silent) {                // it lies where it is until the link is whole again
                 co_await stream.changed; // woken when it is
                 continue;
             }
@@ -465,7 +465,7 @@
         machine.is == HallMachine::Is::kDraining) {
         const int own = std::stoi(name.substr(1));
         if (fronts_[own].process > 0) ::kill(fronts_[own].process, SIGTERM);
-        fronts_[own].wanted = false, ++fronts_[own].epoch;
+        fronts_[own].wanted = false, fronts_[own].ending = true, ++fronts_[own].epoch;
     }
     peer.stream.send(std::string(words[3]) + " " + name + " " + rota::word_of(kept) + "\n");
     peer.stream.finish();
@@ -484,9 +484,9 @@
             if (front.process > 0 && waitpid(front.process, nullptr, WNOHANG) != 0) front.process = -1;
             if (machine.is == HallMachine::Is::kDraining && front.process < 0)
                 machine.is = HallMachine::Is::kDrained, machine.since = now;
-            const bool back =
-                machine.is == HallMachine::Is::kServing && seen_[name] != HallMachine::Is::kServing;
-            if (back && front.process < 0) front.wanted = true, spawn(own, true);
+            // One that is put back while it still ends is started once it has ended.
+            if (machine.is == HallMachine::Is::kServing && front.ending && front.process < 0)
+                front.wanted = true, front.ending = false, spawn(own, true);
         } else if (machine.is != seen_[name]) {
             changed_[name] = ++version_;
             const bool was_down = is_down(seen_[name]), down = is_down(machine.is);
--- a/src/lab/rig.hpp
+++ b/src/lab/rig.hpp
@@ -115,8 +115,8 @@
         std::unique_ptr<transport::Source> relay;
         transport::Task relaying;
         pid_t process = -1;
-        bool stalled = false, wanted = true;
-        std::uint64_t epoch = 0; // raised whenever something befalls it
+        bool stalled = false, wanted = true, ending = false; // the last: told to, by its keeper
+        std::uint64_t epoch = 0;                             // raised whenever something befalls it
     };
     struct Later {
         Tenths at;
--- a/src/rota/hand.cpp
+++ b/src/rota/hand.cpp
@@ -173,7 +173,12 @@
             if (undo) return move(now, turn, task, TurnState::kProposed, turn.why, out);
             return move(now, turn, task, TurnState::kWarm, "", out);
         }
-        if (waited > terms_.spans.back + terms_.spans.warm)
+        const bool unseen = seen == outlook.machines.end() || seen->second.health == Health::kGone;
+        if (waited > terms_.spans.back + terms_.spans.warm && kept == Kept::kServing && unseen) {
+            // Neither cold nor broken by any word of its own: whoever can look at it is told.
+            if (!std::exchange(task.called, true))
+                out.calls.push_back(turn.machine + ": its keeper says that it serves, and nobody sees it");
+        } else if (waited > terms_.spans.back + terms_.spans.warm)
             answer(now, kept == Kept::kServing ? terms_.answers.cold_late : terms_.answers.back_late, turn,
                    task, kept == Kept::kServing ? "it stays cold" : "it does not come back", evening, out);
         return act(now, turn.machine, task, Act::kLook, out);
