Recovery: sites watched, load divided, what is refused first; the module can be told of it

Need: a site that is lost takes its front nodes and index servers in one instant.

Change in the module: ReliefTold (brain.hpp), consulted through recovery::Relief. It only takes away: sites shut or behind, searches refused before any launch, parts left out down to the floor, fewer further launches, a spread for come-backs.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,12 +1,14 @@
 // The one decision module of ivyrill: C3 over replicated shards, and what the rules and broken servers ask
 // beside it. Its interface stands in brain.hpp. A caller opens one Brain an instance, hands it each turn's
 // events by `on`, in order, then calls `decide` once; all actions go to the Host. `on` only learns. `decide`
-// works out the wanted state (which launches should be out, which searches end, who is probed, when to wake),
-// and `emit` alone turns its difference to the present state into actions. docs/design.md tells what is C3's,
-// what departs from it, and when each departure acts.
+// works out the wanted state (what should be out, what ends, who is probed, when to wake), and `emit` alone
+// turns its difference to the present state into actions. docs/design.md tells what is C3's and what departs
+// from it.
 #include "brain.hpp"
 
 #include "base/pcg.hpp"
+#include "limits/cold_rule.hpp"
+#include "recovery/relief.hpp"
 #include "state.hpp"
 
 #include <algorithm>
@@ -53,6 +55,8 @@
 constexpr double kHasty = 0.6, kAlike = 0.01;       // time left in haste; spread of first tries' time
 constexpr double kWeightSlack = 1e-6, kGulf = 1e12; // the latter lies between classes of standing
 
+using Stand = recovery::Relief::Stand;
+
 class Mind : public Brain {
   public:
     explicit Mind(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
@@ -92,10 +96,11 @@
     void hear(const SearchTaken& event) {
         auto& product = products_.at(event.product.value);
         Search& search = searches_[event.job];
-        search.id = event.id, search.product = event.product;
+        search.id = event.id, search.product = event.product, search.tenant = event.tenant;
+        search.spared = !relief_.admits(event.product, event.tenant, chance_);
         search.payoff = product.terms.payoff;
-        // The due time counts from the client's first try, and a repeat is given all that is left of the
-        // expiry span. Where repeats are not marked, their time left differs from most searches'.
+        // The due time counts from the first try, a repeat is given what is left of the expiry span. Where
+        // repeats are not marked, their time left differs from most searches'.
         const Tenths off = std::abs(event.left - product.usual_left);
         const bool alike = off < kAlike * product.usual_left;
         const bool repeat = terms_.repeats_marked ? event.repeat : !alike && product.votes > 0;
@@ -117,7 +122,7 @@
         taken_.push_back(now_);
         const auto found = searches_.find(event.job);
         if (found == searches_.end() || found->second.fate == Fate::kEnded) return;
-        found->second.parts.push_back({event.id, event.shard, event.weight, false, false, false, 0, {}});
+        found->second.parts.push_back({event.id, event.shard, event.weight});
         part_of_[event.id] = {event.job, found->second.parts.size() - 1};
     }
 
@@ -131,6 +136,7 @@
     }
 
     void hear(const FrontNodesSeen& event) { front_nodes_ = std::max(1, event.count); }
+    void hear(const ReliefTold& told) { relief_.hear(told); }
     void hear(const ListNews& news) {
         if (news.kind == ListKind::kLost) {
             ask_wanted_ = terms_.list_mode == ListMode::kAsked;
@@ -248,10 +254,9 @@
             set_aside(server);
     }
 
-    // Searches that break every server they reach show nothing else in common. While servers break or start
-    // anew one after another, each search sends a single part until one is answered; one that breaks two
-    // servers, or one with its part out alone, is ended. Acts on deploys and lost zones too, for the time of
-    // one more answer.
+    // Searches that break every server they reach: while servers break or start anew one after another, each
+    // search sends a single part until one is answered; one that breaks two servers, or one with its part out
+    // alone, is ended. Acts on deploys and lost zones too, for the time of one more answer.
     void sign_of_storm() { storm_ = storm() + 1, storm_at_ = now_; }
 
     double storm() const { return storm_ * std::exp(-(now_ - storm_at_) / (kStormSpan * pace_)); }
@@ -271,9 +276,8 @@
     }
 
     // Connections dropped unseen: launches over long idle ones get no answer, others do. Idle ones are then
-    // closed before use for a while, unless new ones fail as well: that trouble would only be made worse.
-    // Among many front nodes nearly every connection has long been idle, and two slow parts in a row are no
-    // sign: it takes a mean over more launches than that.
+    // closed before use for a while, unless new ones fail as well. Among many front nodes nearly every
+    // connection has long been idle, so it takes a mean over more than two slow parts in a row.
     void weigh_rest(const Sending& sending, bool lost, bool refused) {
         if (sending.renewed) mix(renewed_loss_, refused || lost ? 1 : 0, kRenewedWeight);
         if (refused) return;
@@ -284,9 +288,8 @@
     }
 
     // Few launches tell of one server, many of its zone and kind of machine. Servers of a group whose
-    // launches fail (in a zone also: come late) while another is sound come last, by a score that is worse by
-    // the square. Covers zones cut off, lost, slow or full and releases gone bad on one kind. A zone blames
-    // no kind.
+    // launches fail (in a zone also: come late) while another is sound come last, by a score worse by the
+    // square: zones cut off, lost, slow or full and releases gone bad on one kind. A zone blames no kind.
     void weigh_group(const IndexServer& server, bool sound, double took) {
         const bool late = took >= pace_ * kSilence;
         const Group zone = server.groups()[0], kind = server.groups()[1];
@@ -306,7 +309,6 @@
                });
     }
 
-    // What a server has lately shown itself counts for more than its group.
     bool unshown(const IndexServer& server) const { return now_ > server.last_answer + shares(1); }
 
     bool in_trouble(const IndexServer& server) const {
@@ -410,8 +412,7 @@
         return s.heard ? s.response : std::max(usual(usual_response_), service_of(s));
     }
 
-    // C3 expects feedback all the time; where it is scarce, silence of some length is a response of at least
-    // that.
+    // C3 expects feedback all the time; where it is scarce, silence counts as a response of its length.
     double response_of(const IndexServer& server) const {
         const double known = response_mean(server);
         const Tenths oldest = server.oldest();
@@ -431,7 +432,7 @@
         relax(server.response, std::max(service, usual(usual_response_)), pass, forgotten);
     }
 
-    // What is usual fades without news, lest all searches are pushed back for ever for what once was.
+    // Fades without news, lest all searches are pushed back for ever for what once was.
     double usual(double mean) const { return mean * std::exp(-(now_ - usual_at_) / pace_); }
 
     void mix_usual(double queue, double took) {
@@ -469,27 +470,13 @@
         return true;
     }
 
-    // Rule 4: launches to a server that started a short while ago are spaced so that all front nodes together
-    // stay within its budget: its share of power is at least what an even rise gives, its full power what
-    // warm servers do. Where our share of a window is under one launch, chance makes the sum, and its root
-    // leaves room for its spread. Among many front nodes one gap may outlast the cold span, so it shrinks
-    // with the rise that comes while it runs: this is when so many launches more have become our due.
+    // Rule 4: launches to a server that started lately are spaced so that all front nodes together stay
+    // within its budget (limits/cold_rule.hpp); its full power is what warm servers do.
     Tenths cold_moment(const IndexServer& server, double launches) const {
-        const double rise =
-            (1 - terms_.cold_share) / static_cast<double>(std::max<Tenths>(1, terms_.cold_span));
-        const double share =
-            std::min(1.0, terms_.cold_share + rise * std::max<Tenths>(0, now_ - server.cold_from));
-        // What it takes now is the longer for its being cold; its power when warm is what counts.
-        const double slow = std::max(service_of(server) * share, kSlowMachine * usual_service());
-        const double full = kColdSafety * terms_.fall_multiple / slow; // launches of all front nodes, a tenth
-        const double budget = full * share * terms_.fall_span;
-        // The rate whose sum by chance, and a deviation more, is the budget.
-        const double sure = budget > 0 ? std::pow(std::sqrt(budget + 0.25) - 0.5, 2) / budget : 1;
+        const Tenths age = now_ - server.cold_from; // what it takes now is the longer for its being cold
+        const double slow = std::max(service_of(server) * cold_.share(age), kSlowMachine * usual_service());
         const double nodes = std::max<double>(front_nodes_, terms_.front_nodes); // fewer seen may be a cut
-        const double need = launches * nodes / full / (budget < nodes ? sure : 1);
-        const double gap =
-            rise > 0 ? (std::sqrt(share * share + 2 * rise * need) - share) / rise : need / share;
-        return now_ + static_cast<Tenths>(gap);
+        return now_ + cold_.gap(age, cold_.full(kColdSafety, slow), nodes, launches);
     }
 
     // All hear of a start at about the same time, so each draws its own moment of the first gap.
@@ -520,14 +507,16 @@
             const bool open = is_open(*server), bad = in_trouble(*server);
             const auto used =
                 std::ranges::count_if(part.launches, [&](auto& l) { return l.server == server->id; });
-            if (!may_serve(*server) || (!open && !may_try(*server))) continue;
-            if (sound_only && (!open || used > 0 || bad)) continue;
+            const auto stand = relief_.stand(server->entry.zone, once, chance_);
+            if (!may_serve(*server) || (!open && !may_try(*server)) || stand == Stand::kShut) continue;
+            if (sound_only && (!open || used > 0 || bad || stand != Stand::kOpen)) continue;
             limited = limited || server->sent >= server->limit;
             if (server->sent >= server->limit) continue;
             double rank = score(*server), below = 0.5 * static_cast<double>(used);
             if (!open) below += server->unreachable ? 3 : 2;
             if (once && server->standing == Standing::kTrial) ++below;
             if (server->silent > 0) below += 0.25;
+            if (stand == Stand::kBehind) below += 1.2;
             if (bad) {
                 double sound = 1;
                 for (const Group& group : server->groups()) sound *= 1 - trouble(group);
@@ -565,8 +554,9 @@
     // Ends what is complete, out of time, or beyond hope; the final answer then goes out at once.
     void settle(Search& search) {
         const ProductView& product = products_[search.product.value];
-        double in = 0;
-        bool all = search.parts.size() > search.step_begin, hopeless = false, out = false;
+        double in = 0, may_be = 0; // weight
+        bool all = search.parts.size() > search.step_begin;
+        bool hopeless = false, out = false, lacks = false, waits = false;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
             if (part.in) in += part.weight;
@@ -574,16 +564,21 @@
             part.slow = part.slow || (!part.in && dawdles(part, product));
             out = out || (!part.in && part.out());
             const bool done = search.barred || !may_go_again(part, product);
-            hopeless = hopeless || (!part.in && !part.out() && done);
+            const bool missing = !part.in && !part.out(), without = missing && does_without(part);
+            hopeless = hopeless || (missing && done && !without);
+            lacks = lacks || without, waits = waits || (missing && !done && !without);
+            if (!without) may_be += part.weight;
         }
         const double need = search.step == 1 ? product.terms.need : 1;
         if (all || (need < 1 && in + kWeightSlack >= need))
             return void(search.fate = search.whole ? Fate::kWhole : Fate::kPartial);
         const bool partial = product.terms.floor < product.terms.need;
+        if (lacks && may_be + kWeightSlack < product.terms.floor) return give_up(search);
         const bool enough = partial && in + kWeightSlack >= product.terms.floor;
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
-        if (enough && (over || late || (hopeless && !out))) return void(search.fate = Fate::kPartial);
+        const bool no_more = !out && (lacks ? !waits : hopeless);
+        if (enough && (over || late || no_more)) return void(search.fate = Fate::kPartial);
         const bool pointless = late && product.terms.late_share <= full_; // it costs others more
         if (over || pointless || (hopeless && !(partial && out))) give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
@@ -596,9 +591,12 @@
                               (product.terms.effect != Effect::kAtMostOnce || !ran);
         search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
         const double wait = std::min(pace_ * kSilence, static_cast<double>(terms_.longest_come_back));
-        search.come_back = terms_.may_advise ? static_cast<Tenths>(wait * (0.5 + chance_.unit() / 2)) : 0;
+        const auto usual = static_cast<Tenths>(wait * (0.5 + (terms_.may_advise ? chance_.unit() : 0) / 2));
+        search.come_back = terms_.may_advise ? relief_.come_back(usual, chance_) : 0;
     }
 
+    bool does_without(const Part& part) const { return part.left_out || relief_.gone(part.shard); }
+
     // Rule 2 and the launch limit: whether a part without an answer may be launched at all.
     bool may_go_again(const Part& part, const ProductView& product) const {
         if (static_cast<int>(part.launches.size()) >= terms_.most_launches) return false;
@@ -616,7 +614,7 @@
         while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
         while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
         const double share = terms_.further_ratio * (1 - full_);
-        return further_.size() + 1 <= terms_.spare_launches + share * taken_.size();
+        return further_.size() + 1 <= (terms_.spare_launches + share * taken_.size()) * relief_.further();
     }
 
     // How long a part would take at the replica that promises most, the sound ones first.
@@ -624,7 +622,7 @@
         double sound = static_cast<double>(kNever), any = sound;
         const int ahead = backlog_[part.shard];
         for (IndexServer* server : replicas(part.shard)) {
-            if (!may_serve(*server)) continue;
+            if (!may_serve(*server) || relief_.shut(server->entry.zone)) continue;
             if (is_open(*server) && !in_trouble(*server))
                 sound = std::min(sound, forecast_of(*server, ahead));
             if (may_try(*server)) any = std::min(any, forecast_of(*server, ahead));
@@ -657,8 +655,8 @@
         return std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
     }
 
-    // Pushes back, before any work is done, what would not make it. The less a search pays for its work, the
-    // less of its time it may wait; the fuller the fleet, the less it is let in for an answer in part.
+    // Pushes back, before any work, what would not make it. The less a search pays for its work, the less of
+    // its time it may wait; the fuller the fleet, the less it is let in for an answer in part.
     bool admit(Search& search) {
         ProductView& product = products_[search.product.value];
         mix(product.parts, static_cast<double>(search.parts.size()), kFresh);
@@ -672,6 +670,7 @@
         const bool whole = product.terms.floor >= product.terms.need;
         double missing = 0, asked = 0;
         for (Part& part : search.parts) {
+            if (does_without(part)) continue; // settle() looks whether the rest will do
             const double full = std::max(full_, pressure(replicas(part.shard), kLocalScale));
             const double wait = forecast(part) * steps, room = left * (1 - full * (1 - strict));
             if (wait > (whole ? room : left)) missing += part.weight;
@@ -687,7 +686,8 @@
         if (search.parts.empty() || search.barred) return;
         const bool begun =
             std::ranges::any_of(search.parts, [](auto& part) { return !part.launches.empty(); });
-        if (!begun && !admit(search)) return give_up(search); // asked anew while it waits in the backlog
+        if (!begun) relief_.leave_out(search, product.terms.floor, search.tenant);
+        if (!begun && (search.spared || !admit(search))) return give_up(search); // asked anew in the backlog
         if (search.breaker) return give_up(search);
         const bool singly = !search.proven && storm() >= kStorm;
         const bool out = search.out();
@@ -695,7 +695,7 @@
         double least = 0;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
-            if (part.in) continue;
+            if (part.in || (!part.out() && does_without(part))) continue;
             if (part.out())
                 hurry(search, part, product);
             else if (!singly)
@@ -827,6 +827,8 @@
 
     OpeningTerms terms_;
     Pcg chance_;
+    limits::ColdRule cold_{terms_.cold_span, terms_.cold_share, terms_.fall_span, terms_.fall_multiple};
+    recovery::Relief relief_;                              // while sites are lost
     double front_nodes_ = terms_.front_nodes, pace_ = 1e9; // as seen; the shortest due span, a while here
     double full_ = 0;                                      // the pressure at the start of this decision
     Tenths now_ = 0, next_ = kNever, alarm_ = 0;
@@ -841,10 +843,9 @@
     std::map<ShardNo, std::vector<IndexServer*>> replicas_; // by shard, in the order of their ids
     mutable Tenths fleet_until_ = 0;                        // the mean service time stands until then
     mutable double fleet_service_ = 0;
-    double usual_queue_ = 0, usual_response_ = 0; // means over all answers
+    double usual_queue_ = 0, usual_response_ = 0, news_gap_ = 0; // means over all; between a server's answers
     std::map<ShardNo, int> backlog_; // parts that wait for a replica of their shard under its limit
     double rested_loss_ = 0, busy_loss_ = 0, renewed_loss_ = 0; // no answer over idle, other, new connections
-    double news_gap_ = 0;                                       // between two answers of a server, mean
     double storm_ = 0; // servers that broke or started anew of late, fading, at:
     Tenths usual_at_ = 0, storm_at_ = 0, renew_until_ = 0, ask_at_ = 0;
     std::deque<Tenths> taken_, further_;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -135,8 +135,28 @@
     int count = 1;
 };
 
+// A plan for sites that are lost, cut off or coming back (src/recovery/), whole each time; an empty one: all
+// is as ever.
+struct ReliefTold {
+    struct Site {
+        ZoneNo zone;
+        double share = 1; // of the choices in which its servers take part as ever; 0: in none
+    };
+    struct Row { // tenant -1: of all that have no row of their own
+        ProductNo product;
+        TenantNo tenant;
+        double admitted = 1, weight = 1; // share of its searches; least weight of an answer in part
+    };
+    std::vector<Site> sites;
+    std::vector<ShardNo> gone; // no replica is left
+    std::vector<Row> rows;
+    std::vector<std::pair<ShardNo, double>> tight; // share of its demand for which there is room
+    double further = 1;                            // of the budget for further launches
+    Tenths come_back = 0;                          // longest, for those refused; 0: as ever
+};
+
 using Event = std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, SearchBarred,
-                           ListNews, FrontNodesSeen>;
+                           ListNews, FrontNodesSeen, ReliefTold>;
 
 class Host {
   public:
--- /dev/null
+++ b/src/recovery/triage.hpp
@@ -0,0 +1,30 @@
+// What is refused first when there is not room for all: by payoff for each unit of work, product by product
+// and tenant by tenant. Each tenant keeps its share of what is left before anybody gets more; parts are left
+// out, down to the product's floor, before whole searches of that product are refused. Pure.
+#pragma once
+#include "recovery/types.hpp"
+
+namespace ivyrill::recovery {
+
+struct TriageTerms {
+    std::map<std::string, ProductFacts> products;
+    std::map<std::string, double> quotas; // searches a second of each tenant; not named: none is stated
+    Demand demand;
+    std::map<int, double> room; // parts a second that find room, by shard; not named: nobody holds it
+};
+
+struct Verdict {
+    double admitted = 1;     // share of its searches
+    double weight = 1;       // of an answer: 1 unless parts are left out
+    bool impossible = false; // shards are gone that it cannot do without
+};
+
+struct Triage {
+    std::map<ClassKey, Verdict> verdicts;
+    std::map<int, double> served;       // share of each shard's demand that is let in and finds room
+    double payoff = 0, most_payoff = 0; // a second
+};
+
+Triage triage(const TriageTerms& terms);
+
+} // namespace ivyrill::recovery
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -42,8 +42,9 @@
     double weight = 0;
     bool in = false, held = false; // answered; in its shard's backlog
     bool slow = false;             // overdue at a server that answers
+    bool left_out = false;         // done without, while there is not room for all
     Tenths not_before = 0;         // no launch until then
-    std::vector<Launch> launches;
+    std::vector<Launch> launches{};
     bool out() const {
         return std::ranges::any_of(launches, [](auto& l) { return l.stage != Stage::kOver; });
     }
@@ -53,6 +54,7 @@
 struct Search {
     SearchId id;
     ProductNo product;
+    TenantNo tenant;
     Tenths due = 0, expiry = 0, come_back = 0;
     double payoff = 0;
     int step = 1;
@@ -61,8 +63,8 @@
     std::vector<Part> parts;
     std::size_t step_begin = 0; // where the present step's parts begin
     std::set<ServerId> broken;  // servers that broke while they held one of its launches
-    bool proven = false, breaker = false, quick = false,
-         barred = false; // answered in part; breaks servers; not slow in all parts; no launches
+    bool proven = false, breaker = false, quick = false, barred = false,
+         spared = false; // answered in part; breaks servers; not slow in all parts; no launches; not let in
     bool out() const { return std::ranges::any_of(parts, &Part::out); }
 };
 
