--- a/src/access/signature.cpp
+++ b/src/access/signature.cpp
@@ -10,7 +10,6 @@
 #include <openssl/ec.h>
 #include <openssl/ecdsa.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <openssl/param_build.h>
 #include <openssl/rand.h>
 
@@ -28,6 +27,8 @@
 using Builder = std::unique_ptr<OSSL_PARAM_BLD, Freed<OSSL_PARAM_BLD_free>>;
 using Params = std::unique_ptr<OSSL_PARAM, Freed<OSSL_PARAM_free>>;
 using Pair = std::unique_ptr<ECDSA_SIG, Freed<ECDSA_SIG_free>>;
+using Mac = std::unique_ptr<EVP_MAC, Freed<EVP_MAC_free>>;
+using MacContext = std::unique_ptr<EVP_MAC_CTX, Freed<EVP_MAC_CTX_free>>;
 
 const unsigned char* bytes_of(std::string_view text) {
     return reinterpret_cast<const unsigned char*>(text.data());
@@ -56,15 +57,6 @@
     return Number(BN_bin2bn(bytes_of(raw), static_cast<int>(raw.size()), nullptr));
 }
 
-std::string mac(std::string_view secret, std::string_view message) {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> out;
-    unsigned size = 0;
-    if (HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), bytes_of(message), message.size(),
-             out.data(), &size) == nullptr)
-        throw AccessError("HMAC failed");
-    return {reinterpret_cast<const char*>(out.data()), size};
-}
-
 } // namespace
 
 std::string_view name_of(Algorithm algorithm) {
@@ -77,6 +69,29 @@
     return {};
 }
 
+// The secret is taken in once, each MAC begins from a copy: to find the algorithm and to take the key in
+// again costs more than the MAC of a datagram.
+void SigningKey::make_mac() {
+    char digest[] = "SHA256";
+    const OSSL_PARAM params[] = {OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest, 0),
+                                 OSSL_PARAM_construct_end()};
+    const Mac hmac(EVP_MAC_fetch(nullptr, "HMAC", nullptr));
+    mac_ = {hmac ? EVP_MAC_CTX_new(hmac.get()) : nullptr, EVP_MAC_CTX_free};
+    if (!mac_ || EVP_MAC_init(mac_.get(), bytes_of(secret_), secret_.size(), params) != 1)
+        throw AccessError("HMAC failed");
+}
+
+std::string SigningKey::mac(std::string_view message) const {
+    const MacContext context(EVP_MAC_CTX_dup(mac_.get()));
+    std::string out(EVP_MAX_MD_SIZE, '\0');
+    std::size_t size = 0;
+    if (!context || EVP_MAC_update(context.get(), bytes_of(message), message.size()) != 1 ||
+        EVP_MAC_final(context.get(), reinterpret_cast<unsigned char*>(out.data()), &size, out.size()) != 1)
+        throw AccessError("HMAC failed");
+    out.resize(size);
+    return out;
+}
+
 void SigningKey::make_pkey() {
     EVP_PKEY* made = nullptr;
     if (algorithm_ == Algorithm::kEdDsa) {
@@ -118,6 +133,7 @@
         key.secret_ = field(jwk, "k", 0);
         if (key.secret_.size() < kLeastSecret) unusable("k is shorter than 32 bytes");
         key.can_sign_ = true;
+        key.make_mac();
         key.make_print();
         return key;
     }
@@ -144,6 +160,7 @@
     key.algorithm_ = algorithm, key.can_sign_ = true;
     if (algorithm == Algorithm::kHs256) {
         key.secret_ = random_bytes(kLeastSecret);
+        key.make_mac();
         key.make_print();
         return key;
     }
@@ -172,7 +189,7 @@
 }
 
 bool SigningKey::verify(std::string_view message, std::string_view signature) const {
-    if (algorithm_ == Algorithm::kHs256) return equal_secrets(mac(secret_, message), signature);
+    if (algorithm_ == Algorithm::kHs256) return equal_secrets(mac(message), signature);
     const Context context(EVP_MD_CTX_new());
     if (algorithm_ == Algorithm::kEdDsa) {
         return EVP_DigestVerifyInit(context.get(), nullptr, nullptr, nullptr, pkey_.get()) == 1 &&
@@ -196,7 +213,7 @@
 
 std::string SigningKey::sign(std::string_view message) const {
     if (!can_sign_) throw AccessError("this key can only verify");
-    if (algorithm_ == Algorithm::kHs256) return mac(secret_, message);
+    if (algorithm_ == Algorithm::kHs256) return mac(message);
     const bool edwards = algorithm_ == Algorithm::kEdDsa;
     const Context context(EVP_MD_CTX_new());
     std::string made(256, '\0');
--- a/src/access/signature.hpp
+++ b/src/access/signature.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 struct evp_pkey_st;
+struct evp_mac_ctx_st;
 
 namespace ivyrill::access {
 
@@ -36,10 +37,13 @@
     SigningKey() = default;
     Algorithm algorithm_ = Algorithm::kEdDsa;
     bool can_sign_ = false;
-    std::string secret_;                // of HS256
-    std::string x_, y_, d_;             // raw, as in the JWK
-    std::shared_ptr<evp_pkey_st> pkey_; // else
+    std::string secret_;                  // of HS256
+    std::string x_, y_, d_;               // raw, as in the JWK
+    std::shared_ptr<evp_mac_ctx_st> mac_; // of HS256, never used up
+    std::shared_ptr<evp_pkey_st> pkey_;   // else
     std::string print_;
+    void make_mac();
+    std::string mac(std::string_view message) const;
     void make_pkey();
     void make_print();
 };
