--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -486,6 +486,28 @@
     assert(!stream.send("x"));
 }
 
+// An answer and a reset lie there when the next frame is written: the write fails, the answer counts.
+void answer_that_came_with_the_reset_is_read() {
+    const Listener listener;
+    transport::Loop loop;
+    transport::Stream stream(loop, transport::connect_to(listener.address()),
+                             transport::Stream::Start::kConnecting, 1000, 1000);
+    Peer peer = listener.accept();
+    while (!stream.up()) loop.wait({});
+    assert(stream.send("asked"));
+    peer.await(POLLIN);
+    peer.say("answer");
+    peer.close(); // over unread bytes: a reset
+    stream.send("more"), stream.send("more");
+    while (!stream.ended()) loop.wait({});
+    struct {
+        std::string heard;
+        std::size_t feed(std::string_view bytes) { return heard += bytes, bytes.size(); }
+    } taker;
+    while (stream.unread()) stream.feed(taker);
+    assert(taker.heard == "answer");
+}
+
 void phases_follow_their_table() {
     program::Phases phases;
     using program::Phase;
@@ -510,6 +532,7 @@
     STORY(taken_address_is_one_clear_error),
     STORY(partial_writes_lose_nothing),
     STORY(phases_follow_their_table),
+    STORY(answer_that_came_with_the_reset_is_read),
     STORY(first_question_finds_it_ready),
     STORY(crowd_that_comes_at_once_leaves_descriptors_to_others),
     STORY(client_that_sends_much_and_goes_is_gone),
