--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -1,6 +1,12 @@
 // Short stories, one for each failure met and each piece of the design. `brain_stories NAME` plays one.
 #include "fake_host.hpp"
 
+#include "base/pcg.hpp"
+
+#include <cmath>
+#include <deque>
+#include <memory>
+
 namespace ivyrill {
 
 namespace {
@@ -258,6 +264,52 @@
 
 // Terms that state no window, or a start from nothing: the gap is still a time, and the server is used in the
 // end.
+// One server of three just started, more work than it may get, and nodes that know nothing of each other: in
+// no window does the sum of what all send it go further past its budget than chance takes it.
+void cold_server_gets_no_more_from_many_nodes() {
+    for (const int nodes : {2, 20, 30}) {
+        OpeningTerms terms = plain_terms();
+        terms.front_nodes = nodes;
+        std::vector<std::unique_ptr<FakeHost>> hosts;
+        for (int i = 0; i < nodes; ++i) {
+            terms.seed = static_cast<std::uint64_t>(100 + i);
+            hosts.push_back(std::make_unique<FakeHost>(terms));
+            hosts.back()->warm(3);
+        }
+        Tenths now = 0;
+        for (auto& host : hosts) now = std::max(now, host->now);
+        const Tenths start = now, service = ms(50);
+        for (auto& host : hosts) {
+            host->now = now, host->sent.clear();
+            host->tell(ListNews{ListKind::kChanges, {FakeHost::entry(0, Listed::kLive, start)}});
+        }
+        Pcg chance(static_cast<std::uint64_t>(nodes));
+        std::deque<Tenths> sent;
+        std::size_t all = 0;
+        for (; now < start + terms.cold_span; now += ms(5)) {
+            for (auto& host : hosts) {
+                host->now = now;
+                const std::size_t before = host->sent.size();
+                for (std::size_t at = 0; at < before; ++at)
+                    if (!host->sent[at].over && now >= host->sent[at].at + service)
+                        host->returns(at, Outcome::kAnswered, service, LoadReport{{}, 0.0});
+                if (chance.unit() < 3.0 / nodes) host->search({0}); // 600 a second in all
+                host->turn();
+                for (std::size_t at = before; at < host->sent.size(); ++at)
+                    if (host->sent[at].server == ServerId{0}) sent.push_back(now), ++all;
+            }
+            while (!sent.empty() && sent.front() <= now - terms.fall_span) sent.pop_front();
+            const double share = terms.cold_share +
+                                 (1 - terms.cold_share) * static_cast<double>(now - start) / terms.cold_span;
+            const double budget = 2 * terms.fall_multiple * share * terms.fall_span / service; // two cores
+            if (static_cast<double>(sent.size()) > budget + 2 * std::sqrt(budget) + 2)
+                std::cerr << nodes << " nodes: " << sent.size() << " of " << budget << "\n";
+            assert(static_cast<double>(sent.size()) <= budget + 2 * std::sqrt(budget) + 2);
+        }
+        assert(all > 100); // it is used, too
+    }
+}
+
 void cold_server_without_a_window_is_used() {
     for (const bool from_nothing : {false, true}) {
         OpeningTerms terms = plain_terms();
@@ -610,6 +662,7 @@
     STORY(many_nodes_spare_a_cold_server),
     STORY(rising_cold_server_is_used_by_many_nodes),
     STORY(queue_is_remembered_where_news_is_rare),
+    STORY(cold_server_gets_no_more_from_many_nodes),
     STORY(cold_server_without_a_window_is_used),
     STORY(budget_binds),
     STORY(lost_launch_gets_a_copy),
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -37,7 +37,7 @@
     PartId part;
     LaunchNo launch;
     ServerId server;
-    Tenths send_within = 0;
+    Tenths send_within = 0, at = 0;
     bool over = false, recalled = false;
 };
 enum class End { kNone, kWhole, kPart, kPushedBack, kScrapped };
@@ -129,7 +129,7 @@
     void launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) override {
         assert(time_out > 0 && send_within > 0);
         const auto earlier = std::count_if(sent.begin(), sent.end(), [&](auto& l) { return l.part == part; });
-        sent.push_back({part, LaunchNo{static_cast<std::uint32_t>(earlier)}, server, send_within});
+        sent.push_back({part, LaunchNo{static_cast<std::uint32_t>(earlier)}, server, send_within, now});
     }
     void recall(PartId part, LaunchNo number) override {
         for (Sent& launch : sent)
