The test of a SIGHUP before the start reads its second configuration from a file

The test wrote both readings into one pipe: where the second writer opened it before the first reader had closed it, the text went into the first reading ('something follows the value'), or was lost with the reader's close, and the second reading waited for a writer for ever. Change: the pipe's place is taken by a file once the pipe is open, and the log has to say that the configuration was read again, which the old test never looked at. Nothing of the program changed.

--- a/tests/hangup_before_start.sh
+++ b/tests/hangup_before_start.sh
@@ -1,18 +1,21 @@
 #!/usr/bin/env bash
-# SIGHUP comes while the program still waits for its first configuration: it is taken up after the start.
+# SIGHUP comes while the program still waits for its first configuration: it is taken up after the start. What it
+# reads then is a file put in the pipe's place once the pipe is open, so that no second reading waits for a writer.
 set -euo pipefail
 [ -n "${BOUNDED:-}" ] || BOUNDED=1 exec timeout 30 bash "$0" "$@" # a pipe that nobody reads is no wait for ever
 program=$1 folder=$(mktemp -d)
 sed 's/127.0.0.1:8080/127.0.0.1:0/' "$2" > "$folder/text"
 mkfifo "$folder/config"
-"$program" serve --config "$folder/config" --log-level error & pid=$!
+"$program" serve --config "$folder/config" > "$folder/log" 2>&1 & pid=$!
 trap 'kill -9 $pid 2>/dev/null || true; rm -rf "$folder"' EXIT
-exec 3> "$folder/config"   # it reads
+exec 3> "$folder/config" # it reads
 kill -HUP $pid
+cp "$folder/text" "$folder/again"
+mv "$folder/again" "$folder/config"
 cat "$folder/text" >&3
+kill -TERM $pid # both are read in their order, whenever it has started
 exec 3>&-
-cat "$folder/text" > "$folder/config" # it reads again
-kill -TERM $pid
 status=0
 wait $pid || status=$?
 [ "$status" = 0 ]
+grep -q 'configuration read again' "$folder/log"
