Parts given up keep their place on a connection; one place stays free for our word

Followed: each attempt, give-up, answer and close was logged in a copy. At its limit a connection is read no more, our C neither, so the first attempt was still out; and the server, sound for all other nodes, looked silent and was set aside. Lines at fault: link_for counted link.parts alone, which give_up lowers at once, and filled a connection to its very limit. Change: what was given up keeps its place until it is answered or forgotten, one place stays free, a connection full of such parts is closed once idle, and where none can be opened nothing goes past the limit (an attempt without a place counts as never sent). Tests: three of the reducer, and full_connection_gets_company, whose limit is now 3 for two calls as one place stays free (at the old code it fails); all four fail without the change.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -336,7 +336,7 @@
 void Router::put_on_link(ServerId server, Call call) {
     const auto id = link_for(server, call);
     if (!id) {
-        for (const LaunchKey& key : call) return_later(key, Outcome::kNoConnection);
+        for (const LaunchKey& key : call) return_later(key, Outcome::kNeverSent); // no room of ours
         return;
     }
     Link& link = links_.at(*id);
@@ -457,6 +457,12 @@
     return link.parts == 0 && std::ranges::all_of(link.probes, &ProbeOut::over);
 }
 
+// What its server may count there. At the limit of a connection nothing more is read, our word that a part is
+// given up neither: the part would be out twice once it goes elsewhere, and a sound server looks silent. So
+// one place stays free (most_carried). A server may work on at what was given up without a word, and that
+// counts there too: it keeps its place until it is answered, or for as long as an answer is waited for.
+int Router::carried(const Link& link) const { return link.parts + static_cast<int>(link.given_up.size()); }
+
 // We close before the index server does: what is written to a connection that it closes is lost.
 Tenths Router::idle_limit() const {
     return std::max(terms_.idle_span / 2, terms_.idle_span - 2 * terms_.connect_span);
@@ -479,8 +485,9 @@
             return link.given_up.contains(wire_id) || link.out.contains(wire_id);
         });
         if (known) continue; // an answer there could be that of the earlier launch
-        if (!crowded || link.parts < least) crowded = id, least = link.parts;
-        if (link.parts + static_cast<int>(call.size()) > terms_.calls_a_connection) continue;
+        const int then = carried(link) + static_cast<int>(call.size());
+        if (then <= terms_.calls_a_connection && (!crowded || then < least)) crowded = id, least = then;
+        if (then > most_carried()) continue;
         const auto rank = [](const Link& held) { return held.up ? (held.doubted ? 1 : 2) : 0; };
         if (!best || rank(link) > rank(links_.at(*best))) best = id;
     }
@@ -667,7 +674,10 @@
     const auto found = links_.find(id);
     if (found == links_.end() || !idle(found->second)) return;
     Link& link = found->second;
-    if (link.retired || (link.doubted && sound_link(servers_.at(link.server), true))) return close_link(id);
+    // A connection full of what was given up takes nothing more: its end frees its server of it.
+    if (link.retired || carried(link) >= most_carried() ||
+        (link.doubted && sound_link(servers_.at(link.server), true)))
+        return close_link(id);
     if (terms_.idle_span == 0 || std::exchange(link.idle_armed, true)) return;
     at(link.used + idle_limit(), IdleDue{id});
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -241,6 +241,8 @@
     bool sound_link(const Server& server, bool up) const; // has it one, perhaps not up yet
     void doubt(LinkId id, const Launch& launch);
     void hear_from(Link& link);
+    int carried(const Link& link) const;
+    int most_carried() const { return std::max(1, terms_.calls_a_connection - 1); }
     Tenths idle_limit() const;
     void close_link(LinkId id, bool spoilt = false);
     void rest(LinkId id);
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -39,7 +39,7 @@
 
 void full_connection_gets_company() {
     protocol::NodeTerms terms = node_terms();
-    terms.calls_a_connection = 2;
+    terms.calls_a_connection = 3; // one place of it stays free
     Desk desk(terms, 1);
     desk.search({0, 1});
     assert(desk.all<OpenLink>().size() == 1);
@@ -125,6 +125,56 @@
     assert(desk.all<AnswerClient>().size() == 1);
 }
 
+// A server that works on at what was given up reads nothing past the limit of a connection, our word to give
+// up neither: nothing more goes there until it has answered, and one place stays free for that word.
+void part_given_up_keeps_its_place_on_the_connection() {
+    protocol::NodeTerms terms = node_terms();
+    terms.calls_a_connection = 4, terms.shards = 4;
+    Desk desk(terms, 1);
+    const ClientId leaving = desk.search({0, 1});
+    const ClientId staying = desk.search({0});
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link), desk.wrote_all(link), desk.wrote_all(link);
+    desk.tell(ClientGone{leaving});
+    desk.pass(ms(5));
+    assert(desk.frames(link, 'C').size() == 2 && desk.router.open_launches() == 1);
+    desk.search({0});
+    assert(desk.all<OpenLink>().size() == 2); // two places are kept, one is taken, the last stays free
+    desk.answers(link, "q1.0");               // late
+    desk.search({0});
+    desk.wrote_all(link);
+    assert(desk.all<OpenLink>().size() == 2 && desk.frames(link, 'S').size() == 4);
+    desk.answers(link, "q2.0");
+    assert(desk.verdict(staying) == Verdict::kDelivered);
+}
+
+// Nothing new could go there, and its end frees the server of what it still works on.
+void connection_full_of_what_was_given_up_is_closed() {
+    protocol::NodeTerms terms = node_terms();
+    terms.calls_a_connection = 3;
+    Desk desk(terms, 1);
+    const ClientId leaving = desk.search({0, 1});
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link), desk.wrote_all(link), desk.wrote_all(link);
+    desk.tell(ClientGone{leaving});
+    desk.pass(ms(5));
+    assert(desk.all<CloseLink>().size() == 1 && desk.all<CloseLink>()[0].link == link);
+}
+
+// Where no other connection can be opened the last place is taken, but nothing goes past the limit.
+void nothing_goes_past_the_limit_of_a_connection() {
+    protocol::NodeTerms terms = node_terms();
+    terms.calls_a_connection = 2;
+    Desk desk(terms, 1, 2); // one connection to index servers
+    for (int i = 0; i < 3; ++i) desk.search();
+    const LinkId link = desk.all<OpenLink>()[0].link;
+    desk.up(link);
+    for (int i = 0; i < 4; ++i) desk.wrote_all(link), desk.pass(ms(5));
+    assert(desk.all<OpenLink>().size() == 1 && desk.frames(link, 'S').size() == 2);
+    desk.answers(link, "q1.0"), desk.answers(link, "q2.0");
+    assert(desk.router.counts().delivered == 2);
+}
+
 // The answer to one of three launches is spoilt: it has failed and the others on that connection are lost
 // with it, but their server has answered. It gets all three again, on a new connection, and no other server
 // is met.
@@ -588,6 +638,9 @@
     STORY(refused_connection_sends_the_part_elsewhere),
     STORY(connection_that_never_comes_is_given_up_in_time),
     STORY(late_answer_is_not_taken_for_a_later_launch),
+    STORY(part_given_up_keeps_its_place_on_the_connection),
+    STORY(connection_full_of_what_was_given_up_is_closed),
+    STORY(nothing_goes_past_the_limit_of_a_connection),
     STORY(spoilt_answer_costs_its_connection_and_not_its_server),
     STORY(spoilt_answer_may_have_run),
     STORY(frame_that_does_not_fill_holds_nobody_up),
