A server whose connection never came up in time does not count as just started

So the lines at fault are hear(ProbeReturned)'s chill of every server that was unreachable: a sound one was spared for a whole warming, and its searches pushed back. Change: a connection refused and one that never came up are two outcomes (kRefused, kNoConnection); only the first chills. The reducer tells them apart by its timer, the adapter by the time-out, which is a term of the module now. Test late_connection_makes_no_cold_server fails without it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -175,9 +175,12 @@
         server.standing = Standing::kTrial, server.trial_room = 1;
         server.faults = 0, server.heard = false, server.silent = 0;
         server.last_answer = now_; // what it still owes from before is not held against it
-        // It was away and nobody has said why: it may have started anew, so it counts as cold.
-        if (server.unreachable) chill(server, now_);
-        server.unreachable = false;
+        // Nobody was there and the list has not said why: it may have started anew, so it counts as cold. That
+        // holds for any end of its process. A connection that only never came up in time was held on the way,
+        // for which a sound server must not be spared a whole warming; of a machine that was away the list
+        // tells. It hurts where one comes back cold long before the list says so.
+        if (server.gone) chill(server, now_);
+        server.unreachable = server.gone = false;
     }
 
     void hear(const LaunchReturned& event) {
@@ -189,8 +192,8 @@
         Launch& launch = part.launches[event.launch.value];
         if (launch.stage != Stage::kOut) return;
         launch.stage = Stage::kOver;
-        launch.may_have_run = event.outcome != Outcome::kTurnedAway &&
-                              event.outcome != Outcome::kNoConnection && event.outcome != Outcome::kNeverSent;
+        launch.may_have_run = event.outcome != Outcome::kTurnedAway && !unconnected(event.outcome) &&
+                              event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) {
             part.in = true;
             search.quick = search.quick || event.took <= patience(products_[search.product.value]);
@@ -200,7 +203,7 @@
         suspect(search, launch, event.outcome);
         if (const auto at = servers_.find(launch.server); at != servers_.end()) {
             const auto sending = at->second.sent_at.find({part.id, event.launch});
-            const bool refused = event.outcome == Outcome::kNoConnection;
+            const bool refused = unconnected(event.outcome);
             const bool lost = sending->second.missed && event.outcome != Outcome::kAnswered;
             if (refused || lost || event.outcome == Outcome::kAnswered)
                 weigh_rest(sending->second, lost, refused);
@@ -211,6 +214,10 @@
         if (search.fate == Fate::kEnded) forget(found->second.first);
     }
 
+    static bool unconnected(Outcome outcome) {
+        return outcome == Outcome::kNoConnection || outcome == Outcome::kRefused;
+    }
+
     void learn(IndexServer& server, ProductView& product, const LaunchReturned& event) {
         const double due = product.terms.due_span;
         const bool good = event.outcome == Outcome::kAnswered;
@@ -250,9 +257,10 @@
         mix(server.faults, good ? 0 : 1, kFresh);
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
-        const bool refused = event.outcome == Outcome::kNoConnection;
+        const bool refused = unconnected(event.outcome);
         if (refused && !server.unreachable) sign_of_storm();
         server.unreachable = server.unreachable || refused;
+        server.gone = server.gone || event.outcome == Outcome::kRefused;
         if (!good && (refused || server.standing == Standing::kTrial || server.faults > kFaultLimit))
             set_aside(server);
     }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -49,6 +49,7 @@
     Tenths budget_span = 0;
     Tenths longest_come_back = 0;
     int most_launches = 1;
+    Tenths connect_span = 0; // a connection not made by then never comes
     bool may_recall = false;
     bool may_probe = false;
     bool may_advise = false;
@@ -75,7 +76,8 @@
     kError,
     kTurnedAway,
     kTimedOut,
-    kNoConnection,
+    kNoConnection, // none came up in time
+    kRefused,      // nobody takes connections there
     kBroken,
     kRecalled,
     kNeverSent
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -44,9 +44,12 @@
                                  line.number("SizeOrWeight", 0)});
     } else if (line.name() == "RETURNED") {
         const LaunchNo launch{static_cast<std::uint32_t>(line.integer_within("Copy", 0, kMostId))};
-        brain_->on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")),
-                                       read_outcome(line.text("How")),
-                                       tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
+        const Tenths took = tenths_to_use(line.integer("DelaySeenUs", 0));
+        Outcome outcome = read_outcome(line.text("How"));
+        // The wire has one word for both: what took less than the time-out was refused.
+        if (outcome == Outcome::kNoConnection && took < connect_span_) outcome = Outcome::kRefused;
+        brain_->on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")), outcome,
+                                       took, read_report(line)});
     } else if (line.name() == "CHECKED") {
         brain_->on(now, ProbeReturned{server_of(line.text("Server")), line.text("How") == "pass",
                                       tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -17,7 +17,8 @@
 
 class Instance : public Host {
   public:
-    explicit Instance(OpeningTerms terms) : brain_(open_brain(std::move(terms))) {}
+    explicit Instance(OpeningTerms terms)
+        : connect_span_(terms.connect_span), brain_(open_brain(std::move(terms))) {}
 
     void apply(Tenths now, const Line& line); // any event but OPEN_INSTANCE, KILLED and ENDPOINTS
     void apply_list(Tenths now, ListKind kind, const Sheet& sheet);
@@ -36,6 +37,7 @@
   private:
     ServerId server_of(std::string_view name);
 
+    Tenths connect_span_;
     std::unique_ptr<Brain> brain_;
     std::map<std::string, ServerId, std::less<>> ids_;
     std::vector<std::string> names_;
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -119,6 +119,7 @@
     terms.budget_span = settled.to_wait("Contract.RatioSpanUs");
     terms.longest_come_back = settled.to_use("Limits.MaxRetryAfterUs");
     terms.most_launches = settled.at_least_one("Limits.MostTries", 1);
+    terms.connect_span = settled.to_use("Limits.ConnectTimeoutUs");
     terms.repeats_marked = settled.flag("Clients.MarksRetry");
     terms.may_recall = settled.flag("Limits.MayCancel");
     terms.may_probe = settled.flag("Limits.Probes");
@@ -142,7 +143,6 @@
     terms.batch = settled.at_least_one("Specifics.Batch", 1);
     terms.calls_a_connection = settled.at_least_one("Limits.StreamsPerConn", 1);
     terms.shards = settled.at_least_one("Specifics.Slabs", 1);
-    terms.connect_span = settled.to_use("Limits.ConnectTimeoutUs");
     terms.idle_span = settled.to_use("Limits.ConnIdleUs");
     terms.ask_span = settled.to_use("Contract.AskWithinUs", 10 * kTenthsPerSecond * kMicrosPerTenth);
     terms.opening.list_mode = ListMode::kAsked; // on sockets the list comes to those who ask
--- a/src/protocol/terms.hpp
+++ b/src/protocol/terms.hpp
@@ -19,7 +19,6 @@
     int batch = 1;              // parts in one call
     int calls_a_connection = 1; // ... carried at once
     int shards = 0;
-    Tenths connect_span = 0; // a connection not made by then never comes
     Tenths idle_span = 0;    // the index server closes an idle connection after this, 0: never
     Tenths ask_span = 0;     // without a watch for so long, news counts as told
     std::vector<std::string> products, tenants, zones, kinds;
--- a/src/recovery/tally_book.hpp
+++ b/src/recovery/tally_book.hpp
@@ -33,6 +33,7 @@
             break;
         case Outcome::kTimedOut:
         case Outcome::kNoConnection:
+        case Outcome::kRefused:
         case Outcome::kBroken:
             ++row.unheard;
             break;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -390,7 +390,7 @@
         link.handed += bytes.size(), link.used = now_;
         effects_.push_back(WriteLink{launch.link, std::move(bytes)});
         // A client that leaves early, or an answer that is complete, calls off what was not overdue.
-        if (parts_.contains(key.first) || now_ >= launch.made_at + terms_.connect_span)
+        if (parts_.contains(key.first) || now_ >= launch.made_at + terms_.opening.connect_span)
             doubt(launch.link, launch);
     }
     rest(launch.link);
@@ -465,7 +465,7 @@
 
 // We close before the index server does: what is written to a connection that it closes is lost.
 Tenths Router::idle_limit() const {
-    return std::max(terms_.idle_span / 2, terms_.idle_span - 2 * terms_.connect_span);
+    return std::max(terms_.idle_span / 2, terms_.idle_span - 2 * terms_.opening.connect_span);
 }
 
 std::optional<LinkId> Router::link_for(ServerId server, const Call& call) {
@@ -536,7 +536,7 @@
     servers_.at(server).links.insert(id);
     ++counts_.links_opened;
     effects_.push_back(OpenLink{id, servers_.at(server).address});
-    at(now_ + terms_.connect_span, ConnectDue{id});
+    at(now_ + terms_.opening.connect_span, ConnectDue{id});
     return id;
 }
 
@@ -615,7 +615,8 @@
     });
     effects_.push_back(CloseLink{id});
     // Neither ran; only that a connection never came up says something of its server.
-    const Outcome unsent = link.up ? Outcome::kNeverSent : Outcome::kNoConnection;
+    const bool overdue = now_ >= link.used + terms_.opening.connect_span; // used when it was opened
+    const Outcome unsent = link.up ? Outcome::kNeverSent : overdue ? Outcome::kNoConnection : Outcome::kRefused;
     for (const Call& call : link.waiting)
         for (const LaunchKey& key : call) return_launch(key, unsent);
     for (const auto& [wire_id, key] : link.out) {
@@ -654,13 +655,13 @@
     const auto found = links_.find(event.link);
     if (found == links_.end() || found->second.midway > 0) return;
     found->second.midway = now_;
-    at(now_ + terms_.connect_span, MidwayDue{event.link});
+    at(now_ + terms_.opening.connect_span, MidwayDue{event.link});
 }
 
 void Router::due(const MidwayDue& what) {
     const auto found = links_.find(what.link);
     if (found == links_.end() || found->second.midway == 0) return;
-    if (now_ >= found->second.midway + terms_.connect_span) apply(LinkSpoilt{what.link, {}});
+    if (now_ >= found->second.midway + terms_.opening.connect_span) apply(LinkSpoilt{what.link, {}});
 }
 
 void Router::due(const ConnectDue& what) {
@@ -713,7 +714,7 @@
     if (!id) return at(now_ + 1, ProbeReturn{server});
     Link& link = links_.at(*id);
     link.probes.push_back({next_probe_++, now_, false});
-    at(now_ + terms_.connect_span, ProbeDue{*id, link.probes.back().serial});
+    at(now_ + terms_.opening.connect_span, ProbeDue{*id, link.probes.back().serial});
     link.waiting.push_back({});
     hand_over(*id);
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -93,7 +93,7 @@
     Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0, broke_at = 0;
     Tenths touched = 0, used = 0; // last looked after; when something last went over a connection to it
     Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next launch
-    bool known = false, unreachable = false, probe_wanted = false, probe_out = false;
+    bool known = false, unreachable = false, gone = false, probe_wanted = false, probe_out = false;
     bool renew = false; // its idle connections are to be closed before it is sent to
 
     std::array<Group, 2> groups() const { return {Group{0, entry.zone.value}, Group{1, entry.kind.value}}; }
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -222,6 +222,28 @@
     assert(host.sent_to(1) >= 1 && host.sent_to(1) <= 4);
 }
 
+// A third of all connections came up later than the time-out, and each such server was spared as if it had just
+// started, for a whole warming. Where nobody takes connections its process was gone, and it is spared.
+void late_connection_makes_no_cold_server() {
+    for (const bool refused : {false, true}) {
+        FakeHost host(plain_terms(), 1);
+        host.warm(1, ms(100));
+        host.search({0});
+        host.all_return(refused ? Outcome::kRefused : Outcome::kNoConnection, ms(refused ? 1 : 250));
+        for (int i = 0; i < 4; ++i) { // probes pass until it is tried again
+            host.pass(ms(200));
+            for (const ServerId id : host.probes) host.tell(ProbeReturned{id, true, ms(1), {}});
+            host.probes.clear();
+        }
+        host.sent.clear();
+        for (int i = 0; i < 20; ++i) {
+            host.search({0}), host.pass(ms(20));
+            host.all_return(Outcome::kAnswered, ms(20));
+        }
+        assert(refused ? host.sent.size() <= 8 : host.sent.size() >= 18);
+    }
+}
+
 void many_nodes_spare_a_cold_server() {
     int sum = 0;
     for (std::uint64_t seed = 0; seed < 60; ++seed) { // all hear of the start at once and would like to send
@@ -659,6 +681,7 @@
     STORY(proven_not_run_goes_again),
     STORY(drain_and_gone_get_nothing),
     STORY(cold_server_is_spared),
+    STORY(late_connection_makes_no_cold_server),
     STORY(many_nodes_spare_a_cold_server),
     STORY(rising_cold_server_is_used_by_many_nodes),
     STORY(queue_is_remembered_where_news_is_rare),
--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -18,7 +18,7 @@
     terms.opening.products[0].effect = effect;
     terms.products = {"find"}, terms.tenants = {"acme"}, terms.zones = {"a"}, terms.kinds = {"m"};
     terms.calls_a_connection = 100, terms.shards = 2;
-    terms.connect_span = ms(250), terms.idle_span = ms(15'000), terms.ask_span = ms(10'000);
+    terms.opening.connect_span = ms(250), terms.idle_span = ms(15'000), terms.ask_span = ms(10'000);
     return terms;
 }
 
--- a/tests/lab/hall.cpp
+++ b/tests/lab/hall.cpp
@@ -77,7 +77,7 @@
     terms.cells = plan.servers;
     orders.terms.products = {"find", "annotate"}, orders.terms.tenants = {"etna", "conca"};
     orders.terms.zones = {"a"}, orders.terms.kinds = {"m"}, orders.terms.shards = plan.servers;
-    orders.terms.calls_a_connection = 100, orders.terms.connect_span = kTenthsPerSecond / 4;
+    orders.terms.calls_a_connection = 100, orders.terms.opening.connect_span = kTenthsPerSecond / 4;
     orders.terms.idle_span = 15 * kTenthsPerSecond, orders.terms.ask_span = 100 * kTenthsPerSecond;
 
     int ends[2];
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -126,7 +126,7 @@
         orders.terms.opening.cells = 2;
         orders.terms.opening.products[0].effect = effect, orders.terms.opening.products[0].due_span = due;
         orders.terms.products = {"find"}, orders.terms.shards = 2;
-        orders.terms.calls_a_connection = 100, orders.terms.connect_span = ms(250);
+        orders.terms.calls_a_connection = 100, orders.terms.opening.connect_span = ms(250);
         orders.terms.idle_span = ms(15'000), orders.terms.ask_span = ms(100'000);
         orders.known.version = 1;
         for (int i = 0; i < 2; ++i)
