--- a/bench/access.cpp
+++ b/bench/access.cpp
@@ -128,7 +128,7 @@
             ++counts.searches, ++counts.bad_kinds[kind];
             const bool let_in = status == 200;
             if (wanted && !let_in) ++counts.wrongful_refusals;
-            if (!wanted && (let_in || hall.fleet.launches(ask.id + "." + std::to_string(ask.shard)) > 0))
+            if (!wanted && (let_in || hall.fleet.attempts(ask.id + "." + std::to_string(ask.shard)) > 0))
                 ++counts.wrongful_admissions;
         }
         if (chance() % 4 == 0) client.reset(); // new connections and handshakes meanwhile
@@ -249,14 +249,14 @@
     const double script_us = time_script();
     double plain_us = 0, guarded_us = 0;
     {
-        Hall open({2, Effect::kReissuable, false, {}, 512}), guarded({2, Effect::kReissuable, true, {}, 512});
+        Hall open({2, Effect::kIdempotent, false, {}, 512}), guarded({2, Effect::kIdempotent, true, {}, 512});
         for (int round = 0; round < 4; ++round) { // in turn, so that the machine's mood falls on both
             plain_us += cpu_of_searches(open, false, "p" + std::to_string(round), 3000) / 4;
             guarded_us += cpu_of_searches(guarded, true, "g" + std::to_string(round), 3000) / 4;
         }
     }
     // The bound on handshakes is put out of the way: what is asked for is how many there could be.
-    Hall hall({2, Effect::kAtMostOnce, true,
+    Hall hall({2, Effect::kNonIdempotent, true,
                "tls = {\"handshake_steps_a_second\": 100000, \"handshake_steps_a_turn\": 16}\n", 512});
     const double handshakes = time_handshakes(hall, 2);
     hall.revoke_member("taken-back", transport::Loop::wall() + 3600 * kTenthsPerSecond);
@@ -328,7 +328,7 @@
     const double seconds = micros(Clock::now() - begun) / 1e6;
     nlohmann::ordered_json kinds;
     for (int i = 0; i < 13; ++i) kinds.push_back(counts.bad_kinds[i].load());
-    const std::size_t twice = hall.fleet.most_launches();
+    const std::size_t twice = hall.fleet.most_attempts();
     nlohmann::ordered_json line = {
         {"searches", counts.searches.load()},
         {"rotations", rotations},
--- a/bench/rota.cpp
+++ b/bench/rota.cpp
@@ -163,7 +163,7 @@
 // ---- processes
 
 double share_paid(const SearchCounts& counts) {
-    return counts.most_payoff > 0 ? counts.payoff / counts.most_payoff : 0;
+    return counts.most_utility > 0 ? counts.utility / counts.most_utility : 0;
 }
 
 struct Processes {
--- a/fuzz/h2.cpp
+++ b/fuzz/h2.cpp
@@ -35,8 +35,8 @@
         }
         if (at % 3 == 0 && !open.empty()) { // twice: the second finds nothing
             const StreamNo stream = *open.begin();
-            door.answer(stream, {protocol::Verdict::kPushedBack, false, {}, 0}, at % 5 == 0);
-            door.answer(stream, {protocol::Verdict::kScrapped, false, {}, 0}, false);
+            door.answer(stream, {protocol::Verdict::kRejected, false, {}, 0}, at % 5 == 0);
+            door.answer(stream, {protocol::Verdict::kFailed, false, {}, 0}, false);
             open.erase(stream), done.insert(stream);
         }
         const std::string out = door.take_out(at % 7 == 0 ? 10 : 100'000);
--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -20,6 +20,6 @@
 using TenantNo = Id<struct TenantTag, std::int32_t>;
 using ZoneNo = Id<struct ZoneTag, std::int32_t>;
 using KindNo = Id<struct KindTag, std::int32_t>;
-using LaunchNo = Id<struct LaunchTag, std::uint32_t>; // counts the launches of one part from 0
+using AttemptNo = Id<struct AttemptTag, std::uint32_t>; // counts the attempts of one part from 0
 
 } // namespace ivyrill
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,44 +31,44 @@
 
 // Ours. Shares of a due span, unless said otherwise; of the shortest one where no product is in question.
 constexpr double kFresh = 0.3, kFreshReport = 0.6; // weight in a mean: of an answer, of a report
-constexpr double kDeviations = 4; // a launch is overdue past the mean and so many mean deviations
+constexpr double kDeviations = 4; // an attempt is overdue past the mean and so many mean deviations
 constexpr double kLeastPatience = 0.3, kMostPatience = 0.5; // ... but not before the one or after the other
 constexpr double kSilence = 0.35;   // of silence before a server is doubted, of an answer that comes late
 constexpr int kCostlyParts = 2;     // slow parts, and no quick one, that show a costly search
 constexpr double kFaultLimit = 0.5; // mean of recent failures that sets a server aside
-constexpr int kSilentLaunches = 2;  // ... and launches unanswered in a row
+constexpr int kSilentAttempts = 2;  // ... and attempts unanswered in a row
 constexpr double kProbeGap = 0.15;  // between probes, doubled for each failed trial up to so many times
 constexpr int kMostSetbacks = 3, kPassesNeeded = 2, kTrialEnd = 8; // probes before, trial room at the end
 constexpr double kCalmWait = 0.1, kFullWait = 0.3; // mean forecasts: all calm, admission at its strictest
 constexpr double kLocalScale = 2; // both, times this, for the replicas of one shard: fewer, so more chance
 constexpr double kPatientShare = 0.25, kPayingShare = 0.6; // of the time left: least and best paying search's
-constexpr double kFurtherRatio = 0.2, kFurtherSpare = 5;   // double launches, where the terms state no budget
+constexpr double kFurtherRatio = 0.2, kFurtherSpare = 5;   // double attempts, where the terms state no budget
 constexpr double kSlowMachine = 1.5, kColdSafety = 2; // mean service times; parts a server works on at once
 constexpr double kFleetAge = 0.1;                     // how long a look at all servers serves
 constexpr double kLostWait = 0.25; // of the time in which news counts as told: between calls for the list
 constexpr double kStorm = 3, kStormSpan = 5; // signs of breaking servers, and how long they take to fade
 constexpr std::size_t kBreaksEnd = 2;        // servers broken under one search that end it
 constexpr double kLossWeight = 0.05, kLossLimit = 0.3; // mean loss at which idle connections are not trusted
-constexpr double kRenewedWeight = 0.2;                 // ... and of a launch over a new one in theirs
+constexpr double kRenewedWeight = 0.2;                 // ... and of an attempt over a new one in theirs
 constexpr double kRest = 0.5, kRenewSpan = 20;         // ... idle for so long; closed before use for so long
-constexpr double kUsualWeight = 0.1, kZoneWeight = 0.1, kKindWeight = 0.03; // of a launch in their means
+constexpr double kUsualWeight = 0.1, kZoneWeight = 0.1, kKindWeight = 0.03; // of an attempt in their means
 constexpr double kNewsGaps = 4, kGroupLimit = 0.4;  // news stands for; mean trouble that shuns a group
 constexpr double kHasty = 0.6, kAlike = 0.01;       // time left in haste; spread of first tries' time
 constexpr double kWeightSlack = 1e-6, kGulf = 1e12; // the latter lies between classes of standing
 
 using Stand = recovery::Relief::Stand;
 
-class Mind : public Brain {
+class ReplicaSelector : public Brain {
   public:
-    explicit Mind(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
+    explicit ReplicaSelector(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
         for (const ProductTerms& product : terms_.products) {
             products_.push_back({product, 0, 0, false, 1, 0, 0});
-            pace_ = std::min(pace_, static_cast<double>(product.due_span));
+            pace_ = std::min(pace_, static_cast<double>(product.latency_target));
         }
         tenants_.resize(terms_.tenants.size());
         ask_wanted_ = terms_.list_mode == ListMode::kAsked;
-        if (!terms_.launch_budget) {
-            terms_.spare_launches = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
+        if (!terms_.attempt_budget) {
+            terms_.spare_attempts = kFurtherSpare, terms_.further_ratio = kFurtherRatio;
             terms_.budget_span = shares(4);
         }
     }
@@ -99,7 +99,7 @@
         Search& search = searches_[event.job];
         search.id = event.id, search.product = event.product, search.tenant = event.tenant;
         search.spared = !relief_.admits(event.product, event.tenant, chance_);
-        search.payoff = product.terms.payoff;
+        search.utility = product.terms.utility;
         // The due time counts from the first try, a repeat is given what is left of the expiry span. Where
         // repeats are not marked, their time left differs from most searches'.
         const Tenths off = std::abs(event.left - product.usual_left);
@@ -108,13 +108,13 @@
         product.votes += alike ? 1 : -1; // a majority vote
         if (product.votes < 0) product.usual_left = event.left, product.votes = 1;
         // Much less time than even a due span is a client in haste, not one that has waited for long.
-        const bool hasty = !terms_.repeats_marked && event.left < kHasty * product.terms.due_span;
+        const bool hasty = !terms_.repeats_marked && event.left < kHasty * product.terms.latency_target;
         const Tenths spent =
-            repeat && !hasty ? std::max<Tenths>(0, product.terms.expiry_span - event.left) : 0;
-        search.due = now_ + product.terms.due_span - spent;
+            repeat && !hasty ? std::max<Tenths>(0, product.terms.deadline_span - event.left) : 0;
+        search.due = now_ + product.terms.latency_target - spent;
         search.expiry = now_ + event.left;
-        if (search.due <= now_) search.payoff *= product.terms.late_share;
-        if (!within_share(event.tenant)) search.payoff *= terms_.over_share_payoff;
+        if (search.due <= now_) search.utility *= product.terms.late_share;
+        if (!within_share(event.tenant)) search.utility *= terms_.over_share_utility;
         jobs_[event.id] = event.job;
         taken_.push_back(now_);
     }
@@ -175,34 +175,34 @@
         server.standing = Standing::kTrial, server.trial_room = 1;
         server.faults = 0, server.heard = false, server.silent = 0;
         server.last_answer = now_; // what it still owes from before is not held against it
-        // Nobody was there and the list has not said why: it may have started anew, so it counts as cold. That
-        // holds for any end of its process. A connection that only never came up in time was held on the way,
-        // for which a sound server must not be spared a whole warming; of a machine that was away the list
-        // tells. It hurts where one comes back cold long before the list says so.
+        // Nobody was there and the list has not said why: it may have started anew, so it counts as cold.
+        // That holds for any end of its process. A connection that only never came up in time was held on the
+        // way, for which a sound server must not be spared a whole warming; of a machine that was away the
+        // list tells. It hurts where one comes back cold long before the list says so.
         if (server.gone) chill(server, now_);
         server.unreachable = server.gone = false;
     }
 
-    void hear(const LaunchReturned& event) {
+    void hear(const AttemptReturned& event) {
         const auto found = part_of_.find(event.part);
         if (found == part_of_.end()) return;
         Search& search = searches_.at(found->second.first);
         Part& part = search.parts[found->second.second];
-        if (event.launch.value >= part.launches.size()) return;
-        Launch& launch = part.launches[event.launch.value];
-        if (launch.stage != Stage::kOut) return;
-        launch.stage = Stage::kOver;
-        launch.may_have_run = event.outcome != Outcome::kTurnedAway && !unconnected(event.outcome) &&
-                              event.outcome != Outcome::kNeverSent;
+        if (event.attempt.value >= part.attempts.size()) return;
+        Attempt& attempt = part.attempts[event.attempt.value];
+        if (attempt.stage != Stage::kOut) return;
+        attempt.stage = Stage::kOver;
+        attempt.may_have_run = event.outcome != Outcome::kTurnedAway && !unconnected(event.outcome) &&
+                               event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) {
             part.in = true;
             search.quick = search.quick || event.took <= patience(products_[search.product.value]);
         }
-        // Turned away by one replica it goes to another at once, but launches are not spent on a full set.
-        if (!launch.may_have_run) part.not_before = now_ + shares(kProbeGap * event.launch.value);
-        suspect(search, launch, event.outcome);
-        if (const auto at = servers_.find(launch.server); at != servers_.end()) {
-            const auto sending = at->second.sent_at.find({part.id, event.launch});
+        // Turned away by one replica it goes to another at once, but attempts are not spent on a full set.
+        if (!attempt.may_have_run) part.not_before = now_ + shares(kProbeGap * event.attempt.value);
+        suspect(search, attempt, event.outcome);
+        if (const auto at = servers_.find(attempt.server); at != servers_.end()) {
+            const auto sending = at->second.sent_at.find({part.id, event.attempt});
             const bool refused = unconnected(event.outcome);
             const bool lost = sending->second.missed && event.outcome != Outcome::kAnswered;
             if (refused || lost || event.outcome == Outcome::kAnswered)
@@ -218,11 +218,11 @@
         return outcome == Outcome::kNoConnection || outcome == Outcome::kRefused;
     }
 
-    void learn(IndexServer& server, ProductView& product, const LaunchReturned& event) {
-        const double due = product.terms.due_span;
+    void learn(IndexServer& server, ProductView& product, const AttemptReturned& event) {
+        const double due = product.terms.latency_target;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
-        // A connection that breaks takes all its launches along: one failure, and no word of its server.
+        // A connection that breaks takes all its attempts along: one failure, and no word of its server.
         if (event.outcome == Outcome::kBroken && std::exchange(server.broke_at, now_) == now_) return;
         if (event.outcome != Outcome::kRecalled && event.outcome != Outcome::kTimedOut)
             weigh_group(server, good, event.took);
@@ -272,11 +272,11 @@
 
     double storm() const { return storm_ * std::exp(-(now_ - storm_at_) / (kStormSpan * pace_)); }
 
-    void suspect(Search& search, const Launch& launch, Outcome outcome) {
+    void suspect(Search& search, const Attempt& attempt, Outcome outcome) {
         if (outcome == Outcome::kAnswered) search.proven = true;
         if (outcome != Outcome::kBroken || search.proven) return;
-        search.broken.insert(launch.server);
-        search.breaker = search.broken.size() >= kBreaksEnd || (launch.alone && storm() >= kStorm);
+        search.broken.insert(attempt.server);
+        search.breaker = search.broken.size() >= kBreaksEnd || (attempt.alone && storm() >= kStorm);
     }
 
     void hear_report(IndexServer& server, const LoadReport& report) {
@@ -286,7 +286,7 @@
         server.out_at_report = server.out();
     }
 
-    // Connections dropped unseen: launches over long idle ones get no answer, others do. Idle ones are then
+    // Connections dropped unseen: attempts over long idle ones get no answer, others do. Idle ones are then
     // closed before use for a while, unless new ones fail as well. Among many front nodes nearly every
     // connection has long been idle, so it takes a mean over more than two slow parts in a row.
     void weigh_rest(const Sending& sending, bool lost, bool refused) {
@@ -298,8 +298,8 @@
         renew_until_ = now_ + shares(kRenewSpan);
     }
 
-    // Few launches tell of one server, many of its zone and kind of machine. Servers of a group whose
-    // launches fail (in a zone also: come late) while another is sound come last, by a score worse by the
+    // Few attempts tell of one server, many of its zone and kind of machine. Servers of a group whose
+    // attempts fail (in a zone also: come late) while another is sound come last, by a score worse by the
     // square: zones cut off, lost, slow or full and releases gone bad on one kind. A zone blames no kind.
     void weigh_group(const IndexServer& server, bool sound, double took) {
         const bool late = took >= pace_ * kSilence;
@@ -443,7 +443,7 @@
         relax(server.response, std::max(service, usual(usual_response_)), pass, forgotten);
     }
 
-    // Fades without news, lest all searches are pushed back for ever for what once was.
+    // Fades without news, lest all searches are rejected for ever for what once was.
     double usual(double mean) const { return mean * std::exp(-(now_ - usual_at_) / pace_); }
 
     void mix_usual(double queue, double took) {
@@ -463,9 +463,9 @@
     bool review(IndexServer& server) {
         drain(server);
         server.joining = 0;
-        // One launch may be lost on its way, so it takes two to set a server aside; after one it comes last.
+        // One attempt may be lost on its way, so it takes two to set a server aside; after one it comes last.
         if (now_ >= server.silent_at + shares(2)) server.silent = 0;
-        for (auto& [launch, sending] : server.sent_at) {
+        for (auto& [attempt, sending] : server.sent_at) {
             if (sending.at < server.last_answer) continue;
             const Tenths limit = sending.at + silence(server);
             note(limit);
@@ -473,7 +473,7 @@
             sending.missed = true, ++server.silent, server.silent_at = now_;
             weigh_group(server, false, 0);
         }
-        if (server.silent >= (server.standing == Standing::kTrial ? 1 : kSilentLaunches)) set_aside(server);
+        if (server.silent >= (server.standing == Standing::kTrial ? 1 : kSilentAttempts)) set_aside(server);
         if (server.standing != Standing::kAside || server.entry.listed != Listed::kLive)
             return server.out() > 0 || now_ < server.touched + shares(2);
         server.probe_wanted = terms_.may_probe && !server.probe_out && now_ >= server.next_probe;
@@ -481,13 +481,13 @@
         return true;
     }
 
-    // Rule 4: launches to a server that started lately are spaced so that all front nodes together stay
+    // Rule 4: attempts to a server that started lately are spaced so that all front nodes together stay
     // within its budget (limits/cold_rule.hpp); its full power is what warm servers do.
-    Tenths cold_moment(const IndexServer& server, double launches) const {
+    Tenths cold_moment(const IndexServer& server, double attempts) const {
         const Tenths age = now_ - server.cold_from; // what it takes now is the longer for its being cold
         const double slow = std::max(service_of(server) * cold_.share(age), kSlowMachine * usual_service());
         const double nodes = std::max<double>(front_nodes_, terms_.front_nodes); // fewer seen may be a cut
-        return now_ + cold_.gap(age, cold_.full(kColdSafety, slow), nodes, launches);
+        return now_ + cold_.gap(age, cold_.full(kColdSafety, slow), nodes, attempts);
     }
 
     // All hear of a start at about the same time, so each draws its own moment of the first gap.
@@ -500,7 +500,7 @@
         return server.cold_from > 0 && now_ < server.cold_from + terms_.cold_span;
     }
 
-    // Rules 3 and 4 for every launch.
+    // Rules 3 and 4 for every attempt.
     bool may_serve(const IndexServer& server) {
         const bool room = !is_cold(server) || now_ >= server.cold_next;
         if (!room) note(server.cold_next);
@@ -513,11 +513,11 @@
         double best_rank = 0;
         int ties = 0;
         bool limited = false;
-        const bool once = product.terms.effect == Effect::kAtMostOnce;
+        const bool once = product.terms.effect == Effect::kNonIdempotent;
         for (IndexServer* server : replicas(part.shard)) {
             const bool open = is_open(*server), bad = in_trouble(*server);
             const auto used =
-                std::ranges::count_if(part.launches, [&](auto& l) { return l.server == server->id; });
+                std::ranges::count_if(part.attempts, [&](auto& l) { return l.server == server->id; });
             const auto stand = relief_.stand(server->entry.zone, once, chance_);
             if (!may_serve(*server) || (!open && !may_try(*server)) || stand == Stand::kShut) continue;
             if (sound_only && (!open || used > 0 || bad || stand != Stand::kOpen)) continue;
@@ -557,7 +557,7 @@
     Tenths margin() const { return 4 * terms_.turn_gap; }
 
     Tenths patience(const ProductView& product) const {
-        const double due = static_cast<double>(product.terms.due_span);
+        const double due = static_cast<double>(product.terms.latency_target);
         const double usual = product.heard ? product.response + kDeviations * product.deviation : due;
         return static_cast<Tenths>(std::clamp(usual, due * kLeastPatience, due * kMostPatience));
     }
@@ -599,8 +599,8 @@
         const ProductView& product = products_[search.product.value];
         const bool ran = std::ranges::any_of(search.parts, &Part::may_have_run);
         const bool harmless = !search.breaker && // to come again would break more
-                              (product.terms.effect != Effect::kAtMostOnce || !ran);
-        search.fate = harmless ? Fate::kPushedBack : Fate::kScrapped;
+                              (product.terms.effect != Effect::kNonIdempotent || !ran);
+        search.fate = harmless ? Fate::kRejected : Fate::kFailed;
         const double wait = std::min(pace_ * kSilence, static_cast<double>(terms_.longest_come_back));
         const auto usual = static_cast<Tenths>(wait * (0.5 + (terms_.may_advise ? chance_.unit() : 0) / 2));
         search.come_back = terms_.may_advise ? relief_.come_back(usual, chance_) : 0;
@@ -608,29 +608,30 @@
 
     bool does_without(const Part& part) const { return part.left_out || relief_.gone(part.shard); }
 
-    // Rule 2 and the launch limit: whether a part without an answer may be launched at all.
+    // Rule 2 and the attempt limit: whether a part without an answer may be attempted at all.
     bool may_go_again(const Part& part, const ProductView& product) const {
-        if (static_cast<int>(part.launches.size()) >= terms_.most_launches) return false;
-        if (part.launches.empty() || product.terms.effect == Effect::kReissuable) return true;
+        if (static_cast<int>(part.attempts.size()) >= terms_.most_attempts) return false;
+        if (part.attempts.empty() || product.terms.effect == Effect::kIdempotent) return true;
         if (!part.may_have_run()) return true;
-        return product.terms.effect != Effect::kAtMostOnce && now_ < repeats_until(part, product);
+        return product.terms.effect != Effect::kNonIdempotent && now_ < repeats_until(part, product);
     }
 
-    // The window in which repeats are dropped counts from the first launch that may have run.
+    // The window in which repeats are dropped counts from the first attempt that may have run.
     Tenths repeats_until(const Part& part, const ProductView& product) const {
-        if (product.terms.effect != Effect::kNumbered) return kNever;
+        if (product.terms.effect != Effect::kKeyed) return kNever;
         Tenths first = kNever;
-        for (const Launch& launch : part.launches)
-            if (launch.may_have_run && launch.stage != Stage::kPlanned) first = std::min(first, launch.sent);
+        for (const Attempt& attempt : part.attempts)
+            if (attempt.may_have_run && attempt.stage != Stage::kPlanned)
+                first = std::min(first, attempt.sent);
         return first == kNever ? kNever : first + product.terms.repeat_window - margin();
     }
 
-    // Rule 6, and our own bound where the terms state none: further launches must not feed a storm.
+    // Rule 6, and our own bound where the terms state none: further attempts must not feed a storm.
     bool budget_left() {
         while (!taken_.empty() && taken_.front() <= now_ - terms_.budget_span) taken_.pop_front();
         while (!further_.empty() && further_.front() <= now_ - terms_.budget_span - 1) further_.pop_front();
         const double share = terms_.further_ratio * (1 - full_);
-        return further_.size() + 1 <= (terms_.spare_launches + share * taken_.size()) * relief_.further();
+        return further_.size() + 1 <= (terms_.spare_attempts + share * taken_.size()) * relief_.further();
     }
 
     // How long a part would take at the replica that promises most, the sound ones first.
@@ -661,7 +662,7 @@
                (server.standing == Standing::kTrial && server.out() < server.trial_room);
     }
 
-    // The least bad gets work, but one that nobody reaches only one launch at a time, to learn from.
+    // The least bad gets work, but one that nobody reaches only one attempt at a time, to learn from.
     static bool may_try(const IndexServer& server) { return !server.unreachable || server.out() == 0; }
 
     double forecast_of(const IndexServer& server, int ahead = 0) const {
@@ -677,8 +678,8 @@
         ProductView& product = products_[search.product.value];
         mix(product.parts, static_cast<double>(search.parts.size()), kFresh);
         double best = 0;
-        for (const ProductView& other : products_) best = std::max(best, other.terms.payoff / other.parts);
-        const double paying = std::sqrt(std::min(1.0, search.payoff / search.parts.size() / best));
+        for (const ProductView& other : products_) best = std::max(best, other.terms.utility / other.parts);
+        const double paying = std::sqrt(std::min(1.0, search.utility / search.parts.size() / best));
         const int steps = product.terms.follow_up > 0 ? 2 : 1;
         const Tenths left = (search.due > now_ ? search.due : search.expiry) - now_;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
@@ -701,13 +702,13 @@
         ProductView& product = products_[search.product.value];
         if (search.parts.empty() || search.barred) return;
         const bool begun =
-            std::ranges::any_of(search.parts, [](auto& part) { return !part.launches.empty(); });
+            std::ranges::any_of(search.parts, [](auto& part) { return !part.attempts.empty(); });
         if (!begun) relief_.leave_out(search, product.terms.floor, search.tenant);
         if (!begun && (search.spared || !admit(search))) return give_up(search); // asked anew in the backlog
         if (search.breaker) return give_up(search);
         const bool singly = !search.proven && storm() >= kStorm;
         const bool out = search.out();
-        Part* first = nullptr; // of those to launch, the one that promises most
+        Part* first = nullptr; // of those to attempt, the one that promises most
         double least = 0;
         for (std::size_t i = search.step_begin; i < search.parts.size(); ++i) {
             Part& part = search.parts[i];
@@ -715,36 +716,36 @@
             if (part.out())
                 hurry(search, part, product);
             else if (!singly)
-                launch(part, product);
+                attempt(part, product);
             else if (const double wait = out ? 0 : forecast(part); !out && (first == nullptr || wait < least))
                 first = &part, least = wait;
         }
-        if (first != nullptr && launch(*first, product)) first->launches.back().alone = true;
+        if (first != nullptr && attempt(*first, product)) first->attempts.back().alone = true;
     }
 
     bool dawdles(const Part& part, const ProductView& product) const {
-        return std::ranges::any_of(part.launches, [&](auto& launch) {
-            const IndexServer& server = servers_.at(launch.server);
-            return launch.stage == Stage::kOut && now_ >= launch.sent + patience(product) &&
+        return std::ranges::any_of(part.attempts, [&](auto& attempt) {
+            const IndexServer& server = servers_.at(attempt.server);
+            return attempt.stage == Stage::kOut && now_ >= attempt.sent + patience(product) &&
                    server.standing == Standing::kIn && server.silent == 0;
         });
     }
 
-    // An overdue launch gets company where copies are allowed, else it is called off to go elsewhere.
+    // An overdue attempt gets company where copies are allowed, else it is called off to go elsewhere.
     void hurry(Search& search, Part& part, ProductView& product) {
-        if (product.terms.effect == Effect::kAtMostOnce) return;
-        Launch* last = nullptr;
+        if (product.terms.effect == Effect::kNonIdempotent) return;
+        Attempt* last = nullptr;
         int copies = 0, alive = 0; // out, and those at servers that answer
-        for (Launch& launch : part.launches) {
-            if (launch.stage == Stage::kOver) continue;
-            last = &launch, ++copies, alive += servers_[launch.server].silent == 0 ? 1 : 0;
+        for (Attempt& attempt : part.attempts) {
+            if (attempt.stage == Stage::kOver) continue;
+            last = &attempt, ++copies, alive += servers_[attempt.server].silent == 0 ? 1 : 0;
         }
         const bool aside = servers_[last->server].standing == Standing::kAside;
         const Tenths overdue = last->sent + patience(product);
         if (!aside && now_ < overdue) return note(overdue);
         if (copies > 1 && alive > 0) return note(overdue + shares(kLeastPatience));
         if (now_ >= search.due || !budget_left() || !may_go_again(part, product)) return;
-        // The search is slow, not its servers: to launch its parts again would only double the work.
+        // The search is slow, not its servers: to attempt its parts again would only double the work.
         const bool costly = !search.quick && std::ranges::count_if(search.parts, &Part::slow) >= kCostlyParts;
         if (!aside && costly) return note(last->sent + 2 * patience(product));
         // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
@@ -755,7 +756,7 @@
         if (other != nullptr && !terms_.second_copies && terms_.may_recall) last->wanted = false;
     }
 
-    bool launch(Part& part, const ProductView& product) {
+    bool attempt(Part& part, const ProductView& product) {
         if (now_ < part.not_before) return note(part.not_before), false;
         if (!may_go_again(part, product) || (counts(part) && !budget_left()))
             return note(now_ + kWindow), false;
@@ -764,18 +765,18 @@
                                  : (place(part, *server), true);
     }
 
-    // Our own bound is on double work; a stated budget counts every further launch.
+    // Our own bound is on double work; a stated budget counts every further attempt.
     bool counts(const Part& part) const {
-        return terms_.launch_budget ? !part.launches.empty() : part.may_have_run();
+        return terms_.attempt_budget ? !part.attempts.empty() : part.may_have_run();
     }
 
     void place(Part& part, IndexServer& server) {
         if (counts(part)) further_.push_back(now_);
-        part.launches.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
+        part.attempts.push_back({server.id, Stage::kPlanned, true, false, true, false, now_});
         const bool idle = server.used > 0 && server.out() == 0 && now_ > server.used + shares(kRest);
         const bool trusted = now_ >= renew_until_ || renewed_loss_ >= kLossLimit;
         server.renew = server.renew || (idle && !trusted);
-        const LaunchNo number{static_cast<std::uint32_t>(part.launches.size() - 1)};
+        const AttemptNo number{static_cast<std::uint32_t>(part.attempts.size() - 1)};
         server.sent_at[{part.id, number}] = {now_, idle && !server.renew, false, server.renew};
         server.used = now_;
         ++server.sent, ++server.joining;
@@ -799,26 +800,27 @@
             const int steps = products_[search.product.value].terms.follow_up > 0 ? 2 : 1;
             search.whole = search.fate == Fate::kWhole || (search.whole && !answered);
             if (answered) host.answer(search.id, search.whole);
-            if (search.fate == Fate::kPushedBack) host.push_back(search.id, search.come_back);
-            if (search.fate == Fate::kScrapped) host.scrap(search.id);
+            if (search.fate == Fate::kRejected) host.reject(search.id, search.come_back);
+            if (search.fate == Fate::kFailed) host.fail(search.id);
             if (answered && search.step < steps)
                 ++search.step, search.step_begin = search.parts.size(), search.fate = Fate::kOpen;
             else if (search.fate != Fate::kOpen && search.fate != Fate::kEnded)
                 end(search);
             for (Part& part : search.parts) {
-                for (std::size_t i = 0; i < part.launches.size(); ++i) {
-                    Launch& launch = part.launches[i];
-                    const bool wanted = launch.wanted && !part.in && search.fate == Fate::kOpen;
-                    if (launch.stage == Stage::kPlanned) {
-                        IndexServer& server = servers_.at(launch.server);
-                        if (server.renew) host.hang_up(launch.server), server.renew = false;
+                for (std::size_t i = 0; i < part.attempts.size(); ++i) {
+                    Attempt& attempt = part.attempts[i];
+                    const bool wanted = attempt.wanted && !part.in && search.fate == Fate::kOpen;
+                    if (attempt.stage == Stage::kPlanned) {
+                        IndexServer& server = servers_.at(attempt.server);
+                        if (server.renew) host.hang_up(attempt.server), server.renew = false;
                         const Tenths by = repeats_until(part, products_[search.product.value]);
-                        host.launch(part.id, launch.server, search.expiry - now_,
-                                    std::min(search.expiry, by) - now_);
-                        launch.stage = Stage::kOut;
-                    } else if (launch.stage == Stage::kOut && !wanted && !launch.recalled &&
+                        host.attempt(part.id, attempt.server, search.expiry - now_,
+                                     std::min(search.expiry, by) - now_);
+                        attempt.stage = Stage::kOut;
+                    } else if (attempt.stage == Stage::kOut && !wanted && !attempt.recalled &&
                                terms_.may_recall) {
-                        host.recall(part.id, LaunchNo{static_cast<std::uint32_t>(i)}), launch.recalled = true;
+                        host.recall(part.id, AttemptNo{static_cast<std::uint32_t>(i)}),
+                            attempt.recalled = true;
                     }
                 }
                 if (part.held && search.fate == Fate::kOpen) ++backlog_[part.shard];
@@ -835,7 +837,7 @@
 
     void end(Search& search) { search.fate = Fate::kEnded, jobs_.erase(search.id); }
 
-    // An ended search is kept until its last launch has returned: that still teaches about its server.
+    // An ended search is kept until its last attempt has returned: that still teaches about its server.
     void forget(JobNo job) {
         const Search& search = searches_.at(job);
         if (search.out()) return;
@@ -873,6 +875,8 @@
 
 } // namespace
 
-std::unique_ptr<Brain> open_brain(OpeningTerms terms) { return std::make_unique<Mind>(std::move(terms)); }
+std::unique_ptr<Brain> open_brain(OpeningTerms terms) {
+    return std::make_unique<ReplicaSelector>(std::move(terms));
+}
 
 } // namespace ivyrill
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -13,15 +13,15 @@
 
 namespace ivyrill {
 
-enum class Effect { kReissuable, kNumbered, kAtMostOnce };
+enum class Effect { kIdempotent, kKeyed, kNonIdempotent };
 enum class ListMode { kPushed, kAsked };
 
 struct ProductTerms {
-    Tenths due_span = 0;    // an answer within this earns the full payoff
-    Tenths expiry_span = 0; // how long the client waits in all, over all its tries
+    Tenths latency_target = 0; // an answer within this earns the full utility
+    Tenths deadline_span = 0;  // how long the client waits in all, over all its tries
     Tenths repeat_window = 0;
-    Effect effect = Effect::kReissuable;
-    double payoff = 1;
+    Effect effect = Effect::kIdempotent;
+    double utility = 1;
     double late_share = 0;
     double floor = 1;  // least weight that may be answered from
     double need = 1;   // weight that makes a whole answer
@@ -43,19 +43,19 @@
     double cold_share = 1;
     Tenths fall_span = 0;
     double fall_multiple = 1;
-    bool launch_budget = false;
-    double spare_launches = 0;
+    bool attempt_budget = false;
+    double spare_attempts = 0;
     double further_ratio = 0;
     Tenths budget_span = 0;
     Tenths longest_come_back = 0;
-    int most_launches = 1;
+    int most_attempts = 1;
     Tenths connect_span = 0; // a connection not made by then never comes
     bool may_recall = false;
     bool may_probe = false;
     bool may_advise = false;
     bool second_copies = false;
     bool repeats_marked = false;
-    double over_share_payoff = 1;
+    double over_share_utility = 1;
     ListMode list_mode = ListMode::kPushed;
     Tenths told_span = 6 * kTenthsPerSecond; // the protocol's: a change counts as told so long after it came
     int cells = 1; // shard s is held by cells (s + j) mod this, j from 0 to span - 1
@@ -99,9 +99,9 @@
     ShardNo shard;
     double weight = 0;
 };
-struct LaunchReturned {
+struct AttemptReturned {
     PartId part;
-    LaunchNo launch;
+    AttemptNo attempt;
     ServerId server;
     Outcome outcome = Outcome::kError;
     Tenths took = 0;
@@ -116,7 +116,7 @@
 struct SearchLapsed {
     SearchId id;
 };
-struct SearchBarred { // what is out may answer, no further launch is made; whoever asked has lost the right
+struct SearchBarred { // what is out may answer, no further attempt is made; whoever asked has lost the right
                       // to
     SearchId id;
 };
@@ -154,22 +154,22 @@
     std::vector<ShardNo> gone; // no replica is left
     std::vector<Row> rows;
     std::vector<std::pair<ShardNo, double>> tight; // share of its demand for which there is room
-    double further = 1;                            // of the budget for further launches
+    double further = 1;                            // of the budget for further attempts
     Tenths come_back = 0;                          // longest, for those refused; 0: as ever
 };
 
-using Event = std::variant<SearchTaken, PartTaken, LaunchReturned, ProbeReturned, SearchLapsed, SearchBarred,
+using Event = std::variant<SearchTaken, PartTaken, AttemptReturned, ProbeReturned, SearchLapsed, SearchBarred,
                            ListNews, FrontNodesSeen, ReliefTold>;
 
 class Host {
   public:
     virtual ~Host() = default;
     // Where it has not been sent after `send_within`, it must not be sent any more.
-    virtual void launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) = 0;
-    virtual void recall(PartId part, LaunchNo launch) = 0;
+    virtual void attempt(PartId part, ServerId server, Tenths time_out, Tenths send_within) = 0;
+    virtual void recall(PartId part, AttemptNo attempt) = 0;
     virtual void answer(SearchId search, bool whole) = 0;
-    virtual void push_back(SearchId search, Tenths come_back) = 0; // come_back 0: no advice
-    virtual void scrap(SearchId search) = 0;
+    virtual void reject(SearchId search, Tenths come_back) = 0; // come_back 0: no advice
+    virtual void fail(SearchId search) = 0;
     virtual void probe(ServerId server) = 0;
     virtual void hang_up(ServerId server) = 0; // closes idle connections to it
     virtual void wake(Tenths in) = 0;
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -43,13 +43,13 @@
                        PartTaken{PartId{request_id(line)}, job, ShardNo{static_cast<std::int32_t>(shard)},
                                  line.number("SizeOrWeight", 0)});
     } else if (line.name() == "RETURNED") {
-        const LaunchNo launch{static_cast<std::uint32_t>(line.integer_within("Copy", 0, kMostId))};
+        const AttemptNo attempt{static_cast<std::uint32_t>(line.integer_within("Copy", 0, kMostId))};
         const Tenths took = tenths_to_use(line.integer("DelaySeenUs", 0));
         Outcome outcome = read_outcome(line.text("How"));
         // The wire has one word for both: what took less than the time-out was refused.
         if (outcome == Outcome::kNoConnection && took < connect_span_) outcome = Outcome::kRefused;
-        brain_->on(now, LaunchReturned{PartId{request_id(line)}, launch, server_of(line.text("Server")), outcome,
-                                       took, read_report(line)});
+        brain_->on(now, AttemptReturned{PartId{request_id(line)}, attempt, server_of(line.text("Server")),
+                                        outcome, took, read_report(line)});
     } else if (line.name() == "CHECKED") {
         brain_->on(now, ProbeReturned{server_of(line.text("Server")), line.text("How") == "pass",
                                       tenths_to_use(line.integer("DelaySeenUs", 0)), read_report(line)});
@@ -75,26 +75,26 @@
 }
 
 // The simulator sends at once.
-void Instance::launch(PartId part, ServerId server, Tenths time_out, Tenths) {
+void Instance::attempt(PartId part, ServerId server, Tenths time_out, Tenths) {
     actions_ += "ISSUE Id=" + number(part.value) + " TimeoutUs=" + std::to_string(to_micros(time_out)) +
                 " Server=" + names_.at(server.value) + "\n";
 }
 
-void Instance::recall(PartId part, LaunchNo launch) {
-    actions_ += "REVOKE Id=" + number(part.value) + " Copy=" + number(launch.value) + "\n";
+void Instance::recall(PartId part, AttemptNo attempt) {
+    actions_ += "REVOKE Id=" + number(part.value) + " Copy=" + number(attempt.value) + "\n";
 }
 
 void Instance::answer(SearchId search, bool whole) {
     actions_ += "SETTLE_QUERY Id=" + number(search.value) + " On=" + (whole ? "1" : "0") + "\n";
 }
 
-void Instance::push_back(SearchId search, Tenths come_back) {
+void Instance::reject(SearchId search, Tenths come_back) {
     actions_ += "REJECT Id=" + number(search.value);
     if (come_back > 0) actions_ += " BackoffUs=" + std::to_string(to_micros(come_back));
     actions_ += "\n";
 }
 
-void Instance::scrap(SearchId search) { actions_ += "END_FAILED Id=" + number(search.value) + "\n"; }
+void Instance::fail(SearchId search) { actions_ += "END_FAILED Id=" + number(search.value) + "\n"; }
 
 void Instance::probe(ServerId server) { actions_ += "ASK_LOAD Server=" + names_.at(server.value) + "\n"; }
 
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -24,11 +24,11 @@
     void apply_list(Tenths now, ListKind kind, const Sheet& sheet);
     std::string decide(Tenths now); // the actions, a line each
 
-    void launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) override;
-    void recall(PartId part, LaunchNo launch) override;
+    void attempt(PartId part, ServerId server, Tenths time_out, Tenths send_within) override;
+    void recall(PartId part, AttemptNo attempt) override;
     void answer(SearchId search, bool whole) override;
-    void push_back(SearchId search, Tenths come_back) override;
-    void scrap(SearchId search) override;
+    void reject(SearchId search, Tenths come_back) override;
+    void fail(SearchId search) override;
     void probe(ServerId server) override;
     void hang_up(ServerId server) override;
     void wake(Tenths in) override;
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -91,7 +91,7 @@
     signals_.emplace(loop_, open_signals());
     doors_.push_back(std::make_unique<Door>(loop_, orders_.listen));
     for (const ProductTerms& product : orders_.terms.opening.products)
-        stuck_after_ = std::max(stuck_after_, product.expiry_span);
+        stuck_after_ = std::max(stuck_after_, product.deadline_span);
     router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, orders_.discovery,
                                                 descriptors(orders_.sockets), loop_.now());
     if (operator_file_.empty()) return;
@@ -261,10 +261,10 @@
     }
 }
 
-// What share of the searches of the last while was pushed back: machines go out only where load leaves room.
+// What share of the searches of the last while was rejected: machines go out only where load leaves room.
 void Node::tell_strain() {
     const routing::Counts& c = router_->counts();
-    const std::uint64_t pushed = c.pushed_back + c.over_full;
+    const std::uint64_t pushed = c.rejected + c.over_full;
     const auto fresh = static_cast<double>(c.searches - strain_searches_);
     if (fresh > 0) rota_->strained(static_cast<double>(pushed - strain_pushed_) / fresh);
     strain_searches_ = c.searches, strain_pushed_ = pushed;
@@ -282,9 +282,9 @@
         "recalls={} late_answers={} links_opened={} links_doubted={} links_renewed={} spoilt={} probes={} "
         "lists={} lists_lost={} open_searches={} "
         "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
-        c.searches, c.delivered, c.pushed_back, c.scrapped, c.lapsed, c.over_full, c.launches, c.recalls,
+        c.searches, c.delivered, c.rejected, c.failed, c.lapsed, c.over_full, c.attempts, c.recalls,
         c.returned_late, c.links_opened, c.links_doubted, c.links_renewed, c.spoilt, c.probes, c.lists,
-        c.lists_lost, router_->open_searches(), router_->open_launches(), router_->open_clients(),
+        c.lists_lost, router_->open_searches(), router_->open_attempts(), router_->open_clients(),
         router_->open_links(), ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
     if (const access::Gate* gate = router_->gate())
         log().info("access admitted={} refused={} verified={} from_cache={} swaps={} barred={} distrusted={} "
--- a/src/program/rota_side.hpp
+++ b/src/program/rota_side.hpp
@@ -27,7 +27,7 @@
 
     // From the front node's thread.
     void told(const protocol::ServerList& list);
-    void strained(double share); // of the searches that were pushed back of late
+    void strained(double share); // of the searches that were rejected of late
     void leave();                // tells the others; ends with the object
     std::size_t present() const; // members, ourselves among them
     int news() const;            // a descriptor that can be read when that number has changed
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -135,9 +135,9 @@
 Reply ready_reply(bool ready) { return ready ? Reply{200, {}, "ready\n"} : plain_reply(503, "not ready"); }
 
 Reply reply_to_search(const FinalAnswer& answer) {
-    if (answer.verdict == Verdict::kScrapped)
+    if (answer.verdict == Verdict::kFailed)
         return plain_reply(502, "the search failed and may have run in part");
-    if (answer.verdict == Verdict::kPushedBack) {
+    if (answer.verdict == Verdict::kRejected) {
         Reply reply = plain_reply(503, "pushed back, nothing has run");
         if (answer.come_back > 0) {
             char seconds[32];
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -35,13 +35,13 @@
 using ClientRequest = std::variant<SearchRequest, ReadyRequest, BadRequest>;
 ClientRequest read_client_request(const HttpMessage& message);
 
-enum class Verdict { kDelivered, kPushedBack, kScrapped };
+enum class Verdict { kDelivered, kRejected, kFailed };
 struct PartResult {
     int shard = 0;
     std::string value;
 };
 struct FinalAnswer {
-    Verdict verdict = Verdict::kScrapped;
+    Verdict verdict = Verdict::kFailed;
     bool whole = false;
     std::vector<PartResult> results;
     Tenths come_back = 0; // 0: no advice
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -72,9 +72,9 @@
 };
 
 Effect read_effect(std::string_view word, const std::string& path) {
-    if (word == "read_like") return Effect::kReissuable;
-    if (word == "idempotency_key") return Effect::kNumbered;
-    if (word == "non_idempotent") return Effect::kAtMostOnce;
+    if (word == "read_like") return Effect::kIdempotent;
+    if (word == "idempotency_key") return Effect::kKeyed;
+    if (word == "non_idempotent") return Effect::kNonIdempotent;
     throw ProtocolError(path + ": unknown: " + quoted(word));
 }
 
@@ -94,11 +94,11 @@
     for (std::size_t i = 0; i < settled.count("Grades"); ++i) {
         const std::string row = "Grades." + std::to_string(i) + ".";
         ProductTerms product;
-        product.due_span = settled.to_use(row + "AimUs");
-        product.expiry_span = settled.to_use(row + "DeadlineUs");
+        product.latency_target = settled.to_use(row + "AimUs");
+        product.deadline_span = settled.to_use(row + "DeadlineUs");
         product.repeat_window = settled.to_use(row + "WindowUs");
         product.effect = read_effect(settled.word(row + "Idempotency", "read_like"), row + "Idempotency");
-        product.payoff = settled.number(row + "Worth", 1);
+        product.utility = settled.number(row + "Worth", 1);
         product.late_share = settled.number(row + "LateShare", 0);
         product.floor = settled.listed("Specifics.ClassFloor", i, 1);
         product.need = settled.listed("Specifics.ClassNeed", i, 1);
@@ -113,19 +113,19 @@
     terms.cold_share = settled.number("Contract.ColdShare", 1);
     terms.fall_span = settled.to_wait("Contract.FallUs");
     terms.fall_multiple = settled.number("Contract.OverloadFactor", 1);
-    terms.launch_budget = settled.has("Contract.RatioSpanUs");
-    terms.spare_launches = settled.number("Contract.SpareAttempts", 0);
+    terms.attempt_budget = settled.has("Contract.RatioSpanUs");
+    terms.spare_attempts = settled.number("Contract.SpareAttempts", 0);
     terms.further_ratio = settled.number("Contract.FurtherRatio", 0);
     terms.budget_span = settled.to_wait("Contract.RatioSpanUs");
     terms.longest_come_back = settled.to_use("Limits.MaxRetryAfterUs");
-    terms.most_launches = settled.at_least_one("Limits.MostTries", 1);
+    terms.most_attempts = settled.at_least_one("Limits.MostTries", 1);
     terms.connect_span = settled.to_use("Limits.ConnectTimeoutUs");
     terms.repeats_marked = settled.flag("Clients.MarksRetry");
     terms.may_recall = settled.flag("Limits.MayCancel");
     terms.may_probe = settled.flag("Limits.Probes");
     terms.may_advise = settled.flag("Limits.RetryAfter");
     terms.second_copies = settled.flag("Limits.SecondCopies");
-    terms.over_share_payoff = settled.number("OverShareWorth", 1);
+    terms.over_share_utility = settled.number("OverShareWorth", 1);
     terms.list_mode = settled.word("MembershipMode", "push") == "ask" ? ListMode::kAsked : ListMode::kPushed;
     terms.cells = settled.at_least_one("Specifics.Places", 1);
     terms.span = settled.at_least_one("Specifics.Span", 1);
--- a/src/recovery/capacity.hpp
+++ b/src/recovery/capacity.hpp
@@ -22,7 +22,7 @@
     void learn(Tenths now, double power, double rate);
     // Of one server's reports, `power` its weight.
     void reported(const ServerTally& tally, double power);
-    // Of searches that were let in since last: so many ended in time, so many late, failed or pushed back.
+    // Of searches that were let in since last: so many ended in time, so many late, failed or rejected.
     // While all sites are sound it only learns how many miss as a rule: what misses always is no overload.
     void judged(Tenths now, std::uint64_t in_time, std::uint64_t missed, bool sound);
     // Sites are lost: what quiet times made of the trust is none of busy ones'.
--- a/src/recovery/pilot.cpp
+++ b/src/recovery/pilot.cpp
@@ -192,9 +192,9 @@
         const bool planned = relieved_ && verdict != plan_.triage.verdicts.end();
         const double refused = planned ? 1 - verdict->second.admitted : 0;
         const auto expected = static_cast<std::uint32_t>(std::ceil(refused * tally.asked));
-        const std::uint32_t beside = tally.pushed_back - std::min(tally.pushed_back, expected);
+        const std::uint32_t beside = tally.rejected - std::min(tally.rejected, expected);
         in_time += tally.in_time;
-        missed += tally.delivered - std::min(tally.delivered, tally.in_time) + tally.scrapped + beside;
+        missed += tally.delivered - std::min(tally.delivered, tally.in_time) + tally.failed + beside;
     }
     capacity_.judged(now_, in_time, missed, !relieved_);
     since_look_ = {};
@@ -348,7 +348,7 @@
     load_at_ = now_ + static_cast<Tenths>(kLoadLines * static_cast<double>(terms_.due));
     std::uint64_t asked = 0, delivered = 0, refused = 0;
     for (const auto& [key, tally] : since_line_.classes)
-        asked += tally.asked, delivered += tally.delivered, refused += tally.pushed_back;
+        asked += tally.asked, delivered += tally.delivered, refused += tally.rejected;
     std::string refusals;
     for (const auto& [key, verdict] : plan_.triage.verdicts)
         if (verdict.admitted < 0.995 || verdict.weight < 0.995)
--- a/src/recovery/pilot.hpp
+++ b/src/recovery/pilot.hpp
@@ -3,7 +3,7 @@
 // lines for the log come out. No search waits for it: it works beside them, by looks.
 //
 // Without anybody to talk to it goes by its own traffic and by the number of front nodes that it last knew.
-// Nothing that it hears can add a launch anywhere: relief only takes away (relief.hpp).
+// Nothing that it hears can add an attempt anywhere: relief only takes away (relief.hpp).
 #pragma once
 #include "base/pcg.hpp"
 #include "brain.hpp"
@@ -87,7 +87,7 @@
 
     static constexpr double kLookGap = 1.0 / 8; // of a due span
     static constexpr double kRateWeight = 0.2;  // of a look in the means of rates
-    static constexpr double kCutFrom = 0.8;     // fullness from which further launches become fewer
+    static constexpr double kCutFrom = 0.8;     // fullness from which further attempts become fewer
     static constexpr double kPlanGap = 2;       // due spans between two plans for the same sites
     static constexpr double kMutePower = 0.5, kShardWeight = 0.002; // the latter: of a look in shards' shares
     static constexpr double kShardSeconds = 10,
--- a/src/recovery/plan.hpp
+++ b/src/recovery/plan.hpp
@@ -25,7 +25,7 @@
     Division division;
     Triage triage;
     std::set<int> gone;                     // shards
-    std::map<std::string, double> survives; // of each product, share of its payoff
+    std::map<std::string, double> survives; // of each product, share of its utility
     double room = 0, demand = 0;            // parts a second
     bool full() const;                      // it serves all that is asked for
 };
--- a/src/recovery/relief.hpp
+++ b/src/recovery/relief.hpp
@@ -3,8 +3,8 @@
 // itself: whoever plans says when all is as ever again. Nothing told: nothing differs.
 //
 // Whatever it is told, however wrong, the rules hold: it only takes away. A site that is shut gets fewer
-// launches, a search that is not admitted has had none, parts are left out only down to the product's floor
-// and an answer without them is in part, further launches become fewer and never more.
+// attempts, a search that is not admitted has had none, parts are left out only down to the product's floor
+// and an answer without them is in part, further attempts become fewer and never more.
 #pragma once
 #include "base/pcg.hpp"
 #include "state.hpp"
@@ -29,7 +29,7 @@
     // Marks the parts that a product which may be answered in part does without: of the shards in most need
     // first, never below `floor` of the weight.
     void leave_out(Search& search, double floor, TenantNo tenant) const;
-    double further() const { return further_; } // of the budget for further launches
+    double further() const { return further_; } // of the budget for further attempts
     // When a client that is refused should come again: spread, so that they do not come together.
     Tenths come_back(Tenths usual, Pcg& chance) const;
 
--- a/src/recovery/tally_book.hpp
+++ b/src/recovery/tally_book.hpp
@@ -1,4 +1,4 @@
-// Counts what a front node's searches and launches come to, between two looks. Whoever carries launches out
+// Counts what a front node's searches and attempts come to, between two looks. Whoever carries attempts out
 // keeps one; nothing is decided here.
 #pragma once
 #include "brain.hpp"
@@ -13,13 +13,13 @@
     explicit TallyBook(Tenths due = 0) : silent_(static_cast<Tenths>(kSilent * static_cast<double>(due))) {}
     void asked(const ClassKey& key) { ++tally_.classes[key].asked, ++tally_.searches; }
     void part(const ClassKey& key, int shard) { ++tally_.classes[key].parts, ++tally_.shards[shard]; }
-    enum class End { kDelivered, kInTime, kPushedBack, kScrapped };
+    enum class End { kDelivered, kInTime, kRejected, kFailed };
     void ended(const ClassKey& key, End how) {
         ClassTally& row = tally_.classes[key];
         row.delivered += how == End::kDelivered || how == End::kInTime ? 1 : 0;
         row.in_time += how == End::kInTime ? 1 : 0;
-        row.pushed_back += how == End::kPushedBack ? 1 : 0;
-        row.scrapped += how == End::kScrapped ? 1 : 0;
+        row.rejected += how == End::kRejected ? 1 : 0;
+        row.failed += how == End::kFailed ? 1 : 0;
     }
     void returned(const std::string& server, Outcome outcome, Tenths took, const LoadReport& report) {
         ServerTally& row = tally_.servers[server];
@@ -47,7 +47,7 @@
             row.busy = std::max(row.busy, *report.in_flight);
         if (outcome == Outcome::kAnswered && report.queued && *report.queued <= 0)
             ++row.quiet, row.quiet_took += took;
-        ++tally_.launches;
+        ++tally_.attempts;
     }
     void probed(const std::string& server, bool passed) {
         ServerTally& row = tally_.servers[server];
--- a/src/recovery/triage.cpp
+++ b/src/recovery/triage.cpp
@@ -15,11 +15,11 @@
 struct Class {
     ClassKey key;
     const ProductFacts* facts = nullptr;
-    double searches = 0, parts = 1, payoff = 0;
+    double searches = 0, parts = 1, utility = 0;
     double admitted = 0, weight = 1;
     std::set<int> without; // shards whose parts it leaves out
     bool impossible = false;
-    double density() const { return payoff / std::max(parts, kSlack); }
+    double density() const { return utility / std::max(parts, kSlack); }
 };
 
 class Sorting {
@@ -29,7 +29,7 @@
         for (const auto& [key, row] : terms.demand.rows) {
             const auto facts = terms.products.find(key.first);
             if (facts == terms.products.end() || row.searches <= 0) continue;
-            Class one{key, &facts->second, row.searches, row.parts, facts->second.payoff, 0, 1, {}, false};
+            Class one{key, &facts->second, row.searches, row.parts, facts->second.utility, 0, 1, {}, false};
             const bool partial = facts->second.floor < facts->second.need;
             // What nobody holds is missing from every answer.
             double gone = 0;
@@ -99,7 +99,7 @@
                 }
             }
     }
-    // The rest by payoff for each part; those that pay alike grow together.
+    // The rest by utility for each part; those that pay alike grow together.
     void take_best() {
         for (auto first = classes_.begin(); first != classes_.end();) {
             const auto last = std::find_if(first, classes_.end(), [&](const Class& one) {
@@ -144,8 +144,8 @@
         for (const Class& one : classes_) {
             made.verdicts[one.key] = {one.impossible ? 0 : std::clamp(one.admitted, 0.0, 1.0),
                                       std::clamp(one.weight, 0.0, 1.0), one.impossible};
-            made.most_payoff += one.searches * one.payoff;
-            made.payoff += one.impossible ? 0 : one.searches * one.payoff * one.admitted * one.weight;
+            made.most_utility += one.searches * one.utility;
+            made.utility += one.impossible ? 0 : one.searches * one.utility * one.admitted * one.weight;
             for (const auto& [shard, share] : terms_.demand.shards) {
                 made.served[shard] += one.impossible ? 0 : one.admitted * use(one, shard);
                 asked[shard] += one.searches * one.parts * weight_of(shard);
--- a/src/recovery/triage.hpp
+++ b/src/recovery/triage.hpp
@@ -1,4 +1,4 @@
-// What is refused first when there is not room for all: by payoff for each unit of work, product by product
+// What is refused first when there is not room for all: by utility for each unit of work, product by product
 // and tenant by tenant. Each tenant keeps its share of what is left before anybody gets more; parts are left
 // out, down to the product's floor, before whole searches of that product are refused. Pure.
 #pragma once
@@ -21,8 +21,8 @@
 
 struct Triage {
     std::map<ClassKey, Verdict> verdicts;
-    std::map<int, double> served;       // share of each shard's demand that is let in and finds room
-    double payoff = 0, most_payoff = 0; // a second
+    std::map<int, double> served;         // share of each shard's demand that is let in and finds room
+    double utility = 0, most_utility = 0; // a second
 };
 
 Triage triage(const TriageTerms& terms);
--- a/src/recovery/types.cpp
+++ b/src/recovery/types.cpp
@@ -28,11 +28,11 @@
     for (const auto& [key, more] : other.classes) {
         ClassTally& mine = classes[key];
         mine.asked += more.asked, mine.delivered += more.delivered, mine.in_time += more.in_time;
-        mine.pushed_back += more.pushed_back, mine.scrapped += more.scrapped;
+        mine.rejected += more.rejected, mine.failed += more.failed;
         mine.parts += more.parts;
     }
     for (const auto& [shard, count] : other.shards) shards[shard] += count;
-    launches += other.launches, searches += other.searches;
+    attempts += other.attempts, searches += other.searches;
 }
 
 } // namespace ivyrill::recovery
--- a/src/recovery/types.hpp
+++ b/src/recovery/types.hpp
@@ -41,31 +41,31 @@
 using ClassKey = std::pair<std::string, std::string>; // product, tenant (empty: none that is known)
 
 struct ProductFacts {
-    double payoff = 1, floor = 1, need = 1, late_share = 0;
+    double utility = 1, floor = 1, need = 1, late_share = 0;
     Tenths due = 0;
     bool once = false; // at most
 };
 
 // What a front node counted since it last told: of index servers, and of searches.
 struct ServerTally {
-    std::uint32_t answered = 0; // launches and probes, errors among them: it was reached
+    std::uint32_t answered = 0; // attempts and probes, errors among them: it was reached
     std::uint32_t unheard = 0;  // timed out, not connected, broken
     std::uint32_t good = 0;
     Tenths took = 0;       // of the good ones, summed
-    Tenths oldest_out = 0; // since when the oldest launch is out; 0: none
+    Tenths oldest_out = 0; // since when the oldest attempt is out; 0: none
     // By its reports: the most parts worked on while others waited; answers while none did, and their time.
     double busy = 0;
     std::uint32_t quiet = 0;
     Tenths quiet_took = 0;
 };
 struct ClassTally {
-    std::uint32_t asked = 0, delivered = 0, in_time = 0, pushed_back = 0, scrapped = 0;
+    std::uint32_t asked = 0, delivered = 0, in_time = 0, rejected = 0, failed = 0;
     std::uint64_t parts = 0;
 };
 struct Tally {
     std::map<std::string, ServerTally> servers;
     std::map<ClassKey, ClassTally> classes;
-    std::uint64_t launches = 0, searches = 0;
+    std::uint64_t attempts = 0, searches = 0;
     std::map<int, std::uint64_t> shards; // parts asked for
     void add(const Tally& other);
 };
--- a/src/recovery/watch.cpp
+++ b/src/recovery/watch.cpp
@@ -58,7 +58,7 @@
             site.good += news.answered;
         }
         std::uint32_t unheard = news.unheard;
-        // A launch that is out past the silence is one more, once.
+        // An attempt that is out past the silence is one more, once.
         if (news.oldest_out > 0 && now > news.oldest_out + silence() &&
             server.answered_at < news.oldest_out && server.silent_since != news.oldest_out)
             ++unheard, server.silent_since = news.oldest_out;
@@ -103,7 +103,7 @@
         return 1;
     case SiteState::kSevered:
     case SiteState::kLost: {
-        // Where nothing else would tell that it is back, a few launches knock now and then.
+        // Where nothing else would tell that it is back, a few attempts knock now and then.
         const Tenths period = share_of_due(kKnock);
         return (now - view.since) % period >= period - share_of_due(0.25) ? kTrial : 0;
     }
--- a/src/recovery/watch.hpp
+++ b/src/recovery/watch.hpp
@@ -1,4 +1,4 @@
-// The state machine of each site, as this front node sees it: from its own traffic (launches and probes that
+// The state machine of each site, as this front node sees it: from its own traffic (attempts and probes that
 // are answered or not), from discovery (servers gone that nobody sent out), and from what front nodes of
 // other sites say. Free of I/O and of chance; the same news give the same states. Each change carries its
 // evidence in words.
@@ -67,7 +67,7 @@
         ServerSeen seen;
         bool known_gone = false; // it left the list without having been seen to drain
         Tenths gone_at = 0, listed_at = 0, answered_at = 0, silent_since = 0;
-        std::uint32_t unheard = 0; // launches without a word since its last
+        std::uint32_t unheard = 0; // attempts without a word since its last
     };
     struct Site { // what came from it, beside its view
         Tenths answered_at = 0, run_since = 0;
@@ -99,7 +99,7 @@
     static constexpr int kMostRelapses = 5;
     static constexpr double kDoubtShare = 0.5, kLostShare = 0.8; // of a site's servers
     static constexpr std::uint32_t kDoubtRun = 4,
-                                   kLostRun = 8; // launches unheard in a row, of all its servers
+                                   kLostRun = 8; // attempts unheard in a row, of all its servers
     static constexpr std::size_t kRunOver = 4;   // ... of so many servers, if it has them
     static constexpr double kTrial = 1.0 / 16;   // share of the choices
     static constexpr double kBadStep = 0.1,
--- a/src/rota/outlook.hpp
+++ b/src/rota/outlook.hpp
@@ -20,7 +20,7 @@
     std::set<std::string> absent;   // front nodes that do not answer, the doubted ones among them
     bool council_settled = true;    // it has all its voters, and the evening knows them
     std::set<std::string> disowned; // voters that have lost their ledger
-    double strain = 0;              // share of the searches that this node pushes back of late
+    double strain = 0;              // share of the searches that this node rejects of late
     std::string lost_site;          // a zone most of which is gone and was not sent out; empty: none
 };
 
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -36,30 +36,31 @@
         RejectClient{client, told.status, std::string(told.words), draining_, told.challenge, stream});
 }
 
-// A search that nothing was launched for is refused at once. Else what is out may answer, and what is in
-// counts, but nothing more is sent: not what waits for a connection, and no launch after it.
+// A search that nothing was attempted for is refused at once. Else what is out may answer, and what is in
+// counts, but nothing more is sent: not what waits for a connection, and no attempt after it.
 void Router::bar(SearchId id, access::Reason why) {
     Search& search = searches_.at(id);
     search.barred = why, ++counts_.barred;
     const auto& caller = search.proof->claims ? search.proof->claims->caller : access::Caller{};
     effects_.push_back(
         Audit{why, "barred", caller.club, caller.member, {}, search.proof->asked.product, search.wire_id});
-    bool launched = false;
+    bool attempted = false;
     for (const PartId part : search.parts) {
-        for (std::uint32_t number = 0; number < parts_.at(part).launches; ++number) {
-            const LaunchKey key{part, LaunchNo{number}};
-            launched = true;
-            const auto launch = launches_.find(key);
-            if (launch == launches_.end() || launch->second.given_up || launch->second.way != Way::kWaiting)
+        for (std::uint32_t number = 0; number < parts_.at(part).attempts; ++number) {
+            const AttemptKey key{part, AttemptNo{number}};
+            attempted = true;
+            const auto attempt = attempts_.find(key);
+            if (attempt == attempts_.end() || attempt->second.given_up ||
+                attempt->second.way != Way::kWaiting)
                 continue;
-            give_up(key, launch->second);
+            give_up(key, attempt->second);
             return_later(key, Outcome::kNeverSent);
         }
     }
-    if (launched) return tell(SearchBarred{id});
+    if (attempted) return tell(SearchBarred{id});
     tell(SearchLapsed{id});
-    ++counts_.pushed_back;
-    finish(id, {protocol::Verdict::kPushedBack, false, {}, 0});
+    ++counts_.rejected;
+    finish(id, {protocol::Verdict::kRejected, false, {}, 0});
 }
 
 // After a reload, when a key goes or a list runs out: every search that is open and every connection that
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -182,11 +182,9 @@
     const bool full = terms_.most_open > 0 &&
                       searches_.size() + parts_.size() >= static_cast<std::size_t>(terms_.most_open);
     if (full || left <= 0 || over_share(event.client, found->second)) {
-        ++counts_.over_full, ++counts_.pushed_back;
-        effects_.push_back(AnswerClient{event.client,
-                                        {protocol::Verdict::kPushedBack, false, {}, 0},
-                                        closes(found->second),
-                                        event.stream});
+        ++counts_.over_full, ++counts_.rejected;
+        effects_.push_back(AnswerClient{
+            event.client, {protocol::Verdict::kRejected, false, {}, 0}, closes(found->second), event.stream});
         return;
     }
     const SearchId id{next_id_++};
@@ -237,7 +235,7 @@
         client->second.searches.erase(search.stream);
         client->second.idle_since = now_;
         const bool close = closes(client->second);
-        if (search.barred != access::Reason::kAdmitted && answer.verdict == protocol::Verdict::kPushedBack) {
+        if (search.barred != access::Reason::kAdmitted && answer.verdict == protocol::Verdict::kRejected) {
             const access::Refusal told = access::refusal_of(search.barred); // nothing has run, nor will it
             effects_.push_back(RejectClient{search.client, told.status, std::string(told.words), close,
                                             told.challenge, search.stream});
@@ -256,11 +254,11 @@
     counts_.delivered += finish(search, {protocol::Verdict::kDelivered, whole, {}, 0});
 }
 
-void Router::push_back(SearchId search, Tenths come_back) {
-    counts_.pushed_back += finish(search, {protocol::Verdict::kPushedBack, false, {}, come_back});
+void Router::reject(SearchId search, Tenths come_back) {
+    counts_.rejected += finish(search, {protocol::Verdict::kRejected, false, {}, come_back});
 }
 
-void Router::scrap(SearchId search) { counts_.scrapped += finish(search, {}); }
+void Router::fail(SearchId search) { counts_.failed += finish(search, {}); }
 
 void Router::apply(const MembersCounted& event) { tell(FrontNodesSeen{static_cast<int>(event.present)}); }
 
@@ -299,32 +297,32 @@
     }
 }
 
-// ---- launches
+// ---- attempts
 
-void Router::launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) {
+void Router::attempt(PartId part, ServerId server, Tenths time_out, Tenths send_within) {
     const auto found = parts_.find(part);
     if (found == parts_.end()) return;
     Part& held = found->second;
     const Search& search = searches_.at(held.search);
-    const LaunchKey key{part, LaunchNo{held.launches++}};
-    launches_[key] = {server,           {},   held.wire_id,    search.query,
+    const AttemptKey key{part, AttemptNo{held.attempts++}};
+    attempts_[key] = {server,           {},   held.wire_id,    search.query,
                       held.shard.value, now_, now_ + time_out, now_ + send_within,
                       Way::kWaiting,    false};
-    ++counts_.launches;
+    ++counts_.attempts;
     const auto at_server = servers_.find(server);
     const bool allowed = at_server != servers_.end() && at_server->second.listed == Listed::kLive &&
                          terms_.opening.holds(at_server->second.cell, held.shard) && time_out > 0 &&
-                         key.second.value < static_cast<std::uint32_t>(terms_.opening.most_launches);
+                         key.second.value < static_cast<std::uint32_t>(terms_.opening.most_attempts);
     if (!allowed) return return_later(key, Outcome::kNeverSent);
-    at(now_ + time_out, LaunchDue{key});
-    if (send_within < time_out) at(now_ + send_within, LaunchDue{key});
+    at(now_ + time_out, AttemptDue{key});
+    if (send_within < time_out) at(now_ + send_within, AttemptDue{key});
     fresh_[server].push_back(key);
 }
 
 // What one turn sends to one server travels together, as far as a call may hold.
 void Router::send_calls() {
     for (auto& [server, keys] : std::exchange(fresh_, {})) {
-        std::erase_if(keys, [this](auto& key) { return launches_.at(key).given_up; });
+        std::erase_if(keys, [this](auto& key) { return attempts_.at(key).given_up; });
         for (std::size_t begin = 0; begin < keys.size(); begin += static_cast<std::size_t>(terms_.batch)) {
             const auto first = keys.begin() + static_cast<std::ptrdiff_t>(begin);
             const auto size = std::min<std::size_t>(terms_.batch, keys.size() - begin);
@@ -336,36 +334,38 @@
 void Router::put_on_link(ServerId server, Call call) {
     const auto id = link_for(server, call);
     if (!id) {
-        for (const LaunchKey& key : call) return_later(key, Outcome::kNeverSent); // no room of ours
+        for (const AttemptKey& key : call) return_later(key, Outcome::kNeverSent); // no room of ours
         return;
     }
     Link& link = links_.at(*id);
     link.parts += static_cast<int>(call.size());
-    for (const LaunchKey& key : call) launches_.at(key).link = *id;
+    for (const AttemptKey& key : call) attempts_.at(key).link = *id;
     link.waiting.push_back(std::move(call));
     hand_over(*id);
 }
 
-void Router::return_later(const LaunchKey& key, Outcome outcome) { at(now_ + 1, LaunchReturn{key, outcome}); }
+void Router::return_later(const AttemptKey& key, Outcome outcome) {
+    at(now_ + 1, AttemptReturn{key, outcome});
+}
 
-void Router::due(const LaunchReturn& what) { return_launch(what.launch, what.outcome); }
+void Router::due(const AttemptReturn& what) { return_attempt(what.attempt, what.outcome); }
 
-// The one place where a launch ends: the module hears of each exactly once.
-void Router::return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report, Tenths age) {
-    const auto found = launches_.find(key);
-    if (found == launches_.end()) return;
-    const Launch launch = std::move(found->second);
-    launches_.erase(found);
-    if (const auto at_link = links_.find(launch.link); at_link != links_.end() && !launch.given_up) {
+// The one place where an attempt ends: the module hears of each exactly once.
+void Router::return_attempt(const AttemptKey& key, Outcome outcome, const LoadReport& report, Tenths age) {
+    const auto found = attempts_.find(key);
+    if (found == attempts_.end()) return;
+    const Attempt attempt = std::move(found->second);
+    attempts_.erase(found);
+    if (const auto at_link = links_.find(attempt.link); at_link != links_.end() && !attempt.given_up) {
         --at_link->second.parts;
-        at_link->second.out.erase(launch.wire_id);
+        at_link->second.out.erase(attempt.wire_id);
     }
-    rest(launch.link);
-    const Tenths took = std::max<Tenths>(0, now_ - age - launch.made_at);
-    tell(LaunchReturned{key.first, key.second, launch.server, outcome, took, report});
+    rest(attempt.link);
+    const Tenths took = std::max<Tenths>(0, now_ - age - attempt.made_at);
+    tell(AttemptReturned{key.first, key.second, attempt.server, outcome, took, report});
 }
 
-void Router::forget_waiting(Link& link, const LaunchKey& key) {
+void Router::forget_waiting(Link& link, const AttemptKey& key) {
     for (auto call = link.waiting.begin(); call != link.waiting.end(); ++call) {
         if (std::erase(*call, key) == 0) continue;
         if (call->empty()) link.waiting.erase(call);
@@ -373,61 +373,61 @@
     }
 }
 
-// Takes a launch off its connection: unsent, it vanishes; else the server is told, and its late answer is
-// kept from being taken for that of a later launch of the same part.
-void Router::give_up(const LaunchKey& key, Launch& launch) {
-    launch.given_up = true;
-    const auto found = links_.find(launch.link);
+// Takes an attempt off its connection: unsent, it vanishes; else the server is told, and its late answer is
+// kept from being taken for that of a later attempt of the same part.
+void Router::give_up(const AttemptKey& key, Attempt& attempt) {
+    attempt.given_up = true;
+    const auto found = links_.find(attempt.link);
     if (found == links_.end()) return;
     Link& link = found->second;
     --link.parts;
-    if (launch.way == Way::kWaiting) {
+    if (attempt.way == Way::kWaiting) {
         forget_waiting(link, key);
     } else {
-        link.out.erase(launch.wire_id);
-        link.given_up[launch.wire_id] = launch.until;
-        std::string bytes = protocol::give_up_frame(launch.wire_id);
+        link.out.erase(attempt.wire_id);
+        link.given_up[attempt.wire_id] = attempt.until;
+        std::string bytes = protocol::give_up_frame(attempt.wire_id);
         link.handed += bytes.size(), link.used = now_;
-        effects_.push_back(WriteLink{launch.link, std::move(bytes)});
+        effects_.push_back(WriteLink{attempt.link, std::move(bytes)});
         // A client that leaves early, or an answer that is complete, calls off what was not overdue.
-        if (parts_.contains(key.first) || now_ >= launch.made_at + terms_.opening.connect_span)
-            doubt(launch.link, launch);
+        if (parts_.contains(key.first) || now_ >= attempt.made_at + terms_.opening.connect_span)
+            doubt(attempt.link, attempt);
     }
-    rest(launch.link);
+    rest(attempt.link);
 }
 
 // Its search has ended: what has not been sent for it never is, whoever forgets to call it off.
 void Router::take_back(PartId part) {
-    for (auto next = launches_.lower_bound({part, LaunchNo{0}});
-         next != launches_.end() && next->first.first == part; ++next) {
+    for (auto next = attempts_.lower_bound({part, AttemptNo{0}});
+         next != attempts_.end() && next->first.first == part; ++next) {
         if (next->second.way != Way::kWaiting || next->second.given_up) continue;
         give_up(next->first, next->second);
         return_later(next->first, Outcome::kNeverSent);
     }
 }
 
-void Router::recall(PartId part, LaunchNo number) {
-    const LaunchKey key{part, number};
-    const auto found = launches_.find(key);
-    if (found == launches_.end() || found->second.given_up) return;
+void Router::recall(PartId part, AttemptNo number) {
+    const AttemptKey key{part, number};
+    const auto found = attempts_.find(key);
+    if (found == attempts_.end() || found->second.given_up) return;
     counts_.recalls += parts_.contains(part); // for a search that goes on
     give_up(key, found->second);
     return_recalled(key);
 }
 
 // A copy that replaces it must not reach its server before our word reaches the other.
-void Router::return_recalled(const LaunchKey& key) {
-    at(now_ + terms_.opening.turn_gap, LaunchReturn{key, Outcome::kRecalled});
+void Router::return_recalled(const AttemptKey& key) {
+    at(now_ + terms_.opening.turn_gap, AttemptReturn{key, Outcome::kRecalled});
 }
 
-void Router::due(const LaunchDue& what) {
-    const auto found = launches_.find(what.launch);
-    if (found == launches_.end() || found->second.given_up) return;
+void Router::due(const AttemptDue& what) {
+    const auto found = attempts_.find(what.attempt);
+    if (found == attempts_.end() || found->second.given_up) return;
     const bool unsent = found->second.way == Way::kWaiting, over = now_ >= found->second.until;
     if (!over && !unsent) return; // its time to be sent is over, and it was
-    give_up(what.launch, found->second);
+    give_up(what.attempt, found->second);
     const Outcome lost = over ? Outcome::kNoConnection : Outcome::kNeverSent;
-    return_launch(what.launch, unsent ? lost : Outcome::kTimedOut);
+    return_attempt(what.attempt, unsent ? lost : Outcome::kTimedOut);
 }
 
 void Router::apply(const PartAnswered& event) {
@@ -444,11 +444,11 @@
         return;
     }
     link.last = event.answer.id;
-    const LaunchKey key = found->second;
+    const AttemptKey key = found->second;
     const auto part = parts_.find(key.first);
     if (part != parts_.end() && event.answer.outcome == Outcome::kAnswered)
         part->second.value = event.answer.value;
-    return_launch(key, event.answer.outcome, event.answer.report, event.age);
+    return_attempt(key, event.answer.outcome, event.answer.report, event.age);
 }
 
 // ---- connections to index servers
@@ -481,10 +481,10 @@
         }
         std::erase_if(link.given_up, [this](auto& late) { return late.second + idle_limit() < now_; });
         const bool known = std::ranges::any_of(call, [&](auto& key) {
-            const std::string& wire_id = launches_.at(key).wire_id;
+            const std::string& wire_id = attempts_.at(key).wire_id;
             return link.given_up.contains(wire_id) || link.out.contains(wire_id);
         });
-        if (known) continue; // an answer there could be that of the earlier launch
+        if (known) continue; // an answer there could be that of the earlier attempt
         const int then = carried(link) + static_cast<int>(call.size());
         if (then <= terms_.calls_a_connection && (!crowded || then < least)) crowded = id, least = then;
         if (then > most_carried()) continue;
@@ -504,14 +504,14 @@
     });
 }
 
-// Two launches in a row were given up and nothing has come over their connection since the first was made:
+// Two attempts in a row were given up and nothing has come over their connection since the first was made:
 // it may lead nowhere while its server is well. One alone may be a slow part: among many front nodes each
 // connection carries one at a time, and a second connection for each slow part would cost its server more
 // than the part. Another one is opened beside it and takes what follows once it is up; until then nothing
-// changes, so that a server that cannot be reached is not found out with a launch.
-void Router::doubt(LinkId id, const Launch& launch) {
+// changes, so that a server that cannot be reached is not found out with an attempt.
+void Router::doubt(LinkId id, const Attempt& attempt) {
     Link& link = links_.at(id);
-    if (launch.way != Way::kSent || link.heard >= launch.made_at || link.retired || link.doubted) return;
+    if (attempt.way != Way::kSent || link.heard >= attempt.made_at || link.retired || link.doubted) return;
     if (!std::exchange(link.unanswered, true)) return;
     link.doubted = true;
     ++counts_.links_doubted;
@@ -558,9 +558,9 @@
         // Guards against a connection that comes up together with the end of an attempt's time: its timer
         // is looked at only after what has happened.
         std::erase_if(call, [&](auto& key) {
-            Launch& launch = launches_.at(key);
-            if (now_ < std::min(launch.until, launch.send_by)) return false;
-            launch.given_up = true, --link.parts;
+            Attempt& attempt = attempts_.at(key);
+            if (now_ < std::min(attempt.until, attempt.send_by)) return false;
+            attempt.given_up = true, --link.parts;
             return_later(key, Outcome::kNeverSent);
             return true;
         });
@@ -569,12 +569,13 @@
             bytes = protocol::load_probe_frame();
         } else {
             std::vector<protocol::PartCall> parts;
-            for (const LaunchKey& key : call) {
-                Launch& launch = launches_.at(key);
-                launch.way = Way::kHanded;
-                link.out[launch.wire_id] = key;
-                const Tenths left = launch.until - now_;
-                parts.push_back({launch.wire_id, launch.shard, std::max<Tenths>(1, left / 10), launch.query});
+            for (const AttemptKey& key : call) {
+                Attempt& attempt = attempts_.at(key);
+                attempt.way = Way::kHanded;
+                link.out[attempt.wire_id] = key;
+                const Tenths left = attempt.until - now_;
+                parts.push_back(
+                    {attempt.wire_id, attempt.shard, std::max<Tenths>(1, left / 10), attempt.query});
             }
             bytes = protocol::call_frame(parts);
         }
@@ -589,9 +590,9 @@
     if (found == links_.end()) return;
     Link& link = found->second;
     while (!link.in_ring.empty() && link.in_ring.front().end <= event.total) {
-        for (const LaunchKey& key : link.in_ring.front().call)
-            if (const auto launch = launches_.find(key); launch != launches_.end())
-                launch->second.way = Way::kSent;
+        for (const AttemptKey& key : link.in_ring.front().call)
+            if (const auto attempt = attempts_.find(key); attempt != attempts_.end())
+                attempt->second.way = Way::kSent;
         link.in_ring.pop_front();
     }
     hand_over(event.link);
@@ -616,37 +617,39 @@
     effects_.push_back(CloseLink{id});
     // Neither ran; only that a connection never came up says something of its server.
     const bool overdue = now_ >= link.used + terms_.opening.connect_span; // used when it was opened
-    const Outcome unsent = link.up ? Outcome::kNeverSent : overdue ? Outcome::kNoConnection : Outcome::kRefused;
+    const Outcome unsent = link.up   ? Outcome::kNeverSent
+                           : overdue ? Outcome::kNoConnection
+                                     : Outcome::kRefused;
     for (const Call& call : link.waiting)
-        for (const LaunchKey& key : call) return_launch(key, unsent);
+        for (const AttemptKey& key : call) return_attempt(key, unsent);
     for (const auto& [wire_id, key] : link.out) {
-        Launch& launch = launches_.at(key);
-        if (launch.way == Way::kSent && spoilt)
-            launch.given_up = true, return_recalled(key);
+        Attempt& attempt = attempts_.at(key);
+        if (attempt.way == Way::kSent && spoilt)
+            attempt.given_up = true, return_recalled(key);
         else
-            return_launch(key, launch.way == Way::kSent ? Outcome::kBroken : unsent);
+            return_attempt(key, attempt.way == Way::kSent ? Outcome::kBroken : unsent);
     }
     for (const ProbeOut& probe : link.probes)
         if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
 }
 
-// What came there cannot be read, or is not what was asked for: the launch that it answered has failed and
+// What came there cannot be read, or is not what was asked for: the attempt that it answered has failed and
 // may have run, and no further answer can be told from what follows. The others out there are called off by
 // closing the connection. That says nothing of their server, which has answered: it is no broken one. Where
-// no launch is named, the one that has been out for longest is taken for the one answered.
+// no attempt is named, the one that has been out for longest is taken for the one answered.
 void Router::apply(const LinkSpoilt& event) {
     const auto found = links_.find(event.link);
     if (found == links_.end()) return;
     ++counts_.spoilt;
-    std::optional<LaunchKey> answered;
+    std::optional<AttemptKey> answered;
     for (const auto& [wire_id, key] : found->second.out) {
-        const Launch& launch = launches_.at(key);
-        if (launch.way != Way::kSent) continue;
+        const Attempt& attempt = attempts_.at(key);
+        if (attempt.way != Way::kSent) continue;
         const bool named = wire_id == event.part;
-        if (named || !answered || launch.made_at < launches_.at(*answered).made_at) answered = key;
+        if (named || !answered || attempt.made_at < attempts_.at(*answered).made_at) answered = key;
         if (named) break;
     }
-    if (answered) return_launch(*answered, Outcome::kError);
+    if (answered) return_attempt(*answered, Outcome::kError);
     if (links_.contains(event.link)) close_link(event.link, true);
 }
 
@@ -767,11 +770,11 @@
 void Router::pull_waiting(Server& server) {
     const auto links = server.links;
     for (const LinkId id : links) {
-        std::vector<LaunchKey> keys;
+        std::vector<AttemptKey> keys;
         for (const Call& call : links_.at(id).waiting) keys.insert(keys.end(), call.begin(), call.end());
-        for (const LaunchKey& key : keys) {
-            Launch& launch = launches_.at(key);
-            give_up(key, launch);
+        for (const AttemptKey& key : keys) {
+            Attempt& attempt = attempts_.at(key);
+            give_up(key, attempt);
             return_later(key, Outcome::kNeverSent);
         }
     }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -1,6 +1,6 @@
 // The reducer: all state of a front node changes here, by events, and what is to be read or written comes out
 // as effects. It holds the decision module and keeps the promises that the module is given: exactly one
-// return a launch, outcomes by how far the bytes went, lists in order. It makes no choice of its own among
+// return an attempt, outcomes by how far the bytes went, lists in order. It makes no choice of its own among
 // servers, searches or times; where it must bound something, the bound is one of the settings.
 #pragma once
 #include "access/clock.hpp"
@@ -22,8 +22,8 @@
 
 struct Counts { // since the start
     std::uint64_t not_admitted = 0, barred = 0, distrusted = 0;
-    std::uint64_t searches = 0, delivered = 0, pushed_back = 0, scrapped = 0, lapsed = 0, over_full = 0,
-                  launches = 0, recalls = 0, returned_late = 0, links_opened = 0, links_doubted = 0,
+    std::uint64_t searches = 0, delivered = 0, rejected = 0, failed = 0, lapsed = 0, over_full = 0,
+                  attempts = 0, recalls = 0, returned_late = 0, links_opened = 0, links_doubted = 0,
                   links_renewed = 0, spoilt = 0, probes = 0, lists = 0, lists_lost = 0;
 };
 
@@ -45,14 +45,14 @@
     // More are not taken on before a turn has made room for them.
     std::size_t room_for_clients() const { return most_clients() + most_shut() + 1; }
     std::size_t open_links() const { return links_.size(); }
-    std::size_t open_launches() const { return launches_.size(); }
+    std::size_t open_attempts() const { return attempts_.size(); }
     std::size_t alarms() const { return alarms_.size(); }
     const Counts& counts() const { return counts_; }
     const access::Gate* gate() const { return gate_ ? &*gate_ : nullptr; }
     std::size_t open_handshakes() const { return handshakes_ ? handshakes_->open() : 0; }
 
   private:
-    using LaunchKey = std::pair<PartId, LaunchNo>;
+    using AttemptKey = std::pair<PartId, AttemptNo>;
 
     struct Client {
         std::map<StreamNo, SearchId> searches; // that are open
@@ -70,7 +70,7 @@
         SearchId search;
         ShardNo shard;
         std::string wire_id;
-        std::uint32_t launches = 0;
+        std::uint32_t attempts = 0;
         std::optional<std::string> value; // once it is in
     };
     struct Search {
@@ -80,10 +80,10 @@
         std::string query;
         std::vector<PartId> parts;
         std::optional<access::Proof> proof;                // what let it in
-        access::Reason barred = access::Reason::kAdmitted; // why nothing more is launched for it
+        access::Reason barred = access::Reason::kAdmitted; // why nothing more is attempted for it
     };
     enum class Way { kWaiting, kHanded, kSent }; // not yet, partly and wholly with the system
-    struct Launch {
+    struct Attempt {
         ServerId server;
         LinkId link;
         std::string wire_id, query;
@@ -92,7 +92,7 @@
         Way way = Way::kWaiting;
         bool given_up = false; // recalled: its return is on the way
     };
-    using Call = std::vector<LaunchKey>; // what travels in one frame; empty: a probe
+    using Call = std::vector<AttemptKey>; // what travels in one frame; empty: a probe
     struct ProbeOut {
         std::uint64_t serial = 0;
         Tenths made_at = 0;
@@ -108,14 +108,14 @@
         std::uint64_t handed = 0;         // bytes, so far
         std::deque<Call> waiting;
         std::deque<Handed> in_ring;
-        std::map<std::string, LaunchKey> out;   // sent, by wire id
+        std::map<std::string, AttemptKey> out;  // sent, by wire id
         std::map<std::string, Tenths> given_up; // an answer may still come until then
         std::deque<ProbeOut> probes;            // in the order in which they are answered
         int parts = 0;                          // waiting, in the ring or out, given up ones apart
         std::string last;                       // the part answered last
         Tenths midway = 0;                      // since when a frame has begun and is not whole
         Tenths used = 0, heard = 0;             // the latter: something came
-        bool unanswered = false;                // a launch was given up on it without a word from it
+        bool unanswered = false;                // an attempt was given up on it without a word from it
         bool doubted = false;                   // ... and another: other connections go first
         bool idle_armed = false;
     };
@@ -127,11 +127,11 @@
     };
 
     // What falls due; each looks whether it still applies.
-    struct LaunchDue {
-        LaunchKey launch;
+    struct AttemptDue {
+        AttemptKey attempt;
     };
-    struct LaunchReturn {
-        LaunchKey launch;
+    struct AttemptReturn {
+        AttemptKey attempt;
         Outcome outcome;
     };
     struct WordDue { // a client's request, whole
@@ -163,15 +163,15 @@
     struct ShakeDue {};
     struct AccessDue {}; // a key is gone, a list has run out
     struct Wake {};
-    using Alarm = std::variant<ShakeDue, AccessDue, LaunchDue, LaunchReturn, WordDue, SearchDue, ConnectDue,
+    using Alarm = std::variant<ShakeDue, AccessDue, AttemptDue, AttemptReturn, WordDue, SearchDue, ConnectDue,
                                MidwayDue, IdleDue, ProbeDue, ProbeReturn, AskDue, Wake>;
 
     // Host: the module's actions
-    void launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) override;
-    void recall(PartId part, LaunchNo launch) override;
+    void attempt(PartId part, ServerId server, Tenths time_out, Tenths send_within) override;
+    void recall(PartId part, AttemptNo attempt) override;
     void answer(SearchId search, bool whole) override;
-    void push_back(SearchId search, Tenths come_back) override;
-    void scrap(SearchId search) override;
+    void reject(SearchId search, Tenths come_back) override;
+    void fail(SearchId search) override;
     void probe(ServerId server) override;
     void hang_up(ServerId server) override;
     void wake(Tenths in) override;
@@ -205,8 +205,8 @@
 
     void due(const ShakeDue& what);
     void due(const AccessDue& what);
-    void due(const LaunchDue& what);
-    void due(const LaunchReturn& what);
+    void due(const AttemptDue& what);
+    void due(const AttemptReturn& what);
     void due(const WordDue& what);
     void due(const SearchDue& what);
     void due(const ConnectDue& what);
@@ -230,8 +230,9 @@
     void await_access_change();
     Tenths access_now() const { return clock_.at(now_); }
     void let_in();
-    void return_launch(const LaunchKey& key, Outcome outcome, const LoadReport& report = {}, Tenths age = 0);
-    void return_later(const LaunchKey& key, Outcome outcome);
+    void return_attempt(const AttemptKey& key, Outcome outcome, const LoadReport& report = {},
+                        Tenths age = 0);
+    void return_later(const AttemptKey& key, Outcome outcome);
     void send_calls();
     void put_on_link(ServerId server, Call call);
     std::optional<LinkId> link_for(ServerId server, const Call& call);
@@ -239,7 +240,7 @@
     void hand_over(LinkId id);
     static bool idle(const Link& link);
     bool sound_link(const Server& server, bool up) const; // has it one, perhaps not up yet
-    void doubt(LinkId id, const Launch& launch);
+    void doubt(LinkId id, const Attempt& attempt);
     void hear_from(Link& link);
     int carried(const Link& link) const;
     int most_carried() const { return std::max(1, terms_.calls_a_connection - 1); }
@@ -257,9 +258,9 @@
     void shut_client(ClientId id);
     bool closes(const Client& client) const { return draining_ || client.distrusted || client.last; }
     void take_back(PartId part);
-    void give_up(const LaunchKey& key, Launch& launch);
-    void return_recalled(const LaunchKey& key);
-    void forget_waiting(Link& link, const LaunchKey& key);
+    void give_up(const AttemptKey& key, Attempt& attempt);
+    void return_recalled(const AttemptKey& key);
+    void forget_waiting(Link& link, const AttemptKey& key);
     std::size_t most_links() const { return descriptors_ / 2; }
     // Clients that have been shut may hold a few descriptors beside the others until they close.
     std::size_t most_shut() const { return descriptors_ / 16; }
@@ -275,12 +276,12 @@
     std::map<ClientId, Client> clients_;
     std::map<SearchId, Search> searches_;
     std::map<PartId, Part> parts_;
-    std::map<LaunchKey, Launch> launches_;
+    std::map<AttemptKey, Attempt> attempts_;
     std::set<std::string> open_ids_; // of searches, as clients gave them
     std::map<LinkId, Link> links_;
     std::map<ServerId, Server> servers_;
     std::map<std::string, ServerId> server_ids_;
-    std::map<ServerId, std::vector<LaunchKey>> fresh_; // launches of this turn
+    std::map<ServerId, std::vector<AttemptKey>> fresh_; // attempts of this turn
     std::multimap<Tenths, Alarm> alarms_;
     std::string discovery_; // its address
     std::optional<AskId> ask_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -1,4 +1,4 @@
-// What the decision module remembers, grouped by how long it lives: a launch, a part, a search, an index
+// What the decision module remembers, grouped by how long it lives: an attempt, a part, a search, an index
 // server, a group of servers, the instance. Types only: no decision and no value set by tuning stands here.
 #pragma once
 #include "brain.hpp"
@@ -17,7 +17,7 @@
 
 enum class Standing { kIn, kAside, kTrial };
 enum class Stage { kPlanned, kOut, kOver };
-enum class Fate { kOpen, kWhole, kPartial, kPushedBack, kScrapped, kEnded };
+enum class Fate { kOpen, kWhole, kPartial, kRejected, kFailed, kEnded };
 
 inline void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
 
@@ -28,7 +28,7 @@
 
 using Group = std::pair<int, std::int32_t>; // servers of one zone (0) or of one kind of machine (1)
 
-struct Launch { // lives from its plan to its return
+struct Attempt { // lives from its plan to its return
     ServerId server;
     Stage stage = Stage::kPlanned;
     bool wanted = true, recalled = false, may_have_run = true;
@@ -43,12 +43,12 @@
     bool in = false, held = false; // answered; in its shard's backlog
     bool slow = false;             // overdue at a server that answers
     bool left_out = false;         // done without, while there is not room for all
-    Tenths not_before = 0;         // no launch until then
-    std::vector<Launch> launches{};
+    Tenths not_before = 0;         // no attempt until then
+    std::vector<Attempt> attempts{};
     bool out() const {
-        return std::ranges::any_of(launches, [](auto& l) { return l.stage != Stage::kOver; });
+        return std::ranges::any_of(attempts, [](auto& l) { return l.stage != Stage::kOver; });
     }
-    bool may_have_run() const { return std::ranges::any_of(launches, &Launch::may_have_run); }
+    bool may_have_run() const { return std::ranges::any_of(attempts, &Attempt::may_have_run); }
 };
 
 struct Search {
@@ -56,19 +56,19 @@
     ProductNo product;
     TenantNo tenant;
     Tenths due = 0, expiry = 0, come_back = 0;
-    double payoff = 0;
+    double utility = 0;
     int step = 1;
     bool whole = true; // so far
     Fate fate = Fate::kOpen;
     std::vector<Part> parts;
     std::size_t step_begin = 0; // where the present step's parts begin
-    std::set<ServerId> broken;  // servers that broke while they held one of its launches
+    std::set<ServerId> broken;  // servers that broke while they held one of its attempts
     bool proven = false, breaker = false, quick = false, barred = false,
-         spared = false; // answered in part; breaks servers; not slow in all parts; no launches; not let in
+         spared = false; // answered in part; breaks servers; not slow in all parts; no attempts; not let in
     bool out() const { return std::ranges::any_of(parts, &Part::out); }
 };
 
-struct Sending { // a launch as its server sees it
+struct Sending { // an attempt as its server sees it
     Tenths at = 0;
     bool rested = false, missed = false,
          renewed = false; // over a connection long idle; silent; over a new one
@@ -83,16 +83,16 @@
     double limit = 0, saturation = 0, recent_sends = 0;
     Tenths last_cut = 0, last_rise = 0, window = 0;
     int sent = 0, answers = 0, last_answers = 0;
-    int out_at_report = 0, joining = 0; // launches out then; siblings that share this turn's call
+    int out_at_report = 0, joining = 0; // attempts out then; siblings that share this turn's call
     // health
-    std::map<std::pair<PartId, LaunchNo>, Sending> sent_at;
+    std::map<std::pair<PartId, AttemptNo>, Sending> sent_at;
     Standing standing = Standing::kIn;
     double faults = 0;
     int setbacks = 0, passes = 0, trial_room = 0;
-    int silent = 0; // launches unanswered for too long since its last answer, the latest at:
+    int silent = 0; // attempts unanswered for too long since its last answer, the latest at:
     Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0, broke_at = 0;
     Tenths touched = 0, used = 0; // last looked after; when something last went over a connection to it
-    Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next launch
+    Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next attempt
     bool known = false, unreachable = false, gone = false, probe_wanted = false, probe_out = false;
     bool renew = false; // its idle connections are to be closed before it is sent to
 
@@ -100,13 +100,13 @@
     int out() const { return static_cast<int>(sent_at.size()); }
     Tenths oldest() const {
         Tenths first = kNever;
-        for (const auto& [launch, sending] : sent_at) first = std::min(first, sending.at);
+        for (const auto& [attempt, sending] : sent_at) first = std::min(first, sending.at);
         return first;
     }
 };
 
 struct GroupView {
-    double trouble = 0;  // mean share of failed launches and probes
+    double trouble = 0;  // mean share of failed attempts and probes
     double response = 0; // mean, losses counted as a due span
     Tenths next_probe = 0;
     void weigh(bool bad, double took, double weight) {
@@ -116,7 +116,7 @@
 
 struct ProductView { // a row a product: what the module reads of it, and what it has learnt
     ProductTerms terms;
-    double response = 0, deviation = 0; // of answered launches, fleet-wide
+    double response = 0, deviation = 0; // of answered attempts, fleet-wide
     bool heard = false;
     double parts = 1;      // a search, on average
     Tenths usual_left = 0; // of first tries
--- a/tests/admission_stories.cpp
+++ b/tests/admission_stories.cpp
@@ -24,7 +24,7 @@
 
 // A desk whose one key signs for anna and bruno.
 struct Guarded : Desk {
-    explicit Guarded(ivyrill::Effect effect = ivyrill::Effect::kReissuable, int servers = 2)
+    explicit Guarded(ivyrill::Effect effect = ivyrill::Effect::kIdempotent, int servers = 2)
         : Desk(node_terms(effect), servers) {
         router.bound_handshakes({8, 1000, 4}, now);
         router.guard(policy(), false, now, kWall);
@@ -84,7 +84,7 @@
     int asked = 0;
 };
 
-void stranger_is_refused_before_any_launch() {
+void stranger_is_refused_before_any_attempt() {
     Guarded desk;
     const ClientId none = desk.asks(""), bad = desk.asks("a.b.c");
     assert(desk.status(none) == 401 && desk.status(bad) == 401 && desk.all<OpenLink>().empty());
@@ -113,8 +113,8 @@
 }
 
 // Revoked while nothing of its search has left: refused, with 401, and nothing leaves.
-void search_that_waits_for_a_launch_is_refused() {
-    for (const auto effect : {ivyrill::Effect::kReissuable, ivyrill::Effect::kAtMostOnce}) {
+void search_that_waits_for_a_attempt_is_refused() {
+    for (const auto effect : {ivyrill::Effect::kIdempotent, ivyrill::Effect::kNonIdempotent}) {
         Guarded desk(effect);
         const ClientId anna = desk.asks(desk.token("anna")), bruno = desk.asks(desk.token("bruno"));
         desk.revoke("anna"); // no connection is up yet
@@ -127,9 +127,9 @@
     }
 }
 
-// Without a server to send to, nothing is launched: the search is in the module's hands alone.
+// Without a server to send to, nothing is attempted: the search is in the module's hands alone.
 void search_that_nobody_can_serve_yet_is_refused() {
-    Guarded desk(ivyrill::Effect::kReissuable, 0);
+    Guarded desk(ivyrill::Effect::kIdempotent, 0);
     const ClientId anna = desk.asks(desk.token("anna"));
     const bool open = desk.router.open_searches() == 1;
     desk.revoke("anna");
@@ -137,7 +137,7 @@
     assert(desk.router.open_searches() == 0);
 }
 
-// Revoked while its launch is out: it may answer, and there is no second launch whatever becomes of it.
+// Revoked while its attempt is out: it may answer, and there is no second attempt whatever becomes of it.
 void search_that_is_out_ends_by_the_rules() {
     for (const Outcome outcome : {Outcome::kAnswered, Outcome::kError, Outcome::kTurnedAway}) {
         Guarded desk;
@@ -149,27 +149,27 @@
         assert(desk.answers(anna) == 0 && desk.router.counts().barred == 1);
         desk.Desk::answers(link, "q1.0", outcome);
         desk.pass(ms(2100));
-        assert(desk.sent('S') == 1 && desk.answers(anna) == 1 && desk.router.counts().launches == 1);
+        assert(desk.sent('S') == 1 && desk.answers(anna) == 1 && desk.router.counts().attempts == 1);
         if (outcome == Outcome::kAnswered)
             assert(desk.verdict(anna) == Verdict::kDelivered);
         else
-            assert(desk.status(anna) == 401); // reissuable: nothing is said of what ran
+            assert(desk.status(anna) == 401); // idempotent: nothing is said of what ran
     }
 }
 
 void write_that_may_have_run_is_never_called_refused() {
-    Guarded desk(ivyrill::Effect::kAtMostOnce);
+    Guarded desk(ivyrill::Effect::kNonIdempotent);
     const ClientId anna = desk.asks(desk.token("anna"));
     const LinkId link = desk.all<OpenLink>()[0].link;
     desk.up(link), desk.wrote_all(link);
     desk.revoke("anna");
     desk.tell(LinkEnded{link});
     desk.pass(ms(2100));
-    assert(desk.verdict(anna) == Verdict::kScrapped && desk.answers(anna) == 1 && desk.sent('S') == 1);
+    assert(desk.verdict(anna) == Verdict::kFailed && desk.answers(anna) == 1 && desk.sent('S') == 1);
 }
 
-// An overdue launch of a barred search gets no company and is not called off to go elsewhere.
-void overdue_launch_of_a_barred_search_stays_alone() {
+// An overdue attempt of a barred search gets no company and is not called off to go elsewhere.
+void overdue_attempt_of_a_barred_search_stays_alone() {
     Guarded desk;
     const ClientId anna = desk.asks(desk.token("anna"));
     const LinkId link = desk.all<OpenLink>()[0].link;
@@ -309,13 +309,13 @@
 }
 
 const Story kStories[] = {
-    STORY(stranger_is_refused_before_any_launch),
+    STORY(stranger_is_refused_before_any_attempt),
     STORY(stranger_learns_nothing_of_what_is_open),
-    STORY(search_that_waits_for_a_launch_is_refused),
+    STORY(search_that_waits_for_a_attempt_is_refused),
     STORY(search_that_nobody_can_serve_yet_is_refused),
     STORY(search_that_is_out_ends_by_the_rules),
     STORY(write_that_may_have_run_is_never_called_refused),
-    STORY(overdue_launch_of_a_barred_search_stays_alone),
+    STORY(overdue_attempt_of_a_barred_search_stays_alone),
     STORY(key_that_goes_by_time_bars_what_it_let_in),
     STORY(revoked_certificate_closes_its_idle_connection),
     STORY(revoked_certificate_with_a_search_out_closes_after_its_answer),
--- a/tests/brain_stories.cpp
+++ b/tests/brain_stories.cpp
@@ -101,7 +101,7 @@
         terms.call_work = ms(100);
         FakeHost together(terms, 2);
         for (FakeHost* host : {&apart, &together}) {
-            host->search({0});    // one server has a launch out already
+            host->search({0});    // one server has an attempt out already
             host->search({0, 0}); // the other takes the first; is it dear to join it?
         }
         split += apart.sent[1].server != apart.sent[2].server ? 1 : 0;
@@ -141,12 +141,12 @@
     FakeHost host(plain_terms());
     const SearchId id = host.search({0, 1});
     host.pass(ms(1985));
-    assert(host.end_of(id) == End::kPushedBack);
+    assert(host.end_of(id) == End::kRejected);
     for (std::size_t i = 0; i < host.sent.size(); ++i) assert(host.sent[i].recalled);
-    const std::size_t launches = host.sent.size();
+    const std::size_t attempts = host.sent.size();
     host.all_return(Outcome::kRecalled, ms(1990));
     host.pass(ms(500));
-    assert(host.sent.size() == launches);
+    assert(host.sent.size() == attempts);
 }
 
 void part_answer_at_the_due_time() {
@@ -163,33 +163,33 @@
 
 void at_most_once_is_not_repeated() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kAtMostOnce;
+    terms.products[0].effect = Effect::kNonIdempotent;
     FakeHost host(terms);
     const SearchId maybe = host.search({0});
     host.all_return(Outcome::kError, ms(5)); // it may have run
-    assert(host.end_of(maybe) == End::kScrapped && host.sent.size() == 1);
+    assert(host.end_of(maybe) == End::kFailed && host.sent.size() == 1);
     const SearchId waiting = host.search({0});
     host.pass(ms(1990));
-    assert(host.end_of(waiting) == End::kScrapped && host.sent.size() == 2);
+    assert(host.end_of(waiting) == End::kFailed && host.sent.size() == 2);
 }
 
 void numbered_repeats_in_window() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kNumbered;
+    terms.products[0].effect = Effect::kKeyed;
     terms.products[0].repeat_window = ms(300);
     FakeHost host(terms);
     host.search({0});
     host.all_return(Outcome::kError, ms(5));
     assert(host.sent.size() == 2);
     host.pass(ms(290));
-    host.all_return(Outcome::kError, ms(290)); // the window counts from the first launch that may have run
+    host.all_return(Outcome::kError, ms(290)); // the window counts from the first attempt that may have run
     host.pass(ms(100));
     assert(host.sent.size() == 2);
 }
 
 void proven_not_run_goes_again() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kAtMostOnce;
+    terms.products[0].effect = Effect::kNonIdempotent;
     FakeHost host(terms);
     const SearchId id = host.search({0});
     host.all_return(Outcome::kTurnedAway, ms(1));
@@ -222,8 +222,8 @@
     assert(host.sent_to(1) >= 1 && host.sent_to(1) <= 4);
 }
 
-// A third of all connections came up later than the time-out, and each such server was spared as if it had just
-// started, for a whole warming. Where nobody takes connections its process was gone, and it is spared.
+// A third of all connections came up later than the time-out, and each such server was spared as if it had
+// just started, for a whole warming. Where nobody takes connections its process was gone, and it is spared.
 void late_connection_makes_no_cold_server() {
     for (const bool refused : {false, true}) {
         FakeHost host(plain_terms(), 1);
@@ -362,14 +362,14 @@
         host.all_return(Outcome::kAnswered, ms(900), -1, {{}, 40.0});
         host.pass(ms(800));
         const SearchId id = host.search({0}, ms(600));
-        assert((host.end_of(id) == End::kPushedBack) == rare);
+        assert((host.end_of(id) == End::kRejected) == rare);
     }
 }
 
 void budget_binds() {
     OpeningTerms terms = plain_terms();
-    terms.launch_budget = true;
-    terms.spare_launches = 1;
+    terms.attempt_budget = true;
+    terms.spare_attempts = 1;
     terms.further_ratio = 0;
     terms.budget_span = ms(5000);
     FakeHost host(terms);
@@ -381,7 +381,7 @@
     assert(host.sent.size() == 2);
 }
 
-void lost_launch_gets_a_copy() {
+void lost_attempt_gets_a_copy() {
     FakeHost host(plain_terms(), 2);
     host.warm(2);
     host.sent.clear();
@@ -392,7 +392,7 @@
     host.turn();
     assert(host.answers == 25 && host.sent[0].recalled);
     host.all_return(Outcome::kRecalled, ms(420));
-    assert(host.probes.empty()); // one lost launch sets no server aside
+    assert(host.probes.empty()); // one lost attempt sets no server aside
 }
 
 void recall_where_copies_are_barred() {
@@ -428,7 +428,7 @@
     }
     host.sent.clear();
     for (int i = 0; i < 6; ++i) host.search({0});
-    assert(host.sent_to(0) == 1); // back, but on trial: one launch at first
+    assert(host.sent_to(0) == 1); // back, but on trial: one attempt at first
 }
 
 void quick_errors_do_not_draw() {
@@ -451,7 +451,7 @@
     host.pass(ms(50));
     host.all_return(Outcome::kAnswered, ms(50), -1, LoadReport{{}, 200.0});
     const SearchId now = host.search({0});
-    assert(host.end_of(now) == End::kPushedBack); // a queue of sixty parts would take three seconds
+    assert(host.end_of(now) == End::kRejected); // a queue of sixty parts would take three seconds
     host.pass(ms(6000));
     assert(host.end_of(host.search({0})) == End::kNone);
 }
@@ -495,14 +495,14 @@
     FakeHost host(plain_terms(), 6);
     const SearchId first = host.search({0, 0, 0});
     host.all_return(Outcome::kBroken, ms(10)); // three connections broke under it
-    assert(host.end_of(first) == End::kScrapped && host.sent.size() == 3);
+    assert(host.end_of(first) == End::kFailed && host.sent.size() == 3);
     const SearchId sound = host.search({0, 0, 0});
     host.all_return(Outcome::kNoConnection, ms(1)); // and three servers are gone, one after another
     assert(host.sent.size() == 7); // others may do the same: a part goes alone, to learn from
     const SearchId second = host.search({0, 0});
     assert(host.sent.size() == 8);
     host.returns(7, Outcome::kBroken, ms(10)), host.turn();
-    assert(host.end_of(second) == End::kScrapped && host.sent.size() == 8);
+    assert(host.end_of(second) == End::kFailed && host.sent.size() == 8);
     host.all_return(Outcome::kAnswered, ms(10));
     assert(host.sent.size() == 10); // one answer clears it, and the rest go together
     host.all_return(Outcome::kAnswered, ms(10));
@@ -599,7 +599,7 @@
     host.all_return(Outcome::kAnswered, ms(900));
     const std::size_t before = host.sent.size();
     const SearchId id = host.search({0, 0, 0, 0});
-    assert(host.end_of(id) == End::kPushedBack && host.sent.size() == before && host.advice > 0);
+    assert(host.end_of(id) == End::kRejected && host.sent.size() == before && host.advice > 0);
 }
 
 void lost_subscription_is_renewed() {
@@ -624,7 +624,7 @@
     for (int i = 0; i < 5; ++i) host.search({0}, ms(1500));
     const SearchId repeat = host.search({0}, ms(1200)); // 800 ms of 2 s have passed already
     host.pass(ms(200));
-    assert(host.end_of(repeat) == End::kPushedBack);
+    assert(host.end_of(repeat) == End::kRejected);
 }
 
 void full_fleet_plans_no_part_answers() {
@@ -643,7 +643,7 @@
         host.all_return(Outcome::kAnswered, ms(30));
         host.search({0}, ms(2000), 1);
         host.all_return(Outcome::kAnswered, ms(1100));
-        assert(host.end_of(host.search({0, 1})) == (sound == 1 ? End::kPushedBack : End::kNone));
+        assert(host.end_of(host.search({0, 1})) == (sound == 1 ? End::kRejected : End::kNone));
     }
 }
 
@@ -659,7 +659,7 @@
                     host.returns(i, Outcome::kAnswered, took);
         }
         host.pass(ms(5));
-        assert(host.end_of(late) == (took < ms(100) ? End::kNone : End::kPushedBack));
+        assert(host.end_of(late) == (took < ms(100) ? End::kNone : End::kRejected));
     }
 }
 
@@ -688,7 +688,7 @@
     STORY(cold_server_gets_no_more_from_many_nodes),
     STORY(cold_server_without_a_window_is_used),
     STORY(budget_binds),
-    STORY(lost_launch_gets_a_copy),
+    STORY(lost_attempt_gets_a_copy),
     STORY(recall_where_copies_are_barred),
     STORY(silent_server_comes_back_by_probes),
     STORY(quick_errors_do_not_draw),
--- a/tests/caller_stories.cpp
+++ b/tests/caller_stories.cpp
@@ -40,8 +40,8 @@
         assert(status(*client, {id + "e", "find", "", token, "conca"}) == 403);
         assert(status(*client, {id + "f", "find", "", token + "x"}) == 401);
     }
-    assert(hall.fleet.launches() == 6 && hall.fleet.launches("q1.0") == 0 &&
-           hall.fleet.launches("q1d.0") == 0);
+    assert(hall.fleet.attempts() == 6 && hall.fleet.attempts("q1.0") == 0 &&
+           hall.fleet.attempts("q1d.0") == 0);
     assert(hall.await_audit("\"reason\":\"not-owner\"", 3) &&
            hall.await_audit("\"reason\":\"wrong-club\"", 3));
     assert(hall.audited(token.substr(0, 30)) == 0); // nothing secret
@@ -60,7 +60,7 @@
     const Issued stranger = strange.issue(
         {"x", {"spiffe://trinacria.example/etna/anna"}, {}, 0, 4'000'000'000 * kTenthsPerSecond, false});
     Client other(hall.certified(), TlsWish{stranger.certificate, stranger.key, false, {}});
-    assert(status(other, {"c1"}) == 401 && hall.fleet.launches("c1.0") == 0);
+    assert(status(other, {"c1"}) == 401 && hall.fleet.attempts("c1.0") == 0);
 }
 
 void keys_change_and_tokens_of_both_count() {
@@ -133,21 +133,21 @@
     Client client(hall.certified(), TlsWish{anna.certificate, anna.key, false, {}});
     hall.fleet.hold(true);
     client.say(search_bytes({"a1"}));
-    assert(hall.fleet.await_launch("a1.0"));
+    assert(hall.fleet.await_attempt("a1.0"));
     hall.signal(SIGTERM);
     hall.revoke_serials({anna.serial});
     assert(hall.await_audit("\"what\":\"barred\""));
     hall.fleet.hold(false);
     assert(client.answer().status == 200 && client.ends());
-    assert(hall.fleet.launches("a1.0") == 1 && hall.exit_status() == 0);
+    assert(hall.fleet.attempts("a1.0") == 1 && hall.exit_status() == 0);
 }
 
 void order_to_stop_behind_a_reload_is_kept() {
-    Hall hall({2, Effect::kAtMostOnce, true, {}, 512});
+    Hall hall({2, Effect::kNonIdempotent, true, {}, 512});
     Client client(hall.plain());
     hall.fleet.hold(true);
     client.say(search_bytes({"a1", "annotate", "g1", hall.token("anna", hall.key())}));
-    assert(hall.fleet.await_launch("a1.0"));
+    assert(hall.fleet.await_attempt("a1.0"));
     hall.write("keys/k9.jwk", "{");
     hall.signal(SIGHUP), hall.signal(SIGTERM);
     hall.fleet.hold(false);
@@ -157,7 +157,7 @@
 
 // Half handshakes, and clients that read nothing during theirs, hold up nobody on the plain port.
 void half_handshakes_delay_nobody() {
-    Hall hall({2, Effect::kReissuable, true, "tls = {\"open_handshakes\": 16}\n", 512});
+    Hall hall({2, Effect::kIdempotent, true, "tls = {\"open_handshakes\": 16}\n", 512});
     std::vector<Client> half;
     const std::string hello("\x16\x03\x01\x02\x00\x01", 6); // of a ClientHello that never ends
     for (int i = 0; i < 100; ++i) {
@@ -202,7 +202,7 @@
 }
 
 void without_an_operators_file_nobody_is_asked() {
-    Hall hall({2, Effect::kReissuable, false, {}, 512});
+    Hall hall({2, Effect::kIdempotent, false, {}, 512});
     assert(once(hall.plain(), {"a1"}) == 200 && once(hall.plain(), {"a2", "find", "", "nonsense"}) == 200);
 }
 
--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -10,7 +10,7 @@
 
 using protocol::Verdict;
 
-inline protocol::NodeTerms node_terms(ivyrill::Effect effect = ivyrill::Effect::kReissuable) {
+inline protocol::NodeTerms node_terms(ivyrill::Effect effect = ivyrill::Effect::kIdempotent) {
     protocol::NodeTerms terms;
     terms.opening = plain_terms();
     terms.opening.second_copies = false;
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -35,19 +35,19 @@
 
 struct Sent {
     PartId part;
-    LaunchNo launch;
+    AttemptNo attempt;
     ServerId server;
     Tenths send_within = 0, at = 0;
     bool over = false, recalled = false;
 };
-enum class End { kNone, kWhole, kPart, kPushedBack, kScrapped };
+enum class End { kNone, kWhole, kPart, kRejected, kFailed };
 
 // Two shards a cell, three replicas in one cell, one product due in 1 s and expiring in 2 s.
 inline OpeningTerms plain_terms() {
     OpeningTerms terms;
     ProductTerms product;
-    product.due_span = ms(1000);
-    product.expiry_span = ms(2000);
+    product.latency_target = ms(1000);
+    product.deadline_span = ms(2000);
     product.late_share = 0.1;
     terms.products = {product};
     terms.tenants = {{1000}};
@@ -57,7 +57,7 @@
     terms.cold_share = 0.2;
     terms.fall_span = ms(1000);
     terms.fall_multiple = 2;
-    terms.most_launches = 4;
+    terms.most_attempts = 4;
     terms.may_recall = terms.may_probe = terms.second_copies = true;
     return terms;
 }
@@ -97,9 +97,9 @@
     void returns(std::size_t at, Outcome outcome, Tenths took, LoadReport report = {}) {
         assert(!sent.at(at).over);
         sent[at].over = true;
-        tell(LaunchReturned{sent[at].part, sent[at].launch, sent[at].server, outcome, took, report});
+        tell(AttemptReturned{sent[at].part, sent[at].attempt, sent[at].server, outcome, took, report});
     }
-    // All launches out at this server, or at any, return.
+    // All attempts out at this server, or at any, return.
     void all_return(Outcome outcome, Tenths took, int server = -1, LoadReport report = {}) {
         for (std::size_t i = 0; i < sent.size(); ++i)
             if (!sent[i].over &&
@@ -117,8 +117,8 @@
     }
 
     int sent_to(int server) const {
-        return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](auto& launch) {
-            return launch.server == ServerId{static_cast<std::uint32_t>(server)};
+        return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](auto& attempt) {
+            return attempt.server == ServerId{static_cast<std::uint32_t>(server)};
         }));
     }
     End end_of(SearchId id) const {
@@ -126,21 +126,21 @@
         return found == ends.end() ? End::kNone : found->second;
     }
 
-    void launch(PartId part, ServerId server, Tenths time_out, Tenths send_within) override {
+    void attempt(PartId part, ServerId server, Tenths time_out, Tenths send_within) override {
         assert(time_out > 0 && send_within > 0);
         const auto earlier = std::count_if(sent.begin(), sent.end(), [&](auto& l) { return l.part == part; });
-        sent.push_back({part, LaunchNo{static_cast<std::uint32_t>(earlier)}, server, send_within, now});
+        sent.push_back({part, AttemptNo{static_cast<std::uint32_t>(earlier)}, server, send_within, now});
     }
-    void recall(PartId part, LaunchNo number) override {
-        for (Sent& launch : sent)
-            if (launch.part == part && launch.launch == number) launch.recalled = true;
+    void recall(PartId part, AttemptNo number) override {
+        for (Sent& attempt : sent)
+            if (attempt.part == part && attempt.attempt == number) attempt.recalled = true;
     }
     void answer(SearchId id, bool whole) override { finish(id, whole ? End::kWhole : End::kPart); }
-    void push_back(SearchId id, Tenths come_back) override {
-        finish(id, End::kPushedBack);
+    void reject(SearchId id, Tenths come_back) override {
+        finish(id, End::kRejected);
         advice = come_back;
     }
-    void scrap(SearchId id) override { finish(id, End::kScrapped); }
+    void fail(SearchId id) override { finish(id, End::kFailed); }
     void probe(ServerId server) override { probes.push_back(server); }
     void hang_up(ServerId server) override { hung_up.push_back(server); }
     void wake(Tenths in) override { assert(in > 0); }
--- a/tests/h2_stories.cpp
+++ b/tests/h2_stories.cpp
@@ -34,7 +34,7 @@
 bool served(const Hall& hall, const std::string& id) { // by another client
     H2Client other(hall.h2());
     const H2Answer& answer = other.await(send(other, ask_for(id)));
-    return answer.status == 200 && answer.ended && hall.fleet.launches(id + ".0") == 1;
+    return answer.status == 200 && answer.ended && hall.fleet.attempts(id + ".0") == 1;
 }
 
 void many_searches_on_one_connection() {
@@ -53,7 +53,7 @@
             assert(answer.fields.at("content-length") == std::to_string(answer.body.size()));
         }
     }
-    assert(hall.fleet.most_launches() == 1 && hall.fleet.launches() == 60);
+    assert(hall.fleet.most_attempts() == 1 && hall.fleet.attempts() == 60);
 }
 
 void access_applies_to_each_stream() {
@@ -73,10 +73,10 @@
     assert(status(certified, ask_for("d")) == 200 && status(certified, ask_for("e")) == 200);
 }
 
-// Taken back before its launch, between launch and answer, twice: one launch at most, no answer, and the
-// other streams go on. What was at-most-once is not sent again either.
-void stream_that_is_reset_is_launched_once_and_not_answered() {
-    for (const Effect effect : {Effect::kReissuable, Effect::kAtMostOnce}) {
+// Taken back before its attempt, between attempt and answer, twice: one attempt at most, no answer, and the
+// other streams go on. What was non-idempotent is not sent again either.
+void stream_that_is_reset_is_attempted_once_and_not_answered() {
+    for (const Effect effect : {Effect::kIdempotent, Effect::kNonIdempotent}) {
         Hall hall({2, effect, true, {}, 512});
         H2Client client(hall.h2());
         const auto write = [&](const std::string& id) {
@@ -88,7 +88,7 @@
         const auto early = write("early");
         client.reset(early); // in the same breath
         const auto out = write("out"), kept = write("kept");
-        assert(hall.fleet.await_launch("out.0") && hall.fleet.await_launch("kept.0"));
+        assert(hall.fleet.await_attempt("out.0") && hall.fleet.await_attempt("kept.0"));
         client.reset(out);
         client.raw(
             raw_frame(NGHTTP2_RST_STREAM, 0, static_cast<std::uint32_t>(out), std::string("\0\0\0\x08", 4)));
@@ -97,7 +97,7 @@
         assert(client.await(kept).status == 200);
         client.round_trip();
         assert(client.answer(out).answers == 0 && client.answer(early).answers == 0);
-        assert(hall.fleet.launches("out.0") == 1 && hall.fleet.launches("early.0") <= 1 && !client.ended);
+        assert(hall.fleet.attempts("out.0") == 1 && hall.fleet.attempts("early.0") <= 1 && !client.ended);
         assert(served(hall, "after"));
     }
 }
@@ -109,7 +109,7 @@
     while (client.answer(half).body.size() < 100) go_on(client);
     client.reset(half);
     assert(client.await(send(client, ask_for("small", 2))).ended);
-    assert(client.answer(half).body.size() == 100 && hall.fleet.launches("half.0") == 1);
+    assert(client.answer(half).body.size() == 100 && hall.fleet.attempts("half.0") == 1);
 }
 
 void drain_answers_all_that_were_open_and_those_that_cross() {
@@ -118,7 +118,7 @@
     hall.fleet.hold(true);
     std::vector<std::int32_t> streams;
     for (int i = 0; i < 98; ++i) streams.push_back(send(client, ask_for("q" + std::to_string(i))));
-    assert(hall.fleet.await_launch("q0.0")); // others wait for a launch
+    assert(hall.fleet.await_attempt("q0.0")); // others wait for an attempt
     Client plain(hall.plain());
     hall.signal(SIGTERM);
     for (int code = 200; code == 200;) { // until it has heard
@@ -138,7 +138,7 @@
     client.await_end();
     assert(client.goaways == 2 && client.goaway_code == NGHTTP2_NO_ERROR &&
            client.goaway_last == streams.back());
-    assert(hall.exit_status() == 0 && hall.fleet.most_launches() == 1);
+    assert(hall.exit_status() == 0 && hall.fleet.most_attempts() == 1);
 }
 
 // It goes on asking after both notices: what it asks then is not taken, and nobody waits for it.
@@ -151,12 +151,12 @@
     // An index of the static table each, for as much as a search needs; it need not be a good one.
     client.raw(raw_frame(NGHTTP2_HEADERS, 5, 101, "\x83\x86\x84"));
     client.await_end();
-    assert(hall.exit_status() == 0 && hall.fleet.launches() == 1);
+    assert(hall.exit_status() == 0 && hall.fleet.attempts() == 1);
 }
 
 // A window that never opens: its answers wait, bounded, and delay nobody else's.
 void closed_window_delays_nobody_and_is_bounded() {
-    Hall hall({2, Effect::kReissuable, true, "http2 = {\"held_bytes\": 300000}\n", 512});
+    Hall hall({2, Effect::kIdempotent, true, "http2 = {\"held_bytes\": 300000}\n", 512});
     H2Client blocked(hall.h2(), {false, 0});
     std::vector<std::int32_t> streams;
     for (int i = 0; i < 40; ++i) {
@@ -209,16 +209,16 @@
         H2Client client(hall.h2(), {false, 10});
         send(client, ask_for("out"));
         client.ask(search_fields(ask_for("half")), {}, false); // its body does not come
-        assert(hall.fleet.await_launch("out.0"));
+        assert(hall.fleet.await_attempt("out.0"));
         hall.fleet.hold(false);
         const auto answered = send(client, ask_for("answered", 5000));
         while (client.answer(answered).body.size() < 10) go_on(client);
         hall.fleet.hold(true);
         send(client, ask_for("again"));
-        assert(hall.fleet.await_launch("again.0"));
+        assert(hall.fleet.await_attempt("again.0"));
     }
     hall.fleet.hold(false);
-    assert(served(hall, "other") && hall.fleet.most_launches() == 1 && hall.fleet.launches("half.0") == 0);
+    assert(served(hall, "other") && hall.fleet.most_attempts() == 1 && hall.fleet.attempts("half.0") == 0);
 }
 
 void caller_revoked_with_ten_streams_open() {
@@ -232,7 +232,7 @@
         streams.push_back(send(client, ask));
     }
     for (int i = 0; i < 10; ++i) // all are out: one that came later would be refused, not barred
-        assert(hall.fleet.await_launch("q" + std::to_string(i) + "." + std::to_string(i % 2)));
+        assert(hall.fleet.await_attempt("q" + std::to_string(i) + "." + std::to_string(i % 2)));
     hall.revoke_member("anna", transport::Loop::wall() + 10 * kTenthsPerSecond);
     assert(hall.await_audit("\"what\":\"barred\"", 10));
     hall.fleet.hold(false);
@@ -240,11 +240,11 @@
         const H2Answer& answer = client.await(stream);
         assert(answer.answers == 1 && (answer.status == 200 || answer.status == 401));
     }
-    assert(client.answer(streams[0]).status == 200 && hall.fleet.most_launches() == 1);
+    assert(client.answer(streams[0]).status == 200 && hall.fleet.most_attempts() == 1);
 }
 
 void upgrade_on_the_plain_port_stays_http_1() {
-    Hall hall({2, Effect::kReissuable, false, {}, 512});
+    Hall hall({2, Effect::kIdempotent, false, {}, 512});
     Client client(hall.plain());
     std::string bytes = search_bytes({"a1"});
     bytes.insert(
@@ -284,7 +284,7 @@
     get[2].second = "/find";
     assert(client.await(client.ask(get, {})).status == 405);
     assert(client.await(client.ask(search_fields(good), std::string(70'000, 'x'))).status == 413);
-    assert(hall.fleet.launches() == 0 && status(client, good) == 200 && !client.ended);
+    assert(hall.fleet.attempts() == 0 && status(client, good) == 200 && !client.ended);
 }
 
 // Each flood ends its own connection, in words that say so, and nobody else's.
@@ -323,7 +323,7 @@
     assert(flood("bad", [&](H2Client& c, int) {
         c.await(c.ask({{":method", "GET"}, {":scheme", "http"}, {":path", "/x"}}, {}));
     }));
-    assert(hall.fleet.most_launches() == 1 && hall.running());
+    assert(hall.fleet.most_attempts() == 1 && hall.running());
 }
 
 void share_of_a_connection_shrinks_beside_others() {
@@ -343,7 +343,7 @@
 const Story kStories[] = {
     STORY(many_searches_on_one_connection),
     STORY(access_applies_to_each_stream),
-    STORY(stream_that_is_reset_is_launched_once_and_not_answered),
+    STORY(stream_that_is_reset_is_attempted_once_and_not_answered),
     STORY(stream_reset_with_its_answer_half_written),
     STORY(drain_answers_all_that_were_open_and_those_that_cross),
     STORY(client_that_ignores_the_notices_holds_up_no_stop),
--- a/tests/lab/fleet.cpp
+++ b/tests/lab/fleet.cpp
@@ -97,9 +97,9 @@
     for (const auto& [id, query] : parts_of(came.rest)) {
         {
             const std::lock_guard lock(mutex_);
-            ++launches_[id], ++count_;
+            ++attempts_[id], ++count_;
         }
-        launched_.notify_all();
+        attempted_.notify_all();
         const std::string answer = frame('R', id + " done 1 inflight=0,queue=0\n" + query);
         if (held_)
             peer.waiting.push_back(answer);
@@ -108,28 +108,28 @@
     }
 }
 
-int Fleet::launches(const std::string& part) const {
+int Fleet::attempts(const std::string& part) const {
     const std::lock_guard lock(mutex_);
-    const auto found = launches_.find(part);
-    return found == launches_.end() ? 0 : found->second;
+    const auto found = attempts_.find(part);
+    return found == attempts_.end() ? 0 : found->second;
 }
 
-std::uint64_t Fleet::launches() const {
+std::uint64_t Fleet::attempts() const {
     const std::lock_guard lock(mutex_);
     return count_;
 }
 
-std::size_t Fleet::most_launches() const {
+std::size_t Fleet::most_attempts() const {
     const std::lock_guard lock(mutex_);
     int most = 0;
-    for (const auto& [id, count] : launches_) most = std::max(most, count);
+    for (const auto& [id, count] : attempts_) most = std::max(most, count);
     return static_cast<std::size_t>(most);
 }
 
-bool Fleet::await_launch(const std::string& part, int patience_ms) const {
+bool Fleet::await_attempt(const std::string& part, int patience_ms) const {
     std::unique_lock lock(mutex_);
-    return launched_.wait_for(lock, std::chrono::milliseconds(patience_ms),
-                              [&] { return launches_.contains(part); });
+    return attempted_.wait_for(lock, std::chrono::milliseconds(patience_ms),
+                               [&] { return attempts_.contains(part); });
 }
 
 } // namespace ivyrill::lab
--- a/tests/lab/fleet.hpp
+++ b/tests/lab/fleet.hpp
@@ -1,5 +1,5 @@
 // Stand-ins for index servers and discovery, on loopback in one thread: each index server holds one shard and
-// answers a part with its query's text, at once or when it is let. They keep account of every launch.
+// answers a part with its query's text, at once or when it is let. They keep account of every attempt.
 #pragma once
 #include "protocol/frames.hpp"
 #include "protocol/messages.hpp"
@@ -25,10 +25,10 @@
     std::string discovery() const;
     protocol::ServerList list() const;
     void hold(bool on) { held_ = on; }           // parts wait unanswered meanwhile
-    int launches(const std::string& part) const; // of a part's id, over all servers
-    std::uint64_t launches() const;
-    std::size_t most_launches() const; // of any one part
-    bool await_launch(const std::string& part, int patience_ms = 20'000) const;
+    int attempts(const std::string& part) const; // of a part's id, over all servers
+    std::uint64_t attempts() const;
+    std::size_t most_attempts() const; // of any one part
+    bool await_attempt(const std::string& part, int patience_ms = 20'000) const;
 
   private:
     struct Peer {
@@ -56,8 +56,8 @@
     std::vector<std::unique_ptr<Door>> doors_; // the last is discovery's
     std::vector<std::unique_ptr<Peer>> peers_;
     mutable std::mutex mutex_;
-    mutable std::condition_variable launched_;
-    std::map<std::string, int> launches_;
+    mutable std::condition_variable attempted_;
+    std::map<std::string, int> attempts_;
     std::uint64_t count_ = 0;
     std::atomic<bool> held_ = false, stop_ = false;
     std::thread thread_;
--- a/tests/lab/hall.cpp
+++ b/tests/lab/hall.cpp
@@ -63,16 +63,16 @@
     orders.name = "hall", orders.listen = "127.0.0.1:0", orders.discovery = fleet.discovery();
     orders.sockets = plan.sockets, orders.memory_mb = 192, orders.known = fleet.list();
     OpeningTerms& terms = orders.terms.opening;
-    for (const Effect effect : {Effect::kReissuable, plan.effect}) {
+    for (const Effect effect : {Effect::kIdempotent, plan.effect}) {
         ProductTerms product;
-        product.due_span = kTenthsPerSecond, product.expiry_span = 2 * kTenthsPerSecond,
+        product.latency_target = kTenthsPerSecond, product.deadline_span = 2 * kTenthsPerSecond,
         product.effect = effect;
         product.late_share = 0.1;
         terms.products.push_back(product);
     }
     terms.tenants = {{1e6}, {1e6}};
     terms.turn_gap = 50, terms.cold_span = kTenthsPerSecond, terms.cold_share = 0.2;
-    terms.fall_span = kTenthsPerSecond, terms.fall_multiple = 2, terms.most_launches = 3;
+    terms.fall_span = kTenthsPerSecond, terms.fall_multiple = 2, terms.most_attempts = 3;
     terms.may_recall = terms.may_probe = true, terms.list_mode = ListMode::kAsked;
     terms.cells = plan.servers;
     orders.terms.products = {"find", "annotate"}, orders.terms.tenants = {"etna", "conca"};
--- a/tests/lab/hall.hpp
+++ b/tests/lab/hall.hpp
@@ -18,7 +18,7 @@
   public:
     struct Plan {
         int servers = 2;
-        Effect effect = Effect::kReissuable; // of `annotate`; `find` may run again
+        Effect effect = Effect::kIdempotent; // of `annotate`; `find` may run again
         bool guarded = true;                 // false: no operator's file
         std::string more;                    // lines put behind the operator's file
         std::int64_t sockets = 512;
--- a/tests/lab/rig.cpp
+++ b/tests/lab/rig.cpp
@@ -33,7 +33,8 @@
 constexpr Tenths kMs = kTenthsPerSecond / 1000;
 constexpr Tenths kGrace = 300 * kMs; // of rule 3 as the rig judges it: the settings' and the way there
 constexpr int kExpiryMs = 1500, kDueMs = 500;
-constexpr std::array<const char*, 3> kProducts{"find", "note", "mark"}; // reissuable, at-most-once, numbered
+constexpr std::array<const char*, 3> kProducts{"find", "note",
+                                               "mark"}; // idempotent, non-idempotent, numbered
 
 // An address of this rig's own, so that no connection's own end, anywhere on the machine, comes to bear a
 // port that a front node or a server will want again once it has been away.
@@ -436,7 +437,7 @@
     const std::lock_guard lock(mutex_);
     const std::string name = "s" + std::to_string(peer.target);
     for (const auto& [id, query] : parts_of(came.rest)) {
-        note({RigEvent::What::kLaunch, loop_.now(), peer.front, id, name, 0});
+        note({RigEvent::What::kAttempt, loop_.now(), peer.front, id, name, 0});
         peer.stream.send(frame('R', id + " done 1 inflight=0,queue=0\n" + query));
     }
 }
@@ -700,10 +701,10 @@
         const Front& front = fronts_[which];
         const bool there = front.epoch == epoch;
         ++counts_.asked;
-        counts_.most_payoff += 1;
+        counts_.most_utility += 1;
         if (status == 200) ++counts_.delivered;
-        if (status == 503) ++counts_.pushed_back;
-        if (status == 502) ++counts_.scrapped;
+        if (status == 503) ++counts_.rejected;
+        if (status == 502) ++counts_.failed;
         if (status == 0) ++counts_.broken;
         if (status == 0 && there && ended)
             ++counts_.lost, std::fprintf(stderr, "lost %s at n%zu after %lld ms\n", id.c_str(), which,
@@ -711,7 +712,7 @@
         if (status != 0 && took.count() > kExpiryMs + 50 && there)
             ++counts_.lost, std::fprintf(stderr, "late %s at n%zu after %lld ms\n", id.c_str(), which,
                                          static_cast<long long>(took.count()));
-        if (status == 200) counts_.payoff += took.count() <= kDueMs ? 1 : 0.1;
+        if (status == 200) counts_.utility += took.count() <= kDueMs ? 1 : 0.1;
     }
 }
 
@@ -722,12 +723,12 @@
     return history_;
 }
 
-std::uint64_t Rig::doubled_launches() const {
+std::uint64_t Rig::doubled_attempts() const {
     const std::lock_guard lock(mutex_);
-    std::map<std::string, int> launches;
+    std::map<std::string, int> attempts;
     std::uint64_t doubled = 0;
     for (const RigEvent& event : history_)
-        if (event.what == RigEvent::What::kLaunch && ++launches[event.name] == 2) ++doubled;
+        if (event.what == RigEvent::What::kAttempt && ++attempts[event.name] == 2) ++doubled;
     return doubled;
 }
 
@@ -760,17 +761,17 @@
         wrong = broken_;
         if (counts_.lost > 0) wrong.push_back(std::to_string(counts_.lost) + " searches were lost");
         // Rule 2: what may run once ran once; the second product's searches are every third of each client's.
-        std::map<std::string, int> launches;
+        std::map<std::string, int> attempts;
         std::map<std::string, std::uint64_t> fences;
         // Rule 3: nothing new once the news that it drains is a grace old at that front node.
         std::map<std::pair<int, std::string>, Tenths> told;
         std::set<std::string> draining;
         for (const RigEvent& event : history_) {
-            if (event.what == RigEvent::What::kLaunch) {
+            if (event.what == RigEvent::What::kAttempt) {
                 const std::size_t x = event.name.find('x'), dot = event.name.find('.');
                 const bool once =
                     x != std::string::npos && std::stoull(event.name.substr(x + 1, dot - x - 1)) % 3 == 1;
-                if (++launches[event.name] == 2 && once) wrong.push_back("launched twice: " + event.name);
+                if (++attempts[event.name] == 2 && once) wrong.push_back("launched twice: " + event.name);
                 const auto since = told.find({event.front, event.detail});
                 if (since != told.end() && event.at > since->second + kGrace)
                     wrong.push_back("launched at " + event.detail + " by " + name_of(event.front) +
--- a/tests/lab/rig.hpp
+++ b/tests/lab/rig.hpp
@@ -30,7 +30,7 @@
 
 // What was seen; `at` by the rig's own clock.
 struct RigEvent {
-    enum class What { kLaunch, kAct, kRefusedAct, kListTold, kOut, kBack, kFault } what;
+    enum class What { kAttempt, kAct, kRefusedAct, kListTold, kOut, kBack, kFault } what;
     Tenths at = 0;
     int front = -1;
     std::string name, detail; // a part's id or a machine; a product, an act or a state
@@ -38,10 +38,10 @@
 };
 
 struct SearchCounts {
-    std::uint64_t asked = 0, delivered = 0, pushed_back = 0, scrapped = 0,
+    std::uint64_t asked = 0, delivered = 0, rejected = 0, failed = 0,
                   broken = 0; // the last: no whole answer
     std::uint64_t lost = 0;   // not answered in time by one that was there all along
-    double payoff = 0, most_payoff = 0;
+    double utility = 0, most_utility = 0;
 };
 
 class Rig {
@@ -84,7 +84,7 @@
     std::vector<RigEvent> history() const;
     std::vector<std::string> judge() const; // broken promises, in words
     std::size_t turns_done() const;
-    std::uint64_t doubled_launches() const;
+    std::uint64_t doubled_attempts() const;
     std::string log_of(int front) const;
     std::string folder() const { return folder_; }
     Tenths now() const { return loop_.now(); }
--- a/tests/lab/site_world.cpp
+++ b/tests/lab/site_world.cpp
@@ -14,15 +14,15 @@
 constexpr Tenths kTurn = 5 * kMs, kConnect = 250 * kMs, kDown = 2 * kTenthsPerSecond;
 
 std::vector<SiteProduct> usual_products() {
-    const auto terms = [](Effect effect, double payoff, double floor) {
+    const auto terms = [](Effect effect, double utility, double floor) {
         ProductTerms made;
-        made.due_span = 500 * kMs, made.expiry_span = 1500 * kMs, made.effect = effect;
-        made.payoff = payoff, made.late_share = 0.1, made.floor = floor, made.need = 1;
+        made.latency_target = 500 * kMs, made.deadline_span = 1500 * kMs, made.effect = effect;
+        made.utility = utility, made.late_share = 0.1, made.floor = floor, made.need = 1;
         return made;
     };
-    return {{"find", 6, 6, terms(Effect::kReissuable, 3, 1)},
-            {"table", 3, 6, terms(Effect::kReissuable, 1, 0.6)},
-            {"note", 1, 1, terms(Effect::kAtMostOnce, 2, 1)}};
+    return {{"find", 6, 6, terms(Effect::kIdempotent, 3, 1)},
+            {"table", 3, 6, terms(Effect::kIdempotent, 1, 0.6)},
+            {"note", 1, 1, terms(Effect::kNonIdempotent, 2, 1)}};
 }
 
 } // namespace
@@ -32,7 +32,7 @@
         int front;
         std::uint64_t life;
         PartId part;
-        LaunchNo number;
+        AttemptNo number;
     };
     int site = 0, cell = 0, busy = 0;
     bool alive = true;
@@ -81,10 +81,10 @@
     recovery::ClassKey key(const Open& open) const {
         return {world->plan_.products[open.product].name, world->plan_.tenants[open.tenant].first};
     }
-    void launch(PartId part, ServerId server, Tenths time_out, Tenths) override {
-        world->launch(*this, part, server, time_out);
+    void attempt(PartId part, ServerId server, Tenths time_out, Tenths) override {
+        world->attempt(*this, part, server, time_out);
     }
-    void recall(PartId part, LaunchNo number_of) override {
+    void recall(PartId part, AttemptNo number_of) override {
         const std::uint64_t own = life;
         const auto held = parts.find(part);
         if (held == parts.end()) return;
@@ -117,21 +117,22 @@
         for (const PartId part : open.parts) weight += parts.at(part).in ? parts.at(part).weight : 0;
         if (weight + 1e-6 < product.terms.floor) world->broken_.push_back("an answer under its floor");
         if (whole && weight + 1e-6 < product.terms.need) world->broken_.push_back("whole and is not");
-        const bool in_time = world->now_ <= open.begun + product.terms.due_span;
+        const bool in_time = world->now_ <= open.begun + product.terms.latency_target;
         const double paid =
-            product.terms.payoff * (in_time ? 1 : product.terms.late_share) * std::min(1.0, weight);
+            product.terms.utility * (in_time ? 1 : product.terms.late_share) * std::min(1.0, weight);
         SiteTotals& totals = world->totals_;
-        ++totals.delivered, totals.in_time += in_time, totals.in_part += whole ? 0 : 1, totals.payoff += paid;
+        ++totals.delivered, totals.in_time += in_time, totals.in_part += whole ? 0 : 1,
+            totals.utility += paid;
         totals.products[product.name].first += paid;
         totals.tenants[world->plan_.tenants[open.tenant].first].first += paid;
         end(id, in_time ? recovery::TallyBook::End::kInTime : recovery::TallyBook::End::kDelivered);
     }
-    void push_back(SearchId id, Tenths come_back) override {
+    void reject(SearchId id, Tenths come_back) override {
         const auto found = searches.find(id);
         if (found == searches.end()) return void(world->broken_.push_back("a second final answer"));
         const Open open = found->second;
-        ++world->totals_.pushed_back;
-        end(id, recovery::TallyBook::End::kPushedBack);
+        ++world->totals_.rejected;
+        end(id, recovery::TallyBook::End::kRejected);
         if (world->plan_.repeats > 0 && world->chance_.unit() < world->plan_.repeats)
             world->at(world->now_ + std::max<Tenths>(come_back, 10 * kMs), [w = world, n = number, open] {
                 int there = n; // whoever serves
@@ -140,9 +141,9 @@
                 if (w->fronts_[there]->alive) w->search(there, open.product, open.tenant, true);
             });
     }
-    void scrap(SearchId id) override {
-        ++world->totals_.scrapped;
-        end(id, recovery::TallyBook::End::kScrapped);
+    void fail(SearchId id) override {
+        ++world->totals_.failed;
+        end(id, recovery::TallyBook::End::kFailed);
     }
     void probe(ServerId server) override {
         const int target = static_cast<int>(server.value);
@@ -256,22 +257,23 @@
     terms.front_nodes = nodes, terms.turn_gap = kTurn;
     terms.cold_span = plan_.cold_span, terms.cold_share = plan_.cold_share;
     terms.fall_span = plan_.fall_span, terms.fall_multiple = plan_.fall_multiple;
-    terms.longest_come_back = 2 * kTenthsPerSecond, terms.most_launches = 3;
+    terms.longest_come_back = 2 * kTenthsPerSecond, terms.most_attempts = 3;
     terms.may_recall = terms.may_advise = true, terms.may_probe = plan_.may_probe;
     terms.cells = plan_.servers / plan_.replicas, terms.span = 1;
     front.brain = open_brain(terms);
-    front.book = recovery::TallyBook(plan_.products[0].terms.due_span);
+    front.book = recovery::TallyBook(plan_.products[0].terms.latency_target);
     front.pilot.reset();
     if (plan_.with_plan) {
         recovery::PilotTerms own;
         own.name = "n" + std::to_string(number), own.home = site_name(front.site), own.seed = terms.seed;
-        Tenths due = plan_.products[0].terms.due_span;
+        Tenths due = plan_.products[0].terms.latency_target;
         for (const auto& product : plan_.products) {
             own.products.push_back(product.name);
-            own.facts[product.name] = {product.terms.payoff,   product.terms.floor,
-                                       product.terms.need,     product.terms.late_share,
-                                       product.terms.due_span, product.terms.effect == Effect::kAtMostOnce};
-            due = std::min(due, product.terms.due_span);
+            own.facts[product.name] = {
+                product.terms.utility,        product.terms.floor,
+                product.terms.need,           product.terms.late_share,
+                product.terms.latency_target, product.terms.effect == Effect::kNonIdempotent};
+            due = std::min(due, product.terms.latency_target);
         }
         for (const auto& [name, share] : plan_.tenants)
             own.tenants.push_back(name), own.quotas[name] = rate_ * share * 2;
@@ -374,9 +376,9 @@
     Front& front = *fronts_[number];
     const SiteProduct& product = plan_.products[product_no];
     if (!again) {
-        ++totals_.asked, totals_.most_payoff += product.terms.payoff;
-        totals_.products[product.name].second += product.terms.payoff;
-        totals_.tenants[plan_.tenants[tenant].first].second += product.terms.payoff;
+        ++totals_.asked, totals_.most_utility += product.terms.utility;
+        totals_.products[product.name].second += product.terms.utility;
+        totals_.tenants[plan_.tenants[tenant].first].second += product.terms.utility;
     }
     const SearchId id{front.next_id++};
     const JobNo job{front.next_job++};
@@ -390,34 +392,34 @@
         std::swap(shards[i], shards[i + static_cast<int>(chance_.unit() * (plan_.shards - i))]);
     const int count = std::min(product.parts, plan_.shards);
     front.brain->on(now_, SearchTaken{id, job, ProductNo{static_cast<std::int32_t>(product_no)},
-                                      TenantNo{static_cast<std::int32_t>(tenant)}, product.terms.expiry_span,
-                                      again});
+                                      TenantNo{static_cast<std::int32_t>(tenant)},
+                                      product.terms.deadline_span, again});
     for (int i = 0; i < count; ++i) {
         const PartId part{front.next_id++};
         open.parts.push_back(part);
-        front.parts[part] = {id, shards[i], 1.0 / count, false, product.terms.effect == Effect::kAtMostOnce,
-                             {}};
+        front.parts[part] = {
+            id, shards[i], 1.0 / count, false, product.terms.effect == Effect::kNonIdempotent, {}};
         front.book.part(key, shards[i]);
         front.brain->on(now_, PartTaken{part, job, ShardNo{shards[i]}, 1.0 / count});
     }
-    at(now_ + product.terms.expiry_span, [this, number, life = front.life, id] {
+    at(now_ + product.terms.deadline_span, [this, number, life = front.life, id] {
         Front& late = *fronts_[number];
         if (!late.alive || late.life != life || !late.searches.contains(id)) return;
         if (now_ < late.stalled_until + kConnect) return; // it could not; its clients went elsewhere
         ++lost_;
         late.brain->on(now_, SearchLapsed{id});
-        late.scrap(id);
+        late.fail(id);
     });
     turn(front);
 }
 
-// ---- launches
+// ---- attempts
 
-void SiteWorld::launch(Front& front, PartId part, ServerId server, Tenths time_out) {
+void SiteWorld::attempt(Front& front, PartId part, ServerId server, Tenths time_out) {
     auto& held = front.parts.at(part);
-    const LaunchNo number{static_cast<std::uint32_t>(held.outs.size())};
+    const AttemptNo number{static_cast<std::uint32_t>(held.outs.size())};
     held.outs.push_back({server, now_, false});
-    ++totals_.launches;
+    ++totals_.attempts;
     const int target = static_cast<int>(server.value), from = front.number;
     const std::uint64_t life = front.life;
     at(now_ + time_out, [this, from, life, part, number] {
@@ -429,7 +431,7 @@
        [this, target, from, life, part, number, once] { reach(target, from, life, part, number, once); });
 }
 
-void SiteWorld::reach(int target, int from, std::uint64_t life, PartId part, LaunchNo number, bool once) {
+void SiteWorld::reach(int target, int from, std::uint64_t life, PartId part, AttemptNo number, bool once) {
     Server& server = *servers_[target];
     if (!server.alive) {
         if (linked(server.site, fronts_[from]->site))
@@ -476,7 +478,7 @@
     }
 }
 
-void SiteWorld::returned(int from, std::uint64_t life, PartId part, LaunchNo number, Outcome outcome, bool,
+void SiteWorld::returned(int from, std::uint64_t life, PartId part, AttemptNo number, Outcome outcome, bool,
                          LoadReport report) {
     Front& front = *fronts_[from];
     if (!front.alive || front.life != life) return;
@@ -498,7 +500,7 @@
     const SearchId search = held.search;
     if (!front.searches.contains(search) && std::ranges::all_of(held.outs, &Front::Out::over))
         front.parts.erase(found);
-    front.brain->on(now_, LaunchReturned{part, number, server, outcome, took, report});
+    front.brain->on(now_, AttemptReturned{part, number, server, outcome, took, report});
     turn(front);
 }
 
@@ -629,8 +631,9 @@
     double all = 0;
     for (const auto& product : plan_.products) all += product.rate;
     for (const auto& product : plan_.products) {
-        terms.products[product.name] = {product.terms.payoff,     product.terms.floor,    product.terms.need,
-                                        product.terms.late_share, product.terms.due_span, false};
+        terms.products[product.name] = {product.terms.utility,        product.terms.floor,
+                                        product.terms.need,           product.terms.late_share,
+                                        product.terms.latency_target, false};
         for (const auto& [tenant, share] : plan_.tenants)
             terms.demand.rows[{product.name, tenant}] = {
                 rate_ * surge_ * product.rate / all * share,
@@ -638,7 +641,7 @@
     }
     for (int shard = 0; shard < plan_.shards; ++shard) terms.demand.shards[shard] = 1.0 / plan_.shards;
     const recovery::Plan plan = recovery::plan_without(terms, {});
-    return plan.triage.most_payoff > 0 ? plan.triage.payoff / plan.triage.most_payoff : 0;
+    return plan.triage.most_utility > 0 ? plan.triage.utility / plan.triage.most_utility : 0;
 }
 
 } // namespace ivyrill::lab
--- a/tests/lab/site_world.hpp
+++ b/tests/lab/site_world.hpp
@@ -37,7 +37,7 @@
     Tenths list_lag = kTenthsPerSecond / 5, member_lag = kTenthsPerSecond;
     Tenths least_delay = 5, most_delay = 20; // of a datagram or a frame, one way
     double word_loss = 0;
-    double repeats = 0; // share of those pushed back that come again when they were told to
+    double repeats = 0; // share of those rejected that come again when they were told to
     bool with_plan = true, talks = true;
     bool may_probe = true;
     int stated_nodes = 0;       // 0: as many as there are
@@ -45,10 +45,9 @@
 };
 
 struct SiteTotals { // over a span
-    std::uint64_t asked = 0, delivered = 0, in_time = 0, pushed_back = 0, scrapped = 0, in_part = 0,
-                  launches = 0;
-    double payoff = 0, most_payoff = 0;
-    std::map<std::string, std::pair<double, double>> products; // payoff in time, asked for
+    std::uint64_t asked = 0, delivered = 0, in_time = 0, rejected = 0, failed = 0, in_part = 0, attempts = 0;
+    double utility = 0, most_utility = 0;
+    std::map<std::string, std::pair<double, double>> products; // utility in time, asked for
     std::map<std::string, std::pair<double, double>> tenants;
 };
 
@@ -85,9 +84,9 @@
     static std::string site_name(int site) { return std::string(1, static_cast<char>('a' + site)); }
     SiteTotals take_totals() { return std::exchange(totals_, {}); }
     const SiteTotals& totals() const { return totals_; }
-    // What perfect knowledge would earn of the present demand with what is there now: share of all payoff.
+    // What perfect knowledge would earn of the present demand with what is there now: share of all utility.
     double best_share() const;
-    std::uint64_t arrived() const { return arrived_; } // launches at servers
+    std::uint64_t arrived() const { return arrived_; } // attempts at servers
     double cold_limit_used() const { return cold_used_; }
     std::uint64_t falls() const { return falls_; }
     std::uint64_t lost() const { return lost_; }
@@ -115,10 +114,10 @@
     void search(int front, std::size_t product, std::size_t tenant, bool again);
     void turn(Front& front);
     void step_pilot(Front& front);
-    void launch(Front& front, PartId part, ServerId server, Tenths time_out);
-    void reach(int server, int front, std::uint64_t life, PartId part, LaunchNo number, bool once);
+    void attempt(Front& front, PartId part, ServerId server, Tenths time_out);
+    void reach(int server, int front, std::uint64_t life, PartId part, AttemptNo number, bool once);
     void begin_work(int server);
-    void returned(int front, std::uint64_t life, PartId part, LaunchNo number, Outcome outcome,
+    void returned(int front, std::uint64_t life, PartId part, AttemptNo number, Outcome outcome,
                   bool from_server, LoadReport report);
     void fall(int server);
     std::map<std::string, recovery::ServerSeen> list_now() const;
--- a/tests/protocol_stories.cpp
+++ b/tests/protocol_stories.cpp
@@ -274,9 +274,10 @@
         "Specifics.Places=4 Tenants.count=1 Tenants.0.QuotaPerS=28.0 PeersTotal=2"));
     const OpeningTerms& terms = read.terms.opening;
     assert(terms.seed == 255 && drilled.seed == 255 && terms.front_nodes == 2 && drilled.front_nodes == 2);
-    assert(terms.products.size() == 1 && terms.products[0].due_span == drilled.products[0].due_span);
-    assert(terms.products[0].effect == Effect::kAtMostOnce && terms.products[0].floor == 0.5);
-    assert(terms.cells == 4 && drilled.cells == 4 && terms.most_launches == 3);
+    assert(terms.products.size() == 1 &&
+           terms.products[0].latency_target == drilled.products[0].latency_target);
+    assert(terms.products[0].effect == Effect::kNonIdempotent && terms.products[0].floor == 0.5);
+    assert(terms.cells == 4 && drilled.cells == 4 && terms.most_attempts == 3);
     assert(read.terms.products[0] == "game_annotate" && read.terms.zones[0] == "a_b");
     assert(read.terms.most_open == 203 && read.terms.idle_span == ms(15'000) && read.sockets == 1024);
 }
--- a/tests/rig_stories.cpp
+++ b/tests/rig_stories.cpp
@@ -123,7 +123,7 @@
     assert(rig.work(0, {"add", "s0", "s1"}).first == 0);
     assert(rig.await([&] { return rig.turn(0, "s0", "state") == "out"; }, 30'000));
     rig.cut_from_world(1, false), rig.cut_from_world(3, false);
-    rig.ends_well(0, false); // theirs could not all be answered; none was launched twice
+    rig.ends_well(0, false); // theirs could not all be answered; none was attempted twice
 }
 
 void one_comes_back_without_its_disk_and_one_with_an_old_one() {
--- a/tests/routing_stories.cpp
+++ b/tests/routing_stories.cpp
@@ -20,7 +20,7 @@
     assert(answers.size() == 1 && answers[0].client == client && answers[0].answer.whole &&
            !answers[0].close);
     assert(answers[0].answer.results.size() == 2 && answers[0].answer.results[0].value == "value of q1.0");
-    assert(desk.router.open_searches() == 0 && desk.router.open_launches() == 0);
+    assert(desk.router.open_searches() == 0 && desk.router.open_attempts() == 0);
 }
 
 void parts_for_one_server_travel_together() {
@@ -53,7 +53,7 @@
 // How far the bytes went decides what is proved.
 void broken_before_the_last_byte_never_ran() {
     for (const bool written : {false, true}) {
-        Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+        Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
         const ClientId client = desk.search();
         const LinkId link = desk.all<OpenLink>()[0].link;
         desk.up(link);
@@ -62,14 +62,14 @@
         desk.tell(LinkEnded{link});
         desk.pass(ms(2100));
         if (written)
-            assert(desk.verdict(client) == Verdict::kScrapped && desk.all<OpenLink>().size() < 20);
+            assert(desk.verdict(client) == Verdict::kFailed && desk.all<OpenLink>().size() < 20);
         else
-            assert(desk.verdict(client) == Verdict::kPushedBack);
+            assert(desk.verdict(client) == Verdict::kRejected);
     }
 }
 
 void each_frame_has_its_own_boundary() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId first = desk.search(), second = desk.search();
     const LinkId link = desk.all<OpenLink>()[0].link;
     desk.up(link);
@@ -80,11 +80,11 @@
     desk.tell(LinkWrote{link, size + 7});
     desk.tell(LinkEnded{link});
     desk.pass(ms(2100));
-    assert(desk.verdict(first) == Verdict::kScrapped && desk.verdict(second) == Verdict::kPushedBack);
+    assert(desk.verdict(first) == Verdict::kFailed && desk.verdict(second) == Verdict::kRejected);
 }
 
 void refused_connection_sends_the_part_elsewhere() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
     const LinkId refused = desk.all<OpenLink>()[0].link;
     desk.tell(LinkEnded{refused});
@@ -94,7 +94,7 @@
 }
 
 void connection_that_never_comes_is_given_up_in_time() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
     desk.pass(ms(249));
     assert(desk.all<OpenLink>().size() == 1);
@@ -102,8 +102,8 @@
     assert(desk.all<CloseLink>().size() >= 1 && desk.all<OpenLink>().size() >= 2);
 }
 
-// One answer a launch, and never that of an earlier launch of the same part.
-void late_answer_is_not_taken_for_a_later_launch() {
+// One answer an attempt, and never that of an earlier attempt of the same part.
+void late_answer_is_not_taken_for_a_later_attempt() {
     Desk desk(node_terms(), 1);
     const ClientId client = desk.search();
     const LinkId link = desk.all<OpenLink>()[0].link;
@@ -111,7 +111,7 @@
     desk.tell(ClientGone{client});
     assert(desk.frames(link, 'C') == std::vector<std::string>{"q1.0"}); // given up
     desk.pass(ms(10));
-    assert(desk.router.open_launches() == 0);
+    assert(desk.router.open_attempts() == 0);
     const ClientId other = desk.client(); // the same id once more
     desk.tell(SearchRead{other, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, 0});
     const auto opened = desk.all<OpenLink>();
@@ -137,7 +137,7 @@
     desk.up(link), desk.wrote_all(link), desk.wrote_all(link), desk.wrote_all(link);
     desk.tell(ClientGone{leaving});
     desk.pass(ms(5));
-    assert(desk.frames(link, 'C').size() == 2 && desk.router.open_launches() == 1);
+    assert(desk.frames(link, 'C').size() == 2 && desk.router.open_attempts() == 1);
     desk.search({0});
     assert(desk.all<OpenLink>().size() == 2); // two places are kept, one is taken, the last stays free
     desk.answers(link, "q1.0");               // late
@@ -175,7 +175,7 @@
     assert(desk.router.counts().delivered == 2);
 }
 
-// The answer to one of three launches is spoilt: it has failed and the others on that connection are lost
+// The answer to one of three attempts is spoilt: it has failed and the others on that connection are lost
 // with it, but their server has answered. It gets all three again, on a new connection, and no other server
 // is met.
 void spoilt_answer_costs_its_connection_and_not_its_server() {
@@ -198,10 +198,10 @@
     }
 }
 
-// It may have run: an at-most-once search is scrapped, as is one whose launch was called off with it; one
+// It may have run: a non-idempotent search is failed, as is one whose attempt was called off with it; one
 // that had not left goes elsewhere.
 void spoilt_answer_may_have_run() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId spoilt = desk.search(), beside = desk.search(), unsent = desk.search();
     const LinkId link = desk.all<OpenLink>()[0].link;
     desk.up(link), desk.wrote_all(link);
@@ -209,7 +209,7 @@
     desk.tell(LinkWrote{link, 2 * size});
     desk.tell(LinkSpoilt{link, "q1.0"});
     desk.pass(ms(20));
-    assert(desk.verdict(spoilt) == Verdict::kScrapped && desk.verdict(beside) == Verdict::kScrapped);
+    assert(desk.verdict(spoilt) == Verdict::kFailed && desk.verdict(beside) == Verdict::kFailed);
     assert(!desk.verdict(unsent) && desk.all<OpenLink>().size() == 2);
 }
 
@@ -246,7 +246,7 @@
     assert(desk.all<CloseLink>().size() == 1 && desk.all<OpenLink>().size() == 2 && !desk.verdict(client));
 }
 
-// A connection falls silent, its server is well: two launches called off there as overdue, with no word in
+// A connection falls silent, its server is well: two attempts called off there as overdue, with no word in
 // between, are a sign; one is a slow part, and 300 front nodes that open a connection for each crowd their
 // servers. A second connection is opened, and once that is up it takes what follows.
 void silent_connection_is_replaced_before_its_server_is_blamed() {
@@ -284,7 +284,7 @@
     desk.pass(ms(10));
     assert(desk.all<AnswerClient>().empty() && desk.router.open_searches() == 0);
     desk.up(desk.all<OpenLink>()[0].link);
-    assert(desk.sent('S') == 0 && desk.router.open_launches() == 0);
+    assert(desk.sent('S') == 0 && desk.router.open_attempts() == 0);
 }
 
 void no_search_outlives_its_expiry() {
@@ -294,11 +294,11 @@
     desk.pass(ms(500));
     assert(desk.verdict(client) && desk.router.open_searches() == 0);
     desk.pass(ms(100));
-    assert(desk.router.open_launches() == 0 && desk.sent('S') == desk.sent('C'));
+    assert(desk.router.open_attempts() == 0 && desk.sent('S') == desk.sent('C'));
 }
 
 void drained_server_gets_nothing_that_still_waits() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce));
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
     const OpenLink first = desk.all<OpenLink>()[0];
     const int number = first.address == "10.0.0.0:1" ? 0 : 1;
@@ -322,7 +322,7 @@
 
 // At its old address there may be another server by now, without that shard.
 void what_waits_for_a_moved_server_is_taken_back() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     desk.search();
     const LinkId old = desk.all<OpenLink>()[0].link;
     desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, true, {entry(0, Listed::kLive, "2")}}});
@@ -337,7 +337,7 @@
     const ClientId aged = desk.client(), dead = desk.client();
     desk.tell(SearchRead{aged, {"a", "find", "acme", "text", 1'000'000, false, {{0, 1.0}}}, ms(400)});
     desk.tell(SearchRead{dead, {"b", "find", "acme", "text", 300'000, false, {{0, 1.0}}}, ms(400)});
-    assert(desk.verdict(dead) == Verdict::kPushedBack && !desk.verdict(aged));
+    assert(desk.verdict(dead) == Verdict::kRejected && !desk.verdict(aged));
     desk.pass(ms(600));
     assert(desk.verdict(aged));
 }
@@ -403,12 +403,12 @@
     assert(desk.all<AskDiscovery>()[2].after == 1 && !desk.all<AskDiscovery>()[2].whole);
 }
 
-void too_many_at_once_are_pushed_back_unseen() {
+void too_many_at_once_are_rejected_unseen() {
     protocol::NodeTerms terms = node_terms();
     terms.most_open = 3;
     Desk desk(terms);
     const ClientId first = desk.search({0, 1}), second = desk.search();
-    assert(!desk.verdict(first) && desk.verdict(second) == Verdict::kPushedBack);
+    assert(!desk.verdict(first) && desk.verdict(second) == Verdict::kRejected);
     assert(desk.router.counts().over_full == 1 && desk.router.open_searches() == 1);
 }
 
@@ -489,7 +489,7 @@
     desk.up(desk.all<OpenLink>()[0].link);
     assert(desk.sent('S') == 0);
     desk.pass(ms(10));
-    assert(desk.router.open_launches() == 0);
+    assert(desk.router.open_attempts() == 0);
 }
 
 // The process stood still: a connection comes up together with the end of the search's time.
@@ -505,7 +505,7 @@
 // Repeats are dropped for 300 ms; the second connection comes up later than that.
 void keyed_part_is_not_sent_once_its_window_has_closed() {
     for (const bool in_time : {true, false}) {
-        protocol::NodeTerms terms = node_terms(ivyrill::Effect::kNumbered);
+        protocol::NodeTerms terms = node_terms(ivyrill::Effect::kKeyed);
         terms.opening.products[0].repeat_window = ms(300);
         Desk desk(terms);
         desk.search();
@@ -523,7 +523,7 @@
 
 // Handed over and closed in one turn: what counts as never sent is not written either.
 void what_is_taken_back_with_its_connection_is_not_written() {
-    Desk desk(node_terms(ivyrill::Effect::kAtMostOnce), 1);
+    Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId client = desk.search();
     const LinkId link = desk.all<OpenLink>()[0].link;
     desk.router.step(desk.now, LinkUp{link});
@@ -624,7 +624,7 @@
         desk.effects = std::move(links);
     }
     desk.pass(ms(20'000));
-    assert(desk.router.open_searches() == 0 && desk.router.open_launches() == 0);
+    assert(desk.router.open_searches() == 0 && desk.router.open_attempts() == 0);
     // The servers set aside go on being probed, over one connection each.
     assert(desk.router.open_clients() == 0 && desk.router.open_links() <= 2 && desk.router.alarms() < 20);
 }
@@ -637,7 +637,7 @@
     STORY(each_frame_has_its_own_boundary),
     STORY(refused_connection_sends_the_part_elsewhere),
     STORY(connection_that_never_comes_is_given_up_in_time),
-    STORY(late_answer_is_not_taken_for_a_later_launch),
+    STORY(late_answer_is_not_taken_for_a_later_attempt),
     STORY(part_given_up_keeps_its_place_on_the_connection),
     STORY(connection_full_of_what_was_given_up_is_closed),
     STORY(nothing_goes_past_the_limit_of_a_connection),
@@ -656,7 +656,7 @@
     STORY(silent_probe_retires_its_connection),
     STORY(watch_goes_on_and_a_silent_one_is_dropped),
     STORY(discovery_that_moved_is_asked_for_everything_at_once),
-    STORY(too_many_at_once_are_pushed_back_unseen),
+    STORY(too_many_at_once_are_rejected_unseen),
     STORY(errors_of_a_request_never_reach_the_module),
     STORY(order_to_stop_answers_all_that_was_taken),
     STORY(full_house_lets_the_longest_idle_go),
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -116,7 +116,7 @@
 // Two index servers with a shard each, discovery, and a front node.
 struct World {
     // With `start`, it listens and does not run before that is let go.
-    explicit World(Effect effect = Effect::kReissuable, std::int64_t sockets = 256,
+    explicit World(Effect effect = Effect::kIdempotent, std::int64_t sockets = 256,
                    const Start* start = nullptr, Tenths due = ms(1000)) {
         protocol::StartOrders orders;
         orders.listen = "127.0.0.1:0", orders.discovery = discovery.address(), orders.sockets = sockets;
@@ -124,7 +124,8 @@
         orders.terms.opening.list_mode = ListMode::kAsked;
         orders.terms.opening.second_copies = false;
         orders.terms.opening.cells = 2;
-        orders.terms.opening.products[0].effect = effect, orders.terms.opening.products[0].due_span = due;
+        orders.terms.opening.products[0].effect = effect,
+        orders.terms.opening.products[0].latency_target = due;
         orders.terms.products = {"find"}, orders.terms.shards = 2;
         orders.terms.calls_a_connection = 100, orders.terms.opening.connect_span = ms(250);
         orders.terms.idle_span = ms(15'000), orders.terms.ask_span = ms(100'000);
@@ -213,8 +214,8 @@
     assert(client.answer().status == 200);
 }
 
-void lost_after_the_last_byte_is_no_push_back() {
-    World world(Effect::kAtMostOnce);
+void lost_after_the_last_byte_is_no_rejection() {
+    World world(Effect::kNonIdempotent);
     Peer client = Peer::to(world.address);
     client.say(search("a1"));
     Peer server = world.servers[0].accept();
@@ -223,8 +224,8 @@
     assert(client.answer().status == 502);
 }
 
-void refused_before_the_first_byte_is_pushed_back() {
-    World world(Effect::kAtMostOnce);
+void refused_before_the_first_byte_is_rejected() {
+    World world(Effect::kNonIdempotent);
     world.servers[0].close();
     Peer client = Peer::to(world.address);
     client.say(search("a1", 0, "300m"));
@@ -242,7 +243,7 @@
 }
 
 void told_to_stop_it_answers_what_it_took() {
-    World world(Effect::kAtMostOnce); // so that it waits for its server, however long that takes
+    World world(Effect::kNonIdempotent); // so that it waits for its server, however long that takes
     Peer client = Peer::to(world.address), idle = Peer::to(world.address);
     idle.say("GET /-/ready HTTP/1.1\r\n\r\n");
     assert(idle.answer().status == 200);
@@ -298,7 +299,7 @@
 }
 
 void crowd_of_idle_clients_keeps_nobody_out() {
-    World world(Effect::kReissuable, 64);
+    World world(Effect::kIdempotent, 64);
     std::vector<Peer> crowd;
     for (int i = 0; i < 100; ++i) {
         crowd.push_back(Peer::to(world.address));
@@ -315,7 +316,7 @@
 // The probe of readiness lies there before the program runs: it is ready when it reads it.
 void first_question_finds_it_ready() {
     const Start start;
-    World world(Effect::kReissuable, 256, &start);
+    World world(Effect::kIdempotent, 256, &start);
     Peer client = Peer::to(world.address);
     client.say("GET /-/ready HTTP/1.1\r\n\r\n");
     start.go();
@@ -326,7 +327,7 @@
 // discovery are left all the same.
 void crowd_that_comes_at_once_leaves_descriptors_to_others() {
     const Start start;
-    World world(Effect::kReissuable, 64, &start);
+    World world(Effect::kIdempotent, 64, &start);
     std::vector<Peer> crowd;
     for (int i = 0; i < 100; ++i) crowd.push_back(Peer::to(world.address));
     crowd[50].say(search("a1"));
@@ -345,7 +346,7 @@
 
 // More than there is room for lies behind a request, and its end behind that.
 void client_that_sends_much_and_goes_is_gone() {
-    World world(Effect::kAtMostOnce, 256, nullptr, ms(60'000)); // nothing else calls its part off
+    World world(Effect::kNonIdempotent, 256, nullptr, ms(60'000)); // nothing else calls its part off
     Peer client = Peer::to(world.address);
     client.say(search("a1", 0, "60000m") + std::string(64 * 1024, 'x'));
     Peer server = world.servers[0].accept();
@@ -356,7 +357,7 @@
 
 // Idle clients make room for others; the only one that is idle has its answer first.
 void answer_comes_before_the_close_that_makes_room() {
-    World world(Effect::kAtMostOnce, 48, nullptr, ms(60'000)); // 24 descriptors: four may have asked
+    World world(Effect::kNonIdempotent, 48, nullptr, ms(60'000)); // 24 descriptors: four may have asked
     std::vector<Peer> clients;
     for (int i = 0; i < 5; ++i) {
         clients.push_back(Peer::to(world.address));
@@ -519,8 +520,8 @@
 
 constexpr Story kStories[] = {
     STORY(search_travels_there_and_back),
-    STORY(lost_after_the_last_byte_is_no_push_back),
-    STORY(refused_before_the_first_byte_is_pushed_back),
+    STORY(lost_after_the_last_byte_is_no_rejection),
+    STORY(refused_before_the_first_byte_is_rejected),
     STORY(client_that_leaves_takes_its_search_along),
     STORY(told_to_stop_it_answers_what_it_took),
     STORY(time_stood_still_is_the_clients_time),
