--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -117,7 +117,7 @@
 struct World {
     // With `start`, it listens and does not run before that is let go.
     explicit World(Effect effect = Effect::kIdempotent, std::int64_t sockets = 256,
-                   const Start* start = nullptr, Tenths due = ms(1000)) {
+                   const Start* start = nullptr, Tenths due = ms(1000), int calls_a_connection = 100) {
         protocol::StartOrders orders;
         orders.listen = "127.0.0.1:0", orders.discovery = discovery.address(), orders.sockets = sockets;
         orders.terms.opening = plain_terms();
@@ -127,7 +127,8 @@
         orders.terms.opening.products[0].effect = effect,
         orders.terms.opening.products[0].latency_target = due;
         orders.terms.products = {"find"}, orders.terms.shards = 2;
-        orders.terms.calls_a_connection = 100, orders.terms.opening.connect_span = ms(250);
+        orders.terms.calls_a_connection = calls_a_connection;
+        orders.terms.opening.connect_span = ms(250);
         orders.terms.idle_span = ms(15'000), orders.terms.ask_span = ms(100'000);
         orders.known.version = 1;
         for (int i = 0; i < 2; ++i)
@@ -451,6 +452,76 @@
     assert(world.exit_status() == 0);
 }
 
+// What was taken is answered, and discovery is where the new configuration says.
+void hangup_in_a_drain_ends_nothing() {
+    World world(Effect::kNonIdempotent);
+    Peer client = Peer::to(world.address), idle = Peer::to(world.address);
+    client.say(search("a1"));
+    Peer server = world.servers[0].accept();
+    server.frame();
+    kill(world.node, SIGTERM);
+    for (int status = 200; status == 200;) { // until the order has arrived
+        idle.say("GET /-/ready HTTP/1.1\r\n\r\n");
+        status = idle.answer().status;
+    }
+    do kill(world.node, SIGHUP);
+    while (!world.moved.called(20));
+    server.say(part_answer("a1.0"));
+    const protocol::HttpMessage answer = client.answer();
+    assert(answer.status == 200 && answer.close);
+    client.close(), idle.close();
+    assert(world.exit_status() == 0);
+}
+
+// An answer without a length that is reset on its way is no list; one that ends is.
+void list_that_a_reset_cuts_short_is_none() {
+    World world;
+    const std::string list = R"({"version":7,"full":true,"servers":[{"id":"s1","addr":")" +
+                             world.servers[1].address() + R"(","cell":1,"state":"SERVING"}]})";
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const auto asked = [](const Peer& discovery) {
+        return discovery.message(protocol::HttpParser::Side::kRequests).target;
+    };
+    Peer first = world.discovery.accept();
+    asked(first);
+    first.say(head + list.substr(0, list.size() / 2));
+    first.reset();
+    Peer second = world.discovery.accept();
+    assert(asked(second).find("after=1") != std::string::npos); // nothing was learnt
+    second.say(head + list);
+    second.close();
+    Peer third = world.discovery.accept();
+    assert(asked(third).find("after=7") != std::string::npos);
+}
+
+// A server reads nothing past the limit of a connection, our word to give up neither: one place stays free for
+// it, and what was given up keeps its own until the server has answered it.
+void what_was_given_up_keeps_its_place_at_its_server() {
+    World world(Effect::kNonIdempotent, 256, nullptr, ms(60'000), 3);
+    std::vector<Peer> clients;
+    const auto ask = [&](const std::string& id) {
+        clients.push_back(Peer::to(world.address));
+        clients.back().say(search(id, 0, "60000m"));
+    };
+    ask("a1");
+    Peer first = world.servers[0].accept();
+    assert(first.frame().starts_with("Sa1.0"));
+    ask("a2");
+    assert(first.frame().starts_with("Sa2.0"));
+    ask("a3");
+    Peer second = world.servers[0].accept();
+    assert(second.frame().starts_with("Sa3.0"));
+    clients[0].close();
+    assert(first.frame() == "Ca1.0");
+    ask("a4");
+    assert(second.frame().starts_with("Sa4.0"));
+    first.say(part_answer("a1.0"));              // it worked on
+    first.say(part_answer("a2.0"));              // heard in their order
+    assert(clients[1].answer().status == 200);
+    ask("a5");
+    assert(first.frame().starts_with("Sa5.0"));
+}
+
 void taken_address_is_one_clear_error() {
     Listener taken;
     protocol::StartOrders orders;
@@ -530,6 +601,9 @@
     STORY(half_a_request_does_not_stay_for_ever),
     STORY(list_is_watched_and_obeyed),
     STORY(new_configuration_moves_discovery_and_nothing_else),
+    STORY(hangup_in_a_drain_ends_nothing),
+    STORY(list_that_a_reset_cuts_short_is_none),
+    STORY(what_was_given_up_keeps_its_place_at_its_server),
     STORY(taken_address_is_one_clear_error),
     STORY(partial_writes_lose_nothing),
     STORY(phases_follow_their_table),
