--- a/bench/access.cpp
+++ b/bench/access.cpp
@@ -1,5 +1,5 @@
 // `make measure NAME=access`: keys, our certificates and revocation lists change again and again while
-// clients search with good and bad credentials over plain and sealed doors; what should have happened to each
+// clients search with good and bad credentials over plain and sealed listeners; what should have happened to each
 // search is known beforehand and counted against what did. The last line is one JSON object; the exit status
 // is 1 where a promise broke.
 #include "access/gate.hpp"
@@ -95,9 +95,9 @@
                 if (kind == 4) ask.token = hall.token(member, key, -60 * s);
                 if (kind == 5) ask.token = good.substr(0, good.size() / 2);
                 if (kind == 6) ask.tenant = "conca";
-                if (kind == 7) ask.product = "annotate", ask.key = "g2";
+                if (kind == 7) ask.request_class = "annotate", ask.key = "g2";
                 if (kind == 8)
-                    ask.product = "annotate", ask.key = "g1",
+                    ask.request_class = "annotate", ask.key = "g1",
                     ask.token = hall.token(member, key, 60 * s, {"g1"}, false);
                 if (kind == 9) ask.token = hall.token("taken-back", key);
                 if (kind == 10) ask.token = hall.token(member, gone);
@@ -108,7 +108,7 @@
                     ask.token = bare_token({{"alg", "HS256"}, {"kid", key.name}, {"typ", "ivyrill+jwt"}},
                                            good, std::string(32, 'x'));
             } else if (chance() % 4 == 0) {
-                ask.product = "annotate", ask.key = "g1";
+                ask.request_class = "annotate", ask.key = "g1";
             }
             int status = 0;
             try {
@@ -159,7 +159,7 @@
     access::AccessTerms terms;
     terms.issuer = "trinacria", terms.audience = "archive", terms.most_token = 4096, terms.cached = 8192;
     terms.skew = kTenthsPerSecond, terms.clubs = {{"circolo-etna", "etna"}},
-    terms.products = {{"find", access::Right::kRead}};
+    terms.request_classes = {{"find", access::Right::kRead}};
     access::AccessFiles files;
     std::vector<access::Key> keys;
     for (const auto& [name, algorithm] :
--- a/bench/h2.cpp
+++ b/bench/h2.cpp
@@ -238,7 +238,7 @@
         std::vector<std::int32_t> streams;
         for (int i = 0; i < kDrainStreams; ++i) {
             Ask ask = ask_for("d" + std::to_string(i));
-            ask.product = "annotate";
+            ask.request_class = "annotate";
             streams.push_back(client.ask(search_fields(ask), search_body(ask)));
         }
         if (!hall.fleet.await_attempt("d0.0")) ++drain_lost; // others wait for an attempt of theirs
--- a/fuzz/h2.cpp
+++ b/fuzz/h2.cpp
@@ -1,6 +1,6 @@
-// Any bytes at the HTTP/2 door, in any split, with answers in between: memory stays bounded, each search has
-// one answer at most, and nothing is written after the end.
-#include "doors/http2/door.hpp"
+// Any bytes at the HTTP/2 session, in any split, with answers in between: memory stays bounded, each search
+// has one answer at most, and nothing is written after the end.
+#include "sessions/http2/session.hpp"
 
 #include <cstdint>
 #include <cstdlib>
@@ -8,12 +8,12 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     using namespace ivyrill;
-    using namespace ivyrill::doors;
+    using namespace ivyrill::sessions;
     if (size < 2) return 0;
     limits::ConnectionTerms terms;
     terms.most_streams = 8, terms.most_held = 64 * 1024, terms.most_body = 4096;
     Around around{true, 0};
-    Http2Door door(around, terms);
+    Http2Session session(around, terms);
     const std::size_t split = 1 + data[0] % 64;
     const bool preface = (data[1] & 1U) != 0;
     std::string bytes = preface ? "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" : "";
@@ -22,10 +22,10 @@
     bool ended = false;
     for (std::size_t at = 0; at < bytes.size();) {
         const std::string_view piece = std::string_view(bytes).substr(at, split);
-        const std::size_t taken = door.feed(piece);
+        const std::size_t taken = session.feed(piece);
         if (taken == 0 || taken > piece.size()) std::abort();
         at += taken, ++around.now;
-        for (const News& news : door.news()) {
+        for (const News& news : session.news()) {
             if (const auto* came = std::get_if<SearchCame>(&news)) {
                 if (!open.insert(came->stream).second || done.contains(came->stream)) std::abort();
             } else if (const auto* left = std::get_if<SearchLeft>(&news)) {
@@ -35,14 +35,14 @@
         }
         if (at % 3 == 0 && !open.empty()) { // twice: the second finds nothing
             const StreamNo stream = *open.begin();
-            door.answer(stream, {protocol::Verdict::kRejected, false, {}, 0}, at % 5 == 0);
-            door.answer(stream, {protocol::Verdict::kFailed, false, {}, 0}, false);
+            session.answer(stream, {protocol::Verdict::kRejected, false, {}, 0}, at % 5 == 0);
+            session.answer(stream, {protocol::Verdict::kFailed, false, {}, 0}, false);
             open.erase(stream), done.insert(stream);
         }
-        const std::string out = door.take_out(at % 7 == 0 ? 10 : 100'000);
+        const std::string out = session.take_out(at % 7 == 0 ? 10 : 100'000);
         if (ended && !out.empty()) std::abort();
-        ended = door.over();
-        if (door.open_streams() > terms.most_streams || door.owes() > terms.most_held + 8 * 1024)
+        ended = session.over();
+        if (session.open_streams() > terms.most_streams || session.owes() > terms.most_held + 8 * 1024)
             std::abort();
     }
     return 0;
--- a/fuzz/token.cpp
+++ b/fuzz/token.cpp
@@ -18,7 +18,7 @@
     std::shared_ptr<const Policy> policy() const {
         AccessTerms terms;
         terms.issuer = "i", terms.audience = "a", terms.most_token = 4096, terms.cached = 8;
-        terms.clubs = {{"c", "t"}}, terms.products = {{"find", Right::kRead}};
+        terms.clubs = {{"c", "t"}}, terms.request_classes = {{"find", Right::kRead}};
         AccessFiles files;
         files.keys = {{"k.jwk", write_key(key, false)}};
         return read_policy(terms, files, nullptr, kNow);
--- a/src/access/gate.cpp
+++ b/src/access/gate.cpp
@@ -129,9 +129,10 @@
     const auto club = terms.clubs.find(caller.club);
     if (club == terms.clubs.end()) return Reason::kWrongClub;
     if (!asked.tenant.empty() && asked.tenant != club->second) return Reason::kWrongClub;
-    const auto product = terms.products.find(asked.product);
-    const std::optional<Right> right =
-        product != terms.products.end() ? std::optional(product->second) : terms.other_products;
+    const auto request_class = terms.request_classes.find(asked.request_class);
+    const std::optional<Right> right = request_class != terms.request_classes.end()
+                                           ? std::optional(request_class->second)
+                                           : terms.other_request_classes;
     if (!right || !caller.rights.has(*right)) return Reason::kNoRight;
     if (*right == Right::kWriteOwn && !owns(caller, asked.key)) return Reason::kNotOwner;
     return Reason::kAdmitted;
--- a/src/access/gate.hpp
+++ b/src/access/gate.hpp
@@ -27,10 +27,10 @@
     Tenths longest_life = kEver; // from a token's `iat` to its `exp`: bounds how long revocations are kept
     std::size_t most_token = 0;  // bytes
     std::size_t cached = 0;      // tokens whose signature is remembered
-    std::map<std::string, std::string, std::less<>> clubs; // to the tenant that bears its share
-    std::map<std::string, Right, std::less<>> products;    // the right that each asks for
-    std::optional<Right> other_products;                   // ... of the others; nothing: nobody may
-    std::vector<NameRule> names;                           // of client certificates
+    std::map<std::string, std::string, std::less<>> clubs;     // to the tenant that bears its share
+    std::map<std::string, Right, std::less<>> request_classes; // the right that each asks for
+    std::optional<Right> other_request_classes;                // ... of the others; nothing: nobody may
+    std::vector<NameRule> names;                               // of client certificates
 };
 
 struct AccessFiles { // as they were read; what is empty was not there
@@ -57,7 +57,7 @@
 };
 
 struct Asked { // what a search is about
-    std::string product, tenant, key;
+    std::string request_class, tenant, key;
     friend bool operator==(const Asked&, const Asked&) = default;
 };
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,7 +29,8 @@
 constexpr double kGamma = kCut * kStartLimit / (kSaddle * kSaddle * kSaddle);
 constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
 
-// Ours. Shares of a due span, unless said otherwise; of the shortest one where no product is in question.
+// Ours. Shares of a due span, unless said otherwise; of the shortest one where no request class is in
+// question.
 constexpr double kFresh = 0.3, kFreshReport = 0.6; // weight in a mean: of an answer, of a report
 constexpr double kDeviations = 4; // an attempt is overdue past the mean and so many mean deviations
 constexpr double kLeastPatience = 0.3, kMostPatience = 0.5; // ... but not before the one or after the other
@@ -61,9 +62,9 @@
 class ReplicaSelector : public Brain {
   public:
     explicit ReplicaSelector(OpeningTerms terms) : terms_(std::move(terms)), chance_(terms_.seed) {
-        for (const ProductTerms& product : terms_.products) {
-            products_.push_back({product, 0, 0, false, 1, 0, 0});
-            pace_ = std::min(pace_, static_cast<double>(product.latency_target));
+        for (const RequestClassTerms& request_class : terms_.request_classes) {
+            request_classes_.push_back({request_class, 0, 0, false, 1, 0, 0});
+            pace_ = std::min(pace_, static_cast<double>(request_class.latency_target));
         }
         tenants_.resize(terms_.tenants.size());
         ask_wanted_ = terms_.list_mode == ListMode::kAsked;
@@ -95,25 +96,25 @@
 
   private:
     void hear(const SearchTaken& event) {
-        auto& product = products_.at(event.product.value);
+        auto& request_class = request_classes_.at(event.request_class.value);
         Search& search = searches_[event.job];
-        search.id = event.id, search.product = event.product, search.tenant = event.tenant;
-        search.spared = !relief_.admits(event.product, event.tenant, chance_);
-        search.utility = product.terms.utility;
+        search.id = event.id, search.request_class = event.request_class, search.tenant = event.tenant;
+        search.spared = !relief_.admits(event.request_class, event.tenant, chance_);
+        search.utility = request_class.terms.utility;
         // The due time counts from the first try, a repeat is given what is left of the expiry span. Where
         // repeats are not marked, their time left differs from most searches'.
-        const Tenths off = std::abs(event.left - product.usual_left);
-        const bool alike = off < kAlike * product.usual_left;
-        const bool repeat = terms_.repeats_marked ? event.repeat : !alike && product.votes > 0;
-        product.votes += alike ? 1 : -1; // a majority vote
-        if (product.votes < 0) product.usual_left = event.left, product.votes = 1;
+        const Tenths off = std::abs(event.left - request_class.usual_left);
+        const bool alike = off < kAlike * request_class.usual_left;
+        const bool repeat = terms_.repeats_marked ? event.repeat : !alike && request_class.votes > 0;
+        request_class.votes += alike ? 1 : -1; // a majority vote
+        if (request_class.votes < 0) request_class.usual_left = event.left, request_class.votes = 1;
         // Much less time than even a due span is a client in haste, not one that has waited for long.
-        const bool hasty = !terms_.repeats_marked && event.left < kHasty * product.terms.latency_target;
+        const bool hasty = !terms_.repeats_marked && event.left < kHasty * request_class.terms.latency_target;
         const Tenths spent =
-            repeat && !hasty ? std::max<Tenths>(0, product.terms.deadline_span - event.left) : 0;
-        search.due = now_ + product.terms.latency_target - spent;
+            repeat && !hasty ? std::max<Tenths>(0, request_class.terms.deadline_span - event.left) : 0;
+        search.due = now_ + request_class.terms.latency_target - spent;
         search.expiry = now_ + event.left;
-        if (search.due <= now_) search.utility *= product.terms.late_share;
+        if (search.due <= now_) search.utility *= request_class.terms.late_share;
         if (!within_share(event.tenant)) search.utility *= terms_.over_share_utility;
         jobs_[event.id] = event.job;
         taken_.push_back(now_);
@@ -196,7 +197,8 @@
                                event.outcome != Outcome::kNeverSent;
         if (event.outcome == Outcome::kAnswered) {
             part.in = true;
-            search.quick = search.quick || event.took <= patience(products_[search.product.value]);
+            search.quick =
+                search.quick || event.took <= patience(request_classes_[search.request_class.value]);
         }
         // Turned away by one replica it goes to another at once, but attempts are not spent on a full set.
         if (!attempt.may_have_run) part.not_before = now_ + shares(kProbeGap * event.attempt.value);
@@ -209,7 +211,7 @@
                 weigh_rest(sending->second, lost, refused);
             at->second.sent_at.erase(sending);
             at->second.used = now_;
-            learn(at->second, products_[search.product.value], event);
+            learn(at->second, request_classes_[search.request_class.value], event);
         }
         if (search.fate == Fate::kEnded) forget(found->second.first);
     }
@@ -218,8 +220,8 @@
         return outcome == Outcome::kNoConnection || outcome == Outcome::kRefused;
     }
 
-    void learn(IndexServer& server, ProductView& product, const AttemptReturned& event) {
-        const double due = product.terms.latency_target;
+    void learn(IndexServer& server, RequestClassView& request_class, const AttemptReturned& event) {
+        const double due = request_class.terms.latency_target;
         const bool good = event.outcome == Outcome::kAnswered;
         if (event.outcome == Outcome::kNeverSent) return;
         // A connection that breaks takes all its attempts along: one failure, and no word of its server.
@@ -239,12 +241,14 @@
             roll_window(server);
             ++server.answers;
             adapt(server);
-            if (!product.heard) product.response = took;
-            const double odd = product.response + 2 * kDeviations * std::max(product.deviation, due * 0.02);
-            took = std::min(took, product.heard ? odd : took);
-            if (product.heard) mix(product.deviation, std::abs(took - product.response), kFresh);
-            mix(product.response, took, kFresh);
-            product.heard = true;
+            if (!request_class.heard) request_class.response = took;
+            const double odd =
+                request_class.response + 2 * kDeviations * std::max(request_class.deviation, due * 0.02);
+            took = std::min(took, request_class.heard ? odd : took);
+            if (request_class.heard)
+                mix(request_class.deviation, std::abs(took - request_class.response), kFresh);
+            mix(request_class.response, took, kFresh);
+            request_class.heard = true;
         }
         const double queue = event.report.queued.value_or(event.report.in_flight.value_or(0));
         const double service = took / (1 + queue);
@@ -508,12 +512,12 @@
     }
 
     // The lowest score among the replicas in good standing and under their limit, else the least bad.
-    IndexServer* choose(Part& part, const ProductView& product, bool sound_only) {
+    IndexServer* choose(Part& part, const RequestClassView& request_class, bool sound_only) {
         IndexServer* best = nullptr;
         double best_rank = 0;
         int ties = 0;
         bool limited = false;
-        const bool once = product.terms.effect == Effect::kNonIdempotent;
+        const bool once = request_class.terms.effect == Effect::kNonIdempotent;
         for (IndexServer* server : replicas(part.shard)) {
             const bool open = is_open(*server), bad = in_trouble(*server);
             const auto used =
@@ -556,15 +560,16 @@
 
     Tenths margin() const { return 4 * terms_.turn_gap; }
 
-    Tenths patience(const ProductView& product) const {
-        const double due = static_cast<double>(product.terms.latency_target);
-        const double usual = product.heard ? product.response + kDeviations * product.deviation : due;
+    Tenths patience(const RequestClassView& request_class) const {
+        const double due = static_cast<double>(request_class.terms.latency_target);
+        const double usual =
+            request_class.heard ? request_class.response + kDeviations * request_class.deviation : due;
         return static_cast<Tenths>(std::clamp(usual, due * kLeastPatience, due * kMostPatience));
     }
 
     // Ends what is complete, out of time, or beyond hope; the final answer then goes out at once.
     void settle(Search& search) {
-        const ProductView& product = products_[search.product.value];
+        const RequestClassView& request_class = request_classes_[search.request_class.value];
         double in = 0, may_be = 0; // weight
         bool all = search.parts.size() > search.step_begin;
         bool hopeless = false, out = false, lacks = false, waits = false;
@@ -572,34 +577,34 @@
             Part& part = search.parts[i];
             if (part.in) in += part.weight;
             all = all && part.in;
-            part.slow = part.slow || (!part.in && dawdles(part, product));
+            part.slow = part.slow || (!part.in && dawdles(part, request_class));
             out = out || (!part.in && part.out());
-            const bool done = search.barred || !may_go_again(part, product);
+            const bool done = search.barred || !may_go_again(part, request_class);
             const bool missing = !part.in && !part.out(), without = missing && does_without(part);
             hopeless = hopeless || (missing && done && !without);
             lacks = lacks || without, waits = waits || (missing && !done && !without);
             if (!without) may_be += part.weight;
         }
-        const double need = search.step == 1 ? product.terms.need : 1;
+        const double need = search.step == 1 ? request_class.terms.need : 1;
         if (all || (need < 1 && in + kWeightSlack >= need))
             return void(search.fate = search.whole ? Fate::kWhole : Fate::kPartial);
-        const bool partial = product.terms.floor < product.terms.need;
-        if (lacks && may_be + kWeightSlack < product.terms.floor) return give_up(search);
-        const bool enough = partial && in + kWeightSlack >= product.terms.floor;
+        const bool partial = request_class.terms.floor < request_class.terms.need;
+        if (lacks && may_be + kWeightSlack < request_class.terms.floor) return give_up(search);
+        const bool enough = partial && in + kWeightSlack >= request_class.terms.floor;
         const bool over = now_ >= search.expiry - margin();
         const bool late = now_ >= search.due - margin();
         const bool no_more = !out && (lacks ? !waits : hopeless);
         if (enough && (over || late || no_more)) return void(search.fate = Fate::kPartial);
-        const bool pointless = late && product.terms.late_share <= full_; // it costs others more
+        const bool pointless = late && request_class.terms.late_share <= full_; // it costs others more
         if (over || pointless || (hopeless && !(partial && out))) give_up(search);
         note(late ? search.expiry - margin() : std::min(search.due, search.expiry) - margin());
     }
 
     void give_up(Search& search) {
-        const ProductView& product = products_[search.product.value];
+        const RequestClassView& request_class = request_classes_[search.request_class.value];
         const bool ran = std::ranges::any_of(search.parts, &Part::may_have_run);
         const bool harmless = !search.breaker && // to come again would break more
-                              (product.terms.effect != Effect::kNonIdempotent || !ran);
+                              (request_class.terms.effect != Effect::kNonIdempotent || !ran);
         search.fate = harmless ? Fate::kRejected : Fate::kFailed;
         const double wait = std::min(pace_ * kSilence, static_cast<double>(terms_.longest_come_back));
         const auto usual = static_cast<Tenths>(wait * (0.5 + (terms_.may_advise ? chance_.unit() : 0) / 2));
@@ -609,21 +614,22 @@
     bool does_without(const Part& part) const { return part.left_out || relief_.gone(part.shard); }
 
     // Rule 2 and the attempt limit: whether a part without an answer may be attempted at all.
-    bool may_go_again(const Part& part, const ProductView& product) const {
+    bool may_go_again(const Part& part, const RequestClassView& request_class) const {
         if (static_cast<int>(part.attempts.size()) >= terms_.most_attempts) return false;
-        if (part.attempts.empty() || product.terms.effect == Effect::kIdempotent) return true;
+        if (part.attempts.empty() || request_class.terms.effect == Effect::kIdempotent) return true;
         if (!part.may_have_run()) return true;
-        return product.terms.effect != Effect::kNonIdempotent && now_ < repeats_until(part, product);
+        return request_class.terms.effect != Effect::kNonIdempotent &&
+               now_ < repeats_until(part, request_class);
     }
 
     // The window in which repeats are dropped counts from the first attempt that may have run.
-    Tenths repeats_until(const Part& part, const ProductView& product) const {
-        if (product.terms.effect != Effect::kKeyed) return kNever;
+    Tenths repeats_until(const Part& part, const RequestClassView& request_class) const {
+        if (request_class.terms.effect != Effect::kKeyed) return kNever;
         Tenths first = kNever;
         for (const Attempt& attempt : part.attempts)
             if (attempt.may_have_run && attempt.stage != Stage::kPlanned)
                 first = std::min(first, attempt.sent);
-        return first == kNever ? kNever : first + product.terms.repeat_window - margin();
+        return first == kNever ? kNever : first + request_class.terms.repeat_window - margin();
     }
 
     // Rule 6, and our own bound where the terms state none: further attempts must not feed a storm.
@@ -675,16 +681,17 @@
     // Pushes back, before any work, what would not make it. The less a search pays for its work, the less of
     // its time it may wait; the fuller the fleet, the less it is let in for an answer in part.
     bool admit(Search& search) {
-        ProductView& product = products_[search.product.value];
-        mix(product.parts, static_cast<double>(search.parts.size()), kFresh);
+        RequestClassView& request_class = request_classes_[search.request_class.value];
+        mix(request_class.parts, static_cast<double>(search.parts.size()), kFresh);
         double best = 0;
-        for (const ProductView& other : products_) best = std::max(best, other.terms.utility / other.parts);
+        for (const RequestClassView& other : request_classes_)
+            best = std::max(best, other.terms.utility / other.parts);
         const double paying = std::sqrt(std::min(1.0, search.utility / search.parts.size() / best));
-        const int steps = product.terms.follow_up > 0 ? 2 : 1;
+        const int steps = request_class.terms.follow_up > 0 ? 2 : 1;
         const Tenths left = (search.due > now_ ? search.due : search.expiry) - now_;
         const double strict = kPatientShare + (kPayingShare - kPatientShare) * paying;
         // Where an answer in part will do, the parts' mean wait decides, else that of each.
-        const bool whole = product.terms.floor >= product.terms.need;
+        const bool whole = request_class.terms.floor >= request_class.terms.need;
         double missing = 0, asked = 0;
         for (Part& part : search.parts) {
             if (does_without(part)) continue; // settle() looks whether the rest will do
@@ -694,16 +701,16 @@
             asked += part.weight * std::min(1.5, wait / room);
         }
         if (!whole && asked > 1) return false;
-        missing -= (1 - std::min(product.terms.floor, product.terms.need)) * (1 - full_);
+        missing -= (1 - std::min(request_class.terms.floor, request_class.terms.need)) * (1 - full_);
         return missing <= kWeightSlack;
     }
 
     void tend(Search& search) {
-        ProductView& product = products_[search.product.value];
+        RequestClassView& request_class = request_classes_[search.request_class.value];
         if (search.parts.empty() || search.barred) return;
         const bool begun =
             std::ranges::any_of(search.parts, [](auto& part) { return !part.attempts.empty(); });
-        if (!begun) relief_.leave_out(search, product.terms.floor, search.tenant);
+        if (!begun) relief_.leave_out(search, request_class.terms.floor, search.tenant);
         if (!begun && (search.spared || !admit(search))) return give_up(search); // asked anew in the backlog
         if (search.breaker) return give_up(search);
         const bool singly = !search.proven && storm() >= kStorm;
@@ -714,26 +721,26 @@
             Part& part = search.parts[i];
             if (part.in || (!part.out() && does_without(part))) continue;
             if (part.out())
-                hurry(search, part, product);
+                hurry(search, part, request_class);
             else if (!singly)
-                attempt(part, product);
+                attempt(part, request_class);
             else if (const double wait = out ? 0 : forecast(part); !out && (first == nullptr || wait < least))
                 first = &part, least = wait;
         }
-        if (first != nullptr && attempt(*first, product)) first->attempts.back().alone = true;
+        if (first != nullptr && attempt(*first, request_class)) first->attempts.back().alone = true;
     }
 
-    bool dawdles(const Part& part, const ProductView& product) const {
+    bool dawdles(const Part& part, const RequestClassView& request_class) const {
         return std::ranges::any_of(part.attempts, [&](auto& attempt) {
             const IndexServer& server = servers_.at(attempt.server);
-            return attempt.stage == Stage::kOut && now_ >= attempt.sent + patience(product) &&
+            return attempt.stage == Stage::kOut && now_ >= attempt.sent + patience(request_class) &&
                    server.standing == Standing::kIn && server.silent == 0;
         });
     }
 
     // An overdue attempt gets company where copies are allowed, else it is called off to go elsewhere.
-    void hurry(Search& search, Part& part, ProductView& product) {
-        if (product.terms.effect == Effect::kNonIdempotent) return;
+    void hurry(Search& search, Part& part, RequestClassView& request_class) {
+        if (request_class.terms.effect == Effect::kNonIdempotent) return;
         Attempt* last = nullptr;
         int copies = 0, alive = 0; // out, and those at servers that answer
         for (Attempt& attempt : part.attempts) {
@@ -741,26 +748,26 @@
             last = &attempt, ++copies, alive += servers_[attempt.server].silent == 0 ? 1 : 0;
         }
         const bool aside = servers_[last->server].standing == Standing::kAside;
-        const Tenths overdue = last->sent + patience(product);
+        const Tenths overdue = last->sent + patience(request_class);
         if (!aside && now_ < overdue) return note(overdue);
         if (copies > 1 && alive > 0) return note(overdue + shares(kLeastPatience));
-        if (now_ >= search.due || !budget_left() || !may_go_again(part, product)) return;
+        if (now_ >= search.due || !budget_left() || !may_go_again(part, request_class)) return;
         // The search is slow, not its servers: to attempt its parts again would only double the work.
         const bool costly = !search.quick && std::ranges::count_if(search.parts, &Part::slow) >= kCostlyParts;
-        if (!aside && costly) return note(last->sent + 2 * patience(product));
+        if (!aside && costly) return note(last->sent + 2 * patience(request_class));
         // Long overdue: even a replica in bad standing beats waiting for one that says nothing.
-        const bool sound_only = now_ < last->sent + 2 * patience(product);
-        if (sound_only) note(last->sent + 2 * patience(product));
-        IndexServer* other = choose(part, product, sound_only);
+        const bool sound_only = now_ < last->sent + 2 * patience(request_class);
+        if (sound_only) note(last->sent + 2 * patience(request_class));
+        IndexServer* other = choose(part, request_class, sound_only);
         if (other != nullptr && terms_.second_copies) place(part, *other);
         if (other != nullptr && !terms_.second_copies && terms_.may_recall) last->wanted = false;
     }
 
-    bool attempt(Part& part, const ProductView& product) {
+    bool attempt(Part& part, const RequestClassView& request_class) {
         if (now_ < part.not_before) return note(part.not_before), false;
-        if (!may_go_again(part, product) || (counts(part) && !budget_left()))
+        if (!may_go_again(part, request_class) || (counts(part) && !budget_left()))
             return note(now_ + kWindow), false;
-        IndexServer* server = choose(part, product, false);
+        IndexServer* server = choose(part, request_class, false);
         return server == nullptr ? (note((now_ / kWindow + 1) * kWindow), false)
                                  : (place(part, *server), true);
     }
@@ -797,7 +804,7 @@
         for (auto next = searches_.begin(); next != searches_.end();) {
             auto& [job, search] = *next++;
             const bool answered = search.fate == Fate::kWhole || search.fate == Fate::kPartial;
-            const int steps = products_[search.product.value].terms.follow_up > 0 ? 2 : 1;
+            const int steps = request_classes_[search.request_class.value].terms.follow_up > 0 ? 2 : 1;
             search.whole = search.fate == Fate::kWhole || (search.whole && !answered);
             if (answered) host.answer(search.id, search.whole);
             if (search.fate == Fate::kRejected) host.reject(search.id, search.come_back);
@@ -813,7 +820,7 @@
                     if (attempt.stage == Stage::kPlanned) {
                         IndexServer& server = servers_.at(attempt.server);
                         if (server.renew) host.hang_up(attempt.server), server.renew = false;
-                        const Tenths by = repeats_until(part, products_[search.product.value]);
+                        const Tenths by = repeats_until(part, request_classes_[search.request_class.value]);
                         host.attempt(part.id, attempt.server, search.expiry - now_,
                                      std::min(search.expiry, by) - now_);
                         attempt.stage = Stage::kOut;
@@ -852,7 +859,7 @@
     double front_nodes_ = terms_.front_nodes, pace_ = 1e9; // as seen; the shortest due span, a while here
     double full_ = 0;                                      // the pressure at the start of this decision
     Tenths now_ = 0, next_ = kNever, alarm_ = 0;
-    std::vector<ProductView> products_;
+    std::vector<RequestClassView> request_classes_;
     std::vector<TenantView> tenants_;
     std::map<JobNo, Search> searches_; // in the order they were taken
     std::map<SearchId, JobNo> jobs_;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -16,7 +16,7 @@
 enum class Effect { kIdempotent, kKeyed, kNonIdempotent };
 enum class ListMode { kPushed, kAsked };
 
-struct ProductTerms {
+struct RequestClassTerms {
     Tenths latency_target = 0; // an answer within this earns the full utility
     Tenths deadline_span = 0;  // how long the client waits in all, over all its tries
     Tenths repeat_window = 0;
@@ -35,7 +35,7 @@
 // What an instance is told when it starts.
 struct OpeningTerms {
     std::uint64_t seed = 0;
-    std::vector<ProductTerms> products;
+    std::vector<RequestClassTerms> request_classes;
     std::vector<TenantTerms> tenants;
     int front_nodes = 1;
     Tenths turn_gap = 0;
@@ -88,7 +88,7 @@
 struct SearchTaken {
     SearchId id;
     JobNo job;
-    ProductNo product;
+    RequestClassNo request_class;
     TenantNo tenant;
     Tenths left = 0; // until this try's expiry
     bool repeat = false;
@@ -146,7 +146,7 @@
         double share = 1; // of the choices in which its servers take part as ever; 0: in none
     };
     struct Row { // tenant -1: of all that have no row of their own
-        ProductNo product;
+        RequestClassNo request_class;
         TenantNo tenant;
         double admitted = 1, weight = 1; // share of its searches; least weight of an answer in part
     };
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -35,7 +35,7 @@
         const JobNo job{static_cast<std::uint64_t>(line.integer_within("JobNo", 0, kMostJob))};
         const std::int64_t shard = line.integer_within("SegmentNo", -kMostIndex, kMostIndex);
         if (shard < 0)
-            brain_->on(now, SearchTaken{SearchId{request_id(line)}, job, ProductNo{index(line, "Kind")},
+            brain_->on(now, SearchTaken{SearchId{request_id(line)}, job, RequestClassNo{index(line, "Kind")},
                                         TenantNo{index(line, "Realm")}, tenths_to_use(line.integer("TtlUs")),
                                         line.flag("IsRetry")});
         else
--- a/src/operator/orders.cpp
+++ b/src/operator/orders.cpp
@@ -61,14 +61,16 @@
         if (word == "nobody") return {};
         throw OrderError(path + ": expected \"read\", \"write_own\" or \"nobody\"");
     };
-    fields.each_named("products", [&](const std::string& product, const auto& word, const std::string& path) {
-        const auto right = right_of(word, path);
-        if (!right) throw OrderError(path + ": expected \"read\" or \"write_own\"");
-        terms.products[product] = *right;
-    });
-    terms.other_products =
+    fields.each_named("products",
+                      [&](const std::string& request_class, const auto& word, const std::string& path) {
+                          const auto right = right_of(word, path);
+                          if (!right) throw OrderError(path + ": expected \"read\" or \"write_own\"");
+                          terms.request_classes[request_class] = *right;
+                      });
+    terms.other_request_classes =
         right_of(fields.text("other_products", "nobody"), fields.path() + ".other_products");
-    if (terms.products.empty() && !terms.other_products) fields.fail("products", "nobody may do anything");
+    if (terms.request_classes.empty() && !terms.other_request_classes)
+        fields.fail("products", "nobody may do anything");
     fields.each("names", [&](Fields rule) { terms.names.push_back(read_rule(std::move(rule), terms)); });
     made.keys = fields.text("keys", ""), made.revocations = fields.text("revocations", "");
     made.authorities = fields.texts("authorities"), made.crls = fields.texts("crls");
@@ -129,18 +131,23 @@
 
 RotaOrders read_rota(Fields fields, const Orders& orders) {
     RotaOrders made;
-    if (!orders.members) throw OrderError("rota: there is no section 'members': nobody to settle anything with");
-    fields.each_named("candidates", [&](const std::string& name, const auto& address, const std::string& path) {
-        if (!address.is_string()) throw OrderError(path + ": expected an address");
-        made.candidates.emplace_back(name, address.template get<std::string>());
-    });
+    if (!orders.members)
+        throw OrderError("rota: there is no section 'members': nobody to settle anything with");
+    fields.each_named("candidates",
+                      [&](const std::string& name, const auto& address, const std::string& path) {
+                          if (!address.is_string()) throw OrderError(path + ": expected an address");
+                          made.candidates.emplace_back(name, address.template get<std::string>());
+                      });
     made.council = static_cast<std::size_t>(fields.whole("council", 1, 7, 3));
-    if (made.council % 2 == 0) fields.fail("council", "expected 1, 3, 5 or 7: an even one stands no more failures");
+    if (made.council % 2 == 0)
+        fields.fail("council", "expected 1, 3, 5 or 7: an even one stands no more failures");
     if (made.candidates.size() < made.council)
         fields.fail("candidates", "expected as many as the council has seats, or more");
     made.ledger = fields.text("ledger", "rota/ledger.db"), made.witness = fields.text("witness", "");
     if (made.ledger.find('/') == std::string::npos)
-        fields.fail("ledger", "expected a folder of its own, as in \"rota/ledger.db\": this one is watched for changes");
+        fields.fail(
+            "ledger",
+            "expected a folder of its own, as in \"rota/ledger.db\": this one is watched for changes");
     made.heartbeat = millis(fields.whole("heartbeat_ms", 10, 5000, 100));
     made.replace_after = seconds(fields.whole("replace_after_s", 1, 86'400, 60));
     nlohmann::ordered_json none = nlohmann::ordered_json::object();
@@ -170,7 +177,8 @@
         spans.fail("act_ms", "expected less than grant_ms: a grant would end within one act");
     const Tenths election = 16 * made.heartbeat;
     if (s.grant <= election)
-        spans.fail("grant_ms", "expected more than 16 heartbeats: grants would end at each change of the leader");
+        spans.fail("grant_ms",
+                   "expected more than 16 heartbeats: grants would end at each change of the leader");
     spans.done();
     Fields answers = group("answers");
     rota::Answers& a = made.answers;
--- a/src/operator/orders.hpp
+++ b/src/operator/orders.hpp
@@ -37,7 +37,7 @@
     int lines_a_second = 20;
 };
 
-struct MemberOrders { // front nodes that may talk to each other
+struct MemberOrders {    // front nodes that may talk to each other
     std::string address; // where the others reach us
     std::string bind;    // where we hear them, the same unless something stands between
     std::vector<std::string> peers;
--- a/src/program/audit.cpp
+++ b/src/program/audit.cpp
@@ -39,7 +39,7 @@
     if (line.reason != access::Reason::kAdmitted) made["reason"] = access::name_of(line.reason);
     for (const auto& [name, text] :
          {std::pair{"club", &line.club}, std::pair{"member", &line.member}, std::pair{"key", &line.key},
-          std::pair{"product", &line.product}, std::pair{"search", &line.search}})
+          std::pair{"product", &line.request_class}, std::pair{"search", &line.search}})
         if (!text->empty()) made[name] = text->substr(0, 128);
     if (may_write(line.what == "refused" ? refusals_ : changes_, now)) put(std::move(made), now);
 }
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -41,10 +41,10 @@
         if (path.empty()) return 0;
     }
     const protocol::StartOrders orders = read_orders(path);
-    if (side) check_names(side->orders, orders.terms.products, orders.terms.tenants);
+    if (side) check_names(side->orders, orders.terms.request_classes, orders.terms.tenants);
     std::cout << path << ": sound; " << orders.name << " on " << orders.listen << ", discovery at "
               << orders.discovery << ", " << orders.known.servers.size() << " index servers known, "
-              << orders.terms.products.size() << " products, " << orders.sockets << " sockets, "
+              << orders.terms.request_classes.size() << " products, " << orders.sockets << " sockets, "
               << orders.memory_mb << " MB\n";
     return 0;
 }
--- a/src/program/node.cpp
+++ b/src/program/node.cpp
@@ -1,8 +1,8 @@
 #include "program/node.hpp"
 
-#include "doors/http1/door.hpp"
-#include "doors/http2/door.hpp"
 #include "program/log.hpp"
+#include "sessions/http1/session.hpp"
+#include "sessions/http2/session.hpp"
 
 #include <algorithm>
 #include <cerrno>
@@ -78,27 +78,28 @@
 }
 
 Node::Client::Client(routing::ClientId number, transport::Loop& loop, int descriptor,
-                     std::unique_ptr<transport::TlsSession> session, std::unique_ptr<doors::Door> own)
-    : id(number), stream(loop, descriptor, kMostRead, session ? kMostAnswer + kMostSeals : kMostAnswer,
-                         std::move(session)),
-      door(std::move(own)) {}
+                     std::unique_ptr<transport::TlsSession> tls, std::unique_ptr<sessions::Session> own)
+    : id(number),
+      stream(loop, descriptor, kMostRead, tls ? kMostAnswer + kMostSeals : kMostAnswer, std::move(tls)),
+      session(std::move(own)) {}
 
-Node::Link::Link(routing::LinkId number, transport::Loop& loop, int descriptor, std::size_t most_out)
+Node::Connection::Connection(routing::ConnectionId number, transport::Loop& loop, int descriptor,
+                             std::size_t most_out)
     : id(number), stream(loop, descriptor, Stream::Start::kConnecting, kMostRead, most_out) {}
 
 Node::Node(protocol::StartOrders orders, ReadAgain read_again, const std::string& operator_file)
     : orders_(std::move(orders)), read_again_(std::move(read_again)), operator_file_(operator_file) {
     signals_.emplace(loop_, open_signals());
-    doors_.push_back(std::make_unique<Door>(loop_, orders_.listen));
-    for (const ProductTerms& product : orders_.terms.opening.products)
-        stuck_after_ = std::max(stuck_after_, product.deadline_span);
+    listeners_.push_back(std::make_unique<Listener>(loop_, orders_.listen));
+    for (const RequestClassTerms& request_class : orders_.terms.opening.request_classes)
+        stuck_after_ = std::max(stuck_after_, request_class.deadline_span);
     router_ = std::make_unique<routing::Router>(orders_.terms, orders_.known, orders_.discovery,
                                                 descriptors(orders_.sockets), loop_.now());
     if (operator_file_.empty()) return;
     tickets_.emplace(loop_, Tenths{0});
     operator_side_ = read_operator_side(operator_file_, nullptr, transport::Loop::wall(), &*tickets_);
     const operators::Orders& ordered = operator_side_->orders;
-    check_names(ordered, orders_.terms.products, orders_.terms.tenants);
+    check_names(ordered, orders_.terms.request_classes, orders_.terms.tenants);
     tickets_.emplace(loop_, ordered.ticket_span);
     audit_.emplace(ordered.audit);
     if (ordered.members) {
@@ -112,13 +113,14 @@
     if (operator_side_->policy)
         router_->guard(operator_side_->policy, ordered.access->key_is_query, loop_.now(),
                        transport::Loop::wall());
-    doors_.front()->guarded = ordered.access && ordered.access->plain_guarded;
+    listeners_.front()->guarded = ordered.access && ordered.access->plain_guarded;
     connection_terms_ = ordered.connections;
     router_->bound_handshakes(ordered.handshakes, loop_.now());
     for (std::size_t i = 0; i < ordered.listeners.size(); ++i) {
-        doors_.push_back(std::make_unique<Door>(loop_, ordered.listeners[i].address));
-        doors_.back()->tls = operator_side_->tls[i], doors_.back()->guarded = ordered.listeners[i].guarded;
-        doors_.back()->protocol = ordered.listeners[i].protocols.front();
+        listeners_.push_back(std::make_unique<Listener>(loop_, ordered.listeners[i].address));
+        listeners_.back()->tls = operator_side_->tls[i],
+        listeners_.back()->guarded = ordered.listeners[i].guarded;
+        listeners_.back()->protocol = ordered.listeners[i].protocols.front();
     }
     changes_.emplace(loop_, inotify_init1(IN_NONBLOCK | IN_CLOEXEC));
     for (const std::string& folder : operator_side_->folders)
@@ -132,7 +134,7 @@
     if (phases_.now() == Phase::kStarting) enter(Phase::kServing); // before the first client is heard
     if (changes_) change_task_ = await_changes(), change_task_.start();
     if (rota_) rota_->start(), member_task_ = await_members(), member_task_.start();
-    for (auto& door : doors_) door->task = accept_clients(*door), door->task.start();
+    for (auto& listener : listeners_) listener->task = accept_clients(*listener), listener->task.start();
     counts_at_ = loop_.now() + kCountsEvery;
     while (turn(), keep_phase(), phases_.now() != Phase::kStopped) {
         Tenths until = std::min(counts_at_, stuck_at_);
@@ -151,8 +153,10 @@
     const bool more = std::exchange(accept_more_, false);
     if (std::exchange(accept_short_, false) || more) accept_all(); // no edge comes for those who wait already
     around_ = {phases_.now() == Phase::kServing, loop_.now()};
-    for (const routing::LinkId id : std::exchange(writing_, {})) // what was written since is known first
-        if (const auto link = links_.find(id); link != links_.end()) tell_link(*link->second);
+    for (const routing::ConnectionId id :
+         std::exchange(writing_, {})) // what was written since is known first
+        if (const auto connection = connections_.find(id); connection != connections_.end())
+            tell_connection(*connection->second);
     if (loop_.now() >= stuck_at_) drop_stuck();
     if (operator_side_ && operator_side_->policy)
         inbox_.push_front(routing::WallTold{transport::Loop::wall()});
@@ -180,7 +184,7 @@
         loop_.wait(loop_.now()); // what the system has taken for us is ours to answer
         accept_all();
         turn();
-        doors_.clear();
+        listeners_.clear();
         post(routing::QuietOrdered{});
         enter(Phase::kQuiet);
         turn();
@@ -226,12 +230,12 @@
     try {
         OperatorSide fresh = read_operator_side(operator_file_, operator_side_->policy.get(),
                                                 transport::Loop::wall(), &*tickets_);
-        check_names(fresh.orders, orders_.terms.products, orders_.terms.tenants);
+        check_names(fresh.orders, orders_.terms.request_classes, orders_.terms.tenants);
         const auto same = [](auto& a, auto& b) { return a.name == b.name && a.address == b.address; };
         if (!std::ranges::equal(fresh.orders.listeners, operator_side_->orders.listeners, same) ||
             (fresh.policy == nullptr) != (operator_side_->policy == nullptr))
             throw std::runtime_error("other listeners, and access on or off, need a restart");
-        for (std::size_t i = 1; i < doors_.size(); ++i) doors_[i]->tls = fresh.tls[i - 1];
+        for (std::size_t i = 1; i < listeners_.size(); ++i) listeners_[i]->tls = fresh.tls[i - 1];
         if (fresh.policy) post(routing::PolicyRead{fresh.policy});
         operator_side_ = std::move(fresh);
     } catch (const std::exception& error) {
@@ -283,9 +287,10 @@
         "lists={} lists_lost={} open_searches={} "
         "open_launches={} clients={} links={} cpu_ms={} memory_kb={}",
         c.searches, c.delivered, c.rejected, c.failed, c.lapsed, c.over_full, c.attempts, c.recalls,
-        c.returned_late, c.links_opened, c.links_doubted, c.links_renewed, c.spoilt, c.probes, c.lists,
-        c.lists_lost, router_->open_searches(), router_->open_attempts(), router_->open_clients(),
-        router_->open_links(), ms(used.ru_utime) + ms(used.ru_stime), used.ru_maxrss);
+        c.returned_late, c.connections_opened, c.connections_doubted, c.connections_renewed, c.spoilt,
+        c.probes, c.lists, c.lists_lost, router_->open_searches(), router_->open_attempts(),
+        router_->open_clients(), router_->open_connections(), ms(used.ru_utime) + ms(used.ru_stime),
+        used.ru_maxrss);
     if (const access::Gate* gate = router_->gate())
         log().info("access admitted={} refused={} verified={} from_cache={} swaps={} barred={} distrusted={} "
                    "generation={} cached={} handshakes={}",
@@ -297,16 +302,16 @@
 // ---- clients
 
 void Node::accept_all() {
-    for (auto& door : doors_) accept_all(*door);
+    for (auto& listener : listeners_) accept_all(*listener);
 }
 
-void Node::accept_all(Door& door) {
+void Node::accept_all(Listener& listener) {
     while (accepting_) {
         // Guards discovery and index servers against a crowd that comes all at once: the reducer makes room
         // for so many more, or says that there is none.
         accept_more_ = clients_.size() >= router_->room_for_clients();
         if (accept_more_) return;
-        const int descriptor = transport::accept_from(door.listener.descriptor());
+        const int descriptor = transport::accept_from(listener.socket.descriptor());
         if (descriptor < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
         if (descriptor < 0) {
             accept_short_ = errno != EAGAIN && errno != EWOULDBLOCK;
@@ -315,12 +320,12 @@
         }
         const routing::ClientId id{next_client_++};
         try {
-            auto session = door.tls ? std::make_unique<transport::TlsSession>(door.tls) : nullptr;
-            auto client = std::make_unique<Client>(id, loop_, descriptor, std::move(session),
-                                                   door.tls ? nullptr : make_door(door.protocol));
+            auto tls = listener.tls ? std::make_unique<transport::TlsSession>(listener.tls) : nullptr;
+            auto client = std::make_unique<Client>(id, loop_, descriptor, std::move(tls),
+                                                   listener.tls ? nullptr : make_session(listener.protocol));
             client->task = serve_client(*client);
             Client& held = *clients_.emplace(id, std::move(client)).first->second;
-            post(routing::ClientOpened{id, door.guarded, door.tls != nullptr});
+            post(routing::ClientOpened{id, listener.guarded, listener.tls != nullptr});
             held.task.start();
         } catch (const std::runtime_error& error) {
             log_some("a client could not be taken on: {}", error.what());
@@ -328,17 +333,17 @@
     }
 }
 
-Task Node::accept_clients(Door& door) {
+Task Node::accept_clients(Listener& listener) {
     for (;;) {
-        accept_all(door);
-        transport::Slot& next = accepting_ ? door.listener.readable : door.on;
+        accept_all(listener);
+        transport::Slot& next = accepting_ ? listener.socket.readable : listener.on;
         co_await next;
     }
 }
 
-std::unique_ptr<doors::Door> Node::make_door(const std::string& protocol) const {
-    if (protocol == "h2") return std::make_unique<doors::Http2Door>(around_, connection_terms_);
-    return std::make_unique<doors::Http1Door>(around_);
+std::unique_ptr<sessions::Session> Node::make_session(const std::string& protocol) const {
+    if (protocol == "h2") return std::make_unique<sessions::Http2Session>(around_, connection_terms_);
+    return std::make_unique<sessions::Http1Session>(around_);
 }
 
 // An exception ends the connection that met it, and no more than that.
@@ -350,24 +355,24 @@
             if (stream.shake_due()) post(routing::ShakeWanted{client.id});
             co_await changed;
         }
-        if (!client.door) client.door = make_door(stream.protocol());
-        doors::Door& door = *client.door;
+        if (!client.session) client.session = make_session(stream.protocol());
+        sessions::Session& session = *client.session;
         write_out(client);
         std::size_t taken = 0;
-        while (!door.over() && !stream.ended() && !client.shut) {
-            if (door.reads() && stream.unread()) {
-                taken += stream.feed(door);
+        while (!session.over() && !stream.ended() && !client.shut) {
+            if (session.reads() && stream.unread()) {
+                taken += stream.feed(session);
                 tell_news(client);
                 write_out(client);
                 if (taken < connection_terms_.turn_bytes) continue;
                 changed.wake(); // others have their turn
-            } else if (door.midway()) {
+            } else if (session.midway()) {
                 post(routing::ClientMidway{client.id});
             }
             taken = 0;
-            if (door.over() || stream.ended() || client.shut) break;
+            if (session.over() || stream.ended() || client.shut) break;
             // Guards against a client that has gone behind more bytes than there is room for.
-            if (!door.reads() && stream.hung_up()) {
+            if (!session.reads() && stream.hung_up()) {
                 post(routing::ClientGone{client.id});
                 co_return;
             }
@@ -388,11 +393,11 @@
 }
 
 void Node::tell_news(Client& client) {
-    for (doors::News& news : client.door->news()) {
-        if (auto* search = std::get_if<doors::SearchCame>(&news))
+    for (sessions::News& news : client.session->news()) {
+        if (auto* search = std::get_if<sessions::SearchCame>(&news))
             post(routing::SearchRead{client.id, std::move(search->request), client.stream.age(),
                                      search->stream});
-        else if (const auto* left = std::get_if<doors::SearchLeft>(&news))
+        else if (const auto* left = std::get_if<sessions::SearchLeft>(&news))
             post(routing::SearchLeft{client.id, left->stream});
         else
             post(routing::ClientAnswered{client.id});
@@ -410,7 +415,7 @@
 }
 
 void Node::write_out(Client& client) {
-    const std::string bytes = client.door->take_out(client.stream.room());
+    const std::string bytes = client.session->take_out(client.stream.room());
     if (!bytes.empty()) client.stream.send(bytes);
 }
 
@@ -418,7 +423,7 @@
 // memory.
 void Node::drop_stuck() {
     for (const auto& [id, client] : clients_) {
-        const bool owing = client->stream.unwritten() > 0 || (client->door && client->door->owes() > 0);
+        const bool owing = client->stream.unwritten() > 0 || (client->session && client->session->owes() > 0);
         const std::uint64_t moved = client->stream.moved();
         if (owing && moved == client->moved) post(routing::ClientGone{id});
         client->moved = moved;
@@ -428,27 +433,27 @@
 
 Node::Client* Node::find_client(routing::ClientId id) {
     const auto found = clients_.find(id);
-    return found == clients_.end() || !found->second->door ? nullptr : found->second.get();
+    return found == clients_.end() || !found->second->session ? nullptr : found->second.get();
 }
 
 void Node::carry_out(const routing::AnswerClient& effect) {
     Client* client = find_client(effect.client);
     if (client == nullptr) return;
-    client->door->answer(effect.stream, effect.answer, effect.close);
+    client->session->answer(effect.stream, effect.answer, effect.close);
     spoken_.insert(effect.client);
 }
 
 void Node::carry_out(const routing::RejectClient& effect) {
     Client* client = find_client(effect.client);
     if (client == nullptr) return;
-    client->door->reject(effect.stream, effect.status, effect.why, effect.challenge, effect.close);
+    client->session->reject(effect.stream, effect.status, effect.why, effect.challenge, effect.close);
     spoken_.insert(effect.client);
 }
 
 void Node::carry_out(const routing::DrainClient& effect) {
     Client* client = find_client(effect.client);
     if (client == nullptr) return;
-    client->door->drain();
+    client->session->drain();
     spoken_.insert(effect.client);
 }
 
@@ -485,86 +490,88 @@
 void Node::carry_out(const routing::AcceptClients& effect) {
     accepting_ = effect.on;
     if (!accepting_) return;
-    for (auto& door : doors_) door->on.wake();
+    for (auto& listener : listeners_) listener->on.wake();
 }
 
 // ---- index servers
 
-Task Node::serve_link(Link& link) {
-    Stream& stream = link.stream;
+Task Node::serve_connection(Connection& connection) {
+    Stream& stream = connection.stream;
     try {
         for (;;) {
-            tell_link(link);
-            while (stream.unread() && !link.parser.broken() && !link.over) {
-                stream.feed(link.parser);
-                if (link.parser.complete()) handle_frame(link, link.parser.take());
+            tell_connection(connection);
+            while (stream.unread() && !connection.parser.broken() && !connection.over) {
+                stream.feed(connection.parser);
+                if (connection.parser.complete()) handle_frame(connection, connection.parser.take());
             }
-            if (stream.ended() || link.parser.broken() || link.over) break;
-            if (link.parser.midway()) post(routing::LinkMidway{link.id});
+            if (stream.ended() || connection.parser.broken() || connection.over) break;
+            if (connection.parser.midway()) post(routing::ConnectionMidway{connection.id});
             co_await stream.changed;
         }
-        tell_link(link);
-        if (link.parser.broken()) {
+        tell_connection(connection);
+        if (connection.parser.broken()) {
             log_some("index server: {}", "what it sent is no frame");
-            post(routing::LinkSpoilt{link.id, {}});
+            post(routing::ConnectionSpoilt{connection.id, {}});
         }
     } catch (const std::exception& error) { log_some("index server: {}", error.what()); }
-    end_link(link);
+    end_connection(connection);
 }
 
 // From here on nothing is written to it: what the reducer has not been told of as written never is.
-void Node::end_link(Link& link) {
-    link.stream.abandon();
-    tell_link(link);
-    post(routing::LinkEnded{link.id});
+void Node::end_connection(Connection& connection) {
+    connection.stream.abandon();
+    tell_connection(connection);
+    post(routing::ConnectionEnded{connection.id});
 }
 
-void Node::tell_link(Link& link) {
-    if (link.stream.up() && !std::exchange(link.told_up, true)) post(routing::LinkUp{link.id});
-    if (link.stream.written() == link.told) return;
-    link.told = link.stream.written();
-    if (link.stream.unwritten() > 0) writing_.insert(link.id);
-    post(routing::LinkWrote{link.id, link.told});
+void Node::tell_connection(Connection& connection) {
+    if (connection.stream.up() && !std::exchange(connection.told_up, true))
+        post(routing::ConnectionUp{connection.id});
+    if (connection.stream.written() == connection.told) return;
+    connection.told = connection.stream.written();
+    if (connection.stream.unwritten() > 0) writing_.insert(connection.id);
+    post(routing::ConnectionWrote{connection.id, connection.told});
 }
 
-void Node::handle_frame(Link& link, const protocol::Frame& frame) {
+void Node::handle_frame(Connection& connection, const protocol::Frame& frame) {
     try {
         if (frame.letter == 'R')
-            return post(
-                routing::PartAnswered{link.id, protocol::read_part_answer(frame.rest), link.stream.age()});
+            return post(routing::PartAnswered{connection.id, protocol::read_part_answer(frame.rest),
+                                              connection.stream.age()});
         if (frame.letter == 'M')
-            return post(routing::LoadTold{link.id, protocol::read_load_answer(frame.rest)});
+            return post(routing::LoadTold{connection.id, protocol::read_load_answer(frame.rest)});
         if (frame.letter != 'F') throw protocol::ProtocolError(std::string("frame ") + frame.letter);
         log_some("index server: our frame was of no use to it: {}", protocol::quoted(frame.rest));
     } catch (const protocol::ProtocolError& error) {
         log_some("index server: {}", error.what());
-        post(routing::LinkSpoilt{link.id, std::string(protocol::part_named(frame.rest))});
+        post(routing::ConnectionSpoilt{connection.id, std::string(protocol::part_named(frame.rest))});
     }
-    link.over = true;
+    connection.over = true;
 }
 
-void Node::carry_out(const routing::OpenLink& effect) {
+void Node::carry_out(const routing::OpenConnection& effect) {
     const int descriptor = transport::connect_to(effect.address);
-    if (descriptor < 0) return post(routing::LinkEnded{effect.link});
+    if (descriptor < 0) return post(routing::ConnectionEnded{effect.connection});
     try {
-        auto link = std::make_unique<Link>(effect.link, loop_, descriptor, kMostPart * orders_.terms.batch);
-        link->task = serve_link(*link);
-        links_.emplace(effect.link, std::move(link)).first->second->task.start();
+        auto connection = std::make_unique<Connection>(effect.connection, loop_, descriptor,
+                                                       kMostPart * orders_.terms.batch);
+        connection->task = serve_connection(*connection);
+        connections_.emplace(effect.connection, std::move(connection)).first->second->task.start();
     } catch (const std::system_error& error) {
         log_some("no connection: {}", error.what());
-        post(routing::LinkEnded{effect.link});
+        post(routing::ConnectionEnded{effect.connection});
     }
 }
 
-void Node::carry_out(const routing::WriteLink& effect) {
-    const auto found = links_.find(effect.link);
-    if (found == links_.end()) return;
-    if (!found->second->stream.send(effect.bytes)) return end_link(*found->second);
-    if (found->second->stream.unwritten() > 0) writing_.insert(effect.link);
-    tell_link(*found->second);
+void Node::carry_out(const routing::WriteConnection& effect) {
+    const auto found = connections_.find(effect.connection);
+    if (found == connections_.end()) return;
+    if (!found->second->stream.send(effect.bytes)) return end_connection(*found->second);
+    if (found->second->stream.unwritten() > 0) writing_.insert(effect.connection);
+    tell_connection(*found->second);
 }
 
-void Node::carry_out(const routing::CloseLink& effect) { links_.erase(effect.link); }
+void Node::carry_out(const routing::CloseConnection& effect) { connections_.erase(effect.connection); }
 
 // ---- discovery
 
--- a/src/program/node.hpp
+++ b/src/program/node.hpp
@@ -2,7 +2,6 @@
 // these are carried out here. Connections are owned by the tables below and freed only between turns.
 #pragma once
 #include "access/ticket_keys.hpp"
-#include "doors/door.hpp"
 #include "limits/connection_budget.hpp"
 #include "program/audit.hpp"
 #include "program/operator_files.hpp"
@@ -13,6 +12,7 @@
 #include "protocol/messages.hpp"
 #include "protocol/values.hpp"
 #include "routing/router.hpp"
+#include "sessions/session.hpp"
 #include "transport/channel.hpp"
 #include "transport/stream.hpp"
 
@@ -52,8 +52,8 @@
     explicit Node(protocol::StartOrders orders, ReadAgain read_again = {},
                   const std::string& operator_file = {}); // throws what cannot be kept
     // Of the platform's listener, or of a further one, counted from 1 as the operator's file lists them.
-    int port(std::size_t door = 0) const {
-        return transport::port_of(doors_.at(door)->listener.descriptor());
+    int port(std::size_t listener = 0) const {
+        return transport::port_of(listeners_.at(listener)->socket.descriptor());
     }
     int members_port() const { return rota_ ? rota_->port() : 0; }
     int run(); // until it is told to stop; the exit status
@@ -61,27 +61,27 @@
   private:
     struct Client {
         Client(routing::ClientId id, transport::Loop& loop, int descriptor,
-               std::unique_ptr<transport::TlsSession> session, std::unique_ptr<doors::Door> door);
+               std::unique_ptr<transport::TlsSession> tls, std::unique_ptr<sessions::Session> session);
         routing::ClientId id;
         transport::Channel stream;
-        std::uint64_t moved = 0;           // bytes both ways, when last looked at
-        std::unique_ptr<doors::Door> door; // null until a handshake has agreed on one
-        bool shut = false;                 // nothing more is heard or said
+        std::uint64_t moved = 0;                    // bytes both ways, when last looked at
+        std::unique_ptr<sessions::Session> session; // null until a handshake has agreed on one
+        bool shut = false;                          // nothing more is heard or said
         transport::Task task;
     };
-    struct Link {
-        Link(routing::LinkId id, transport::Loop& loop, int descriptor, std::size_t most_out);
-        routing::LinkId id;
+    struct Connection {
+        Connection(routing::ConnectionId id, transport::Loop& loop, int descriptor, std::size_t most_out);
+        routing::ConnectionId id;
         protocol::FrameParser parser;
         transport::Stream stream;
         bool told_up = false, over = false; // over: nothing is read any more
         std::uint64_t told = 0;             // bytes written, as the reducer knows
         transport::Task task;
     };
-    struct Door { // a listener
-        Door(transport::Loop& loop, const std::string& address)
-            : listener(loop, transport::listen_at(address)), on(loop) {}
-        transport::Source listener;
+    struct Listener {
+        Listener(transport::Loop& loop, const std::string& address)
+            : socket(loop, transport::listen_at(address)), on(loop) {}
+        transport::Source socket;
         transport::Slot on;                               // clients are let in again
         std::shared_ptr<const transport::TlsContext> tls; // null: plain
         bool guarded = true;
@@ -95,30 +95,30 @@
         std::unique_ptr<transport::Stream> stream;
     };
 
-    transport::Task accept_clients(Door& door);
+    transport::Task accept_clients(Listener& listener);
     transport::Task await_changes();
     transport::Task await_members();
     void tell_strain();
     void read_operator_file();
     transport::Task await_signals();
     transport::Task serve_client(Client& client);
-    transport::Task serve_link(Link& link);
+    transport::Task serve_connection(Connection& connection);
     transport::Task serve_discovery();
-    std::unique_ptr<doors::Door> make_door(const std::string& protocol) const;
+    std::unique_ptr<sessions::Session> make_session(const std::string& protocol) const;
     void tell_news(Client& client);
     void write_out(Client& client);
     void write_all_out();
     Client* find_client(routing::ClientId id);
-    void handle_frame(Link& link, const protocol::Frame& frame);
-    void tell_link(Link& link);
-    void end_link(Link& link);
-    void accept_all(Door& door);
+    void handle_frame(Connection& connection, const protocol::Frame& frame);
+    void tell_connection(Connection& connection);
+    void end_connection(Connection& connection);
+    void accept_all(Listener& listener);
     void accept_all();
 
     void turn();
-    void carry_out(const routing::OpenLink& effect);
-    void carry_out(const routing::WriteLink& effect);
-    void carry_out(const routing::CloseLink& effect);
+    void carry_out(const routing::OpenConnection& effect);
+    void carry_out(const routing::WriteConnection& effect);
+    void carry_out(const routing::CloseConnection& effect);
     void carry_out(const routing::AnswerClient& effect);
     void carry_out(const routing::RejectClient& effect);
     void carry_out(const routing::ShakeHands& effect);
@@ -141,7 +141,7 @@
     ReadAgain read_again_;
     transport::Loop loop_;
     Phases phases_;
-    doors::Around around_;
+    sessions::Around around_;
     limits::ConnectionTerms connection_terms_;
     std::deque<routing::Event> inbox_;
     std::unique_ptr<routing::Router> router_;
@@ -154,16 +154,16 @@
     std::optional<transport::Source> members_;
     std::uint64_t strain_searches_ = 0, strain_pushed_ = 0;
     Tenths strain_at_ = 0;
-    std::vector<std::unique_ptr<Door>> doors_;     // the platform's first
-    bool accepting_ = true, accept_short_ = false; // the latter: there was no descriptor for a client
-    bool accept_more_ = false;                     // some wait, and there may be room for them at once
+    std::vector<std::unique_ptr<Listener>> listeners_; // the platform's first
+    bool accepting_ = true, accept_short_ = false;     // the latter: there was no descriptor for a client
+    bool accept_more_ = false;                         // some wait, and there may be room for them at once
     std::uint64_t next_client_ = 1;
     Tenths timer_ = 0, counts_at_ = 0, stuck_at_ = 0;
     Tenths stuck_after_ = kTenthsPerSecond; // the longest that any client waits
     std::map<routing::ClientId, std::unique_ptr<Client>> clients_;
-    std::set<routing::ClientId> spoken_; // whose door has something to say since the round began
-    std::map<routing::LinkId, std::unique_ptr<Link>> links_;
-    std::set<routing::LinkId> writing_; // whose bytes the system has not all taken
+    std::set<routing::ClientId> spoken_; // whose session has something to say since the round began
+    std::map<routing::ConnectionId, std::unique_ptr<Connection>> connections_;
+    std::set<routing::ConnectionId> writing_; // whose bytes the system has not all taken
     std::optional<Discovery> discovery_;
     transport::Task signal_task_, change_task_, member_task_, discovery_task_;
 };
--- a/src/program/operator_files.cpp
+++ b/src/program/operator_files.cpp
@@ -105,7 +105,7 @@
     return made;
 }
 
-void check_names(const operators::Orders& orders, const std::vector<std::string>& products,
+void check_names(const operators::Orders& orders, const std::vector<std::string>& request_classes,
                  const std::vector<std::string>& tenants) {
     if (!orders.access) return;
     const auto check = [](const std::string& name, const std::vector<std::string>& known, const char* what) {
@@ -115,7 +115,8 @@
                                  "'" + (near.empty() ? "" : "; did you mean '" + near + "'?"));
     };
     for (const auto& [club, tenant] : orders.access->terms.clubs) check(tenant, tenants, "tenant");
-    for (const auto& [product, right] : orders.access->terms.products) check(product, products, "product");
+    for (const auto& [request_class, right] : orders.access->terms.request_classes)
+        check(request_class, request_classes, "product");
 }
 
 void write_file(const std::string& path, const std::string& text, bool secret) {
--- a/src/program/operator_files.hpp
+++ b/src/program/operator_files.hpp
@@ -15,7 +15,7 @@
     operators::Orders orders;
     std::shared_ptr<const access::Policy> policy;                  // null: access is off
     std::vector<std::shared_ptr<const transport::TlsContext>> tls; // one for each listener
-    std::string secret; // of the members, empty without them
+    std::string secret;                                            // of the members, empty without them
     std::vector<std::string> folders;                              // where a change means reading again
 };
 
@@ -24,8 +24,8 @@
 // `wall` is the time that credentials are judged by; `before` what is in force, or null.
 OperatorSide read_operator_side(const std::string& path, const access::Policy* before, Tenths wall,
                                 transport::TicketStore* tickets);
-// Clubs and products that the settings do not have would be silently nothing.
-void check_names(const operators::Orders& orders, const std::vector<std::string>& products,
+// Clubs and request classes that the settings do not have would be silently nothing.
+void check_names(const operators::Orders& orders, const std::vector<std::string>& request_classes,
                  const std::vector<std::string>& tenants);
 // Written beside and renamed: whoever reads meanwhile sees the old file or the new one, whole.
 void write_file(const std::string& path, const std::string& text, bool secret);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -80,11 +80,11 @@
     if (!search.token_spoilt) search.token = value.substr(kScheme.size());
 }
 
-SearchRequest read_search(const HttpMessage& message, std::string_view product) {
+SearchRequest read_search(const HttpMessage& message, std::string_view request_class) {
     for (const char* name : {"host", "x-request-id", "x-tenant-id", "x-timeout", "x-retried"})
         if (message.times(name) > 1) throw ProtocolError(std::string(name) + ": more than once");
     SearchRequest search;
-    search.product = plain_word(product);
+    search.request_class = plain_word(request_class);
     search.id = message.header("x-request-id");
     if (!plain_id(search.id)) throw ProtocolError("X-Request-ID: missing or malformed");
     search.tenant = plain_word(message.header("x-tenant-id"));
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -19,7 +19,7 @@
     double share = 0;
 };
 struct SearchRequest {
-    std::string id, product, tenant, query;
+    std::string id, request_class, tenant, query;
     std::int64_t left_us = 0; // the client waits so long from its sending
     bool repeat = false;
     std::vector<Target> targets;
--- a/src/protocol/terms.cpp
+++ b/src/protocol/terms.cpp
@@ -93,17 +93,18 @@
     terms.seed = seed;
     for (std::size_t i = 0; i < settled.count("Grades"); ++i) {
         const std::string row = "Grades." + std::to_string(i) + ".";
-        ProductTerms product;
-        product.latency_target = settled.to_use(row + "AimUs");
-        product.deadline_span = settled.to_use(row + "DeadlineUs");
-        product.repeat_window = settled.to_use(row + "WindowUs");
-        product.effect = read_effect(settled.word(row + "Idempotency", "read_like"), row + "Idempotency");
-        product.utility = settled.number(row + "Worth", 1);
-        product.late_share = settled.number(row + "LateShare", 0);
-        product.floor = settled.listed("Specifics.ClassFloor", i, 1);
-        product.need = settled.listed("Specifics.ClassNeed", i, 1);
-        product.follow_up = static_cast<int>(settled.listed("Specifics.FollowUp", i, 0));
-        terms.products.push_back(product);
+        RequestClassTerms request_class;
+        request_class.latency_target = settled.to_use(row + "AimUs");
+        request_class.deadline_span = settled.to_use(row + "DeadlineUs");
+        request_class.repeat_window = settled.to_use(row + "WindowUs");
+        request_class.effect =
+            read_effect(settled.word(row + "Idempotency", "read_like"), row + "Idempotency");
+        request_class.utility = settled.number(row + "Worth", 1);
+        request_class.late_share = settled.number(row + "LateShare", 0);
+        request_class.floor = settled.listed("Specifics.ClassFloor", i, 1);
+        request_class.need = settled.listed("Specifics.ClassNeed", i, 1);
+        request_class.follow_up = static_cast<int>(settled.listed("Specifics.FollowUp", i, 0));
+        terms.request_classes.push_back(request_class);
     }
     for (std::size_t i = 0; i < settled.count("Tenants"); ++i)
         terms.tenants.push_back({settled.number("Tenants." + std::to_string(i) + ".QuotaPerS", 0)});
@@ -137,8 +138,8 @@
     const Settled settled(settings);
     NodeTerms terms;
     terms.opening = read_terms(settings, seed);
-    for (ProductTerms& product : terms.opening.products)
-        product.follow_up = 0; // nor has a search a second step
+    for (RequestClassTerms& request_class : terms.opening.request_classes)
+        request_class.follow_up = 0; // nor has a search a second step
     terms.most_open = settled.whole("Limits.MaxOpen", 0);
     terms.batch = settled.at_least_one("Specifics.Batch", 1);
     terms.calls_a_connection = settled.at_least_one("Limits.StreamsPerConn", 1);
@@ -146,7 +147,7 @@
     terms.idle_span = settled.to_use("Limits.ConnIdleUs");
     terms.ask_span = settled.to_use("Contract.AskWithinUs", 10 * kTenthsPerSecond * kMicrosPerTenth);
     terms.opening.list_mode = ListMode::kAsked; // on sockets the list comes to those who ask
-    terms.products = settled.names_of("Grades");
+    terms.request_classes = settled.names_of("Grades");
     terms.tenants = settled.names_of("Tenants");
     terms.zones = settled.names("Zones");
     terms.kinds = settled.names("Kinds");
--- a/src/protocol/terms.hpp
+++ b/src/protocol/terms.hpp
@@ -19,9 +19,9 @@
     int batch = 1;              // parts in one call
     int calls_a_connection = 1; // ... carried at once
     int shards = 0;
-    Tenths idle_span = 0;    // the index server closes an idle connection after this, 0: never
-    Tenths ask_span = 0;     // without a watch for so long, news counts as told
-    std::vector<std::string> products, tenants, zones, kinds;
+    Tenths idle_span = 0; // the index server closes an idle connection after this, 0: never
+    Tenths ask_span = 0;  // without a watch for so long, news counts as told
+    std::vector<std::string> request_classes, tenants, zones, kinds;
 };
 
 // Spaces and commas become _ wherever a name of the settings is read or looked up.
--- a/src/recovery/pilot.cpp
+++ b/src/recovery/pilot.cpp
@@ -57,7 +57,7 @@
     for (std::size_t i = 0; i < a.sites.size(); ++i)
         if (a.sites[i].zone != b.sites[i].zone || a.sites[i].share != b.sites[i].share) return false;
     for (std::size_t i = 0; i < a.rows.size(); ++i)
-        if (a.rows[i].product != b.rows[i].product || a.rows[i].tenant != b.rows[i].tenant ||
+        if (a.rows[i].request_class != b.rows[i].request_class || a.rows[i].tenant != b.rows[i].tenant ||
             std::abs(a.rows[i].admitted - b.rows[i].admitted) >= step ||
             std::abs(a.rows[i].weight - b.rows[i].weight) >= step)
             return false;
@@ -272,7 +272,7 @@
     made.servers = servers_;
     made.of_one = capacity_.of_one();
     for (const auto& [name, server] : servers_) made.presence[name] = presence(name, server);
-    made.products = terms_.facts, made.quotas = terms_.quotas;
+    made.request_classes = terms_.facts, made.quotas = terms_.quotas;
     made.demand = chorus_.demand(now_, own_);
     // What few searches have shown of the shards is mixed with an even share for each.
     const double even = 1.0 / terms_.shards, shown = made.demand.parts() * kShardSeconds;
@@ -296,15 +296,15 @@
     for (const int shard : plan.gone) told.gone.push_back(ShardNo{shard});
     bool full = true;
     for (const auto& [key, verdict] : plan.triage.verdicts) {
-        const std::int32_t product = number_in(terms_.products, key.first);
-        if (product < 0) continue;
+        const std::int32_t request_class = number_in(terms_.request_classes, key.first);
+        if (request_class < 0) continue;
         const std::int32_t tenant = number_in(terms_.tenants, key.second);
         const double admitted = verdict.impossible ? 0 : verdict.admitted;
         // What merely lacks a shard that is gone is not trimmed besides.
         if (admitted >= 1 - kAdmitStep && verdict.weight >= 1 - kAdmitStep) continue;
         full = full && admitted >= 1 - kAdmitStep;
-        told.rows.push_back({ProductNo{product}, TenantNo{tenant}, admitted >= 1 - kAdmitStep ? 1 : admitted,
-                             verdict.weight});
+        told.rows.push_back({RequestClassNo{request_class}, TenantNo{tenant},
+                             admitted >= 1 - kAdmitStep ? 1 : admitted, verdict.weight});
     }
     for (const auto& [shard, served] : plan.division.served)
         if (served < 1 - kAdmitStep) told.tight.emplace_back(ShardNo{shard}, served);
--- a/src/recovery/pilot.hpp
+++ b/src/recovery/pilot.hpp
@@ -21,8 +21,8 @@
     std::string name;
     SiteName home;
     std::uint64_t seed = 0;
-    std::vector<std::string> products, tenants, zones; // as the module numbers them
-    std::map<std::string, ProductFacts> facts;
+    std::vector<std::string> request_classes, tenants, zones; // as the module numbers them
+    std::map<std::string, RequestClassFacts> facts;
     std::map<std::string, double> quotas;
     Tenths due = 0;       // the shortest due span
     Tenths cold_span = 0; // of a server that started anew
--- a/src/recovery/plan.cpp
+++ b/src/recovery/plan.cpp
@@ -44,7 +44,7 @@
         if (!without.contains(site)) division.origins[site] = share, left += share;
     for (auto& [site, share] : division.origins) share /= std::max(left, 1e-9);
     made.division = divide(division);
-    TriageTerms sorting{terms.products, terms.quotas, terms.demand, {}};
+    TriageTerms sorting{terms.request_classes, terms.quotas, terms.demand, {}};
     for (const auto& [shard, rate] : division.shards)
         sorting.room[shard] = rate * made.division.served[shard];
     made.triage = triage(sorting);
@@ -54,8 +54,8 @@
         sums[key.first].first += searches * verdict.admitted * verdict.weight;
         sums[key.first].second += searches;
     }
-    for (const auto& [product, sum] : sums)
-        made.survives[product] = sum.second > 0 ? sum.first / sum.second : 1;
+    for (const auto& [request_class, sum] : sums)
+        made.survives[request_class] = sum.second > 0 ? sum.first / sum.second : 1;
     return made;
 }
 
--- a/src/recovery/plan.hpp
+++ b/src/recovery/plan.hpp
@@ -1,6 +1,6 @@
 // The plan for the loss of sites, made ahead: where the load goes, what is refused first, what is gone. For
-// the loss of each site and of each pair; from capacity as learnt, replicas by shard, the demand by product
-// and tenant, and the cost of distance. Pure; the same terms give the same plan.
+// the loss of each site and of each pair; from capacity as learnt, replicas by shard, the demand by request
+// class and tenant, and the cost of distance. Pure; the same terms give the same plan.
 #pragma once
 #include "recovery/division.hpp"
 #include "recovery/triage.hpp"
@@ -12,7 +12,7 @@
     double of_one = 0;                         // parts a second of a warm server of power 1
     std::map<std::string, double>
         presence; // share of a server's power that is there: cold, failing; not named: 1
-    std::map<std::string, ProductFacts> products;
+    std::map<std::string, RequestClassFacts> request_classes;
     std::map<std::string, double> quotas;
     Demand demand;
     std::map<SiteName, double> origins; // share of the searches that come up at each site
@@ -25,7 +25,7 @@
     Division division;
     Triage triage;
     std::set<int> gone;                     // shards
-    std::map<std::string, double> survives; // of each product, share of its utility
+    std::map<std::string, double> survives; // of each request class, share of its utility
     double room = 0, demand = 0;            // parts a second
     bool full() const;                      // it serves all that is asked for
 };
--- a/src/recovery/relief.cpp
+++ b/src/recovery/relief.cpp
@@ -8,7 +8,7 @@
     sites_.clear(), gone_.clear(), rows_.clear(), tight_.clear();
     for (const auto& site : told.sites) sites_[site.zone] = std::clamp(site.share, 0.0, 1.0);
     gone_.insert(told.gone.begin(), told.gone.end());
-    for (const auto& row : told.rows) rows_[{row.product, row.tenant}] = row;
+    for (const auto& row : told.rows) rows_[{row.request_class, row.tenant}] = row;
     for (const auto& [shard, served] : told.tight) tight_[shard] = served;
     further_ = std::clamp(told.further, 0.0, 1.0);
     come_back_ = std::max<Tenths>(0, told.come_back);
@@ -27,21 +27,21 @@
     return once || chance.unit() >= share ? Stand::kBehind : Stand::kOpen;
 }
 
-const ReliefTold::Row* Relief::row_of(ProductNo product, TenantNo tenant) const {
-    auto found = rows_.find({product, tenant});
-    if (found == rows_.end()) found = rows_.find({product, TenantNo{-1}});
+const ReliefTold::Row* Relief::row_of(RequestClassNo request_class, TenantNo tenant) const {
+    auto found = rows_.find({request_class, tenant});
+    if (found == rows_.end()) found = rows_.find({request_class, TenantNo{-1}});
     return found == rows_.end() ? nullptr : &found->second;
 }
 
-bool Relief::admits(ProductNo product, TenantNo tenant, Pcg& chance) const {
+bool Relief::admits(RequestClassNo request_class, TenantNo tenant, Pcg& chance) const {
     if (rows_.empty()) return true;
-    const auto* row = row_of(product, tenant);
+    const auto* row = row_of(request_class, tenant);
     return row == nullptr || row->admitted >= 1 || chance.unit() < row->admitted;
 }
 
 void Relief::leave_out(Search& search, double floor, TenantNo tenant) const {
     if (rows_.empty() || tight_.empty()) return;
-    const auto* row = row_of(search.product, tenant);
+    const auto* row = row_of(search.request_class, tenant);
     if (row == nullptr || row->weight >= 1) return;
     std::vector<Part*> parts;
     double left = 0;
--- a/src/recovery/relief.hpp
+++ b/src/recovery/relief.hpp
@@ -3,8 +3,8 @@
 // itself: whoever plans says when all is as ever again. Nothing told: nothing differs.
 //
 // Whatever it is told, however wrong, the rules hold: it only takes away. A site that is shut gets fewer
-// attempts, a search that is not admitted has had none, parts are left out only down to the product's floor
-// and an answer without them is in part, further attempts become fewer and never more.
+// attempts, a search that is not admitted has had none, parts are left out only down to the request class's
+// floor and an answer without them is in part, further attempts become fewer and never more.
 #pragma once
 #include "base/pcg.hpp"
 #include "state.hpp"
@@ -25,9 +25,9 @@
     bool shut(ZoneNo zone) const { return !sites_.empty() && share_of(zone) <= 0; }
     bool gone(ShardNo shard) const { return gone_.contains(shard); } // nobody holds it any more
     // Whether a search is let in at all; drawn once a search.
-    bool admits(ProductNo product, TenantNo tenant, Pcg& chance) const;
-    // Marks the parts that a product which may be answered in part does without: of the shards in most need
-    // first, never below `floor` of the weight.
+    bool admits(RequestClassNo request_class, TenantNo tenant, Pcg& chance) const;
+    // Marks the parts that a request class which may be answered in part does without: of the shards in most
+    // need first, never below `floor` of the weight.
     void leave_out(Search& search, double floor, TenantNo tenant) const;
     double further() const { return further_; } // of the budget for further attempts
     // When a client that is refused should come again: spread, so that they do not come together.
@@ -35,11 +35,11 @@
 
   private:
     double share_of(ZoneNo zone) const;
-    const ReliefTold::Row* row_of(ProductNo product, TenantNo tenant) const;
+    const ReliefTold::Row* row_of(RequestClassNo request_class, TenantNo tenant) const;
 
     std::map<ZoneNo, double> sites_;
     std::set<ShardNo> gone_;
-    std::map<std::pair<ProductNo, TenantNo>, ReliefTold::Row> rows_;
+    std::map<std::pair<RequestClassNo, TenantNo>, ReliefTold::Row> rows_;
     std::map<ShardNo, double> tight_;
     double further_ = 1;
     Tenths come_back_ = 0;
--- a/src/recovery/triage.cpp
+++ b/src/recovery/triage.cpp
@@ -14,7 +14,7 @@
 
 struct Class {
     ClassKey key;
-    const ProductFacts* facts = nullptr;
+    const RequestClassFacts* facts = nullptr;
     double searches = 0, parts = 1, utility = 0;
     double admitted = 0, weight = 1;
     std::set<int> without; // shards whose parts it leaves out
@@ -27,8 +27,8 @@
     explicit Sorting(const TriageTerms& terms) : terms_(terms), left_(terms.room) {
         for (const auto& [shard, share] : terms.demand.shards) all_ += share;
         for (const auto& [key, row] : terms.demand.rows) {
-            const auto facts = terms.products.find(key.first);
-            if (facts == terms.products.end() || row.searches <= 0) continue;
+            const auto facts = terms.request_classes.find(key.first);
+            if (facts == terms.request_classes.end() || row.searches <= 0) continue;
             Class one{key, &facts->second, row.searches, row.parts, facts->second.utility, 0, 1, {}, false};
             const bool partial = facts->second.floor < facts->second.need;
             // What nobody holds is missing from every answer.
@@ -110,8 +110,8 @@
             first = last;
         }
     }
-    // What is left of a product that may be answered in part goes without the shards in most need: all of its
-    // searches then, as an answer is the same whoever asks.
+    // What is left of a request class that may be answered in part goes without the shards in most need: all
+    // of its searches then, as an answer is the same whoever asks.
     void trim(Class& one) {
         const double floor = one.facts->floor;
         if (one.impossible || one.admitted >= 1 - kSlack || floor >= one.facts->need) return;
--- a/src/recovery/triage.hpp
+++ b/src/recovery/triage.hpp
@@ -1,13 +1,14 @@
-// What is refused first when there is not room for all: by utility for each unit of work, product by product
-// and tenant by tenant. Each tenant keeps its share of what is left before anybody gets more; parts are left
-// out, down to the product's floor, before whole searches of that product are refused. Pure.
+// What is refused first when there is not room for all: by utility for each unit of work, request class by
+// request class and tenant by tenant. Each tenant keeps its share of what is left before anybody gets more;
+// parts are left out, down to the request class's floor, before whole searches of that request class are
+// refused. Pure.
 #pragma once
 #include "recovery/types.hpp"
 
 namespace ivyrill::recovery {
 
 struct TriageTerms {
-    std::map<std::string, ProductFacts> products;
+    std::map<std::string, RequestClassFacts> request_classes;
     std::map<std::string, double> quotas; // searches a second of each tenant; not named: none is stated
     Demand demand;
     std::map<int, double> room; // parts a second that find room, by shard; not named: nobody holds it
--- a/src/recovery/types.hpp
+++ b/src/recovery/types.hpp
@@ -38,9 +38,9 @@
     Tenths born = 0;
 };
 
-using ClassKey = std::pair<std::string, std::string>; // product, tenant (empty: none that is known)
+using ClassKey = std::pair<std::string, std::string>; // request class, tenant (empty: none that is known)
 
-struct ProductFacts {
+struct RequestClassFacts {
     double utility = 1, floor = 1, need = 1, late_share = 0;
     Tenths due = 0;
     bool once = false; // at most
--- a/src/rota/steward.cpp
+++ b/src/rota/steward.cpp
@@ -195,7 +195,8 @@
     if (evening.held()) return void(wanted.why = "held: " + evening.held_why());
     if (!outlook.lost_site.empty()) return void(wanted.why = "site " + outlook.lost_site + " is lost");
     if (outlook.strain > terms_.spans.most_strain) {
-        // It may be our own trouble: cut off from the servers, we would hold up an evening that others see room for.
+        // It may be our own trouble: cut off from the servers, we would hold up an evening that others see
+        // room for.
         if (strained_since_ == 0) strained_since_ = now;
         wanted.hand_over = now > strained_since_ + terms_.spans.grant;
         return void(wanted.why = "load leaves no room");
--- a/src/rota/words.hpp
+++ b/src/rota/words.hpp
@@ -14,7 +14,7 @@
 
 std::string encode(const Command& command);
 std::optional<Command> decode(std::string_view bytes);
-std::string as_words(const Command& command); // for the log and for stories
+std::string as_words(const Command& command); // for the log and for tests
 
 namespace words {
 
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -20,12 +20,13 @@
     if (!gate_ || !client.guarded) return {};
     const protocol::SearchRequest& request = event.request;
     const access::Credential credential{request.token, request.token_spoilt, client.chain};
-    const access::Asked asked{request.product, request.tenant, key_is_query_ ? request.query : request.key};
+    const access::Asked asked{request.request_class, request.tenant,
+                              key_is_query_ ? request.query : request.key};
     access::Decision made = gate_->admit(credential, asked, access_now());
     if (made.reason != access::Reason::kAdmitted) {
         ++counts_.not_admitted;
         effects_.push_back(Audit{made.reason, "refused", made.caller.club, made.caller.member, made.key,
-                                 request.product, request.id});
+                                 request.request_class, request.id});
     }
     return made;
 }
@@ -42,8 +43,8 @@
     Search& search = searches_.at(id);
     search.barred = why, ++counts_.barred;
     const auto& caller = search.proof->claims ? search.proof->claims->caller : access::Caller{};
-    effects_.push_back(
-        Audit{why, "barred", caller.club, caller.member, {}, search.proof->asked.product, search.wire_id});
+    effects_.push_back(Audit{
+        why, "barred", caller.club, caller.member, {}, search.proof->asked.request_class, search.wire_id});
     bool attempted = false;
     for (const PartId part : search.parts) {
         for (std::uint32_t number = 0; number < parts_.at(part).attempts; ++number) {
--- a/src/routing/events.hpp
+++ b/src/routing/events.hpp
@@ -13,8 +13,8 @@
 
 namespace ivyrill::routing {
 
-using ClientId = Id<struct ClientTag, std::uint64_t>; // a client's connection
-using LinkId = Id<struct LinkTag, std::uint64_t>;     // a connection to an index server
+using ClientId = Id<struct ClientTag, std::uint64_t>;         // a client's connection
+using ConnectionId = Id<struct ConnectionTag, std::uint64_t>; // a connection to an index server
 using StreamNo = std::uint32_t; // of a search on its client's connection, 0 where there is one at a time
 using AskId = Id<struct AskTag, std::uint64_t>; // a call to discovery
 
@@ -52,30 +52,30 @@
 struct ClientGone {
     ClientId client;
 };
-struct LinkUp {
-    LinkId link;
+struct ConnectionUp {
+    ConnectionId connection;
 };
-struct LinkWrote { // so many of its bytes has the system taken
-    LinkId link;
+struct ConnectionWrote { // so many of its bytes has the system taken
+    ConnectionId connection;
     std::uint64_t total = 0;
 };
-struct LinkEnded { // refused, broken or closed by the other side
-    LinkId link;
+struct ConnectionEnded { // refused, broken or closed by the other side
+    ConnectionId connection;
 };
-struct LinkMidway { // a frame has begun and is not whole
-    LinkId link;
+struct ConnectionMidway { // a frame has begun and is not whole
+    ConnectionId connection;
 };
-struct LinkSpoilt { // what came cannot be read; the answer names this part, or none
-    LinkId link;
+struct ConnectionSpoilt { // what came cannot be read; the answer names this part, or none
+    ConnectionId connection;
     std::string part;
 };
 struct PartAnswered {
-    LinkId link;
+    ConnectionId connection;
     protocol::PartAnswer answer;
     Tenths age = 0;
 };
 struct LoadTold {
-    LinkId link;
+    ConnectionId connection;
     protocol::LoadAnswer answer;
 };
 struct ListTold {
@@ -102,21 +102,22 @@
 };
 struct DrainOrdered {}; // answers go out with the last word on their connection
 struct QuietOrdered {}; // no request can be on its way any more: idle connections may go
-using Event = std::variant<ClientOpened, ShakeWanted, ClientSecured, PolicyRead, WallTold, SearchRead,
-                           SearchLeft, ClientMidway, ClientAnswered, ClientLeaving, ClientGone, AskSent,
-                           LinkUp, LinkWrote, LinkEnded, LinkMidway, LinkSpoilt, PartAnswered, LoadTold,
-                           ListTold, ListLost, DiscoveryNamed, MembersCounted, DrainOrdered, QuietOrdered>;
+using Event =
+    std::variant<ClientOpened, ShakeWanted, ClientSecured, PolicyRead, WallTold, SearchRead, SearchLeft,
+                 ClientMidway, ClientAnswered, ClientLeaving, ClientGone, AskSent, ConnectionUp,
+                 ConnectionWrote, ConnectionEnded, ConnectionMidway, ConnectionSpoilt, PartAnswered, LoadTold,
+                 ListTold, ListLost, DiscoveryNamed, MembersCounted, DrainOrdered, QuietOrdered>;
 
-struct OpenLink {
-    LinkId link;
+struct OpenConnection {
+    ConnectionId connection;
     std::string address;
 };
-struct WriteLink {
-    LinkId link;
+struct WriteConnection {
+    ConnectionId connection;
     std::string bytes;
 };
-struct CloseLink {
-    LinkId link;
+struct CloseConnection {
+    ConnectionId connection;
 };
 struct AnswerClient {
     ClientId client;
@@ -139,7 +140,7 @@
     access::Reason reason = access::Reason::kNoCredential;
     std::string_view what;         // `refused`, `barred`, `distrusted`, `swapped`, `kept`
     std::string club, member, key; // the first two only where they are proven
-    std::string product, search;
+    std::string request_class, search;
 };
 struct DrainClient { // it should go elsewhere, where its protocol can say so
     ClientId client;
@@ -168,7 +169,7 @@
     Tenths at = 0;
 };
 using Effect =
-    std::variant<OpenLink, WriteLink, CloseLink, AnswerClient, RejectClient, ShakeHands, Audit, DrainClient,
-                 CloseClient, ShutClient, AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
+    std::variant<OpenConnection, WriteConnection, CloseConnection, AnswerClient, RejectClient, ShakeHands,
+                 Audit, DrainClient, CloseClient, ShutClient, AcceptClients, AskDiscovery, DropAsk, ArmTimer>;
 
 } // namespace ivyrill::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -172,8 +172,8 @@
     const auto decision = admit(found->second, event);
     if (decision && decision->reason != access::Reason::kAdmitted)
         return refuse(event.client, event.stream, decision->reason);
-    const auto product = std::ranges::find(terms_.products, request.product);
-    if (product == terms_.products.end()) return reject(404, "no such product");
+    const auto request_class = std::ranges::find(terms_.request_classes, request.request_class);
+    if (request_class == terms_.request_classes.end()) return reject(404, "no such product");
     if (std::ranges::any_of(request.targets, [&](auto& t) { return t.shard >= terms_.shards; }))
         return reject(400, "no such partition");
     if (open_ids_.contains(request.id)) return reject(409, "this id is being searched for already");
@@ -192,7 +192,7 @@
     const auto tenant = std::ranges::find(terms_.tenants, decision ? decision->tenant : request.tenant);
     const TenantNo payer{
         tenant == terms_.tenants.end() ? -1 : static_cast<std::int32_t>(tenant - terms_.tenants.begin())};
-    const ProductNo number{static_cast<std::int32_t>(product - terms_.products.begin())};
+    const RequestClassNo number{static_cast<std::int32_t>(request_class - terms_.request_classes.begin())};
     Search& search = searches_[id];
     search.client = event.client, search.stream = event.stream, search.wire_id = request.id,
     search.query = request.query;
@@ -326,21 +326,21 @@
         for (std::size_t begin = 0; begin < keys.size(); begin += static_cast<std::size_t>(terms_.batch)) {
             const auto first = keys.begin() + static_cast<std::ptrdiff_t>(begin);
             const auto size = std::min<std::size_t>(terms_.batch, keys.size() - begin);
-            put_on_link(server, Call(first, first + static_cast<std::ptrdiff_t>(size)));
+            put_on_connection(server, Call(first, first + static_cast<std::ptrdiff_t>(size)));
         }
     }
 }
 
-void Router::put_on_link(ServerId server, Call call) {
-    const auto id = link_for(server, call);
+void Router::put_on_connection(ServerId server, Call call) {
+    const auto id = connection_for(server, call);
     if (!id) {
         for (const AttemptKey& key : call) return_later(key, Outcome::kNeverSent); // no room of ours
         return;
     }
-    Link& link = links_.at(*id);
-    link.parts += static_cast<int>(call.size());
-    for (const AttemptKey& key : call) attempts_.at(key).link = *id;
-    link.waiting.push_back(std::move(call));
+    Connection& connection = connections_.at(*id);
+    connection.parts += static_cast<int>(call.size());
+    for (const AttemptKey& key : call) attempts_.at(key).connection = *id;
+    connection.waiting.push_back(std::move(call));
     hand_over(*id);
 }
 
@@ -356,19 +356,20 @@
     if (found == attempts_.end()) return;
     const Attempt attempt = std::move(found->second);
     attempts_.erase(found);
-    if (const auto at_link = links_.find(attempt.link); at_link != links_.end() && !attempt.given_up) {
-        --at_link->second.parts;
-        at_link->second.out.erase(attempt.wire_id);
+    if (const auto at_connection = connections_.find(attempt.connection);
+        at_connection != connections_.end() && !attempt.given_up) {
+        --at_connection->second.parts;
+        at_connection->second.out.erase(attempt.wire_id);
     }
-    rest(attempt.link);
+    rest(attempt.connection);
     const Tenths took = std::max<Tenths>(0, now_ - age - attempt.made_at);
     tell(AttemptReturned{key.first, key.second, attempt.server, outcome, took, report});
 }
 
-void Router::forget_waiting(Link& link, const AttemptKey& key) {
-    for (auto call = link.waiting.begin(); call != link.waiting.end(); ++call) {
+void Router::forget_waiting(Connection& connection, const AttemptKey& key) {
+    for (auto call = connection.waiting.begin(); call != connection.waiting.end(); ++call) {
         if (std::erase(*call, key) == 0) continue;
-        if (call->empty()) link.waiting.erase(call);
+        if (call->empty()) connection.waiting.erase(call);
         return;
     }
 }
@@ -377,24 +378,24 @@
 // kept from being taken for that of a later attempt of the same part.
 void Router::give_up(const AttemptKey& key, Attempt& attempt) {
     attempt.given_up = true;
-    const auto found = links_.find(attempt.link);
-    if (found == links_.end()) return;
-    Link& link = found->second;
-    --link.parts;
+    const auto found = connections_.find(attempt.connection);
+    if (found == connections_.end()) return;
+    Connection& connection = found->second;
+    --connection.parts;
     if (attempt.way == Way::kWaiting) {
-        forget_waiting(link, key);
+        forget_waiting(connection, key);
     } else {
-        link.out.erase(attempt.wire_id);
-        link.given_up[attempt.wire_id] = attempt.until;
+        connection.out.erase(attempt.wire_id);
+        connection.given_up[attempt.wire_id] = attempt.until;
         std::string bytes = protocol::give_up_frame(attempt.wire_id);
-        link.handed += bytes.size(), link.used = now_;
-        effects_.push_back(WriteLink{attempt.link, std::move(bytes)});
+        connection.handed += bytes.size(), connection.used = now_;
+        effects_.push_back(WriteConnection{attempt.connection, std::move(bytes)});
         // A client that leaves early, or an answer that is complete, calls off what was not overdue.
         if (parts_.contains(key.first) || now_ >= attempt.made_at + terms_.opening.connect_span)
-            doubt(attempt.link, attempt);
-        await_ring(attempt.link, link);
+            doubt(attempt.connection, attempt);
+        await_ring(attempt.connection, connection);
     }
-    rest(attempt.link);
+    rest(attempt.connection);
 }
 
 // Its search has ended: what has not been sent for it never is, whoever forgets to call it off.
@@ -402,7 +403,8 @@
     for (auto next = attempts_.lower_bound({part, AttemptNo{0}});
          next != attempts_.end() && next->first.first == part; ++next) {
         if (next->second.given_up) continue;
-        if (next->second.way == Way::kHanded) await_ring(next->second.link, links_.at(next->second.link));
+        if (next->second.way == Way::kHanded)
+            await_ring(next->second.connection, connections_.at(next->second.connection));
         if (next->second.way != Way::kWaiting) continue;
         give_up(next->first, next->second);
         return_later(next->first, Outcome::kNeverSent);
@@ -427,27 +429,29 @@
     const auto found = attempts_.find(what.attempt);
     if (found == attempts_.end() || found->second.given_up) return;
     const bool unsent = found->second.way == Way::kWaiting, over = now_ >= found->second.until;
-    if (found->second.way == Way::kHanded) return close_link(found->second.link); // see await_ring
-    if (!over && !unsent) return; // its time to be sent is over, and it was
+    if (found->second.way == Way::kHanded)
+        return close_connection(found->second.connection); // see await_ring
+    if (!over && !unsent) return;                          // its time to be sent is over, and it was
     give_up(what.attempt, found->second);
     const Outcome lost = over ? Outcome::kNoConnection : Outcome::kNeverSent;
     return_attempt(what.attempt, unsent ? lost : Outcome::kTimedOut);
 }
 
 void Router::apply(const PartAnswered& event) {
-    const auto at_link = links_.find(event.link);
-    if (at_link == links_.end()) return;
-    Link& link = at_link->second;
-    hear_from(link);
-    const auto found = link.out.find(event.answer.id);
-    if (found == link.out.end()) {
+    const auto at_connection = connections_.find(event.connection);
+    if (at_connection == connections_.end()) return;
+    Connection& connection = at_connection->second;
+    hear_from(connection);
+    const auto found = connection.out.find(event.answer.id);
+    if (found == connection.out.end()) {
         ++counts_.returned_late;
-        const bool late = link.given_up.erase(event.answer.id) > 0, again = event.answer.id == link.last;
-        if (late) link.last = event.answer.id;
-        if (!late && !again) apply(LinkSpoilt{event.link, {}}); // nobody asked for it here
+        const bool late = connection.given_up.erase(event.answer.id) > 0,
+                   again = event.answer.id == connection.last;
+        if (late) connection.last = event.answer.id;
+        if (!late && !again) apply(ConnectionSpoilt{event.connection, {}}); // nobody asked for it here
         return;
     }
-    link.last = event.answer.id;
+    connection.last = event.answer.id;
     const AttemptKey key = found->second;
     const auto part = parts_.find(key.first);
     if (part != parts_.end() && event.answer.outcome == Outcome::kAnswered)
@@ -457,54 +461,56 @@
 
 // ---- connections to index servers
 
-bool Router::idle(const Link& link) {
-    return link.parts == 0 && std::ranges::all_of(link.probes, &ProbeOut::over);
+bool Router::idle(const Connection& connection) {
+    return connection.parts == 0 && std::ranges::all_of(connection.probes, &ProbeOut::over);
 }
 
 // What its server may count there. At the limit of a connection nothing more is read, our word that a part is
 // given up neither: the part would be out twice once it goes elsewhere, and a sound server looks silent. So
 // one place stays free (most_carried). A server may work on at what was given up without a word, and that
 // counts there too: it keeps its place until it is answered, or for as long as an answer is waited for.
-int Router::carried(const Link& link) const { return link.parts + static_cast<int>(link.given_up.size()); }
+int Router::carried(const Connection& connection) const {
+    return connection.parts + static_cast<int>(connection.given_up.size());
+}
 
 // We close before the index server does: what is written to a connection that it closes is lost.
 Tenths Router::idle_limit() const {
     return std::max(terms_.idle_span / 2, terms_.idle_span - 2 * terms_.opening.connect_span);
 }
 
-std::optional<LinkId> Router::link_for(ServerId server, const Call& call) {
-    std::optional<LinkId> best, crowded;
+std::optional<ConnectionId> Router::connection_for(ServerId server, const Call& call) {
+    std::optional<ConnectionId> best, crowded;
     int least = 0;
-    std::vector<LinkId> stale;
-    for (const LinkId id : servers_.at(server).links) {
-        Link& link = links_.at(id);
-        if (link.retired || link.midway > 0) continue;
-        if (idle(link) && terms_.idle_span > 0 && now_ >= link.used + idle_limit()) {
+    std::vector<ConnectionId> stale;
+    for (const ConnectionId id : servers_.at(server).connections) {
+        Connection& connection = connections_.at(id);
+        if (connection.retired || connection.midway > 0) continue;
+        if (idle(connection) && terms_.idle_span > 0 && now_ >= connection.used + idle_limit()) {
             stale.push_back(id);
             continue;
         }
-        std::erase_if(link.given_up, [this](auto& late) { return late.second + idle_limit() < now_; });
+        std::erase_if(connection.given_up, [this](auto& late) { return late.second + idle_limit() < now_; });
         const bool known = std::ranges::any_of(call, [&](auto& key) {
             const std::string& wire_id = attempts_.at(key).wire_id;
-            return link.given_up.contains(wire_id) || link.out.contains(wire_id);
+            return connection.given_up.contains(wire_id) || connection.out.contains(wire_id);
         });
         if (known) continue; // an answer there could be that of the earlier attempt
-        const int then = carried(link) + static_cast<int>(call.size());
+        const int then = carried(connection) + static_cast<int>(call.size());
         if (then <= terms_.calls_a_connection && (!crowded || then < least)) crowded = id, least = then;
         if (then > most_carried()) continue;
-        const auto rank = [](const Link& held) { return held.up ? (held.doubted ? 1 : 2) : 0; };
-        if (!best || rank(link) > rank(links_.at(*best))) best = id;
+        const auto rank = [](const Connection& held) { return held.up ? (held.doubted ? 1 : 2) : 0; };
+        if (!best || rank(connection) > rank(connections_.at(*best))) best = id;
     }
-    for (const LinkId id : stale) close_link(id);
+    for (const ConnectionId id : stale) close_connection(id);
     if (best) return best;
-    const auto fresh = open_link(server);
+    const auto fresh = open_connection(server);
     return fresh ? fresh : crowded;
 }
 
-bool Router::sound_link(const Server& server, bool up) const {
-    return std::ranges::any_of(server.links, [this, up](LinkId id) {
-        const Link& link = links_.at(id);
-        return !link.retired && !link.doubted && (link.up || !up);
+bool Router::sound_connection(const Server& server, bool up) const {
+    return std::ranges::any_of(server.connections, [this, up](ConnectionId id) {
+        const Connection& connection = connections_.at(id);
+        return !connection.retired && !connection.doubted && (connection.up || !up);
     });
 }
 
@@ -513,50 +519,53 @@
 // connection carries one at a time, and a second connection for each slow part would cost its server more
 // than the part. Another one is opened beside it and takes what follows once it is up; until then nothing
 // changes, so that a server that cannot be reached is not found out with an attempt.
-void Router::doubt(LinkId id, const Attempt& attempt) {
-    Link& link = links_.at(id);
-    if (attempt.way != Way::kSent || link.heard >= attempt.made_at || link.retired || link.doubted) return;
-    if (!std::exchange(link.unanswered, true)) return;
-    link.doubted = true;
-    ++counts_.links_doubted;
-    const Server& server = servers_.at(link.server);
-    if (server.listed == Listed::kLive && !sound_link(server, false)) open_link(link.server);
-}
-
-void Router::hear_from(Link& link) {
-    link.used = link.heard = now_;
-    link.midway = 0, link.unanswered = link.doubted = false;
-}
-
-std::optional<LinkId> Router::open_link(ServerId server) {
-    if (links_.size() >= most_links()) {
-        const auto spare = std::ranges::find_if(links_, [](auto& held) { return idle(held.second); });
-        if (spare == links_.end()) return {};
-        close_link(spare->first);
+void Router::doubt(ConnectionId id, const Attempt& attempt) {
+    Connection& connection = connections_.at(id);
+    if (attempt.way != Way::kSent || connection.heard >= attempt.made_at || connection.retired ||
+        connection.doubted)
+        return;
+    if (!std::exchange(connection.unanswered, true)) return;
+    connection.doubted = true;
+    ++counts_.connections_doubted;
+    const Server& server = servers_.at(connection.server);
+    if (server.listed == Listed::kLive && !sound_connection(server, false))
+        open_connection(connection.server);
+}
+
+void Router::hear_from(Connection& connection) {
+    connection.used = connection.heard = now_;
+    connection.midway = 0, connection.unanswered = connection.doubted = false;
+}
+
+std::optional<ConnectionId> Router::open_connection(ServerId server) {
+    if (connections_.size() >= most_connections()) {
+        const auto spare = std::ranges::find_if(connections_, [](auto& held) { return idle(held.second); });
+        if (spare == connections_.end()) return {};
+        close_connection(spare->first);
     }
-    const LinkId id{next_link_++};
-    links_[id].server = server;
-    links_[id].used = now_;
-    servers_.at(server).links.insert(id);
-    ++counts_.links_opened;
-    effects_.push_back(OpenLink{id, servers_.at(server).address});
+    const ConnectionId id{next_connection_++};
+    connections_[id].server = server;
+    connections_[id].used = now_;
+    servers_.at(server).connections.insert(id);
+    ++counts_.connections_opened;
+    effects_.push_back(OpenConnection{id, servers_.at(server).address});
     at(now_ + terms_.opening.connect_span, ConnectDue{id});
     return id;
 }
 
-void Router::apply(const LinkUp& event) {
-    const auto found = links_.find(event.link);
-    if (found == links_.end()) return;
+void Router::apply(const ConnectionUp& event) {
+    const auto found = connections_.find(event.connection);
+    if (found == connections_.end()) return;
     found->second.up = true, found->second.used = now_;
-    hand_over(event.link);
+    hand_over(event.connection);
 }
 
 // One frame at a time is in the ring: until its first byte has gone, what waits behind can be taken back.
-void Router::hand_over(LinkId id) {
-    Link& link = links_.at(id);
-    while (link.up && link.in_ring.empty() && !link.waiting.empty()) {
-        Call call = std::move(link.waiting.front());
-        link.waiting.pop_front();
+void Router::hand_over(ConnectionId id) {
+    Connection& connection = connections_.at(id);
+    while (connection.up && connection.in_ring.empty() && !connection.waiting.empty()) {
+        Call call = std::move(connection.waiting.front());
+        connection.waiting.pop_front();
         std::string bytes;
         const bool probe = call.empty();
         // Guards against a connection that comes up together with the end of an attempt's time: its timer
@@ -564,7 +573,7 @@
         std::erase_if(call, [&](auto& key) {
             Attempt& attempt = attempts_.at(key);
             if (now_ < std::min(attempt.until, attempt.send_by)) return false;
-            attempt.given_up = true, --link.parts;
+            attempt.given_up = true, --connection.parts;
             return_later(key, Outcome::kNeverSent);
             return true;
         });
@@ -576,16 +585,16 @@
             for (const AttemptKey& key : call) {
                 Attempt& attempt = attempts_.at(key);
                 attempt.way = Way::kHanded;
-                link.out[attempt.wire_id] = key;
+                connection.out[attempt.wire_id] = key;
                 const Tenths left = attempt.until - now_;
                 parts.push_back(
                     {attempt.wire_id, attempt.shard, std::max<Tenths>(1, left / 10), attempt.query});
             }
             bytes = protocol::call_frame(parts);
         }
-        link.handed += bytes.size(), link.used = now_;
-        link.in_ring.push_back({link.handed, call});
-        effects_.push_back(WriteLink{id, std::move(bytes)});
+        connection.handed += bytes.size(), connection.used = now_;
+        connection.in_ring.push_back({connection.handed, call});
+        effects_.push_back(WriteConnection{id, std::move(bytes)});
     }
 }
 
@@ -593,80 +602,80 @@
 // long after it should not any more, when a server that stood still reads on: past its time or its window,
 // for a client that has gone, to a server that drains. It cannot be taken out of the ring, so its connection
 // ends, and as its last byte has not gone it never ran.
-void Router::await_ring(LinkId id, const Link& link) {
-    if (!link.in_ring.empty()) at(now_ + std::max<Tenths>(1, terms_.opening.turn_gap), RingDue{id});
+void Router::await_ring(ConnectionId id, const Connection& connection) {
+    if (!connection.in_ring.empty()) at(now_ + std::max<Tenths>(1, terms_.opening.turn_gap), RingDue{id});
 }
 
 void Router::due(const RingDue& what) {
-    const auto found = links_.find(what.link);
-    if (found == links_.end()) return;
-    const Link& link = found->second;
-    const bool unwanted = link.retired || servers_.at(link.server).listed != Listed::kLive;
-    const bool stuck = std::ranges::any_of(link.in_ring, [&](const Handed& frame) {
+    const auto found = connections_.find(what.connection);
+    if (found == connections_.end()) return;
+    const Connection& connection = found->second;
+    const bool unwanted = connection.retired || servers_.at(connection.server).listed != Listed::kLive;
+    const bool stuck = std::ranges::any_of(connection.in_ring, [&](const Handed& frame) {
         return std::ranges::any_of(frame.call, [&](const AttemptKey& key) {
             const auto attempt = attempts_.find(key);
             return unwanted || attempt == attempts_.end() || attempt->second.given_up ||
                    !parts_.contains(key.first);
         });
     });
-    if (stuck) close_link(what.link);
+    if (stuck) close_connection(what.connection);
 }
 
-void Router::apply(const LinkWrote& event) {
-    const auto found = links_.find(event.link);
-    if (found == links_.end()) return;
-    Link& link = found->second;
-    while (!link.in_ring.empty() && link.in_ring.front().end <= event.total) {
-        for (const AttemptKey& key : link.in_ring.front().call)
+void Router::apply(const ConnectionWrote& event) {
+    const auto found = connections_.find(event.connection);
+    if (found == connections_.end()) return;
+    Connection& connection = found->second;
+    while (!connection.in_ring.empty() && connection.in_ring.front().end <= event.total) {
+        for (const AttemptKey& key : connection.in_ring.front().call)
             if (const auto attempt = attempts_.find(key); attempt != attempts_.end())
                 attempt->second.way = Way::kSent;
-        link.in_ring.pop_front();
+        connection.in_ring.pop_front();
     }
-    hand_over(event.link);
+    hand_over(event.connection);
 }
 
-void Router::apply(const LinkEnded& event) {
-    if (links_.contains(event.link)) close_link(event.link);
+void Router::apply(const ConnectionEnded& event) {
+    if (connections_.contains(event.connection)) close_connection(event.connection);
 }
 
 // Whatever is on the connection ends: what was wholly with the system may have run, the rest has not, so that
 // what was handed over in this very turn must not be written any more. Where the connection is spoilt, it is
 // we who call off what is out.
-void Router::close_link(LinkId id, bool spoilt) {
-    const auto found = links_.find(id);
-    const Link link = std::move(found->second);
-    links_.erase(found);
-    servers_.at(link.server).links.erase(id);
+void Router::close_connection(ConnectionId id, bool spoilt) {
+    const auto found = connections_.find(id);
+    const Connection connection = std::move(found->second);
+    connections_.erase(found);
+    servers_.at(connection.server).connections.erase(id);
     std::erase_if(effects_, [id](auto& effect) {
-        const auto* write = std::get_if<WriteLink>(&effect);
-        return write != nullptr && write->link == id;
+        const auto* write = std::get_if<WriteConnection>(&effect);
+        return write != nullptr && write->connection == id;
     });
-    effects_.push_back(CloseLink{id});
+    effects_.push_back(CloseConnection{id});
     // Neither ran; only that a connection never came up says something of its server.
-    const bool overdue = now_ >= link.used + terms_.opening.connect_span; // used when it was opened
-    const Outcome unsent = link.up   ? Outcome::kNeverSent
-                           : overdue ? Outcome::kNoConnection
-                                     : Outcome::kRefused;
-    for (const Call& call : link.waiting)
+    const bool overdue = now_ >= connection.used + terms_.opening.connect_span; // used when it was opened
+    const Outcome unsent = connection.up ? Outcome::kNeverSent
+                           : overdue     ? Outcome::kNoConnection
+                                         : Outcome::kRefused;
+    for (const Call& call : connection.waiting)
         for (const AttemptKey& key : call) return_attempt(key, unsent);
-    for (const auto& [wire_id, key] : link.out) {
+    for (const auto& [wire_id, key] : connection.out) {
         Attempt& attempt = attempts_.at(key);
         if (attempt.way == Way::kSent && spoilt)
             attempt.given_up = true, return_recalled(key);
         else
             return_attempt(key, attempt.way == Way::kSent ? Outcome::kBroken : unsent);
     }
-    for (const ProbeOut& probe : link.probes)
-        if (!probe.over) tell(ProbeReturned{link.server, false, now_ - probe.made_at, {}});
+    for (const ProbeOut& probe : connection.probes)
+        if (!probe.over) tell(ProbeReturned{connection.server, false, now_ - probe.made_at, {}});
 }
 
 // What came there cannot be read, or is not what was asked for: the attempt that it answered has failed and
 // may have run, and no further answer can be told from what follows. The others out there are called off by
 // closing the connection. That says nothing of their server, which has answered: it is no broken one. Where
 // no attempt is named, the one that has been out for longest is taken for the one answered.
-void Router::apply(const LinkSpoilt& event) {
-    const auto found = links_.find(event.link);
-    if (found == links_.end()) return;
+void Router::apply(const ConnectionSpoilt& event) {
+    const auto found = connections_.find(event.connection);
+    if (found == connections_.end()) return;
     ++counts_.spoilt;
     std::optional<AttemptKey> answered;
     for (const auto& [wire_id, key] : found->second.out) {
@@ -677,61 +686,62 @@
         if (named) break;
     }
     if (answered) return_attempt(*answered, Outcome::kError);
-    if (links_.contains(event.link)) close_link(event.link, true);
+    if (connections_.contains(event.connection)) close_connection(event.connection, true);
 }
 
 // A frame that has begun comes at once or not at all. Until it is whole its connection takes nothing new.
-void Router::apply(const LinkMidway& event) {
-    const auto found = links_.find(event.link);
-    if (found == links_.end() || found->second.midway > 0) return;
+void Router::apply(const ConnectionMidway& event) {
+    const auto found = connections_.find(event.connection);
+    if (found == connections_.end() || found->second.midway > 0) return;
     found->second.midway = now_;
-    at(now_ + terms_.opening.connect_span, MidwayDue{event.link});
+    at(now_ + terms_.opening.connect_span, MidwayDue{event.connection});
 }
 
 void Router::due(const MidwayDue& what) {
-    const auto found = links_.find(what.link);
-    if (found == links_.end() || found->second.midway == 0) return;
-    if (now_ >= found->second.midway + terms_.opening.connect_span) apply(LinkSpoilt{what.link, {}});
+    const auto found = connections_.find(what.connection);
+    if (found == connections_.end() || found->second.midway == 0) return;
+    if (now_ >= found->second.midway + terms_.opening.connect_span)
+        apply(ConnectionSpoilt{what.connection, {}});
 }
 
 void Router::due(const ConnectDue& what) {
-    const auto found = links_.find(what.link);
-    if (found != links_.end() && !found->second.up) close_link(what.link);
+    const auto found = connections_.find(what.connection);
+    if (found != connections_.end() && !found->second.up) close_connection(what.connection);
 }
 
 // After something on it has ended: a connection with nothing left is closed when it has been idle for long
 // enough, or at once where nothing new may go there.
-void Router::rest(LinkId id) {
-    const auto found = links_.find(id);
-    if (found == links_.end() || !idle(found->second)) return;
-    Link& link = found->second;
+void Router::rest(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !idle(found->second)) return;
+    Connection& connection = found->second;
     // A connection full of what was given up takes nothing more: its end frees its server of it.
-    if (link.retired || carried(link) >= most_carried() ||
-        (link.doubted && sound_link(servers_.at(link.server), true)))
-        return close_link(id);
-    if (terms_.idle_span == 0 || std::exchange(link.idle_armed, true)) return;
-    at(link.used + idle_limit(), IdleDue{id});
+    if (connection.retired || carried(connection) >= most_carried() ||
+        (connection.doubted && sound_connection(servers_.at(connection.server), true)))
+        return close_connection(id);
+    if (terms_.idle_span == 0 || std::exchange(connection.idle_armed, true)) return;
+    at(connection.used + idle_limit(), IdleDue{id});
 }
 
 void Router::due(const IdleDue& what) {
-    const auto found = links_.find(what.link);
-    if (found == links_.end()) return;
+    const auto found = connections_.find(what.connection);
+    if (found == connections_.end()) return;
     found->second.idle_armed = false;
     if (!idle(found->second)) return;
-    if (now_ >= found->second.used + idle_limit()) return close_link(what.link);
-    rest(what.link);
+    if (now_ >= found->second.used + idle_limit()) return close_connection(what.connection);
+    rest(what.connection);
 }
 
 void Router::hang_up(ServerId server) {
-    const auto links = servers_.at(server).links;
-    for (const LinkId id : links)
-        if (idle(links_.at(id))) ++counts_.links_renewed, close_link(id);
+    const auto connections = servers_.at(server).connections;
+    for (const ConnectionId id : connections)
+        if (idle(connections_.at(id))) ++counts_.connections_renewed, close_connection(id);
 }
 
-void Router::retire_links(Server& server) {
-    const auto links = server.links;
-    for (const LinkId id : links) {
-        links_.at(id).retired = true;
+void Router::retire_connections(Server& server) {
+    const auto connections = server.connections;
+    for (const ConnectionId id : connections) {
+        connections_.at(id).retired = true;
         rest(id);
     }
 }
@@ -739,13 +749,13 @@
 // ---- probes
 
 void Router::probe(ServerId server) {
-    const auto id = link_for(server, {});
+    const auto id = connection_for(server, {});
     ++counts_.probes;
     if (!id) return at(now_ + 1, ProbeReturn{server});
-    Link& link = links_.at(*id);
-    link.probes.push_back({next_probe_++, now_, false});
-    at(now_ + terms_.opening.connect_span, ProbeDue{*id, link.probes.back().serial});
-    link.waiting.push_back({});
+    Connection& connection = connections_.at(*id);
+    connection.probes.push_back({next_probe_++, now_, false});
+    at(now_ + terms_.opening.connect_span, ProbeDue{*id, connection.probes.back().serial});
+    connection.waiting.push_back({});
     hand_over(*id);
 }
 
@@ -754,27 +764,28 @@
 // A connection that leaves a probe without an answer may lead nowhere any more: nothing new goes there, and
 // the next probe tries a new one.
 void Router::due(const ProbeDue& what) {
-    const auto found = links_.find(what.link);
-    if (found == links_.end()) return;
-    Link& link = found->second;
-    const auto probe = std::ranges::find(link.probes, what.serial, &ProbeOut::serial);
-    if (probe == link.probes.end() || probe->over) return;
+    const auto found = connections_.find(what.connection);
+    if (found == connections_.end()) return;
+    Connection& connection = found->second;
+    const auto probe = std::ranges::find(connection.probes, what.serial, &ProbeOut::serial);
+    if (probe == connection.probes.end() || probe->over) return;
     probe->over = true;
-    tell(ProbeReturned{link.server, false, now_ - probe->made_at, {}});
-    link.retired = true;
-    rest(what.link);
+    tell(ProbeReturned{connection.server, false, now_ - probe->made_at, {}});
+    connection.retired = true;
+    rest(what.connection);
 }
 
 void Router::apply(const LoadTold& event) {
-    const auto found = links_.find(event.link);
-    if (found == links_.end() || found->second.probes.empty()) return;
-    Link& link = found->second;
-    hear_from(link);
-    const ProbeOut probe = link.probes.front();
-    link.probes.pop_front();
+    const auto found = connections_.find(event.connection);
+    if (found == connections_.end() || found->second.probes.empty()) return;
+    Connection& connection = found->second;
+    hear_from(connection);
+    const ProbeOut probe = connection.probes.front();
+    connection.probes.pop_front();
     if (!probe.over)
-        tell(ProbeReturned{link.server, event.answer.passed, now_ - probe.made_at, event.answer.report});
-    rest(event.link);
+        tell(
+            ProbeReturned{connection.server, event.answer.passed, now_ - probe.made_at, event.answer.report});
+    rest(event.connection);
 }
 
 // ---- the list of index servers
@@ -795,11 +806,12 @@
 
 // What still waits for a connection to a server that drains or is gone has not left and does not leave.
 void Router::pull_waiting(Server& server) {
-    const auto links = server.links;
-    for (const LinkId id : links) {
-        await_ring(id, links_.at(id));
+    const auto connections = server.connections;
+    for (const ConnectionId id : connections) {
+        await_ring(id, connections_.at(id));
         std::vector<AttemptKey> keys;
-        for (const Call& call : links_.at(id).waiting) keys.insert(keys.end(), call.begin(), call.end());
+        for (const Call& call : connections_.at(id).waiting)
+            keys.insert(keys.end(), call.begin(), call.end());
         for (const AttemptKey& key : keys) {
             Attempt& attempt = attempts_.at(key);
             give_up(key, attempt);
@@ -820,7 +832,7 @@
         const CellNo cell{row.cell};
         if (address != server.address || cell != server.cell) { // there may be another server by now
             pull_waiting(server);
-            retire_links(server);
+            retire_connections(server);
         }
         server.address = address;
         server.listed = row.listed, server.cell = cell;
@@ -837,7 +849,7 @@
         if (kind != ListKind::kChanges && !named.contains(id)) server.listed = Listed::kGone;
         if (server.listed == Listed::kLive) continue;
         pull_waiting(server);
-        if (server.listed == Listed::kGone) retire_links(server);
+        if (server.listed == Listed::kGone) retire_connections(server);
     }
     tell(news);
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -23,8 +23,9 @@
 struct Counts { // since the start
     std::uint64_t not_admitted = 0, barred = 0, distrusted = 0;
     std::uint64_t searches = 0, delivered = 0, rejected = 0, failed = 0, lapsed = 0, over_full = 0,
-                  attempts = 0, recalls = 0, returned_late = 0, links_opened = 0, links_doubted = 0,
-                  links_renewed = 0, spoilt = 0, probes = 0, lists = 0, lists_lost = 0;
+                  attempts = 0, recalls = 0, returned_late = 0, connections_opened = 0,
+                  connections_doubted = 0, connections_renewed = 0, spoilt = 0, probes = 0, lists = 0,
+                  lists_lost = 0;
 };
 
 class Router : private Host {
@@ -44,7 +45,7 @@
     std::size_t open_clients() const { return clients_.size(); }
     // More are not taken on before a turn has made room for them.
     std::size_t room_for_clients() const { return most_clients() + most_shut() + 1; }
-    std::size_t open_links() const { return links_.size(); }
+    std::size_t open_connections() const { return connections_.size(); }
     std::size_t open_attempts() const { return attempts_.size(); }
     std::size_t alarms() const { return alarms_.size(); }
     const Counts& counts() const { return counts_; }
@@ -85,7 +86,7 @@
     enum class Way { kWaiting, kHanded, kSent }; // not yet, partly and wholly with the system
     struct Attempt {
         ServerId server;
-        LinkId link;
+        ConnectionId connection;
         std::string wire_id, query;
         int shard = 0;
         Tenths made_at = 0, until = 0, send_by = 0; // not sent by then, it is not sent at all
@@ -102,7 +103,7 @@
         std::uint64_t end = 0;
         Call call;
     };
-    struct Link {
+    struct Connection {
         ServerId server;
         bool up = false, retired = false; // retired: nothing new goes there
         std::uint64_t handed = 0;         // bytes, so far
@@ -123,7 +124,7 @@
         std::string address;
         Listed listed = Listed::kLive;
         CellNo cell;
-        std::set<LinkId> links;
+        std::set<ConnectionId> connections;
     };
 
     // What falls due; each looks whether it still applies.
@@ -141,19 +142,19 @@
         SearchId search;
     };
     struct ConnectDue {
-        LinkId link;
+        ConnectionId connection;
     };
     struct MidwayDue {
-        LinkId link;
+        ConnectionId connection;
     };
     struct RingDue { // a frame in the ring has not gone
-        LinkId link;
+        ConnectionId connection;
     };
     struct IdleDue {
-        LinkId link;
+        ConnectionId connection;
     };
     struct ProbeDue {
-        LinkId link;
+        ConnectionId connection;
         std::uint64_t serial;
     };
     struct ProbeReturn {
@@ -191,11 +192,11 @@
     void apply(const ClientAnswered& event);
     void apply(const ClientLeaving& event);
     void apply(const ClientGone& event);
-    void apply(const LinkUp& event);
-    void apply(const LinkWrote& event);
-    void apply(const LinkEnded& event);
-    void apply(const LinkMidway& event);
-    void apply(const LinkSpoilt& event);
+    void apply(const ConnectionUp& event);
+    void apply(const ConnectionWrote& event);
+    void apply(const ConnectionEnded& event);
+    void apply(const ConnectionMidway& event);
+    void apply(const ConnectionSpoilt& event);
     void apply(const PartAnswered& event);
     void apply(const LoadTold& event);
     void apply(const ListTold& event);
@@ -238,21 +239,21 @@
                         Tenths age = 0);
     void return_later(const AttemptKey& key, Outcome outcome);
     void send_calls();
-    void put_on_link(ServerId server, Call call);
-    std::optional<LinkId> link_for(ServerId server, const Call& call);
-    std::optional<LinkId> open_link(ServerId server);
-    void hand_over(LinkId id);
-    void await_ring(LinkId id, const Link& link);
-    static bool idle(const Link& link);
-    bool sound_link(const Server& server, bool up) const; // has it one, perhaps not up yet
-    void doubt(LinkId id, const Attempt& attempt);
-    void hear_from(Link& link);
-    int carried(const Link& link) const;
+    void put_on_connection(ServerId server, Call call);
+    std::optional<ConnectionId> connection_for(ServerId server, const Call& call);
+    std::optional<ConnectionId> open_connection(ServerId server);
+    void hand_over(ConnectionId id);
+    void await_ring(ConnectionId id, const Connection& connection);
+    static bool idle(const Connection& connection);
+    bool sound_connection(const Server& server, bool up) const; // has it one, perhaps not up yet
+    void doubt(ConnectionId id, const Attempt& attempt);
+    void hear_from(Connection& connection);
+    int carried(const Connection& connection) const;
     int most_carried() const { return std::max(1, terms_.calls_a_connection - 1); }
     Tenths idle_limit() const;
-    void close_link(LinkId id, bool spoilt = false);
-    void rest(LinkId id);
-    void retire_links(Server& server);
+    void close_connection(ConnectionId id, bool spoilt = false);
+    void rest(ConnectionId id);
+    void retire_connections(Server& server);
     void pull_waiting(Server& server);
     void take_list(const protocol::ServerList& list, ListKind kind);
     ServerId server_of(const std::string& name);
@@ -265,11 +266,11 @@
     void take_back(PartId part);
     void give_up(const AttemptKey& key, Attempt& attempt);
     void return_recalled(const AttemptKey& key);
-    void forget_waiting(Link& link, const AttemptKey& key);
-    std::size_t most_links() const { return descriptors_ / 2; }
+    void forget_waiting(Connection& connection, const AttemptKey& key);
+    std::size_t most_connections() const { return descriptors_ / 2; }
     // Clients that have been shut may hold a few descriptors beside the others until they close.
     std::size_t most_shut() const { return descriptors_ / 16; }
-    std::size_t most_clients() const { return descriptors_ - most_links() - most_shut(); }
+    std::size_t most_clients() const { return descriptors_ - most_connections() - most_shut(); }
     std::int32_t number_of(std::vector<std::string>& names, const std::string& name);
 
     protocol::NodeTerms terms_;
@@ -277,13 +278,13 @@
     std::size_t descriptors_;
     Tenths now_ = 0, armed_ = 0;
     std::uint32_t next_id_ = 1; // of searches and parts
-    std::uint64_t next_link_ = 1, next_ask_ = 1, next_probe_ = 1;
+    std::uint64_t next_connection_ = 1, next_ask_ = 1, next_probe_ = 1;
     std::map<ClientId, Client> clients_;
     std::map<SearchId, Search> searches_;
     std::map<PartId, Part> parts_;
     std::map<AttemptKey, Attempt> attempts_;
     std::set<std::string> open_ids_; // of searches, as clients gave them
-    std::map<LinkId, Link> links_;
+    std::map<ConnectionId, Connection> connections_;
     std::map<ServerId, Server> servers_;
     std::map<std::string, ServerId> server_ids_;
     std::map<ServerId, std::vector<AttemptKey>> fresh_; // attempts of this turn
--- a/src/script/parser.cpp
+++ b/src/script/parser.cpp
@@ -288,12 +288,12 @@
         return left;
     }
     ExpressionPtr sum() {
-        ExpressionPtr left = product();
+        ExpressionPtr left = request_class();
         while (is("+") || is("-") || is("|"))
-            left = binary(Form::kBinary, std::move(left), [this] { return product(); });
+            left = binary(Form::kBinary, std::move(left), [this] { return request_class(); });
         return left;
     }
-    ExpressionPtr product() {
+    ExpressionPtr request_class() {
         ExpressionPtr left = unary();
         while (is("*") || is("/") || is("//") || is("%"))
             left = binary(Form::kBinary, std::move(left), [this] { return unary(); });
--- a/src/doors/http1/door.cpp
+++ b/src/sessions/http1/session.cpp
@@ -1,8 +1,8 @@
-#include "doors/http1/door.hpp"
+#include "sessions/http1/session.hpp"
 
-namespace ivyrill::doors {
+namespace ivyrill::sessions {
 
-std::size_t Http1Door::feed(std::string_view bytes) {
+std::size_t Http1Session::feed(std::string_view bytes) {
     if (!reads()) return 0;
     const std::size_t taken = parser_.feed(bytes);
     if (parser_.broken() != 0)
@@ -12,7 +12,7 @@
     return taken;
 }
 
-void Http1Door::take(const protocol::HttpMessage& message) {
+void Http1Session::take(const protocol::HttpMessage& message) {
     closing_ = message.close;
     protocol::ClientRequest request = protocol::read_client_request(message);
     if (auto* search = std::get_if<protocol::SearchRequest>(&request)) {
@@ -28,25 +28,25 @@
 }
 
 // An answer is the last word on its connection where the reducer or the client's request says so.
-void Http1Door::say(const protocol::Reply& reply, bool last) {
+void Http1Session::say(const protocol::Reply& reply, bool last) {
     busy_ = false, closing_ = closing_ || last;
     out_ += protocol::write_reply(reply, closing_);
 }
 
-void Http1Door::answer(StreamNo, const protocol::FinalAnswer& answer, bool last) {
+void Http1Session::answer(StreamNo, const protocol::FinalAnswer& answer, bool last) {
     say(protocol::reply_to_search(answer), last);
 }
 
-void Http1Door::reject(StreamNo, int status, std::string_view why, std::string_view challenge, bool last) {
+void Http1Session::reject(StreamNo, int status, std::string_view why, std::string_view challenge, bool last) {
     say(protocol::plain_reply(status, why, challenge), last);
 }
 
 // An answer for which there is no room ends the connection: half of one would be worse.
-std::string Http1Door::take_out(std::size_t room) {
+std::string Http1Session::take_out(std::size_t room) {
     if (out_.size() <= room) return std::exchange(out_, {});
     closing_ = true;
     out_.clear();
     return {};
 }
 
-} // namespace ivyrill::doors
+} // namespace ivyrill::sessions
--- a/src/doors/http1/door.hpp
+++ b/src/sessions/http1/session.hpp
@@ -1,13 +1,13 @@
 // HTTP/1.1 (RFC 9112): one request at a time, answers in their order.
 #pragma once
-#include "doors/door.hpp"
 #include "protocol/http.hpp"
+#include "sessions/session.hpp"
 
-namespace ivyrill::doors {
+namespace ivyrill::sessions {
 
-class Http1Door : public Door {
+class Http1Session : public Session {
   public:
-    explicit Http1Door(const Around& around) : around_(around) {}
+    explicit Http1Session(const Around& around) : around_(around) {}
     std::size_t feed(std::string_view bytes) override;
     bool reads() const override { return !busy_ && !closing_; }
     bool midway() const override { return reads() && parser_.begun(); }
@@ -27,4 +27,4 @@
     bool busy_ = false, closing_ = false; // a search is out; its answer is the last word here
 };
 
-} // namespace ivyrill::doors
+} // namespace ivyrill::sessions
--- a/src/doors/http2/door.cpp
+++ b/src/sessions/http2/session.cpp
@@ -1,4 +1,4 @@
-#include "doors/http2/door.hpp"
+#include "sessions/http2/session.hpp"
 
 #include <nghttp2/nghttp2.h>
 
@@ -8,7 +8,7 @@
 #include <cstring>
 #include <new>
 
-namespace ivyrill::doors {
+namespace ivyrill::sessions {
 
 using limits::Deed;
 
@@ -28,17 +28,18 @@
 } // namespace
 
 // What the library calls. Nothing is thrown through it: an error code goes back.
-struct Http2Door::Wire {
-    static Http2Door& door(void* user) { return *static_cast<Http2Door*>(user); }
+struct Http2Session::Wire {
+    static Http2Session& session(void* user) { return *static_cast<Http2Session*>(user); }
 
     // A frame begins, so no block of fields is open; of a stream that was refused the library tells no end.
     static int begin_frame(nghttp2_session*, const nghttp2_frame_hd* head, void* user) {
-        if (head->type != NGHTTP2_CONTINUATION) door(user).in_block_ = false, door(user).block_bytes_ = 0;
+        if (head->type != NGHTTP2_CONTINUATION)
+            session(user).in_block_ = false, session(user).block_bytes_ = 0;
         return 0;
     }
 
     static int begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         self.in_block_ = (frame->hd.flags & NGHTTP2_FLAG_END_HEADERS) == 0;
         if (frame->hd.type != NGHTTP2_HEADERS || frame->headers.cat != NGHTTP2_HCAT_REQUEST) return 0;
         ++self.counts_.streams;
@@ -56,7 +57,7 @@
     static int header(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
                       std::size_t name_size, const std::uint8_t* value, std::size_t value_size, std::uint8_t,
                       void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         const auto found = self.streams_.find(static_cast<StreamNo>(frame->hd.stream_id));
         if (found == self.streams_.end() || frame->headers.cat != NGHTTP2_HCAT_REQUEST)
             return 0; // trailers: unread
@@ -78,7 +79,7 @@
 
     static int data(nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* bytes,
                     std::size_t size, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         const auto found = self.streams_.find(static_cast<StreamNo>(id));
         if (found == self.streams_.end() || found->second.phase != Phase::kHalf) return 0;
         Stream& stream = found->second;
@@ -92,7 +93,7 @@
     }
 
     static int frame_came(nghttp2_session*, const nghttp2_frame* frame, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         const auto number = static_cast<StreamNo>(frame->hd.stream_id);
         const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
         switch (frame->hd.type) {
@@ -136,7 +137,7 @@
     // What comes on a stream that we have refused or ended may have crossed our word, and is no fault by
     // itself.
     static int invalid_frame(nghttp2_session*, const nghttp2_frame* frame, int, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         const bool crossed =
             frame->hd.stream_id > 0 && !self.streams_.contains(static_cast<StreamNo>(frame->hd.stream_id));
         self.spend(crossed ? Deed::kAfterEnd : Deed::kBad);
@@ -146,20 +147,20 @@
     // The library sends a PING ahead of what waits, the notice too; heard before it, its answer would prove
     // nothing.
     static int frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         if (frame->hd.type == NGHTTP2_GOAWAY && self.leaving_ == Leaving::kAnnounced)
             nghttp2_submit_ping(self.session_, NGHTTP2_FLAG_NONE, kLeavingPing.data());
         return 0;
     }
 
     static int stream_closed(nghttp2_session*, std::int32_t id, std::uint32_t, void* user) {
-        door(user).close_stream(static_cast<StreamNo>(id));
+        session(user).close_stream(static_cast<StreamNo>(id));
         return 0;
     }
 
     static ssize_t read_body(nghttp2_session*, std::int32_t id, std::uint8_t* into, std::size_t most,
                              std::uint32_t* flags, nghttp2_data_source*, void* user) {
-        Http2Door& self = door(user);
+        Http2Session& self = session(user);
         const auto found = self.streams_.find(static_cast<StreamNo>(id));
         if (found == self.streams_.end()) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         Stream& stream = found->second;
@@ -171,7 +172,7 @@
     }
 };
 
-Http2Door::Http2Door(const Around& around, const limits::ConnectionTerms& terms)
+Http2Session::Http2Session(const Around& around, const limits::ConnectionTerms& terms)
     : around_(around), budget_(terms, around.now) {
     nghttp2_session_callbacks* calls = nullptr;
     nghttp2_option* option = nullptr;
@@ -199,16 +200,16 @@
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
 }
 
-Http2Door::~Http2Door() {
+Http2Session::~Http2Session() {
     for (const auto& [number, stream] : streams_) counts_.unheard += stream.phase == Phase::kAnswered;
     nghttp2_session_del(session_);
 }
 
-bool Http2Door::finished() const {
+bool Http2Session::finished() const {
     return nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
 }
 
-std::size_t Http2Door::feed(std::string_view bytes) {
+std::size_t Http2Session::feed(std::string_view bytes) {
     if (!reads()) return bytes.size();
     bytes = bytes.substr(0, budget_.terms().turn_bytes);
     const ssize_t taken =
@@ -232,11 +233,11 @@
     return static_cast<std::size_t>(taken);
 }
 
-void Http2Door::spend(Deed deed) {
+void Http2Session::spend(Deed deed) {
     if (!budget_.spend(deed, around_.now)) end_calmly(deed);
 }
 
-void Http2Door::end_calmly(Deed) {
+void Http2Session::end_calmly(Deed) {
     if (std::exchange(calmed_, true)) return;
     ++counts_.calmed;
     nghttp2_session_terminate_session(session_, NGHTTP2_ENHANCE_YOUR_CALM);
@@ -245,7 +246,7 @@
     for (const StreamNo number : open) close_stream(number); // their searches go with the connection
 }
 
-void Http2Door::close_stream(StreamNo number) {
+void Http2Session::close_stream(StreamNo number) {
     const auto found = streams_.find(number);
     if (found == streams_.end()) return;
     Stream& stream = found->second;
@@ -258,7 +259,7 @@
 
 // The same reading as on HTTP/1.1, of the same message: pseudo-fields, forbidden fields and lengths were
 // checked by the library on the way.
-void Http2Door::request_done(StreamNo number, Stream& stream) {
+void Http2Session::request_done(StreamNo number, Stream& stream) {
     protocol::HttpMessage message = std::move(stream.message);
     held_ -= message.body.size();
     stream.message = {};
@@ -285,7 +286,7 @@
     }
 }
 
-void Http2Door::reply(StreamNo number, const protocol::Reply& reply) {
+void Http2Session::reply(StreamNo number, const protocol::Reply& reply) {
     const auto found = streams_.find(number);
     if (found == streams_.end() || found->second.phase == Phase::kAnswered) return;
     Stream& stream = found->second;
@@ -307,13 +308,13 @@
 
 // `last` is the reducer's word that it drains: here the whole connection hears of it, and its other streams
 // go on.
-void Http2Door::answer(StreamNo stream, const protocol::FinalAnswer& answer, bool last) {
+void Http2Session::answer(StreamNo stream, const protocol::FinalAnswer& answer, bool last) {
     reply(stream, protocol::reply_to_search(answer));
     if (last) drain();
 }
 
-void Http2Door::reject(StreamNo stream, int status, std::string_view why, std::string_view challenge,
-                       bool last) {
+void Http2Session::reject(StreamNo stream, int status, std::string_view why, std::string_view challenge,
+                          bool last) {
     if (stream == 0) { // about the connection: its half-sent requests are out of time
         std::vector<StreamNo> late;
         for (const auto& [number, held] : streams_)
@@ -327,13 +328,13 @@
 
 // In two steps, so that no stream which is on its way is lost: all streams may still come, then, after a
 // round trip, none that we have not seen (RFC 9113, 6.8).
-void Http2Door::drain() {
+void Http2Session::drain() {
     if (leaving_ != Leaving::kNo || failed_) return;
     leaving_ = Leaving::kAnnounced;
     nghttp2_submit_shutdown_notice(session_);
 }
 
-std::string Http2Door::take_out(std::size_t room) {
+std::string Http2Session::take_out(std::size_t room) {
     std::string made = std::exchange(out_, {});
     while (made.size() < room) {
         const std::uint8_t* bytes = nullptr;
@@ -345,4 +346,4 @@
     return made;
 }
 
-} // namespace ivyrill::doors
+} // namespace ivyrill::sessions
--- a/src/doors/http2/door.hpp
+++ b/src/sessions/http2/session.hpp
@@ -2,8 +2,8 @@
 // libnghttp2's, which is given bytes and gives bytes; what a stream is, what is taken on, what is owed and
 // when it ends is decided here and in limits/connection_budget.hpp.
 #pragma once
-#include "doors/door.hpp"
 #include "limits/connection_budget.hpp"
+#include "sessions/session.hpp"
 
 #include <map>
 #include <memory>
@@ -12,18 +12,18 @@
 
 struct nghttp2_session;
 
-namespace ivyrill::doors {
+namespace ivyrill::sessions {
 
 struct Http2Counts {
     std::uint64_t streams = 0, searches = 0, taken_back = 0, refused = 0, unheard = 0, calmed = 0;
 };
 
-class Http2Door : public Door {
+class Http2Session : public Session {
   public:
-    Http2Door(const Around& around, const limits::ConnectionTerms& terms);
-    ~Http2Door() override;
-    Http2Door(const Http2Door&) = delete;
-    Http2Door& operator=(const Http2Door&) = delete;
+    Http2Session(const Around& around, const limits::ConnectionTerms& terms);
+    ~Http2Session() override;
+    Http2Session(const Http2Session&) = delete;
+    Http2Session& operator=(const Http2Session&) = delete;
 
     std::size_t feed(std::string_view bytes) override;
     bool reads() const override { return !failed_ && !finished(); }
@@ -70,4 +70,4 @@
     Http2Counts counts_;
 };
 
-} // namespace ivyrill::doors
+} // namespace ivyrill::sessions
--- a/src/doors/door.hpp
+++ b/src/sessions/session.hpp
@@ -1,7 +1,7 @@
-// A door: one client connection's protocol as a state machine free of I/O. Bytes go in and searches come out;
-// final answers go in and bytes come out. Whoever owns the connection moves the bytes and hands the news to
-// the reducer; no door knows a socket, a loop or the reducer. What a new door has to write is this interface,
-// and how its requests become `protocol::SearchRequest` (see docs/architecture.md).
+// A session: one client connection's protocol as a state machine free of I/O. Bytes go in and searches come
+// out; final answers go in and bytes come out. Whoever owns the connection moves the bytes and hands the news
+// to the reducer; no session knows a socket, a loop or the reducer. What a new session has to write is this
+// interface, and how its requests become `protocol::SearchRequest` (see docs/architecture.md).
 #pragma once
 #include "base/time.hpp"
 #include "protocol/messages.hpp"
@@ -14,9 +14,9 @@
 #include <variant>
 #include <vector>
 
-namespace ivyrill::doors {
+namespace ivyrill::sessions {
 
-using StreamNo = std::uint32_t; // of a search on its connection; a door with one search at a time uses 0
+using StreamNo = std::uint32_t; // of a search on its connection; a session with one search at a time uses 0
 
 struct SearchCame {
     StreamNo stream = 0;
@@ -28,14 +28,14 @@
 struct AnsweredHere {}; // something else than a search was asked for and has its answer
 using News = std::variant<SearchCame, SearchLeft, AnsweredHere>;
 
-struct Around { // what a door may know of the front node; its owner keeps it up to date
+struct Around { // what a session may know of the front node; its owner keeps it up to date
     bool ready = false;
     Tenths now = 0;
 };
 
-class Door {
+class Session {
   public:
-    virtual ~Door() = default;
+    virtual ~Session() = default;
 
     // Takes bytes until it has news or waits for an answer; says how many.
     virtual std::size_t feed(std::string_view bytes) = 0;
@@ -59,4 +59,4 @@
     std::vector<News> news_;
 };
 
-} // namespace ivyrill::doors
+} // namespace ivyrill::sessions
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -53,7 +53,7 @@
 
 struct Search {
     SearchId id;
-    ProductNo product;
+    RequestClassNo request_class;
     TenantNo tenant;
     Tenths due = 0, expiry = 0, come_back = 0;
     double utility = 0;
@@ -114,8 +114,8 @@
     }
 };
 
-struct ProductView { // a row a product: what the module reads of it, and what it has learnt
-    ProductTerms terms;
+struct RequestClassView { // a row a request class: what the module reads of it, and what it has learnt
+    RequestClassTerms terms;
     double response = 0, deviation = 0; // of answered attempts, fleet-wide
     bool heard = false;
     double parts = 1;      // a search, on average
--- a/src/transport/datagrams.cpp
+++ b/src/transport/datagrams.cpp
@@ -42,8 +42,8 @@
     std::array<char, 2048> bytes; // longer ones come short, and no seal holds then
     sockaddr_in address{};
     socklen_t size = sizeof address;
-    const ssize_t count = recvfrom(descriptor, bytes.data(), bytes.size(), 0,
-                                   reinterpret_cast<sockaddr*>(&address), &size);
+    const ssize_t count =
+        recvfrom(descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&address), &size);
     if (count < 0) return {};
     std::array<char, INET_ADDRSTRLEN> host;
     inet_ntop(AF_INET, &address.sin_addr, host.data(), host.size());
--- a/tests/access_stories.cpp
+++ b/tests/access_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of the gate: credentials, keys and lists in, decisions out; no socket and no clock.
+// Tests of the gate: credentials, keys and lists in, decisions out; no socket and no clock.
 #include "access/clock.hpp"
 #include "access/gate.hpp"
 #include "access/handshakes.hpp"
@@ -22,7 +22,7 @@
     terms.skew = s(5), terms.settle = s(10), terms.crl_grace = s(60);
     terms.most_token = 4096, terms.cached = 64;
     terms.clubs = {{"etna", "t-etna"}, {"conca", "t-conca"}};
-    terms.products = {{"find", Right::kRead}, {"annotate", Right::kWriteOwn}};
+    terms.request_classes = {{"find", Right::kRead}, {"annotate", Right::kWriteOwn}};
     terms.names = {{"spiffe://trinacria.example/etna/*", "", "etna", "{rest}", {true, true}, {"g7"}},
                    {"", "site.conca.example.org", "conca", "site", {true, false}, {}}};
     return terms;
@@ -506,32 +506,30 @@
     assert(keys.opening(key(1).name.data()).first == TicketKeys::Use::kNone);
 }
 
-const Story kStories[] = {
-    STORY(all_three_algorithms_prove_their_bearer),
-    STORY(algorithm_is_the_keys_and_not_the_tokens),
-    STORY(what_can_be_read_two_ways_is_malformed),
-    STORY(token_counts_in_its_time_and_for_its_audience),
-    STORY(token_lives_no_longer_than_revocations_are_kept),
-    STORY(rights_clubs_and_owners),
-    STORY(key_verifies_from_active_until_gone),
-    STORY(rotation_leaves_no_moment_without_a_key),
-    STORY(broken_reload_keeps_what_was),
-    STORY(revocation_outlives_the_cache),
-    STORY(proof_of_a_search_in_flight_outlives_its_tokens_time),
-    STORY(cache_is_bounded_and_forgets_the_unused),
-    STORY(certificate_proves_whom_its_names_are_mapped_to),
-    STORY(chain_is_bounded_and_a_leaf_is_no_authority),
-    STORY(revoked_certificate_is_known_by_list_or_serial),
-    STORY(list_out_of_date_lets_nobody_in_past_its_grace),
-    STORY(clock_that_jumps_is_not_believed_at_once),
-    STORY(flood_of_handshakes_is_bounded_three_ways),
-    STORY(ticket_keys_change_and_old_ones_open_nothing),
+const Test kTests[] = {
+    TEST(all_three_algorithms_prove_their_bearer),
+    TEST(algorithm_is_the_keys_and_not_the_tokens),
+    TEST(what_can_be_read_two_ways_is_malformed),
+    TEST(token_counts_in_its_time_and_for_its_audience),
+    TEST(token_lives_no_longer_than_revocations_are_kept),
+    TEST(rights_clubs_and_owners),
+    TEST(key_verifies_from_active_until_gone),
+    TEST(rotation_leaves_no_moment_without_a_key),
+    TEST(broken_reload_keeps_what_was),
+    TEST(revocation_outlives_the_cache),
+    TEST(proof_of_a_search_in_flight_outlives_its_tokens_time),
+    TEST(cache_is_bounded_and_forgets_the_unused),
+    TEST(certificate_proves_whom_its_names_are_mapped_to),
+    TEST(chain_is_bounded_and_a_leaf_is_no_authority),
+    TEST(revoked_certificate_is_known_by_list_or_serial),
+    TEST(list_out_of_date_lets_nobody_in_past_its_grace),
+    TEST(clock_that_jumps_is_not_believed_at_once),
+    TEST(flood_of_handshakes_is_bounded_three_ways),
+    TEST(ticket_keys_change_and_old_ones_open_nothing),
 };
 
 } // namespace
 
 } // namespace ivyrill::access
 
-int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::access::kStories, count, arguments);
-}
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::access::kTests, count, arguments); }
--- a/tests/admission_stories.cpp
+++ b/tests/admission_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of the reducer with the gate in front: who is taken on, and what becomes of searches and
+// Tests of the reducer with the gate in front: who is taken on, and what becomes of searches and
 // connections whose right is taken back. Events in, effects out.
 #include "desk.hpp"
 #include "lab/pki.hpp"
@@ -17,7 +17,7 @@
     terms.issuer = "trinacria", terms.audience = "archive";
     terms.skew = s(5), terms.settle = s(10), terms.most_token = 4096, terms.cached = 8;
     terms.clubs = {{"etna", "acme"}};
-    terms.products = {{"find", Right::kRead}};
+    terms.request_classes = {{"find", Right::kRead}};
     terms.names = {{"spiffe://t/*", "", "etna", "{rest}", {true, false}, {}}};
     return terms;
 }
@@ -87,28 +87,28 @@
 void stranger_is_refused_before_any_attempt() {
     Guarded desk;
     const ClientId none = desk.asks(""), bad = desk.asks("a.b.c");
-    assert(desk.status(none) == 401 && desk.status(bad) == 401 && desk.all<OpenLink>().empty());
+    assert(desk.status(none) == 401 && desk.status(bad) == 401 && desk.all<OpenConnection>().empty());
     assert(desk.router.open_searches() == 0 && desk.router.counts().searches == 0);
     const auto lines = desk.all<Audit>();
     assert(lines.size() == 2 && lines[0].reason == Reason::kNoCredential &&
            lines[1].reason == Reason::kMalformed);
     assert(desk.all<RejectClient>()[0].challenge == "Bearer realm=\"ivyrill\"");
     desk.asks(desk.token("anna"));
-    assert(desk.router.open_searches() == 1 && desk.all<OpenLink>().size() == 1);
+    assert(desk.router.open_searches() == 1 && desk.all<OpenConnection>().size() == 1);
     desk.asks("", {}, false); // a listener that asks nobody
     assert(desk.router.open_searches() == 2);
 }
 
-// A stranger does not learn which products, partitions or ids there are.
+// A stranger does not learn which request classes, partitions or ids there are.
 void stranger_learns_nothing_of_what_is_open() {
     Guarded desk;
     desk.asks(desk.token("anna"), "same");
     assert(desk.status(desk.asks("", "same")) == 401);
     const ClientId bruno = desk.asks(desk.token("bruno"), "same");
     assert(desk.status(bruno) == 409); // and no word of anna's answer
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
-    desk.Desk::answers(link, "same.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
+    desk.Desk::answers(connection, "same.0");
     assert(desk.all<AnswerClient>().size() == 1 && desk.all<AnswerClient>()[0].client == ClientId{1});
 }
 
@@ -120,7 +120,8 @@
         desk.revoke("anna"); // no connection is up yet
         desk.pass(ms(10));
         assert(desk.status(anna) == 401 && desk.answers(anna) == 1 && desk.answers(bruno) == 0);
-        for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+        for (const OpenConnection& open : desk.all<OpenConnection>())
+            desk.up(open.connection), desk.wrote_all(open.connection);
         assert(desk.sent('S') == 1); // bruno's
         desk.pass(ms(2100));
         assert(desk.answers(anna) == 1 && desk.router.open_searches() == 0);
@@ -142,12 +143,12 @@
     for (const Outcome outcome : {Outcome::kAnswered, Outcome::kError, Outcome::kTurnedAway}) {
         Guarded desk;
         const ClientId anna = desk.asks(desk.token("anna"));
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        desk.up(link), desk.wrote_all(link);
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        desk.up(connection), desk.wrote_all(connection);
         assert(desk.sent('S') == 1);
         desk.revoke("anna");
         assert(desk.answers(anna) == 0 && desk.router.counts().barred == 1);
-        desk.Desk::answers(link, "q1.0", outcome);
+        desk.Desk::answers(connection, "q1.0", outcome);
         desk.pass(ms(2100));
         assert(desk.sent('S') == 1 && desk.answers(anna) == 1 && desk.router.counts().attempts == 1);
         if (outcome == Outcome::kAnswered)
@@ -160,10 +161,10 @@
 void write_that_may_have_run_is_never_called_refused() {
     Guarded desk(ivyrill::Effect::kNonIdempotent);
     const ClientId anna = desk.asks(desk.token("anna"));
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
     desk.revoke("anna");
-    desk.tell(LinkEnded{link});
+    desk.tell(ConnectionEnded{connection});
     desk.pass(ms(2100));
     assert(desk.verdict(anna) == Verdict::kFailed && desk.answers(anna) == 1 && desk.sent('S') == 1);
 }
@@ -172,12 +173,12 @@
 void overdue_attempt_of_a_barred_search_stays_alone() {
     Guarded desk;
     const ClientId anna = desk.asks(desk.token("anna"));
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
     desk.revoke("anna");
     desk.pass(ms(900));
     assert(desk.sent('S') == 1 && desk.sent('C') == 0 && desk.answers(anna) == 0);
-    desk.Desk::answers(link, "q1.0");
+    desk.Desk::answers(connection, "q1.0");
     assert(desk.verdict(anna) == Verdict::kDelivered);
 }
 
@@ -186,8 +187,8 @@
     desk.key.times.outgoing = kWall, desk.key.times.gone = kWall + s(1);
     desk.reload();
     const ClientId first = desk.asks(desk.token("anna"));
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
     const ClientId second = desk.asks(desk.token("bruno"));
     assert(desk.status(second) == 0 && desk.router.open_searches() == 2);
     desk.pass(s(1) - 1);
@@ -222,10 +223,11 @@
         desk.root.issue({"b", {"spiffe://t/bruno"}, {}, kWall - s(1), kWall + s(1000), false});
     const ClientId idle = secured(desk, anna), other = secured(desk, bruno);
     desk.again(idle, ""), desk.again(other, "");
-    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
-    for (const OpenLink& open : desk.all<OpenLink>())
-        for (const std::string& frame : desk.frames(open.link, 'S'))
-            desk.Desk::answers(open.link, frame.substr(0, frame.find(' ')));
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        desk.up(open.connection), desk.wrote_all(open.connection);
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        for (const std::string& frame : desk.frames(open.connection, 'S'))
+            desk.Desk::answers(open.connection, frame.substr(0, frame.find(' ')));
     assert(desk.answers(idle) == 1 && desk.answers(other) == 1);
     desk.revoked.certificates[anna.serial] = kWall;
     desk.reload(); // in the same turn
@@ -239,13 +241,13 @@
             desk.root.issue({"a", {"spiffe://t/anna"}, {}, kWall - s(1), kWall + s(1000), false});
         const ClientId client = secured(desk, anna);
         desk.again(client, "");
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        desk.up(link), desk.wrote_all(link);
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        desk.up(connection), desk.wrote_all(connection);
         if (draining) desk.tell(DrainOrdered{});
         desk.revoked.certificates[anna.serial] = kWall;
         desk.reload();
         assert(!closed(desk, client) && desk.answers(client) == 0);
-        desk.Desk::answers(link, "q1.0");
+        desk.Desk::answers(connection, "q1.0");
         const auto answers = desk.all<AnswerClient>();
         assert(answers.size() == 1 && answers[0].answer.verdict == Verdict::kDelivered && answers[0].close);
     }
@@ -280,7 +282,8 @@
     }
     for (const ClientId client : many) desk.router.step(desk.now, ShakeWanted{client});
     const ClientId plain = desk.asks(desk.token("anna")); // in the same turn
-    assert(desk.all<ShakeHands>().size() <= 8 && desk.all<OpenLink>().size() == 1 && desk.status(plain) == 0);
+    assert(desk.all<ShakeHands>().size() <= 8 && desk.all<OpenConnection>().size() == 1 &&
+           desk.status(plain) == 0);
     desk.pass(ms(10));
     assert(desk.all<ShakeHands>().size() == 8);
 }
@@ -308,21 +311,21 @@
     assert(desk.status(desk.asks(desk.token("bruno"))) == 401);
 }
 
-const Story kStories[] = {
-    STORY(stranger_is_refused_before_any_attempt),
-    STORY(stranger_learns_nothing_of_what_is_open),
-    STORY(search_that_waits_for_a_attempt_is_refused),
-    STORY(search_that_nobody_can_serve_yet_is_refused),
-    STORY(search_that_is_out_ends_by_the_rules),
-    STORY(write_that_may_have_run_is_never_called_refused),
-    STORY(overdue_attempt_of_a_barred_search_stays_alone),
-    STORY(key_that_goes_by_time_bars_what_it_let_in),
-    STORY(revoked_certificate_closes_its_idle_connection),
-    STORY(revoked_certificate_with_a_search_out_closes_after_its_answer),
-    STORY(reload_that_changes_nothing_touches_nobody),
-    STORY(half_handshakes_make_room_for_the_next_and_end_in_time),
-    STORY(handshakes_wait_their_turn_and_searches_do_not),
-    STORY(clock_set_right_by_a_day_expires_keys_once_it_has_stood),
+const Test kTests[] = {
+    TEST(stranger_is_refused_before_any_attempt),
+    TEST(stranger_learns_nothing_of_what_is_open),
+    TEST(search_that_waits_for_a_attempt_is_refused),
+    TEST(search_that_nobody_can_serve_yet_is_refused),
+    TEST(search_that_is_out_ends_by_the_rules),
+    TEST(write_that_may_have_run_is_never_called_refused),
+    TEST(overdue_attempt_of_a_barred_search_stays_alone),
+    TEST(key_that_goes_by_time_bars_what_it_let_in),
+    TEST(revoked_certificate_closes_its_idle_connection),
+    TEST(revoked_certificate_with_a_search_out_closes_after_its_answer),
+    TEST(reload_that_changes_nothing_touches_nobody),
+    TEST(half_handshakes_make_room_for_the_next_and_end_in_time),
+    TEST(handshakes_wait_their_turn_and_searches_do_not),
+    TEST(clock_set_right_by_a_day_expires_keys_once_it_has_stood),
 };
 
 } // namespace
@@ -330,5 +333,5 @@
 } // namespace ivyrill::routing
 
 int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::routing::kStories, count, arguments);
+    return ivyrill::run_test(ivyrill::routing::kTests, count, arguments);
 }
--- a/tests/brain_stories.cpp
+++ b/tests/brain_tests.cpp
@@ -1,4 +1,4 @@
-// Short stories, one for each failure met and each piece of the design. `brain_stories NAME` plays one.
+// Short tests, one for each failure met and each piece of the design. `brain_tests NAME` plays one.
 #include "fake_host.hpp"
 
 #include "base/pcg.hpp"
@@ -125,7 +125,7 @@
 
 void second_step_ends_the_search() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].follow_up = 1;
+    terms.request_classes[0].follow_up = 1;
     FakeHost host(terms);
     const SearchId id = host.search({0, 1});
     host.all_return(Outcome::kAnswered, ms(40));
@@ -151,7 +151,7 @@
 
 void part_answer_at_the_due_time() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].floor = 0.5;
+    terms.request_classes[0].floor = 0.5;
     FakeHost host(terms);
     const SearchId enough = host.search({0, 1}), none = host.search({0, 1});
     host.returns(0, Outcome::kAnswered, ms(40));
@@ -163,7 +163,7 @@
 
 void at_most_once_is_not_repeated() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kNonIdempotent;
+    terms.request_classes[0].effect = Effect::kNonIdempotent;
     FakeHost host(terms);
     const SearchId maybe = host.search({0});
     host.all_return(Outcome::kError, ms(5)); // it may have run
@@ -175,8 +175,8 @@
 
 void numbered_repeats_in_window() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kKeyed;
-    terms.products[0].repeat_window = ms(300);
+    terms.request_classes[0].effect = Effect::kKeyed;
+    terms.request_classes[0].repeat_window = ms(300);
     FakeHost host(terms);
     host.search({0});
     host.all_return(Outcome::kError, ms(5));
@@ -189,7 +189,7 @@
 
 void proven_not_run_goes_again() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].effect = Effect::kNonIdempotent;
+    terms.request_classes[0].effect = Effect::kNonIdempotent;
     FakeHost host(terms);
     const SearchId id = host.search({0});
     host.all_return(Outcome::kTurnedAway, ms(1));
@@ -619,7 +619,7 @@
 
 void unmarked_repeat_is_known() {
     OpeningTerms terms = plain_terms();
-    terms.products[0].late_share = 0;
+    terms.request_classes[0].late_share = 0;
     FakeHost host(terms);
     for (int i = 0; i < 5; ++i) host.search({0}, ms(1500));
     const SearchId repeat = host.search({0}, ms(1200)); // 800 ms of 2 s have passed already
@@ -632,8 +632,8 @@
          {1U, 20U}) { // servers of the other shard; one server of the first crawls
         OpeningTerms terms = plain_terms();
         terms.cells = 2;
-        terms.products[0].floor = 0.5;
-        terms.products.push_back(terms.products[0]);
+        terms.request_classes[0].floor = 0.5;
+        terms.request_classes.push_back(terms.request_classes[0]);
         FakeHost host(terms, 1);
         ListNews news{ListKind::kChanges, {}};
         for (std::uint32_t i = 1; i <= sound; ++i)
@@ -663,53 +663,53 @@
     }
 }
 
-constexpr Story kStories[] = {
-    STORY(lowest_score_wins),
-    STORY(outstanding_parts_spread),
-    STORY(reported_queue_repels),
-    STORY(limit_rises_and_is_cut),
-    STORY(an_idle_server_is_sent_to_at_its_clients_pace),
-    STORY(backlog_drains),
-    STORY(unheard_takes_the_mean),
-    STORY(siblings_share_a_call),
-    STORY(whole_answer_once_all_are_in),
-    STORY(second_step_ends_the_search),
-    STORY(expiry_is_never_passed),
-    STORY(part_answer_at_the_due_time),
-    STORY(at_most_once_is_not_repeated),
-    STORY(numbered_repeats_in_window),
-    STORY(proven_not_run_goes_again),
-    STORY(drain_and_gone_get_nothing),
-    STORY(cold_server_is_spared),
-    STORY(late_connection_makes_no_cold_server),
-    STORY(many_nodes_spare_a_cold_server),
-    STORY(rising_cold_server_is_used_by_many_nodes),
-    STORY(queue_is_remembered_where_news_is_rare),
-    STORY(cold_server_gets_no_more_from_many_nodes),
-    STORY(cold_server_without_a_window_is_used),
-    STORY(budget_binds),
-    STORY(lost_attempt_gets_a_copy),
-    STORY(recall_where_copies_are_barred),
-    STORY(silent_server_comes_back_by_probes),
-    STORY(quick_errors_do_not_draw),
-    STORY(queue_drains_unheard),
-    STORY(costly_search_is_left_alone),
-    STORY(broken_connection_says_nothing_of_its_server),
-    STORY(breaking_search_goes_singly),
-    STORY(idle_connections_are_renewed),
-    STORY(two_slow_parts_renew_no_connection),
-    STORY(bad_way_is_avoided),
-    STORY(bad_kind_is_avoided),
-    STORY(client_in_haste_is_not_late),
-    STORY(crowded_fleet_pushes_back),
-    STORY(lost_subscription_is_renewed),
-    STORY(unmarked_repeat_is_known),
-    STORY(full_fleet_plans_no_part_answers),
-    STORY(late_search_ends_in_a_full_fleet),
+constexpr Test kTests[] = {
+    TEST(lowest_score_wins),
+    TEST(outstanding_parts_spread),
+    TEST(reported_queue_repels),
+    TEST(limit_rises_and_is_cut),
+    TEST(an_idle_server_is_sent_to_at_its_clients_pace),
+    TEST(backlog_drains),
+    TEST(unheard_takes_the_mean),
+    TEST(siblings_share_a_call),
+    TEST(whole_answer_once_all_are_in),
+    TEST(second_step_ends_the_search),
+    TEST(expiry_is_never_passed),
+    TEST(part_answer_at_the_due_time),
+    TEST(at_most_once_is_not_repeated),
+    TEST(numbered_repeats_in_window),
+    TEST(proven_not_run_goes_again),
+    TEST(drain_and_gone_get_nothing),
+    TEST(cold_server_is_spared),
+    TEST(late_connection_makes_no_cold_server),
+    TEST(many_nodes_spare_a_cold_server),
+    TEST(rising_cold_server_is_used_by_many_nodes),
+    TEST(queue_is_remembered_where_news_is_rare),
+    TEST(cold_server_gets_no_more_from_many_nodes),
+    TEST(cold_server_without_a_window_is_used),
+    TEST(budget_binds),
+    TEST(lost_attempt_gets_a_copy),
+    TEST(recall_where_copies_are_barred),
+    TEST(silent_server_comes_back_by_probes),
+    TEST(quick_errors_do_not_draw),
+    TEST(queue_drains_unheard),
+    TEST(costly_search_is_left_alone),
+    TEST(broken_connection_says_nothing_of_its_server),
+    TEST(breaking_search_goes_singly),
+    TEST(idle_connections_are_renewed),
+    TEST(two_slow_parts_renew_no_connection),
+    TEST(bad_way_is_avoided),
+    TEST(bad_kind_is_avoided),
+    TEST(client_in_haste_is_not_late),
+    TEST(crowded_fleet_pushes_back),
+    TEST(lost_subscription_is_renewed),
+    TEST(unmarked_repeat_is_known),
+    TEST(full_fleet_plans_no_part_answers),
+    TEST(late_search_ends_in_a_full_fleet),
 };
 
 } // namespace
 
 } // namespace ivyrill
 
-int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::kTests, count, arguments); }
--- a/tests/caller_stories.cpp
+++ b/tests/caller_tests.cpp
@@ -1,4 +1,4 @@
-// Stories over loopback of who is calling: a front node with an operator's file in a process of its own,
+// Tests over loopback of who is calling: a front node with an operator's file in a process of its own,
 // tokens and certificates that change while it serves. Every wait ends with what it waits for or fails.
 #include "fake_host.hpp"
 #include "lab/hall.hpp"
@@ -206,25 +206,23 @@
     assert(once(hall.plain(), {"a1"}) == 200 && once(hall.plain(), {"a2", "find", "", "nonsense"}) == 200);
 }
 
-const Story kStories[] = {
-    STORY(token_opens_the_plain_port_and_the_sealed_one),
-    STORY(certificate_names_its_bearer),
-    STORY(keys_change_and_tokens_of_both_count),
-    STORY(reload_that_is_not_sound_keeps_everything),
-    STORY(own_certificate_changes_and_closes_nothing),
-    STORY(revoked_certificate_ends_its_idle_connection),
-    STORY(revoked_with_a_search_out_gets_its_answer_and_the_end),
-    STORY(order_to_stop_behind_a_reload_is_kept),
-    STORY(half_handshakes_delay_nobody),
-    STORY(nobody_renegotiates_and_protocols_are_agreed),
-    STORY(flood_of_refusals_hides_no_change),
-    STORY(without_an_operators_file_nobody_is_asked),
+const Test kTests[] = {
+    TEST(token_opens_the_plain_port_and_the_sealed_one),
+    TEST(certificate_names_its_bearer),
+    TEST(keys_change_and_tokens_of_both_count),
+    TEST(reload_that_is_not_sound_keeps_everything),
+    TEST(own_certificate_changes_and_closes_nothing),
+    TEST(revoked_certificate_ends_its_idle_connection),
+    TEST(revoked_with_a_search_out_gets_its_answer_and_the_end),
+    TEST(order_to_stop_behind_a_reload_is_kept),
+    TEST(half_handshakes_delay_nobody),
+    TEST(nobody_renegotiates_and_protocols_are_agreed),
+    TEST(flood_of_refusals_hides_no_change),
+    TEST(without_an_operators_file_nobody_is_asked),
 };
 
 } // namespace
 
 } // namespace ivyrill::lab
 
-int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::lab::kStories, count, arguments);
-}
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::lab::kTests, count, arguments); }
--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -15,8 +15,8 @@
     terms.opening = plain_terms();
     terms.opening.second_copies = false;
     terms.opening.list_mode = ListMode::kAsked;
-    terms.opening.products[0].effect = effect;
-    terms.products = {"find"}, terms.tenants = {"acme"}, terms.zones = {"a"}, terms.kinds = {"m"};
+    terms.opening.request_classes[0].effect = effect;
+    terms.request_classes = {"find"}, terms.tenants = {"acme"}, terms.zones = {"a"}, terms.kinds = {"m"};
     terms.calls_a_connection = 100, terms.shards = 2;
     terms.opening.connect_span = ms(250), terms.idle_span = ms(15'000), terms.ask_span = ms(10'000);
     return terms;
@@ -69,24 +69,25 @@
         tell(SearchRead{id, request, 0});
         return id;
     }
-    void up(LinkId link) { tell(LinkUp{link}); }
-    void wrote_all(LinkId link) {
+    void up(ConnectionId connection) { tell(ConnectionUp{connection}); }
+    void wrote_all(ConnectionId connection) {
         std::uint64_t total = 0;
-        for (const WriteLink& write : all<WriteLink>())
-            if (write.link == link) total += write.bytes.size();
-        tell(LinkWrote{link, total});
+        for (const WriteConnection& write : all<WriteConnection>())
+            if (write.connection == connection) total += write.bytes.size();
+        tell(ConnectionWrote{connection, total});
     }
-    void answers(LinkId link, const std::string& id, Outcome outcome = Outcome::kAnswered) {
-        tell(PartAnswered{link, {id, outcome, {}, "value of " + id}, 0});
+    void answers(ConnectionId connection, const std::string& id, Outcome outcome = Outcome::kAnswered) {
+        tell(PartAnswered{connection, {id, outcome, {}, "value of " + id}, 0});
     }
-    std::vector<std::string> frames(LinkId link, char letter) const {
+    std::vector<std::string> frames(ConnectionId connection, char letter) const {
         std::vector<std::string> found;
-        for (const WriteLink& write : all<WriteLink>())
-            if (write.link == link && write.bytes[4] == letter) found.push_back(write.bytes.substr(5));
+        for (const WriteConnection& write : all<WriteConnection>())
+            if (write.connection == connection && write.bytes[4] == letter)
+                found.push_back(write.bytes.substr(5));
         return found;
     }
     std::size_t sent(char letter) const {
-        const auto writes = all<WriteLink>();
+        const auto writes = all<WriteConnection>();
         return std::ranges::count_if(writes, [&](auto& write) { return write.bytes[4] == letter; });
     }
     std::optional<Verdict> verdict(ClientId client) const {
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -1,5 +1,5 @@
-// One tiny fake host: it keeps what the module asked for, and plays servers that answer as a story says.
-// Beside it what all stories share: how one is played by its name.
+// One tiny fake host: it keeps what the module asked for, and plays servers that answer as a test says.
+// Beside it what all tests share: how one is played by its name.
 #pragma once
 #include "brain.hpp"
 
@@ -14,17 +14,17 @@
 
 namespace ivyrill {
 
-struct Story {
+struct Test {
     const char* name;
     void (*play)();
 };
-#define STORY(name)                                                                                          \
+#define TEST(name)                                                                                           \
     { #name, name }
 
-inline int play_story(std::span<const Story> stories, int count, char** arguments) {
-    for (const Story& story : stories) {
-        if (count != 2 || std::string_view(arguments[1]) != story.name) continue;
-        story.play();
+inline int run_test(std::span<const Test> tests, int count, char** arguments) {
+    for (const Test& test : tests) {
+        if (count != 2 || std::string_view(arguments[1]) != test.name) continue;
+        test.play();
         return 0;
     }
     std::cerr << "no such story\n";
@@ -42,14 +42,14 @@
 };
 enum class End { kNone, kWhole, kPart, kRejected, kFailed };
 
-// Two shards a cell, three replicas in one cell, one product due in 1 s and expiring in 2 s.
+// Two shards a cell, three replicas in one cell, one request class due in 1 s and expiring in 2 s.
 inline OpeningTerms plain_terms() {
     OpeningTerms terms;
-    ProductTerms product;
-    product.latency_target = ms(1000);
-    product.deadline_span = ms(2000);
-    product.late_share = 0.1;
-    terms.products = {product};
+    RequestClassTerms request_class;
+    request_class.latency_target = ms(1000);
+    request_class.deadline_span = ms(2000);
+    request_class.late_share = 0.1;
+    terms.request_classes = {request_class};
     terms.tenants = {{1000}};
     terms.front_nodes = 3;
     terms.turn_gap = ms(5);
@@ -81,10 +81,10 @@
     }
 
     // Takes a search with a part at each of these shards and decides.
-    SearchId search(std::vector<int> shards, Tenths left = ms(2000), int product = 0) {
+    SearchId search(std::vector<int> shards, Tenths left = ms(2000), int request_class = 0) {
         const SearchId id{next_id++};
         const JobNo job{next_job++};
-        tell(SearchTaken{id, job, ProductNo{product}, {}, left, false});
+        tell(SearchTaken{id, job, RequestClassNo{request_class}, {}, left, false});
         add_parts(job, std::move(shards));
         turn();
         return id;
--- a/tests/h2_stories.cpp
+++ b/tests/h2_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of HTTP/2 over loopback: a front node in a process of its own, clients that behave and clients that
+// Tests of HTTP/2 over loopback: a front node in a process of its own, clients that behave and clients that
 // do not. Every wait ends with what it waits for or fails.
 #include "fake_host.hpp"
 #include "lab/h2_client.hpp"
@@ -81,7 +81,7 @@
         H2Client client(hall.h2());
         const auto write = [&](const std::string& id) {
             Ask ask = ask_for(id);
-            ask.product = "annotate";
+            ask.request_class = "annotate";
             return send(client, ask);
         };
         hall.fleet.hold(true);
@@ -280,7 +280,7 @@
     assert(with(":late", "x").second == NGHTTP2_PROTOCOL_ERROR);
     assert(with("x-many", std::string(20'000, 'a')).first == 431);
     Ask unknown = good;
-    unknown.product = "nothing";
+    unknown.request_class = "nothing";
     assert(status(client, unknown) == 404);
     H2Client::Fields get = {
         {":method", "GET"}, {":scheme", "http"}, {":path", "/-/ready"}, {":authority", "a"}};
@@ -344,27 +344,25 @@
     assert(budget.takes_stream(9, 900) && !budget.takes_stream(10, 0) && !budget.takes_stream(0, 901));
 }
 
-const Story kStories[] = {
-    STORY(many_searches_on_one_connection),
-    STORY(access_applies_to_each_stream),
-    STORY(stream_that_is_reset_is_attempted_once_and_not_answered),
-    STORY(stream_reset_with_its_answer_half_written),
-    STORY(drain_answers_all_that_were_open_and_those_that_cross),
-    STORY(client_that_ignores_the_notices_holds_up_no_stop),
-    STORY(closed_window_delays_nobody_and_is_bounded),
-    STORY(expiry_behind_a_closed_window_is_heard_as_far_as_it_goes),
-    STORY(connection_that_breaks_takes_its_streams_along),
-    STORY(caller_revoked_with_ten_streams_open),
-    STORY(upgrade_on_the_plain_port_stays_http_1),
-    STORY(requests_are_read_strictly),
-    STORY(floods_end_their_own_connection),
-    STORY(share_of_a_connection_shrinks_beside_others),
+const Test kTests[] = {
+    TEST(many_searches_on_one_connection),
+    TEST(access_applies_to_each_stream),
+    TEST(stream_that_is_reset_is_attempted_once_and_not_answered),
+    TEST(stream_reset_with_its_answer_half_written),
+    TEST(drain_answers_all_that_were_open_and_those_that_cross),
+    TEST(client_that_ignores_the_notices_holds_up_no_stop),
+    TEST(closed_window_delays_nobody_and_is_bounded),
+    TEST(expiry_behind_a_closed_window_is_heard_as_far_as_it_goes),
+    TEST(connection_that_breaks_takes_its_streams_along),
+    TEST(caller_revoked_with_ten_streams_open),
+    TEST(upgrade_on_the_plain_port_stays_http_1),
+    TEST(requests_are_read_strictly),
+    TEST(floods_end_their_own_connection),
+    TEST(share_of_a_connection_shrinks_beside_others),
 };
 
 } // namespace
 
 } // namespace ivyrill::lab
 
-int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::lab::kStories, count, arguments);
-}
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::lab::kTests, count, arguments); }
--- a/tests/lab/client.hpp
+++ b/tests/lab/client.hpp
@@ -1,4 +1,4 @@
-// A blocking client for stories and measurements: HTTP/1.1 over TCP or TLS, one request at a time. Every wait
+// A blocking client for tests and measurements: HTTP/1.1 over TCP or TLS, one request at a time. Every wait
 // ends with what it waits for or throws.
 #pragma once
 #include "protocol/http.hpp"
--- a/tests/lab/fleet.cpp
+++ b/tests/lab/fleet.cpp
@@ -16,7 +16,7 @@
     : server(number), stream(loop, descriptor, Stream::Start::kConnected, 64 * 1024, 4 * 1024 * 1024) {}
 
 Fleet::Fleet(int servers) {
-    for (int i = 0; i <= servers; ++i) doors_.push_back(std::make_unique<Door>(loop_));
+    for (int i = 0; i <= servers; ++i) listeners_.push_back(std::make_unique<Listener>(loop_));
 }
 
 Fleet::~Fleet() {
@@ -25,22 +25,22 @@
 }
 
 void Fleet::start() {
-    for (std::size_t i = 0; i < doors_.size(); ++i) {
-        doors_[i]->task = accept(*doors_[i], i + 1 == doors_.size() ? -1 : static_cast<int>(i));
-        doors_[i]->task.start();
+    for (std::size_t i = 0; i < listeners_.size(); ++i) {
+        listeners_[i]->task = accept(*listeners_[i], i + 1 == listeners_.size() ? -1 : static_cast<int>(i));
+        listeners_[i]->task.start();
     }
     thread_ = std::thread([this] { run(); });
 }
 
-std::string Fleet::address(std::size_t door) const {
-    return "127.0.0.1:" + std::to_string(transport::port_of(doors_[door]->source.descriptor()));
+std::string Fleet::address(std::size_t listener) const {
+    return "127.0.0.1:" + std::to_string(transport::port_of(listeners_[listener]->source.descriptor()));
 }
 
-std::string Fleet::discovery() const { return address(doors_.size() - 1); }
+std::string Fleet::discovery() const { return address(listeners_.size() - 1); }
 
 protocol::ServerList Fleet::list() const {
     protocol::ServerList made{1, true, {}};
-    for (std::size_t i = 0; i + 1 < doors_.size(); ++i)
+    for (std::size_t i = 0; i + 1 < listeners_.size(); ++i)
         made.servers.push_back(
             {"s" + std::to_string(i), address(i), "a", "m", static_cast<int>(i), Listed::kLive, 1, 0});
     return made;
@@ -56,15 +56,15 @@
     }
 }
 
-Task Fleet::accept(Door& door, int server) {
+Task Fleet::accept(Listener& listener, int server) {
     for (;;) {
-        for (int descriptor; (descriptor = transport::accept_from(door.source.descriptor())) >= 0;) {
+        for (int descriptor; (descriptor = transport::accept_from(listener.source.descriptor())) >= 0;) {
             auto peer = std::make_unique<Peer>(loop_, descriptor, server);
             peer->task = serve(*peer);
             peers_.push_back(std::move(peer));
             peers_.back()->task.start();
         }
-        transport::Slot& next = door.source.readable;
+        transport::Slot& next = listener.source.readable;
         co_await next;
     }
 }
--- a/tests/lab/fleet.hpp
+++ b/tests/lab/fleet.hpp
@@ -41,19 +41,19 @@
         bool over = false;
         transport::Task task;
     };
-    struct Door {
-        Door(transport::Loop& loop) : source(loop, transport::listen_at("127.0.0.1:0")) {}
+    struct Listener {
+        Listener(transport::Loop& loop) : source(loop, transport::listen_at("127.0.0.1:0")) {}
         transport::Source source;
         transport::Task task;
     };
-    transport::Task accept(Door& door, int server);
+    transport::Task accept(Listener& listener, int server);
     transport::Task serve(Peer& peer);
     void take(Peer& peer, const protocol::Frame& frame);
     void run();
-    std::string address(std::size_t door) const;
+    std::string address(std::size_t listener) const;
 
     transport::Loop loop_;
-    std::vector<std::unique_ptr<Door>> doors_; // the last is discovery's
+    std::vector<std::unique_ptr<Listener>> listeners_; // the last is discovery's
     std::vector<std::unique_ptr<Peer>> peers_;
     mutable std::mutex mutex_;
     mutable std::condition_variable attempted_;
--- a/tests/lab/h2_client.cpp
+++ b/tests/lab/h2_client.cpp
@@ -205,7 +205,7 @@
 H2Client::Fields search_fields(const Ask& ask) {
     H2Client::Fields fields = {{":method", "POST"},
                                {":scheme", "http"},
-                               {":path", "/" + ask.product + (ask.key.empty() ? "" : "?k=" + ask.key)},
+                               {":path", "/" + ask.request_class + (ask.key.empty() ? "" : "?k=" + ask.key)},
                                {":authority", "a"},
                                {"x-request-id", ask.id},
                                {"x-timeout", std::to_string(ask.left_ms) + "m"}};
--- a/tests/lab/h2_client.hpp
+++ b/tests/lab/h2_client.hpp
@@ -1,4 +1,4 @@
-// A blocking HTTP/2 client for stories and measurements, well-behaved or not: requests and HPACK by
+// A blocking HTTP/2 client for tests and measurements, well-behaved or not: requests and HPACK by
 // libnghttp2, windows opened only when it is told to, and raw frames for what no library sends. Prior
 // knowledge, or over TLS.
 #pragma once
--- a/tests/lab/hall.cpp
+++ b/tests/lab/hall.cpp
@@ -64,18 +64,18 @@
     orders.sockets = plan.sockets, orders.memory_mb = 192, orders.known = fleet.list();
     OpeningTerms& terms = orders.terms.opening;
     for (const Effect effect : {Effect::kIdempotent, plan.effect}) {
-        ProductTerms product;
-        product.latency_target = kTenthsPerSecond, product.deadline_span = 2 * kTenthsPerSecond,
-        product.effect = effect;
-        product.late_share = 0.1;
-        terms.products.push_back(product);
+        RequestClassTerms request_class;
+        request_class.latency_target = kTenthsPerSecond, request_class.deadline_span = 2 * kTenthsPerSecond,
+        request_class.effect = effect;
+        request_class.late_share = 0.1;
+        terms.request_classes.push_back(request_class);
     }
     terms.tenants = {{1e6}, {1e6}};
     terms.turn_gap = 50, terms.cold_span = kTenthsPerSecond, terms.cold_share = 0.2;
     terms.fall_span = kTenthsPerSecond, terms.fall_multiple = 2, terms.most_attempts = 3;
     terms.may_recall = terms.may_probe = true, terms.list_mode = ListMode::kAsked;
     terms.cells = plan.servers;
-    orders.terms.products = {"find", "annotate"}, orders.terms.tenants = {"etna", "conca"};
+    orders.terms.request_classes = {"find", "annotate"}, orders.terms.tenants = {"etna", "conca"};
     orders.terms.zones = {"a"}, orders.terms.kinds = {"m"}, orders.terms.shards = plan.servers;
     orders.terms.calls_a_connection = 100, orders.terms.opening.connect_span = kTenthsPerSecond / 4;
     orders.terms.idle_span = 15 * kTenthsPerSecond, orders.terms.ask_span = 100 * kTenthsPerSecond;
@@ -221,7 +221,7 @@
 std::string search_bytes(const Ask& ask) {
     const std::string body = search_body(ask);
     std::string out =
-        "POST /" + ask.product + (ask.key.empty() ? "" : "?k=" + ask.key) + " HTTP/1.1\r\nHost: a\r\n";
+        "POST /" + ask.request_class + (ask.key.empty() ? "" : "?k=" + ask.key) + " HTTP/1.1\r\nHost: a\r\n";
     out += "X-Request-ID: " + ask.id + "\r\nX-Timeout: " + std::to_string(ask.left_ms) + "m\r\n";
     if (!ask.token.empty()) out += "Authorization: Bearer " + ask.token + "\r\n";
     if (!ask.tenant.empty()) out += "X-Tenant-Id: " + ask.tenant + "\r\n";
--- a/tests/lab/hall.hpp
+++ b/tests/lab/hall.hpp
@@ -1,5 +1,5 @@
 // A front node with an operator's file, round it a fleet of stand-ins, an authority and a key folder: what
-// stories and the measurement of access play in. Everything is on loopback and in a folder of its own, which
+// tests and the measurement of access play in. Everything is on loopback and in a folder of its own, which
 // goes with it.
 #pragma once
 #include "access/gate.hpp"
@@ -28,7 +28,7 @@
     Hall(const Hall&) = delete;
     Hall& operator=(const Hall&) = delete;
 
-    // The doors: the platform's plain one, TLS for tokens, TLS where a certificate may be shown.
+    // The listeners: the platform's plain one, TLS for tokens, TLS where a certificate may be shown.
     const std::string& plain() const { return addresses_.at(0); }
     const std::string& sealed() const { return addresses_.at(1); }
     const std::string& certified() const { return addresses_.at(2); }
@@ -75,7 +75,7 @@
 };
 
 struct Ask { // of one search, of one part
-    std::string id, product = "find", key = {}, token = {}, tenant = {};
+    std::string id, request_class = "find", key = {}, token = {}, tenant = {};
     int shard = 0;
     int left_ms = 2000;
     std::string query = "text";
--- a/tests/lab/pki.hpp
+++ b/tests/lab/pki.hpp
@@ -1,4 +1,4 @@
-// A certificate authority for stand-ins, stories and measurements: it issues what they need, good and bad.
+// A certificate authority for stand-ins, tests and measurements: it issues what they need, good and bad.
 // Not for service: its keys live as long as the object. Times are tenths since 1970.
 #pragma once
 #include "base/time.hpp"
