--- a/tests/lab/rig.cpp
+++ b/tests/lab/rig.cpp
@@ -33,8 +33,8 @@
 constexpr Tenths kMs = kTenthsPerSecond / 1000;
 constexpr Tenths kGrace = 300 * kMs; // of rule 3 as the rig judges it: the settings' and the way there
 constexpr int kExpiryMs = 1500, kDueMs = 500;
-constexpr std::array<const char*, 3> kProducts{"find", "note",
-                                               "mark"}; // idempotent, non-idempotent, numbered
+constexpr std::array<const char*, 3> kRequestClasses{"find", "note",
+                                                     "mark"}; // idempotent, non-idempotent, numbered
 
 // An address of this rig's own, so that no connection's own end, anywhere on the machine, comes to bear a
 // port that a front node or a server will want again once it has been away.
@@ -86,9 +86,9 @@
         made.works_for = plan.work, made.starts_for = 0, made.never_drains = true;
         machines_[name_of(i)] = made;
         for (int target = kKeeper; target < plan.servers; ++target)
-            doors_.push_back({i, target, host_ + ":0", {}, {}});
+            listeners_.push_back({i, target, host_ + ":0", {}, {}});
     }
-    for (int target = kKeeper; target < plan.servers; ++target) open_doors(target, true);
+    for (int target = kKeeper; target < plan.servers; ++target) open_listeners(target, true);
     for (int i = 0; i < plan.fronts; ++i) {
         fs::create_directory(file(name_of(i)));
         write_files(i);
@@ -113,15 +113,15 @@
 void Rig::write_files(int i) const {
     const std::string at = file(name_of(i));
     const int cells = std::max(1, plan_.servers / plan_.replicas);
-    const auto door = [&](int target) {
-        for (const Door& door : doors_)
-            if (door.front == i && door.target == target) return door.address;
+    const auto listener = [&](int target) {
+        for (const Listener& listener : listeners_)
+            if (listener.front == i && listener.target == target) return listener.address;
         return std::string();
     };
     nlohmann::json grades = nlohmann::json::array();
     const char* kinds[] = {"read_like", "non_idempotent", "idempotency_key"};
-    for (std::size_t p = 0; p < kProducts.size(); ++p)
-        grades.push_back({{"Name", kProducts[p]},
+    for (std::size_t p = 0; p < kRequestClasses.size(); ++p)
+        grades.push_back({{"Name", kRequestClasses[p]},
                           {"AimUs", kDueMs * 1000},
                           {"DeadlineUs", kExpiryMs * 1000},
                           {"WindowUs", 800'000},
@@ -155,7 +155,7 @@
     program::write_file(at + "/config.json",
                         nlohmann::json{{"name", name_of(i)},
                                        {"listen", fronts_[i].listen},
-                                       {"discovery", door(kDiscovery)},
+                                       {"discovery", listener(kDiscovery)},
                                        {"seed", "8c1f30d27a5be9" + std::to_string(10 + i)},
                                        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 512}}},
                                        {"known", known},
@@ -178,7 +178,7 @@
                  "}, \"council\": " + std::to_string(plan_.council) +
                  ", \"ledger\": \"rota/ledger.db\", \"witness\": \"rota/witness\", \"heartbeat_ms\": 50, "
                  "\"replace_after_s\": 5,\n  \"keeper\": {\"address\": \"" +
-                 door(kKeeper) +
+                 listener(kKeeper) +
                  "\"},\n"
                  "  \"limits\": {\"replicas_stay\": 2, \"zone_share\": 0.5, \"fleet_share\": 0.34, "
                  "\"front_share\": 0.25},\n"
@@ -353,36 +353,36 @@
         loop_.wait(until);
     }
     peers_.clear();
-    for (Door& door : doors_) door.task = {};
+    for (Listener& listener : listeners_) listener.task = {};
     for (Front& front : fronts_) front.relaying = {};
 }
 
-void Rig::open_doors(int target, bool on) {
-    for (Door& door : doors_) {
-        if (door.target != target) continue;
+void Rig::open_listeners(int target, bool on) {
+    for (Listener& listener : listeners_) {
+        if (listener.target != target) continue;
         if (!on) {
-            door.task = {}, door.source.reset();
+            listener.task = {}, listener.source.reset();
             continue;
         }
-        if (door.source) continue;
-        door.source = std::make_unique<transport::Source>(loop_, transport::listen_at(door.address));
-        door.address = host_ + ":" + std::to_string(transport::port_of(door.source->descriptor()));
-        door.task = accept(door);
-        door.task.start();
+        if (listener.source) continue;
+        listener.source = std::make_unique<transport::Source>(loop_, transport::listen_at(listener.address));
+        listener.address = host_ + ":" + std::to_string(transport::port_of(listener.source->descriptor()));
+        listener.task = accept(listener);
+        listener.task.start();
     }
     if (!on)
         for (auto& peer : peers_) peer->over = peer->over || peer->target == target;
 }
 
-Task Rig::accept(Door& door) {
+Task Rig::accept(Listener& listener) {
     for (;;) {
-        for (int descriptor; (descriptor = transport::accept_from(door.source->descriptor())) >= 0;) {
-            auto peer = std::make_unique<Peer>(loop_, descriptor, door.front, door.target);
+        for (int descriptor; (descriptor = transport::accept_from(listener.source->descriptor())) >= 0;) {
+            auto peer = std::make_unique<Peer>(loop_, descriptor, listener.front, listener.target);
             peer->task = serve(*peer);
             peers_.push_back(std::move(peer));
             peers_.back()->task.start();
         }
-        transport::Slot& next = door.source->readable;
+        transport::Slot& next = listener.source->readable;
         co_await next;
     }
 }
@@ -499,8 +499,8 @@
             changed_[name] = ++version_;
             const bool was_down = is_down(seen_[name]), down = is_down(machine.is);
             const int number = std::stoi(name.substr(1));
-            if (down && !was_down) open_doors(number, false);
-            if (!down && was_down) open_doors(number, true), born_[name] = transport::Loop::wall();
+            if (down && !was_down) open_listeners(number, false);
+            if (!down && was_down) open_listeners(number, true), born_[name] = transport::Loop::wall();
         }
         if (machine.is != seen_[name])
             note({is_down(machine.is) ? RigEvent::What::kOut : RigEvent::What::kBack, now, -1, name,
@@ -523,9 +523,9 @@
 std::string Rig::list_for(int i, std::int64_t after) const {
     nlohmann::json rows = nlohmann::json::array();
     const int cells = std::max(1, plan_.servers / plan_.replicas);
-    for (const Door& door : doors_) {
-        if (door.front != i || door.target < 0) continue;
-        const std::string name = "s" + std::to_string(door.target);
+    for (const Listener& listener : listeners_) {
+        if (listener.front != i || listener.target < 0) continue;
+        const std::string name = "s" + std::to_string(listener.target);
         if (changed_.at(name) <= after) continue;
         const HallMachine& machine = machines_.at(name);
         const HallMachine::Is is = seen_.at(name);
@@ -534,10 +534,10 @@
                                                             : "DRAINING";
         if (after < 0 && is_down(is)) continue;
         rows.push_back({{"id", name},
-                        {"addr", door.address},
+                        {"addr", listener.address},
                         {"zone", machine.facts.zone},
                         {"kind", "m"},
-                        {"cell", door.target % cells},
+                        {"cell", listener.target % cells},
                         {"state", state},
                         {"weight", 1.0},
                         {"started_ms", born_.at(name) / 10}});
@@ -646,7 +646,8 @@
     return counts_;
 }
 
-// One client keeps a connection to each front node; it takes those that serve in turn, and every product.
+// One client keeps a connection to each front node; it takes those that serve in turn, and every request
+// class.
 void Rig::client(int number, int a_second) {
     std::vector<std::unique_ptr<Client>> kept(fronts_.size());
     const auto gap = std::chrono::microseconds(1'000'000 / a_second);
@@ -668,7 +669,7 @@
             }
             epoch = front.epoch;
         }
-        const std::size_t product = nth % kProducts.size();
+        const std::size_t request_class = nth % kRequestClasses.size();
         const std::string id =
             "r" + std::to_string(run_) + "c" + std::to_string(number) + "x" + std::to_string(nth);
         nlohmann::json targets = nlohmann::json::array();
@@ -676,7 +677,7 @@
             targets.push_back({{"partition", shard}, {"share", 1.0 / plan_.shards}});
         const std::string body = nlohmann::json{{"targets", targets}, {"query", "q" + id}}.dump();
         const std::string bytes =
-            std::string("POST /") + kProducts[product] + (product == 2 ? "?k=" + id : "") +
+            std::string("POST /") + kRequestClasses[request_class] + (request_class == 2 ? "?k=" + id : "") +
             " HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + std::to_string(kExpiryMs) +
             "m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         const auto begun = std::chrono::steady_clock::now();
@@ -767,7 +768,8 @@
         const std::lock_guard lock(mutex_);
         wrong = broken_;
         if (counts_.lost > 0) wrong.push_back(std::to_string(counts_.lost) + " searches were lost");
-        // Rule 2: what may run once ran once; the second product's searches are every third of each client's.
+        // Rule 2: what may run once ran once; the second request class's searches are every third of each
+        // client's.
         std::map<std::string, int> attempts;
         std::map<std::string, std::uint64_t> fences;
         // Rule 3: nothing new once the news that it drains is a grace old at that front node.
--- a/tests/lab/rig.hpp
+++ b/tests/lab/rig.hpp
@@ -37,7 +37,7 @@
     enum class What { kAttempt, kAct, kRefusedAct, kListTold, kOut, kBack, kFault } what;
     Tenths at = 0;
     int front = -1;
-    std::string name, detail; // a part's id or a machine; a product, an act or a state
+    std::string name, detail; // a part's id or a machine; a request class, an act or a state
     std::uint64_t fence = 0;
 };
 
@@ -109,7 +109,7 @@
         bool over = false;
         transport::Task task;
     };
-    struct Door {
+    struct Listener {
         int front, target;
         std::string address;
         std::unique_ptr<transport::Source> source;
@@ -131,14 +131,14 @@
         bool operator>(const Later& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
     };
     void run();
-    transport::Task accept(Door& door);
+    transport::Task accept(Listener& listener);
     transport::Task serve(Peer& peer);
     transport::Task relay(int front);
     void take(Peer& peer, const protocol::Frame& frame);
     void take_line(Peer& peer);
     void answer_watches();
     std::string list_for(int front, std::int64_t after) const;
-    void open_doors(int target, bool on);
+    void open_listeners(int target, bool on);
     void pass_machines();
     void client(int number, int a_second);
     void write_files(int front) const;
@@ -151,7 +151,7 @@
     std::string folder_, host_;
     mutable std::mutex mutex_; // for all that follows but the loop's own
     transport::Loop loop_;
-    std::list<Door> doors_;
+    std::list<Listener> listeners_;
     std::vector<std::unique_ptr<Peer>> peers_;
     std::vector<Front> fronts_;
     std::map<std::string, HallMachine> machines_;
--- a/tests/lab/site_world.cpp
+++ b/tests/lab/site_world.cpp
@@ -13,9 +13,9 @@
 constexpr Tenths kMs = kTenthsPerSecond / 1000;
 constexpr Tenths kTurn = 5 * kMs, kConnect = 250 * kMs, kDown = 2 * kTenthsPerSecond;
 
-std::vector<SiteProduct> usual_products() {
+std::vector<SiteRequestClass> usual_request_classes() {
     const auto terms = [](Effect effect, double utility, double floor) {
-        ProductTerms made;
+        RequestClassTerms made;
         made.latency_target = 500 * kMs, made.deadline_span = 1500 * kMs, made.effect = effect;
         made.utility = utility, made.late_share = 0.1, made.floor = floor, made.need = 1;
         return made;
@@ -60,7 +60,7 @@
         std::vector<Out> outs;
     };
     struct Open {
-        std::size_t product = 0, tenant = 0;
+        std::size_t request_class = 0, tenant = 0;
         Tenths begun = 0;
         std::vector<PartId> parts;
     };
@@ -79,7 +79,8 @@
     std::deque<std::function<void()>> slept; // what came while it was stalled
 
     recovery::ClassKey key(const Open& open) const {
-        return {world->plan_.products[open.product].name, world->plan_.tenants[open.tenant].first};
+        return {world->plan_.request_classes[open.request_class].name,
+                world->plan_.tenants[open.tenant].first};
     }
     void attempt(PartId part, ServerId server, Tenths time_out, Tenths) override {
         world->attempt(*this, part, server, time_out);
@@ -112,18 +113,18 @@
         const auto found = searches.find(id);
         if (found == searches.end()) return void(world->broken_.push_back("a second final answer"));
         const Open open = found->second;
-        const SiteProduct& product = world->plan_.products[open.product];
+        const SiteRequestClass& request_class = world->plan_.request_classes[open.request_class];
         double weight = 0;
         for (const PartId part : open.parts) weight += parts.at(part).in ? parts.at(part).weight : 0;
-        if (weight + 1e-6 < product.terms.floor) world->broken_.push_back("an answer under its floor");
-        if (whole && weight + 1e-6 < product.terms.need) world->broken_.push_back("whole and is not");
-        const bool in_time = world->now_ <= open.begun + product.terms.latency_target;
-        const double paid =
-            product.terms.utility * (in_time ? 1 : product.terms.late_share) * std::min(1.0, weight);
+        if (weight + 1e-6 < request_class.terms.floor) world->broken_.push_back("an answer under its floor");
+        if (whole && weight + 1e-6 < request_class.terms.need) world->broken_.push_back("whole and is not");
+        const bool in_time = world->now_ <= open.begun + request_class.terms.latency_target;
+        const double paid = request_class.terms.utility * (in_time ? 1 : request_class.terms.late_share) *
+                            std::min(1.0, weight);
         SiteTotals& totals = world->totals_;
         ++totals.delivered, totals.in_time += in_time, totals.in_part += whole ? 0 : 1,
             totals.utility += paid;
-        totals.products[product.name].first += paid;
+        totals.request_classes[request_class.name].first += paid;
         totals.tenants[world->plan_.tenants[open.tenant].first].first += paid;
         end(id, in_time ? recovery::TallyBook::End::kInTime : recovery::TallyBook::End::kDelivered);
     }
@@ -138,7 +139,7 @@
                 int there = n; // whoever serves
                 for (std::size_t i = 0; i < w->fronts() && !w->fronts_[there]->alive; ++i)
                     there = (there + 1) % static_cast<int>(w->fronts());
-                if (w->fronts_[there]->alive) w->search(there, open.product, open.tenant, true);
+                if (w->fronts_[there]->alive) w->search(there, open.request_class, open.tenant, true);
             });
     }
     void fail(SearchId id) override {
@@ -175,7 +176,7 @@
 int SiteWorld::home_of(int front) const { return front % plan_.sites; }
 
 SiteWorld::SiteWorld(SiteWorldPlan plan) : plan_(std::move(plan)), chance_(plan_.seed) {
-    if (plan_.products.empty()) plan_.products = usual_products();
+    if (plan_.request_classes.empty()) plan_.request_classes = usual_request_classes();
     if (plan_.tenants.empty()) plan_.tenants = {{"etna", 0.7}, {"ortigia", 0.3}};
     for (int i = 0; i < plan_.servers; ++i) {
         auto server = std::make_unique<Server>();
@@ -183,7 +184,8 @@
         servers_.push_back(std::move(server));
     }
     double parts = 0, weight = 0;
-    for (const auto& product : plan_.products) parts += product.rate * product.parts, weight += product.rate;
+    for (const auto& request_class : plan_.request_classes)
+        parts += request_class.rate * request_class.parts, weight += request_class.rate;
     double capacity = 0;
     for (int i = 0; i < plan_.servers; ++i) capacity += power(i);
     rate_ = plan_.load * capacity / (parts / weight);
@@ -251,7 +253,8 @@
     front.searches.clear(), front.parts.clear(), front.slept.clear();
     OpeningTerms terms;
     terms.seed = plan_.seed * 1000 + static_cast<std::uint64_t>(number) + 7 * front.life;
-    for (const auto& product : plan_.products) terms.products.push_back(product.terms);
+    for (const auto& request_class : plan_.request_classes)
+        terms.request_classes.push_back(request_class.terms);
     const int nodes = plan_.stated_nodes > 0 ? plan_.stated_nodes : plan_.fronts;
     for (const auto& [name, share] : plan_.tenants) terms.tenants.push_back({rate_ * share * 2});
     terms.front_nodes = nodes, terms.turn_gap = kTurn;
@@ -261,19 +264,19 @@
     terms.may_recall = terms.may_advise = true, terms.may_probe = plan_.may_probe;
     terms.cells = plan_.servers / plan_.replicas, terms.span = 1;
     front.brain = open_brain(terms);
-    front.book = recovery::TallyBook(plan_.products[0].terms.latency_target);
+    front.book = recovery::TallyBook(plan_.request_classes[0].terms.latency_target);
     front.pilot.reset();
     if (plan_.with_plan) {
         recovery::PilotTerms own;
         own.name = "n" + std::to_string(number), own.home = site_name(front.site), own.seed = terms.seed;
-        Tenths due = plan_.products[0].terms.latency_target;
-        for (const auto& product : plan_.products) {
-            own.products.push_back(product.name);
-            own.facts[product.name] = {
-                product.terms.utility,        product.terms.floor,
-                product.terms.need,           product.terms.late_share,
-                product.terms.latency_target, product.terms.effect == Effect::kNonIdempotent};
-            due = std::min(due, product.terms.latency_target);
+        Tenths due = plan_.request_classes[0].terms.latency_target;
+        for (const auto& request_class : plan_.request_classes) {
+            own.request_classes.push_back(request_class.name);
+            own.facts[request_class.name] = {
+                request_class.terms.utility,        request_class.terms.floor,
+                request_class.terms.need,           request_class.terms.late_share,
+                request_class.terms.latency_target, request_class.terms.effect == Effect::kNonIdempotent};
+            due = std::min(due, request_class.terms.latency_target);
         }
         for (const auto& [name, share] : plan_.tenants)
             own.tenants.push_back(name), own.quotas[name] = rate_ * share * 2;
@@ -358,51 +361,52 @@
     at(now_ + static_cast<Tenths>(gap * static_cast<double>(kTenthsPerSecond)) + 1, [this, number, mine] {
         if (mine > 0 && fronts_[number]->alive) {
             double drawn = chance_.unit(), all = 0;
-            for (const auto& product : plan_.products) all += product.rate;
-            std::size_t product = 0, tenant = 0;
-            for (drawn *= all; product + 1 < plan_.products.size() && drawn >= plan_.products[product].rate;
-                 ++product)
-                drawn -= plan_.products[product].rate;
+            for (const auto& request_class : plan_.request_classes) all += request_class.rate;
+            std::size_t request_class = 0, tenant = 0;
+            for (drawn *= all; request_class + 1 < plan_.request_classes.size() &&
+                               drawn >= plan_.request_classes[request_class].rate;
+                 ++request_class)
+                drawn -= plan_.request_classes[request_class].rate;
             for (drawn = chance_.unit();
                  tenant + 1 < plan_.tenants.size() && drawn >= plan_.tenants[tenant].second; ++tenant)
                 drawn -= plan_.tenants[tenant].second;
-            search(number, product, tenant, false);
+            search(number, request_class, tenant, false);
         }
         arrive(number);
     });
 }
 
-void SiteWorld::search(int number, std::size_t product_no, std::size_t tenant, bool again) {
+void SiteWorld::search(int number, std::size_t class_no, std::size_t tenant, bool again) {
     Front& front = *fronts_[number];
-    const SiteProduct& product = plan_.products[product_no];
+    const SiteRequestClass& request_class = plan_.request_classes[class_no];
     if (!again) {
-        ++totals_.asked, totals_.most_utility += product.terms.utility;
-        totals_.products[product.name].second += product.terms.utility;
-        totals_.tenants[plan_.tenants[tenant].first].second += product.terms.utility;
+        ++totals_.asked, totals_.most_utility += request_class.terms.utility;
+        totals_.request_classes[request_class.name].second += request_class.terms.utility;
+        totals_.tenants[plan_.tenants[tenant].first].second += request_class.terms.utility;
     }
     const SearchId id{front.next_id++};
     const JobNo job{front.next_job++};
     Front::Open& open = front.searches[id];
-    open.product = product_no, open.tenant = tenant, open.begun = now_;
+    open.request_class = class_no, open.tenant = tenant, open.begun = now_;
     const auto key = front.key(open);
     front.book.asked(key);
     std::vector<int> shards(static_cast<std::size_t>(plan_.shards));
     for (int i = 0; i < plan_.shards; ++i) shards[i] = i;
-    for (int i = 0; i < product.parts && i < plan_.shards; ++i)
+    for (int i = 0; i < request_class.parts && i < plan_.shards; ++i)
         std::swap(shards[i], shards[i + static_cast<int>(chance_.unit() * (plan_.shards - i))]);
-    const int count = std::min(product.parts, plan_.shards);
-    front.brain->on(now_, SearchTaken{id, job, ProductNo{static_cast<std::int32_t>(product_no)},
+    const int count = std::min(request_class.parts, plan_.shards);
+    front.brain->on(now_, SearchTaken{id, job, RequestClassNo{static_cast<std::int32_t>(class_no)},
                                       TenantNo{static_cast<std::int32_t>(tenant)},
-                                      product.terms.deadline_span, again});
+                                      request_class.terms.deadline_span, again});
     for (int i = 0; i < count; ++i) {
         const PartId part{front.next_id++};
         open.parts.push_back(part);
         front.parts[part] = {
-            id, shards[i], 1.0 / count, false, product.terms.effect == Effect::kNonIdempotent, {}};
+            id, shards[i], 1.0 / count, false, request_class.terms.effect == Effect::kNonIdempotent, {}};
         front.book.part(key, shards[i]);
         front.brain->on(now_, PartTaken{part, job, ShardNo{shards[i]}, 1.0 / count});
     }
-    at(now_ + product.terms.deadline_span, [this, number, life = front.life, id] {
+    at(now_ + request_class.terms.deadline_span, [this, number, life = front.life, id] {
         Front& late = *fronts_[number];
         if (!late.alive || late.life != life || !late.searches.contains(id)) return;
         if (now_ < late.stalled_until + kConnect) return; // it could not; its clients went elsewhere
@@ -629,15 +633,15 @@
     for (int i = 0; i < plan_.servers; ++i)
         terms.presence["s" + std::to_string(i)] = servers_[i]->share(now_, plan_);
     double all = 0;
-    for (const auto& product : plan_.products) all += product.rate;
-    for (const auto& product : plan_.products) {
-        terms.products[product.name] = {product.terms.utility,        product.terms.floor,
-                                        product.terms.need,           product.terms.late_share,
-                                        product.terms.latency_target, false};
+    for (const auto& request_class : plan_.request_classes) all += request_class.rate;
+    for (const auto& request_class : plan_.request_classes) {
+        terms.request_classes[request_class.name] = {
+            request_class.terms.utility,    request_class.terms.floor,          request_class.terms.need,
+            request_class.terms.late_share, request_class.terms.latency_target, false};
         for (const auto& [tenant, share] : plan_.tenants)
-            terms.demand.rows[{product.name, tenant}] = {
-                rate_ * surge_ * product.rate / all * share,
-                static_cast<double>(std::min(product.parts, plan_.shards))};
+            terms.demand.rows[{request_class.name, tenant}] = {
+                rate_ * surge_ * request_class.rate / all * share,
+                static_cast<double>(std::min(request_class.parts, plan_.shards))};
     }
     for (int shard = 0; shard < plan_.shards; ++shard) terms.demand.shards[shard] = 1.0 / plan_.shards;
     const recovery::Plan plan = recovery::plan_without(terms, {});
--- a/tests/lab/site_world.hpp
+++ b/tests/lab/site_world.hpp
@@ -1,8 +1,8 @@
 // Front nodes of several sites in virtual time: each with the decision module itself and its side of the plan
 // for lost sites; round them index servers with queues, power that rises after a start and a limit past which
 // a cold one falls, discovery that tells late, members that are noticed late, words that get lost. Sites are
-// killed, cut off and brought back as a script says. What clients get is paid as the products say; the rules
-// are judged as it goes. From one seed all is the same each time.
+// killed, cut off and brought back as a script says. What clients get is paid as the request classes say; the
+// rules are judged as it goes. From one seed all is the same each time.
 #pragma once
 #include "recovery/pilot.hpp"
 #include "recovery/tally_book.hpp"
@@ -17,17 +17,17 @@
 
 namespace ivyrill::lab {
 
-struct SiteProduct {
+struct SiteRequestClass {
     std::string name;
     double rate = 1; // of all searches, weight
     int parts = 6;
-    ProductTerms terms;
+    RequestClassTerms terms;
 };
 
 struct SiteWorldPlan {
     std::uint64_t seed = 1;
     int fronts = 6, servers = 12, sites = 3, shards = 8, replicas = 3;
-    std::vector<SiteProduct> products;                   // empty: three of their kinds
+    std::vector<SiteRequestClass> request_classes;       // empty: three of their kinds
     std::vector<std::pair<std::string, double>> tenants; // name, share of the searches; empty: two
     double load = 0.55;                                  // of the fleet's power
     int cores = 4;
@@ -47,7 +47,7 @@
 struct SiteTotals { // over a span
     std::uint64_t asked = 0, delivered = 0, in_time = 0, rejected = 0, failed = 0, in_part = 0, attempts = 0;
     double utility = 0, most_utility = 0;
-    std::map<std::string, std::pair<double, double>> products; // utility in time, asked for
+    std::map<std::string, std::pair<double, double>> request_classes; // utility in time, asked for
     std::map<std::string, std::pair<double, double>> tenants;
 };
 
@@ -111,7 +111,7 @@
     Tenths delay();
     bool linked(int from_site, int to_site) const { return !cuts_.contains({from_site, to_site}); }
     void arrive(int front);
-    void search(int front, std::size_t product, std::size_t tenant, bool again);
+    void search(int front, std::size_t request_class, std::size_t tenant, bool again);
     void turn(Front& front);
     void step_pilot(Front& front);
     void attempt(Front& front, PartId part, ServerId server, Tenths time_out);
--- a/tests/membership_stories.cpp
+++ b/tests/membership_tests.cpp
@@ -1,4 +1,4 @@
-// Members in virtual time, over a network that loses, delays and cuts as a story says. `membership_stories
+// Members in virtual time, over a network that loses, delays and cuts as a test says. `membership_tests
 // NAME`.
 #include "fake_host.hpp"
 #include "membership/datagrams.hpp"
@@ -82,7 +82,7 @@
             carry(turn, members[turn]->step(now));
         }
     }
-    // Passes until that holds, and says how long it took; the bound is the story's.
+    // Passes until that holds, and says how long it took; the bound is the test's.
     Tenths until(const std::function<bool()>& holds, Tenths bound) {
         const Tenths begun = now;
         while (!holds() && now < begun + bound) pass(kGap / 10);
@@ -294,22 +294,22 @@
     assert(!seal.close(wrong));
 }
 
-const Story kStories[] = {
-    STORY(all_find_each_other_by_two_peers),
-    STORY(one_that_dies_is_found_by_all),
-    STORY(one_that_leaves_has_not_failed),
-    STORY(lost_datagrams_fail_nobody),
-    STORY(dead_link_between_two_fails_nobody),
-    STORY(one_that_hears_badly_blames_itself),
-    STORY(one_that_stalled_doubts_itself_first),
-    STORY(two_halves_find_together_again),
-    STORY(old_life_is_outbid),
-    STORY(two_with_one_name_do_not_outbid_each_other),
-    STORY(traffic_of_one_does_not_grow_with_all),
-    STORY(what_is_known_has_a_bound),
-    STORY(sealed_datagram_is_read_as_it_was),
-    STORY(strangers_are_counted_and_dropped),
-    STORY(sealed_nonsense_is_spoilt),
+const Test kTests[] = {
+    TEST(all_find_each_other_by_two_peers),
+    TEST(one_that_dies_is_found_by_all),
+    TEST(one_that_leaves_has_not_failed),
+    TEST(lost_datagrams_fail_nobody),
+    TEST(dead_link_between_two_fails_nobody),
+    TEST(one_that_hears_badly_blames_itself),
+    TEST(one_that_stalled_doubts_itself_first),
+    TEST(two_halves_find_together_again),
+    TEST(old_life_is_outbid),
+    TEST(two_with_one_name_do_not_outbid_each_other),
+    TEST(traffic_of_one_does_not_grow_with_all),
+    TEST(what_is_known_has_a_bound),
+    TEST(sealed_datagram_is_read_as_it_was),
+    TEST(strangers_are_counted_and_dropped),
+    TEST(sealed_nonsense_is_spoilt),
 };
 
 } // namespace
@@ -317,5 +317,5 @@
 } // namespace ivyrill::membership
 
 int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::membership::kStories, count, arguments);
+    return ivyrill::run_test(ivyrill::membership::kTests, count, arguments);
 }
--- a/tests/protocol_stories.cpp
+++ b/tests/protocol_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of the parsers: every split of the bytes, and bytes that nobody should send.
+// Tests of the parsers: every split of the bytes, and bytes that nobody should send.
 #include "base/pcg.hpp"
 #include "drill/wire.hpp"
 #include "fake_host.hpp"
@@ -50,7 +50,7 @@
             if (chunked) continue;
             const ClientRequest read = read_client_request(message);
             const auto& search = std::get<SearchRequest>(read);
-            assert(search.id == "9b1f" && search.product == "position-find" && search.tenant == "acme");
+            assert(search.id == "9b1f" && search.request_class == "position-find" && search.tenant == "acme");
             assert(search.left_us == 480'000 && !search.repeat && search.query == kQuery);
             assert(search.targets.size() == 2 && search.targets[1].shard == 9);
         }
@@ -274,30 +274,31 @@
         "Specifics.Places=4 Tenants.count=1 Tenants.0.QuotaPerS=28.0 PeersTotal=2"));
     const OpeningTerms& terms = read.terms.opening;
     assert(terms.seed == 255 && drilled.seed == 255 && terms.front_nodes == 2 && drilled.front_nodes == 2);
-    assert(terms.products.size() == 1 &&
-           terms.products[0].latency_target == drilled.products[0].latency_target);
-    assert(terms.products[0].effect == Effect::kNonIdempotent && terms.products[0].floor == 0.5);
+    assert(terms.request_classes.size() == 1 &&
+           terms.request_classes[0].latency_target == drilled.request_classes[0].latency_target);
+    assert(terms.request_classes[0].effect == Effect::kNonIdempotent &&
+           terms.request_classes[0].floor == 0.5);
     assert(terms.cells == 4 && drilled.cells == 4 && terms.most_attempts == 3);
-    assert(read.terms.products[0] == "game_annotate" && read.terms.zones[0] == "a_b");
+    assert(read.terms.request_classes[0] == "game_annotate" && read.terms.zones[0] == "a_b");
     assert(read.terms.most_open == 203 && read.terms.idle_span == ms(15'000) && read.sockets == 1024);
 }
 
-constexpr Story kStories[] = {
-    STORY(request_is_read_over_every_split),
-    STORY(broken_requests_have_their_status),
-    STORY(requests_that_can_be_read_two_ways_are_refused),
-    STORY(response_without_length_ends_with_its_connection),
-    STORY(frames_are_read_over_every_split),
-    STORY(hostile_frames_break_before_memory_is_spent),
-    STORY(good_answer_counts_although_its_report_cannot_be_read),
-    STORY(noise_does_no_harm),
-    STORY(json_is_strict_and_bounded),
-    STORY(list_is_read_and_unknown_states_get_nothing_new),
-    STORY(settings_are_read_once_for_both),
+constexpr Test kTests[] = {
+    TEST(request_is_read_over_every_split),
+    TEST(broken_requests_have_their_status),
+    TEST(requests_that_can_be_read_two_ways_are_refused),
+    TEST(response_without_length_ends_with_its_connection),
+    TEST(frames_are_read_over_every_split),
+    TEST(hostile_frames_break_before_memory_is_spent),
+    TEST(good_answer_counts_although_its_report_cannot_be_read),
+    TEST(noise_does_no_harm),
+    TEST(json_is_strict_and_bounded),
+    TEST(list_is_read_and_unknown_states_get_nothing_new),
+    TEST(settings_are_read_once_for_both),
 };
 
 } // namespace
 
 } // namespace ivyrill
 
-int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::kTests, count, arguments); }
--- a/tests/rig_stories.cpp
+++ b/tests/rig_tests.cpp
@@ -1,6 +1,6 @@
 // Several processes of the program with faults between them: front nodes as they are served, on loopback,
-// with searches of every product all the while. `rig_stories NAME`. Afterwards the history is judged: the
-// rules, one holder a turn, numbers that only grow, no shard under its number.
+// with searches of every request class all the while. `rig_tests NAME`. Afterwards the history is judged:
+// the rules, one holder a turn, numbers that only grow, no shard under its number.
 #include "fake_host.hpp"
 #include "lab/rig.hpp"
 
@@ -228,25 +228,23 @@
 void cold_server_is_spared_by_20_processes() { cold_server_is_spared_by(20); }
 void cold_server_is_spared_by_30_processes() { cold_server_is_spared_by(30); }
 
-const Story kStories[] = {
-    STORY(cold_server_is_spared_by_2_processes),
-    STORY(cold_server_is_spared_by_20_processes),
-    STORY(cold_server_is_spared_by_30_processes),
-    STORY(an_evening_of_processes),
-    STORY(the_holder_is_stalled_past_its_grant),
-    STORY(the_leader_is_killed_and_comes_again),
-    STORY(all_are_restarted_in_the_middle_of_a_turn),
-    STORY(links_drop_double_and_are_cut),
-    STORY(news_of_a_drain_is_late_at_half_of_the_front_nodes),
-    STORY(one_comes_back_without_its_disk_and_one_with_an_old_one),
-    STORY(strangers_and_wrong_operators_are_not_heard),
-    STORY(a_machine_that_does_not_come_back_stops_the_evening),
+const Test kTests[] = {
+    TEST(cold_server_is_spared_by_2_processes),
+    TEST(cold_server_is_spared_by_20_processes),
+    TEST(cold_server_is_spared_by_30_processes),
+    TEST(an_evening_of_processes),
+    TEST(the_holder_is_stalled_past_its_grant),
+    TEST(the_leader_is_killed_and_comes_again),
+    TEST(all_are_restarted_in_the_middle_of_a_turn),
+    TEST(links_drop_double_and_are_cut),
+    TEST(news_of_a_drain_is_late_at_half_of_the_front_nodes),
+    TEST(one_comes_back_without_its_disk_and_one_with_an_old_one),
+    TEST(strangers_and_wrong_operators_are_not_heard),
+    TEST(a_machine_that_does_not_come_back_stops_the_evening),
 };
 
 } // namespace
 
 } // namespace ivyrill::lab
 
-int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::lab::kStories, count, arguments);
-}
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::lab::kTests, count, arguments); }
--- a/tests/routing_stories.cpp
+++ b/tests/routing_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of the reducer: events in, effects out; no socket anywhere.
+// Tests of the reducer: events in, effects out; no socket anywhere.
 #include "desk.hpp"
 
 namespace ivyrill::routing {
@@ -8,13 +8,15 @@
 void search_is_sent_and_answered() {
     Desk desk;
     const ClientId client = desk.search({0, 1});
-    assert(desk.all<OpenLink>().size() == 2 && desk.sent('S') == 0); // nothing before a connection is up
-    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
+    assert(desk.all<OpenConnection>().size() == 2 &&
+           desk.sent('S') == 0); // nothing before a connection is up
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        desk.up(open.connection), desk.wrote_all(open.connection);
     assert(desk.sent('S') == 2);
-    for (const OpenLink& open : desk.all<OpenLink>())
-        for (const std::string& frame : desk.frames(open.link, 'S')) {
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        for (const std::string& frame : desk.frames(open.connection, 'S')) {
             assert(frame.find(" d=2000 4\ntext") != std::string::npos);
-            desk.answers(open.link, frame.substr(0, frame.find(' ')));
+            desk.answers(open.connection, frame.substr(0, frame.find(' ')));
         }
     const auto answers = desk.all<AnswerClient>();
     assert(answers.size() == 1 && answers[0].client == client && answers[0].answer.whole &&
@@ -28,12 +30,12 @@
     terms.batch = 2, terms.shards = 3;
     Desk desk(terms, 1);
     const ClientId client = desk.search({0, 1, 2});
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.wrote_all(link);
-    const auto calls = desk.frames(link, 'S');
-    assert(calls.size() == 2 && desk.all<OpenLink>().size() == 1); // two parts and one
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.wrote_all(connection);
+    const auto calls = desk.frames(connection, 'S');
+    assert(calls.size() == 2 && desk.all<OpenConnection>().size() == 1); // two parts and one
     assert(calls[0].find("q1.0 0 ") == 0 && calls[0].find("textq1.1 1 ") != std::string::npos);
-    for (const char* id : {"q1.0", "q1.1", "q1.2"}) desk.answers(link, id); // each by itself
+    for (const char* id : {"q1.0", "q1.1", "q1.2"}) desk.answers(connection, id); // each by itself
     assert(desk.verdict(client) == Verdict::kDelivered);
 }
 
@@ -42,12 +44,14 @@
     terms.calls_a_connection = 3; // one place of it stays free
     Desk desk(terms, 1);
     desk.search({0, 1});
-    assert(desk.all<OpenLink>().size() == 1);
+    assert(desk.all<OpenConnection>().size() == 1);
     desk.search({0, 1});
-    assert(desk.all<OpenLink>().size() == 2);
-    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link);
-    desk.wrote_all(desk.all<OpenLink>()[0].link), desk.wrote_all(desk.all<OpenLink>()[1].link);
-    for (const OpenLink& open : desk.all<OpenLink>()) assert(desk.frames(open.link, 'S').size() == 2);
+    assert(desk.all<OpenConnection>().size() == 2);
+    for (const OpenConnection& open : desk.all<OpenConnection>()) desk.up(open.connection);
+    desk.wrote_all(desk.all<OpenConnection>()[0].connection),
+        desk.wrote_all(desk.all<OpenConnection>()[1].connection);
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        assert(desk.frames(open.connection, 'S').size() == 2);
 }
 
 // How far the bytes went decides what is proved.
@@ -55,14 +59,14 @@
     for (const bool written : {false, true}) {
         Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
         const ClientId client = desk.search();
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        desk.up(link);
-        const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
-        desk.tell(LinkWrote{link, written ? size : size - 1});
-        desk.tell(LinkEnded{link});
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        desk.up(connection);
+        const std::uint64_t size = desk.all<WriteConnection>()[0].bytes.size();
+        desk.tell(ConnectionWrote{connection, written ? size : size - 1});
+        desk.tell(ConnectionEnded{connection});
         desk.pass(ms(2100));
         if (written)
-            assert(desk.verdict(client) == Verdict::kFailed && desk.all<OpenLink>().size() < 20);
+            assert(desk.verdict(client) == Verdict::kFailed && desk.all<OpenConnection>().size() < 20);
         else
             assert(desk.verdict(client) == Verdict::kRejected);
     }
@@ -71,14 +75,14 @@
 void each_frame_has_its_own_boundary() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId first = desk.search(), second = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection);
     assert(desk.sent('S') == 1); // one frame at a time is in the ring, so the other can be taken back
-    const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
-    desk.tell(LinkWrote{link, size});
+    const std::uint64_t size = desk.all<WriteConnection>()[0].bytes.size();
+    desk.tell(ConnectionWrote{connection, size});
     assert(desk.sent('S') == 2);
-    desk.tell(LinkWrote{link, size + 7});
-    desk.tell(LinkEnded{link});
+    desk.tell(ConnectionWrote{connection, size + 7});
+    desk.tell(ConnectionEnded{connection});
     desk.pass(ms(2100));
     assert(desk.verdict(first) == Verdict::kFailed && desk.verdict(second) == Verdict::kRejected);
 }
@@ -86,10 +90,10 @@
 void refused_connection_sends_the_part_elsewhere() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
-    const LinkId refused = desk.all<OpenLink>()[0].link;
-    desk.tell(LinkEnded{refused});
+    const ConnectionId refused = desk.all<OpenConnection>()[0].connection;
+    desk.tell(ConnectionEnded{refused});
     desk.pass(ms(5));
-    const auto opened = desk.all<OpenLink>();
+    const auto opened = desk.all<OpenConnection>();
     assert(opened.size() >= 2 && opened[1].address != opened[0].address);
 }
 
@@ -97,31 +101,31 @@
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
     desk.pass(ms(249));
-    assert(desk.all<OpenLink>().size() == 1);
+    assert(desk.all<OpenConnection>().size() == 1);
     desk.pass(ms(10));
-    assert(desk.all<CloseLink>().size() >= 1 && desk.all<OpenLink>().size() >= 2);
+    assert(desk.all<CloseConnection>().size() >= 1 && desk.all<OpenConnection>().size() >= 2);
 }
 
 // One answer an attempt, and never that of an earlier attempt of the same part.
 void late_answer_is_not_taken_for_a_later_attempt() {
     Desk desk(node_terms(), 1);
     const ClientId client = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
     desk.tell(ClientGone{client});
-    assert(desk.frames(link, 'C') == std::vector<std::string>{"q1.0"}); // given up
+    assert(desk.frames(connection, 'C') == std::vector<std::string>{"q1.0"}); // given up
     desk.pass(ms(10));
     assert(desk.router.open_attempts() == 0);
     const ClientId other = desk.client(); // the same id once more
     desk.tell(SearchRead{other, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, 0});
-    const auto opened = desk.all<OpenLink>();
+    const auto opened = desk.all<OpenConnection>();
     assert(opened.size() == 2); // not where the first answer may still come
-    desk.up(opened[1].link), desk.wrote_all(opened[1].link);
-    desk.answers(link, "q1.0");
+    desk.up(opened[1].connection), desk.wrote_all(opened[1].connection);
+    desk.answers(connection, "q1.0");
     assert(!desk.verdict(other) && desk.router.counts().returned_late == 1);
-    desk.answers(opened[1].link, "q1.0");
+    desk.answers(opened[1].connection, "q1.0");
     assert(desk.verdict(other) == Verdict::kDelivered);
-    desk.answers(opened[1].link, "q1.0"); // once is enough
+    desk.answers(opened[1].connection, "q1.0"); // once is enough
     assert(desk.all<AnswerClient>().size() == 1);
 }
 
@@ -134,15 +138,16 @@
         terms.opening.may_recall = false;
         Desk desk(terms, 1);
         const ClientId client = desk.search({0}, ends == kItsTime ? 400'000 : 2'000'000);
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        desk.up(link);
-        assert(desk.frames(link, 'S').size() == 1);
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        desk.up(connection);
+        assert(desk.frames(connection, 'S').size() == 1);
         if (ends == kItsClient) desk.tell(ClientGone{client});
         if (ends == kItsServer)
             desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, false, {entry(0, Listed::kDraining)}}});
         desk.pass(ms(ends == kItsTime ? 420 : 10));
-        assert(desk.all<CloseLink>().size() == 1 && desk.all<CloseLink>()[0].link == link);
-        assert(desk.frames(link, 'S').size() == 1 && desk.router.open_attempts() == 0);
+        assert(desk.all<CloseConnection>().size() == 1 &&
+               desk.all<CloseConnection>()[0].connection == connection);
+        assert(desk.frames(connection, 'S').size() == 1 && desk.router.open_attempts() == 0);
     }
 }
 
@@ -154,18 +159,18 @@
     Desk desk(terms, 1);
     const ClientId leaving = desk.search({0, 1});
     const ClientId staying = desk.search({0});
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.wrote_all(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.wrote_all(connection), desk.wrote_all(connection);
     desk.tell(ClientGone{leaving});
     desk.pass(ms(5));
-    assert(desk.frames(link, 'C').size() == 2 && desk.router.open_attempts() == 1);
+    assert(desk.frames(connection, 'C').size() == 2 && desk.router.open_attempts() == 1);
     desk.search({0});
-    assert(desk.all<OpenLink>().size() == 2); // two places are kept, one is taken, the last stays free
-    desk.answers(link, "q1.0");               // late
+    assert(desk.all<OpenConnection>().size() == 2); // two places are kept, one is taken, the last stays free
+    desk.answers(connection, "q1.0");               // late
     desk.search({0});
-    desk.wrote_all(link);
-    assert(desk.all<OpenLink>().size() == 2 && desk.frames(link, 'S').size() == 4);
-    desk.answers(link, "q2.0");
+    desk.wrote_all(connection);
+    assert(desk.all<OpenConnection>().size() == 2 && desk.frames(connection, 'S').size() == 4);
+    desk.answers(connection, "q2.0");
     assert(desk.verdict(staying) == Verdict::kDelivered);
 }
 
@@ -175,11 +180,12 @@
     terms.calls_a_connection = 3;
     Desk desk(terms, 1);
     const ClientId leaving = desk.search({0, 1});
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.wrote_all(connection);
     desk.tell(ClientGone{leaving});
     desk.pass(ms(5));
-    assert(desk.all<CloseLink>().size() == 1 && desk.all<CloseLink>()[0].link == link);
+    assert(desk.all<CloseConnection>().size() == 1 &&
+           desk.all<CloseConnection>()[0].connection == connection);
 }
 
 // Where no other connection can be opened the last place is taken, but nothing goes past the limit.
@@ -188,11 +194,11 @@
     terms.calls_a_connection = 2;
     Desk desk(terms, 1, 2); // one connection to index servers
     for (int i = 0; i < 3; ++i) desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link);
-    for (int i = 0; i < 4; ++i) desk.wrote_all(link), desk.pass(ms(5));
-    assert(desk.all<OpenLink>().size() == 1 && desk.frames(link, 'S').size() == 2);
-    desk.answers(link, "q1.0"), desk.answers(link, "q2.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection);
+    for (int i = 0; i < 4; ++i) desk.wrote_all(connection), desk.pass(ms(5));
+    assert(desk.all<OpenConnection>().size() == 1 && desk.frames(connection, 'S').size() == 2);
+    desk.answers(connection, "q1.0"), desk.answers(connection, "q2.0");
     assert(desk.router.counts().delivered == 2);
 }
 
@@ -203,15 +209,16 @@
     for (const bool named : {true, false}) {
         Desk desk(node_terms(), 1);
         for (int i = 0; i < 3; ++i) desk.search();
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        desk.up(link), desk.wrote_all(link), desk.wrote_all(link), desk.wrote_all(link);
-        assert(desk.frames(link, 'S').size() == 3);
-        desk.tell(LinkSpoilt{link, named ? "q2.0" : "%&"});
-        desk.answers(link, "q1.0"); // nothing counts that follows
-        assert(desk.router.counts().delivered == 0 && desk.all<CloseLink>().size() == 1);
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        desk.up(connection), desk.wrote_all(connection), desk.wrote_all(connection),
+            desk.wrote_all(connection);
+        assert(desk.frames(connection, 'S').size() == 3);
+        desk.tell(ConnectionSpoilt{connection, named ? "q2.0" : "%&"});
+        desk.answers(connection, "q1.0"); // nothing counts that follows
+        assert(desk.router.counts().delivered == 0 && desk.all<CloseConnection>().size() == 1);
         desk.pass(ms(20));
-        assert(desk.all<OpenLink>().size() == 2);
-        const LinkId fresh = desk.all<OpenLink>()[1].link;
+        assert(desk.all<OpenConnection>().size() == 2);
+        const ConnectionId fresh = desk.all<OpenConnection>()[1].connection;
         desk.up(fresh), desk.wrote_all(fresh), desk.wrote_all(fresh), desk.wrote_all(fresh);
         assert(desk.frames(fresh, 'S').size() == 3 && desk.sent('M') == 0);
         for (const char* id : {"q1.0", "q2.0", "q3.0"}) desk.answers(fresh, id);
@@ -224,47 +231,49 @@
 void spoilt_answer_may_have_run() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId spoilt = desk.search(), beside = desk.search(), unsent = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
-    const std::uint64_t size = desk.all<WriteLink>()[0].bytes.size();
-    desk.tell(LinkWrote{link, 2 * size});
-    desk.tell(LinkSpoilt{link, "q1.0"});
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
+    const std::uint64_t size = desk.all<WriteConnection>()[0].bytes.size();
+    desk.tell(ConnectionWrote{connection, 2 * size});
+    desk.tell(ConnectionSpoilt{connection, "q1.0"});
     desk.pass(ms(20));
     assert(desk.verdict(spoilt) == Verdict::kFailed && desk.verdict(beside) == Verdict::kFailed);
-    assert(!desk.verdict(unsent) && desk.all<OpenLink>().size() == 2);
+    assert(!desk.verdict(unsent) && desk.all<OpenConnection>().size() == 2);
 }
 
 void frame_that_does_not_fill_holds_nobody_up() {
     Desk desk(node_terms(), 1);
     const ClientId first = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
-    desk.tell(LinkMidway{link});
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
+    desk.tell(ConnectionMidway{connection});
     const ClientId second = desk.search(); // goes over another connection
-    assert(desk.all<OpenLink>().size() == 2);
-    const LinkId other = desk.all<OpenLink>()[1].link;
+    assert(desk.all<OpenConnection>().size() == 2);
+    const ConnectionId other = desk.all<OpenConnection>()[1].connection;
     desk.up(other), desk.wrote_all(other), desk.answers(other, "q2.0");
-    assert(desk.verdict(second) == Verdict::kDelivered && desk.all<CloseLink>().empty());
+    assert(desk.verdict(second) == Verdict::kDelivered && desk.all<CloseConnection>().empty());
     desk.pass(ms(260));
-    assert(desk.all<CloseLink>()[0].link == link && desk.router.counts().spoilt == 1);
+    assert(desk.all<CloseConnection>()[0].connection == connection && desk.router.counts().spoilt == 1);
     assert(desk.frames(other, 'S').size() == 2 && !desk.verdict(first)); // and the first goes again
-    desk.tell(LinkMidway{other}), desk.answers(other, "q1.0");           // whole in time
+    desk.tell(ConnectionMidway{other}), desk.answers(other, "q1.0");     // whole in time
     desk.pass(ms(260));
-    assert(desk.verdict(first) == Verdict::kDelivered && desk.all<CloseLink>().size() == 1);
+    assert(desk.verdict(first) == Verdict::kDelivered && desk.all<CloseConnection>().size() == 1);
 }
 
 void answer_that_nobody_asked_for_spoils_its_connection() {
     Desk desk(node_terms(), 1);
     desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link);
-    desk.answers(link, "q1.0"), desk.answers(link, "q1.0"); // a second copy of a good one does no harm
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection);
+    desk.answers(connection, "q1.0"),
+        desk.answers(connection, "q1.0"); // a second copy of a good one does no harm
     const ClientId client = desk.search();
-    desk.wrote_all(link);
-    assert(desk.all<OpenLink>().size() == 1 && desk.all<CloseLink>().empty());
-    desk.answers(link, "q7.0");
+    desk.wrote_all(connection);
+    assert(desk.all<OpenConnection>().size() == 1 && desk.all<CloseConnection>().empty());
+    desk.answers(connection, "q7.0");
     desk.pass(ms(20));
-    assert(desk.all<CloseLink>().size() == 1 && desk.all<OpenLink>().size() == 2 && !desk.verdict(client));
+    assert(desk.all<CloseConnection>().size() == 1 && desk.all<OpenConnection>().size() == 2 &&
+           !desk.verdict(client));
 }
 
 // A connection falls silent, its server is well: two attempts called off there as overdue, with no word in
@@ -273,19 +282,20 @@
 void silent_connection_is_replaced_before_its_server_is_blamed() {
     Desk desk(node_terms(), 1);
     desk.search();
-    const LinkId first = desk.all<OpenLink>()[0].link;
+    const ConnectionId first = desk.all<OpenConnection>()[0].connection;
     desk.up(first), desk.wrote_all(first), desk.answers(first, "q1.0");
     const ClientId gone = desk.search();
     desk.wrote_all(first), desk.pass(ms(10));
     desk.tell(ClientGone{gone}); // called off, and no sign of anything
-    assert(desk.sent('C') == 1 && desk.all<OpenLink>().size() == 1);
+    assert(desk.sent('C') == 1 && desk.all<OpenConnection>().size() == 1);
     desk.search({0}, 300'000);
     desk.wrote_all(first), desk.pass(ms(340)); // it gets no answer
-    assert(desk.sent('C') == 2 && desk.all<OpenLink>().size() == 1);
+    assert(desk.sent('C') == 2 && desk.all<OpenConnection>().size() == 1);
     desk.search({0}, 300'000);
     desk.wrote_all(first), desk.pass(ms(340)); // nor does the next one
-    assert(desk.sent('C') == 3 && desk.all<OpenLink>().size() == 2 && desk.all<CloseLink>().empty());
-    const LinkId second = desk.all<OpenLink>()[1].link;
+    assert(desk.sent('C') == 3 && desk.all<OpenConnection>().size() == 2 &&
+           desk.all<CloseConnection>().empty());
+    const ConnectionId second = desk.all<OpenConnection>()[1].connection;
     desk.search();
     desk.wrote_all(first);
     assert(desk.frames(first, 'S').size() == 5); // the new one is not up yet
@@ -295,7 +305,7 @@
     desk.answers(first, "q5.0"); // it has spoken: no doubt any more
     desk.answers(second, "q6.0");
     desk.pass(ms(100));
-    assert(desk.router.open_links() == 2 && desk.all<CloseLink>().empty());
+    assert(desk.router.open_connections() == 2 && desk.all<CloseConnection>().empty());
 }
 
 void client_gone_while_its_part_waits_leaves_nothing() {
@@ -304,14 +314,15 @@
     desk.tell(ClientGone{client});
     desk.pass(ms(10));
     assert(desk.all<AnswerClient>().empty() && desk.router.open_searches() == 0);
-    desk.up(desk.all<OpenLink>()[0].link);
+    desk.up(desk.all<OpenConnection>()[0].connection);
     assert(desk.sent('S') == 0 && desk.router.open_attempts() == 0);
 }
 
 void no_search_outlives_its_expiry() {
     Desk desk;
     const ClientId client = desk.search({0}, 500'000);
-    desk.up(desk.all<OpenLink>()[0].link), desk.wrote_all(desk.all<OpenLink>()[0].link);
+    desk.up(desk.all<OpenConnection>()[0].connection),
+        desk.wrote_all(desk.all<OpenConnection>()[0].connection);
     desk.pass(ms(500));
     assert(desk.verdict(client) && desk.router.open_searches() == 0);
     desk.pass(ms(100));
@@ -321,35 +332,36 @@
 void drained_server_gets_nothing_that_still_waits() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent));
     desk.search();
-    const OpenLink first = desk.all<OpenLink>()[0];
+    const OpenConnection first = desk.all<OpenConnection>()[0];
     const int number = first.address == "10.0.0.0:1" ? 0 : 1;
     desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, false, {entry(number, Listed::kDraining)}}});
-    desk.up(first.link);
+    desk.up(first.connection);
     desk.pass(ms(5));
-    assert(desk.frames(first.link, 'S').empty());
-    const auto opened = desk.all<OpenLink>();
+    assert(desk.frames(first.connection, 'S').empty());
+    const auto opened = desk.all<OpenConnection>();
     assert(opened.size() == 2 && opened[1].address != first.address);
 }
 
 void moved_server_is_met_at_its_new_address() {
     Desk desk(node_terms(), 1);
     desk.search();
-    const LinkId old = desk.all<OpenLink>()[0].link;
+    const ConnectionId old = desk.all<OpenConnection>()[0].connection;
     desk.up(old), desk.wrote_all(old), desk.answers(old, "q1.0");
     desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, true, {entry(0, Listed::kLive, "2")}}});
     desk.search();
-    assert(desk.all<OpenLink>().back().address == "10.0.0.0:2" && desk.all<CloseLink>()[0].link == old);
+    assert(desk.all<OpenConnection>().back().address == "10.0.0.0:2" &&
+           desk.all<CloseConnection>()[0].connection == old);
 }
 
 // At its old address there may be another server by now, without that shard.
 void what_waits_for_a_moved_server_is_taken_back() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     desk.search();
-    const LinkId old = desk.all<OpenLink>()[0].link;
+    const ConnectionId old = desk.all<OpenConnection>()[0].connection;
     desk.tell(ListTold{desk.all<AskDiscovery>()[0].ask, {2, true, {entry(0, Listed::kLive, "2")}}});
     desk.up(old);
     desk.pass(ms(5));
-    assert(desk.frames(old, 'S').empty() && desk.all<OpenLink>().back().address == "10.0.0.0:2");
+    assert(desk.frames(old, 'S').empty() && desk.all<OpenConnection>().back().address == "10.0.0.0:2");
 }
 
 // A search that lay unread while the front node stood still has less time left, one that lay too long none.
@@ -367,24 +379,25 @@
 void idle_connection_is_closed_before_the_server_does() {
     Desk desk(node_terms(), 1);
     desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.answers(link, "q1.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.answers(connection, "q1.0");
     desk.pass(ms(14'000));
-    assert(desk.all<CloseLink>().empty());
+    assert(desk.all<CloseConnection>().empty());
     desk.pass(ms(600));
-    assert(desk.all<CloseLink>().size() == 1 && desk.router.open_links() == 0);
+    assert(desk.all<CloseConnection>().size() == 1 && desk.router.open_connections() == 0);
 }
 
 void silent_probe_retires_its_connection() {
     Desk desk(node_terms(), 1);
     const ClientId client = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.search(), desk.wrote_all(link), desk.wrote_all(link);
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.search(), desk.wrote_all(connection), desk.wrote_all(connection);
     desk.pass(ms(1990)); // silent twice: set aside and probed
-    assert(desk.verdict(client) && desk.frames(link, 'M').size() == 1);
-    const auto closed = desk.all<CloseLink>();
-    assert(std::ranges::count(closed, link, &CloseLink::link) == 1 && desk.all<OpenLink>().size() >= 2);
-    const LinkId fresh = desk.all<OpenLink>().back().link;
+    assert(desk.verdict(client) && desk.frames(connection, 'M').size() == 1);
+    const auto closed = desk.all<CloseConnection>();
+    assert(std::ranges::count(closed, connection, &CloseConnection::connection) == 1 &&
+           desk.all<OpenConnection>().size() >= 2);
+    const ConnectionId fresh = desk.all<OpenConnection>().back().connection;
     desk.up(fresh);
     assert(desk.frames(fresh, 'M').size() == 1);
 }
@@ -419,7 +432,7 @@
     assert(asked[0].address == "10.0.1.1:1" && asked[1].address == "10.0.1.2:1" && asked[1].whole);
     desk.tell(ListTold{old, {9, true, {entry(0, Listed::kDraining)}}}); // the old one's word counts no more
     desk.search();
-    assert(desk.all<AskDiscovery>().size() == 2 && desk.all<OpenLink>().size() == 1);
+    assert(desk.all<AskDiscovery>().size() == 2 && desk.all<OpenConnection>().size() == 1);
     desk.tell(ListTold{asked[1].ask, {1, true, {entry(1)}}}); // its versions need not follow on
     assert(desk.all<AskDiscovery>()[2].after == 1 && !desk.all<AskDiscovery>()[2].whole);
 }
@@ -453,10 +466,11 @@
     assert(desk.all<ShutClient>().empty());
     desk.tell(QuietOrdered{});
     assert(desk.all<ShutClient>().size() == 1 && desk.all<ShutClient>()[0].client == idle);
-    for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
-    for (const OpenLink& open : desk.all<OpenLink>())
-        for (const std::string& frame : desk.frames(open.link, 'S'))
-            desk.answers(open.link, frame.substr(0, frame.find(' ')));
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        desk.up(open.connection), desk.wrote_all(open.connection);
+    for (const OpenConnection& open : desk.all<OpenConnection>())
+        for (const std::string& frame : desk.frames(open.connection, 'S'))
+            desk.answers(open.connection, frame.substr(0, frame.find(' ')));
     assert(desk.verdict(client) == Verdict::kDelivered && desk.verdict(late) == Verdict::kDelivered);
     for (const AnswerClient& answer : desk.all<AnswerClient>()) assert(answer.close);
     assert(desk.router.open_searches() == 0);
@@ -482,8 +496,8 @@
     desk.tell(QuietOrdered{});
     assert(desk.all<ShutClient>().size() == 1 && desk.all<CloseClient>().empty());
     desk.tell(SearchRead{idle, {"q1", "find", "acme", "text", 2'000'000, false, {{0, 1.0}}}, 0});
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.answers(link, "q1.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.answers(connection, "q1.0");
     assert(desk.verdict(idle) == Verdict::kDelivered && desk.all<AnswerClient>()[0].close);
     desk.tell(ClientLeaving{idle}), desk.tell(ClientGone{idle});
     assert(desk.router.open_clients() == 0);
@@ -493,10 +507,10 @@
 void answer_is_not_lost_to_the_room_that_its_client_makes() {
     Desk desk(node_terms(), 1, 30); // five may have asked
     for (int i = 0; i < 6; ++i) desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link);
-    for (int i = 0; i < 6; ++i) desk.wrote_all(link);
-    desk.answers(link, "q3.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection);
+    for (int i = 0; i < 6; ++i) desk.wrote_all(connection);
+    desk.answers(connection, "q3.0");
     assert(desk.verdict(ClientId{3}) == Verdict::kDelivered && desk.all<CloseClient>().empty());
 }
 
@@ -507,7 +521,7 @@
     Desk desk(terms, 1);
     const ClientId client = desk.search();
     desk.tell(ClientGone{client});
-    desk.up(desk.all<OpenLink>()[0].link);
+    desk.up(desk.all<OpenConnection>()[0].connection);
     assert(desk.sent('S') == 0);
     desk.pass(ms(10));
     assert(desk.router.open_attempts() == 0);
@@ -518,7 +532,7 @@
     Desk desk(node_terms(), 1);
     desk.search({0}, 100'000);
     desk.now += ms(150);
-    desk.router.step(desk.now, LinkUp{desk.all<OpenLink>()[0].link});
+    desk.router.step(desk.now, ConnectionUp{desk.all<OpenConnection>()[0].connection});
     desk.turn();
     assert(desk.sent('S') == 0);
 }
@@ -527,17 +541,17 @@
 void keyed_part_is_not_sent_once_its_window_has_closed() {
     for (const bool in_time : {true, false}) {
         protocol::NodeTerms terms = node_terms(ivyrill::Effect::kKeyed);
-        terms.opening.products[0].repeat_window = ms(300);
+        terms.opening.request_classes[0].repeat_window = ms(300);
         Desk desk(terms);
         desk.search();
-        const LinkId first = desk.all<OpenLink>()[0].link;
+        const ConnectionId first = desk.all<OpenConnection>()[0].connection;
         desk.up(first), desk.wrote_all(first);
         desk.pass(ms(150));
-        desk.tell(LinkEnded{first}); // it may have run
+        desk.tell(ConnectionEnded{first}); // it may have run
         desk.pass(ms(20));
-        assert(desk.all<OpenLink>().size() == 2);
+        assert(desk.all<OpenConnection>().size() == 2);
         desk.pass(in_time ? ms(90) : ms(140));
-        desk.up(desk.all<OpenLink>()[1].link);
+        desk.up(desk.all<OpenConnection>()[1].connection);
         assert(desk.sent('S') == (in_time ? 2 : 1));
     }
 }
@@ -546,11 +560,11 @@
 void what_is_taken_back_with_its_connection_is_not_written() {
     Desk desk(node_terms(ivyrill::Effect::kNonIdempotent), 1);
     const ClientId client = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.router.step(desk.now, LinkUp{link});
-    desk.router.step(desk.now, PartAnswered{link, {"q9.0", Outcome::kAnswered, {}, "x"}, 0});
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.router.step(desk.now, ConnectionUp{connection});
+    desk.router.step(desk.now, PartAnswered{connection, {"q9.0", Outcome::kAnswered, {}, "x"}, 0});
     desk.turn();
-    assert(desk.sent('S') == 0 && desk.all<CloseLink>()[0].link == link);
+    assert(desk.sent('S') == 0 && desk.all<CloseConnection>()[0].connection == connection);
     desk.pass(ms(20));
     assert(!desk.verdict(client)); // it goes again
 }
@@ -585,9 +599,9 @@
     Desk desk(node_terms(), 1, 60);
     const auto served = [&desk] {
         const ClientId client = desk.search();
-        const LinkId link = desk.all<OpenLink>()[0].link;
-        if (desk.clients == 1) desk.up(link);
-        desk.wrote_all(link), desk.answers(link, "q" + std::to_string(desk.clients) + ".0");
+        const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+        if (desk.clients == 1) desk.up(connection);
+        desk.wrote_all(connection), desk.answers(connection, "q" + std::to_string(desk.clients) + ".0");
         desk.pass(ms(20));
         return client;
     };
@@ -602,8 +616,8 @@
 void those_who_never_asked_go_first() {
     Desk desk(node_terms(), 2, 8);
     const ClientId asked = desk.search();
-    const LinkId link = desk.all<OpenLink>()[0].link;
-    desk.up(link), desk.wrote_all(link), desk.answers(link, "q1.0");
+    const ConnectionId connection = desk.all<OpenConnection>()[0].connection;
+    desk.up(connection), desk.wrote_all(connection), desk.answers(connection, "q1.0");
     desk.pass(1);
     const ClientId silent = desk.client();
     desk.pass(1), desk.client(), desk.client();
@@ -629,70 +643,73 @@
     Desk desk;
     for (int round = 0; round < 3000; ++round) {
         const ClientId client = desk.search({0, 1});
-        for (const OpenLink& open : desk.all<OpenLink>()) desk.up(open.link), desk.wrote_all(open.link);
-        for (const WriteLink& write : desk.all<WriteLink>())
+        for (const OpenConnection& open : desk.all<OpenConnection>())
+            desk.up(open.connection), desk.wrote_all(open.connection);
+        for (const WriteConnection& write : desk.all<WriteConnection>())
             if (write.bytes[4] == 'S' && round % 7 != 3)
-                desk.answers(write.link, write.bytes.substr(5, write.bytes.find(' ') - 5),
+                desk.answers(write.connection, write.bytes.substr(5, write.bytes.find(' ') - 5),
                              round % 5 == 0 ? Outcome::kError : Outcome::kAnswered);
         if (round % 11 == 0)
-            for (const OpenLink& open : desk.all<OpenLink>()) desk.tell(LinkEnded{open.link});
+            for (const OpenConnection& open : desk.all<OpenConnection>())
+                desk.tell(ConnectionEnded{open.connection});
         desk.pass(ms(round % 7 == 3 ? 60 : 2));
         desk.tell(ClientGone{client});
-        std::vector<Effect> links; // of those still open, what is needed to answer on
+        std::vector<Effect> connections; // of those still open, what is needed to answer on
         for (Effect& effect : desk.effects)
-            if (std::holds_alternative<OpenLink>(effect) && round % 11 != 0)
-                links.push_back(std::move(effect));
-        desk.effects = std::move(links);
+            if (std::holds_alternative<OpenConnection>(effect) && round % 11 != 0)
+                connections.push_back(std::move(effect));
+        desk.effects = std::move(connections);
     }
     desk.pass(ms(20'000));
     assert(desk.router.open_searches() == 0 && desk.router.open_attempts() == 0);
     // The servers set aside go on being probed, over one connection each.
-    assert(desk.router.open_clients() == 0 && desk.router.open_links() <= 2 && desk.router.alarms() < 20);
-}
-
-constexpr Story kStories[] = {
-    STORY(search_is_sent_and_answered),
-    STORY(parts_for_one_server_travel_together),
-    STORY(full_connection_gets_company),
-    STORY(broken_before_the_last_byte_never_ran),
-    STORY(each_frame_has_its_own_boundary),
-    STORY(refused_connection_sends_the_part_elsewhere),
-    STORY(connection_that_never_comes_is_given_up_in_time),
-    STORY(late_answer_is_not_taken_for_a_later_attempt),
-    STORY(frame_stuck_in_the_ring_leaves_with_nothing),
-    STORY(part_given_up_keeps_its_place_on_the_connection),
-    STORY(connection_full_of_what_was_given_up_is_closed),
-    STORY(nothing_goes_past_the_limit_of_a_connection),
-    STORY(spoilt_answer_costs_its_connection_and_not_its_server),
-    STORY(spoilt_answer_may_have_run),
-    STORY(frame_that_does_not_fill_holds_nobody_up),
-    STORY(answer_that_nobody_asked_for_spoils_its_connection),
-    STORY(silent_connection_is_replaced_before_its_server_is_blamed),
-    STORY(client_gone_while_its_part_waits_leaves_nothing),
-    STORY(no_search_outlives_its_expiry),
-    STORY(drained_server_gets_nothing_that_still_waits),
-    STORY(moved_server_is_met_at_its_new_address),
-    STORY(what_waits_for_a_moved_server_is_taken_back),
-    STORY(age_of_a_search_counts),
-    STORY(idle_connection_is_closed_before_the_server_does),
-    STORY(silent_probe_retires_its_connection),
-    STORY(watch_goes_on_and_a_silent_one_is_dropped),
-    STORY(discovery_that_moved_is_asked_for_everything_at_once),
-    STORY(too_many_at_once_are_rejected_unseen),
-    STORY(errors_of_a_request_never_reach_the_module),
-    STORY(order_to_stop_answers_all_that_was_taken),
-    STORY(full_house_lets_the_longest_idle_go),
-    STORY(clients_that_ask_once_and_stay_keep_nobody_out),
-    STORY(those_who_never_asked_go_first),
-    STORY(search_that_crosses_the_close_is_answered),
-    STORY(answer_is_not_lost_to_the_room_that_its_client_makes),
-    STORY(nothing_is_sent_for_a_client_that_has_gone),
-    STORY(connection_up_at_the_deadline_sends_nothing),
-    STORY(keyed_part_is_not_sent_once_its_window_has_closed),
-    STORY(what_is_taken_back_with_its_connection_is_not_written),
-    STORY(return_of_discovery_is_not_slept_through),
-    STORY(call_that_does_not_get_through_is_made_anew),
-    STORY(nothing_grows_over_a_long_run),
+    assert(desk.router.open_clients() == 0 && desk.router.open_connections() <= 2 &&
+           desk.router.alarms() < 20);
+}
+
+constexpr Test kTests[] = {
+    TEST(search_is_sent_and_answered),
+    TEST(parts_for_one_server_travel_together),
+    TEST(full_connection_gets_company),
+    TEST(broken_before_the_last_byte_never_ran),
+    TEST(each_frame_has_its_own_boundary),
+    TEST(refused_connection_sends_the_part_elsewhere),
+    TEST(connection_that_never_comes_is_given_up_in_time),
+    TEST(late_answer_is_not_taken_for_a_later_attempt),
+    TEST(frame_stuck_in_the_ring_leaves_with_nothing),
+    TEST(part_given_up_keeps_its_place_on_the_connection),
+    TEST(connection_full_of_what_was_given_up_is_closed),
+    TEST(nothing_goes_past_the_limit_of_a_connection),
+    TEST(spoilt_answer_costs_its_connection_and_not_its_server),
+    TEST(spoilt_answer_may_have_run),
+    TEST(frame_that_does_not_fill_holds_nobody_up),
+    TEST(answer_that_nobody_asked_for_spoils_its_connection),
+    TEST(silent_connection_is_replaced_before_its_server_is_blamed),
+    TEST(client_gone_while_its_part_waits_leaves_nothing),
+    TEST(no_search_outlives_its_expiry),
+    TEST(drained_server_gets_nothing_that_still_waits),
+    TEST(moved_server_is_met_at_its_new_address),
+    TEST(what_waits_for_a_moved_server_is_taken_back),
+    TEST(age_of_a_search_counts),
+    TEST(idle_connection_is_closed_before_the_server_does),
+    TEST(silent_probe_retires_its_connection),
+    TEST(watch_goes_on_and_a_silent_one_is_dropped),
+    TEST(discovery_that_moved_is_asked_for_everything_at_once),
+    TEST(too_many_at_once_are_rejected_unseen),
+    TEST(errors_of_a_request_never_reach_the_module),
+    TEST(order_to_stop_answers_all_that_was_taken),
+    TEST(full_house_lets_the_longest_idle_go),
+    TEST(clients_that_ask_once_and_stay_keep_nobody_out),
+    TEST(those_who_never_asked_go_first),
+    TEST(search_that_crosses_the_close_is_answered),
+    TEST(answer_is_not_lost_to_the_room_that_its_client_makes),
+    TEST(nothing_is_sent_for_a_client_that_has_gone),
+    TEST(connection_up_at_the_deadline_sends_nothing),
+    TEST(keyed_part_is_not_sent_once_its_window_has_closed),
+    TEST(what_is_taken_back_with_its_connection_is_not_written),
+    TEST(return_of_discovery_is_not_slept_through),
+    TEST(call_that_does_not_get_through_is_made_anew),
+    TEST(nothing_grows_over_a_long_run),
 };
 
 } // namespace
@@ -700,5 +717,5 @@
 } // namespace ivyrill::routing
 
 int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::routing::kStories, count, arguments);
+    return ivyrill::run_test(ivyrill::routing::kTests, count, arguments);
 }
--- a/tests/script_stories.cpp
+++ b/tests/script_tests.cpp
@@ -1,4 +1,4 @@
-// Stories of the operators' script and of the typed reading of what it gives.
+// Tests of the operators' script and of the typed reading of what it gives.
 #include "fake_host.hpp"
 #include "operator/orders.hpp"
 #include "script/script.hpp"
@@ -177,8 +177,9 @@
 tls = {"open_handshakes": 10}
 )");
     assert(made.access && made.access->plain_guarded && made.access->terms.skew == 5 * kTenthsPerSecond);
-    assert(made.access->terms.products.at("game-annotate") == access::Right::kWriteOwn);
-    assert(!made.access->terms.other_products && made.listeners.size() == 1 && made.listeners[0].guarded);
+    assert(made.access->terms.request_classes.at("game-annotate") == access::Right::kWriteOwn);
+    assert(!made.access->terms.other_request_classes && made.listeners.size() == 1 &&
+           made.listeners[0].guarded);
     assert(made.handshakes.most_open == 10 && !orders("").access);
 }
 
@@ -218,7 +219,8 @@
     assert(refusal("rota = {'candidates': {}}").find("rota: there is no section 'members'") == 0);
     assert(with("rota['council'] = 4").find("rota.council: expected 1, 3, 5 or 7") == 0);
     assert(with("rota['council'] = 5").find("rota.candidates: expected as many as the council has") == 0);
-    assert(with("rota['spans'] = {'grant_ms': 1500, 'act_ms': 400}").find("rota.spans.grant_ms: expected more than 16") == 0);
+    assert(with("rota['spans'] = {'grant_ms': 1500, 'act_ms': 400}")
+               .find("rota.spans.grant_ms: expected more than 16") == 0);
     assert(with("rota['spans'] = {'grant_ms': 3000, 'act_ms': 3000}").find("rota.spans.act_ms") == 0);
     assert(with("rota['answers'] = {'broken': 'put_back'}").find("what does not come back") !=
            std::string::npos);
@@ -228,22 +230,20 @@
     assert(with("members['probe_ms'] = 1").find("members.probe_ms") == 0);
 }
 
-const Story kStories[] = {
-    STORY(values_and_operators_are_starlarks),
-    STORY(functions_loops_and_comprehensions),
-    STORY(errors_name_place_and_what_was_expected),
-    STORY(nothing_runs_without_end),
-    STORY(files_are_loaded_from_the_same_folder_and_frozen),
-    STORY(same_text_gives_the_same_result_every_time),
-    STORY(operators_file_is_read_by_type),
-    STORY(what_nobody_knows_is_refused_with_the_nearest_name),
-    STORY(an_order_of_work_is_read_and_what_contradicts_itself_refused),
+const Test kTests[] = {
+    TEST(values_and_operators_are_starlarks),
+    TEST(functions_loops_and_comprehensions),
+    TEST(errors_name_place_and_what_was_expected),
+    TEST(nothing_runs_without_end),
+    TEST(files_are_loaded_from_the_same_folder_and_frozen),
+    TEST(same_text_gives_the_same_result_every_time),
+    TEST(operators_file_is_read_by_type),
+    TEST(what_nobody_knows_is_refused_with_the_nearest_name),
+    TEST(an_order_of_work_is_read_and_what_contradicts_itself_refused),
 };
 
 } // namespace
 
 } // namespace ivyrill::script
 
-int main(int count, char** arguments) {
-    return ivyrill::play_story(ivyrill::script::kStories, count, arguments);
-}
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::script::kTests, count, arguments); }
--- a/tests/socket_stories.cpp
+++ b/tests/socket_tests.cpp
@@ -1,4 +1,4 @@
-// Stories over loopback: a front node in a process of its own, and this one as client, index server and
+// Tests over loopback: a front node in a process of its own, and this one as client, index server and
 // discovery. Nothing sleeps; every wait ends with what it waits for or fails.
 #include "fake_host.hpp"
 #include "program/log.hpp"
@@ -21,7 +21,7 @@
 
 constexpr int kPatienceMs = 20'000;
 
-// A blocking socket that fails the story rather than wait for ever.
+// A blocking socket that fails the test rather than wait for ever.
 class Peer {
   public:
     explicit Peer(int descriptor) : descriptor_(descriptor) { assert(descriptor >= 0); }
@@ -128,9 +128,9 @@
         orders.terms.opening.list_mode = ListMode::kAsked;
         orders.terms.opening.second_copies = false;
         orders.terms.opening.cells = 2;
-        orders.terms.opening.products[0].effect = effect,
-        orders.terms.opening.products[0].latency_target = due;
-        orders.terms.products = {"find"}, orders.terms.shards = 2;
+        orders.terms.opening.request_classes[0].effect = effect,
+        orders.terms.opening.request_classes[0].latency_target = due;
+        orders.terms.request_classes = {"find"}, orders.terms.shards = 2;
         orders.terms.calls_a_connection = calls_a_connection;
         orders.terms.opening.connect_span = ms(250);
         orders.terms.idle_span = ms(15'000), orders.terms.ask_span = ms(100'000);
@@ -144,7 +144,7 @@
         assert(pipe(ends) == 0);
         node = fork();
         if (node == 0) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL); // a story that fails leaves nobody behind
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // a test that fails leaves nobody behind
             discovery.close(), moved.close(), servers[0].close(), servers[1].close();
             const rlimit most{static_cast<rlim_t>(sockets), static_cast<rlim_t>(sockets)};
             dup2(fileno(log), STDOUT_FILENO), dup2(fileno(log), STDERR_FILENO);
@@ -282,7 +282,7 @@
     assert(client.answer().status == 200);
     kill(world.node, SIGSTOP);
     client.say(search("a1"));
-    poll(nullptr, 0, 500); // this time is what the story is about
+    poll(nullptr, 0, 500); // this time is what the test is about
     kill(world.node, SIGCONT);
     const std::string frame = world.servers[0].accept().frame();
     const int left = std::stoi(frame.substr(frame.find("d=") + 2));
@@ -624,35 +624,35 @@
     assert(phases.enter(Phase::kQuiet, 5) && phases.enter(Phase::kStopped, 6));
 }
 
-constexpr Story kStories[] = {
-    STORY(search_travels_there_and_back),
-    STORY(lost_after_the_last_byte_is_no_rejection),
-    STORY(refused_before_the_first_byte_is_rejected),
-    STORY(client_that_leaves_takes_its_search_along),
-    STORY(told_to_stop_it_answers_what_it_took),
-    STORY(time_stood_still_is_the_clients_time),
-    STORY(what_is_not_understood_is_answered_and_closed),
-    STORY(crowd_of_idle_clients_keeps_nobody_out),
-    STORY(half_a_request_does_not_stay_for_ever),
-    STORY(list_is_watched_and_obeyed),
-    STORY(new_configuration_moves_discovery_and_nothing_else),
-    STORY(hangup_in_a_drain_ends_nothing),
-    STORY(list_that_a_reset_cuts_short_is_none),
-    STORY(what_was_given_up_keeps_its_place_at_its_server),
-    STORY(frame_behind_a_full_connection_does_not_leave_late),
-    STORY(taken_address_is_one_clear_error),
-    STORY(partial_writes_lose_nothing),
-    STORY(phases_follow_their_table),
-    STORY(answer_that_came_with_the_reset_is_read),
-    STORY(first_question_finds_it_ready),
-    STORY(crowd_that_comes_at_once_leaves_descriptors_to_others),
-    STORY(client_that_sends_much_and_goes_is_gone),
-    STORY(answer_comes_before_the_close_that_makes_room),
-    STORY(what_comes_after_the_last_word_is_read_and_dropped),
+constexpr Test kTests[] = {
+    TEST(search_travels_there_and_back),
+    TEST(lost_after_the_last_byte_is_no_rejection),
+    TEST(refused_before_the_first_byte_is_rejected),
+    TEST(client_that_leaves_takes_its_search_along),
+    TEST(told_to_stop_it_answers_what_it_took),
+    TEST(time_stood_still_is_the_clients_time),
+    TEST(what_is_not_understood_is_answered_and_closed),
+    TEST(crowd_of_idle_clients_keeps_nobody_out),
+    TEST(half_a_request_does_not_stay_for_ever),
+    TEST(list_is_watched_and_obeyed),
+    TEST(new_configuration_moves_discovery_and_nothing_else),
+    TEST(hangup_in_a_drain_ends_nothing),
+    TEST(list_that_a_reset_cuts_short_is_none),
+    TEST(what_was_given_up_keeps_its_place_at_its_server),
+    TEST(frame_behind_a_full_connection_does_not_leave_late),
+    TEST(taken_address_is_one_clear_error),
+    TEST(partial_writes_lose_nothing),
+    TEST(phases_follow_their_table),
+    TEST(answer_that_came_with_the_reset_is_read),
+    TEST(first_question_finds_it_ready),
+    TEST(crowd_that_comes_at_once_leaves_descriptors_to_others),
+    TEST(client_that_sends_much_and_goes_is_gone),
+    TEST(answer_comes_before_the_close_that_makes_room),
+    TEST(what_comes_after_the_last_word_is_read_and_dropped),
 };
 
 } // namespace
 
 } // namespace ivyrill
 
-int main(int count, char** arguments) { return ivyrill::play_story(ivyrill::kStories, count, arguments); }
+int main(int count, char** arguments) { return ivyrill::run_test(ivyrill::kTests, count, arguments); }
