A server that turned a part away is left alone for a latency target, and forecasts know it

Followed: each attempt's and search's end written to the log. From 7 s 2,250 answers a second fall to 240-440 while 5,000 to 10,000 attempts go out, 60% of them turned away, 27% called off; a search of 100 parts makes 150 attempts, gets 5 to 13 in, is rejected late, and comes again. Its servers work on at what was given up, so they work for nobody. Lines at fault: learn() set a full server aside like a failing one, two quick probes brought it back within 0.2 of a latency target, and a front node that meets a server once in seconds found it full anew with each search. Change: nothing more goes to it for a latency target, doubled while it goes on; choose() passes it over, forecast_of() counts the wait, and it is not set aside. Held against queues that are full for any cause, and drains heard of late; hurts where one burst filled a server. Test full_server_is_left_alone.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -261,6 +261,17 @@
         mix(server.faults, good ? 0 : 1, kFresh);
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
+        // A full server is sound, so it is not set aside, but nothing more is sent there for a latency
+        // target, doubled each time, and forecasts know it. A part that takes the place of one that is given
+        // up, where servers work on at both, keeps full what is full: among many front nodes each forgot
+        // sooner than it came by again. Held against drains that are heard of late, too; it hurts where one
+        // burst filled it.
+        if (good) server.turned_away = 0, server.full_until = 0;
+        if (event.outcome == Outcome::kTurnedAway) {
+            const double gap = 1 << std::min(server.turned_away++, kMostSetbacks);
+            server.full_until = now_ + shares(gap * (0.75 + 0.5 * chance_.unit()));
+            return;
+        }
         const bool refused = unconnected(event.outcome);
         if (refused && !server.unreachable) sign_of_storm();
         server.unreachable = server.unreachable || refused;
@@ -524,6 +535,10 @@
                 std::ranges::count_if(part.attempts, [&](auto& l) { return l.server == server->id; });
             const auto stand = relief_.stand(server->entry.zone, once, chance_);
             if (!may_serve(*server) || (!open && !may_try(*server)) || stand == Stand::kShut) continue;
+            if (now_ < server->full_until) {
+                note(server->full_until);
+                continue;
+            }
             if (sound_only && (!open || used > 0 || bad || stand != Stand::kOpen)) continue;
             limited = limited || server->sent >= server->limit;
             if (server->sent >= server->limit) continue;
@@ -675,7 +690,8 @@
         const double waiting = ahead + queue_of(server) + std::max(0, server.out() - server.out_at_report);
         const Group home = server.groups()[0];
         const double zone = unshown(server) && in_trouble(home) ? groups_.at(home).response : 0;
-        return std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
+        const double full = static_cast<double>(std::max<Tenths>(0, server.full_until - now_));
+        return full + std::max({zone, response_of(server), service_of(server) * (1 + waiting)});
     }
 
     // Pushes back, before any work, what would not make it. The less a search pays for its work, the less of
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -93,6 +93,8 @@
     Tenths silent_at = 0, last_answer = 0, next_probe = 0, drained = 0, broke_at = 0;
     Tenths touched = 0, used = 0; // last looked after; when something last went over a connection to it
     Tenths cold_from = 0, cold_next = 0; // its last start, as listed or guessed; our next attempt
+    int turned_away = 0;                 // in a row, for which nothing more is sent until:
+    Tenths full_until = 0;
     bool known = false, unreachable = false, gone = false, probe_wanted = false, probe_out = false;
     bool renew = false; // its idle connections are to be closed before it is sent to
 
--- a/tests/brain_tests.cpp
+++ b/tests/brain_tests.cpp
@@ -332,6 +332,30 @@
     }
 }
 
+// Full servers that each search ran into anew: parts went round among them until none made it, and what did
+// get a place was given up before its turn. A server that turned a part away is left alone for a latency
+// target, and where all have, a search is rejected before any of its parts is sent.
+void full_server_is_left_alone() {
+    FakeHost host(plain_terms(), 2);
+    host.warm(2);
+    host.search({0});
+    const ServerId full = host.sent.back().server;
+    host.returns(host.sent.size() - 1, Outcome::kTurnedAway, ms(1));
+    host.turn();
+    assert(host.sent.back().server != full); // the other one, at once
+    host.all_return(Outcome::kAnswered, ms(50));
+    const int before = host.sent_to(static_cast<int>(full.value));
+    for (int i = 0; i < 10; ++i)
+        host.search({0}), host.pass(ms(50)), host.all_return(Outcome::kAnswered, ms(50));
+    assert(host.sent_to(static_cast<int>(full.value)) == before && host.probes.empty());
+    host.search({0});
+    host.all_return(Outcome::kTurnedAway, ms(1)); // now both are
+    const std::size_t sent = host.sent.size();
+    assert(host.end_of(host.search({0}, ms(600))) == End::kRejected && host.sent.size() == sent);
+    host.pass(ms(2600));
+    assert(host.end_of(host.search({0})) == End::kNone && host.sent.size() > sent);
+}
+
 void cold_server_without_a_window_is_used() {
     for (const bool from_nothing : {false, true}) {
         OpeningTerms terms = plain_terms();
@@ -686,6 +710,7 @@
     TEST(rising_cold_server_is_used_by_many_nodes),
     TEST(queue_is_remembered_where_news_is_rare),
     TEST(cold_server_gets_no_more_from_many_nodes),
+    TEST(full_server_is_left_alone),
     TEST(cold_server_without_a_window_is_used),
     TEST(budget_binds),
     TEST(lost_attempt_gets_a_copy),
