A full server rests for as long as it takes to hear of it again

Cause: among 300 nodes each hears of a server once in some 12 s, so a rest of a latency target (1.5 s) is over before it comes by again; each start over ran into the same full servers (24,793 turned away in the worst five seconds). Line: learn()'s full_until. Change: the rest is the mean gap between a server's answers, where that is longer (the measure that paces probes already).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -262,14 +262,15 @@
         if (good && server.standing == Standing::kTrial && ++server.trial_room >= kTrialEnd)
             server.standing = Standing::kIn, server.setbacks = 0;
         // A full server is sound, so it is not set aside, but nothing more is sent there for a latency
-        // target, doubled each time, and forecasts know it. A part that takes the place of one that is given
-        // up, where servers work on at both, keeps full what is full: among many front nodes each forgot
-        // sooner than it came by again. Held against drains that are heard of late, too; it hurts where one
-        // burst filled it.
+        // target, or for as long as it takes to hear of a server again, doubled each time; forecasts know it.
+        // Where servers work on at what is given up, parts sent to those that are full keep them full for
+        // nobody: among many front nodes each forgot sooner than it came by again. Held against drains that
+        // are heard of late, too; it hurts where one burst filled it.
         if (good) server.turned_away = 0, server.full_until = 0;
         if (event.outcome == Outcome::kTurnedAway) {
-            const double gap = 1 << std::min(server.turned_away++, kMostSetbacks);
-            server.full_until = now_ + shares(gap * (0.75 + 0.5 * chance_.unit()));
+            const double rest =
+                std::max(pace_, news_gap_) * (1 << std::min(server.turned_away++, kMostSetbacks));
+            server.full_until = now_ + static_cast<Tenths>(rest * (0.75 + 0.5 * chance_.unit()));
             return;
         }
         const bool refused = unconnected(event.outcome);
