--- /dev/null
+++ b/src/model/configuration.hpp
@@ -0,0 +1,81 @@
+// The operator's configuration as every process holds it: routes, services and what a client may send. The JSON that
+// the operator sends becomes this once, in src/configuration/; between processes it travels as CBOR.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace ivyrill::model {
+
+// What may be repeated. Streaming answers are unsafe unless their route is resumable.
+enum class RouteKind : std::uint8_t { kSafe, kUnsafe, kStreaming };
+
+struct WeightedService {
+    std::string service;
+    double weight = 1;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.service, s.weight); }
+    friend bool operator==(const WeightedService&, const WeightedService&) = default;
+};
+
+struct Route {
+    std::string name, host, path_prefix;
+    RouteKind kind = RouteKind::kUnsafe;
+    std::int64_t timeout_ms = 0, latency_target_ms = 0;
+    std::int64_t priority = 0;             // 0 is the most urgent
+    std::vector<WeightedService> services; // one, or a split by weight
+    std::int64_t max_attempts = 1;         // servers to which one try may be sent
+    bool sticky = false, resumable = false;
+    std::int64_t longest_gap_ms = 0; // between two events of a stream that is in time; 0: none stated
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.name, s.host, s.path_prefix, s.kind, s.timeout_ms, s.latency_target_ms, s.priority,
+                        s.services, s.max_attempts, s.sticky, s.resumable, s.longest_gap_ms);
+    }
+    friend bool operator==(const Route&, const Route&) = default;
+    bool idempotent() const { return kind == RouteKind::kSafe || (kind == RouteKind::kStreaming && resumable); }
+};
+
+// What the servers of a service are, where they run models.
+struct Engine {
+    std::int64_t slots = 1, memory_tokens = 0;
+    double token_bytes = 0, link_mbps = 0; // memory of one token; what a server's link carries
+    std::int64_t stride = 1;               // tokens in one event
+    double handle_hold_s = 0, role_switch_s = 0;
+    std::vector<std::string> models;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.slots, s.memory_tokens, s.token_bytes, s.link_mbps, s.stride, s.handle_hold_s,
+                        s.role_switch_s, s.models);
+    }
+    friend bool operator==(const Engine&, const Engine&) = default;
+};
+
+struct Service {
+    std::string name, health_path;
+    std::int64_t connection_limit = 0; // that one server accepts from all callers together
+    std::optional<Engine> engine;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.name, s.health_path, s.connection_limit, s.engine);
+    }
+    friend bool operator==(const Service&, const Service&) = default;
+};
+
+struct ClientLimits {
+    std::int64_t max_header_bytes = 16 * 1024, max_body_bytes = 4 * 1024 * 1024;
+    std::int64_t header_timeout_ms = 3000, idle_timeout_ms = 15000;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.max_header_bytes, s.max_body_bytes, s.header_timeout_ms, s.idle_timeout_ms);
+    }
+    friend bool operator==(const ClientLimits&, const ClientLimits&) = default;
+};
+
+struct Configuration {
+    std::int64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<Service> services;
+    ClientLimits limits;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.version, s.routes, s.services, s.limits); }
+    friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+} // namespace ivyrill::model
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,60 @@
+// The settings file of one process (YAML, named by IVYRILL_SETTINGS), read into types and checked whole. Fields that
+// aren't known are left aside; what is missing or can't be served with is an error that names the key and the remedy.
+#pragma once
+#include "base/result.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ivyrill::settings {
+
+struct MachineLimits {
+    double cpu_share = 1, cores = 1;
+    std::int64_t memory_mb = 0, file_descriptors = 0, disk_mb = 0;
+    double link_mbps = 0;
+};
+
+// How many may be lost at once with every rule kept.
+struct Tolerance {
+    std::int64_t machines = 0, zones = 0, regions = 0;
+};
+
+// The figures of the rules. Milliseconds or seconds, as the names say.
+struct Bounds {
+    double seed_lag_s = 3, address_reuse_s = 2;
+    std::int64_t in_touch_ms = 3000, ack_ms = 4000;
+    double catch_up_s = 4;
+    std::int64_t drain_ms = 2000;
+    double grace_s = 8;
+    std::int64_t loss_slack_ms = 200, config_apply_ms = 2000, rollback_slack_ms = 250, core_stretch_ms = 5000;
+    double retry_budget_ratio = 0.2, retry_window_s = 10;
+    std::int64_t retry_slack = 0;
+    double recovery_s = 12;
+    std::int64_t transit_ms = 120;
+    bool fenced_api = false;
+    std::int64_t lease_ms = 3000, thaw_slack_ms = 300;
+};
+
+struct Settings {
+    std::string node_name, role, machine_class, ip, zone, region;
+    std::vector<std::string> serves;
+    std::map<std::string, std::string> zones;        // zone to region
+    std::map<std::string, std::string> listen_addrs; // `front`, `readyAddr`, `controlAddr`: those of `serves`
+    std::uint16_t first_inner_port = 0, last_inner_port = 0;
+    std::vector<std::string> seed_nodes; // controlAddr addresses
+    bool first_start = false, loss_counted = false;
+    MachineLimits limits;
+    std::string data_dir; // empty where the machine has no disk
+    std::int64_t beat_interval_ms = 1200;
+    std::vector<std::string> contracts;
+    Tolerance tolerance;
+    Bounds bounds;
+};
+
+Result<Settings> parse(std::string_view yaml);
+Result<Settings> read_file(const std::string& path);
+
+} // namespace ivyrill::settings
--- /dev/null
+++ b/src/storage/version_store.hpp
@@ -0,0 +1,32 @@
+// One value on disk, one file for each version: written aside with a checksum, synced, renamed, folder synced; older
+// versions are removed after that. Reading takes the newest file that is whole. Blocking: it runs on a thread of its own.
+#pragma once
+#include "base/result.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ivyrill::storage {
+
+struct StoredVersion {
+    std::uint64_t number = 0;
+    std::string bytes;
+};
+
+class VersionStore {
+  public:
+    // `kind` begins the names of the files, e.g. `state-00000000000000000012`. The folder must exist.
+    VersionStore(std::string folder, std::string kind);
+    // The newest whole version, or none; files that are torn are passed over and named in the log by the caller.
+    Result<std::optional<StoredVersion>> load();
+    // Returns once the bytes survive a loss of power. The number must be higher than any before.
+    Result<void> save(std::uint64_t number, const std::string& bytes);
+    std::size_t torn_files() const { return torn_; }
+
+  private:
+    std::string folder_, kind_;
+    std::size_t torn_ = 0;
+};
+
+} // namespace ivyrill::storage
