Configuration: the operator's JSON into types, and the index of its routes

Cause: every process holds the operator's configuration and must never take up one that is cut off or contradicts itself.

--- /dev/null
+++ b/tests/configuration_tests.cpp
@@ -0,0 +1,402 @@
+// The operator's configuration: the whole example is read, one field at a time is changed, and the text is
+// cut, bent and blown up. Then the index over it.
+#define BOOST_TEST_MODULE configuration
+#include <boost/test/included/unit_test.hpp>
+
+#include "configuration/parse.hpp"
+#include "model/routing_table.hpp"
+
+#include <memory>
+
+using ivyrill::ErrorKind;
+using ivyrill::Result;
+using ivyrill::configuration::parse;
+using ivyrill::model::Configuration;
+using ivyrill::model::Engine;
+using ivyrill::model::Route;
+using ivyrill::model::RouteKind;
+using ivyrill::model::RoutingTable;
+using ivyrill::model::Service;
+
+namespace {
+
+const std::string kExample =
+    R"({"version":7,"routes":[{"name":"r-rr6x73d","host":"ficu95.example","pathPrefix":"/pufi791/",)"
+    R"("kind":"streaming","timeoutMs":20000,"targetLatencyMs":120,"priority":0,"service":"huvo11a",)"
+    R"("maxAttempts":2,"sticky":true,"resumable":true,"gap_aim_ms":150},{"name":"r-yd4a3hw",)"
+    R"("host":"nony24.example","pathPrefix":"/lohu930/","kind":"unsafe","timeoutMs":2000,)"
+    R"("targetLatencyMs":151,"priority":1,"trafficSplit":[{"service":"huvo11a","weight":90},)"
+    R"({"service":"second","weight":10}],"maxAttempts":1,"sticky":false,"resumable":false,)"
+    R"("gap_aim_ms":152}],"services":[{"name":"huvo11a","healthPath":"/health","connLimit":230,)"
+    R"("protocol":"h1","tls":false,"engine":{"slots":32,"kvTokenCount":872000,"tokenKvBytes":131072,)"
+    R"("linkMbps":3400000.0,"stride":63,"handleHoldS":5.0,"roleSwitchS":0.5,"models":[{"name":"m"}]}},)"
+    R"({"name":"second","healthPath":"/alive","connLimit":7}],"limits":{"maxHeaderBytes":16385,)"
+    R"("maxBodyBytes":4194305,"headerTimeoutMs":3001,"idleTimeoutMs":15001}})";
+
+// The example with `from`, which stands in it once, replaced.
+std::string changed(const std::string& from, const std::string& to, std::string text = kExample) {
+    const std::size_t at = text.find(from);
+    BOOST_REQUIRE_MESSAGE(at != std::string::npos, "not in the example: " << from);
+    BOOST_REQUIRE_EQUAL(text.find(from, at + 1), std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+Configuration accepted(const std::string& text) {
+    const Result<Configuration> read = parse(text);
+    BOOST_REQUIRE_MESSAGE(read.has_value(), (read.has_error() ? read.error().message : ""));
+    return read.value();
+}
+
+void refuse(const std::string& text, const std::string& part) {
+    const Result<Configuration> read = parse(text);
+    BOOST_REQUIRE_MESSAGE(read.has_error(), "accepted, expected: " << part);
+    BOOST_TEST((read.error().kind == ErrorKind::kInvalidInput));
+    const std::string& message = read.error().message;
+    BOOST_TEST(message.find(part) != std::string::npos, message << " lacks: " << part);
+    BOOST_TEST(message.find(';') != std::string::npos, "no remedy in: " << message);
+    BOOST_TEST(message.find('\n') == std::string::npos);
+}
+
+Route route_for(const std::string& host, const std::string& prefix) {
+    Route route;
+    route.name = host + prefix;
+    route.host = host;
+    route.path_prefix = prefix;
+    return route;
+}
+
+RoutingTable table_of(std::vector<Route> routes) {
+    Configuration configuration;
+    configuration.routes = std::move(routes);
+    return RoutingTable(std::make_shared<const Configuration>(std::move(configuration)));
+}
+
+std::string found(const RoutingTable& table, std::string_view host, std::string_view path) {
+    const Route* route = table.find(host, path);
+    return route == nullptr ? "none" : route->name;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(routes_of_the_example_are_read) {
+    const Configuration read = accepted(kExample);
+    BOOST_TEST(read.version == 7);
+    BOOST_REQUIRE(read.routes.size() == 2);
+    const Route& stream = read.routes[0];
+    BOOST_TEST(stream.name == "r-rr6x73d");
+    BOOST_TEST(stream.host == "ficu95.example");
+    BOOST_TEST(stream.path_prefix == "/pufi791/");
+    BOOST_TEST((stream.kind == RouteKind::kStreaming));
+    BOOST_TEST(stream.timeout_ms == 20000);
+    BOOST_TEST(stream.latency_target_ms == 120);
+    BOOST_TEST(stream.priority == 0);
+    BOOST_REQUIRE(stream.services.size() == 1);
+    BOOST_TEST(stream.services[0].service == "huvo11a");
+    BOOST_TEST(stream.services[0].weight == 1);
+    BOOST_TEST(stream.max_attempts == 2);
+    BOOST_TEST(stream.sticky);
+    BOOST_TEST(stream.resumable);
+    BOOST_TEST(stream.longest_gap_ms == 150);
+    const Route& split = read.routes[1];
+    BOOST_TEST((split.kind == RouteKind::kUnsafe));
+    BOOST_TEST(split.timeout_ms == 2000);
+    BOOST_TEST(split.latency_target_ms == 151);
+    BOOST_TEST(split.priority == 1);
+    BOOST_REQUIRE(split.services.size() == 2);
+    BOOST_TEST(split.services[0].weight == 90);
+    BOOST_TEST(split.services[1].service == "second");
+    BOOST_TEST(split.services[1].weight == 10);
+    BOOST_TEST(split.max_attempts == 1);
+    BOOST_TEST(!split.sticky);
+    BOOST_TEST(!split.resumable);
+    BOOST_TEST(split.longest_gap_ms == 152);
+}
+
+BOOST_AUTO_TEST_CASE(services_and_limits_of_the_example_are_read) {
+    const Configuration read = accepted(kExample);
+    BOOST_REQUIRE(read.services.size() == 2);
+    const Service& service = read.services[0];
+    BOOST_TEST(service.name == "huvo11a");
+    BOOST_TEST(service.health_path == "/health");
+    BOOST_TEST(service.connection_limit == 230);
+    BOOST_REQUIRE(service.engine.has_value());
+    const Engine& engine = *service.engine;
+    BOOST_TEST(engine.slots == 32);
+    BOOST_TEST(engine.memory_tokens == 872000);
+    BOOST_TEST(engine.token_bytes == 131072);
+    BOOST_TEST(engine.link_mbps == 3400000);
+    BOOST_TEST(engine.stride == 63);
+    BOOST_TEST(engine.handle_hold_s == 5);
+    BOOST_TEST(engine.role_switch_s == 0.5);
+    BOOST_TEST(engine.models == std::vector<std::string>{"m"});
+    BOOST_TEST(!read.services[1].engine.has_value());
+    BOOST_TEST(read.services[1].health_path == "/alive");
+    BOOST_TEST(read.limits.max_header_bytes == 16385);
+    BOOST_TEST(read.limits.max_body_bytes == 4194305);
+    BOOST_TEST(read.limits.header_timeout_ms == 3001);
+    BOOST_TEST(read.limits.idle_timeout_ms == 15001);
+}
+
+BOOST_AUTO_TEST_CASE(missing_optional_fields_take_the_defaults) {
+    const Configuration read = accepted(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/",
+        "timeoutMs":5,"service":"s"}],"services":[{"name":"s","engine":{}}]})");
+    const Route& route = read.routes[0];
+    BOOST_TEST((route.kind == RouteKind::kUnsafe));
+    BOOST_TEST(route.max_attempts == 1);
+    BOOST_TEST(!route.sticky);
+    BOOST_TEST(route.latency_target_ms == 0);
+    BOOST_TEST((read.limits == ivyrill::model::ClientLimits{}));
+    BOOST_TEST((read.services[0].engine == Engine{}));
+    BOOST_TEST(accepted(R"({"version":1,"routes":[],"services":[]})").routes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(unknown_fields_are_left_aside) {
+    std::string text = changed("{\"version\":7", "{\"future\":[{\"a\":[1,null]}],\"version\":7");
+    text = changed("\"priority\":1", "\"priority\":1,\"colour\":{\"r\":1}", text);
+    BOOST_TEST((accepted(text) == accepted(kExample)));
+}
+
+BOOST_AUTO_TEST_CASE(kinds_that_are_not_known_are_unsafe) {
+    BOOST_TEST((accepted(changed("\"streaming\"", "\"safe\"")).routes[0].kind == RouteKind::kSafe));
+    BOOST_TEST((accepted(changed("\"streaming\"", "\"keyed\"")).routes[0].kind == RouteKind::kUnsafe));
+    BOOST_TEST((accepted(changed("\"streaming\"", "\"novel\"")).routes[0].kind == RouteKind::kUnsafe));
+    BOOST_TEST((accepted(changed("\"streaming\"", "null")).routes[0].kind == RouteKind::kUnsafe));
+}
+
+BOOST_AUTO_TEST_CASE(numbers_may_be_decimals) {
+    BOOST_TEST(accepted(changed("\"version\":7", "\"version\":7.0")).version == 7);
+    BOOST_TEST(accepted(changed("\"timeoutMs\":20000", "\"timeoutMs\":2e4")).routes[0].timeout_ms == 20000);
+    BOOST_TEST(accepted(changed("\"timeoutMs\":20000", "\"timeoutMs\":0.4")).routes[0].timeout_ms == 1);
+    BOOST_TEST(accepted(changed("\"weight\":90", "\"weight\":0.25")).routes[1].services[0].weight == 0.25);
+}
+
+BOOST_AUTO_TEST_CASE(version_is_checked) {
+    refuse(changed("\"version\":7,", ""), "version is missing");
+    for (const char* wrong : {"0", "-1", "7.5"})
+        refuse(changed("\"version\":7", std::string("\"version\":") + wrong), "version is");
+    for (const char* wrong : {"\"new\"", "[7]", "{}", "true", "1e999"})
+        refuse(changed("\"version\":7", std::string("\"version\":") + wrong), "version is not a number");
+    refuse(changed("\"version\":7", "\"version\":null"), "version is missing");
+}
+
+BOOST_AUTO_TEST_CASE(time_outs_are_checked) {
+    refuse(changed("\"timeoutMs\":2000,", ""), "routes[1].timeoutMs is missing");
+    refuse(changed("\"timeoutMs\":2000,", "\"timeoutMs\":0,"), "routes[1].timeoutMs is 0 or less");
+    refuse(changed("\"timeoutMs\":2000,", "\"timeoutMs\":-3,"), "routes[1].timeoutMs is 0 or less");
+    refuse(changed("\"timeoutMs\":2000,", "\"timeoutMs\":\"x\","), "routes[1].timeoutMs is not a number");
+    refuse(changed("\"timeoutMs\":2000,", "\"timeoutMs\":[1],"), "routes[1].timeoutMs is not a number");
+}
+
+BOOST_AUTO_TEST_CASE(services_of_routes_are_checked) {
+    refuse(changed("\"service\":\"huvo11a\",\"maxAttempts\"", "\"service\":\"gone\",\"maxAttempts\""),
+           "gone");
+    refuse(changed("\"service\":\"huvo11a\",\"maxAttempts\"", "\"maxAttempts\""),
+           "routes[0].service is missing");
+    refuse(changed("\"service\":\"huvo11a\",\"maxAttempts\"", "\"service\":null,\"maxAttempts\""),
+           "is missing");
+    refuse(changed("\"service\":\"huvo11a\",\"maxAttempts\"", "\"service\":[],\"maxAttempts\""), "service");
+    refuse(changed("\"service\":\"second\",\"weight\"", "\"service\":\"gone\",\"weight\""),
+           "unknown service: gone");
+    refuse(changed("\"service\":\"second\",\"weight\":10", "\"service\":\"gone\",\"weight\":0"), "gone");
+    refuse(changed("{\"name\":\"second\",", "{\"name\":\"third\","), "unknown service: second");
+}
+
+BOOST_AUTO_TEST_CASE(weights_are_checked) {
+    const std::string split =
+        R"("trafficSplit":[{"service":"huvo11a","weight":90},{"service":"second","weight":10}])";
+    const std::string part = "routes[1].trafficSplit";
+    refuse(changed("\"weight\":90", "\"weight\":-90"), part + "[0].weight is out of range");
+    refuse(changed("\"weight\":10", "\"weight\":-1"), part + "[1].weight is out of range");
+    refuse(changed("\"weight\":10", "\"weight\":\"much\""), part + "[1].weight is not a number");
+    refuse(changed(",\"weight\":10", ""), part + "[1].weight is missing");
+    refuse(changed("\"service\":\"second\",\"weight\"", "\"weight\""), part + "[1].service is missing");
+    refuse(changed("\"weight\":10", "\"weight\":0", changed("\"weight\":90", "\"weight\":0")), "add up to 0");
+    refuse(changed(split, "\"trafficSplit\":\"huvo11a\""), part + " is not a list");
+    refuse(changed(split, "\"trafficSplit\":[]"), "routes[1].service is missing");
+    refuse(changed(split, "\"trafficSplit\":[\"huvo11a\"]"), part + "[0] is not a map");
+    BOOST_TEST(accepted(changed("\"weight\":10", "\"weight\":0")).routes[1].services.size() == 2);
+    const std::string both = "\"service\":null," + split;
+    BOOST_TEST(accepted(changed(split, both)).routes[1].services.size() == 2);
+    BOOST_TEST(
+        accepted(changed(split, "\"service\":\"second\",\"trafficSplit\":[]")).routes[1].services.size() ==
+        1);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_and_prefixes_are_checked) {
+    refuse(changed("\"host\":\"nony24.example\",", ""), "routes[1].host is missing");
+    refuse(changed("\"nony24.example\"", "\"\""), "routes[1].host is not a text");
+    refuse(changed("\"nony24.example\"", "{\"a\":1}"), "routes[1].host is not a text");
+    refuse(changed("\"pathPrefix\":\"/lohu930/\",", ""), "routes[1].pathPrefix is missing");
+    for (const char* wrong : {"lohu/", "/lohu", "lohu"})
+        refuse(changed("/lohu930/", wrong), "routes[1].pathPrefix does not begin and end with a slash");
+    const std::string same_host = changed("nony24.example", "FICU95.Example");
+    BOOST_TEST(accepted(same_host).routes[1].host == "ficu95.example");
+    refuse(changed("/lohu930/", "/pufi791/", same_host), "share host and pathPrefix");
+    accepted(changed("/lohu930/", "/pufi791/"));
+}
+
+BOOST_AUTO_TEST_CASE(names_are_checked) {
+    refuse(changed("{\"name\":\"second\",", "{"), "services[1].name is missing");
+    refuse(changed("{\"name\":\"second\",", "{\"name\":\"huvo11a\","), "name one twice: huvo11a");
+    BOOST_TEST(accepted(changed("r-yd4a3hw", "r-rr6x73d")).routes[1].name == "r-rr6x73d");
+    BOOST_TEST(accepted(changed("\"name\":\"r-yd4a3hw\",", "")).routes[1].name == "");
+}
+
+BOOST_AUTO_TEST_CASE(tenants_have_keys_of_their_own) {
+    const std::string two = R"({"tenants":[{"name":"a","key":"k"},{"name":"b","key":"K"}],"version":7)";
+    accepted(changed("{\"version\":7", two));
+    refuse(changed("\"K\"", "\"k\"", changed("{\"version\":7", two)),
+           "tenants[1].key is another tenant's too");
+}
+
+BOOST_AUTO_TEST_CASE(other_figures_are_checked) {
+    for (const char* figure :
+         {"\"targetLatencyMs\":151", "\"priority\":1", "\"maxAttempts\":1", "\"gap_aim_ms\":152",
+          "\"connLimit\":230", "\"slots\":32", "\"kvTokenCount\":872000", "\"tokenKvBytes\":131072",
+          "\"linkMbps\":3400000.0", "\"stride\":63", "\"handleHoldS\":5.0", "\"roleSwitchS\":0.5",
+          "\"maxHeaderBytes\":16385", "\"maxBodyBytes\":4194305", "\"headerTimeoutMs\":3001",
+          "\"idleTimeoutMs\":15001"}) {
+        const std::string whole = figure, key = whole.substr(0, whole.find(':') + 1);
+        const std::string name = key.substr(1, key.size() - 3);
+        refuse(changed(whole, key + "-1"), "." + name + " is ");
+        refuse(changed(whole, key + "\"many\""), "." + name + " is not a number");
+        refuse(changed(whole, key + "[1]"), "." + name + " is not a number");
+        refuse(changed(whole, key + "1e300"), "." + name + " is out of range");
+        accepted(changed(whole, key + "null"));
+    }
+    refuse(changed("\"maxAttempts\":1,", "\"maxAttempts\":0,"), "routes[1].maxAttempts is out of range");
+    refuse(changed("\"sticky\":true", "\"sticky\":1"), "routes[0].sticky is neither true nor false");
+    refuse(changed("\"resumable\":true", "\"resumable\":[]"),
+           "routes[0].resumable is neither true nor false");
+    refuse(changed("\"slots\":32", "\"slots\":0"), "services[0].engine.slots is out of range");
+    refuse(changed("\"maxBodyBytes\":4194305", "\"maxBodyBytes\":0"), "limits.maxBodyBytes is 0 or less");
+}
+
+BOOST_AUTO_TEST_CASE(shapes_are_checked) {
+    refuse(changed("[{\"name\":\"m\"}]", "\"m\""), "services[0].engine.models is not a list");
+    refuse(changed("[{\"name\":\"m\"}]", "[{}]"), "services[0].engine.models[0].name is missing");
+    refuse(R"({"version":1,"services":[]})", "routes is missing");
+    refuse(R"({"version":1,"routes":[]})", "services is missing");
+    refuse(R"({"version":1,"routes":"all","services":[]})", "routes is not a list");
+    refuse(R"({"version":1,"routes":[],"services":{"a":{}}})", "services is not a list");
+    refuse(R"({"version":1,"routes":[],"services":[],"limits":[1]})", "limits is not a map");
+    for (const char* other : {"[]", "[1]", "7", "\"text\"", "null", "true", "{}"})
+        refuse(other, "configuration: ");
+}
+
+BOOST_AUTO_TEST_CASE(text_cut_at_any_byte_is_refused) {
+    accepted(kExample);
+    for (std::size_t length = 0; length < kExample.size(); ++length)
+        refuse(kExample.substr(0, length), "is not JSON that can be read whole");
+}
+
+BOOST_AUTO_TEST_CASE(garbage_after_the_end_is_refused) {
+    accepted(kExample + " \r\n\t");
+    for (const char* rest : {"}", "x", "{}", ",", "\"", "null"})
+        refuse(kExample + rest, "is not JSON that can be read whole");
+    refuse(kExample + kExample, "is not JSON that can be read whole");
+    refuse(kExample + std::string(1, '\0'), "is not JSON that can be read whole");
+}
+
+BOOST_AUTO_TEST_CASE(broken_syntax_is_refused) {
+    refuse(changed("\"version\":7", "version:7"), "is not JSON that can be read whole");
+    refuse(changed("\"version\":7", "\"version\":07"), "is not JSON that can be read whole");
+    refuse(changed("\"version\":7", "\"version\":"), "is not JSON that can be read whole");
+    refuse(changed("\"version\":7,", "\"version\":7,,"), "is not JSON that can be read whole");
+    refuse(changed("r-yd4a3hw", "\xff\xfe"), "is not JSON that can be read whole");
+    refuse(changed("r-yd4a3hw", "\\x"), "is not JSON that can be read whole");
+}
+
+BOOST_AUTO_TEST_CASE(nesting_is_bounded) {
+    const auto nested = [](int depth) { // in all, the outermost map counted
+        const std::string open(static_cast<std::size_t>(depth - 1), '['), close(open.size(), ']');
+        return changed("{\"version\":7", "{\"deep\":" + open + close + ",\"version\":7");
+    };
+    accepted(nested(32));
+    refuse(nested(33), "nested more than 32 deep");
+    refuse(std::string(8'000'000, '['), "nested more than 32 deep");
+    refuse(std::string(1'000'000, '{'), "nested more than 32 deep");
+    const std::string quoted = "\"" + std::string(100, '[') + "\\\"" + std::string(100, '{') + "\"";
+    accepted(changed("\"r-yd4a3hw\"", quoted));
+}
+
+BOOST_AUTO_TEST_CASE(size_is_bounded) {
+    const std::size_t most = 8 * 1024 * 1024;
+    accepted(kExample + std::string(most - kExample.size(), ' '));
+    refuse(kExample + std::string(most - kExample.size() + 1, ' '), "larger than 8 MB");
+}
+
+BOOST_AUTO_TEST_CASE(longest_prefix_wins) {
+    const RoutingTable table = table_of(
+        {route_for("a", "/"), route_for("a", "/x/"), route_for("a", "/x/y/z/"), route_for("b", "/x/")});
+    BOOST_TEST(found(table, "a", "/") == "a/");
+    BOOST_TEST(found(table, "a", "/other") == "a/");
+    BOOST_TEST(found(table, "a", "/x/") == "a/x/");
+    BOOST_TEST(found(table, "a", "/x/y") == "a/x/");
+    BOOST_TEST(found(table, "a", "/x/y/z") == "a/x/");
+    BOOST_TEST(found(table, "a", "/x/y/z/") == "a/x/y/z/");
+    BOOST_TEST(found(table, "a", "/x/y/z/w/v/u") == "a/x/y/z/");
+    BOOST_TEST(found(table, "a", "/x") == "a/");
+    BOOST_TEST(found(table, "b", "/x/1") == "b/x/");
+    BOOST_TEST(found(table, "b", "/x") == "none");
+    BOOST_TEST(found(table, "b", "/xx/") == "none");
+    BOOST_TEST(found(table, "c", "/x/") == "none");
+    BOOST_TEST(found(table, "b", "") == "none");
+    BOOST_TEST(found(table, "b", "*") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(the_query_is_no_part_of_the_path) {
+    const RoutingTable table = table_of({route_for("a", "/x/"), route_for("a", "/x/y?z/")});
+    BOOST_TEST(found(table, "a", "/x/?q=/1/2") == "a/x/");
+    BOOST_TEST(found(table, "a", "/x?/") == "none");
+    BOOST_TEST(found(table, "a", "?/x/") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(case_and_port_of_a_host_are_ignored) {
+    const RoutingTable table = table_of({route_for("ficu95.example", "/x/"), route_for("[::1]", "/x/")});
+    for (const char* host : {"ficu95.example", "FICU95.Example", "ficu95.example:80", "Ficu95.EXAMPLE:"})
+        BOOST_TEST(found(table, host, "/x/") == "ficu95.example/x/");
+    BOOST_TEST(found(table, "[::1]", "/x/") == "[::1]/x/");
+    BOOST_TEST(found(table, "[::1]:8080", "/x/") == "[::1]/x/");
+    for (const char* host : {"", ":80", "ficu95.exampl", "ficu95.examplee", "x.ficu95.example"})
+        BOOST_TEST(found(table, host, "/x/") == "none");
+    BOOST_TEST(found(table, "ficu95.example", "/X/") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(services_are_found_by_name) {
+    const RoutingTable table(std::make_shared<const Configuration>(accepted(kExample)));
+    BOOST_REQUIRE(table.service("second") != nullptr);
+    BOOST_TEST(table.service("second")->connection_limit == 7);
+    BOOST_TEST(table.service("third") == nullptr);
+    BOOST_TEST(table.configuration().version == 7);
+    BOOST_TEST(table.find("nony24.example", "/lohu930/2f") == &table.configuration().routes[1]);
+}
+
+BOOST_AUTO_TEST_CASE(the_table_keeps_its_configuration) {
+    auto configuration = std::make_shared<const Configuration>(accepted(kExample));
+    const std::weak_ptr<const Configuration> watched = configuration;
+    {
+        const RoutingTable table(std::move(configuration));
+        const RoutingTable copy = table;
+        BOOST_TEST(!watched.expired());
+        BOOST_TEST(copy.find("ficu95.example", "/pufi791/")->name == "r-rr6x73d");
+    }
+    BOOST_TEST(watched.expired());
+}
+
+BOOST_AUTO_TEST_CASE(services_are_chosen_by_weight) {
+    const RoutingTable table = table_of({});
+    Route route;
+    BOOST_TEST((table.choose_service(route, 0.5) == std::nullopt));
+    route.services = {{"none", 0}, {"a", 1}, {"idle", 0}, {"b", 3}, {"last", 0}};
+    BOOST_TEST(table.choose_service(route, 0).value() == "a");
+    BOOST_TEST(table.choose_service(route, 0.2499).value() == "a");
+    BOOST_TEST(table.choose_service(route, 0.25).value() == "b");
+    BOOST_TEST(table.choose_service(route, 0.999999).value() == "b");
+    BOOST_TEST(table.choose_service(route, 1).value() == "b"); // what rounding may make of the largest draw
+    int drawn = 0;
+    for (int i = 0; i < 1000; ++i) drawn += table.choose_service(route, i / 1000.0).value() == "a" ? 1 : 0;
+    BOOST_TEST(drawn == 250);
+    route.services = {{"none", 0}};
+    BOOST_TEST((table.choose_service(route, 0) == std::nullopt));
+}
