--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,104 @@
+// Elections of a Replica: pre-vote, vote, and the order to stand at once.
+#include "consensus/replica.hpp"
+
+#include <algorithm>
+
+namespace ivyrill::consensus {
+
+void Replica::postpone_election(Tenths now) {
+    const auto share = static_cast<Tenths>(random_.unit() * static_cast<double>(options_.election_timeout));
+    election_at_ = now + options_.election_timeout + share;
+}
+
+bool Replica::may_stand() const { return has_durable_entry() && is_voter() && !resigning_; }
+
+bool Replica::hears_leader(Tenths now) const {
+    return heard_at_ && now - *heard_at_ <= options_.election_timeout;
+}
+
+void Replica::start_pre_vote(Tenths now) {
+    postpone_election(now);
+    leader_.reset();
+    if (!may_stand()) return;
+    role_ = Role::kPreCandidate;
+    campaigning_ = false;
+    votes_ = {options_.self.id};
+    request_votes(true);
+    count_votes(now);
+}
+
+// The others are asked only once the own vote is durable (after_store): a candidate that forgot its term
+// could else be elected twice in it.
+void Replica::start_election(Tenths now) {
+    role_ = Role::kCandidate;
+    leader_.reset();
+    ++term_;
+    voted_for_ = options_.self.id;
+    owed_vote_.reset();
+    campaigning_ = false;
+    votes_.clear();
+    postpone_election(now);
+    persist(now);
+}
+
+void Replica::request_votes(bool pre_vote) {
+    const VoteRequest request{pre_vote ? term_ + 1 : term_, newest_stamp(), pre_vote};
+    std::set<MemberId> asked{options_.self.id};
+    for (const auto* voters : {&newest_->voters, &newest_->former_voters})
+        for (const Member& voter : *voters)
+            if (asked.insert(voter.id).second) reply(voter.id, request);
+}
+
+void Replica::count_votes(Tenths now) {
+    if (!majorities([&](MemberId id) { return votes_.contains(id); })) return;
+    if (role_ == Role::kPreCandidate)
+        start_election(now);
+    else if (role_ == Role::kCandidate)
+        become_leader(now);
+}
+
+// Changes nothing here, so that a member that was cut off can't disturb those who hear their leader.
+void Replica::on_pre_vote(MemberId from, const VoteRequest& request, Tenths now) {
+    const bool up_to_date =
+        request.newest >= newest_stamp() || planted(PlantedFault::kOlderCandidateAccepted);
+    const bool may_vote = has_durable_entry() || planted(PlantedFault::kNewDiskVotes);
+    const bool granted =
+        may_vote && role_ != Role::kLeader && !hears_leader(now) && request.term > term_ && up_to_date;
+    reply(from, VoteReply{granted ? request.term : term_, granted, true});
+}
+
+void Replica::on(MemberId from, const VoteRequest& request, Tenths now) {
+    if (request.pre_vote) return on_pre_vote(from, request, now);
+    if (request.term > term_) become_follower(request.term, std::nullopt);
+    const bool up_to_date =
+        request.newest >= newest_stamp() || planted(PlantedFault::kOlderCandidateAccepted);
+    const bool may_vote = has_durable_entry() || planted(PlantedFault::kNewDiskVotes);
+    const bool vote_is_free = !voted_for_ || voted_for_ == from;
+    if (request.term < term_ || !may_vote || !vote_is_free || !up_to_date)
+        return reply(from, VoteReply{term_, false, false});
+    voted_for_ = from;
+    postpone_election(now);
+    const bool is_durable = durable_.term == term_ && durable_.voted_for == voted_for_;
+    if (is_durable || planted(PlantedFault::kVoteBeforeStored) || planted(PlantedFault::kNewDiskVotes))
+        return reply(from, VoteReply{term_, true, false});
+    owed_vote_ = from;
+}
+
+void Replica::on(MemberId from, const VoteReply& answer, Tenths now) {
+    if (answer.pre_vote && answer.granted) {
+        if (role_ != Role::kPreCandidate || answer.term != term_ + 1) return;
+        votes_.insert(from);
+        return count_votes(now);
+    }
+    if (answer.term > term_) return become_follower(answer.term, std::nullopt);
+    if (!answer.granted || answer.term != term_ || role_ != Role::kCandidate || !campaigning_) return;
+    votes_.insert(from);
+    count_votes(now);
+}
+
+void Replica::on(MemberId from, const TimeoutNow& order, Tenths now) {
+    if (order.term != term_ || leader_ != from || role_ != Role::kFollower || !may_stand()) return;
+    start_election(now);
+}
+
+} // namespace ivyrill::consensus
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -1,14 +1,18 @@
-// One member of a group, free of I/O: events in, effects out, the clock and randomness handed in. The caller carries
-// effects out in their order, and reports what its disk has done.
+// One member of a group, free of I/O: events in, effects out, the clock and randomness handed in. The caller
+// carries effects out in their order, and reports what its disk has done.
 #pragma once
 #include "base/pcg.hpp"
+#include "consensus/planted_faults.hpp"
 #include "consensus/types.hpp"
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ivyrill::consensus {
@@ -19,9 +23,8 @@
 
 struct Options {
     Member self;
-    Tenths heartbeat_interval = 1000;     // 100 ms
-    Tenths election_timeout = 6000;       // shortest; the longest is twice as long
-    Tenths store_patience = 8000;         // a leader whose own disk has been silent for so long leads on without it
+    Tenths heartbeat_interval = 1000; // 100 ms
+    Tenths election_timeout = 6000;   // shortest; the longest is twice as long
     std::uint64_t seed = 1;
 };
 
@@ -46,7 +49,8 @@
     ProposalId id;
     ProposalOutcome outcome = ProposalOutcome::kUnknown;
 };
-struct ReadDone { // where confirmed: this member led after the read was asked for, and knew all that was committed
+struct ReadDone { // where confirmed: this member led after the read was asked for, and knew all that was
+                  // committed
     ReadId id;
     bool confirmed = false;
 };
@@ -78,7 +82,7 @@
     void tick(Tenths now);
     Tenths next_tick() const; // call `tick` at that time at the latest
 
-    bool leads() const;      // and has committed an entry of its own term
+    bool leads() const; // and has committed an entry of its own term
     std::optional<MemberId> leader() const;
     const std::optional<Entry>& newest() const;    // accepted, maybe not committed
     const std::optional<Entry>& committed() const; // as far as known here
@@ -86,18 +90,163 @@
     // A voter that has heard from a leader (or, leading, from a majority) within an election timeout.
     bool in_contact(Tenths now) const;
 
-    // Replaces the payload. Only the leader accepts one, and only one is under way at a time: others wait their turn
-    // here, in order. `payload` is a function of the state at its turn, so it is asked for then.
-    ProposalId propose(std::string payload, Tenths now);
+    // Makes the next payload from the newest one; none where there is nothing to replicate.
+    using MakePayload = std::function<std::optional<std::string>(const std::string& current)>;
+    // Replaces the payload. Only the leader accepts one, and only one is under way at a time: others wait
+    // their turn here, in order. `make` is called once, at its turn; it must not call this object. Where it
+    // makes none, or this member doesn't lead, the proposal is done as kRejected.
+    ProposalId propose(MakePayload make, Tenths now);
     bool proposal_under_way() const;
-    ReadId confirm_leadership(Tenths now); // answered by ReadDone after a majority has answered a later heartbeat
+    ReadId
+    confirm_leadership(Tenths now); // answered by ReadDone after a majority has answered a later heartbeat
 
-    // Who is there. A leader replaces voters that are gone by members that are alive, keeps a group of all that are
-    // alive up to `most` voters, and never lets it fall under `least` by a removal alone.
+    // Who is there. A leader replaces voters that are gone by members that are alive, keeps a group of all
+    // that are alive up to `most` voters, and never lets it fall under `least` by a removal alone.
     void set_candidates(std::vector<Candidate> candidates, std::size_t least, std::size_t most, Tenths now);
-    void resign(Tenths now); // before a planned end: hands leadership to a member that is up to date
+    // Before a planned end: hands leadership to a voter that is up to date. Never stands for election again.
+    void resign(Tenths now);
 
     std::vector<Effect> take_effects();
+
+  private:
+    enum class Role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+    struct Summary { // of a DurableState: enough to tell what a finished Store has made durable
+        std::uint64_t term = 0;
+        std::optional<MemberId> voted_for;
+        Stamp newest;
+        friend bool operator==(const Summary&, const Summary&) = default;
+    };
+    struct StoreUnderWay {
+        StoreTicket ticket;
+        Summary state;
+    };
+    struct Progress { // of another member, as its leader knows it
+        std::string address;
+        Stamp stored;            // its newest durable entry
+        std::uint64_t round = 0; // the newest it has answered
+        Stamp sent;              // the newest entry that was sent to it, and when
+        Tenths sent_at = 0;
+    };
+    struct Round {
+        std::uint64_t number = 0;
+        Tenths sent_at = 0;
+    };
+    struct Proposal {
+        ProposalId id;
+        MakePayload make;
+    };
+    struct Read {
+        ReadId id;
+        std::uint64_t round = 0; // the first that proves leadership after the read was asked for
+    };
+
+    // replica.cpp: events, and the durable state
+    bool takes_name_of_former_disk(const Message& message);
+    void settle(Tenths now);
+    void persist(Tenths now);
+    void after_store(Tenths now);
+    Summary wanted() const;
+    Stamp newest_stamp() const { return newest_ ? newest_->stamp : Stamp{}; }
+    bool has_durable_entry() const { return durable_.newest != Stamp{}; }
+    void become_follower(std::uint64_t term, std::optional<MemberId> leader);
+    void commit(Tenths now);
+    void send(MemberId to, const std::string& address, Body body);
+    void reply(MemberId to, Body body);
+    std::optional<std::string> address_of(MemberId id) const;
+    template <class Effective> void emit(Effective effect) { effects_.emplace_back(std::move(effect)); }
+    template <class Holds> bool majority(const std::vector<Member>& voters, Holds holds) const;
+    template <class Holds> bool majorities(Holds holds) const; // of the voters, and of the former ones
+
+    // election.cpp
+    void postpone_election(Tenths now);
+    void start_pre_vote(Tenths now);
+    void start_election(Tenths now);
+    void request_votes(bool pre_vote);
+    void count_votes(Tenths now);
+    bool may_stand() const;
+    bool hears_leader(Tenths now) const;
+    void on(MemberId from, const VoteRequest& request, Tenths now);
+    void on_pre_vote(MemberId from, const VoteRequest& request, Tenths now);
+    void on(MemberId from, const VoteReply& answer, Tenths now);
+    void on(MemberId from, const TimeoutNow& order, Tenths now);
+
+    // replication.cpp
+    void become_leader(Tenths now);
+    void lose_leadership();
+    void put_entry(std::vector<Member> voters, std::vector<Member> former, std::string payload, Tenths now);
+    void broadcast(Tenths now);
+    void send_append(MemberId to, Progress& progress, Tenths now);
+    void reply_to_leader();
+    bool settled() const; // nothing is under way
+    void advance(Tenths now);
+    void next_entry(Tenths now);
+    void next_proposal(Tenths now);
+    void update_quorum();
+    std::uint64_t round_of_majority(const std::vector<Member>& voters) const;
+    void answer_reads(Tenths now);
+    void hand_over(Tenths now);
+    void on(MemberId from, const Append& append, Tenths now);
+    void on(MemberId from, const AppendReply& answer, Tenths now);
+
+    // membership.cpp
+    void refresh_peers();
+    const Candidate* candidate(MemberId id) const;
+    bool alive(const Member& voter) const;
+    bool gone(const Member& voter, Tenths now) const;
+    const Member* spare() const;
+    std::optional<std::vector<Member>> wanted_voters(Tenths now) const;
+
+    Options options_;
+    Pcg random_;
+    Role role_ = Role::kFollower;
+    std::uint64_t term_ = 0;
+    std::optional<MemberId> voted_for_;
+    std::optional<Entry> newest_, committed_;
+    std::optional<MemberId> leader_;
+    std::optional<Tenths> heard_at_; // from a leader
+    std::uint64_t heard_round_ = 0;
+    Tenths election_at_ = 0;
+    bool resigning_ = false;
+
+    Summary durable_;
+    std::optional<StoreUnderWay> storing_;
+    std::optional<Tenths> store_again_at_;
+    std::uint64_t last_ticket_ = 0;
+
+    std::optional<MemberId> owed_vote_; // granted once it is durable
+    std::set<MemberId> votes_;
+    bool campaigning_ = false; // the own vote is durable, and the others are asked
+
+    std::map<MemberId, Progress> peers_;
+    std::uint64_t round_ = 0, quorum_round_ = 0, read_round_ = 0;
+    std::deque<Round> rounds_; // not yet answered by a majority
+    Tenths quorum_at_ = 0;     // when the newest round that a majority has answered was sent
+    Tenths heartbeat_at_ = 0;
+    Stamp before_newest_; // the entry that the newest replaced
+    bool leads_ = false;
+    std::optional<Tenths> hand_over_at_;
+    std::deque<Proposal> queue_;
+    std::optional<ProposalId> under_way_;
+    std::uint64_t last_proposal_ = 0, last_read_ = 0;
+    std::deque<Read> reads_;
+
+    std::vector<Candidate> candidates_;
+    std::map<MemberId, Tenths> unlisted_since_; // voters of whom the candidates say nothing
+    std::size_t least_ = 0, most_ = 0;
+
+    std::vector<Effect> effects_;
 };
 
+template <class Holds> bool Replica::majority(const std::vector<Member>& voters, Holds holds) const {
+    std::size_t held = 0;
+    for (const Member& voter : voters) held += holds(voter.id) ? 1 : 0;
+    return held > voters.size() / 2;
+}
+
+template <class Holds> bool Replica::majorities(Holds holds) const {
+    if (!newest_ || !majority(newest_->voters, holds)) return false;
+    if (planted(PlantedFault::kFormerVotersIgnored)) return true;
+    return newest_->former_voters.empty() || majority(newest_->former_voters, holds);
+}
+
 } // namespace ivyrill::consensus
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -1,7 +1,8 @@
-// What the members of one group agree on, and what they say to each other. A group replicates one value that is always
-// whole (Raft's log with everything before its last entry compacted away): a new entry replaces the one before it, so a
-// member that is behind needs the newest entry and nothing else. Terms, votes and commitment are Raft's (Ongaro and
-// Ousterhout, USENIX ATC 2014), the change of members its joint consensus, with a pre-vote.
+// What the members of one group agree on, and what they say to each other. A group replicates one value that
+// is always whole (Raft's log with everything before its last entry compacted away): a new entry replaces the
+// one before it, so a member that is behind needs the newest entry and nothing else. Terms, votes and
+// commitment are Raft's (Ongaro and Ousterhout, USENIX ATC 2014), the change of members its joint consensus,
+// with a pre-vote.
 #pragma once
 #include "base/ids.hpp"
 #include "base/time.hpp"
@@ -16,8 +17,8 @@
 
 namespace ivyrill::consensus {
 
-// A disk, not a machine: drawn anew when a member starts on an empty disk, so that one that was wiped can't vote with
-// the rights of what it has forgotten.
+// A disk, not a machine: drawn anew when a member starts on an empty disk, so that one that was wiped can't
+// vote with the rights of what it has forgotten.
 using MemberId = Id<struct ConsensusMemberTag, std::uint64_t>;
 
 struct Member {
@@ -37,8 +38,9 @@
 struct Entry {
     Stamp stamp;
     std::vector<Member> voters;
-    std::vector<Member> former_voters; // not empty while a change of members is under way: both majorities are needed
-    std::string payload;               // the whole replicated value; opaque here
+    std::vector<Member>
+        former_voters;   // not empty while a change of members is under way: both majorities are needed
+    std::string payload; // the whole replicated value; opaque here
     template <class Self> static auto tie(Self& s) {
         return std::tie(s.stamp, s.voters, s.former_voters, s.payload);
     }
@@ -68,7 +70,8 @@
 
 struct Append { // heartbeat, and an entry where the receiver lacks it
     std::uint64_t term = 0;
-    std::uint64_t round = 0; // counts the leader's heartbeats; replies name it, which proves leadership since then
+    std::uint64_t round =
+        0; // counts the leader's heartbeats; replies name it, which proves leadership since then
     Stamp newest, committed;
     std::optional<Entry> entry;
     template <class Self> static auto tie(Self& s) {
--- /dev/null
+++ b/tests/lab/consensus_world.cpp
@@ -0,0 +1,401 @@
+#include "lab/consensus_world.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace ivyrill::lab {
+
+using namespace consensus;
+
+namespace {
+
+constexpr Tenths kLookInterval = 2000; // 200 ms
+constexpr Tenths kLeastStore = 5, kMostStore = 20;
+constexpr Tenths kThawSpread = 20; // in which what waited for a frozen machine is handled
+
+template <class V> std::string bytes_of(const V& value) {
+    std::string bytes(sizeof value, '\0');
+    std::memcpy(bytes.data(), &value, sizeof value);
+    return bytes;
+}
+
+template <class V> V value_of(const std::string& bytes) {
+    V value;
+    std::memcpy(&value, bytes.data(), sizeof value);
+    return value;
+}
+
+std::string words(const Stamp& stamp) {
+    return std::to_string(stamp.term) + "." + std::to_string(stamp.index);
+}
+
+std::string words(const Entry& entry) {
+    std::string out = words(entry.stamp) + " {";
+    for (const Member& voter : entry.voters) out += std::to_string(voter.id.value) + " ";
+    out += "|";
+    for (const Member& voter : entry.former_voters) out += " " + std::to_string(voter.id.value);
+    return out + "}";
+}
+
+} // namespace
+
+ConsensusWorld::ConsensusWorld(ConsensusPlan plan) : plan_(plan), random_(plan.seed), writes_(1) {
+    for (int i = 0; i < plan_.members; ++i) add_machine();
+    for (int i = 0; i < plan_.members; ++i) founders_.push_back(member(i));
+    for (int i = 0; i < plan_.members; ++i) start(i);
+}
+
+int ConsensusWorld::add_machine() {
+    const int number = size();
+    Machine& machine = machines_.emplace_back();
+    machine.address = "10.0.0." + std::to_string(number) + ":7000";
+    machine.zone = "zone-" + std::to_string(number % 3);
+    machine.id = MemberId{next_id_++};
+    for (auto& row : cut_) row.push_back(false);
+    cut_.emplace_back(machines_.size(), false);
+    return number;
+}
+
+Member ConsensusWorld::member(int machine) const {
+    const Machine& m = machines_[index(machine)];
+    return {m.id, m.address, m.zone};
+}
+
+Tenths ConsensusWorld::between(Tenths least, Tenths most) {
+    return least + static_cast<Tenths>(random_.unit() * static_cast<double>(most - least + 1));
+}
+
+void ConsensusWorld::schedule(Tenths at, std::function<void()> act) {
+    events_.push({std::max(at, now_), ++order_, std::move(act)});
+}
+
+void ConsensusWorld::schedule_on(int machine, Tenths at, std::function<void(Replica&)> act) {
+    schedule(at, [this, machine, incarnation = this->at(machine).incarnation, act = std::move(act)] {
+        act_on(machine, incarnation, act);
+    });
+}
+
+void ConsensusWorld::act_on(int machine, int incarnation, std::function<void(Replica&)> act) {
+    Machine& m = at(machine);
+    if (!m.replica || m.incarnation != incarnation) return;
+    if (m.frozen_until > now_)
+        return schedule(
+            m.frozen_until + between(0, kThawSpread),
+            [this, machine, incarnation, act = std::move(act)] { act_on(machine, incarnation, act); });
+    act(*m.replica);
+    after(machine);
+}
+
+bool ConsensusWorld::step(Tenths until) {
+    if (events_.empty() || events_.top().at > until) return false;
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.act();
+    return true;
+}
+
+void ConsensusWorld::run_for(Tenths span) {
+    const Tenths until = now_ + span;
+    while (step(until)) {}
+    now_ = until;
+}
+
+bool ConsensusWorld::run_until(const std::function<bool()>& holds, Tenths limit) {
+    const Tenths until = now_ + limit;
+    while (!holds())
+        if (!step(until)) return false;
+    return true;
+}
+
+void ConsensusWorld::cut(int from, int to, bool is_cut) { cut_[index(from)][index(to)] = is_cut; }
+
+void ConsensusWorld::isolate(int machine, bool is_cut) {
+    for (int other = 0; other < size(); ++other) {
+        if (other == machine) continue;
+        cut(machine, other, is_cut);
+        cut(other, machine, is_cut);
+    }
+}
+
+bool ConsensusWorld::reaches(int from, int to) const { return !cut_[index(from)][index(to)]; }
+
+void ConsensusWorld::crash(int machine) { crash(machine, chance(0.5)); }
+
+void ConsensusWorld::crash(int machine, bool pending_is_kept) {
+    Machine& m = at(machine);
+    if (!m.replica) return;
+    tell("crash " + std::to_string(machine));
+    if (m.disk.pending && pending_is_kept) m.disk.state = m.disk.pending->state;
+    m.disk.pending.reset();
+    m.replica.reset();
+    ++m.incarnation;
+    m.proposals.clear();
+    m.reads.clear();
+    m.seen.clear();
+}
+
+void ConsensusWorld::start(int machine) {
+    Machine& m = at(machine);
+    if (m.replica || m.is_gone) return;
+    tell("start " + std::to_string(machine) + " as " + std::to_string(m.id.value));
+    ++m.incarnation;
+    m.frozen_until = 0;
+    Options options;
+    options.self = member(machine);
+    options.seed = random_.next();
+    m.replica.emplace(options, m.disk.state, now_);
+    const bool is_founder = std::ranges::any_of(founders_, [&](const Member& f) { return f.id == m.id; });
+    if (!m.disk.state.entry && is_founder) m.replica->found(founders_, bytes_of(Value{}), now_);
+    after(machine);
+    look_around(machine);
+}
+
+void ConsensusWorld::wipe(int machine) {
+    crash(machine);
+    Machine& m = at(machine);
+    lost_.push_back(m.id);
+    ++counts_.wiped;
+    m.disk = {};
+    m.id = MemberId{next_id_++};
+    tell("wipe " + std::to_string(machine));
+}
+
+int ConsensusWorld::replace(int machine) {
+    crash(machine);
+    at(machine).is_gone = true;
+    lost_.push_back(at(machine).id);
+    ++counts_.replaced;
+    const int successor = add_machine();
+    tell("replace " + std::to_string(machine) + " by " + std::to_string(successor));
+    return successor;
+}
+
+void ConsensusWorld::stall_disk(int machine, Tenths span) {
+    at(machine).disk.stalled_until = std::max(at(machine).disk.stalled_until, now_ + span);
+}
+
+void ConsensusWorld::fill_disk(int machine, Tenths span) {
+    at(machine).disk.full_until = std::max(at(machine).disk.full_until, now_ + span);
+}
+
+void ConsensusWorld::freeze(int machine, Tenths span) {
+    at(machine).frozen_until = std::max(at(machine).frozen_until, now_ + span);
+}
+
+void ConsensusWorld::resign(int machine) {
+    if (!at(machine).replica) return;
+    at(machine).replica->resign(now_);
+    after(machine);
+}
+
+std::size_t ConsensusWorld::write(int machine, std::optional<std::uint64_t> expected) {
+    const std::size_t number = writes_.size();
+    writes_.emplace_back();
+    Machine& m = at(machine);
+    const auto make = [this, number, expected](const std::string& current) -> std::optional<std::string> {
+        const auto base = value_of<Value>(current);
+        if (expected && base.version != *expected) return std::nullopt;
+        writes_[number].made = Value{base.version + 1, number, base.write};
+        return bytes_of(*writes_[number].made);
+    };
+    m.proposals[m.replica->propose(make, now_)] = number;
+    after(machine);
+    return number;
+}
+
+void ConsensusWorld::read(int machine) {
+    Machine& m = at(machine);
+    m.reads[m.replica->confirm_leadership(now_)] = highest_seen_;
+    after(machine);
+}
+
+std::optional<int> ConsensusWorld::leader() const {
+    std::optional<int> found;
+    std::uint64_t term = 0;
+    for (int i = 0; i < size(); ++i) {
+        const Machine& m = machines_[index(i)];
+        if (!m.replica || !m.replica->leads() || m.replica->newest()->stamp.term < term) continue;
+        found = i;
+        term = m.replica->newest()->stamp.term;
+    }
+    return found;
+}
+
+void ConsensusWorld::after(int machine) {
+    for (Effect& effect : at(machine).replica->take_effects())
+        std::visit([&](auto& held) { carry_out(machine, std::move(held)); }, effect);
+    schedule_tick(machine);
+}
+
+void ConsensusWorld::schedule_tick(int machine) {
+    Machine& m = at(machine);
+    const Tenths due = std::max(m.replica->next_tick(), now_ + 1);
+    if (m.tick_at > now_ && m.tick_at <= due) return;
+    m.tick_at = due;
+    schedule_on(machine, due, [this](Replica& replica) {
+        if (now_ >= replica.next_tick()) replica.tick(now_);
+    });
+}
+
+std::optional<int> ConsensusWorld::machine_at(const std::string& address) const {
+    for (int i = 0; i < size(); ++i)
+        if (machines_[index(i)].address == address) return i;
+    return std::nullopt;
+}
+
+void ConsensusWorld::carry_out(int machine, Send send) {
+    const auto to = machine_at(send.address);
+    if (!to || !reaches(machine, *to) || chance(network_.loss)) return;
+    const int copies = chance(network_.doubled) ? 2 : 1;
+    const auto message = std::make_shared<const Message>(std::move(send.message));
+    for (int i = 0; i < copies; ++i) {
+        const Tenths delay = chance(network_.late) ? between(network_.most_delay, network_.most_late)
+                                                   : between(network_.least_delay, network_.most_delay);
+        schedule(now_ + delay, [this, to = *to, message] { // whichever process is there then
+            act_on(to, at(to).incarnation,
+                   [this, message](Replica& replica) { replica.receive(*message, now_); });
+        });
+    }
+}
+
+void ConsensusWorld::carry_out(int machine, Store store) {
+    Disk& disk = at(machine).disk;
+    if (disk.pending) promise_broken("two stores are under way at one member");
+    const StoreTicket ticket = store.ticket;
+    disk.pending = std::move(store);
+    schedule_on(machine, now_ + between(kLeastStore, kMostStore),
+                [this, machine, ticket](Replica&) { finish_store(machine, ticket); });
+}
+
+void ConsensusWorld::finish_store(int machine, StoreTicket ticket) {
+    Machine& m = at(machine);
+    Disk& disk = m.disk;
+    if (!disk.pending || disk.pending->ticket != ticket) return;
+    if (disk.stalled_until > now_)
+        return schedule_on(machine, disk.stalled_until,
+                           [this, machine, ticket](Replica&) { finish_store(machine, ticket); });
+    const bool is_full = disk.full_until > now_;
+    if (!is_full || chance(0.2)) disk.state = std::move(disk.pending->state); // failed after the rename
+    disk.pending.reset();
+    if (is_full)
+        m.replica->store_failed(ticket, now_);
+    else
+        m.replica->stored(ticket, now_);
+}
+
+void ConsensusWorld::carry_out(int machine, const Committed& committed) {
+    tell(std::to_string(machine) + " knows committed " + words(committed.entry));
+    if (!committed.entry.former_voters.empty()) ++counts_.changes_of_voters;
+    check_chain(value_of<Value>(committed.entry.payload));
+}
+
+// Each committed value descends from the committed one before it, whoever reports it and when.
+void ConsensusWorld::check_chain(const Value& value) {
+    if (writes_[value.write].state == WriteState::kRejected)
+        promise_broken("write " + std::to_string(value.write) + " was rejected, and is committed");
+    std::vector<Value> unknown;
+    Value oldest = value;
+    while (oldest.version >= chain_.size()) {
+        unknown.push_back(oldest);
+        oldest = oldest.base == 0 ? Value{} : *writes_[oldest.base].made;
+    }
+    if (chain_[oldest.version] != oldest.write)
+        return promise_broken("version " + std::to_string(oldest.version) + " is committed as write " +
+                              std::to_string(chain_[oldest.version]) + " and as " +
+                              std::to_string(oldest.write));
+    for (; !unknown.empty(); unknown.pop_back()) chain_.push_back(unknown.back().write);
+}
+
+void ConsensusWorld::carry_out(int machine, const ProposalDone& done) {
+    const std::size_t number = at(machine).proposals.at(done.id);
+    at(machine).proposals.erase(done.id);
+    Write& write = writes_[number];
+    if (done.outcome == ProposalOutcome::kUnknown) {
+        ++counts_.unknown;
+        write.state = WriteState::kUnknown;
+    } else if (done.outcome == ProposalOutcome::kRejected) {
+        ++counts_.rejected;
+        write.state = WriteState::kRejected;
+        if (write.made && write.made->version < chain_.size() && chain_[write.made->version] == number)
+            promise_broken("write " + std::to_string(number) + " is rejected, and was committed");
+    } else {
+        ++counts_.acknowledged;
+        write.state = WriteState::kAcknowledged;
+        if (!write.made || write.made->version >= chain_.size() || chain_[write.made->version] != number)
+            return promise_broken("write " + std::to_string(number) + " is acknowledged but not committed");
+        if (!acknowledged_on_.emplace(write.made->base, number).second)
+            promise_broken("two writes are acknowledged on base " + std::to_string(write.made->base));
+        tell(std::to_string(machine) + " acknowledges version " + std::to_string(write.made->version));
+        highest_seen_ = std::max(highest_seen_, write.made->version);
+        strike();
+    }
+}
+
+void ConsensusWorld::carry_out(int machine, const ReadDone& done) {
+    const std::uint64_t least = at(machine).reads.at(done.id);
+    at(machine).reads.erase(done.id);
+    if (!done.confirmed) return;
+    ++counts_.reads;
+    const auto& committed = at(machine).replica->committed();
+    const std::uint64_t version = committed ? value_of<Value>(committed->payload).version : 0;
+    if (!committed || version < least)
+        promise_broken("a read returns version " + std::to_string(version) + " after " +
+                       std::to_string(least));
+    highest_seen_ = std::max(highest_seen_, version);
+}
+
+void ConsensusWorld::carry_out(int machine, const RoleChanged& changed) {
+    if (!changed.leads) return;
+    tell(std::to_string(machine) + " leads term " + std::to_string(changed.term));
+    ++counts_.elections;
+    const std::pair self{machine, at(machine).incarnation};
+    const auto [known, is_new] = leader_of_.emplace(changed.term, self);
+    if (!is_new && known->second != self)
+        promise_broken("term " + std::to_string(changed.term) + " has two leaders");
+}
+
+void ConsensusWorld::look_around(int machine) {
+    Machine& m = at(machine);
+    std::vector<Candidate> found;
+    for (int other = 0; other < size(); ++other) {
+        const Machine& o = machines_[index(other)];
+        const bool is_there =
+            o.replica && o.frozen_until <= now_ && reaches(machine, other) && reaches(other, machine);
+        const auto [seen, is_new] = m.seen.try_emplace(o.id, Seen{is_there, false, now_});
+        if (seen->second.alive != is_there) seen->second = {is_there, false, now_};
+        found.push_back({member(other), is_there, false, seen->second.since});
+        if (!is_there || !m.replica->newest()) continue;
+        for (const Member& voter : m.replica->newest()->voters) // its address is held by another disk
+            if (voter.address == o.address && voter.id != o.id) found.push_back({voter, false, true, now_});
+    }
+    m.replica->set_candidates(std::move(found), plan_.least, index(plan_.members), now_);
+    after(machine);
+    schedule_on(machine, now_ + kLookInterval, [this, machine](Replica&) { look_around(machine); });
+}
+
+bool ConsensusWorld::agrees() const {
+    const auto leading = leader();
+    if (!leading) return false;
+    const auto& wanted = machines_[index(*leading)].replica->committed();
+    if (!wanted || !wanted->former_voters.empty()) return false;
+    std::size_t up = 0;
+    for (const Machine& m : machines_) {
+        if (!m.replica) continue;
+        ++up;
+        const bool votes = std::ranges::any_of(wanted->voters, [&](const Member& v) { return v.id == m.id; });
+        if (!votes || m.replica->committed() != wanted || m.replica->newest() != wanted) return false;
+    }
+    return up == wanted->voters.size();
+}
+
+void ConsensusWorld::promise_broken(std::string what) {
+    tell("BROKEN: " + what);
+    broken_.push_back("at " + std::to_string(now_) + ": " + std::move(what));
+}
+
+void ConsensusWorld::tell(const std::string& what) {
+    if (plan_.tells) story_.push_back(std::to_string(now_) + " " + what);
+}
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/lab/consensus_world.hpp
@@ -0,0 +1,183 @@
+// Members of one consensus group in virtual time: a network that loses, delays, doubles, reorders and cuts
+// one way; disks that stall, are full, lose what was not yet durable, or are wiped; machines that are killed,
+// frozen, ended as planned and replaced. Clients replace a version number by compare-and-set and read. What
+// is promised is checked as it happens; a broken promise is kept in words. From one seed all is the same each
+// time.
+#pragma once
+#include "consensus/replica.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace ivyrill::lab {
+
+struct ConsensusPlan {
+    std::uint64_t seed = 1;
+    int members = 3;
+    std::size_t least = 2; // voters, under which a removal alone never goes
+    bool tells = false;    // keeps a story of what happens
+};
+
+struct Network {                            // of all links
+    double loss = 0, doubled = 0, late = 0; // shares of the messages
+    Tenths least_delay = 1, most_delay = 10, most_late = 3000;
+};
+
+enum class WriteState : std::uint8_t { kUnderWay, kAcknowledged, kRejected, kUnknown };
+
+struct ConsensusCounts {
+    std::uint64_t faults = 0, acknowledged = 0, rejected = 0, unknown = 0, reads = 0, elections = 0,
+                  wiped = 0, replaced = 0, changes_of_voters = 0;
+};
+
+class ConsensusWorld {
+  public:
+    explicit ConsensusWorld(ConsensusPlan plan);
+
+    // One at a time, by tests; machines are named by their number from 0.
+    void run_for(Tenths span);
+    bool run_until(const std::function<bool()>& holds, Tenths limit); // whether it came to hold
+    void cut(int from, int to, bool is_cut = true);                   // one way
+    void isolate(int machine, bool is_cut = true);                    // both ways, from all
+    void crash(int machine); // what its disk was writing may or may not be there
+    void crash(int machine, bool pending_is_kept);
+    void start(int machine);
+    void wipe(int machine);   // crashes it; a later start is on an empty disk
+    int replace(int machine); // crashes it for good; the number of its successor, not yet started
+    void stall_disk(int machine, Tenths span);
+    void fill_disk(int machine, Tenths span);
+    void freeze(int machine, Tenths span);
+    void resign(int machine);
+    std::size_t write(int machine,
+                      std::optional<std::uint64_t> expected = std::nullopt); // number of the write
+    void read(int machine);
+    WriteState state_of(std::size_t write) const { return writes_[write].state; }
+    std::optional<int> leader() const; // that leads, of the newest term
+    consensus::Replica& replica(int machine) { return *machines_[index(machine)].replica; }
+    const consensus::DurableState& durable(int machine) const { return machines_[index(machine)].disk.state; }
+    consensus::MemberId id(int machine) const { return machines_[index(machine)].id; }
+    bool is_up(int machine) const { return machines_[index(machine)].replica.has_value(); }
+    bool
+    agrees() const; // every machine that is up: same commitment, same voters, which are just these machines
+    Tenths now() const { return now_; }
+    Network& network() { return network_; }
+    std::uint64_t highest_acknowledged() const { return highest_seen_; }
+
+    // The whole history of the seed: founding, faults under load, calm, agreement.
+    void play();
+
+    const std::vector<std::string>& broken() const { return broken_; }
+    const std::vector<std::string>& story() const { return story_; }
+    const ConsensusCounts& counts() const { return counts_; }
+
+  private:
+    struct Value { // the payload
+        std::uint64_t version = 0, write = 0, base = 0;
+    };
+    struct Write {
+        WriteState state = WriteState::kUnderWay;
+        std::optional<Value> made;
+    };
+    struct Disk {
+        consensus::DurableState state;
+        std::optional<consensus::Store> pending;
+        Tenths stalled_until = 0, full_until = 0;
+    };
+    struct Seen {
+        bool alive = false, removed = false;
+        Tenths since = 0;
+    };
+    struct Machine {
+        std::string address, zone;
+        consensus::MemberId id;
+        bool is_gone = false;
+        int incarnation = 0;
+        std::optional<consensus::Replica> replica;
+        Disk disk;
+        Tenths frozen_until = 0, tick_at = 0;
+        std::map<consensus::ProposalId, std::size_t> proposals;
+        std::map<consensus::ReadId, std::uint64_t> reads; // the version known when it was asked for
+        std::map<consensus::MemberId, Seen> seen;
+    };
+    struct Event {
+        Tenths at = 0;
+        std::uint64_t order = 0;
+        std::function<void()> act;
+        bool operator<(const Event& other) const {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    static std::size_t index(int machine) { return static_cast<std::size_t>(machine); }
+    Machine& at(int machine) { return machines_[index(machine)]; }
+    int size() const { return static_cast<int>(machines_.size()); }
+    void schedule(Tenths at, std::function<void()> act);
+    // Runs when the machine can act, and only while this process of it lives.
+    void schedule_on(int machine, Tenths at, std::function<void(consensus::Replica&)> act);
+    void act_on(int machine, int incarnation, std::function<void(consensus::Replica&)> act);
+    bool step(Tenths until);
+    int add_machine();
+    consensus::Member member(int machine) const;
+    void after(int machine); // carries out the effects of the replica
+    void schedule_tick(int machine);
+    void carry_out(int machine, consensus::Send send);
+    void carry_out(int machine, consensus::Store store);
+    void carry_out(int machine, const consensus::Committed& committed);
+    void carry_out(int machine, const consensus::ProposalDone& done);
+    void carry_out(int machine, const consensus::ReadDone& done);
+    void carry_out(int machine, const consensus::RoleChanged& changed);
+    void finish_store(int machine, consensus::StoreTicket ticket);
+    void look_around(int machine); // tells the replica who is there
+    bool reaches(int from, int to) const;
+    std::optional<int> machine_at(const std::string& address) const;
+    void check_chain(const Value& value);
+    void promise_broken(std::string what);
+    void tell(const std::string& what);
+    bool chance(double share) { return random_.unit() < share; }
+    Tenths between(Tenths least, Tenths most);
+    int any(int count) { return static_cast<int>(random_.next() % static_cast<std::uint32_t>(count)); }
+
+    // consensus_history.cpp: what happens by itself
+    void clients_act();
+    void fault();
+    void strike(); // right after an acknowledgement
+    void fault_on(int machine);
+    void weather();
+    int victim();
+    std::optional<int> pick_up(); // a machine that is up
+    bool may_lose(int machine) const;
+    void lose_disk(int machine, bool with_machine);
+    void partition();
+    std::size_t counted_lost() const;
+    void heal();
+    void check_calm();
+
+    ConsensusPlan plan_;
+    Pcg random_;
+    Tenths now_ = 0;
+    std::uint64_t order_ = 0;
+    std::priority_queue<Event> events_;
+    std::vector<Machine> machines_;
+    std::vector<consensus::Member> founders_;
+    std::vector<std::vector<bool>> cut_;
+    Network network_;
+    std::uint64_t next_id_ = 1;
+    std::vector<Write> writes_;
+    std::vector<std::uint64_t> chain_{0};                    // the write of each committed version
+    std::map<std::uint64_t, std::uint64_t> acknowledged_on_; // base -> write
+    std::uint64_t highest_seen_ = 0; // version, by any acknowledged write or confirmed read
+    std::map<std::uint64_t, std::pair<int, int>> leader_of_; // term -> machine, incarnation
+    std::vector<consensus::MemberId> lost_;                  // disks
+    std::vector<Tenths> counted_lost_until_; // of each disk that is lost; kNever until its successor is up
+    std::vector<std::uint64_t> known_;       // version, by each client
+    Tenths faults_until_ = 0, most_fault_pause_ = 0;
+    std::vector<std::string> broken_, story_;
+    ConsensusCounts counts_;
+};
+
+} // namespace ivyrill::lab
