A stand-in for model servers, and a client, of the published protocol

Tests and the newcomer's example need servers that keep the protocol without a bench. The core is pure (clock in, actions out): stages, handles, resumed streams, slots and queue, deadlines, orders, lagging reports, prefix cache, planted faults, and a count of runs for each Attempt-Id. Heartbeats are pure too.

--- /dev/null
+++ b/tests/heartbeat_tests.cpp
@@ -0,0 +1,126 @@
+// When and where a stand-in model server sends its heartbeats.
+#define BOOST_TEST_MODULE heartbeats
+#include "lab/heartbeats.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::lab;
+
+constexpr Tenths kSecond = kTenthsPerSecond, kStart = 1000 * kSecond;
+const HeartbeatAnswer kTaken{200, "", "{}"};
+
+HeartbeatPlan plan() {
+    HeartbeatPlan made;
+    made.control = {"n1:1", "n2:1", "n3:1"};
+    return made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(heartbeats_follow_the_interval_with_rising_numbers) {
+    Heartbeats heartbeats(plan(), kStart);
+    const auto first = heartbeats.begin(kStart);
+    BOOST_REQUIRE(first);
+    BOOST_TEST(first->address == "n1:1");
+    BOOST_TEST((first->kind == HeartbeatKind::kServing));
+    BOOST_TEST(!heartbeats.begin(kStart + 10 * kSecond)); // one at a time
+    heartbeats.answered(kTaken, kStart);
+    BOOST_TEST(!heartbeats.begin(kStart + plan().interval - 1));
+    const auto second = heartbeats.begin(kStart + plan().interval);
+    BOOST_REQUIRE(second);
+    BOOST_TEST(second->sequence > first->sequence);
+    BOOST_TEST(second->address == "n1:1");
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_or_refusal_goes_to_the_next_node_and_a_round_of_them_pauses) {
+    Heartbeats heartbeats(plan(), kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n1:1");
+    heartbeats.failed(kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n2:1");
+    heartbeats.answered({503, "", ""}, kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n3:1");
+    heartbeats.answered({200, "", std::string(Heartbeats::kMostAnswer + 1, ' ')}, kStart);
+    BOOST_TEST(!heartbeats.begin(kStart));
+    BOOST_REQUIRE(heartbeats.due());
+    BOOST_TEST(*heartbeats.due() <= kStart + kSecond);
+    BOOST_TEST(heartbeats.begin(*heartbeats.due())->address == "n1:1");
+    BOOST_TEST(heartbeats.acknowledged() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_named_address_holds_until_a_heartbeat_fails_there) {
+    Heartbeats heartbeats(plan(), kStart);
+    heartbeats.begin(kStart);
+    heartbeats.answered({200, "", R"({"beatAddr":"n9:1"})"}, kStart);
+    Tenths now = kStart + plan().interval;
+    BOOST_TEST(heartbeats.begin(now)->address == "n9:1");
+    heartbeats.answered(kTaken, now);
+    now += plan().interval;
+    BOOST_TEST(heartbeats.begin(now)->address == "n9:1");
+    heartbeats.failed(now);
+    BOOST_TEST(heartbeats.begin(now)->address == "n1:1");
+}
+
+BOOST_AUTO_TEST_CASE(two_redirects_are_followed_and_no_third) {
+    Heartbeats heartbeats(plan(), kStart);
+    const HeartbeatAnswer elsewhere{307, "http://n8:1/instances/i-1", ""};
+    heartbeats.begin(kStart);
+    heartbeats.answered(elsewhere, kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n8:1");
+    heartbeats.answered(elsewhere, kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n8:1");
+    heartbeats.answered(elsewhere, kStart);
+    BOOST_TEST(heartbeats.begin(kStart)->address == "n2:1");
+}
+
+BOOST_AUTO_TEST_CASE(it_says_draining_serves_on_leaves_the_list_and_ends) {
+    Heartbeats heartbeats(plan(), kStart);
+    heartbeats.begin(kStart);
+    heartbeats.leave(kStart + 10);
+    BOOST_TEST(!heartbeats.begin(kStart + 10)); // that call is under way still
+    heartbeats.answered(kTaken, kStart + 20);
+    const auto drains = heartbeats.begin(kStart + 20);
+    BOOST_REQUIRE(drains);
+    BOOST_TEST((drains->kind == HeartbeatKind::kDraining));
+    heartbeats.answered(kTaken, kStart + 30);
+    const Tenths leaves_at = kStart + 30 + plan().drain + plan().drain_more;
+    Tenths now = kStart + 30 + plan().interval;
+    BOOST_TEST((heartbeats.begin(now)->kind == HeartbeatKind::kDraining));
+    heartbeats.answered(kTaken, now);
+    now += plan().interval;
+    BOOST_TEST((heartbeats.begin(now)->kind == HeartbeatKind::kDraining));
+    heartbeats.answered(kTaken, now);
+    BOOST_TEST(*heartbeats.due() == leaves_at);
+    BOOST_TEST((heartbeats.begin(leaves_at)->kind == HeartbeatKind::kLeave));
+    BOOST_TEST(!heartbeats.ended());
+    heartbeats.answered(kTaken, leaves_at);
+    BOOST_TEST(heartbeats.ended());
+    BOOST_TEST(!heartbeats.due());
+}
+
+BOOST_AUTO_TEST_CASE(with_no_acknowledgement_it_ends_all_the_same) {
+    Heartbeats heartbeats(plan(), kStart);
+    heartbeats.leave(kStart);
+    Tenths now = kStart;
+    for (int calls = 0; !heartbeats.ended() && calls < 100; ++calls) {
+        now = std::max(now, *heartbeats.due());
+        BOOST_REQUIRE(heartbeats.begin(now));
+        now += Heartbeats::kPatience;
+        heartbeats.failed(now);
+    }
+    BOOST_TEST(heartbeats.ended());
+    BOOST_TEST(now >= kStart + plan().drain_unheard);
+    BOOST_TEST(now <= kStart + plan().drain_unheard + 6 * Heartbeats::kPatience);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_knows_no_node_ends_after_its_time) {
+    Heartbeats heartbeats(HeartbeatPlan{}, kStart);
+    BOOST_TEST(!heartbeats.begin(kStart));
+    heartbeats.leave(kStart + kSecond);
+    BOOST_TEST(!heartbeats.begin(kStart + kSecond));
+    BOOST_TEST(!heartbeats.ended());
+    BOOST_TEST(!heartbeats.begin(kStart + kSecond + HeartbeatPlan{}.drain_unheard));
+    BOOST_TEST(heartbeats.ended());
+}
--- /dev/null
+++ b/tests/lab/model_server.hpp
@@ -0,0 +1,92 @@
+// A model server of the published protocol on sockets: ModelServerCore behind a listener, with heartbeats. It
+// lives in its caller's loop: after each Loop::wait the caller calls pass(), and waits no longer than until
+// due().
+//
+// Memory behind a handle goes from server to server by GET /kv-handle/ID, which is of these stand-ins alone.
+#pragma once
+#include "lab/heartbeats.hpp"
+#include "lab/model_server_core.hpp"
+#include "transport/stream.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill::lab {
+
+// One request to another program and its answer; abandoned when it is freed.
+class OutgoingCall {
+  public:
+    OutgoingCall(transport::Loop& loop, const std::string& address, std::string request, Tenths until);
+
+    void pass(Tenths now);
+    bool done() const { return done_; }
+    Tenths until() const { return until_; }
+    const HttpHead* head() const { return complete_ ? &reader_.head() : nullptr; } // null: it failed
+    const std::string& body() const { return body_; }
+
+  private:
+    std::unique_ptr<transport::Stream> stream_; // null where the connection failed at once
+    std::string request_;
+    HttpReader reader_{HttpReader::Side::kResponses};
+    std::string body_;
+    Tenths until_;
+    bool done_ = false, complete_ = false;
+};
+
+class ModelServer {
+  public:
+    // Listens at plan.address; port 0 takes a free one, which is then what plan().address says.
+    ModelServer(transport::Loop& loop, ModelServerPlan plan, HeartbeatPlan heartbeats);
+
+    void pass();
+    std::optional<Tenths> due() const;
+    void leave(); // as on SIGTERM: says `draining`, serves on, leaves the list and ends
+    bool ended() const { return heartbeats_.ended(); }
+
+    const std::string& address() const { return core_.plan().address; }
+    ModelServerCore& core() { return core_; }
+    const Heartbeats& heartbeats() const { return heartbeats_; }
+    std::size_t connections() const { return peers_.size(); }
+
+  private:
+    struct Peer {
+        Peer(transport::Loop& loop, int descriptor, Tenths now);
+        int descriptor; // of the stream
+        transport::Stream stream;
+        HttpReader reader{HttpReader::Side::kRequests};
+        std::string body;
+        std::optional<ExchangeId> exchange;
+        std::optional<Tenths> closing_until; // the last answer is written, the caller's end is awaited
+        Tenths rested_since;
+        bool last_request = false; // the caller said `Connection: close`
+        bool close = false, over = false;
+    };
+
+    static ModelServerPlan bound(ModelServerPlan plan, int descriptor);
+    void accept(Tenths now);
+    bool serve(Peer& peer, Tenths now); // whether anything moved
+    bool act(Tenths now);
+    void act(const SendBytes& action, Tenths now);
+    void act(const FinishAnswer& action, Tenths now);
+    void act(const ResetConnection& action, Tenths now);
+    void act(const FetchMemory& action, Tenths now);
+    void beat(Tenths now);
+    void pass_calls(Tenths now);
+    std::string registration(const HeartbeatCall& call, Tenths now) const;
+    Peer* peer_of(ExchangeId exchange);
+    static void reset(Peer& peer);
+
+    transport::Loop& loop_;
+    transport::Source listener_;
+    ModelServerCore core_;
+    Heartbeats heartbeats_;
+    std::uint64_t exchanges_ = 0;
+    std::vector<std::unique_ptr<Peer>> peers_;
+    std::map<ExchangeId, std::unique_ptr<OutgoingCall>> fetches_;
+    std::unique_ptr<OutgoingCall> heartbeat_;
+};
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/lab/model_server_core.hpp
@@ -0,0 +1,210 @@
+// A model server of the published protocol without sockets: requests in, actions out, the clock handed in.
+// Tests in virtual time drive it by itself; model_server.hpp puts it on sockets.
+//
+// Not modelled: preemption (a request reserves all the memory it may need before it is let in) and versions
+// of weights that change while a stream runs.
+#pragma once
+#include "base/time.hpp"
+#include "lab/generation.hpp"
+#include "lab/http_reader.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace ivyrill::lab {
+
+enum class ServerStage : std::uint8_t { kPrefill, kDecode };
+std::string_view name_of(ServerStage stage);
+std::optional<ServerStage> stage_named(std::string_view name);
+
+struct ModelServerPlan {
+    std::string id = "i-00000001", service = "model", address = "127.0.0.1:0", zone = "a", software = "v1";
+    ServerStage stage = ServerStage::kDecode;
+    std::string model = "m", health_path = "/health";
+    std::int64_t weights = 1; // the model's version
+    std::int64_t slots = 8, queue = 8, connection_limit = 64;
+    std::int64_t memory_tokens = 100'000;
+    std::int64_t stride = 4;           // tokens in one event
+    double read_tokens_per_s = 20'000; // of a prompt; half of it where a decode server reads
+    Tenths token_step = 100;           // from one token to the next with one request running
+    double step_growth = 0.02;         // the step's part more for each further request
+    double token_bytes = 131'072;      // memory of one token
+    double link_mbps = 100'000;        // for memory that is fetched
+    Tenths handle_hold = 5 * kTenthsPerSecond, role_switch = kTenthsPerSecond / 2;
+    Tenths report_lag = kTenthsPerSecond * 3 / 10;
+    Tenths cold = 0;       // after its start everything takes twice as long for this span
+    bool fenced = false;   // orders with a lower fence are refused
+    Tenths idle_close = 0; // whole seconds, told in Keep-Alive; 0: idle connections stay open
+};
+
+enum class FaultKind : std::uint8_t {
+    kCutInEvent,    // reset in the middle of an event, after `after_events` whole ones
+    kStall,         // nothing more comes after `after_events` events
+    kSurplusAnswer, // a second whole answer behind the first
+    kGarbage,       // bytes that form no answer, then the end
+    kAnswerLost,    // the request ran, then the connection is reset
+    kDark,          // the request ran, nothing is ever said
+    kSlow,          // everything takes `factor` times as long
+    kHandleLapses   // the handle that is made is gone at once
+};
+
+struct ServerFault {
+    FaultKind kind = FaultKind::kDark;
+    std::string attempt;     // of that Attempt-Id; empty: of the next request
+    bool of_prefill = false; // a call with Serving-Stage: prefill, else a generation
+    std::int64_t after_events = 0;
+    double factor = 10;
+};
+
+struct ExchangeId { // of a request with its answer, given by the caller
+    std::uint64_t value = 0;
+    friend auto operator<=>(const ExchangeId&, const ExchangeId&) = default;
+};
+
+struct SendBytes {
+    ExchangeId exchange;
+    std::string bytes;
+};
+struct FinishAnswer { // nothing more of it comes; the exchange is over
+    ExchangeId exchange;
+    bool close = false; // the connection ends with it
+};
+struct ResetConnection { // the exchange is over
+    ExchangeId exchange;
+};
+struct FetchMemory { // to be answered with fetched()
+    ExchangeId exchange;
+    std::string address, handle;
+};
+using ServerAction = std::variant<SendBytes, FinishAnswer, ResetConnection, FetchMemory>;
+
+// The memory behind a handle, as it goes from one server to another.
+struct HandleMemory {
+    std::int64_t tokens = 0;
+    std::uint64_t content = 0; // of the request that it was read for
+};
+
+struct AttemptRecord { // what a server did for one Attempt-Id
+    std::int64_t runs = 0, prompts_read = 0, refusals = 0;
+};
+
+class ModelServerCore {
+  public:
+    ModelServerCore(ModelServerPlan plan, Tenths now);
+
+    void request(ExchangeId exchange, const HttpHead& head, const std::string& body, Tenths now);
+    void closed(ExchangeId exchange, Tenths now); // the caller has gone
+    void fetched(ExchangeId exchange, std::optional<HandleMemory> memory, Tenths now);
+    void pass(Tenths now);
+    std::optional<Tenths> due() const; // when pass() has something to do
+    std::vector<ServerAction> take_actions() { return std::exchange(actions_, {}); }
+
+    void drain() { draining_ = true; } // health fails, connections are closed with their answers
+    void plant(ServerFault fault) { faults_.push_back(std::move(fault)); }
+
+    const ModelServerPlan& plan() const { return plan_; }
+    ServerStage stage() const { return stage_; }
+    bool draining() const { return draining_; }
+    bool idle() const { return runs_.empty(); }
+    Tenths cold_left(Tenths now) const;
+    AttemptRecord record(const std::string& attempt) const;
+    std::int64_t most_runs() const;                                   // of any one Attempt-Id
+    std::int64_t foreign_handles() const { return foreign_handles_; } // taken for another request's content
+    std::size_t handles() const { return handles_.size(); }
+    std::int64_t tokens_read() const { return tokens_read_; }
+    const std::vector<HttpHead>& heads() const { return heads_; } // of every generation and prefill call
+
+  private:
+    enum class Kind : std::uint8_t { kGenerate, kPrefill, kHealth };
+    enum class Phase : std::uint8_t { kWaiting, kFetching, kReading, kStreaming, kSilent };
+    struct Run {
+        HttpHead head;
+        Kind kind = Kind::kGenerate;
+        Phase phase = Phase::kWaiting;
+        Generation generation;
+        std::int64_t priority = 5, reserved = 0; // reserved: tokens of memory
+        std::int64_t next_event = 1, last_event = 0;
+        std::uint64_t order = 0;
+        std::optional<Tenths> next, deadline;
+        std::optional<ServerFault> fault;
+        bool head_sent = false;
+        std::int64_t sent = 0; // events
+    };
+    struct Handle {
+        HandleMemory memory;
+        Tenths until = 0;
+    };
+    struct ReportState {
+        ServerStage stage = ServerStage::kDecode;
+        bool busy = false;
+        std::int64_t orders = 0, waiting = 0, running = 0, used = 0, handles = 0;
+    };
+    using Runs = std::map<ExchangeId, Run>;
+
+    // Answers
+    void answer(ExchangeId exchange, const HttpHead& head, int status, std::vector<HttpField> fields,
+                const std::string& body);
+    void refuse(ExchangeId exchange, const HttpHead& head, int status);
+    void answer_json(ExchangeId exchange, const HttpHead& head, int status, const std::string& body);
+    std::vector<HttpField> own_fields(const HttpHead& head);
+    std::string report(Tenths now) const;
+    // Requests
+    void take_handle_call(ExchangeId exchange, const HttpHead& head, Tenths now);
+    void take_order(ExchangeId exchange, const HttpHead& head, const std::string& body, Tenths now);
+    int judge_order(const std::string& body);
+    void take_generation(ExchangeId exchange, const HttpHead& head, const std::string& body, Tenths now);
+    int misfit(const HttpHead& head, Kind kind) const; // the status to turn it away with; 0: it may come in
+    void queue(ExchangeId exchange, Run run, Tenths now);
+    // Runs
+    void let_in(Tenths now);
+    void shrink_cache();
+    Runs::iterator next_waiting();
+    void start(Runs::iterator run, Tenths now);
+    void start_reading(Run& run, Tenths now);
+    void go_on(Runs::iterator run, Tenths now);
+    void finish_prefill(Runs::iterator run, Tenths now);
+    void stream_event(Runs::iterator run, Tenths now);
+    bool fail_as_planted(Runs::iterator run, Tenths now);
+    void deadline_passed(Runs::iterator run, Tenths now);
+    void drop(Runs::iterator run, Tenths now);
+    std::optional<ServerFault> fault_for(const Run& run);
+    // State
+    void step(Tenths at);
+    void note(Tenths now);
+    std::int64_t count(bool running) const;
+    std::int64_t used() const; // tokens of memory that can't give way
+    double slowness(const Run& run, Tenths now) const;
+    Tenths move_time(std::int64_t tokens) const;
+    AttemptRecord& record_of(const Run& run);
+
+    ModelServerPlan plan_;
+    Tenths started_;
+    ServerStage stage_, next_stage_;
+    std::optional<Tenths> switched_at_;
+    bool busy_ = false, draining_ = false;
+    std::int64_t orders_ = 0, highest_fence_ = -1;
+    std::uint64_t arrivals_ = 0, handles_made_ = 0, seals_ = 0;
+    Tenths reading_free_ = 0, link_free_ = 0;
+    Runs runs_;
+    std::map<std::string, Handle> handles_;
+    PrefixCache cache_;
+    std::deque<std::pair<Tenths, ReportState>> states_;
+    std::vector<ServerFault> faults_;
+    std::vector<ServerAction> actions_;
+    std::map<std::string, AttemptRecord> records_;
+    std::vector<HttpHead> heads_;
+    std::int64_t foreign_handles_ = 0, tokens_read_ = 0;
+};
+
+// The body that GET /kv-handle/ID between two stand-ins carries.
+std::string write_memory(const HandleMemory& memory);
+std::optional<HandleMemory> read_memory(const std::string& body);
+
+} // namespace ivyrill::lab
