--- a/tests/model_server_tests.cpp
+++ b/tests/model_server_tests.cpp
@@ -1,8 +1,6 @@
 // The stand-in model server keeps the published protocol, in virtual time.
 #define BOOST_TEST_MODULE model_server
-#include "lab/heartbeats.hpp"
-#include "lab/model_server_core.hpp"
-#include "lab/stream_client.hpp"
+#include "lab/model_server_world.hpp"
 #include "protocol/json.hpp"
 
 #include <boost/test/included/unit_test.hpp>
@@ -14,125 +12,7 @@
 using protocol::read_json;
 
 constexpr Tenths kSecond = kTenthsPerSecond, kMs = kTenthsPerSecond / 1000;
-constexpr Tenths kStart = 1000 * kSecond;
-
-struct Exchange { // what came of one request
-    std::string bytes;
-    bool over = false, reset = false, close = false;
-
-    HttpReader read() const {
-        HttpReader reader(HttpReader::Side::kResponses);
-        reader.feed(bytes);
-        return reader;
-    }
-    int status() const { return read().head().status; }
-    bool complete() const { return read().complete(); }
-    std::string body() const { return read().take_body(); }
-    std::string field(std::string_view name) const { return std::string(read().head().field(name)); }
-    bool not_run() const { return read().head().has("not-run"); }
-};
-
-HttpHead read_request(const std::string& bytes, std::string& body) {
-    HttpReader reader(HttpReader::Side::kRequests);
-    reader.feed(bytes);
-    BOOST_REQUIRE(reader.complete());
-    body = reader.take_body();
-    return reader.head();
-}
-
-// A core with its clock. Memory is fetched from `other` at once.
-struct World {
-    explicit World(const ModelServerPlan& plan = {}) : core(plan, kStart) {}
-
-    ModelServerCore core;
-    ModelServerCore* other = nullptr;
-    Tenths now = kStart;
-    std::map<ExchangeId, Exchange> exchanges;
-    std::uint64_t last = 0;
-
-    ExchangeId send(const std::string& bytes) {
-        std::string body;
-        const HttpHead head = read_request(bytes, body);
-        const ExchangeId id{++last};
-        exchanges[id];
-        core.request(id, head, body, now);
-        collect();
-        return id;
-    }
-    ExchangeId send(const ClientRequest& request) { return send(request_bytes(request)); }
-    const Exchange& at(ExchangeId id) const { return exchanges.at(id); }
-    const Exchange& ask(const std::string& line, const std::string& body = "") {
-        return at(send(http_message(line + " HTTP/1.1", {}, body)));
-    }
-    void pass(Tenths span) {
-        const Tenths until = now + span;
-        for (auto due = core.due(); due && *due <= until; due = core.due()) {
-            now = *due;
-            core.pass(now);
-            collect();
-        }
-        now = until;
-        core.pass(now);
-        collect();
-    }
-    void collect() {
-        for (auto actions = core.take_actions(); !actions.empty(); actions = core.take_actions())
-            for (const ServerAction& action : actions)
-                std::visit([&](const auto& what) { take(what); }, action);
-    }
-    void take(const SendBytes& what) {
-        BOOST_TEST(!exchanges.at(what.exchange).over);
-        exchanges.at(what.exchange).bytes += what.bytes;
-    }
-    void take(const FinishAnswer& what) {
-        exchanges.at(what.exchange).over = true;
-        exchanges.at(what.exchange).close = what.close;
-    }
-    void take(const ResetConnection& what) {
-        exchanges.at(what.exchange).over = exchanges.at(what.exchange).reset = true;
-    }
-    void take(const FetchMemory& what) {
-        std::optional<HandleMemory> memory;
-        if (other) {
-            other->request({0}, read_request("GET /kv-handle/" + what.handle + " HTTP/1.1\r\n\r\n", unused),
-                           "", now);
-            const auto actions = other->take_actions();
-            const Exchange answer{std::get<SendBytes>(actions.front()).bytes};
-            if (answer.status() == 200) memory = read_memory(answer.body());
-        }
-        core.fetched(what.exchange, memory, now);
-    }
-    std::string unused;
-};
-
-ClientRequest generation(const std::string& attempt) {
-    ClientRequest request;
-    request.target = "/chat/2f";
-    request.attempt = attempt;
-    request.token_counts = "1460,10";
-    request.prompt_prefix = "5c1e07a2:800,91bd3f06:410,e4402b7d:250";
-    request.body = "some body";
-    return request;
-}
-
-ClientRequest prefill(const std::string& attempt) {
-    ClientRequest request = generation(attempt);
-    request.more.push_back({"Serving-Stage", "prefill"});
-    return request;
-}
-
-ModelServerPlan prefill_plan() {
-    ModelServerPlan plan;
-    plan.id = "i-prefill";
-    plan.stage = ServerStage::kPrefill;
-    return plan;
-}
-
-std::string expected_stream(const ClientRequest& request, std::int64_t after = 0) {
-    std::string body;
-    const HttpHead head = read_request(request_bytes(request), body);
-    return stream_bytes(*read_generation(head, body), ModelServerPlan{}.stride, after);
-}
+constexpr Tenths kStart = ServerWorld::kStart;
 
 std::string order(const std::string& stage,
                   const std::string& more = R"(,"holder":"node-7","fenceToken":41)") {
@@ -142,7 +22,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_stream_comes_whole_with_its_seal_and_attempt) {
-    World world;
+    ServerWorld world;
     const ExchangeId id = world.send(generation("a1"));
     world.pass(kSecond);
     const Exchange& answer = world.at(id);
@@ -168,7 +48,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_resumed_stream_goes_on_byte_by_byte_whoever_asks) {
-    World world, other;
+    ServerWorld world, other;
     ClientRequest again = generation("a2"); // another attempt at another server
     again.last_event_id = 2;
     const ExchangeId first = world.send(generation("a1")), second = other.send(again);
@@ -185,7 +65,7 @@
 BOOST_AUTO_TEST_CASE(the_first_event_follows_the_reading_and_the_others_their_steps) {
     ModelServerPlan plan;
     plan.read_tokens_per_s = 2920; // half of it on a decode server: 1460 tokens in one second
-    World world(plan);
+    ServerWorld world(plan);
     const ExchangeId id = world.send(generation("a1"));
     world.pass(kSecond - 1);
     BOOST_TEST(world.at(id).bytes.empty());
@@ -202,7 +82,7 @@
 BOOST_AUTO_TEST_CASE(kept_parts_of_prompts_are_not_read_again_and_the_oldest_give_way) {
     ModelServerPlan plan;
     plan.memory_tokens = 2000;
-    World world(plan);
+    ServerWorld world(plan);
     const auto read_for = [&](const std::string& attempt, const std::string& prefix) {
         ClientRequest request = generation(attempt);
         request.prompt_prefix = prefix;
@@ -220,7 +100,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_prompt_is_read_and_its_handle_is_taken_once) {
-    World reader(prefill_plan()), decoder;
+    ServerWorld reader(prefill_plan()), decoder;
     decoder.other = &reader.core;
     const ExchangeId read = reader.send(prefill("a1"));
     reader.pass(kSecond);
@@ -246,7 +126,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_handle_of_another_request_is_noticed) {
-    World reader(prefill_plan()), decoder;
+    ServerWorld reader(prefill_plan()), decoder;
     decoder.other = &reader.core;
     const ExchangeId read = reader.send(prefill("a1"));
     reader.pass(kSecond);
@@ -260,7 +140,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_handle_lapses_after_its_time_and_can_be_freed) {
-    World world(prefill_plan());
+    ServerWorld world(prefill_plan());
     const auto handle_of = [&](ExchangeId id) {
         return read_json(world.at(id).body()).at("promptHandle").as_text("promptHandle");
     };
@@ -276,10 +156,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_move_takes_its_time_and_none_begins_behind_too_long_a_wait) {
-    World reader(prefill_plan());
+    ServerWorld reader(prefill_plan());
     ModelServerPlan slow;
     slow.link_mbps = 1460.0 * 131'072 * 8 / 3e6; // one move lasts three seconds
-    World decoder(slow);
+    ServerWorld decoder(slow);
     decoder.other = &reader.core;
     std::vector<ClientRequest> requests;
     for (const char* attempt : {"a1", "a2"}) {
@@ -302,8 +182,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_wrong_stage_instance_or_version_is_misdirected) {
-    World reader(prefill_plan()), decoder;
-    const auto check = [](World& world, const ClientRequest& request, int status) {
+    ServerWorld reader(prefill_plan()), decoder;
+    const auto check = [](ServerWorld& world, const ClientRequest& request, int status) {
         const Exchange& answer = world.at(world.send(request));
         BOOST_TEST(answer.status() == status);
         BOOST_TEST(answer.not_run());
@@ -328,7 +208,7 @@
 BOOST_AUTO_TEST_CASE(beyond_slots_and_queue_requests_are_turned_away) {
     ModelServerPlan plan;
     plan.slots = 1, plan.queue = 1;
-    World world(plan);
+    ServerWorld world(plan);
     const ExchangeId one = world.send(generation("a1")), two = world.send(generation("a2"));
     const ExchangeId three = world.send(generation("a3"));
     BOOST_TEST(world.at(three).status() == 503);
@@ -345,7 +225,7 @@
 BOOST_AUTO_TEST_CASE(the_more_urgent_are_let_in_first) {
     ModelServerPlan plan;
     plan.slots = 1;
-    World world(plan);
+    ServerWorld world(plan);
     world.send(generation("a1"));
     const ExchangeId usual = world.send(generation("a2"));
     ClientRequest urgent = generation("a3");
@@ -359,7 +239,7 @@
 BOOST_AUTO_TEST_CASE(a_request_larger_than_the_memory_is_turned_away_and_others_wait_for_it) {
     ModelServerPlan plan;
     plan.memory_tokens = 2000;
-    World world(plan);
+    ServerWorld world(plan);
     ClientRequest large = generation("a1");
     large.token_counts = "1991,10";
     BOOST_TEST(world.at(world.send(large)).status() == 503);
@@ -376,7 +256,7 @@
 BOOST_AUTO_TEST_CASE(a_deadline_in_the_queue_is_a_promise_and_one_at_work_is_not) {
     ModelServerPlan plan;
     plan.slots = 1, plan.read_tokens_per_s = 100;
-    World world(plan);
+    ServerWorld world(plan);
     ClientRequest working = generation("a1"), waiting = generation("a2");
     working.deadline_ms = 500, waiting.deadline_ms = 400;
     const ExchangeId one = world.send(working), two = world.send(waiting);
@@ -393,7 +273,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_deadline_in_a_stream_breaks_it_off) {
-    World world;
+    ServerWorld world;
     ClientRequest request = generation("a1");
     request.token_counts = "10,1000", request.deadline_ms = 500;
     const ExchangeId id = world.send(request);
@@ -406,7 +286,7 @@
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_frees_its_slot) {
     ModelServerPlan plan;
     plan.slots = 1;
-    World world(plan);
+    ServerWorld world(plan);
     const ExchangeId one = world.send(generation("a1")), two = world.send(generation("a2"));
     world.core.closed(one, world.now);
     world.pass(kSecond);
@@ -416,7 +296,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_report_lags) {
-    World world;
+    ServerWorld world;
     ClientRequest request = generation("a1");
     request.token_counts = "1460,10000";
     world.send(request);
@@ -435,7 +315,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(health_names_the_instance_and_fails_once_it_leaves) {
-    World world;
+    ServerWorld world;
     BOOST_TEST(world.ask("GET /health").status() == 200);
     BOOST_TEST(world.ask("GET /health").field("instance-id") == world.core.plan().id);
     world.core.drain();
@@ -450,7 +330,7 @@
 BOOST_AUTO_TEST_CASE(an_order_changes_the_stage_once_what_runs_has_ended) {
     ModelServerPlan plan;
     plan.slots = 1;
-    World world(plan);
+    ServerWorld world(plan);
     const ExchangeId runs = world.send(generation("a1")), waits = world.send(generation("a2"));
     BOOST_TEST(world.ask("POST /order", order("prefill")).status() == 202);
     BOOST_TEST(world.at(waits).status() == 503);
@@ -473,7 +353,7 @@
 BOOST_AUTO_TEST_CASE(orders_that_are_wrong_or_late_are_refused) {
     ModelServerPlan plan;
     plan.fenced = true;
-    World world(plan);
+    ServerWorld world(plan);
     const auto status = [&](const std::string& body) { return world.ask("POST /order", body).status(); };
     BOOST_TEST(status("{") == 400);
     BOOST_TEST(status(R"({"op":"load","stage":"decode","holder":"n","fenceToken":1})") == 400);
@@ -491,7 +371,7 @@
 
 BOOST_AUTO_TEST_CASE(planted_faults_strike_as_told_and_the_run_is_counted) {
     const auto play = [](FaultKind kind, std::int64_t after_events) {
-        World world;
+        ServerWorld world;
         world.core.plant({kind, "a1", false, after_events, 10});
         const ExchangeId id = world.send(generation("a1"));
         world.pass(5 * kSecond);
@@ -529,7 +409,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_slow_server_is_slow) {
-    World world;
+    ServerWorld world;
     world.core.plant({FaultKind::kSlow, "", false, 0, 10});
     const ExchangeId slow = world.send(generation("a1"));
     world.pass(500 * kMs);
@@ -537,7 +417,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_planted_handle_lapses_at_once) {
-    World world(prefill_plan());
+    ServerWorld world(prefill_plan());
     world.core.plant({FaultKind::kHandleLapses, "", true, 0, 1});
     const ExchangeId id = world.send(prefill("a1"));
     world.pass(kSecond);
