--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,87 @@
+#include "agent/agent.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "feed/ports.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace ivyrill::agent {
+
+namespace {
+
+constexpr Tenths kReportInterval = 5000; // a report is some hundred ms old when it comes, and is priced
+constexpr Tenths kFlushInterval = 1000;  // what was read within it travels together
+constexpr Tenths kEndSpan = 100;
+
+std::uint64_t draw() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U | device()) | 1U;
+}
+
+std::string host_text(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+} // namespace
+
+Agent::Agent(transport::Reactor& reactor, const settings::Settings& settings)
+    : reactor_(reactor), settings_(settings), log_(draw()) {
+    publisher_ = std::make_unique<feed::Publisher>(reactor_, log_, feed::Publisher::Options{},
+                                                   feed::Publisher::Callbacks{});
+    listener_ = std::make_unique<transport::Listener>(reactor_, feed::local_feed_address(settings_),
+                                                      [this](int descriptor) { publisher_->take(descriptor); });
+    reader_ = std::make_unique<ReportReader>(reactor_, ReportReader::Options{settings_.node_name, kReportInterval},
+                                             [this](model::Load load) { read_.push_back(std::move(load)); });
+    feed::Subscriber::Options options;
+    options.node = {settings_.node_name, settings_.zone, settings_.ip, draw()};
+    options.heartbeat = feed::kSessionHeartbeat, options.silence = feed::kSessionSilence;
+    options.offers_records = true;
+    feed::Subscriber::Callbacks callbacks;
+    callbacks.publishers = [this] { return control_addresses(); };
+    callbacks.applied = [this](const feed::Tables::Applied& applied) { this->applied(applied); };
+    subscriber_ = std::make_unique<feed::Subscriber>(reactor_, options, std::move(callbacks));
+    subscriber_->start();
+    flush_loads();
+}
+
+Agent::~Agent() { reactor_.cancel(timer_); }
+
+void Agent::use_settings(const settings::Settings& settings) { settings_ = settings; }
+
+// Those that are alive as last told, in an order of this node's own, so that sessions are spread; then the seeds.
+std::vector<std::string> Agent::control_addresses() const {
+    std::vector<std::string> addresses;
+    for (const model::ControlNode& node : subscriber_->tables().control_nodes())
+        addresses.push_back(feed::feed_address(settings_, host_text(node.address)));
+    const auto weight = [this](const std::string& address) { return hash_text(address, hash_text(settings_.node_name)); };
+    std::ranges::sort(addresses, std::ranges::greater{}, weight);
+    std::vector<std::string> seeds;
+    for (const std::string& seed : settings_.seed_nodes)
+        seeds.push_back(feed::feed_address(settings_, host_text(seed)));
+    std::ranges::sort(seeds, std::ranges::greater{}, weight);
+    for (const std::string& seed : seeds)
+        if (std::ranges::find(addresses, seed) == addresses.end()) addresses.push_back(seed);
+    return addresses;
+}
+
+void Agent::applied(const feed::Tables::Applied& applied) {
+    for (const feed::Item& item : applied.news) log_.put(item);
+    publisher_->publish();
+    if (applied.instances || applied.nodes)
+        reader_->assign(subscriber_->tables().instances().records(), subscriber_->tables().edge_nodes());
+}
+
+// The proxy is told at once; the others by way of control.
+void Agent::flush_loads() {
+    timer_ = reactor_.call_after(kFlushInterval, [this] { flush_loads(); });
+    if (read_.empty()) return;
+    subscriber_->send(feed::Loads{std::exchange(read_, {})});
+}
+
+void Agent::begin_end() {
+    log_line("ending");
+    reactor_.call_after(kEndSpan, [this] { reactor_.stop(); });
+}
+
+} // namespace ivyrill::agent
--- /dev/null
+++ b/src/agent/agent.hpp
@@ -0,0 +1,40 @@
+// The program `agent`, beside each proxy: keeps the machine's session with a control node, follows its feed, and hands
+// it to the proxy over loopback, so that the proxy's own time goes to requests. It reads the load of its share of the
+// servers for all nodes.
+#pragma once
+#include "agent/report_reader.hpp"
+#include "feed/publisher.hpp"
+#include "feed/subscriber.hpp"
+#include "settings/settings.hpp"
+#include "transport/listener.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivyrill::agent {
+
+class Agent {
+  public:
+    Agent(transport::Reactor& reactor, const settings::Settings& settings); // throws where it can't listen
+    ~Agent();
+    void use_settings(const settings::Settings& settings); // read anew
+    void begin_end();
+
+  private:
+    std::vector<std::string> control_addresses() const;
+    void applied(const feed::Tables::Applied& applied);
+    void flush_loads();
+
+    transport::Reactor& reactor_;
+    settings::Settings settings_;
+    feed::FeedLog log_;
+    std::unique_ptr<feed::Publisher> publisher_;
+    std::unique_ptr<feed::Subscriber> subscriber_;
+    std::unique_ptr<ReportReader> reader_;
+    std::unique_ptr<transport::Listener> listener_;
+    std::vector<model::Load> read_; // to be told with the next flush
+    transport::Reactor::TimerId timer_{};
+};
+
+} // namespace ivyrill::agent
--- /dev/null
+++ b/src/agent/report_reader.cpp
@@ -0,0 +1,106 @@
+#include "agent/report_reader.hpp"
+
+#include "base/hash.hpp"
+#include "protocol/json.hpp"
+#include "protocol/values.hpp"
+
+#include <utility>
+
+namespace ivyrill::agent {
+
+namespace {
+
+constexpr Tenths kReportPatience = 5000;
+constexpr std::size_t kMostRequest = 4096;
+
+} // namespace
+
+std::string reader_of(const std::string& instance, const std::vector<model::EdgeNode>& nodes) {
+    const std::string* reader = nullptr;
+    std::uint64_t best = 0;
+    for (const model::EdgeNode& node : nodes) {
+        const std::uint64_t weight = hash_text(node.name, hash_text(instance));
+        if (reader == nullptr || weight > best) reader = &node.name, best = weight;
+    }
+    return reader == nullptr ? std::string() : *reader;
+}
+
+std::optional<model::Load> read_report(const std::string& instance, const std::string& json) {
+    try {
+        const protocol::Json body = protocol::read_json(json);
+        const auto number = [&body](std::string_view name) {
+            const protocol::Json* found = body.find(name);
+            return found == nullptr ? std::int64_t{0} : found->as_integer(name);
+        };
+        model::Load load;
+        load.instance = instance;
+        load.waiting = number("waiting"), load.running = number("running");
+        load.memory_used = number("kvUsed"), load.memory_total = number("kvTotal");
+        return load;
+    } catch (const protocol::ProtocolError&) { return std::nullopt; }
+}
+
+ReportReader::ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read)
+    : reactor_(reactor), options_(std::move(options)), read_(std::move(read)) {}
+
+void ReportReader::assign(const std::map<std::string, model::Instance>& instances,
+                          const std::vector<model::EdgeNode>& nodes) {
+    const auto is_mine = [&](const model::Instance& instance) {
+        return instance.may_be_sent_to() && instance.stage != model::Stage::kNone &&
+               reader_of(instance.id, nodes) == options_.self;
+    };
+    for (auto next = duties_.begin(); next != duties_.end();) {
+        const auto here = next++;
+        const auto known = instances.find(here->first);
+        if (known != instances.end() && is_mine(known->second)) continue;
+        auto held = std::make_shared<std::unique_ptr<Duty>>(std::move(here->second));
+        duties_.erase(here);
+        reactor_.free_later([held] { held->reset(); });
+    }
+    for (const auto& [id, instance] : instances) {
+        if (duties_.contains(id) || !is_mine(instance)) continue;
+        auto& duty = duties_[id] = std::make_unique<Duty>(reactor_, id, instance.address);
+        duty->task = keep_reading(*duty);
+        duty->task.start();
+    }
+}
+
+transport::Async<transport::Done> ReportReader::sleep(Duty& duty, Tenths until) {
+    const transport::WakeAt timer(reactor_, until, duty.wake);
+    while (reactor_.now() < until) co_await duty.wake;
+    co_return transport::Done{};
+}
+
+transport::Task ReportReader::keep_reading(Duty& duty) {
+    // Readings of many servers are spread over the interval by the server's id.
+    const auto interval = static_cast<std::uint64_t>(options_.interval);
+    co_await sleep(duty, reactor_.now() + static_cast<Tenths>(hash_text(duty.instance) % interval));
+    for (;;) {
+        const Tenths began = reactor_.now();
+        if (!co_await read_once(duty)) duty.connection.reset();
+        co_await sleep(duty, began + options_.interval);
+    }
+}
+
+transport::Async<bool> ReportReader::read_once(Duty& duty) {
+    if (duty.connection && !duty.connection->quiet()) duty.connection.reset();
+    if (!duty.connection) duty.connection = http::ClientConnection::open(reactor_, duty.address, kMostRequest);
+    if (!duty.connection) co_return false;
+    http::ClientConnection& connection = *duty.connection;
+    connection.stream().also_wake(&duty.wake);
+    connection.stream().send(protocol::http_request("GET", "/report", duty.address));
+    const Tenths until = reactor_.now() + kReportPatience;
+    const transport::WakeAt timer(reactor_, until, duty.wake);
+    while (!connection.parser().complete()) {
+        connection.read();
+        if (connection.parser().complete()) break;
+        if (connection.parser().broken() != 0 || connection.stream().ended() || reactor_.now() >= until) co_return false;
+        co_await duty.wake;
+    }
+    const protocol::HttpMessage answer = connection.parser().take();
+    if (answer.status == 200)
+        if (const auto load = read_report(duty.instance, answer.body)) read_(*load);
+    co_return !answer.close;
+}
+
+} // namespace ivyrill::agent
--- /dev/null
+++ b/src/agent/report_reader.hpp
@@ -0,0 +1,51 @@
+// Reads `GET /report` of the servers that fall to this node, for all nodes: a server's reader is the live edge node with
+// the highest rendezvous hash of its id, so that a change of nodes moves few of them.
+#pragma once
+#include "http/client_connection.hpp"
+#include "model/instance.hpp"
+#include "transport/async.hpp"
+#include "transport/reactor.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill::agent {
+
+std::string reader_of(const std::string& instance, const std::vector<model::EdgeNode>& nodes);
+std::optional<model::Load> read_report(const std::string& instance, const std::string& json); // nothing where spoilt
+
+class ReportReader {
+  public:
+    struct Options {
+        std::string self;    // node name
+        Tenths interval = 0; // between two reports of one server
+    };
+    ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read);
+    // The servers and nodes as they are now.
+    void assign(const std::map<std::string, model::Instance>& instances, const std::vector<model::EdgeNode>& nodes);
+    std::size_t readings() const { return duties_.size(); }
+
+  private:
+    struct Duty {
+        Duty(transport::Reactor& reactor, std::string instance, std::string address)
+            : instance(std::move(instance)), address(std::move(address)), wake(reactor.loop()) {}
+        std::string instance, address;
+        transport::Slot wake;
+        std::unique_ptr<http::ClientConnection> connection;
+        transport::Task task;
+    };
+    transport::Task keep_reading(Duty& duty);
+    transport::Async<bool> read_once(Duty& duty);
+    transport::Async<transport::Done> sleep(Duty& duty, Tenths until);
+
+    transport::Reactor& reactor_;
+    Options options_;
+    std::function<void(model::Load)> read_;
+    std::map<std::string, std::unique_ptr<Duty>> duties_;
+};
+
+} // namespace ivyrill::agent
--- /dev/null
+++ b/src/base/hash.hpp
@@ -0,0 +1,26 @@
+// FNV-1a, 64 bits, with a final mix (the finalizer of MurmurHash3) so that every bit of the result depends on every bit
+// of the text. The same on every machine: ranges, parts and rendezvous orders are compared between processes.
+#pragma once
+#include <cstdint>
+#include <string_view>
+
+namespace ivyrill {
+
+constexpr std::uint64_t mix_bits(std::uint64_t value) {
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ value >> 33U;
+}
+
+constexpr std::uint64_t hash_text(std::string_view text, std::uint64_t seed = 0) {
+    std::uint64_t hash = 0xcbf29ce484222325ULL ^ seed;
+    for (const char letter : text) {
+        hash ^= static_cast<unsigned char>(letter);
+        hash *= 0x100000001b3ULL;
+    }
+    return mix_bits(hash);
+}
+
+} // namespace ivyrill
--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,46 @@
+#include "base/log.hpp"
+
+#include <cstdio>
+#include <ctime>
+#include <date/date.h>
+#include <fmt/core.h>
+#include <fmt/format.h>
+
+namespace ivyrill {
+
+namespace {
+
+std::string prefix; // node and role
+
+void append_value(std::string& line, std::string_view value) {
+    if (!value.empty() && value.find_first_of(" \"\n\r\t=") == std::string_view::npos) {
+        line.append(value);
+        return;
+    }
+    line.push_back('"');
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\') line.push_back('\\');
+        line.push_back(letter == '\n' || letter == '\r' ? ' ' : letter);
+    }
+    line.push_back('"');
+}
+
+} // namespace
+
+void open_log_lines(const std::string& node, const std::string& role) {
+    prefix = fmt::format(" node={} role={}", node, role);
+}
+
+void log_line(std::string_view event, std::initializer_list<LogField> fields) {
+    const auto now = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    std::string line = "time=" + date::format("%FT%TZ", now) + prefix;
+    line.append(" event=").append(event);
+    for (const LogField& field : fields) {
+        line.append(" ").append(field.key).append("=");
+        append_value(line, field.value);
+    }
+    line.push_back('\n');
+    fmt::print(stderr, "{}", line);
+}
+
+} // namespace ivyrill
--- /dev/null
+++ b/src/control/configuration_group.cpp
@@ -0,0 +1,226 @@
+#include "control/configuration_group.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "configuration/parse.hpp"
+#include "wire/cbor.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace ivyrill::control {
+
+namespace {
+
+constexpr Tenths kProposalPatience = 30'000; // callers give up after a second; the group may take longer
+constexpr Tenths kReadPatience = 8'000;
+constexpr Tenths kLearnerContact = 12'000; // since the last word of a leader, for one that is no voter
+
+struct DiskState { // what lies in one file
+    consensus::Member self;
+    consensus::DurableState state;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.self, s.state); }
+};
+
+consensus::MemberId founder_id(const std::string& address) { return {hash_text(address) | 1U}; }
+
+consensus::MemberId drawn_id() {
+    std::random_device device;
+    return {(static_cast<std::uint64_t>(device()) << 32U | device()) | 1U};
+}
+
+Error not_leading() {
+    return error(ErrorKind::kUnavailable, "this node does not own the configuration now: call again or elsewhere");
+}
+
+} // namespace
+
+Result<std::unique_ptr<ConfigurationGroup>> ConfigurationGroup::open(transport::Reactor& reactor, Options options,
+                                                                     Callbacks callbacks) {
+    std::unique_ptr<ConfigurationGroup> group(
+        new ConfigurationGroup(reactor, std::move(options), std::move(callbacks)));
+    BOOST_OUTCOME_TRYV(group->load());
+    group->step();
+    return group;
+}
+
+ConfigurationGroup::ConfigurationGroup(transport::Reactor& reactor, Options options, Callbacks callbacks)
+    : reactor_(reactor), options_(std::move(options)), callbacks_(std::move(callbacks)),
+      last_contact_(reactor.now()) {}
+
+ConfigurationGroup::~ConfigurationGroup() { reactor_.cancel(timer_); }
+
+Result<void> ConfigurationGroup::load() {
+    storage::VersionStore store(options_.data_dir, "state");
+    BOOST_OUTCOME_TRY(found, store.load());
+    DiskState held;
+    if (found) {
+        BOOST_OUTCOME_TRY(read, wire::from_bytes<DiskState>(found->bytes));
+        held = std::move(read);
+        if (held.self.address != options_.address)
+            log_line("address_changed", {{"was", held.self.address}, {"is", options_.address}});
+    }
+    const bool founds = !found && options_.first_start &&
+                        std::ranges::find(options_.founders, options_.address) != options_.founders.end();
+    if (!found) held.self.id = founds ? founder_id(options_.address) : drawn_id();
+    self_ = {held.self.id, options_.address, options_.zone};
+    disk_ = std::make_unique<DiskWriter>(reactor_, std::move(store), found ? found->number : 0);
+    consensus::Options options;
+    options.self = self_, options.seed = options_.seed;
+    replica_ = std::make_unique<consensus::Replica>(options, held.state, reactor_.now());
+    if (founds) {
+        std::vector<consensus::Member> founders;
+        for (const std::string& address : options_.founders) founders.push_back({founder_id(address), address, ""});
+        std::ranges::sort(founders, {}, &consensus::Member::address);
+        replica_->found(std::move(founders), wire::to_bytes(ConfigurationState{}), reactor_.now());
+    }
+    log_line("group_opened", {{"member", std::to_string(self_.id.value)},
+                              {"founder", founds ? "yes" : "no"},
+                              {"entry", held.state.entry ? "yes" : "no"}});
+    return boost::outcome_v2::success();
+}
+
+void ConfigurationGroup::receive(const consensus::Message& message) {
+    if (message.to == self_.id && std::holds_alternative<consensus::Append>(message.body))
+        heard_leader_ = reactor_.now();
+    replica_->receive(message, reactor_.now());
+    step();
+}
+
+void ConfigurationGroup::set_candidates(std::vector<consensus::Candidate> candidates) {
+    replica_->set_candidates(std::move(candidates), options_.least_voters, options_.most_voters, reactor_.now());
+    step();
+}
+
+void ConfigurationGroup::resign() {
+    replica_->resign(reactor_.now());
+    step();
+}
+
+void ConfigurationGroup::step() {
+    if (std::exchange(stepping_, true)) return;
+    for (auto effects = replica_->take_effects(); !effects.empty(); effects = replica_->take_effects())
+        for (consensus::Effect& effect : effects) carry_out(std::move(effect));
+    stepping_ = false;
+    reactor_.cancel(timer_);
+    timer_ = reactor_.call_at(std::max(replica_->next_tick(), reactor_.now() + 1), [this] {
+        replica_->tick(reactor_.now());
+        watch_contact();
+        step();
+    });
+}
+
+void ConfigurationGroup::carry_out(consensus::Effect effect) {
+    if (auto* sent = std::get_if<consensus::Send>(&effect)) {
+        callbacks_.send(*sent);
+    } else if (auto* stored = std::get_if<consensus::Store>(&effect)) {
+        store(*stored);
+    } else if (auto* committed = std::get_if<consensus::Committed>(&effect)) {
+        publish(committed->entry);
+    } else if (auto* done = std::get_if<consensus::ProposalDone>(&effect)) {
+        const auto found = proposals_.find(done->id);
+        if (found == proposals_.end()) return;
+        found->second->resolve(done->outcome);
+        proposals_.erase(found);
+    } else if (auto* read = std::get_if<consensus::ReadDone>(&effect)) {
+        const auto found = reads_.find(read->id);
+        if (found == reads_.end()) return;
+        found->second->resolve(read->confirmed);
+        reads_.erase(found);
+    } else if (auto* role = std::get_if<consensus::RoleChanged>(&effect)) {
+        log_line("role", {{"leads", role->leads ? "yes" : "no"}, {"term", std::to_string(role->term)}});
+        if (callbacks_.role_changed) callbacks_.role_changed();
+    }
+}
+
+void ConfigurationGroup::store(const consensus::Store& store) {
+    disk_->save(wire::to_bytes(DiskState{self_, store.state}), [this, ticket = store.ticket](const Result<void>& done) {
+        if (done.has_error()) {
+            log_line("store_failed", {{"cause", done.error().message}});
+            replica_->store_failed(ticket, reactor_.now());
+        } else {
+            replica_->stored(ticket, reactor_.now());
+        }
+        step();
+    });
+}
+
+void ConfigurationGroup::publish(const consensus::Entry& entry) {
+    const auto state = wire::from_bytes<ConfigurationState>(entry.payload);
+    if (state.has_error() || state.value().version <= published_version_) return;
+    const auto configuration = configuration::parse(state.value().body);
+    if (configuration.has_error()) {
+        log_line("configuration_unreadable", {{"cause", configuration.error().message}});
+        return;
+    }
+    published_version_ = state.value().version;
+    log_line("configuration", {{"version", std::to_string(published_version_)}});
+    callbacks_.committed(configuration.value());
+}
+
+bool ConfigurationGroup::in_contact() const {
+    if (replica_->is_voter()) return replica_->in_contact(reactor_.now());
+    return heard_leader_ >= 0 && reactor_.now() - heard_leader_ < kLearnerContact;
+}
+
+void ConfigurationGroup::watch_contact() {
+    if (in_contact()) last_contact_ = reactor_.now();
+}
+
+Tenths ConfigurationGroup::out_of_contact() const { return in_contact() ? 0 : reactor_.now() - last_contact_; }
+
+std::vector<consensus::Member> ConfigurationGroup::voters() const {
+    const auto& newest = replica_->newest();
+    return newest ? newest->voters : std::vector<consensus::Member>{};
+}
+
+transport::Async<bool> ConfigurationGroup::confirmed() {
+    auto pending = std::make_shared<transport::Pending<bool>>(reactor_);
+    reads_[replica_->confirm_leadership(reactor_.now())] = pending;
+    step();
+    const auto result = co_await transport::Pending<bool>::wait(pending, reactor_.now() + kReadPatience);
+    co_return result.value_or(false);
+}
+
+transport::Async<Result<void>> ConfigurationGroup::replace(std::int64_t if_match, std::string body) {
+    const auto parsed = configuration::parse(body);
+    if (parsed.has_error()) co_return parsed.error();
+    if (!leads()) co_return not_leading();
+    auto verdict = std::make_shared<std::optional<Verdict>>();
+    const ReplaceCall call{if_match, parsed.value().version, std::move(body)};
+    const auto make = [verdict, call](const std::string& current) -> std::optional<std::string> {
+        const auto state = wire::from_bytes<ConfigurationState>(current);
+        if (state.has_error()) return std::nullopt;
+        const Decision decision = decide(state.value(), call);
+        *verdict = decision.verdict;
+        if (!decision.next) return std::nullopt;
+        return wire::to_bytes(*decision.next);
+    };
+    auto pending = std::make_shared<transport::Pending<consensus::ProposalOutcome>>(reactor_);
+    proposals_[replica_->propose(make, reactor_.now())] = pending;
+    step();
+    const auto outcome =
+        co_await transport::Pending<consensus::ProposalOutcome>::wait(pending, reactor_.now() + kProposalPatience);
+    if (outcome == consensus::ProposalOutcome::kCommitted) co_return boost::outcome_v2::success();
+    if (!*verdict || **verdict == Verdict::kAccept) co_return not_leading();
+    // A refusal, or a word on what was taken before, is only as good as this node's knowledge: proven by a majority.
+    if (!co_await confirmed()) co_return not_leading();
+    if (**verdict == Verdict::kAlreadyTaken) co_return boost::outcome_v2::success();
+    if (**verdict == Verdict::kOldVersion)
+        co_return error(ErrorKind::kInvalidInput, "version: not above the current one; read /config and raise it");
+    co_return error(ErrorKind::kVersionConflict, "If-Match: another version is current; read /config and build on it");
+}
+
+transport::Async<Result<std::string>> ConfigurationGroup::read() {
+    if (!leads() || !co_await confirmed()) co_return not_leading();
+    const auto& committed = replica_->committed();
+    if (!committed) co_return not_leading();
+    auto state = wire::from_bytes<ConfigurationState>(committed->payload);
+    if (state.has_error()) co_return state.error();
+    if (state.value().version == 0)
+        co_return error(ErrorKind::kUnavailable, "no configuration was taken yet: send one by PUT /config");
+    co_return std::move(state.value().body);
+}
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/control/configuration_state.cpp
@@ -0,0 +1,34 @@
+#include "control/configuration_state.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace ivyrill::control {
+
+namespace {
+
+constexpr std::size_t kMostTaken = 512; // a caller sends a call again for seconds, not for hundreds of changes
+constexpr std::uint64_t kSecondSeed = 0x9e3779b97f4a7c15ULL;
+
+TakenCall identity(const ReplaceCall& call) {
+    const std::string bound = std::to_string(call.if_match) + "\n";
+    const std::uint64_t first = hash_text(bound), second = hash_text(bound, kSecondSeed);
+    return {call.version, hash_text(call.body, first), hash_text(call.body, second)};
+}
+
+} // namespace
+
+Decision decide(const ConfigurationState& current, const ReplaceCall& call) {
+    const TakenCall known = identity(call);
+    if (std::ranges::find(current.taken, known) != current.taken.end()) return {Verdict::kAlreadyTaken, {}};
+    if (call.if_match != current.version) return {Verdict::kConflict, {}};
+    if (call.version <= current.version) return {Verdict::kOldVersion, {}};
+    ConfigurationState next = current;
+    next.version = call.version, next.body = call.body;
+    next.taken.push_back(known);
+    if (next.taken.size() > kMostTaken) next.taken.erase(next.taken.begin());
+    return {Verdict::kAccept, std::move(next)};
+}
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/control/instance_registry.cpp
@@ -0,0 +1,273 @@
+#include "control/instance_registry.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "protocol/json.hpp"
+#include "transport/address.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyrill::control {
+
+using model::Instance;
+using model::InstanceState;
+
+namespace {
+
+constexpr Tenths kCheckInterval = 2500;
+constexpr Tenths kSecurePatience = 8000; // servers turn elsewhere after a second
+constexpr Tenths kGoneSpan = 60 * kTenthsPerSecond; // so long is what is gone remembered, for words that come late
+constexpr double kSilentBeats = 2.6, kGoneBeats = 25; // missed heartbeats after which a server counts as ...
+constexpr int kDiffersOften = 2; // statuses in a row: what is on its way is no difference
+
+model::Stage stage_of(const std::string& text) {
+    if (text == "prefill") return model::Stage::kPrefill;
+    if (text == "decode") return model::Stage::kDecode;
+    return model::Stage::kNone;
+}
+
+std::string text_or(const protocol::Json& object, std::string_view name, std::string other) {
+    const protocol::Json* found = object.find(name);
+    return found == nullptr || found->sort == protocol::Json::Sort::kNull ? other : found->as_text(name);
+}
+
+// What a heartbeat may repeat without its being news.
+bool says_the_same(const Instance& a, const Instance& b) {
+    Instance alike = a;
+    alike.revision = b.revision;
+    return alike == b;
+}
+
+} // namespace
+
+Result<RegisterCall> read_register_call(const std::string& id, const std::string& json) {
+    try {
+        const protocol::Json body = protocol::read_json(json);
+        Instance instance;
+        instance.id = id;
+        instance.service = body.at("service").as_text("service");
+        instance.address = body.at("address").as_text("address");
+        instance.zone = text_or(body, "zone", "");
+        instance.software_version = text_or(body, "version", "");
+        if (const auto* slots = body.find("slots")) instance.slots = slots->as_integer("slots");
+        instance.state =
+            text_or(body, "state", "serving") == "draining" ? InstanceState::kDraining : InstanceState::kServing;
+        instance.stage = stage_of(text_or(body, "stage", ""));
+        if (const auto* models = body.find("models"))
+            for (const protocol::Json& model : models->as_list("models")) {
+                model::ServedModel served{model.at("name").as_text("name"), 0};
+                if (const auto* version = model.find("version")) served.version = version->as_integer("version");
+                instance.models.push_back(std::move(served));
+            }
+        instance.revision = static_cast<std::uint64_t>(body.at("callSeq").as_integer("callSeq"));
+        if (instance.revision >= model::kFinalRevision)
+            return error(ErrorKind::kInvalidInput, "callSeq: too large; count from 0 at each start");
+        transport::read_address(instance.address);
+        return RegisterCall{std::move(instance)};
+    } catch (const std::exception& failure) {
+        return error(ErrorKind::kInvalidInput, std::string("heartbeat: ") + failure.what() + "; send the whole record");
+    }
+}
+
+std::string owner_of(const std::string& service, const std::vector<std::string>& nodes) {
+    const std::uint64_t part = hash_text(service) % kParts;
+    std::string owner;
+    std::uint64_t best = 0;
+    for (const std::string& node : nodes) {
+        const std::uint64_t weight = hash_text(node, mix_bits(part + 1));
+        if (owner.empty() || weight > best) owner = node, best = weight;
+    }
+    return owner;
+}
+
+InstanceRegistry::InstanceRegistry(transport::Reactor& reactor, feed::FeedLog& log, Options options,
+                                   Callbacks callbacks)
+    : reactor_(reactor), log_(log), options_(std::move(options)), callbacks_(std::move(callbacks)) {
+    check_silence();
+}
+
+InstanceRegistry::~InstanceRegistry() { reactor_.cancel(timer_); }
+
+bool InstanceRegistry::accept(const Instance& record) {
+    if (!table_.merge(record, reactor_.now())) return false;
+    log_.put(*table_.find(record.id));
+    if (record.state == InstanceState::kGone) last_heard_.erase(record.id);
+    return true;
+}
+
+// A server that starts at an address ends whatever record stood there before.
+void InstanceRegistry::end_predecessors(const Instance& record) {
+    std::vector<Instance> ended;
+    for (const auto& [id, other] : table_.records())
+        if (id != record.id && other.address == record.address && other.state != InstanceState::kGone)
+            ended.push_back(other);
+    for (Instance& other : ended) {
+        other.state = InstanceState::kGone, other.revision = model::kFinalRevision;
+        accept(other);
+        callbacks_.send_to_peers(feed::Replicate{0, {other}, {}});
+    }
+}
+
+transport::Async<Result<RegisterReply>> InstanceRegistry::carry_out(RegisterCall call) {
+    Instance record = std::move(call.instance);
+    const Instance* known = table_.find(record.id);
+    const bool finished = known != nullptr && known->revision == model::kFinalRevision;
+    heard(record.id);
+    const std::string owner = owner_of(record.service, nodes_);
+    if (owner != options_.self) heard_for_others_.insert(record.id);
+    if (!finished && (known == nullptr || (record.revision > known->revision && !says_the_same(record, *known)))) {
+        const bool fresh = known == nullptr;
+        if (fresh) end_predecessors(record);
+        if (accept(record)) {
+            callbacks_.changed();
+            if (record.state == InstanceState::kServing) callbacks_.send_to_peers(feed::Replicate{0, {record}, {}});
+            if (fresh) log_line("server_up", {{"id", record.id}, {"address", record.address}});
+        }
+    }
+    known = table_.find(record.id);
+    const bool leaves = known->state == InstanceState::kDraining || known->state == InstanceState::kGone;
+    if (leaves && !secured_.contains(record.id)) {
+        std::vector<Instance> held(1, *known);
+        if (!co_await secure(std::move(held)))
+            co_return error(ErrorKind::kUnavailable, "no majority of the control nodes can be told: call another one");
+        secured_.insert(record.id);
+    }
+    co_return RegisterReply{owner.empty() || owner == options_.self ? "" : callbacks_.call_address(owner)};
+}
+
+transport::Async<Result<LeaveReply>> InstanceRegistry::carry_out(LeaveCall call) {
+    const Instance* known = table_.find(call.instance);
+    Instance record;
+    if (known != nullptr) record = *known;
+    record.id = call.instance, record.state = InstanceState::kGone, record.revision = model::kFinalRevision;
+    if (accept(record)) {
+        callbacks_.changed();
+        log_line("server_left", {{"id", record.id}});
+    }
+    std::vector<Instance> held(1, *table_.find(call.instance));
+    if (!co_await secure(std::move(held)))
+        co_return error(ErrorKind::kUnavailable, "no majority of the control nodes can be told: call another one");
+    co_return LeaveReply{};
+}
+
+transport::Async<bool> InstanceRegistry::secure(std::vector<Instance> records) {
+    const std::size_t wanted = callbacks_.further_copies();
+    const std::uint64_t number = ++count_;
+    auto pending = std::make_shared<transport::Pending<bool>>(reactor_);
+    copies_[number] = {{}, wanted, pending};
+    callbacks_.send_to_peers(feed::Replicate{number, std::move(records), {}});
+    if (wanted == 0) pending->resolve(true);
+    const auto result = co_await transport::Pending<bool>::wait(pending, reactor_.now() + kSecurePatience);
+    copies_.erase(number);
+    co_return result.value_or(false);
+}
+
+void InstanceRegistry::replicated(const std::string& peer, const feed::Replicated& message) {
+    const auto found = copies_.find(message.number);
+    if (found == copies_.end()) return;
+    found->second.peers.insert(peer);
+    if (found->second.peers.size() >= found->second.wanted) found->second.enough->resolve(true);
+}
+
+void InstanceRegistry::replicate(const std::string& peer, const feed::Replicate& message) {
+    bool news = false;
+    for (const Instance& record : message.instances) {
+        const bool fresh = table_.find(record.id) == nullptr;
+        if (!accept(record)) continue;
+        news = true;
+        if (fresh) heard(record.id);
+    }
+    if (!message.loads.empty()) take_loads(message.loads, false);
+    if (message.number != 0) callbacks_.send(peer, feed::Replicated{message.number});
+    if (news) callbacks_.changed();
+}
+
+void InstanceRegistry::take_loads(const std::vector<model::Load>& loads, bool first_hand) {
+    std::vector<model::Load> news;
+    for (const model::Load& load : loads) {
+        const Instance* known = table_.find(load.instance);
+        if (known == nullptr || known->state == InstanceState::kGone) continue;
+        log_.put(load);
+        news.push_back(load);
+    }
+    if (news.empty()) return;
+    if (first_hand) callbacks_.send_to_peers(feed::Replicate{0, {}, news});
+    callbacks_.changed();
+}
+
+void InstanceRegistry::compare(const std::string& peer, const feed::PeerStatus& status) {
+    for (const std::string& id : status.heard) heard(id);
+    const auto ranges = feed::InstanceTable::differing(digests(), status.instances);
+    int& times = differs_[peer];
+    times = ranges.empty() ? 0 : times + 1;
+    if (times < kDiffersOften) return;
+    times = 0;
+    callbacks_.send(peer, feed::WantRanges{ranges});
+}
+
+void InstanceRegistry::send_ranges(const std::string& peer, const feed::WantRanges& wanted) {
+    callbacks_.send(peer, feed::Replicate{0, table_.in_ranges(wanted.ranges), {}});
+}
+
+void InstanceRegistry::merge_known(const std::vector<Instance>& records) {
+    bool news = false;
+    for (const Instance& record : records) {
+        const bool fresh = table_.find(record.id) == nullptr;
+        if (!accept(record)) continue;
+        news = true;
+        if (fresh) heard(record.id);
+        callbacks_.send_to_peers(feed::Replicate{0, {record}, {}});
+    }
+    if (news) callbacks_.changed();
+}
+
+void InstanceRegistry::set_nodes(std::vector<std::string> alive) {
+    if (alive == nodes_) return;
+    const std::vector<std::string> before = std::exchange(nodes_, std::move(alive));
+    // Whoever takes a part over has not heard its servers yet: they get their whole time.
+    for (const auto& [id, record] : table_.records())
+        if (owner_of(record.service, nodes_) == options_.self && owner_of(record.service, before) != options_.self)
+            heard(id);
+}
+
+std::vector<std::string> InstanceRegistry::take_heard() {
+    std::vector<std::string> ids(heard_for_others_.begin(), heard_for_others_.end());
+    heard_for_others_.clear();
+    return ids;
+}
+
+void InstanceRegistry::check_silence() {
+    timer_ = reactor_.call_after(kCheckInterval, [this] { check_silence(); });
+    // While this process stood still it heard nobody; the servers aren't to blame.
+    if (const Tenths slept = reactor_.overslept(); slept > kCheckInterval / 5)
+        for (auto& [id, at] : last_heard_) at += slept;
+    std::vector<Instance> judged;
+    const bool may_judge = callbacks_.in_contact();
+    for (const auto& [id, record] : table_.records()) {
+        if (!may_judge || record.state == InstanceState::kGone) continue;
+        if (owner_of(record.service, nodes_) != options_.self) continue;
+        const auto at = last_heard_.try_emplace(id, reactor_.now()).first->second;
+        const double missed = static_cast<double>(reactor_.now() - at) / static_cast<double>(options_.heartbeat);
+        Instance judgement = record;
+        if (missed >= kGoneBeats)
+            judgement.state = InstanceState::kGone;
+        else if (missed >= kSilentBeats && record.state == InstanceState::kServing)
+            judgement.state = InstanceState::kSilent;
+        if (judgement.state != record.state) judged.push_back(judgement);
+    }
+    for (const Instance& judgement : judged) {
+        log_line("server_silent", {{"id", judgement.id}, {"address", judgement.address}});
+        accept(judgement);
+    }
+    if (!judged.empty()) callbacks_.send_to_peers(feed::Replicate{0, judged, {}});
+    bool forgot = false;
+    for (const std::string& id : table_.forget_gone(kGoneSpan, reactor_.now())) {
+        log_.forget_instance(id);
+        secured_.erase(id), last_heard_.erase(id);
+        forgot = true;
+    }
+    if (!judged.empty() || forgot) callbacks_.changed();
+}
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/control/instance_registry.hpp
@@ -0,0 +1,96 @@
+// The model servers as this control node knows them. Parts of the state are cut by a hash of the service's name; each
+// part has an owner among the control nodes that are alive, who takes its heartbeats and alone judges silence. What a
+// server says of its leaving is acknowledged once a majority of the control nodes holds it.
+#pragma once
+#include "base/result.hpp"
+#include "feed/feed_log.hpp"
+#include "feed/instance_table.hpp"
+#include "feed/messages.hpp"
+#include "model/instance.hpp"
+#include "transport/pending.hpp"
+#include "transport/reactor.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivyrill::control {
+
+struct RegisterCall {
+    model::Instance instance; // with the heartbeat's own sequence number as its revision
+};
+struct RegisterReply {
+    std::string beat_address; // where later heartbeats should go; empty for no advice
+};
+struct LeaveCall {
+    std::string instance;
+};
+struct LeaveReply {};
+
+Result<RegisterCall> read_register_call(const std::string& id, const std::string& json);
+
+// The owner of a service's part among `nodes` (addresses): the highest rendezvous hash.
+std::string owner_of(const std::string& service, const std::vector<std::string>& nodes);
+inline constexpr std::uint64_t kParts = 256; // that services are hashed to
+
+class InstanceRegistry {
+  public:
+    struct Options {
+        std::string self;        // this node's address among its peers
+        Tenths heartbeat = 0;    // that servers keep
+    };
+    struct Callbacks {
+        std::function<void(const feed::Message&)> send_to_peers;
+        std::function<void(const std::string& peer, const feed::Message&)> send;
+        std::function<std::size_t()> further_copies; // that make a majority together with this node's
+        std::function<bool()> in_contact;            // with whoever owns the configuration: this side is the majority
+        std::function<std::string(const std::string& peer)> call_address; // where a peer takes servers' calls
+        std::function<void()> changed;               // items were put into the log
+    };
+    InstanceRegistry(transport::Reactor& reactor, feed::FeedLog& log, Options options, Callbacks callbacks);
+    ~InstanceRegistry();
+
+    transport::Async<Result<RegisterReply>> carry_out(RegisterCall call);
+    transport::Async<Result<LeaveReply>> carry_out(LeaveCall call);
+
+    void set_nodes(std::vector<std::string> alive); // with this node
+    void replicate(const std::string& peer, const feed::Replicate& message);
+    void replicated(const std::string& peer, const feed::Replicated& message);
+    void compare(const std::string& peer, const feed::PeerStatus& status);
+    void send_ranges(const std::string& peer, const feed::WantRanges& wanted);
+    void merge_known(const std::vector<model::Instance>& records); // that an agent knows
+    void take_loads(const std::vector<model::Load>& loads, bool first_hand);
+    std::vector<std::string> take_heard();
+    feed::Digests digests() const { return table_.digests(); }
+    const feed::InstanceTable& table() const { return table_; }
+
+  private:
+    struct Copies { // of one replicated message
+        std::set<std::string> peers;
+        std::size_t wanted = 0;
+        std::shared_ptr<transport::Pending<bool>> enough;
+    };
+    bool accept(const model::Instance& record); // merges and publishes; false where it was no news
+    void end_predecessors(const model::Instance& record);
+    transport::Async<bool> secure(std::vector<model::Instance> records); // until a majority holds them
+    void check_silence();
+    void heard(const std::string& id) { last_heard_[id] = reactor_.now(); }
+
+    transport::Reactor& reactor_;
+    feed::FeedLog& log_;
+    Options options_;
+    Callbacks callbacks_;
+    feed::InstanceTable table_;
+    std::map<std::string, Tenths> last_heard_;
+    std::set<std::string> heard_for_others_, secured_;
+    std::map<std::string, int> differs_; // statuses in a row in which a peer's digests were others
+    std::map<std::uint64_t, Copies> copies_;
+    std::vector<std::string> nodes_;
+    std::uint64_t count_ = 0;
+    transport::Reactor::TimerId timer_{};
+};
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/control/peer_mesh.hpp
@@ -0,0 +1,85 @@
+// The links between control nodes: who they are, which of them are there, and messages to each. Every node sends over
+// the links that it opened and hears over those that others opened, so a link that works one way only counts as none.
+#pragma once
+#include "consensus/replica.hpp"
+#include "feed/link.hpp"
+#include "feed/messages.hpp"
+#include "transport/reactor.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivyrill::control {
+
+class PeerMesh {
+  public:
+    struct Options {
+        model::ControlNode self;
+        std::uint64_t incarnation = 0;
+        std::vector<std::string> seeds; // addresses of peers
+        Tenths status_interval = 2500;
+        Tenths silence = 10'000; // after which a peer counts as not alive
+    };
+    struct Callbacks {
+        std::function<void(const model::ControlNode&, feed::Message)> received;
+        std::function<void()> peers_changed;               // one is alive that was not, or the reverse
+        std::function<void(feed::PeerStatus&)> fill_status; // what this node tells its peers
+    };
+    PeerMesh(transport::Reactor& reactor, Options options, Callbacks callbacks);
+    ~PeerMesh();
+
+    void start();
+    void take(int descriptor); // a connection that a peer has opened
+    bool send(const std::string& address, const feed::Message& message); // false where no link stands
+    bool send_to_member(std::uint64_t member, const feed::Message& message);
+    void send_to_all(const feed::Message& message);
+    void know(const model::ControlNode& node); // from elsewhere, e.g. the list of voters
+    void set_ending();                         // told with the next status, which goes at once
+
+    std::vector<model::ControlNode> alive() const; // without this node
+    std::vector<consensus::Candidate> candidates() const; // with this node
+    std::vector<model::EdgeNode> sessions() const;        // of peers that are alive, as they told
+    std::vector<std::string> addresses() const;
+
+  private:
+    struct Peer {
+        model::ControlNode node; // member 0 while unknown
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<feed::Link> out;
+        Tenths last_heard = 0, next_try = 0, first_known = 0, alive_since = 0;
+        bool alive = false, ending = false, seed = false;
+        std::vector<model::EdgeNode> sessions;
+        Tenths pause = 0;
+    };
+    struct Incoming {
+        std::unique_ptr<feed::Link> link;
+        std::string address; // empty until it has said hello
+    };
+    Peer& peer(const std::string& address);
+    void connect(Peer& peer);
+    void out_ended(const std::string& address, const std::string& reason);
+    void received(std::uint64_t id, feed::Message message);
+    void hello(Incoming& incoming, const feed::PeerHello& message);
+    void status(Peer& peer, const feed::PeerStatus& message);
+    void learn(const std::vector<model::ControlNode>& nodes);
+    void tick();
+    void send_status();
+    void refresh();
+    feed::PeerHello own_hello() const;
+    std::vector<model::ControlNode> known() const;
+
+    transport::Reactor& reactor_;
+    Options options_;
+    Callbacks callbacks_;
+    std::map<std::string, Peer> peers_; // by address
+    std::map<std::uint64_t, Incoming> incoming_;
+    std::map<std::uint64_t, Tenths> replaced_; // disks whose address another disk holds now
+    std::uint64_t count_ = 0;
+    bool ending_ = false;
+    transport::Reactor::TimerId timer_{};
+};
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/feed/feed_log.cpp
@@ -0,0 +1,129 @@
+#include "feed/feed_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyrill::feed {
+
+namespace {
+
+struct KeyOf {
+    std::string operator()(const model::Configuration&) const { return "configuration"; }
+    std::string operator()(const ConfigurationChange&) const { return "configuration"; }
+    std::string operator()(const model::Instance& instance) const { return "instance " + instance.id; }
+    std::string operator()(const Forgotten& forgotten) const { return "instance " + forgotten.instance; }
+    std::string operator()(const model::Load& load) const { return "load " + load.instance; }
+    std::string operator()(const EdgeNodes&) const { return "edge nodes"; }
+    std::string operator()(const ControlNodes&) const { return "control nodes"; }
+};
+
+bool same_place(const model::Route& a, const model::Route& b) {
+    return a.host == b.host && a.path_prefix == b.path_prefix;
+}
+
+std::string place_of(const model::Route& route) { return route.host + " " + route.path_prefix; }
+
+} // namespace
+
+void FeedLog::put(Item item) {
+    const std::string key = std::visit(KeyOf{}, item);
+    if (const auto* configuration = std::get_if<model::Configuration>(&item)) {
+        const model::Configuration* before = this->configuration();
+        last_change_.reset();
+        if (before != nullptr) last_change_ = difference(*before, *configuration);
+    }
+    erase(key);
+    ++place_;
+    order_[place_] = key;
+    items_[key] = {place_, std::move(item)};
+}
+
+void FeedLog::erase(const std::string& key) {
+    const auto known = items_.find(key);
+    if (known == items_.end()) return;
+    order_.erase(known->second.place);
+    items_.erase(known);
+}
+
+void FeedLog::forget_instance(const std::string& id) {
+    for (const std::string& key : {"instance " + id, "load " + id}) {
+        const auto known = items_.find(key);
+        if (known == items_.end()) continue;
+        oldest_ = std::max(oldest_, known->second.place);
+        erase(key);
+    }
+}
+
+std::optional<std::vector<Item>> FeedLog::since(std::uint64_t place) const { return since(place, false); }
+
+std::optional<std::vector<Item>> FeedLog::since(std::uint64_t place, bool whole) const {
+    if (!whole && (place < oldest_ || place > place_)) return std::nullopt;
+    std::vector<Item> items;
+    for (auto next = order_.upper_bound(place); next != order_.end(); ++next)
+        items.push_back(items_.at(next->second).item);
+    return items;
+}
+
+const model::Configuration* FeedLog::configuration() const {
+    const auto known = items_.find("configuration");
+    return known == items_.end() ? nullptr : &std::get<model::Configuration>(known->second.item);
+}
+
+ConfigurationChange difference(const model::Configuration& from, const model::Configuration& to) {
+    ConfigurationChange change;
+    change.base_version = from.version, change.version = to.version, change.limits = to.limits;
+    std::map<std::string, const model::Route*> before;
+    for (const model::Route& route : from.routes) before[place_of(route)] = &route;
+    for (const model::Route& route : to.routes) {
+        const auto known = before.find(place_of(route));
+        if (known == before.end() || *known->second != route) change.routes.push_back(route);
+        if (known != before.end()) before.erase(known);
+    }
+    for (const auto& [place, route] : before) {
+        model::Route removed;
+        removed.host = route->host, removed.path_prefix = route->path_prefix;
+        change.removed_routes.push_back(removed);
+    }
+    const auto named = [](const std::vector<model::Service>& services, const std::string& name) {
+        const auto found = std::ranges::find(services, name, &model::Service::name);
+        return found == services.end() ? nullptr : &*found;
+    };
+    for (const model::Service& service : to.services) {
+        const model::Service* known = named(from.services, service.name);
+        if (known == nullptr || *known != service) change.services.push_back(service);
+    }
+    for (const model::Service& service : from.services)
+        if (named(to.services, service.name) == nullptr) change.removed_services.push_back(service.name);
+    return change;
+}
+
+std::optional<model::Configuration> apply(const model::Configuration& from, const ConfigurationChange& change) {
+    if (from.version != change.base_version) return std::nullopt;
+    model::Configuration to = from;
+    to.version = change.version, to.limits = change.limits;
+    std::map<std::string, std::size_t> places;
+    for (std::size_t i = 0; i < to.routes.size(); ++i) places[place_of(to.routes[i])] = i;
+    for (const model::Route& route : change.routes) {
+        const auto known = places.find(place_of(route));
+        if (known == places.end())
+            to.routes.push_back(route);
+        else
+            to.routes[known->second] = route;
+    }
+    std::erase_if(to.routes, [&](const model::Route& route) {
+        return std::ranges::any_of(change.removed_routes, [&](const auto& gone) { return same_place(gone, route); });
+    });
+    for (const model::Service& service : change.services) {
+        const auto known = std::ranges::find(to.services, service.name, &model::Service::name);
+        if (known == to.services.end())
+            to.services.push_back(service);
+        else
+            *known = service;
+    }
+    std::erase_if(to.services, [&](const model::Service& service) {
+        return std::ranges::find(change.removed_services, service.name) != change.removed_services.end();
+    });
+    return to;
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/instance_table.cpp
@@ -0,0 +1,83 @@
+#include "feed/instance_table.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace ivyrill::feed {
+
+using model::Instance;
+using model::InstanceState;
+
+bool InstanceTable::merge(const Instance& record, Tenths now) {
+    const auto [place, fresh] = records_.try_emplace(record.id, record);
+    if (!fresh) {
+        if (!model::supersedes(record, place->second)) return false;
+        const Instance known = place->second;
+        place->second = record;
+        // A record of what is gone may come from one that knew little else of it.
+        if (record.state == InstanceState::kGone && record.address.empty()) {
+            place->second = known;
+            place->second.state = InstanceState::kGone;
+        }
+    }
+    if (record.state == InstanceState::kGone)
+        gone_since_.emplace(record.id, now);
+    else
+        gone_since_.erase(record.id);
+    return true;
+}
+
+const Instance* InstanceTable::find(const std::string& id) const {
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+std::size_t InstanceTable::range_of(const std::string& id) { return hash_text(id) % kDigestRanges; }
+
+Digests InstanceTable::digests() const {
+    Digests digests{std::vector<std::uint64_t>(kDigestRanges, 0)};
+    for (const auto& [id, record] : records_) {
+        if (record.state == InstanceState::kGone) continue;
+        const auto state = static_cast<std::uint64_t>(record.state);
+        const std::uint64_t hash = hash_text(id);
+        digests.ranges[hash % kDigestRanges] += mix_bits(hash ^ mix_bits(record.revision * 8 + state + 1));
+    }
+    return digests;
+}
+
+std::vector<std::uint64_t> InstanceTable::differing(const Digests& mine, const Digests& theirs) {
+    std::vector<std::uint64_t> ranges;
+    for (std::size_t range = 0; range < kDigestRanges; ++range) {
+        const std::uint64_t here = range < mine.ranges.size() ? mine.ranges[range] : 0;
+        const std::uint64_t there = range < theirs.ranges.size() ? theirs.ranges[range] : 0;
+        if (here != there) ranges.push_back(range);
+    }
+    return ranges;
+}
+
+std::vector<Instance> InstanceTable::in_ranges(const std::vector<std::uint64_t>& ranges) const {
+    std::vector<Instance> found;
+    for (const auto& [id, record] : records_)
+        if (std::ranges::find(ranges, range_of(id)) != ranges.end()) found.push_back(record);
+    return found;
+}
+
+void InstanceTable::forget(const std::string& id) {
+    records_.erase(id);
+    gone_since_.erase(id);
+}
+
+std::vector<std::string> InstanceTable::forget_gone(Tenths span, Tenths now) {
+    std::vector<std::string> forgotten;
+    for (auto next = gone_since_.begin(); next != gone_since_.end();) {
+        const auto here = next++;
+        if (now - here->second < span) continue;
+        forgotten.push_back(here->first);
+        records_.erase(here->first);
+        gone_since_.erase(here);
+    }
+    return forgotten;
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/link.cpp
@@ -0,0 +1,91 @@
+#include "feed/link.hpp"
+
+#include <utility>
+
+namespace ivyrill::feed {
+
+namespace {
+
+constexpr std::size_t kMostUnread = 256 * 1024;
+constexpr std::size_t kMostUnsent = 32 * 1024 * 1024; // a snapshot for a slow link; its own bound is the frame's
+
+} // namespace
+
+Link::Link(transport::Reactor& reactor, int descriptor, transport::Stream::Start start, Tenths silence,
+           Callbacks callbacks)
+    : reactor_(reactor), wake_(reactor.loop()), stream_(reactor.loop(), descriptor, start, kMostUnread, kMostUnsent),
+      silence_(silence), last_heard_(reactor.now()), callbacks_(std::move(callbacks)), told_up_(stream_.up()) {
+    stream_.also_wake(&wake_);
+}
+
+void Link::start() {
+    task_ = read();
+    task_.start();
+    check_silence();
+}
+
+Link::~Link() {
+    *alive_ = false;
+    reactor_.cancel(silence_timer_);
+}
+
+// What came while this process stood still may wait to be read: it is read before the link is given up.
+void Link::check_silence() {
+    if (silence_ <= 0 || ended_) return;
+    if (reactor_.now() - last_heard_ >= silence_) {
+        if (!stream_.waiting_unread()) return end("silent");
+        wake_.wake();
+    }
+    silence_timer_ = reactor_.call_after(silence_ / 4, [this] { check_silence(); });
+}
+
+bool Link::send(const Message& message) { return send_frame(wire::frame(wire::to_bytes(message))); }
+
+bool Link::send_frame(const std::string& frame) {
+    if (ended_) return false;
+    if (stream_.send(frame)) return true;
+    end("peer reads too slowly");
+    return false;
+}
+
+void Link::end(const std::string& reason) {
+    if (std::exchange(ended_, true)) return;
+    stream_.abandon();
+    const auto ended = callbacks_.ended;
+    if (ended) ended(reason);
+}
+
+transport::Task Link::read() {
+    const std::shared_ptr<bool> alive = alive_;
+    for (;;) {
+        if (ended_) co_return;
+        if (stream_.up() && !std::exchange(told_up_, true) && callbacks_.up) {
+            last_heard_ = reactor_.now();
+            callbacks_.up();
+            if (!*alive || ended_) co_return;
+        }
+        while (stream_.unread()) {
+            stream_.feed(reader_);
+            last_heard_ = reactor_.now();
+            if (reader_.broken()) {
+                end(reader_.broken()->message);
+                co_return;
+            }
+            if (!reader_.complete()) continue;
+            auto message = wire::from_bytes<Message>(reader_.take());
+            if (message.has_error()) {
+                end(message.error().message);
+                co_return;
+            }
+            callbacks_.received(std::move(message.value()));
+            if (!*alive || ended_) co_return;
+        }
+        if (stream_.ended()) {
+            end("closed");
+            co_return;
+        }
+        co_await wake_;
+    }
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/messages.hpp
@@ -0,0 +1,137 @@
+// What travels over a feed (control to agent, agent to proxy) and over the links between control nodes.
+#pragma once
+#include "consensus/types.hpp"
+#include "model/configuration.hpp"
+#include "model/instance.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace ivyrill::feed {
+
+// Items of a feed; each replaces what was there under its key.
+struct EdgeNodes { // all of them
+    std::vector<model::EdgeNode> nodes;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.nodes); }
+    friend bool operator==(const EdgeNodes&, const EdgeNodes&) = default;
+};
+struct ControlNodes { // all of them
+    std::vector<model::ControlNode> nodes;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.nodes); }
+    friend bool operator==(const ControlNodes&, const ControlNodes&) = default;
+};
+// What a configuration changes of the one before it. Routes are known by host and prefix, services by name.
+struct ConfigurationChange {
+    std::int64_t base_version = 0, version = 0;
+    std::vector<model::Route> routes;
+    std::vector<model::Service> services;
+    std::vector<model::Route> removed_routes; // host and prefix alone
+    std::vector<std::string> removed_services;
+    model::ClientLimits limits;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.base_version, s.version, s.routes, s.services, s.removed_routes, s.removed_services, s.limits);
+    }
+};
+struct Forgotten { // an instance that the publisher no longer knows of; it may be told of again
+    std::string instance;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.instance); }
+    friend bool operator==(const Forgotten&, const Forgotten&) = default;
+};
+using Item = std::variant<model::Configuration, ConfigurationChange, model::Instance, Forgotten, model::Load, EdgeNodes,
+                          ControlNodes>;
+
+// How many ranges of instances are compared by digest; an instance's range follows from its id.
+inline constexpr std::size_t kDigestRanges = 32;
+struct Digests {
+    std::vector<std::uint64_t> ranges;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.ranges); }
+};
+
+// Subscriber to publisher.
+struct Subscribe { // the first message on a link of a feed
+    model::EdgeNode node;
+    std::uint64_t feed = 0, place = 0; // where to go on; feed 0: from a snapshot
+    std::int64_t configuration_version = 0;
+    Digests instances;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.node, s.feed, s.place, s.configuration_version, s.instances);
+    }
+};
+struct Instances { // records of the ranges that the publisher asked for
+    std::vector<model::Instance> records;
+    bool last = true;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.records, s.last); }
+};
+struct Loads { // what a reader has read
+    std::vector<model::Load> loads;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.loads); }
+};
+struct Heartbeat {
+    std::uint64_t place = 0; // of the publisher, or that the subscriber has applied
+    template <class Self> static auto tie(Self& s) { return std::tie(s.place); }
+};
+
+// Publisher to subscriber.
+struct WantRanges { // the subscriber's records of these ranges differ: send them
+    std::vector<std::uint64_t> ranges;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.ranges); }
+};
+struct Batch { // applied whole
+    std::uint64_t feed = 0, place = 0; // place after it
+    bool snapshot = false;             // replaces everything that was known
+    std::vector<Item> items;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.feed, s.place, s.snapshot, s.items); }
+};
+struct Refused { // this publisher can't serve now; the subscriber goes elsewhere
+    std::string reason;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.reason); }
+};
+
+// Between control nodes.
+struct PeerHello { // the first message on such a link, both ways
+    model::ControlNode node;
+    std::uint64_t incarnation = 0;
+    std::vector<model::ControlNode> known;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.node, s.incarnation, s.known); }
+};
+struct PeerStatus { // every so often: who is known here, whose sessions stand here, and digests of the instances
+    std::vector<model::ControlNode> known;
+    std::vector<model::EdgeNode> sessions;
+    Digests instances;
+    std::vector<std::string> heard; // instances whose heartbeats came here since the last status, though not the owner
+    bool ending = false;            // this node ends for good or for a while
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.known, s.sessions, s.instances, s.heard, s.ending);
+    }
+};
+struct Replicate { // merge, then acknowledge where a number is given
+    std::uint64_t number = 0;
+    std::vector<model::Instance> instances;
+    std::vector<model::Load> loads;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.number, s.instances, s.loads); }
+};
+struct Replicated {
+    std::uint64_t number = 0;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.number); }
+};
+// An operator's call that another control node has to decide.
+struct ForwardedCall {
+    std::uint64_t number = 0;
+    std::string method, if_match, body;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.number, s.method, s.if_match, s.body); }
+};
+struct ForwardedAnswer {
+    std::uint64_t number = 0;
+    std::int64_t status = 0;
+    std::string body;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.number, s.status, s.body); }
+};
+
+using Message = std::variant<Subscribe, Instances, Loads, Heartbeat, WantRanges, Batch, Refused, PeerHello, PeerStatus,
+                             Replicate, Replicated, ForwardedCall, ForwardedAnswer, consensus::Message>;
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/ports.hpp
@@ -0,0 +1,37 @@
+// Which of a machine's inner ports is for what, and how long a session may be silent. Ports are alike on all machines.
+#pragma once
+#include "feed/publisher.hpp"
+#include "settings/settings.hpp"
+
+#include <string>
+
+namespace ivyrill::feed {
+
+inline constexpr int kPeerPort = 0, kFeedPort = 1, kLocalFeedPort = 2; // counted from the first inner port
+
+inline std::string inner_address(const settings::Settings& settings, const std::string& host, int port) {
+    return host + ":" + std::to_string(settings.first_inner_port + port);
+}
+// Where a control node's peers reach it.
+inline std::string peer_address(const settings::Settings& settings, const std::string& host) {
+    return inner_address(settings, host, kPeerPort);
+}
+// Where agents follow a control node's feed.
+inline std::string feed_address(const settings::Settings& settings, const std::string& host) {
+    return inner_address(settings, host, kFeedPort);
+}
+// Where the proxy of a machine follows its agent's feed; two machines of one test may share the loopback.
+inline std::string local_feed_address(const settings::Settings& settings) {
+    const bool loopback = settings.ip.starts_with("127.");
+    return inner_address(settings, loopback ? settings.ip : "127.0.0.1", kLocalFeedPort);
+}
+
+inline constexpr Tenths kSessionHeartbeat = 4000, kSessionSilence = 14'000;
+
+inline Publisher::Options session_options() {
+    Publisher::Options options;
+    options.heartbeat = kSessionHeartbeat, options.silence = kSessionSilence;
+    return options;
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/publisher.cpp
@@ -0,0 +1,200 @@
+#include "feed/publisher.hpp"
+
+#include "base/log.hpp"
+
+#include <utility>
+
+namespace ivyrill::feed {
+
+namespace {
+
+bool waits_for_company(const Item& item) { return std::holds_alternative<model::Load>(item); }
+
+} // namespace
+
+Publisher::Publisher(transport::Reactor& reactor, FeedLog& log, Options options, Callbacks callbacks)
+    : reactor_(reactor), log_(log), options_(options), callbacks_(std::move(callbacks)) {
+    if (options_.heartbeat > 0) beat();
+}
+
+Publisher::~Publisher() {
+    reactor_.cancel(flush_timer_);
+    reactor_.cancel(beat_timer_);
+}
+
+void Publisher::take(int descriptor) {
+    const std::uint64_t id = ++count_;
+    Link::Callbacks callbacks;
+    callbacks.received = [this, id](Message message) { received(id, std::move(message)); };
+    callbacks.ended = [this, id](const std::string& reason) { drop(id, reason); };
+    Subscriber& subscriber = subscribers_[id];
+    subscriber.link = std::make_unique<Link>(reactor_, descriptor, transport::Stream::Start::kConnected,
+                                             options_.silence, std::move(callbacks));
+    subscriber.link->start();
+}
+
+void Publisher::received(std::uint64_t id, Message message) {
+    const auto found = subscribers_.find(id);
+    if (found == subscribers_.end()) return;
+    Subscriber& subscriber = found->second;
+    if (auto* subscription = std::get_if<Subscribe>(&message)) return subscribe(id, std::move(*subscription));
+    if (!subscriber.subscribed) return subscriber.link->end("spoke before it subscribed");
+    if (const auto* known = std::get_if<Instances>(&message)) {
+        if (callbacks_.instances) callbacks_.instances(known->records);
+        if (known->last && std::exchange(subscriber.waits_for_records, false)) bring_up_to_date(subscriber);
+    } else if (const auto* loads = std::get_if<Loads>(&message)) {
+        if (callbacks_.loads) callbacks_.loads(loads->loads);
+    } else if (!std::holds_alternative<Heartbeat>(message)) {
+        subscriber.link->end("sent what no subscriber sends");
+    }
+}
+
+void Publisher::subscribe(std::uint64_t id, Subscribe message) {
+    Subscriber& subscriber = subscribers_.at(id);
+    if (callbacks_.refuse) {
+        if (const auto reason = callbacks_.refuse()) {
+            subscriber.link->send(Refused{*reason});
+            return;
+        }
+    }
+    const bool fresh = !std::exchange(subscriber.subscribed, true);
+    subscriber.node = std::move(message.node);
+    subscriber.feed = message.feed, subscriber.place = message.place;
+    subscriber.configuration_version = message.configuration_version;
+    if (fresh) {
+        log_line("session_up", {{"node", subscriber.node.name}, {"place", std::to_string(message.place)}});
+        if (callbacks_.sessions_changed) callbacks_.sessions_changed();
+    }
+    if (callbacks_.digests) {
+        auto ranges = InstanceTable::differing(callbacks_.digests(), message.instances);
+        if (!ranges.empty() && !message.instances.ranges.empty()) {
+            subscriber.waits_for_records = true;
+            subscriber.link->send(WantRanges{std::move(ranges)});
+            return;
+        }
+    }
+    bring_up_to_date(subscriber);
+}
+
+void Publisher::bring_up_to_date(Subscriber& subscriber) {
+    Batch batch{log_.feed(), log_.place(), false, {}};
+    auto items = subscriber.feed == log_.feed() ? log_.since(subscriber.place) : std::nullopt;
+    batch.snapshot = !items;
+    batch.items = items ? std::move(*items) : log_.snapshot();
+    subscriber.feed = log_.feed();
+    send_batch(subscriber, std::move(batch));
+}
+
+void Publisher::send_batch(Subscriber& subscriber, Batch batch) {
+    for (Item& item : batch.items) {
+        const auto* configuration = std::get_if<model::Configuration>(&item);
+        if (configuration == nullptr) continue;
+        const std::int64_t version = configuration->version;
+        const auto& change = log_.last_change();
+        if (change && change->base_version == subscriber.configuration_version && change->version == version)
+            item = *change;
+        subscriber.configuration_version = version;
+    }
+    subscriber.place = batch.place;
+    subscriber.last_sent = reactor_.now();
+    subscriber.link->send(batch);
+}
+
+void Publisher::publish() {
+    if (flushed_ == log_.place()) return;
+    bool urgent = false;
+    const auto items = log_.since(flushed_);
+    if (!items)
+        urgent = true;
+    else
+        for (const Item& item : *items) urgent = urgent || !waits_for_company(item);
+    if (urgent) return flush();
+    if (std::exchange(flush_set_, true)) return;
+    flush_timer_ = reactor_.call_after(options_.load_delay, [this] { flush(); });
+}
+
+// Most subscribers stand at the same place: they are sent the same bytes.
+void Publisher::flush() {
+    reactor_.cancel(flush_timer_);
+    flush_set_ = false;
+    flushed_ = log_.place();
+    std::string frame;
+    std::uint64_t frame_from = 0;
+    std::int64_t frame_version = 0, frame_version_after = 0;
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, subscriber] : subscribers_) ids.push_back(id);
+    for (const std::uint64_t id : ids) {
+        const auto found = subscribers_.find(id);
+        if (found == subscribers_.end()) continue;
+        Subscriber& subscriber = found->second;
+        if (!subscriber.subscribed || subscriber.waits_for_records || subscriber.place == flushed_) continue;
+        if (!frame.empty() && subscriber.place == frame_from && subscriber.configuration_version == frame_version) {
+            subscriber.place = flushed_, subscriber.last_sent = reactor_.now();
+            subscriber.configuration_version = frame_version_after;
+            subscriber.link->send_frame(frame);
+            continue;
+        }
+        const auto items = log_.since(subscriber.place);
+        if (!items) {
+            bring_up_to_date(subscriber);
+            continue;
+        }
+        Batch batch{log_.feed(), flushed_, false, *items};
+        frame_from = subscriber.place, frame_version = subscriber.configuration_version;
+        for (Item& item : batch.items) {
+            const auto* configuration = std::get_if<model::Configuration>(&item);
+            if (configuration == nullptr) continue;
+            const std::int64_t version = configuration->version;
+            const auto& change = log_.last_change();
+            if (change && change->base_version == frame_version && change->version == version) item = *change;
+            subscriber.configuration_version = version;
+        }
+        frame_version_after = subscriber.configuration_version;
+        frame = wire::frame(wire::to_bytes(Message{std::move(batch)}));
+        subscriber.place = flushed_, subscriber.last_sent = reactor_.now();
+        subscriber.link->send_frame(frame);
+    }
+}
+
+void Publisher::beat() {
+    for (auto& [id, subscriber] : subscribers_)
+        if (subscriber.subscribed && reactor_.now() - subscriber.last_sent >= options_.heartbeat) {
+            subscriber.last_sent = reactor_.now();
+            reactor_.free_later([this, id = id] {
+                const auto found = subscribers_.find(id);
+                if (found != subscribers_.end()) found->second.link->send(Heartbeat{log_.place()});
+            });
+        }
+    beat_timer_ = reactor_.call_after(options_.heartbeat, [this] { beat(); });
+}
+
+void Publisher::drop(std::uint64_t id, const std::string& reason) {
+    const auto found = subscribers_.find(id);
+    if (found == subscribers_.end()) return;
+    const bool subscribed = found->second.subscribed;
+    if (subscribed) log_line("session_down", {{"node", found->second.node.name}, {"cause", reason}});
+    auto held = std::make_shared<std::unique_ptr<Link>>(std::move(found->second.link));
+    subscribers_.erase(found);
+    reactor_.free_later([held] { held->reset(); });
+    if (subscribed && callbacks_.sessions_changed) callbacks_.sessions_changed();
+}
+
+void Publisher::end_all(const std::string& reason) {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, subscriber] : subscribers_) ids.push_back(id);
+    for (const std::uint64_t id : ids) {
+        const auto found = subscribers_.find(id);
+        if (found == subscribers_.end()) continue;
+        found->second.link->send(Refused{reason});
+        found->second.link->end(reason);
+    }
+}
+
+std::vector<model::EdgeNode> Publisher::sessions() const {
+    std::vector<model::EdgeNode> nodes;
+    for (const auto& [id, subscriber] : subscribers_)
+        if (subscriber.subscribed) nodes.push_back(subscriber.node);
+    return nodes;
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/publisher.hpp
@@ -0,0 +1,69 @@
+// The publishing side of a feed: takes subscribers on one address, brings each up to date, and hands every new item to
+// all of them. A subscription is the session that makes a node a member.
+#pragma once
+#include "feed/feed_log.hpp"
+#include "feed/instance_table.hpp"
+#include "feed/link.hpp"
+#include "transport/reactor.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill::feed {
+
+class Publisher {
+  public:
+    struct Options {
+        Tenths heartbeat = 0; // between heartbeats; 0 for none, where a dead peer shows itself by its closed link
+        Tenths silence = 0;   // after which a subscriber counts as gone
+        Tenths load_delay = 1000; // loads wait so long for company; everything else goes at once
+    };
+    struct Callbacks {
+        std::function<std::optional<std::string>()> refuse; // why no subscriber is taken now, or nothing
+        std::function<void()> sessions_changed;
+        std::function<Digests()> digests;                         // of the instances known here
+        std::function<void(const std::vector<model::Instance>&)> instances; // that a subscriber knows
+        std::function<void(const std::vector<model::Load>&)> loads;
+    };
+    Publisher(transport::Reactor& reactor, FeedLog& log, Options options, Callbacks callbacks);
+    ~Publisher();
+
+    // A connection whose first message was Subscribe is handed over with that message.
+    void take(int descriptor); // a fresh connection of a subscriber
+    void publish();            // after items were put
+    void end_all(const std::string& reason);
+    std::vector<model::EdgeNode> sessions() const;
+
+  private:
+    struct Subscriber {
+        std::unique_ptr<Link> link;
+        model::EdgeNode node;
+        bool subscribed = false, waits_for_records = false;
+        std::uint64_t feed = 0, place = 0; // as it asked, then as it was sent
+        std::int64_t configuration_version = 0;
+        Tenths last_sent = 0;
+    };
+    void received(std::uint64_t id, Message message);
+    void subscribe(std::uint64_t id, Subscribe message);
+    void bring_up_to_date(Subscriber& subscriber);
+    void send_batch(Subscriber& subscriber, Batch batch);
+    void flush();
+    void beat();
+    void drop(std::uint64_t id, const std::string& reason);
+
+    transport::Reactor& reactor_;
+    FeedLog& log_;
+    Options options_;
+    Callbacks callbacks_;
+    std::map<std::uint64_t, Subscriber> subscribers_;
+    std::uint64_t count_ = 0;
+    std::uint64_t flushed_ = 0; // place up to which `flush` has gone
+    transport::Reactor::TimerId flush_timer_{}, beat_timer_{};
+    bool flush_set_ = false;
+};
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/subscriber.cpp
@@ -0,0 +1,112 @@
+#include "feed/subscriber.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyrill::feed {
+
+Subscriber::Subscriber(transport::Reactor& reactor, Options options, Callbacks callbacks)
+    : reactor_(reactor), options_(std::move(options)), callbacks_(std::move(callbacks)),
+      pause_(options_.first_pause) {}
+
+Subscriber::~Subscriber() {
+    reactor_.cancel(timer_);
+    reactor_.cancel(beat_timer_);
+}
+
+void Subscriber::start() {
+    try_next();
+    if (options_.heartbeat > 0) beat();
+}
+
+void Subscriber::try_next() {
+    if (to_try_.empty()) {
+        to_try_ = callbacks_.publishers();
+        std::ranges::reverse(to_try_); // taken from the back
+        if (to_try_.empty()) return try_later();
+    }
+    address_ = to_try_.back();
+    to_try_.pop_back();
+    const int descriptor = transport::connect_to(address_);
+    if (descriptor < 0) return to_try_.empty() ? try_later() : try_next();
+    Link::Callbacks callbacks;
+    callbacks.up = [this] { subscribe(); };
+    callbacks.received = [this](Message message) { received(std::move(message)); };
+    callbacks.ended = [this](const std::string& reason) { link_ended(reason); };
+    in_step_ = false;
+    link_ = std::make_unique<Link>(reactor_, descriptor, transport::Stream::Start::kConnecting, options_.silence,
+                                   std::move(callbacks));
+    reactor_.cancel(timer_);
+    timer_ = reactor_.call_after(options_.connect_patience, [this] {
+        if (!in_step_ && link_ != nullptr) link_->end("no answer in time");
+    });
+    link_->start();
+}
+
+void Subscriber::try_later() {
+    reactor_.cancel(timer_);
+    timer_ = reactor_.call_after(pause_, [this] { try_next(); });
+    pause_ = std::min(pause_ * 2, options_.longest_pause);
+}
+
+void Subscriber::subscribe() {
+    Subscribe message;
+    message.node = options_.node;
+    message.feed = tables_.feed(), message.place = tables_.place();
+    if (tables_.configuration()) message.configuration_version = tables_.configuration()->version;
+    if (options_.offers_records) message.instances = tables_.instances().digests();
+    link_->send(std::move(message));
+}
+
+void Subscriber::received(Message message) {
+    if (const auto* batch = std::get_if<Batch>(&message)) {
+        apply(*batch);
+    } else if (const auto* wanted = std::get_if<WantRanges>(&message)) {
+        link_->send(Instances{tables_.instances().in_ranges(wanted->ranges), true});
+    } else if (const auto* refused = std::get_if<Refused>(&message)) {
+        link_->end("refused: " + refused->reason);
+    } else if (!std::holds_alternative<Heartbeat>(message)) {
+        link_->end("sent what no publisher sends");
+    }
+}
+
+void Subscriber::apply(const Batch& batch) {
+    const Tables::Applied applied = tables_.apply(batch, reactor_.now());
+    if (!applied.fits) {
+        tables_.forget_place();
+        return subscribe();
+    }
+    if (!std::exchange(in_step_, true)) {
+        log_line("feed_up", {{"publisher", address_}, {"place", std::to_string(batch.place)}});
+        pause_ = options_.first_pause;
+        to_try_.clear();
+    }
+    if (callbacks_.applied) callbacks_.applied(applied);
+}
+
+void Subscriber::link_ended(const std::string& reason) {
+    const bool was_in_step = std::exchange(in_step_, false);
+    if (was_in_step) log_line("feed_down", {{"publisher", address_}, {"cause", reason}});
+    auto held = std::make_shared<std::unique_ptr<Link>>(std::move(link_));
+    reactor_.free_later([held] { held->reset(); });
+    reactor_.cancel(timer_);
+    if (was_in_step && callbacks_.ended) callbacks_.ended();
+    // A first failure is followed by the next address at once, a whole round of them by a pause.
+    if (was_in_step || !to_try_.empty())
+        timer_ = reactor_.call_after(1, [this] { try_next(); });
+    else
+        try_later();
+}
+
+void Subscriber::leave(const std::string& reason) {
+    if (link_ != nullptr) link_->end(reason);
+}
+
+void Subscriber::beat() {
+    if (connected()) send(Heartbeat{tables_.place()});
+    beat_timer_ = reactor_.call_after(options_.heartbeat, [this] { beat(); });
+}
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/subscriber.hpp
@@ -0,0 +1,61 @@
+// The subscribing side of a feed: keeps one link to one of several publishers, goes elsewhere when that one is silent or
+// refuses, and keeps the tables. After a link has ended the tables stay as they were: old news is better than none.
+#pragma once
+#include "feed/link.hpp"
+#include "feed/tables.hpp"
+#include "transport/reactor.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivyrill::feed {
+
+class Subscriber {
+  public:
+    struct Options {
+        model::EdgeNode node;
+        Tenths heartbeat = 0;             // 0: none is sent
+        Tenths silence = 0;               // 0: the link ends only when it is closed
+        Tenths connect_patience = 5000;   // for a connection, and for the first batch after it
+        Tenths first_pause = 500, longest_pause = 5000; // between rounds over all publishers
+        bool offers_records = false;      // of instances that the publisher lacks
+    };
+    struct Callbacks {
+        std::function<std::vector<std::string>()> publishers; // addresses, in the order to try
+        std::function<void(const Tables::Applied&)> applied;
+        std::function<void()> ended; // of a link that had brought a batch
+    };
+    Subscriber(transport::Reactor& reactor, Options options, Callbacks callbacks);
+    ~Subscriber();
+
+    void start();
+    Tables& tables() { return tables_; }
+    bool connected() const { return link_ != nullptr && in_step_; }
+    const std::string& publisher() const { return address_; }
+    bool send(const Message& message) { return connected() && link_->send(message); }
+    void leave(const std::string& reason); // this publisher; the next in order is tried
+
+  private:
+    void try_next();
+    void try_later();
+    void received(Message message);
+    void apply(const Batch& batch);
+    void subscribe();
+    void link_ended(const std::string& reason);
+    void beat();
+
+    transport::Reactor& reactor_;
+    Options options_;
+    Callbacks callbacks_;
+    Tables tables_;
+    std::unique_ptr<Link> link_;
+    std::string address_;
+    std::vector<std::string> to_try_;
+    bool in_step_ = false; // a batch has come over this link
+    Tenths pause_, last_sent_ = 0;
+    transport::Reactor::TimerId timer_{}, beat_timer_{};
+};
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/feed/tables.hpp
@@ -0,0 +1,45 @@
+// What a subscriber knows: everything that its feed has told, kept up by batches. A batch is applied whole or not at all.
+#pragma once
+#include "feed/feed_log.hpp"
+#include "feed/instance_table.hpp"
+#include "feed/messages.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivyrill::feed {
+
+class Tables {
+  public:
+    struct Applied {
+        bool fits = true; // else nothing was applied, and a snapshot is needed
+        bool configuration = false, instances = false, loads = false, nodes = false; // what has changed
+        std::vector<Item> news; // with instances that a snapshot no longer names, as forgotten
+    };
+    Applied apply(const Batch& batch, Tenths now);
+
+    std::uint64_t feed() const { return feed_; }
+    std::uint64_t place() const { return place_; }
+    void forget_place() { feed_ = place_ = 0; } // the next subscription starts from a snapshot
+    const std::shared_ptr<const model::Configuration>& configuration() const { return configuration_; } // or null
+    const InstanceTable& instances() const { return instances_; }
+    InstanceTable& instances() { return instances_; }
+    const std::map<std::string, model::Load>& loads() const { return loads_; }
+    const std::vector<model::EdgeNode>& edge_nodes() const { return edge_nodes_; }
+    const std::vector<model::ControlNode>& control_nodes() const { return control_nodes_; }
+
+  private:
+    void apply_item(const Item& item, Applied& applied, Tenths now);
+    void drop_unnamed(const Batch& batch, Applied& applied, Tenths now);
+
+    std::uint64_t feed_ = 0, place_ = 0;
+    std::shared_ptr<const model::Configuration> configuration_;
+    InstanceTable instances_;
+    std::map<std::string, model::Load> loads_;
+    std::vector<model::EdgeNode> edge_nodes_;
+    std::vector<model::ControlNode> control_nodes_;
+};
+
+} // namespace ivyrill::feed
--- /dev/null
+++ b/src/http/call_server.cpp
@@ -0,0 +1,108 @@
+#include "http/call_server.hpp"
+
+#include <cerrno>
+#include <utility>
+
+namespace ivyrill::http {
+
+namespace {
+
+constexpr std::size_t kMostUnread = 64 * 1024;
+constexpr std::size_t kMostUnsent = 16 * 1024 * 1024;
+
+} // namespace
+
+CallServer::Connection::Connection(transport::Reactor& reactor, int descriptor, const Options& options)
+    : wake(reactor.loop()),
+      stream(reactor.loop(), descriptor, transport::Stream::Start::kConnected, kMostUnread, kMostUnsent),
+      parser(protocol::HttpParser::Side::kRequests, {16 * 1024, options.most_body}) {
+    stream.also_wake(&wake);
+}
+
+CallServer::CallServer(transport::Reactor& reactor, const std::string& address, Options options, Handler handler)
+    : reactor_(reactor), options_(options), handler_(std::move(handler)),
+      listener_(std::make_unique<transport::Source>(reactor.loop(), transport::listen_at(address))) {
+    accepting_ = accept_all();
+    accepting_.start();
+}
+
+CallServer::~CallServer() = default;
+
+int CallServer::port() const { return transport::port_of(listener_->descriptor()); }
+
+void CallServer::close_listener() {
+    accepting_ = {};
+    listener_.reset();
+}
+
+transport::Task CallServer::accept_all() {
+    for (;;) {
+        const int descriptor = transport::accept_from(listener_->descriptor());
+        if (descriptor < 0) {
+            // Out of descriptors: what waits is taken with the next connection.
+            co_await listener_->readable;
+            continue;
+        }
+        Connection& connection = connections_.emplace_back(reactor_, descriptor, options_);
+        connection.over = connections_.size() > options_.most_connections;
+        connection.task = serve(connection);
+        connection.task.start();
+    }
+}
+
+void CallServer::reap() {
+    if (std::exchange(reap_set_, true)) return;
+    reactor_.free_later([this] {
+        reap_set_ = false;
+        connections_.remove_if([](const Connection& connection) { return connection.over; });
+    });
+}
+
+transport::Task CallServer::serve(Connection& connection) {
+    while (!connection.over) {
+        if (connection.parser.complete() || connection.parser.broken() != 0) {
+            co_await answer(connection);
+            continue;
+        }
+        if (connection.stream.unread()) {
+            connection.stream.feed(connection.parser);
+            continue;
+        }
+        if (connection.stream.ended()) break;
+        const Tenths patience = connection.parser.begun() ? options_.request_patience : options_.idle_patience;
+        const Tenths until = reactor_.now() + patience;
+        const transport::WakeAt timer(reactor_, until, connection.wake);
+        co_await connection.wake;
+        if (reactor_.now() >= until && !connection.stream.unread()) break;
+    }
+    connection.over = true;
+    reap();
+}
+
+transport::Async<transport::Done> CallServer::answer(Connection& connection) {
+    Answer answer;
+    bool close = true;
+    if (const int status = connection.parser.broken(); status != 0) {
+        answer.status = status;
+    } else {
+        protocol::HttpMessage message = connection.parser.take();
+        close = message.close || !listener_;
+        answer = co_await handler_(std::move(message));
+    }
+    connection.stream.send(protocol::http_response(answer.status, answer.fields, answer.body, close));
+    if (!close) co_return transport::Done{};
+    // What is sent has to leave, and the peer's end to come, before the connection is freed.
+    const Tenths until = reactor_.now() + options_.request_patience;
+    const transport::WakeAt timer(reactor_, until, connection.wake);
+    while (connection.stream.unwritten() > 0 && !connection.stream.ended() && reactor_.now() < until)
+        co_await connection.wake;
+    connection.stream.finish();
+    while (!connection.stream.ended() && reactor_.now() < until) {
+        connection.stream.discard();
+        co_await connection.wake;
+    }
+    connection.over = true;
+    co_return transport::Done{};
+}
+
+} // namespace ivyrill::http
--- /dev/null
+++ b/src/http/calls.cpp
@@ -0,0 +1,54 @@
+#include "http/calls.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace ivyrill::http {
+
+namespace {
+
+int status_of(ErrorKind kind) {
+    switch (kind) {
+    case ErrorKind::kVersionConflict:
+        return 412;
+    case ErrorKind::kUnavailable:
+    case ErrorKind::kStorage:
+        return 503;
+    default:
+        return 400;
+    }
+}
+
+// Whether an endpoint's path is the target's; the rest of it is the call's.
+bool matches(const std::string& path, std::string_view target, std::string& rest) {
+    if (path.ends_with('/')) {
+        if (!target.starts_with(path) || target.size() == path.size()) return false;
+        rest = target.substr(path.size());
+        return true;
+    }
+    return target == path;
+}
+
+} // namespace
+
+Answer json_answer(std::string body) { return {200, "Content-Type: application/json\r\n", std::move(body)}; }
+
+Answer error_answer(const Error& error) {
+    const int status = status_of(error.kind);
+    return {status, "Content-Type: text/plain\r\n", error.message + "\n"};
+}
+
+transport::Async<Answer> CallRouter::handle(protocol::HttpMessage message) const {
+    const std::string_view target = std::string_view(message.target).substr(0, message.target.find('?'));
+    bool path_known = false;
+    for (const Entry& entry : entries_) {
+        std::string rest;
+        if (!matches(entry.path, target, rest)) continue;
+        path_known = true;
+        if (entry.method == message.method) co_return co_await entry.handle(message, rest);
+    }
+    if (path_known) co_return Answer{405, "", ""};
+    co_return Answer{404, "", ""};
+}
+
+} // namespace ivyrill::http
--- /dev/null
+++ b/src/http/calls.hpp
@@ -0,0 +1,63 @@
+// Calls of servers, operators and the platform over HTTP: each is a pair of types, the call and its reply, behind one
+// generic handler that reads the one, has it carried out and writes the other. Errors become statuses by their kind.
+#pragma once
+#include "base/result.hpp"
+#include "protocol/http.hpp"
+#include "transport/async.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ivyrill::http {
+
+struct Answer {
+    int status = 200;
+    std::string fields; // further header lines, each with its line end
+    std::string body;
+};
+
+Answer json_answer(std::string body);
+Answer error_answer(const Error& error);
+
+template <class Call, class Reply> struct Endpoint {
+    std::string method;
+    std::string path; // ends with a slash where the rest of the path belongs to the call
+    std::function<Result<Call>(const protocol::HttpMessage&, const std::string& rest)> read;
+    std::function<transport::Async<Result<Reply>>(Call)> carry_out;
+    std::function<Answer(const Reply&)> write;
+};
+
+class CallRouter {
+  public:
+    template <class Call, class Reply> void add(Endpoint<Call, Reply> endpoint);
+    transport::Async<Answer> handle(protocol::HttpMessage message) const;
+
+  private:
+    struct Entry {
+        std::string method, path;
+        std::function<transport::Async<Answer>(const protocol::HttpMessage&, std::string)> handle;
+    };
+    template <class Call, class Reply>
+    static transport::Async<Answer> carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint, Result<Call> call);
+    std::vector<Entry> entries_;
+};
+
+template <class Call, class Reply>
+transport::Async<Answer> CallRouter::carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint, Result<Call> call) {
+    if (call.has_error()) co_return error_answer(call.error());
+    const Result<Reply> reply = co_await endpoint->carry_out(std::move(call.value()));
+    if (reply.has_error()) co_return error_answer(reply.error());
+    co_return endpoint->write(reply.value());
+}
+
+template <class Call, class Reply> void CallRouter::add(Endpoint<Call, Reply> endpoint) {
+    auto shared = std::make_shared<const Endpoint<Call, Reply>>(std::move(endpoint));
+    entries_.push_back({shared->method, shared->path, [shared](const protocol::HttpMessage& message, std::string rest) {
+                            return carry<Call, Reply>(shared, shared->read(message, rest));
+                        }});
+}
+
+} // namespace ivyrill::http
--- /dev/null
+++ b/src/http/client_connection.hpp
@@ -0,0 +1,48 @@
+// One HTTP/1.1 connection to a server, for one request at a time. Who uses it says which slot its news wakes.
+#pragma once
+#include "protocol/http.hpp"
+#include "transport/reactor.hpp"
+#include "transport/stream.hpp"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace ivyrill::http {
+
+class ClientConnection {
+  public:
+    // Null where the system refuses at once.
+    static std::unique_ptr<ClientConnection> open(transport::Reactor& reactor, const std::string& address,
+                                                  std::size_t most_out) {
+        const int descriptor = transport::connect_to(address);
+        if (descriptor < 0) return nullptr;
+        return std::unique_ptr<ClientConnection>(new ClientConnection(reactor, descriptor, most_out));
+    }
+
+    transport::Stream& stream() { return stream_; }
+    protocol::HttpParser& parser() { return parser_; }
+    // Takes what has come into the parser; true where that was anything.
+    bool read() {
+        bool any = false;
+        while (stream_.unread() && !parser_.complete() && parser_.broken() == 0)
+            any = stream_.feed(parser_) > 0 || any;
+        return any;
+    }
+    // Nothing lies unread and nothing has ended: the next request may go over it.
+    bool quiet() { return stream_.up() && !stream_.hung_up() && !stream_.waiting_unread() && !parser_.begun(); }
+
+    Tenths idle_since = 0;
+    Tenths idle_bound = 0; // the server's own, from Keep-Alive; 0 where it said none
+    std::uint64_t uses = 0;
+
+  private:
+    ClientConnection(transport::Reactor& reactor, int descriptor, std::size_t most_out)
+        : stream_(reactor.loop(), descriptor, transport::Stream::Start::kConnecting, kMostUnread, most_out),
+          parser_(protocol::HttpParser::Side::kResponses, {32 * 1024, kMostUnread}) {}
+    static constexpr std::size_t kMostUnread = 256 * 1024;
+    transport::Stream stream_;
+    protocol::HttpParser parser_;
+};
+
+} // namespace ivyrill::http
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace ivyrill::protocol {
 
 namespace {
 
-constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 64 * 1024; // the latter as the protocol states
-
 std::string lower(std::string_view text) {
     std::string out(text);
     for (char& letter : out)
@@ -68,8 +67,16 @@
         return "Request Timeout";
     case 409:
         return "Conflict";
+    case 412:
+        return "Precondition Failed";
     case 413:
         return "Content Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 422:
+        return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
     case 431:
         return "Request Header Fields Too Large";
     case 501:
@@ -78,6 +85,8 @@
         return "Bad Gateway";
     case 503:
         return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
     default:
         return "Status";
     }
@@ -105,7 +114,7 @@
         const std::size_t end = bytes.find('\n', taken);
         const std::size_t upto = end == std::string_view::npos ? bytes.size() : end + 1;
         head_size_ += upto - taken;
-        if (head_size_ > kMostHead) {
+        if (head_size_ > limits_.head) {
             fail(431);
             break;
         }
@@ -118,7 +127,7 @@
 
 std::size_t HttpParser::take_body(std::string_view bytes) {
     const std::size_t size = stage_ == Stage::kToEnd ? bytes.size() : std::min(left_, bytes.size());
-    if (message_.body.size() + size > kMostBody) return fail(413), size;
+    if (message_.body.size() + size > limits_.body) return fail(413), size;
     message_.body.append(bytes.substr(0, size));
     if (stage_ == Stage::kToEnd) return size;
     left_ -= size;
@@ -146,7 +155,7 @@
             line = line.substr(0, line.find_last_not_of(" \t") + 1);
         }
         if (!read_size(line, 16, left_)) return fail(400);
-        if (left_ > kMostBody) return fail(413);
+        if (side_ == Side::kRequests && left_ > limits_.body) return fail(413);
         stage_ = left_ == 0 ? Stage::kTrailers : Stage::kChunk;
         return;
     }
@@ -205,13 +214,15 @@
         stage_ = Stage::kChunkSize, head_size_ = 0;
         return;
     }
-    const bool bare = message_.status == 204 || message_.status == 304;
+    const bool interim = message_.status >= 100 && message_.status < 200;
+    const bool bare = interim || message_.status == 204 || message_.status == 304;
     if (lengths == 0) {
         stage_ = side_ == Side::kRequests || bare ? Stage::kComplete : Stage::kToEnd;
         return;
     }
     if (!read_size(length, 10, left_)) return fail(400);
-    if (left_ > kMostBody) return fail(413);
+    if (side_ == Side::kRequests && left_ > limits_.body) return fail(413);
+    stated_ = left_;
     stage_ = left_ == 0 || bare ? Stage::kComplete : Stage::kBody;
 }
 
@@ -221,10 +232,12 @@
 
 HttpMessage HttpParser::take() {
     HttpMessage message = std::move(message_);
-    *this = HttpParser(side_);
+    *this = HttpParser(side_, limits_);
     return message;
 }
 
+std::string HttpParser::take_body() { return std::exchange(message_.body, {}); }
+
 std::string http_response(int status, std::string_view fields, std::string_view body, bool close) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
     out.append(reason(status)).append("\r\n").append(fields);
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -1,7 +1,9 @@
 // HTTP/1.1 messages out of bytes that come in any split, and back. Pure: it is handed bytes and says how many
 // it took; those of a following message are left.
 #pragma once
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,7 +25,11 @@
 class HttpParser {
   public:
     enum class Side { kRequests, kResponses };
+    struct Limits { // bytes; of a body, what is held at once
+        std::size_t head = 16 * 1024, body = 64 * 1024;
+    };
     explicit HttpParser(Side side) : side_(side) {}
+    HttpParser(Side side, Limits limits) : side_(side), limits_(limits) {}
 
     std::size_t feed(std::string_view bytes); // takes bytes until the message is complete or broken
     void end();                               // the sender has closed
@@ -32,6 +38,14 @@
     bool begun() const { return begun_; }
     HttpMessage take(); // the complete message; the parser starts anew
 
+    // For bodies that are passed on while they come.
+    bool head_complete() const { return stage_ > Stage::kHead && stage_ != Stage::kBroken; }
+    const HttpMessage& message() const { return message_; } // as far as it has come
+    std::string take_body();                                // what has come since the last call
+    bool ends_with_connection() const { return stage_ == Stage::kToEnd; }
+    // Of a body with a stated length, what is still to come; nothing for one without.
+    std::optional<std::size_t> stated_length() const { return stated_; }
+
   private:
     enum class Stage { kHead, kBody, kToEnd, kChunkSize, kChunk, kChunkEnd, kTrailers, kComplete, kBroken };
     void fail(int status) { stage_ = Stage::kBroken, error_ = status; }
@@ -41,6 +55,8 @@
     std::size_t take_body(std::string_view bytes);
 
     Side side_;
+    Limits limits_;
+    std::optional<std::size_t> stated_;
     Stage stage_ = Stage::kHead;
     HttpMessage message_;
     std::string line_;
--- /dev/null
+++ b/src/proxy/client_request.cpp
@@ -0,0 +1,124 @@
+#include "proxy/client_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <string_view>
+
+namespace ivyrill::proxy {
+
+namespace {
+
+constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
+
+// Of one connection only (RFC 9110, 7.6.1).
+constexpr std::array<std::string_view, 9> kHopByHop{"connection", "keep-alive",        "proxy-connection",
+                                                    "te",         "transfer-encoding", "upgrade",
+                                                    "trailer",    "content-length",    "expect"};
+// The system's to set, whatever a client sent.
+constexpr std::array<std::string_view, 7> kSystemHeaders{"serving-stage", "kv-from",        "target-instance", "priority",
+                                                         "deadline-ms",   "expect-version", "last-event-id"};
+
+template <std::size_t Size> bool is_one_of(const std::array<std::string_view, Size>& names, std::string_view name) {
+    return std::ranges::find(names, name) != names.end();
+}
+
+// Names that the Connection header lists go no further either.
+bool is_listed(std::string_view list, std::string_view name) {
+    for (std::size_t begin = 0; begin < list.size();) {
+        const std::size_t end = std::min(list.find(',', begin), list.size());
+        std::string item;
+        for (const char letter : list.substr(begin, end - begin))
+            if (letter != ' ' && letter != '\t') item.push_back(letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter);
+        if (item == name) return true;
+        begin = end + 1;
+    }
+    return false;
+}
+
+std::optional<std::int64_t> read_number(std::string_view text) {
+    std::int64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failure != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+    return number;
+}
+
+// `ID:TOKENS`, separated by commas; what can't be read ends the list, for it guides the choice and nothing else.
+std::vector<replica_selection::PromptPart> read_prompt(std::string_view text) {
+    std::vector<replica_selection::PromptPart> parts;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(','), text.size());
+        const std::string_view item = text.substr(0, end);
+        const std::size_t colon = item.find(':');
+        if (colon == std::string_view::npos) break;
+        const auto tokens = read_number(item.substr(colon + 1));
+        if (!tokens || *tokens < 0) break;
+        parts.push_back({std::string(item.substr(0, colon)), *tokens});
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return parts;
+}
+
+std::string_view reason_of(int status) { return status >= 200 && status < 300 ? "OK" : "Status"; }
+
+} // namespace
+
+ClientRequest read_client_request(protocol::HttpMessage message, Tenths received) {
+    ClientRequest request;
+    request.received = received;
+    request.attempt_id = message.header("attempt-id");
+    request.model = message.header("model-name");
+    request.last_event_id = message.header("last-event-id");
+    request.prompt = read_prompt(message.header("prompt-prefix"));
+    if (const auto span = read_number(message.header("deadline-ms")); span && *span >= 0)
+        request.client_deadline = received + std::min<std::int64_t>(*span, 86'400'000) * kTenthsPerMs;
+    request.message = std::move(message);
+    return request;
+}
+
+std::string server_request(const ClientRequest& request, const Forwarding& forwarding) {
+    const protocol::HttpMessage& message = request.message;
+    const std::string_view listed = message.header("connection");
+    std::string out;
+    out.reserve(512 + message.body.size());
+    out.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
+    for (const auto& [name, value] : message.headers) {
+        if (is_one_of(kHopByHop, name) || is_one_of(kSystemHeaders, name)) continue;
+        if (!listed.empty() && is_listed(listed, name)) continue;
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+    out.append(fmt::format("target-instance: {}\r\ndeadline-ms: {}\r\n", forwarding.target_instance,
+                           std::max<Tenths>(1, forwarding.time_left / kTenthsPerMs)));
+    if (forwarding.prefill_only) out.append("serving-stage: prefill\r\n");
+    if (!forwarding.kv_from.empty()) out.append("kv-from: ").append(forwarding.kv_from).append("\r\n");
+    if (!forwarding.last_event_id.empty())
+        out.append("last-event-id: ").append(forwarding.last_event_id).append("\r\n");
+    if (forwarding.tells_priority) out.append(fmt::format("priority: {}\r\n", forwarding.priority));
+    const bool has_body = !message.body.empty() || message.times("content-length") + message.times("transfer-encoding") > 0;
+    if (has_body) out.append(fmt::format("content-length: {}\r\n", message.body.size()));
+    return out.append("\r\n").append(message.body);
+}
+
+std::string answer_head(const protocol::HttpMessage& answer, std::optional<std::size_t> length, bool close) {
+    const std::string_view listed = answer.header("connection");
+    std::string out = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, reason_of(answer.status));
+    for (const auto& [name, value] : answer.headers) {
+        if (is_one_of(kHopByHop, name)) continue;
+        if (!listed.empty() && name != "server-seal" && name != "attempt-id" && is_listed(listed, name)) continue;
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (length)
+        out.append(fmt::format("content-length: {}\r\n", *length));
+    else
+        out.append("transfer-encoding: chunked\r\n");
+    if (close) out.append("connection: close\r\n");
+    return out.append("\r\n");
+}
+
+std::string chunk(std::string_view bytes) {
+    std::string out = fmt::format("{:x}\r\n", bytes.size());
+    return out.append(bytes).append("\r\n");
+}
+
+} // namespace ivyrill::proxy
--- /dev/null
+++ b/src/proxy/context.hpp
@@ -0,0 +1,34 @@
+// What all requests of one proxy share.
+#pragma once
+#include "feed/tables.hpp"
+#include "model/routing_table.hpp"
+#include "proxy/server_connections.hpp"
+#include "replica_selection/pair_selector.hpp"
+#include "replica_selection/retry_budget.hpp"
+#include "transport/reactor.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace ivyrill::proxy {
+
+// Since the start; logged every so often where they have changed.
+struct Counters {
+    std::uint64_t requests = 0, served = 0, failed = 0, rejected = 0, client_gone = 0;
+    std::uint64_t hand_overs = 0, further_sends = 0, lost_handles = 0, resumed = 0, connections = 0;
+    std::uint64_t bad_requests = 0, no_route = 0, stray_answers = 0;
+};
+
+struct Context {
+    transport::Reactor& reactor;
+    std::shared_ptr<const model::RoutingTable> routes; // swapped whole; null until the first configuration
+    replica_selection::PairSelector selector;
+    replica_selection::RetryBudget budget;
+    ServerConnections connections;
+    Pcg random;
+    Counters counters;
+    bool ending = false; // SIGTERM has come
+};
+
+} // namespace ivyrill::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,236 @@
+#include "proxy/exchange.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace ivyrill::proxy {
+
+using replica_selection::Work;
+
+namespace {
+
+constexpr std::size_t kMostEventBytes = 1024 * 1024;
+constexpr double kSilentShare = 0.6;     // of the latency target, before what may be repeated goes elsewhere
+constexpr Tenths kComeBack = 500;        // 50 ms: when a rejected client may return, at the least
+constexpr Tenths kNoServerComeBack = 3000;
+constexpr int kMostUnreachable = 6;      // servers that no connection came up to, before giving up
+constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
+
+} // namespace
+
+Exchange::Exchange(Context& context, transport::Stream& client, transport::Slot& wake, ClientRequest request,
+                   bool close)
+    : context_(context), client_(client), wake_(wake), request_(std::move(request)), close_(close),
+      events_(kMostEventBytes) {}
+
+Exchange::~Exchange() {
+    end_call(false);
+    release_handle();
+}
+
+transport::Async<transport::Done> Exchange::wait(Tenths until) {
+    const transport::WakeAt timer(context_.reactor, until, wake_);
+    co_await wake_;
+    co_return transport::Done{};
+}
+
+transport::Async<ExchangeEnd> Exchange::run() {
+    ++context_.counters.requests;
+    routes_ = context_.routes;
+    if (!routes_) co_return reject(kNoServerComeBack, "no configuration is known yet");
+    route_ = routes_->find(request_.message.header("host"), request_.message.target);
+    if (route_ == nullptr) {
+        ++context_.counters.no_route;
+        co_return answer_own(404, "", "no route");
+    }
+    const auto service = routes_->choose_service(*route_, context_.random.unit());
+    service_ = service ? routes_->service(*service) : nullptr;
+    if (service_ == nullptr) co_return reject(kNoServerComeBack, "the route has no service");
+    profile_ = {*service, request_.model, request_.prompt, route_->latency_target_ms * kTenthsPerMs};
+    deadline_ = request_.received + route_->timeout_ms * kTenthsPerMs;
+    if (request_.client_deadline) deadline_ = std::min(deadline_, *request_.client_deadline);
+    last_event_id_ = request_.last_event_id;
+    context_.budget.request(now());
+    co_return co_await serve();
+}
+
+transport::Async<ExchangeEnd> Exchange::serve() {
+    for (;;) {
+        if (client_gone()) {
+            ++context_.counters.client_gone;
+            co_return ExchangeEnd::kBreakOff;
+        }
+        if (now() >= deadline_) co_return give_up();
+        if (static_cast<std::int64_t>(sent_to_.size()) >= route_->max_attempts) {
+            // No further server may be sent this try; one that it was sent to may, where it has not run there.
+            const auto left = std::ranges::find_if(sent_to_, [&](const auto& id) { return !tried_.contains(id); });
+            if (left == sent_to_.end()) co_return give_up();
+            bool again = false;
+            const ExchangeEnd end = co_await serve_with({"", *left}, again);
+            if (!again) co_return end;
+            continue;
+        }
+        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_, now());
+        if (std::holds_alternative<replica_selection::NoServer>(choice))
+            co_return may_have_run_ ? fail(502, "no server is left") : reject(kNoServerComeBack, "no server is known");
+        if (const auto* backlogged = std::get_if<replica_selection::Backlogged>(&choice)) {
+            co_await wait(std::min(backlogged->until, deadline_));
+            continue;
+        }
+        bool again = false;
+        const ExchangeEnd end = co_await serve_with(std::get<replica_selection::Pair>(choice), again);
+        if (!again) co_return end;
+    }
+}
+
+// `again`: another choice may be made; else what is returned is final.
+transport::Async<ExchangeEnd> Exchange::serve_with(replica_selection::Pair pair, bool& again) {
+    if (!pair.reader.empty() && handle_.empty()) {
+        const bool read = co_await read_prompt(pair.reader);
+        again = !read;
+        if (!read) {
+            tried_.insert(pair.reader);
+            if (!spend_further_send()) may_hand_over_ = false;
+            co_return ExchangeEnd::kBreakOff;
+        }
+    }
+    if (sends_ > 0 && !spend_further_send()) co_return give_up();
+    const bool fetches = !handle_.empty();
+    const model::Instance* reader = context_.selector.instance(reader_);
+    Forwarding forwarding;
+    if (fetches && reader != nullptr) forwarding.kv_from = reader->address + "/" + handle_;
+    if (fetches && reader == nullptr) handle_.clear();
+    const bool has_stages = context_.selector.instance(pair.runner) != nullptr &&
+                            context_.selector.instance(pair.runner)->stage != model::Stage::kNone;
+    const Work work = !has_stages ? Work::kPlain : forwarding.kv_from.empty() ? Work::kReadAndRun : Work::kFetchAndRun;
+    const Tenths patience = route_->idempotent()
+                                ? static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target))
+                                : deadline_ - now();
+    forwarding.last_event_id = last_event_id_;
+    const CallEnd end = co_await call(pair.runner, work, std::move(forwarding), std::max<Tenths>(patience, 1));
+    switch (end) {
+    case CallEnd::kAnswer: {
+        if (fetches) {
+            context_.selector.handle_used(reader_, true);
+            handle_.clear(), reader_.clear();
+        }
+        const RelayEnd relayed = co_await relay();
+        if (relayed == RelayEnd::kComplete) co_return ExchangeEnd::kAnswered;
+        if (relayed == RelayEnd::kClientGone) ++context_.counters.client_gone;
+        if (relayed != RelayEnd::kCutOff) co_return head_sent_ ? ExchangeEnd::kBreakOff : give_up();
+        tried_.insert(pair.runner);
+        ++context_.counters.resumed;
+        again = route_->idempotent();
+        co_return again ? ExchangeEnd::kBreakOff : fail(502, "the server broke its answer off");
+    }
+    case CallEnd::kNotRun:
+        if (fetches) {
+            // The memory is gone, or the server is full: without it the same server tells which.
+            context_.selector.handle_used(reader_, false);
+            ++context_.counters.lost_handles;
+            release_handle();
+            may_hand_over_ = false;
+        } else {
+            tried_.insert(pair.runner);
+        }
+        again = true;
+        break;
+    case CallEnd::kNeverSent:
+        tried_.insert(pair.runner);
+        again = ++unreachable_ < kMostUnreachable;
+        if (!again) co_return give_up();
+        break;
+    case CallEnd::kBroken:
+    case CallEnd::kSilent:
+        may_have_run_ = true;
+        tried_.insert(pair.runner);
+        handle_.clear();
+        if (!route_->idempotent()) co_return fail(502, "the server's answer was lost");
+        again = true;
+        break;
+    case CallEnd::kOutOfTime:
+        may_have_run_ = true;
+        co_return give_up();
+    case CallEnd::kClientGone:
+        ++context_.counters.client_gone;
+        co_return ExchangeEnd::kBreakOff;
+    }
+    co_return ExchangeEnd::kBreakOff;
+}
+
+bool Exchange::spend_further_send() {
+    if (!context_.budget.spend(now())) return false;
+    ++context_.counters.further_sends;
+    return true;
+}
+
+transport::Async<bool> Exchange::read_prompt(const std::string& reader) {
+    Forwarding forwarding;
+    forwarding.prefill_only = true;
+    const auto patience = static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target));
+    ++readings_;
+    const CallEnd end = co_await call(reader, Work::kReadOnly, forwarding, std::max<Tenths>(patience, 1));
+    if (end != CallEnd::kAnswer) co_return false;
+    const bool whole = co_await await_whole_answer(std::min(deadline_, now() + patience));
+    std::string handle;
+    if (whole && answer_.status == 200) {
+        const std::string body = connection_->parser().take_body();
+        const std::string_view key = "\"promptHandle\":\"";
+        if (const std::size_t at = body.find(key); at != std::string::npos) {
+            const std::size_t begin = at + key.size();
+            handle = body.substr(begin, body.find('"', begin) - begin);
+        }
+    }
+    end_call(whole);
+    if (handle.empty()) co_return false;
+    reader_ = reader, handle_ = handle;
+    ++context_.counters.hand_overs;
+    co_return true;
+}
+
+void Exchange::release_handle() {
+    if (handle_.empty()) return;
+    const std::string handle = std::exchange(handle_, {});
+    const model::Instance* reader = context_.selector.instance(reader_);
+    if (reader == nullptr) return;
+    auto connection = context_.connections.take_idle(reader_, kTenthsPerSecond);
+    if (!connection) connection = context_.connections.open(reader->address);
+    if (!connection) return;
+    connection->stream().send(fmt::format("DELETE /kv-handle/{} HTTP/1.1\r\nhost: {}\r\ntarget-instance: {}\r\n"
+                                          "content-length: 0\r\n\r\n",
+                                          handle, reader->address, reader_));
+    // Its answer is of no interest; the connection is freed once it has had time to leave.
+    auto held = std::make_shared<std::unique_ptr<http::ClientConnection>>(std::move(connection));
+    context_.reactor.call_after(kTenthsPerSecond / 2, [held] { held->reset(); });
+}
+
+ExchangeEnd Exchange::give_up() {
+    if (head_sent_) return ExchangeEnd::kBreakOff;
+    if (may_have_run_) return fail(now() >= deadline_ ? 504 : 502, "no answer in time");
+    return reject(kComeBack, "no server took it");
+}
+
+ExchangeEnd Exchange::reject(Tenths come_back, std::string_view why) {
+    ++context_.counters.rejected;
+    const double seconds = static_cast<double>(come_back) * (1 + context_.random.unit()) / kTenthsPerSecond;
+    return answer_own(503, fmt::format("retry-after: {:.3f}\r\n", seconds), why);
+}
+
+ExchangeEnd Exchange::fail(int status, std::string_view why) {
+    ++context_.counters.failed;
+    if (head_sent_) return ExchangeEnd::kBreakOff;
+    return answer_own(status, "", why);
+}
+
+ExchangeEnd Exchange::answer_own(int status, std::string fields, std::string_view why) {
+    end_call(false);
+    fields += "attempt-id: " + request_.attempt_id + "\r\n";
+    const std::string body = std::string(why) + "\n";
+    const bool sent = client_.send(protocol::http_response(status, fields, body, close_));
+    return sent ? ExchangeEnd::kAnswered : ExchangeEnd::kBreakOff;
+}
+
+} // namespace ivyrill::proxy
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,156 @@
+#include "proxy/proxy.hpp"
+
+#include "base/log.hpp"
+#include "feed/ports.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace ivyrill::proxy {
+
+namespace {
+
+constexpr std::size_t kMostOut = 16 * 1024 * 1024; // one request with the longest body that may be configured
+constexpr Tenths kOutOfRotation = 26'000; // after which the platform, which asks each second, has taken this node out
+constexpr Tenths kEndMargin = 5000;       // before the platform kills
+constexpr Tenths kEndCheck = 500;
+constexpr Tenths kLogInterval = 100'000;
+
+std::uint64_t draw() {
+    std::random_device device;
+    return static_cast<std::uint64_t>(device()) << 32U | device();
+}
+
+replica_selection::RetryBudget::Terms budget_terms(const settings::Bounds& bounds) {
+    return {bounds.retry_budget_ratio, static_cast<double>(bounds.retry_slack),
+            static_cast<Tenths>(bounds.retry_window_s * kTenthsPerSecond)};
+}
+
+} // namespace
+
+Proxy::Proxy(transport::Reactor& reactor, const settings::Settings& settings)
+    : reactor_(reactor), settings_(settings),
+      context_{reactor,
+               nullptr,
+               replica_selection::PairSelector(draw()),
+               replica_selection::RetryBudget(budget_terms(settings.bounds)),
+               ServerConnections(reactor, kMostOut),
+               Pcg(draw()),
+               {},
+               false} {
+    context_.connections.start();
+    open_feed();
+    open_ready();
+    open_front();
+    log_counters();
+}
+
+Proxy::~Proxy() {
+    reactor_.cancel(timer_);
+    reactor_.cancel(log_timer_);
+}
+
+void Proxy::open_feed() {
+    feed::Subscriber::Options options;
+    options.node = {settings_.node_name, settings_.zone, settings_.ip, draw()};
+    options.first_pause = kTenthsPerSecond / 10, options.longest_pause = kTenthsPerSecond / 4;
+    feed::Subscriber::Callbacks callbacks;
+    callbacks.publishers = [this] { return std::vector<std::string>{feed::local_feed_address(settings_)}; };
+    callbacks.applied = [this](const feed::Tables::Applied& applied) { this->applied(applied); };
+    subscriber_ = std::make_unique<feed::Subscriber>(reactor_, options, std::move(callbacks));
+    subscriber_->start();
+}
+
+void Proxy::open_ready() {
+    router_.add<ReadyCall, ReadyReply>(
+        {"GET", "/ready",
+         [](const protocol::HttpMessage&, const std::string&) { return Result<ReadyCall>(ReadyCall{}); },
+         [this](ReadyCall) -> transport::Async<Result<ReadyReply>> {
+             if (!ready()) co_return error(ErrorKind::kUnavailable, "no configuration is known yet, or this node ends");
+             co_return ReadyReply{};
+         },
+         [](const ReadyReply&) { return http::Answer{}; }});
+    ready_server_ = std::make_unique<http::CallServer>(
+        reactor_, settings_.listen_addrs.at("readyAddr"), http::CallServer::Options{},
+        [this](protocol::HttpMessage message) { return router_.handle(std::move(message)); });
+}
+
+void Proxy::open_front() {
+    front_ = std::make_unique<transport::Listener>(reactor_, settings_.listen_addrs.at("front"), [this](int descriptor) {
+        const auto over = [this](ClientSession& session) {
+            reactor_.free_later(
+                [this, &session] { sessions_.remove_if([&](const ClientSession& other) { return &other == &session; }); });
+        };
+        sessions_.emplace_back(context_, descriptor, over).start();
+    });
+}
+
+void Proxy::applied(const feed::Tables::Applied& applied) {
+    const feed::Tables& tables = subscriber_->tables();
+    if (applied.configuration) {
+        context_.routes = std::make_shared<const model::RoutingTable>(tables.configuration());
+        context_.selector.set_services(tables.configuration()->services);
+        log_line("configuration", {{"version", std::to_string(tables.configuration()->version)}});
+    }
+    if (applied.instances) {
+        context_.selector.set_instances(tables.instances().records(), reactor_.now());
+        context_.connections.keep_only([this](const std::string& id) {
+            const model::Instance* known = context_.selector.instance(id);
+            return known != nullptr && known->may_be_sent_to();
+        });
+    }
+    if (applied.loads)
+        for (const feed::Item& item : applied.news)
+            if (const auto* load = std::get_if<model::Load>(&item)) context_.selector.set_load(*load);
+    if (applied.nodes) {
+        context_.selector.set_edge_nodes(tables.edge_nodes().size());
+        context_.budget.set_edge_nodes(tables.edge_nodes().size(), reactor_.now());
+    }
+}
+
+void Proxy::begin_end() {
+    if (std::exchange(context_.ending, true)) return;
+    log_line("ending", {{"sessions", std::to_string(sessions_.size())}});
+    ending_since_ = reactor_.now();
+    end_when_done();
+}
+
+// New connections come until the platform has noticed; then only what is under way is awaited, within the grace.
+void Proxy::end_when_done() {
+    const Tenths passed = reactor_.now() - ending_since_;
+    const auto grace = static_cast<Tenths>(settings_.bounds.grace_s * kTenthsPerSecond);
+    if (passed >= std::min(kOutOfRotation, grace / 2)) {
+        front_.reset();
+        for (ClientSession& session : sessions_) session.end_if_idle();
+    }
+    const bool done = !front_ && std::ranges::none_of(sessions_, &ClientSession::busy);
+    if (done || passed >= grace - kEndMargin) {
+        log_line("ended", {{"sessions", std::to_string(sessions_.size())}});
+        return reactor_.stop();
+    }
+    timer_ = reactor_.call_after(kEndCheck, [this] { end_when_done(); });
+}
+
+void Proxy::log_counters() {
+    log_timer_ = reactor_.call_after(kLogInterval, [this] { log_counters(); });
+    const Counters& c = context_.counters;
+    if (c.requests == logged_requests_) return;
+    logged_requests_ = c.requests;
+    const auto text = [](std::uint64_t number) { return std::to_string(number); };
+    log_line("counters", {{"requests", text(c.requests)},
+                          {"served", text(c.served)},
+                          {"failed", text(c.failed)},
+                          {"rejected", text(c.rejected)},
+                          {"client_gone", text(c.client_gone)},
+                          {"hand_overs", text(c.hand_overs)},
+                          {"further_sends", text(c.further_sends)},
+                          {"lost_handles", text(c.lost_handles)},
+                          {"resumed", text(c.resumed)},
+                          {"connections", text(c.connections)},
+                          {"bad_requests", text(c.bad_requests)},
+                          {"no_route", text(c.no_route)},
+                          {"stray_answers", text(c.stray_answers)}});
+}
+
+} // namespace ivyrill::proxy
--- /dev/null
+++ b/src/replica_selection/pair_selector.cpp
@@ -0,0 +1,256 @@
+#include "replica_selection/pair_selector.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ivyrill::replica_selection {
+
+namespace {
+
+constexpr double kFresh = 0.3;        // weight of an answer in a server's means
+constexpr double kFreshUsual = 0.05;  // ... in the mean over all servers
+constexpr double kUnheardShare = 0.1; // of the latency target: expected time while nobody was heard
+constexpr double kFixedTokens = 1000; // what a request costs beside its tokens, in tokens
+constexpr double kReadAtRunner = 2;   // a runner reads at half the pace (PROTOCOL, prefill and decode)
+constexpr double kZoneFactor = 2;     // of a move between zones (PROTOCOL)
+constexpr Tenths kRefusedRest = 200;  // doubled for each refusal in a row
+constexpr Tenths kUnreachableRest = 2500;
+constexpr int kMostDoublings = 4;
+
+void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
+
+std::size_t index(Work work) { return static_cast<std::size_t>(work); }
+
+Tenths doubled(Tenths rest, int times) { return rest << std::min(times, kMostDoublings); }
+
+} // namespace
+
+std::int64_t Request::prompt_tokens() const {
+    std::int64_t tokens = 0;
+    for (const PromptPart& part : prompt) tokens += part.tokens;
+    return tokens;
+}
+
+void PairSelector::set_instances(const std::map<std::string, model::Instance>& instances, Tenths now) {
+    std::erase_if(servers_, [&](const auto& known) {
+        const auto found = instances.find(known.first);
+        return found == instances.end() || found->second.state == model::InstanceState::kGone;
+    });
+    for (const auto& [id, instance] : instances) {
+        if (instance.state == model::InstanceState::kGone) continue;
+        const auto [place, fresh] = servers_.try_emplace(id);
+        if (!fresh && place->second.instance.stage != instance.stage) place->second.cache.clear();
+        place->second.instance = instance;
+        if (fresh) place->second.last_answer = place->second.relaxed = now;
+    }
+}
+
+void PairSelector::set_services(const std::vector<model::Service>& services) {
+    services_.clear();
+    for (const model::Service& service : services) services_[service.name] = service;
+}
+
+void PairSelector::set_load(const model::Load& load) {
+    if (Server* server = find(load.instance)) server->queue = static_cast<double>(load.waiting);
+}
+
+PairSelector::Server* PairSelector::find(const std::string& id) {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+const model::Instance* PairSelector::instance(const std::string& id) const {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second.instance;
+}
+
+const model::Engine* PairSelector::engine(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found == services_.end() || !found->second.engine ? nullptr : &*found->second.engine;
+}
+
+Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over,
+                            Tenths now) {
+    const Candidates found = candidates(request, tried, now);
+    if (const auto pair = best_pair(request, found, may_hand_over, now)) return *pair;
+    if (!found.limited) return NoServer{};
+    backlog_at_ = now;
+    return Backlogged{(now / kWindow + 1) * kWindow};
+}
+
+// A pair of two servers competes with each runner that reads the prompt itself: a hand-over has to earn its way.
+std::optional<Pair> PairSelector::best_pair(const Request& request, const Candidates& candidates, bool may_hand_over,
+                                            Tenths now) {
+    if (candidates.runners.empty()) {
+        const auto plain = best_of(candidates.plain, request, Work::kPlain, nullptr, now);
+        if (!plain) return std::nullopt;
+        return Pair{"", plain->server->instance.id};
+    }
+    const Server* home = this->home(request, candidates);
+    const auto alone = best_of(candidates.runners, request, Work::kReadAndRun, home, now);
+    const Pair direct{"", alone->server->instance.id};
+    if (!may_hand_over || candidates.readers.empty()) return direct;
+    const auto reader = best_of(candidates.readers, request, Work::kReadOnly, home, now);
+    const Server* runner = nullptr;
+    double best = 0;
+    for (const Server* server : candidates.runners) {
+        const double total = score(*server, request, Work::kFetchAndRun, false, now) +
+                             move_time(*reader->server, *server, request);
+        if (runner == nullptr || total < best) runner = server, best = total;
+    }
+    if (reader->score + best >= alone->score) return direct;
+    return Pair{reader->server->instance.id, runner->instance.id};
+}
+
+std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers, const Request& request,
+                                                          Work work, const Server* home, Tenths now) {
+    std::optional<Scored> best;
+    int ties = 1;
+    for (Server* server : servers) {
+        const double here = score(*server, request, work, server == home, now);
+        if (!best || here < best->score)
+            best = Scored{server, here}, ties = 1;
+        else if (here == best->score && random_.unit() < 1.0 / ++ties)
+            best->server = server; // nodes that know the same must not all pick the same
+    }
+    return best;
+}
+
+double PairSelector::tokens_of(const Server& server, const Request& request, Work work, bool is_home,
+                               Tenths now) const {
+    if (work == Work::kFetchAndRun || work == Work::kPlain || request.prompt.empty()) return kFixedTokens;
+    const std::int64_t all = request.prompt_tokens();
+    std::int64_t held = server.cache.held(request.prompt, now);
+    if (is_home) held = std::max(held, all - request.prompt.back().tokens);
+    const auto read = static_cast<double>(std::max<std::int64_t>(0, all - held));
+    return kFixedTokens + read * (work == Work::kReadAndRun ? kReadAtRunner : 1);
+}
+
+// While nobody was heard, a request takes a tenth of its target.
+double PairSelector::usual_time(Work work, double tokens, Tenths latency_target) const {
+    const double token_time = token_time_[index(work)];
+    if (token_time > 0) return tokens * token_time;
+    return std::max(1.0, static_cast<double>(latency_target) * kUnheardShare) * tokens / (8 * kFixedTokens);
+}
+
+// Silence counts as a response of its length: an attempt unanswered is news too.
+double PairSelector::response_of(const Server& server, Work work, double usual, Tenths now) const {
+    const double known = server.estimates[index(work)].response * usual;
+    if (server.unanswered.empty()) return known;
+    const Tenths oldest = server.unanswered.begin()->second; // attempts are numbered as they are sent
+    return std::max(known, static_cast<double>(now - std::max(oldest, server.last_answer)));
+}
+
+double PairSelector::score(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const {
+    const double tokens = tokens_of(server, request, work, is_home, now);
+    const double usual = usual_time(work, tokens, request.latency_target);
+    const double service = server.estimates[index(work)].service * usual;
+    const double waiting = 1 + server.outstanding() * edge_nodes_ + server.queue;
+    return replica_selection::score(response_of(server, work, usual, now), service, waiting);
+}
+
+double PairSelector::move_time(const Server& reader, const Server& runner, const Request& request) const {
+    const model::Engine* engine = this->engine(request.service);
+    if (engine == nullptr || engine->link_mbps <= 0) return 0;
+    const double bits = static_cast<double>(request.prompt_tokens()) * engine->token_bytes * 8;
+    const double time = bits / (engine->link_mbps * 1e6) * kTenthsPerSecond;
+    return reader.instance.zone == runner.instance.zone ? time : time * kZoneFactor;
+}
+
+AttemptNo PairSelector::sent(const std::string& instance, const Request& request, Work work, Tenths now) {
+    const AttemptNo number{++count_};
+    Server* server = find(instance);
+    if (server == nullptr) return number;
+    Attempt& attempt = attempts_[number];
+    attempt.server = instance, attempt.work = work;
+    attempt.sent = now, attempt.latency_target = request.latency_target;
+    attempt.tokens = tokens_of(*server, request, work, false, now);
+    attempt.waiting = server->queue;
+    server->limit.sent(now);
+    server->unanswered[number] = now;
+    if (work == Work::kPlain || request.prompt.empty()) return number;
+    const model::Engine* engine = this->engine(request.service);
+    server->cache.used(request.prompt, engine == nullptr ? 0 : engine->memory_tokens, edge_nodes_, now);
+    return number;
+}
+
+PairSelector::Attempt* PairSelector::out(AttemptNo attempt) {
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? nullptr : &found->second;
+}
+
+void PairSelector::answered(AttemptNo number, Tenths now) {
+    Attempt* attempt = out(number);
+    if (attempt == nullptr || std::exchange(attempt->answered, true)) return;
+    Server* server = find(attempt->server);
+    if (server == nullptr) return;
+    const double took = std::max(1.0, static_cast<double>(now - attempt->sent));
+    double& token_time = token_time_[index(attempt->work)];
+    if (token_time <= 0) token_time = took / attempt->tokens;
+    const double multiple = took / (attempt->tokens * token_time);
+    mix(token_time, took / attempt->tokens, kFreshUsual);
+    Estimate& estimate = server->estimates[index(attempt->work)];
+    mix(estimate.response, multiple, kFresh);
+    mix(estimate.service, multiple / (1 + attempt->waiting), kFresh);
+    mix(server->breaks, 0, kFresh);
+    server->last_answer = server->relaxed = now;
+    server->refusals = server->failures = 0;
+    server->limit.answered(now);
+    if (server->unanswered.erase(number) > 0) ++server->running;
+    server->limit.adapt(now, server->outstanding(), backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
+}
+
+void PairSelector::close(AttemptNo number) {
+    Attempt* attempt = out(number);
+    if (attempt == nullptr) return;
+    if (Server* server = find(attempt->server)) {
+        const bool waited = server->unanswered.erase(number) > 0;
+        if (!waited && attempt->answered && server->running > 0) --server->running;
+    }
+    attempts_.erase(number);
+}
+
+void PairSelector::ended(AttemptNo number, Tenths now) {
+    Attempt* attempt = out(number);
+    // Given up on without an answer: what it took so far is the least that it would have taken.
+    if (attempt != nullptr && !attempt->answered) {
+        Server* server = find(attempt->server);
+        const double usual = usual_time(attempt->work, attempt->tokens, attempt->latency_target);
+        const double multiple = static_cast<double>(now - attempt->sent) / std::max(usual, 1.0);
+        if (server != nullptr) {
+            Estimate& estimate = server->estimates[index(attempt->work)];
+            if (multiple > estimate.response) mix(estimate.response, multiple, kFresh);
+            server->relaxed = now;
+        }
+    }
+    close(number);
+}
+
+// An error comes fast and leaves nothing behind: it must not look like a quick server with an empty queue.
+void PairSelector::refused(AttemptNo number, Tenths now) {
+    if (Attempt* attempt = out(number))
+        if (Server* server = find(attempt->server))
+            server->avoided_until = now + doubled(kRefusedRest, server->refusals++);
+    close(number);
+}
+
+void PairSelector::broken(AttemptNo number, Tenths now) {
+    if (Attempt* attempt = out(number))
+        if (Server* server = find(attempt->server)) {
+            mix(server->breaks, 1, kFresh);
+            server->relaxed = now;
+        }
+    close(number);
+}
+
+void PairSelector::unreachable(const std::string& instance, Tenths now) {
+    if (Server* server = find(instance))
+        server->avoided_until = now + doubled(kUnreachableRest, server->failures++);
+}
+
+void PairSelector::handle_used(const std::string& reader, bool found) {
+    if (Server* server = find(reader)) mix(server->lost_handles, found ? 0 : 1, kFresh);
+}
+
+} // namespace ivyrill::replica_selection
--- /dev/null
+++ b/src/replica_selection/pair_selector.hpp
@@ -0,0 +1,137 @@
+// Which pair of servers serves a request: one that reads its prompt and one that makes its tokens. Each role is ranked
+// by C3 (src/replica_selection/c3.hpp); docs/design.md lists what departs from it. Pure: clock and randomness are handed
+// in, and it is told of every send, answer, report and list.
+#pragma once
+#include "base/ids.hpp"
+#include "base/pcg.hpp"
+#include "model/configuration.hpp"
+#include "model/instance.hpp"
+#include "replica_selection/c3.hpp"
+#include "replica_selection/prompt_cache_view.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ivyrill::replica_selection {
+
+// What a server is asked to do.
+enum class Work : std::uint8_t {
+    kReadOnly,    // read the prompt, keep its memory for another server
+    kReadAndRun,  // read the prompt and make the tokens
+    kFetchAndRun, // fetch the prompt's memory and make the tokens
+    kPlain        // a request of a service without stages
+};
+inline constexpr std::size_t kWorks = 4;
+
+struct Request {
+    std::string service, model;
+    std::vector<PromptPart> prompt; // in order; the last is the request's or its session's own
+    Tenths latency_target = 0;
+    std::int64_t prompt_tokens() const;
+};
+
+struct Pair {
+    std::string reader; // empty where the runner reads the prompt itself
+    std::string runner;
+};
+struct Backlogged { // every server is over its sending limit; a place may be free then
+    Tenths until = 0;
+};
+struct NoServer {};
+using Choice = std::variant<Pair, Backlogged, NoServer>;
+
+using AttemptNo = Id<struct PairAttemptTag, std::uint64_t>;
+
+class PairSelector {
+  public:
+    explicit PairSelector(std::uint64_t seed) : random_(seed) {}
+
+    void set_instances(const std::map<std::string, model::Instance>& instances, Tenths now);
+    void set_load(const model::Load& load);
+    void set_edge_nodes(std::size_t count) { edge_nodes_ = count == 0 ? 1 : static_cast<double>(count); }
+    void set_services(const std::vector<model::Service>& services);
+
+    // `tried`: servers that refused or failed this request; they are taken only where nothing else is left.
+    Choice choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, Tenths now);
+    const model::Instance* instance(const std::string& id) const; // null where it is gone
+
+    AttemptNo sent(const std::string& instance, const Request& request, Work work, Tenths now);
+    void answered(AttemptNo attempt, Tenths now); // its first event, or the answer of a reading
+    void ended(AttemptNo attempt, Tenths now);    // nothing of it is out any more
+    void refused(AttemptNo attempt, Tenths now);  // it has not run: the server is full, or leaving
+    void broken(AttemptNo attempt, Tenths now);   // it failed, or its connection ended before its answer did
+    void unreachable(const std::string& instance, Tenths now); // no connection came up
+    void handle_used(const std::string& reader, bool found);   // whether its memory was still there
+
+  private:
+    struct Estimate { // of one kind of work at one server, as a multiple of the usual time
+        double response = 1, service = 1;
+    };
+    struct Server {
+        model::Instance instance;
+        std::array<Estimate, kWorks> estimates;
+        SendingLimit limit;
+        std::map<AttemptNo, Tenths> unanswered; // with when each was sent
+        std::size_t running = 0;                // answered, and still making tokens
+        double queue = 0;                       // as last reported
+        PromptCacheView cache;
+        double lost_handles = 0, breaks = 0; // mean shares of late
+        int refusals = 0, failures = 0;      // in a row
+        Tenths last_answer = 0, avoided_until = 0, relaxed = 0;
+        int outstanding() const { return static_cast<int>(unanswered.size() + running); }
+    };
+    struct Attempt {
+        std::string server;
+        Work work = Work::kPlain;
+        double tokens = 0; // that it was expected to cost
+        Tenths sent = 0, latency_target = 0;
+        double waiting = 0; // C3's q when it was sent
+        bool answered = false;
+    };
+    struct Scored {
+        Server* server = nullptr;
+        double score = 0;
+    };
+    struct Candidates {
+        std::vector<Server*> readers, runners, plain;
+        bool limited = false; // some were left out for their sending limit alone
+    };
+    enum class Rank : std::uint8_t { kGood, kAvoided, kSilent, kTried }; // the best that is there is used
+
+    // candidates.cpp
+    Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
+    Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
+    const Server* home(const Request& request, const Candidates& candidates) const;
+    void relax(Server& server, Tenths now);
+
+    // pair_selector.cpp
+    std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over, Tenths now);
+    std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
+                                  const Server* home, Tenths now);
+    double tokens_of(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
+    double usual_time(Work work, double tokens, Tenths latency_target) const;
+    double response_of(const Server& server, Work work, double usual, Tenths now) const;
+    double score(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
+    double move_time(const Server& reader, const Server& runner, const Request& request) const;
+    Attempt* out(AttemptNo attempt);
+    void close(AttemptNo attempt);
+    Server* find(const std::string& id);
+    const model::Engine* engine(const std::string& service) const;
+
+    Pcg random_;
+    double edge_nodes_ = 1;
+    std::map<std::string, Server> servers_;
+    std::map<std::string, model::Service> services_;
+    std::map<AttemptNo, Attempt> attempts_;
+    std::uint64_t count_ = 0;
+    std::array<double, kWorks> token_time_{}; // tenths a token, the mean over all servers; 0 while nobody was heard
+    Tenths backlog_at_ = -1;                  // when a request last found every server over its limit
+};
+
+} // namespace ivyrill::replica_selection
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -67,6 +67,11 @@
 Tenths Loop::wall() { return tenths_to_use(unix_us()); }
 
 void Loop::wait(std::optional<Tenths> until) {
+    wait_for_events(until);
+    run_ready();
+}
+
+void Loop::wait_for_events(std::optional<Tenths> until) {
     std::array<epoll_event, 256> events;
     timespec span{};
     timespec* limit = nullptr;
@@ -87,6 +92,9 @@
         if (what & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) source->readable.wake();
         if (what & (EPOLLOUT | EPOLLHUP | EPOLLERR)) source->writable.wake();
     }
+}
+
+void Loop::run_ready() {
     // Those that others wake meanwhile go on too; a round is bounded, so that timers get their turn.
     for (std::size_t left = ready_.size() * 4; left > 0 && !ready_.empty(); --left) {
         const std::coroutine_handle<> next = ready_.front();
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -62,6 +62,9 @@
 
     // Waits for an edge or until that time, and lets all that are woken run until they wait again.
     void wait(std::optional<Tenths> until);
+    // Its two halves: waits and marks whom the edges wake; lets all that are woken run until they wait again.
+    void wait_for_events(std::optional<Tenths> until);
+    void run_ready();
     // Unix time at the start, then the system's steady clock: it never goes back.
     Tenths now() const;
     static Tenths wall(); // what the system's clock says: it may jump
--- /dev/null
+++ b/src/transport/reactor.hpp
@@ -0,0 +1,78 @@
+// One process's event loop with what its coroutines need beside sockets: timers, a clock that stands still within a
+// turn, tasks that are freed once they have ended, and calls from other threads.
+#pragma once
+#include "transport/loop.hpp"
+#include "transport/task.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace ivyrill::transport {
+
+class Reactor {
+  public:
+    using TimerId = std::pair<Tenths, std::uint64_t>;
+
+    Reactor();
+    ~Reactor();
+    Reactor(const Reactor&) = delete;
+    Reactor& operator=(const Reactor&) = delete;
+
+    Loop& loop() { return loop_; }
+    Tenths now() const { return now_; } // of the present turn
+    // How long the process did not run before this turn, beyond what was asked for: it was frozen or starved.
+    Tenths overslept() const { return overslept_; }
+
+    TimerId call_at(Tenths at, std::function<void()> call);
+    TimerId call_after(Tenths span, std::function<void()> call) { return call_at(now_ + span, std::move(call)); }
+    void cancel(TimerId id) { timers_.erase(id); }
+    void spawn(Task task); // started at once; freed in a later turn than the one in which it ends
+    void post(std::function<void()> call); // from any thread; runs in a turn of this loop
+    // In a signal handler only: `on_signal` is called with the number in a turn of this loop.
+    void handle_signals(const std::vector<int>& numbers, std::function<void(int)> on_signal);
+
+    void run();               // until stopped
+    void stop() { stopped_ = true; }
+    // To free something that a running coroutine stands on.
+    void free_later(std::function<void()> call) { freed_later_.push_back(std::move(call)); }
+
+  private:
+    Task read_pipe();
+    void run_due_timers();
+    void free_ended();
+
+    Loop loop_;
+    Tenths now_, overslept_ = 0;
+    std::uint64_t timer_count_ = 0;
+    std::map<TimerId, std::function<void()>> timers_;
+    std::list<Task> tasks_;
+    std::vector<std::function<void()>> freed_later_;
+    std::mutex posted_mutex_;
+    std::vector<std::function<void()>> posted_;
+    std::function<void(int)> on_signal_;
+    int pipe_write_ = -1;
+    std::unique_ptr<Source> pipe_;
+    Task pipe_reader_;
+    bool stopped_ = false;
+};
+
+// A timer that wakes a slot, taken back when it goes out of scope.
+class WakeAt {
+  public:
+    WakeAt(Reactor& reactor, Tenths at, Slot& slot)
+        : reactor_(reactor), id_(reactor.call_at(at, [&slot] { slot.wake(); })) {}
+    ~WakeAt() { reactor_.cancel(id_); }
+    WakeAt(const WakeAt&) = delete;
+    WakeAt& operator=(const WakeAt&) = delete;
+
+  private:
+    Reactor& reactor_;
+    Reactor::TimerId id_;
+};
+
+} // namespace ivyrill::transport
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -117,9 +117,14 @@
     return unread() || (ioctl(source_.descriptor(), FIONREAD, &count) == 0 && count > 0);
 }
 
+void Stream::notify() {
+    changed.wake();
+    if (also_ != nullptr) also_->wake();
+}
+
 void Stream::end() {
     ended_ = true;
-    changed.wake();
+    notify();
 }
 
 void Stream::write_some() {
@@ -146,12 +151,12 @@
             co_return;
         }
         up_ = true;
-        changed.wake();
+        notify();
         came_up_.wake();
     }
     while (!ended_) {
         write_some();
-        changed.wake();
+        notify();
         if (out_.empty() || shut_)
             co_await outgoing_;
         else
@@ -167,7 +172,7 @@
             // Guards against a client that sends much and goes: its end lies behind bytes for which there is
             // no room while its request is in work.
             full_ = true;
-            changed.wake();
+            notify();
             co_await source_.readable;
             full_ = false;
             continue;
@@ -175,13 +180,14 @@
         const ssize_t count = ::recv(source_.descriptor(), place.data(), place.size(), 0);
         if (count > 0) {
             in_.commit(static_cast<std::size_t>(count)), received_ += static_cast<std::uint64_t>(count);
-            changed.wake();
+            notify();
         } else if (count < 0 && errno == EINTR) {
             continue;
         } else if (count < 0 && !failed_ && (errno == EAGAIN || errno == EWOULDBLOCK)) {
             in_.release();
             co_await source_.readable;
         } else {
+            reset_ = count < 0;
             end();
         }
     }
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -25,8 +25,12 @@
 
     Slot changed; // woken on new bytes, on the end, once connected, and when bytes were written
 
+    // Woken with `changed` from here on; null for none. It must outlive its being named here.
+    void also_wake(Slot* other) { also_ = other; }
+
     bool up() const { return up_; }
     bool ended() const { return ended_; } // nothing comes any more, nothing can be written
+    bool was_reset() const { return reset_; } // it ended by an error, not by the other side's close
     // The other side has closed, though bytes that it sent before may be unread for want of room.
     bool hung_up() const { return ended_ || source_.hung_up(); }
     bool waiting_unread() const;                       // bytes lie here or with the system
@@ -56,12 +60,14 @@
     Task pump_out();
     void write_some();
     void end();
+    void notify();
 
     Source source_;
+    Slot* also_ = nullptr;
     Slot came_up_, outgoing_;
     Ring in_, out_;
     std::uint64_t received_ = 0, written_ = 0;
-    bool up_, ended_ = false;
+    bool up_, ended_ = false, reset_ = false;
     bool shut_ = false, failed_ = false; // nothing more is written; because the system refused it
     bool full_ = false;                  // the reader waits for room, or for the other side's end
     Task reader_, writer_;               // last, so that they are freed first
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -27,6 +27,8 @@
     ~Task() { free(); }
 
     void start() { handle_.resume(); }
+    bool done() const { return !handle_ || handle_.done(); }
+    std::exception_ptr error() const { return handle_ ? handle_.promise().error : nullptr; }
 
   private:
     explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
