Pair selection: homes for prompts, long answers apart, times fitted by tokens, patient readings

Change: a prompt has two homes by weighted rendezvous, C3 ranks among them; long answers run at a few runners, prompts are read at the others; a part is outstanding until its first word; a reading is left only when its server is silent to all; times are fitted as a fixed part and a part a token.

--- a/src/proxy/client_request.cpp
+++ b/src/proxy/client_request.cpp
@@ -71,6 +71,9 @@
     request.model = message.header("model-name");
     request.last_event_id = message.header("last-event-id");
     request.prompt = read_prompt(message.header("prompt-prefix"));
+    const std::string_view counts = message.header("token-counts");
+    if (const std::size_t comma = counts.find(','); comma != std::string_view::npos)
+        request.output_tokens = read_number(counts.substr(comma + 1)).value_or(0);
     if (const auto span = read_number(message.header("deadline-ms")); span && *span >= 0)
         request.client_deadline = received + std::min<std::int64_t>(*span, 86'400'000) * kTenthsPerMs;
     request.message = std::move(message);
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -16,6 +16,7 @@
     protocol::HttpMessage message; // names of headers in lower case
     std::string attempt_id, model, last_event_id;
     std::vector<replica_selection::PromptPart> prompt;
+    std::int64_t output_tokens = 0; // the most that it generates
     Tenths received = 0;
     std::optional<Tenths> client_deadline; // from Deadline-Ms
 };
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t kMostEventBytes = 1024 * 1024;
-constexpr double kSilentShare = 0.6;     // of the latency target, before what may be repeated goes elsewhere
 constexpr Tenths kComeBack = 500;        // 50 ms: when a rejected client may return, at the least
 constexpr Tenths kNoServerComeBack = 3000;
 constexpr int kMostUnreachable = 6;      // servers that no connection came up to, before giving up
@@ -49,7 +48,8 @@
     const auto service = routes_->choose_service(*route_, context_.random.unit());
     service_ = service ? routes_->service(*service) : nullptr;
     if (service_ == nullptr) co_return reject(kNoServerComeBack, "the route has no service");
-    profile_ = {*service, request_.model, request_.prompt, route_->latency_target_ms * kTenthsPerMs};
+    profile_ = {*service, request_.model, request_.prompt, request_.output_tokens,
+                route_->latency_target_ms * kTenthsPerMs};
     deadline_ = request_.received + route_->timeout_ms * kTenthsPerMs;
     if (request_.client_deadline) deadline_ = std::min(deadline_, *request_.client_deadline);
     last_event_id_ = request_.last_event_id;
@@ -69,7 +69,7 @@
             const auto left = std::ranges::find_if(sent_to_, [&](const auto& id) { return !tried_.contains(id); });
             if (left == sent_to_.end()) co_return give_up();
             bool again = false;
-            const ExchangeEnd end = co_await serve_with({"", *left}, again);
+            const ExchangeEnd end = co_await serve_with({"", *left, 0}, again);
             if (!again) co_return end;
             continue;
         }
@@ -89,11 +89,12 @@
 // `again`: another choice may be made; else what is returned is final.
 transport::Async<ExchangeEnd> Exchange::serve_with(replica_selection::Pair pair, bool& again) {
     if (!pair.reader.empty() && handle_.empty()) {
-        const bool read = co_await read_prompt(pair.reader);
+        const bool read = co_await read_prompt(pair);
         again = !read;
         if (!read) {
+            // A second reading would count as a further send; the runner's own does not.
             tried_.insert(pair.reader);
-            if (!spend_further_send()) may_hand_over_ = false;
+            may_hand_over_ = false;
             co_return ExchangeEnd::kBreakOff;
         }
     }
@@ -106,11 +107,10 @@
     const bool has_stages = context_.selector.instance(pair.runner) != nullptr &&
                             context_.selector.instance(pair.runner)->stage != model::Stage::kNone;
     const Work work = !has_stages ? Work::kPlain : forwarding.kv_from.empty() ? Work::kReadAndRun : Work::kFetchAndRun;
-    const Tenths patience = route_->idempotent()
-                                ? static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target))
-                                : deadline_ - now();
     forwarding.last_event_id = last_event_id_;
-    const CallEnd end = co_await call(pair.runner, work, std::move(forwarding), std::max<Tenths>(patience, 1));
+    std::optional<double> tokens = 0;
+    if (work == Work::kReadAndRun) tokens = pair.reader.empty() && pair.tokens_to_read > 0 ? std::optional(pair.tokens_to_read) : std::nullopt;
+    const CallEnd end = co_await call(pair.runner, work, std::move(forwarding), tokens, route_->idempotent());
     switch (end) {
     case CallEnd::kAnswer: {
         if (fetches) {
@@ -161,20 +161,27 @@
     co_return ExchangeEnd::kBreakOff;
 }
 
+// A reading that is left costs nothing further, as the runner's own is no second one; a run does.
+bool Exchange::leave_is_allowed() {
+    if (!attempt_runs_) return true;
+    if (static_cast<std::int64_t>(sent_to_.size()) >= route_->max_attempts) return false;
+    further_paid_ = spend_further_send();
+    return further_paid_;
+}
+
 bool Exchange::spend_further_send() {
+    if (std::exchange(further_paid_, false)) return true;
     if (!context_.budget.spend(now())) return false;
     ++context_.counters.further_sends;
     return true;
 }
 
-transport::Async<bool> Exchange::read_prompt(const std::string& reader) {
+transport::Async<bool> Exchange::read_prompt(const replica_selection::Pair& pair) {
     Forwarding forwarding;
     forwarding.prefill_only = true;
-    const auto patience = static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target));
-    ++readings_;
-    const CallEnd end = co_await call(reader, Work::kReadOnly, forwarding, std::max<Tenths>(patience, 1));
+    const CallEnd end = co_await call(pair.reader, Work::kReadOnly, forwarding, pair.tokens_to_read, true);
     if (end != CallEnd::kAnswer) co_return false;
-    const bool whole = co_await await_whole_answer(std::min(deadline_, now() + patience));
+    const bool whole = co_await await_whole_answer(std::min(deadline_, now() + profile_.latency_target));
     std::string handle;
     if (whole && answer_.status == 200) {
         const std::string body = connection_->parser().take_body();
@@ -186,7 +193,7 @@
     }
     end_call(whole);
     if (handle.empty()) co_return false;
-    reader_ = reader, handle_ = handle;
+    reader_ = pair.reader, handle_ = handle;
     ++context_.counters.hand_overs;
     co_return true;
 }
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -40,14 +40,15 @@
     };
     enum class RelayEnd : std::uint8_t { kComplete, kCutOff, kOutOfTime, kClientGone };
 
-    transport::Async<bool> prepare(); // false where a final answer was given already
     transport::Async<ExchangeEnd> serve();
     transport::Async<ExchangeEnd> serve_with(replica_selection::Pair pair, bool& again);
-    transport::Async<bool> read_prompt(const std::string& reader); // true where `handle_` was set
+    transport::Async<bool> read_prompt(const replica_selection::Pair& pair); // true where `handle_` was set
+    // `may_leave`: it may be given up for another server once this one has been silent for longer than it should be.
     transport::Async<CallEnd> call(const std::string& instance, replica_selection::Work work, Forwarding forwarding,
-                                   Tenths patience);
+                                   std::optional<double> tokens_to_read, bool may_leave);
     transport::Async<bool> connect(const std::string& instance, const model::Instance& record);
-    transport::Async<CallEnd> await_head(Tenths until);
+    transport::Async<CallEnd> await_head(bool may_leave);
+    Tenths silent_at() const; // when the present attempt counts as silent
     CallEnd judge_head();
     transport::Async<bool> await_whole_answer(Tenths until);
     transport::Async<RelayEnd> relay();
@@ -57,6 +58,7 @@
     transport::Async<transport::Done> wait(Tenths until);
 
     bool spend_further_send();
+    bool leave_is_allowed();
     void end_call(bool reusable);
     void release_handle();
     ExchangeEnd reject(Tenths come_back, std::string_view why);
@@ -79,7 +81,8 @@
     Tenths deadline_ = 0;
 
     std::set<std::string> tried_, sent_to_; // instances
-    int sends_ = 0, readings_ = 0, unreachable_ = 0;
+    int sends_ = 0, unreachable_ = 0;
+    bool further_paid_ = false; // the next send was paid for when the last one was left
     bool may_hand_over_ = true, may_have_run_ = false, head_sent_ = false;
     std::string reader_, handle_; // whose memory is held for this request
     std::string last_event_id_;
@@ -87,7 +90,7 @@
     std::unique_ptr<http::ClientConnection> connection_;
     std::string instance_;
     replica_selection::AttemptNo attempt_{};
-    bool attempt_out_ = false;
+    bool attempt_out_ = false, attempt_runs_ = false;
     protocol::HttpMessage answer_;
     http::EventStreamSplitter events_;
 };
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Tenths kShortestConnect = 1000, kLongestConnect = 5000; // patience for a connection
+constexpr double kSilentShare = 0.6;  // of the latency target without a word, before another server is asked
+constexpr Tenths kSilentResponses = 4; // ... and expected responses
 constexpr Tenths kIdleForOnce = 20'000;  // a connection that rested for longer may be forgotten without a word
 constexpr Tenths kIdleForRepeat = 60'000; // ... which costs nothing where the request may be sent again
 
@@ -48,7 +50,7 @@
 }
 
 transport::Async<Exchange::CallEnd> Exchange::call(const std::string& instance, Work work, Forwarding forwarding,
-                                                   Tenths patience) {
+                                                   std::optional<double> tokens_to_read, bool may_leave) {
     end_call(false);
     const model::Instance* record = context_.selector.instance(instance);
     if (record == nullptr) co_return CallEnd::kNeverSent;
@@ -74,10 +76,10 @@
         end_call(false);
         co_return CallEnd::kNeverSent;
     }
-    attempt_ = context_.selector.sent(instance, profile_, work, now());
-    attempt_out_ = true;
+    attempt_ = context_.selector.sent(instance, profile_, work, tokens_to_read, now());
+    attempt_out_ = true, attempt_runs_ = work != Work::kReadOnly;
     if (work != Work::kReadOnly) ++sends_, sent_to_.insert(instance);
-    const CallEnd end = co_await await_head(std::min(deadline_, now() + patience));
+    const CallEnd end = co_await await_head(may_leave);
     if (end == CallEnd::kAnswer) {
         context_.selector.answered(attempt_, now());
         co_return end;
@@ -94,7 +96,14 @@
     co_return end;
 }
 
-transport::Async<Exchange::CallEnd> Exchange::await_head(Tenths until) {
+Tenths Exchange::silent_at() const {
+    const Tenths patience = std::max(static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target)),
+                                     kSilentResponses * context_.selector.expected_response(attempt_));
+    return context_.selector.silent_since(attempt_) + patience;
+}
+
+transport::Async<Exchange::CallEnd> Exchange::await_head(bool may_leave) {
+    bool asked = false; // whether the budget allows to leave: asked once
     for (;;) {
         connection_->read();
         protocol::HttpParser& parser = connection_->parser();
@@ -116,8 +125,12 @@
         if (connection_->stream().ended()) co_return CallEnd::kBroken;
         if (client_gone()) co_return CallEnd::kClientGone;
         if (now() >= deadline_) co_return CallEnd::kOutOfTime;
-        if (now() >= until) co_return CallEnd::kSilent;
-        co_await wait(until);
+        // A server that answers others is slow, not silent, and is waited for.
+        if (may_leave && !asked && now() >= silent_at()) {
+            asked = true;
+            if (leave_is_allowed()) co_return CallEnd::kSilent;
+        }
+        co_await wait(may_leave && !asked ? std::min(silent_at(), deadline_) : deadline_);
     }
 }
 
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -13,6 +13,11 @@
 constexpr double kForgetSpan = 4.0 * kTenthsPerSecond;   // without answers, means go back to the usual over it
 constexpr double kLostHandleLimit = 0.4;                 // from which a reader is left alone
 constexpr double kBrokenLimit = 0.3;
+constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is busy
+constexpr double kSpillShare = 0.5;                    // of the latency target, expected at every home, from which all read
+constexpr double kStreamSpan = 5.0 * kTenthsPerSecond; // over which the long answers that are out are averaged
+constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill on average
+constexpr std::size_t kSpareStreamRunners = 1;
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -41,6 +46,7 @@
         Rank& least = best[static_cast<std::size_t>(server.instance.stage)];
         least = std::min(least, rank(server, tried, now));
     }
+    std::vector<Server*> runners;
     for (auto& [id, server] : servers_) {
         const model::Stage stage = server.instance.stage;
         if (!serves(server.instance, request)) continue;
@@ -49,34 +55,73 @@
             found.limited = true;
             continue;
         }
-        auto& list = stage == model::Stage::kPrefill  ? found.readers
-                     : stage == model::Stage::kDecode ? found.runners
-                                                      : found.plain;
+        auto& list = stage == model::Stage::kPrefill ? found.readers : stage == model::Stage::kDecode ? runners : found.plain;
         list.push_back(&server);
     }
+    divide_runners(std::move(runners), request, found, now);
     // The runners read as well: readers that are all in bad standing are not insisted on.
     if (best[static_cast<std::size_t>(model::Stage::kPrefill)] != Rank::kGood) found.readers.clear();
+    keep_homes(request, found, now);
     return found;
 }
 
-// Where a prompt's shared parts are kept: every node finds the same server without a word, and few prompts move when
-// servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998).
-const PairSelector::Server* PairSelector::home(const Request& request, const Candidates& candidates) const {
-    if (request.prompt.size() < 2) return nullptr;
+void PairSelector::count_streams(Tenths now) {
+    const double faded = std::exp(-static_cast<double>(now - streams_at_) / kStreamSpan);
+    mean_streams_ = mean_streams_ * faded + static_cast<double>(streams_out_) * (1 - faded);
+    streams_at_ = now;
+}
+
+// Every node finds the same order by hash, and about the same number by its own streams.
+void PairSelector::divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now) {
+    count_streams(now);
+    const std::uint64_t key = hash_text(request.service, 1);
+    std::ranges::sort(runners, std::ranges::greater{},
+                      [key](const Server* server) { return hash_text(server->instance.id, key); });
+    std::size_t wanted = 0;
+    if (!runners.empty() && (mean_streams_ > 0 || streams(request))) {
+        const auto slots = static_cast<double>(std::max<std::int64_t>(1, runners.front()->instance.slots));
+        wanted = static_cast<std::size_t>(std::ceil(mean_streams_ * edge_nodes_ / (slots * kStreamShare)));
+        wanted += kSpareStreamRunners;
+    }
+    wanted = std::min(wanted, runners.size());
+    found.stream_runners.assign(runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(wanted));
+    found.reading_runners.assign(runners.begin() + static_cast<std::ptrdiff_t>(wanted), runners.end());
+}
+
+// Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few prompts move
+// when servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998). The others are left out unless
+// every home is slow.
+void PairSelector::keep_homes(const Request& request, Candidates& candidates, Tenths now) const {
+    if (request.prompt.size() < 2 || streams(request)) return;
     const std::uint64_t key = hash_text(request.prompt[request.prompt.size() - 2].id);
-    const Server* home = nullptr;
-    double best = 0;
+    std::vector<std::pair<double, const Server*>> order;
     const auto look_at = [&](const std::vector<Server*>& servers, double weight) {
         for (const Server* server : servers) {
             const std::uint64_t hash = hash_text(server->instance.id, key);
             const double unit = (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0; // in (0, 1)
-            const double rank = -weight / std::log(unit);
-            if (home == nullptr || rank > best) home = server, best = rank;
+            order.emplace_back(-weight / std::log(unit), server);
         }
     };
     look_at(candidates.readers, kReaderWeight);
-    look_at(candidates.runners, kRunnerWeight);
-    return home;
+    look_at(candidates.reading_runners, kRunnerWeight);
+    if (order.size() <= kHomes) return;
+    std::ranges::partial_sort(order, order.begin() + kHomes, std::ranges::greater{});
+    order.resize(kHomes);
+    const auto is_home = [&](const Server* server) {
+        return std::ranges::any_of(order, [server](const auto& home) { return home.second == server; });
+    };
+    const double most = kSpillShare * static_cast<double>(request.latency_target);
+    const bool slow = std::ranges::all_of(order, [&](const auto& home) {
+        const bool reads_only = home.second->instance.stage == model::Stage::kPrefill;
+        const Work work = reads_only ? Work::kReadOnly : Work::kReadAndRun;
+        const double tokens = tokens_of(*home.second, request, work, now);
+        return response_of(*home.second, work, usual_time(work, tokens, false, request.latency_target), now) > most;
+    });
+    if (slow) return;
+    std::erase_if(candidates.readers, [&](const Server* server) { return !is_home(server); });
+    candidates.stream_runners.insert(candidates.stream_runners.end(), candidates.reading_runners.begin(),
+                                     candidates.reading_runners.end()); // what was fetched may run anywhere
+    std::erase_if(candidates.reading_runners, [&](const Server* server) { return !is_home(server); });
 }
 
 void PairSelector::relax(Server& server, Tenths now) {
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -9,10 +9,9 @@
 namespace {
 
 constexpr double kFresh = 0.3;        // weight of an answer in a server's means
-constexpr double kFreshUsual = 0.05;  // ... in the mean over all servers
 constexpr double kUnheardShare = 0.1; // of the latency target: expected time while nobody was heard
-constexpr double kFixedTokens = 1000; // what a request costs beside its tokens, in tokens
-constexpr double kReadAtRunner = 2;   // a runner reads at half the pace (PROTOCOL, prefill and decode)
+constexpr double kUnheardTokens = 8000; // a prompt of such a length takes the expected time while nobody was heard
+constexpr double kReadAtRunner = 2;     // a runner reads at half the pace (PROTOCOL, prefill and decode)
 constexpr double kZoneFactor = 2;     // of a move between zones (PROTOCOL)
 constexpr Tenths kRefusedRest = 200;  // doubled for each refusal in a row
 constexpr Tenths kUnreachableRest = 2500;
@@ -79,59 +78,67 @@
     return Backlogged{(now / kWindow + 1) * kWindow};
 }
 
+bool PairSelector::streams(const Request& request) { return request.output_tokens > request.prompt_tokens(); }
+
 // A pair of two servers competes with each runner that reads the prompt itself: a hand-over has to earn its way.
 std::optional<Pair> PairSelector::best_pair(const Request& request, const Candidates& candidates, bool may_hand_over,
                                             Tenths now) {
-    if (candidates.runners.empty()) {
-        const auto plain = best_of(candidates.plain, request, Work::kPlain, nullptr, now);
+    const bool apart = !streams(request);
+    const auto& runners = candidates.stream_runners.empty() ? candidates.reading_runners : candidates.stream_runners;
+    if (runners.empty()) {
+        const auto plain = best_of(candidates.plain, request, Work::kPlain, now);
         if (!plain) return std::nullopt;
-        return Pair{"", plain->server->instance.id};
+        return Pair{"", plain->server->instance.id, 0};
+    }
+    const bool hands_over = may_hand_over && !candidates.readers.empty();
+    std::optional<Scored> alone;
+    if (!apart || !candidates.reading_runners.empty() || !hands_over) {
+        const bool elsewhere = apart && !candidates.reading_runners.empty();
+        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun, now);
+        if (!hands_over) return Pair{"", alone->server->instance.id, alone->tokens};
     }
-    const Server* home = this->home(request, candidates);
-    const auto alone = best_of(candidates.runners, request, Work::kReadAndRun, home, now);
-    const Pair direct{"", alone->server->instance.id};
-    if (!may_hand_over || candidates.readers.empty()) return direct;
-    const auto reader = best_of(candidates.readers, request, Work::kReadOnly, home, now);
+    const auto reader = best_of(candidates.readers, request, Work::kReadOnly, now);
     const Server* runner = nullptr;
     double best = 0;
-    for (const Server* server : candidates.runners) {
-        const double total = score(*server, request, Work::kFetchAndRun, false, now) +
+    for (const Server* server : runners) {
+        const double total = score(*server, request, Work::kFetchAndRun, 0, now) +
                              move_time(*reader->server, *server, request);
         if (runner == nullptr || total < best) runner = server, best = total;
     }
-    if (reader->score + best >= alone->score) return direct;
-    return Pair{reader->server->instance.id, runner->instance.id};
+    if (alone && reader->score + best >= alone->score)
+        return Pair{"", alone->server->instance.id, alone->tokens};
+    return Pair{reader->server->instance.id, runner->instance.id, reader->tokens};
 }
 
 std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers, const Request& request,
-                                                          Work work, const Server* home, Tenths now) {
+                                                          Work work, Tenths now) {
     std::optional<Scored> best;
     int ties = 1;
     for (Server* server : servers) {
-        const double here = score(*server, request, work, server == home, now);
+        const double tokens = tokens_of(*server, request, work, now);
+        const double here = score(*server, request, work, tokens, now);
         if (!best || here < best->score)
-            best = Scored{server, here}, ties = 1;
+            best = Scored{server, here, tokens}, ties = 1;
         else if (here == best->score && random_.unit() < 1.0 / ++ties)
-            best->server = server; // nodes that know the same must not all pick the same
+            best = Scored{server, here, tokens}; // nodes that know the same must not all pick the same
     }
     return best;
 }
 
-double PairSelector::tokens_of(const Server& server, const Request& request, Work work, bool is_home,
-                               Tenths now) const {
-    if (work == Work::kFetchAndRun || work == Work::kPlain || request.prompt.empty()) return kFixedTokens;
+double PairSelector::tokens_of(const Server& server, const Request& request, Work work, Tenths now) const {
+    if (work == Work::kFetchAndRun || work == Work::kPlain || request.prompt.empty()) return 0;
     const std::int64_t all = request.prompt_tokens();
-    std::int64_t held = server.cache.held(request.prompt, now);
-    if (is_home) held = std::max(held, all - request.prompt.back().tokens);
-    const auto read = static_cast<double>(std::max<std::int64_t>(0, all - held));
-    return kFixedTokens + read * (work == Work::kReadAndRun ? kReadAtRunner : 1);
+    const std::int64_t held = server.cache.held(request.prompt, now);
+    return static_cast<double>(std::max<std::int64_t>(0, all - held));
 }
 
-// While nobody was heard, a request takes a tenth of its target.
-double PairSelector::usual_time(Work work, double tokens, Tenths latency_target) const {
-    const double token_time = token_time_[index(work)];
-    if (token_time > 0) return tokens * token_time;
-    return std::max(1.0, static_cast<double>(latency_target) * kUnheardShare) * tokens / (8 * kFixedTokens);
+// While nobody was heard of such work, a long prompt takes a tenth of its target.
+double PairSelector::usual_time(Work work, double tokens, bool streams, Tenths latency_target) const {
+    const TimeModel& model = times_[streams ? 1 : 0][index(work)];
+    if (model.known()) return std::max(1.0, model.time(tokens));
+    const double pace = work == Work::kReadAndRun ? kReadAtRunner : 1;
+    const double length = (kUnheardTokens + pace * tokens) / (2 * kUnheardTokens);
+    return std::max(1.0, static_cast<double>(latency_target) * kUnheardShare * length);
 }
 
 // Silence counts as a response of its length: an attempt unanswered is news too.
@@ -142,11 +149,16 @@
     return std::max(known, static_cast<double>(now - std::max(oldest, server.last_answer)));
 }
 
-double PairSelector::score(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const {
-    const double tokens = tokens_of(server, request, work, is_home, now);
-    const double usual = usual_time(work, tokens, request.latency_target);
+// A part is outstanding until its first word; from then on it takes one of the server's slots.
+double PairSelector::outstanding(const Server& server) {
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.instance.slots));
+    return static_cast<double>(server.unanswered.size()) + static_cast<double>(server.running) / slots;
+}
+
+double PairSelector::score(const Server& server, const Request& request, Work work, double tokens, Tenths now) const {
+    const double usual = usual_time(work, tokens, work != Work::kReadOnly && streams(request), request.latency_target);
     const double service = server.estimates[index(work)].service * usual;
-    const double waiting = 1 + server.outstanding() * edge_nodes_ + server.queue;
+    const double waiting = 1 + outstanding(server) * edge_nodes_ + server.queue;
     return replica_selection::score(response_of(server, work, usual, now), service, waiting);
 }
 
@@ -158,15 +170,17 @@
     return reader.instance.zone == runner.instance.zone ? time : time * kZoneFactor;
 }
 
-AttemptNo PairSelector::sent(const std::string& instance, const Request& request, Work work, Tenths now) {
+AttemptNo PairSelector::sent(const std::string& instance, const Request& request, Work work,
+                             std::optional<double> tokens_to_read, Tenths now) {
     const AttemptNo number{++count_};
     Server* server = find(instance);
     if (server == nullptr) return number;
     Attempt& attempt = attempts_[number];
     attempt.server = instance, attempt.work = work;
     attempt.sent = now, attempt.latency_target = request.latency_target;
-    attempt.tokens = tokens_of(*server, request, work, false, now);
+    attempt.tokens = tokens_to_read.value_or(tokens_of(*server, request, work, now));
     attempt.waiting = server->queue;
+    attempt.streams = work != Work::kReadOnly && streams(request);
     server->limit.sent(now);
     server->unanswered[number] = now;
     if (work == Work::kPlain || request.prompt.empty()) return number;
@@ -186,10 +200,9 @@
     Server* server = find(attempt->server);
     if (server == nullptr) return;
     const double took = std::max(1.0, static_cast<double>(now - attempt->sent));
-    double& token_time = token_time_[index(attempt->work)];
-    if (token_time <= 0) token_time = took / attempt->tokens;
-    const double multiple = took / (attempt->tokens * token_time);
-    mix(token_time, took / attempt->tokens, kFreshUsual);
+    TimeModel& times = times_[attempt->streams ? 1 : 0][index(attempt->work)];
+    const double multiple = times.known() ? took / std::max(1.0, times.time(attempt->tokens)) : 1;
+    times.add(attempt->tokens, took);
     Estimate& estimate = server->estimates[index(attempt->work)];
     mix(estimate.response, multiple, kFresh);
     mix(estimate.service, multiple / (1 + attempt->waiting), kFresh);
@@ -198,16 +211,18 @@
     server->refusals = server->failures = 0;
     server->limit.answered(now);
     if (server->unanswered.erase(number) > 0) ++server->running;
-    server->limit.adapt(now, server->outstanding(), backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
+    server->limit.adapt(now, static_cast<int>(server->unanswered.size()), backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
 }
 
-void PairSelector::close(AttemptNo number) {
+void PairSelector::close(AttemptNo number, Tenths now) {
     Attempt* attempt = out(number);
     if (attempt == nullptr) return;
     if (Server* server = find(attempt->server)) {
         const bool waited = server->unanswered.erase(number) > 0;
         if (!waited && attempt->answered && server->running > 0) --server->running;
     }
+    count_streams(now);
+    if (attempt->streams) --streams_out_;
     attempts_.erase(number);
 }
 
@@ -216,7 +231,7 @@
     // Given up on without an answer: what it took so far is the least that it would have taken.
     if (attempt != nullptr && !attempt->answered) {
         Server* server = find(attempt->server);
-        const double usual = usual_time(attempt->work, attempt->tokens, attempt->latency_target);
+        const double usual = usual_time(attempt->work, attempt->tokens, attempt->streams, attempt->latency_target);
         const double multiple = static_cast<double>(now - attempt->sent) / std::max(usual, 1.0);
         if (server != nullptr) {
             Estimate& estimate = server->estimates[index(attempt->work)];
@@ -224,7 +239,7 @@
             server->relaxed = now;
         }
     }
-    close(number);
+    close(number, now);
 }
 
 // An error comes fast and leaves nothing behind: it must not look like a quick server with an empty queue.
@@ -232,7 +247,7 @@
     if (Attempt* attempt = out(number))
         if (Server* server = find(attempt->server))
             server->avoided_until = now + doubled(kRefusedRest, server->refusals++);
-    close(number);
+    close(number, now);
 }
 
 void PairSelector::broken(AttemptNo number, Tenths now) {
@@ -241,7 +256,7 @@
             mix(server->breaks, 1, kFresh);
             server->relaxed = now;
         }
-    close(number);
+    close(number, now);
 }
 
 void PairSelector::unreachable(const std::string& instance, Tenths now) {
@@ -249,6 +264,23 @@
         server->avoided_until = now + doubled(kUnreachableRest, server->failures++);
 }
 
+Tenths PairSelector::silent_since(AttemptNo number) const {
+    const auto found = attempts_.find(number);
+    if (found == attempts_.end()) return 0;
+    const auto server = servers_.find(found->second.server);
+    return server == servers_.end() ? found->second.sent : std::max(found->second.sent, server->second.last_answer);
+}
+
+Tenths PairSelector::expected_response(AttemptNo number) const {
+    const auto found = attempts_.find(number);
+    if (found == attempts_.end()) return 0;
+    const Attempt& attempt = found->second;
+    const double usual = usual_time(attempt.work, attempt.tokens, attempt.streams, attempt.latency_target);
+    const auto server = servers_.find(attempt.server);
+    if (server == servers_.end()) return static_cast<Tenths>(usual);
+    return static_cast<Tenths>(usual * std::max(1.0, server->second.estimates[index(attempt.work)].response));
+}
+
 void PairSelector::handle_used(const std::string& reader, bool found) {
     if (Server* server = find(reader)) mix(server->lost_handles, found ? 0 : 1, kFresh);
 }
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -8,6 +8,7 @@
 #include "model/instance.hpp"
 #include "replica_selection/c3.hpp"
 #include "replica_selection/prompt_cache_view.hpp"
+#include "replica_selection/time_model.hpp"
 
 #include <array>
 #include <cstdint>
@@ -32,6 +33,7 @@
 struct Request {
     std::string service, model;
     std::vector<PromptPart> prompt; // in order; the last is the request's or its session's own
+    std::int64_t output_tokens = 0; // the most that it generates
     Tenths latency_target = 0;
     std::int64_t prompt_tokens() const;
 };
@@ -39,6 +41,7 @@
 struct Pair {
     std::string reader; // empty where the runner reads the prompt itself
     std::string runner;
+    double tokens_to_read = 0; // that whoever reads the prompt is expected not to hold
 };
 struct Backlogged { // every server is over its sending limit; a place may be free then
     Tenths until = 0;
@@ -61,13 +64,19 @@
     Choice choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, Tenths now);
     const model::Instance* instance(const std::string& id) const; // null where it is gone
 
-    AttemptNo sent(const std::string& instance, const Request& request, Work work, Tenths now);
+    // `tokens_to_read`: as the choice expected it; without one, what is believed now.
+    AttemptNo sent(const std::string& instance, const Request& request, Work work,
+                   std::optional<double> tokens_to_read, Tenths now);
     void answered(AttemptNo attempt, Tenths now); // its first event, or the answer of a reading
     void ended(AttemptNo attempt, Tenths now);    // nothing of it is out any more
     void refused(AttemptNo attempt, Tenths now);  // it has not run: the server is full, or leaving
     void broken(AttemptNo attempt, Tenths now);   // it failed, or its connection ended before its answer did
     void unreachable(const std::string& instance, Tenths now); // no connection came up
     void handle_used(const std::string& reader, bool found);   // whether its memory was still there
+    // Since when nothing was heard of the server, at the earliest since the attempt was sent.
+    Tenths silent_since(AttemptNo attempt) const;
+    // The usual time to the first word of such an attempt, as this server is.
+    Tenths expected_response(AttemptNo attempt) const;
 
   private:
     struct Estimate { // of one kind of work at one server, as a multiple of the usual time
@@ -84,22 +93,24 @@
         double lost_handles = 0, breaks = 0; // mean shares of late
         int refusals = 0, failures = 0;      // in a row
         Tenths last_answer = 0, avoided_until = 0, relaxed = 0;
-        int outstanding() const { return static_cast<int>(unanswered.size() + running); }
     };
     struct Attempt {
         std::string server;
         Work work = Work::kPlain;
-        double tokens = 0; // that it was expected to cost
+        double tokens = 0; // that it was expected to read
         Tenths sent = 0, latency_target = 0;
         double waiting = 0; // C3's q when it was sent
-        bool answered = false;
+        bool answered = false, streams = false;
     };
     struct Scored {
         Server* server = nullptr;
-        double score = 0;
+        double score = 0, tokens = 0;
     };
     struct Candidates {
-        std::vector<Server*> readers, runners, plain;
+        std::vector<Server*> readers, plain;
+        // A prompt that a runner reads holds up the tokens of all that run there, so those are kept apart: long answers
+        // run at a few servers, long prompts are read at the others.
+        std::vector<Server*> stream_runners, reading_runners;
         bool limited = false; // some were left out for their sending limit alone
     };
     enum class Rank : std::uint8_t { kGood, kAvoided, kSilent, kTried }; // the best that is there is used
@@ -107,20 +118,24 @@
     // candidates.cpp
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
-    const Server* home(const Request& request, const Candidates& candidates) const;
+    void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
+    void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
+    void count_streams(Tenths now);
     void relax(Server& server, Tenths now);
 
     // pair_selector.cpp
     std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over, Tenths now);
     std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
-                                  const Server* home, Tenths now);
-    double tokens_of(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
-    double usual_time(Work work, double tokens, Tenths latency_target) const;
+                                  Tenths now);
+    double tokens_of(const Server& server, const Request& request, Work work, Tenths now) const;
+    double usual_time(Work work, double tokens, bool streams, Tenths latency_target) const;
     double response_of(const Server& server, Work work, double usual, Tenths now) const;
-    double score(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
+    double score(const Server& server, const Request& request, Work work, double tokens, Tenths now) const;
+    static double outstanding(const Server& server);
     double move_time(const Server& reader, const Server& runner, const Request& request) const;
+    static bool streams(const Request& request); // its answer may be longer than its prompt
     Attempt* out(AttemptNo attempt);
-    void close(AttemptNo attempt);
+    void close(AttemptNo attempt, Tenths now);
     Server* find(const std::string& id);
     const model::Engine* engine(const std::string& service) const;
 
@@ -130,7 +145,11 @@
     std::map<std::string, model::Service> services_;
     std::map<AttemptNo, Attempt> attempts_;
     std::uint64_t count_ = 0;
-    std::array<double, kWorks> token_time_{}; // tenths a token, the mean over all servers; 0 while nobody was heard
+    // Over all servers, by work; answers of several events apart, as their first event holds many tokens.
+    std::array<std::array<TimeModel, kWorks>, 2> times_;
+    std::size_t streams_out_ = 0; // long answers that this node waits for or passes on
+    double mean_streams_ = 0;     // ... over the last seconds
+    Tenths streams_at_ = 0;
     Tenths backlog_at_ = -1;                  // when a request last found every server over its limit
 };
 
