C3's score and sending limit in a header that the fleet will use as well

Cause: the programs of the fleet rank servers and bound what they send to each by the same C3 as the decision module, which held it inline. Three of the module's comments are tightened for that. No decision changes: the test goes in lockstep with the former code to the last bit.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,14 +1,15 @@
-// The one decision module of ivyrill: C3 over replicated shards, and what the rules and broken servers ask
-// beside it. Its interface stands in brain.hpp. A caller opens one Brain an instance, hands it each turn's
-// events by `on`, in order, then calls `decide` once; all actions go to the Host. `on` only learns. `decide`
-// works out the wanted state (what should be out, what ends, who is probed, when to wake), and `emit` alone
-// turns its difference to the present state into actions. docs/design.md tells what is C3's and what departs
-// from it.
+// The one decision module of ivyrill: C3 (replica_selection/c3.hpp) over replicated shards, and what the
+// rules and broken servers ask beside it; docs/design.md tells which is which. brain.hpp is its interface. A
+// caller opens one Brain an instance, hands it each turn's events by `on`, in order, then calls `decide`
+// once; all actions go to the Host. `on` only learns. `decide` works out the wanted state (what should be
+// out, what ends, who is probed, when to wake), and `emit` alone turns its difference to the present one into
+// actions.
 #include "brain.hpp"
 
 #include "base/pcg.hpp"
 #include "limits/cold_rule.hpp"
 #include "recovery/relief.hpp"
+#include "replica_selection/c3.hpp"
 #include "state.hpp"
 
 #include <algorithm>
@@ -18,19 +19,10 @@
 #include <ranges>
 
 namespace ivyrill {
-
 namespace {
 
-// C3's own figures, from the paper and the design page; limits are in parts a window.
-constexpr Tenths kWindow = 200;                        // 20 ms
-constexpr double kStartLimit = 10, kStepCap = 10;      // ... and smax
-constexpr double kLeastLimit = 2, kRecentMultiple = 2; // floors: itself, and times our recent sends
-constexpr double kCut = 0.2, kSaddle = 1000;           // beta; 100 ms
-constexpr double kGamma = kCut * kStartLimit / (kSaddle * kSaddle * kSaddle);
-constexpr double kUnheardShare = 0.1; // of the due span: service time where nobody was heard
-
-// Ours. Shares of a due span, unless said otherwise; of the shortest one where no request class is in
-// question.
+// Ours. Shares of a due span, unless said otherwise; of the shortest where no request class is in question.
+constexpr double kUnheardShare = 0.1;              // service time where nobody was heard
 constexpr double kFresh = 0.3, kFreshReport = 0.6; // weight in a mean: of an answer, of a report
 constexpr double kDeviations = 4; // an attempt is overdue past the mean and so many mean deviations
 constexpr double kLeastPatience = 0.3, kMostPatience = 0.5; // ... but not before the one or after the other
@@ -58,6 +50,7 @@
 constexpr double kWeightSlack = 1e-6, kGulf = 1e12; // the latter lies between classes of standing
 
 using Stand = recovery::Relief::Stand;
+using replica_selection::kWindow;
 
 class ReplicaSelector : public Brain {
   public:
@@ -153,7 +146,7 @@
         for (const ListEntry& entry : news.entries) {
             IndexServer& server = servers_[entry.server];
             if (!server.known || server.entry.cell != entry.cell) replicas_.clear();
-            if (!server.known) server.id = entry.server, server.limit = server.saturation = kStartLimit;
+            if (!server.known) server.id = entry.server;
             const bool started = entry.born > server.entry.born && entry.born > server.cold_from;
             if (started && server.known) sign_of_storm();
             server.entry = entry, server.known = true;
@@ -176,10 +169,10 @@
         server.standing = Standing::kTrial, server.trial_room = 1;
         server.faults = 0, server.heard = false, server.silent = 0;
         server.last_answer = now_; // what it still owes from before is not held against it
-        // Nobody was there and the list has not said why: it may have started anew, so it counts as cold.
-        // That holds for any end of its process. A connection that only never came up in time was held on the
-        // way, for which a sound server must not be spared a whole warming; of a machine that was away the
-        // list tells. It hurts where one comes back cold long before the list says so.
+        // Nobody was there and the list has not said why: it may have started anew and counts as cold, after
+        // any end of its process. A connection that only never came up in time was held on the way: a sound
+        // server is not spared a whole warming for it. It hurts where one is back cold long before it is
+        // listed.
         if (server.gone) chill(server, now_);
         server.unreachable = server.gone = false;
     }
@@ -216,9 +209,7 @@
         if (search.fate == Fate::kEnded) forget(found->second.first);
     }
 
-    static bool unconnected(Outcome outcome) {
-        return outcome == Outcome::kNoConnection || outcome == Outcome::kRefused;
-    }
+    static bool unconnected(Outcome end) { return end == Outcome::kNoConnection || end == Outcome::kRefused; }
 
     void learn(IndexServer& server, RequestClassView& request_class, const AttemptReturned& event) {
         const double due = request_class.terms.latency_target;
@@ -238,9 +229,8 @@
             if (server.last_answer > 0)
                 mix(news_gap_, static_cast<double>(now_ - server.last_answer), kUsualWeight);
             server.last_answer = now_, server.silent = 0;
-            roll_window(server);
-            ++server.answers;
-            adapt(server);
+            server.sending.answered(now_);
+            server.sending.adapt(now_, server.out(), backlogged(server));
             if (!request_class.heard) request_class.response = took;
             const double odd =
                 request_class.response + 2 * kDeviations * std::max(request_class.deviation, due * 0.02);
@@ -263,9 +253,8 @@
             server.standing = Standing::kIn, server.setbacks = 0;
         // A full server is sound, so it is not set aside, but nothing more is sent there for a latency
         // target, or for as long as it takes to hear of a server again, doubled each time; forecasts know it.
-        // Where servers work on at what is given up, parts sent to those that are full keep them full for
-        // nobody: among many front nodes each forgot sooner than it came by again. Held against drains that
-        // are heard of late, too; it hurts where one burst filled it.
+        // Where servers work on at what is given up, parts sent to full ones keep them full for nobody: among
+        // many front nodes each forgot sooner than it came by again. It hurts where one burst filled it.
         if (good) server.turned_away = 0, server.full_until = 0;
         if (event.outcome == Outcome::kTurnedAway) {
             const double rest =
@@ -285,7 +274,6 @@
     // search sends a single part until one is answered; one that breaks two servers, or one with its part out
     // alone, is ended. Acts on deploys and lost zones too, for the time of one more answer.
     void sign_of_storm() { storm_ = storm() + 1, storm_at_ = now_; }
-
     double storm() const { return storm_ * std::exp(-(now_ - storm_at_) / (kStormSpan * pace_)); }
 
     void suspect(Search& search, const Attempt& attempt, Outcome outcome) {
@@ -366,10 +354,9 @@
 
     void set_aside(IndexServer& server) {
         if (server.standing == Standing::kAside) return;
-        const bool trial = server.standing == Standing::kTrial;
-        server.setbacks = std::min(server.setbacks + (trial ? 1 : 0), kMostSetbacks);
-        server.standing = Standing::kAside, server.passes = server.silent = 0;
-        watch(server);
+        const int failed_trial = server.standing == Standing::kTrial ? 1 : 0;
+        server.setbacks = std::min(server.setbacks + failed_trial, kMostSetbacks);
+        server.standing = Standing::kAside, server.passes = server.silent = 0, watch(server);
         server.next_probe = now_ + probe_gap(server.setbacks);
     }
 
@@ -378,31 +365,6 @@
         return static_cast<Tenths>(news * kProbeGap * (1 << setbacks) * (0.75 + 0.5 * chance_.unit()));
     }
 
-    void roll_window(IndexServer& server) {
-        const Tenths window = now_ / kWindow;
-        if (window == server.window) return;
-        mix(server.recent_sends, window == server.window + 1 ? server.sent : 0, kFresh);
-        server.last_answers = window == server.window + 1 ? server.answers : 0;
-        server.window = window;
-        server.sent = server.answers = 0;
-    }
-
-    void adapt(IndexServer& server) {
-        const double answers = std::max(server.answers, server.last_answers);
-        // Answers cannot exceed what is not sent: a full window of which nothing is owed was too narrow.
-        if (answers > server.limit || (server.sent >= server.limit && server.out() == 0)) {
-            const double reach = now_ - server.last_cut - std::cbrt(kCut * server.saturation / kGamma);
-            const double cubic = kGamma * reach * reach * reach + server.saturation;
-            server.limit = std::max(server.limit, std::min(server.limit + kStepCap, cubic));
-            server.last_rise = now_;
-        } else if (answers < server.limit && backlogged(server) && now_ - server.last_rise > 2 * kWindow) {
-            server.saturation = server.limit;
-            const double least = std::max(kLeastLimit, kRecentMultiple * server.recent_sends);
-            server.limit = std::max(server.limit * kCut, least);
-            server.last_cut = now_;
-        }
-    }
-
     bool backlogged(const IndexServer& server) const {
         return std::ranges::any_of(
             backlog_, [&](auto& s) { return s.second > 0 && terms_.holds(server.entry.cell, s.first); });
@@ -449,7 +411,7 @@
 
     // Without answers, what was high drains and what was low is forgotten, towards the fleet's usual.
     void drain(IndexServer& server) {
-        roll_window(server);
+        server.sending.roll(now_);
         const double passed = static_cast<double>(now_ - server.drained);
         server.drained = now_;
         if (server.out() > 0 || passed <= 0 || !server.heard) return;
@@ -473,7 +435,7 @@
         const double joined = terms_.call_work > 0 ? service / (service + terms_.call_work) : front_nodes_;
         const double before = (server.out() - server.joining) * front_nodes_;
         const double waiting = 1 + before + server.joining * joined + queue_of(server);
-        return response_of(server) - service + waiting * waiting * waiting * service;
+        return replica_selection::score(response_of(server), service, waiting);
     }
 
     bool review(IndexServer& server) {
@@ -508,8 +470,7 @@
 
     // All hear of a start at about the same time, so each draws its own moment of the first gap.
     void chill(IndexServer& server, Tenths from) {
-        server.cold_from = from;
-        server.cold_next = cold_moment(server, chance_.unit());
+        server.cold_from = from, server.cold_next = cold_moment(server, chance_.unit());
     }
 
     bool is_cold(const IndexServer& server) const {
@@ -541,8 +502,8 @@
                 continue;
             }
             if (sound_only && (!open || used > 0 || bad || stand != Stand::kOpen)) continue;
-            limited = limited || server->sent >= server->limit;
-            if (server->sent >= server->limit) continue;
+            limited = limited || !server->sending.has_room(now_);
+            if (!server->sending.has_room(now_)) continue;
             double rank = score(*server), below = 0.5 * static_cast<double>(used);
             if (!open) below += server->unreachable ? 3 : 2;
             if (once && server->standing == Standing::kTrial) ++below;
@@ -575,7 +536,6 @@
     }
 
     Tenths margin() const { return 4 * terms_.turn_gap; }
-
     Tenths patience(const RequestClassView& request_class) const {
         const double due = static_cast<double>(request_class.terms.latency_target);
         const double usual =
@@ -607,8 +567,7 @@
         const bool partial = request_class.terms.floor < request_class.terms.need;
         if (lacks && may_be + kWeightSlack < request_class.terms.floor) return give_up(search);
         const bool enough = partial && in + kWeightSlack >= request_class.terms.floor;
-        const bool over = now_ >= search.expiry - margin();
-        const bool late = now_ >= search.due - margin();
+        const bool over = now_ >= search.expiry - margin(), late = now_ >= search.due - margin();
         const bool no_more = !out && (lacks ? !waits : hopeless);
         if (enough && (over || late || no_more)) return void(search.fate = Fate::kPartial);
         const bool pointless = late && request_class.terms.late_share <= full_; // it costs others more
@@ -802,17 +761,14 @@
         server.renew = server.renew || (idle && !trusted);
         const AttemptNo number{static_cast<std::uint32_t>(part.attempts.size() - 1)};
         server.sent_at[{part.id, number}] = {now_, idle && !server.renew, false, server.renew};
-        server.used = now_;
-        ++server.sent, ++server.joining;
+        server.used = now_, server.sending.sent(now_), ++server.joining;
         watch(server);
         if (is_cold(server)) server.cold_next = cold_moment(server, 0.5 + chance_.unit());
     }
 
     // How long what was heard of a server stands: a due span, or as long as it takes to hear of it again.
     double memory() const { return std::max(pace_, kNewsGaps * news_gap_); }
-
     Tenths shares(double of_pace) const { return static_cast<Tenths>(pace_ * of_pace); }
-
     void note(Tenths at) { next_ = std::min(next_, std::max(at, now_ + terms_.turn_gap)); }
 
     void emit(Host& host) {
@@ -902,5 +858,4 @@
 std::unique_ptr<Brain> open_brain(OpeningTerms terms) {
     return std::make_unique<ReplicaSelector>(std::move(terms));
 }
-
 } // namespace ivyrill
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -2,6 +2,7 @@
 // server, a group of servers, the instance. Types only: no decision and no value set by tuning stands here.
 #pragma once
 #include "brain.hpp"
+#include "replica_selection/c3.hpp"
 
 #include <algorithm>
 #include <array>
@@ -80,9 +81,7 @@
     // C3: exponentially weighted means of response, reported queue and service time.
     bool heard = false;
     double response = 0, queue = 0, service = 0;
-    double limit = 0, saturation = 0, recent_sends = 0;
-    Tenths last_cut = 0, last_rise = 0, window = 0;
-    int sent = 0, answers = 0, last_answers = 0;
+    replica_selection::SendingLimit sending;
     int out_at_report = 0, joining = 0; // attempts out then; siblings that share this turn's call
     // health
     std::map<std::pair<PartId, AttemptNo>, Sending> sent_at;
--- /dev/null
+++ b/tests/c3_tests.cpp
@@ -0,0 +1,235 @@
+// C3's score and sending limit by hand-worked figures, and in lockstep with the code that the decision module
+// held before.
+#define BOOST_TEST_MODULE c3
+#include <boost/test/included/unit_test.hpp>
+
+#include "base/pcg.hpp"
+#include "replica_selection/c3.hpp"
+
+using ivyrill::Pcg;
+using ivyrill::Tenths;
+using namespace ivyrill::replica_selection;
+
+namespace {
+
+// So many are sent and answered, all in the window that holds `now`.
+void send(SendingLimit& limit, Tenths now, int count) {
+    for (int i = 0; i < count; ++i) limit.sent(now);
+}
+
+void answer(SendingLimit& limit, Tenths now, int count) {
+    for (int i = 0; i < count; ++i) limit.answered(now);
+}
+
+// As it stood in src/brain.cpp, with the server's fields and the turn's time in one place.
+struct FormerLimit {
+    double limit = 10, saturation = 10, recent_sends = 0;
+    Tenths last_cut = 0, last_rise = 0, window = 0;
+    int sent = 0, answers = 0, last_answers = 0;
+
+    void roll_window(Tenths now) {
+        const Tenths fresh = now / 200;
+        if (fresh == window) return;
+        recent_sends += 0.3 * ((fresh == window + 1 ? sent : 0) - recent_sends);
+        last_answers = fresh == window + 1 ? answers : 0;
+        window = fresh;
+        sent = answers = 0;
+    }
+
+    void adapt(Tenths now, int outstanding, bool backlogged) {
+        constexpr double kFormerGamma = 0.2 * 10.0 / (1000.0 * 1000.0 * 1000.0);
+        const double most = std::max(answers, last_answers);
+        if (most > limit || (sent >= limit && outstanding == 0)) {
+            const double reach = now - last_cut - std::cbrt(0.2 * saturation / kFormerGamma);
+            const double cubic = kFormerGamma * reach * reach * reach + saturation;
+            limit = std::max(limit, std::min(limit + 10.0, cubic));
+            last_rise = now;
+        } else if (most < limit && backlogged && now - last_rise > 2 * 200) {
+            saturation = limit;
+            const double least = std::max(2.0, 2.0 * recent_sends);
+            limit = std::max(limit * 0.2, least);
+            last_cut = now;
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(score_is_response_less_service_and_cubed_queue_times_service) {
+    BOOST_TEST(score(5, 2, 3) == 5 - 2 + 27 * 2);
+    BOOST_TEST(score(400, 100, 1) == 400);
+    BOOST_TEST(score(400, 100, 0) == 300);
+}
+
+BOOST_AUTO_TEST_CASE(a_long_queue_outweighs_a_quick_server) {
+    BOOST_TEST(score(50, 10, 6) > score(200, 100, 2));
+    BOOST_TEST(score(50, 10, 2) < score(200, 100, 2));
+}
+
+BOOST_AUTO_TEST_CASE(a_window_has_room_for_the_limit) {
+    SendingLimit limit;
+    BOOST_TEST(limit.limit() == 10);
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(limit.has_room(5000));
+        limit.sent(5000);
+    }
+    BOOST_TEST(!limit.has_room(5000));
+    BOOST_TEST(!limit.has_room(5199));
+    BOOST_TEST(limit.has_room(5200));
+}
+
+BOOST_AUTO_TEST_CASE(more_answers_than_the_limit_let_it_rise_by_the_cubic_curve) {
+    // The saddle lies 100 ms after the last cut; 30 ms past it the curve stands at 10 + 2e-9 * 300^3.
+    SendingLimit limit;
+    answer(limit, 1300, 11);
+    limit.adapt(1300, 5, true);
+    BOOST_TEST(limit.limit() == 10.054, boost::test_tools::tolerance(1e-12));
+}
+
+BOOST_AUTO_TEST_CASE(one_rise_is_capped) {
+    SendingLimit limit;
+    answer(limit, 30'000, 11);
+    limit.adapt(30'000, 5, false);
+    BOOST_TEST(limit.limit() == 20);
+    answer(limit, 30'000, 9); // twenty answers do not exceed the limit now
+    limit.adapt(30'000, 5, false);
+    BOOST_TEST(limit.limit() == 20);
+    answer(limit, 30'000, 1);
+    limit.adapt(30'000, 5, false);
+    BOOST_TEST(limit.limit() == 30);
+}
+
+BOOST_AUTO_TEST_CASE(the_curve_never_lowers_the_limit) {
+    SendingLimit limit;
+    answer(limit, 100, 11); // the curve stands below the limit before its saddle
+    limit.adapt(100, 5, false);
+    BOOST_TEST(limit.limit() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(answers_of_the_window_before_count_and_older_ones_do_not) {
+    SendingLimit before, older;
+    answer(before, 30'000, 11);
+    answer(older, 30'000, 11);
+    before.answered(30'200);
+    before.adapt(30'200, 5, false);
+    older.answered(30'400);
+    older.adapt(30'400, 5, false);
+    BOOST_TEST(before.limit() == 20);
+    BOOST_TEST(older.limit() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_window_of_which_nothing_is_owed_rises) {
+    SendingLimit idle, owing, half;
+    send(idle, 30'000, 10);
+    idle.adapt(30'000, 0, false);
+    send(owing, 30'000, 10);
+    owing.adapt(30'000, 1, false);
+    send(half, 30'000, 9);
+    half.adapt(30'000, 0, false);
+    BOOST_TEST(idle.limit() == 20);
+    BOOST_TEST(owing.limit() == 10);
+    BOOST_TEST(half.limit() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(a_backlog_with_few_answers_cuts_by_beta) {
+    SendingLimit limit;
+    answer(limit, 30'000, 11);
+    limit.adapt(30'000, 5, false); // to 20
+    limit.answered(31'000);
+    limit.adapt(31'000, 5, true);
+    BOOST_TEST(limit.limit() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_cut_without_a_backlog) {
+    SendingLimit limit;
+    limit.answered(5000);
+    limit.adapt(5000, 5, false);
+    BOOST_TEST(limit.limit() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_cut_where_answers_equal_the_limit) {
+    SendingLimit limit;
+    answer(limit, 5000, 10);
+    limit.adapt(5000, 5, true);
+    BOOST_TEST(limit.limit() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_cut_within_two_windows_of_a_rise) {
+    SendingLimit limit;
+    answer(limit, 30'000, 11);
+    limit.adapt(30'000, 5, false);
+    limit.answered(30'400);
+    limit.adapt(30'400, 5, true);
+    BOOST_TEST(limit.limit() == 20);
+    limit.adapt(30'401, 5, true);
+    BOOST_TEST(limit.limit() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_ends_at_the_floor) {
+    SendingLimit limit;
+    limit.answered(5000);
+    limit.adapt(5000, 5, true);
+    BOOST_TEST(limit.limit() == 2);
+    limit.adapt(5001, 5, true);
+    BOOST_TEST(limit.limit() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_leaves_twice_the_recent_sends) {
+    SendingLimit limit;
+    send(limit, 5000, 10);
+    limit.answered(5200); // 0.3 of a window with ten
+    limit.adapt(5200, 5, true);
+    BOOST_TEST(limit.limit() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(a_window_passed_over_counts_as_one_without_sends) {
+    SendingLimit limit;
+    send(limit, 5000, 10);
+    limit.answered(5400);
+    limit.adapt(5400, 5, true);
+    BOOST_TEST(limit.limit() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(after_a_cut_the_curve_leads_back_to_where_it_was) {
+    SendingLimit limit;
+    limit.answered(5000);
+    limit.adapt(5000, 5, true); // cut from 10 to 2: the saddle lies 100 ms from here, at 10
+    answer(limit, 5600, 3);
+    limit.adapt(5600, 1, true);
+    BOOST_TEST(limit.limit() == 10 - 2e-9 * 400 * 400 * 400, boost::test_tools::tolerance(1e-12));
+    answer(limit, 6000, 11);
+    limit.adapt(6000, 1, true);
+    BOOST_TEST(limit.limit() == 10, boost::test_tools::tolerance(1e-12));
+}
+
+BOOST_AUTO_TEST_CASE(it_goes_in_lockstep_with_the_code_it_was) {
+    Pcg chance(7);
+    int rises = 0, cuts = 0;
+    for (int run = 0; run < 200; ++run) {
+        SendingLimit limit;
+        FormerLimit former;
+        Tenths now = static_cast<Tenths>(chance.unit() * 1000);
+        for (int step = 0; step < 2000; ++step) {
+            if (chance.unit() < 0.2) now += static_cast<Tenths>(chance.unit() * 300);
+            former.roll_window(now);
+            BOOST_REQUIRE_EQUAL(limit.has_room(now), !(former.sent >= former.limit));
+            const double before = former.limit;
+            if (chance.unit() < 0.5) {
+                limit.sent(now);
+                ++former.sent;
+            } else {
+                const int outstanding = static_cast<int>(chance.unit() * 3);
+                const bool backlogged = chance.unit() < 0.2;
+                limit.answered(now);
+                limit.adapt(now, outstanding, backlogged);
+                ++former.answers;
+                former.adapt(now, outstanding, backlogged);
+            }
+            rises += former.limit > before ? 1 : 0;
+            cuts += former.limit < before ? 1 : 0;
+            BOOST_REQUIRE(limit.limit() == former.limit);
+        }
+    }
+    BOOST_TEST(rises > 1000);
+    BOOST_TEST(cuts > 1000);
+}
