--- a/tests/configuration_tests.cpp
+++ b/tests/configuration_tests.cpp
@@ -167,6 +167,7 @@
     BOOST_TEST(accepted(changed("\"version\":7", "\"version\":7.0")).version == 7);
     BOOST_TEST(accepted(changed("\"timeoutMs\":20000", "\"timeoutMs\":2e4")).routes[0].timeout_ms == 20000);
     BOOST_TEST(accepted(changed("\"timeoutMs\":20000", "\"timeoutMs\":0.4")).routes[0].timeout_ms == 1);
+    BOOST_TEST(accepted(changed("\"priority\":1", "\"priority\":1.2")).routes[1].priority == 2);
     BOOST_TEST(accepted(changed("\"weight\":90", "\"weight\":0.25")).routes[1].services[0].weight == 0.25);
 }
 
@@ -348,6 +349,7 @@
 BOOST_AUTO_TEST_CASE(the_query_is_no_part_of_the_path) {
     const RoutingTable table = table_of({route_for("a", "/x/"), route_for("a", "/x/y?z/")});
     BOOST_TEST(found(table, "a", "/x/?q=/1/2") == "a/x/");
+    BOOST_TEST(found(table, "a", "/x/y?z/1") == "a/x/"); // no query chooses a route
     BOOST_TEST(found(table, "a", "/x?/") == "none");
     BOOST_TEST(found(table, "a", "?/x/") == "none");
 }
