--- a/src/control/instance_registry.cpp
+++ b/src/control/instance_registry.cpp
@@ -122,7 +122,7 @@
         if (accept(record)) {
             callbacks_.changed();
             if (record.state == InstanceState::kServing) callbacks_.send_to_peers(feed::Replicate{0, {record}, {}});
-            if (fresh) log_line("server_up", {{"id", record.id}, {"address", record.address}});
+            if (fresh) log_line("server_up", {{"id", record.id}, {"address", record.address}, {"stage", std::to_string(static_cast<int>(record.stage))}});
         }
     }
     known = table_.find(record.id);
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -14,9 +14,8 @@
 constexpr double kLostHandleLimit = 0.4;                 // from which a reader is left alone
 constexpr double kBrokenLimit = 0.3;
 constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is busy
-constexpr double kSpillShare = 0.5;                    // of the latency target, expected at every home, from which all read
 constexpr double kStreamSpan = 5.0 * kTenthsPerSecond; // over which the long answers that are out are averaged
-constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill on average
+constexpr double kStreamShare = 0.85;                  // of a server's slots that they are to fill on average
 constexpr std::size_t kSpareStreamRunners = 1;
 
 bool serves(const model::Instance& instance, const Request& request) {
@@ -61,7 +60,7 @@
     divide_runners(std::move(runners), request, found, now);
     // The runners read as well: readers that are all in bad standing are not insisted on.
     if (best[static_cast<std::size_t>(model::Stage::kPrefill)] != Rank::kGood) found.readers.clear();
-    keep_homes(request, found, now);
+    keep_homes(request, found);
     return found;
 }
 
@@ -89,9 +88,9 @@
 }
 
 // Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few prompts move
-// when servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998). The others are left out unless
-// every home is slow.
-void PairSelector::keep_homes(const Request& request, Candidates& candidates, Tenths now) const {
+// when servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998). The others are left out, also when the
+// homes are slow: a prompt read where nothing of it is held costs three times the work, just when there is too much.
+void PairSelector::keep_homes(const Request& request, Candidates& candidates) {
     if (request.prompt.size() < 2 || streams(request)) return;
     const std::uint64_t key = hash_text(request.prompt[request.prompt.size() - 2].id);
     std::vector<std::pair<double, const Server*>> order;
@@ -110,14 +109,6 @@
     const auto is_home = [&](const Server* server) {
         return std::ranges::any_of(order, [server](const auto& home) { return home.second == server; });
     };
-    const double most = kSpillShare * static_cast<double>(request.latency_target);
-    const bool slow = std::ranges::all_of(order, [&](const auto& home) {
-        const bool reads_only = home.second->instance.stage == model::Stage::kPrefill;
-        const Work work = reads_only ? Work::kReadOnly : Work::kReadAndRun;
-        const double tokens = tokens_of(*home.second, request, work, now);
-        return response_of(*home.second, work, usual_time(work, tokens, false, request.latency_target), now) > most;
-    });
-    if (slow) return;
     std::erase_if(candidates.readers, [&](const Server* server) { return !is_home(server); });
     candidates.stream_runners.insert(candidates.stream_runners.end(), candidates.reading_runners.begin(),
                                      candidates.reading_runners.end()); // what was fetched may run anywhere
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -119,7 +119,7 @@
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
     void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
-    void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
+    static void keep_homes(const Request& request, Candidates& candidates);
     void count_streams(Tenths now);
     void relax(Server& server, Tenths now);
 
