Long answers are counted when they are sent, so runners are divided by what runs

Ruled out: the weights of homes (no runner was ever among the candidates). Change: the count is raised with each send.

--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -181,6 +181,8 @@
     attempt.tokens = tokens_to_read.value_or(tokens_of(*server, request, work, now));
     attempt.waiting = server->queue;
     attempt.streams = work != Work::kReadOnly && streams(request);
+    count_streams(now);
+    if (attempt.streams) ++streams_out_;
     server->limit.sent(now);
     server->unanswered[number] = now;
     if (work == Work::kPlain || request.prompt.empty()) return number;
