--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -68,8 +68,9 @@
             // No further server may be sent this try; one that it was sent to may, where it has not run there.
             const auto left = std::ranges::find_if(sent_to_, [&](const auto& id) { return !tried_.contains(id); });
             if (left == sent_to_.end()) co_return give_up();
+            const replica_selection::Pair same{"", *left, 0};
             bool again = false;
-            const ExchangeEnd end = co_await serve_with({"", *left, 0}, again);
+            const ExchangeEnd end = co_await serve_with(same, again);
             if (!again) co_return end;
             continue;
         }
@@ -81,13 +82,14 @@
             continue;
         }
         bool again = false;
-        const ExchangeEnd end = co_await serve_with(std::get<replica_selection::Pair>(choice), again);
+        const replica_selection::Pair pair = std::get<replica_selection::Pair>(choice);
+        const ExchangeEnd end = co_await serve_with(pair, again);
         if (!again) co_return end;
     }
 }
 
 // `again`: another choice may be made; else what is returned is final.
-transport::Async<ExchangeEnd> Exchange::serve_with(replica_selection::Pair pair, bool& again) {
+transport::Async<ExchangeEnd> Exchange::serve_with(const replica_selection::Pair& pair, bool& again) {
     if (!pair.reader.empty() && handle_.empty()) {
         const bool read = co_await read_prompt(pair);
         again = !read;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -41,7 +41,8 @@
     enum class RelayEnd : std::uint8_t { kComplete, kCutOff, kOutOfTime, kClientGone };
 
     transport::Async<ExchangeEnd> serve();
-    transport::Async<ExchangeEnd> serve_with(replica_selection::Pair pair, bool& again);
+    // `pair` must outlive the call. (GCC 12 destroys a braced temporary in a co_await expression twice.)
+    transport::Async<ExchangeEnd> serve_with(const replica_selection::Pair& pair, bool& again);
     transport::Async<bool> read_prompt(const replica_selection::Pair& pair); // true where `handle_` was set
     // `may_leave`: it may be given up for another server once this one has been silent for longer than it should be.
     transport::Async<CallEnd> call(const std::string& instance, replica_selection::Work work, Forwarding forwarding,
