Homes count as holding a prompt; fetched prompts run apart and near; 421 is no send

After a server was replaced at its address, the try was spent on it twice and rejected. Change: the first home counts as holding the shared parts; fetched prompts run at stream runners, a far one has to be half as good again; a 421 counts as not sent and rests the dead instance.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -140,6 +140,7 @@
         }
         again = true;
         break;
+    case CallEnd::kMisdirected:
     case CallEnd::kNeverSent:
         tried_.insert(pair.runner);
         again = ++unreachable_ < kMostUnreachable;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -32,6 +32,7 @@
     enum class CallEnd : std::uint8_t {
         kAnswer,    // `answer_` holds its head, `connection_` the rest
         kNotRun,    // the server says that it has not run it
+        kMisdirected, // another server has the address: the one that was meant is gone
         kNeverSent, // no byte of it left
         kBroken,    // it may have run
         kSilent,    // no word for as long as this call may wait; it may have run
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -84,7 +84,12 @@
         context_.selector.answered(attempt_, now());
         co_return end;
     }
-    if (end == CallEnd::kNotRun) {
+    if (end == CallEnd::kMisdirected) {
+        // It never came to the server that was meant, which counts as none that it was sent to.
+        context_.selector.misdirected(instance, now());
+        sent_to_.erase(instance);
+        end_call(false);
+    } else if (end == CallEnd::kNotRun) {
         if (forwarding.kv_from.empty()) context_.selector.refused(attempt_, now());
         // Its connection is sound where the answer is whole.
         const bool whole = connection_->parser().complete();
@@ -138,7 +143,8 @@
     answer_ = connection_->parser().message();
     answer_.body.clear();
     connection_->idle_bound = idle_bound(answer_.header("keep-alive"));
-    const bool says_not_run = answer_.times("not-run") > 0 || answer_.status == 421;
+    if (answer_.status == 421) return CallEnd::kMisdirected;
+    const bool says_not_run = answer_.times("not-run") > 0;
     if (says_not_run && answer_.status >= 400) return CallEnd::kNotRun;
     const bool success = answer_.status >= 200 && answer_.status < 300;
     // A success without the server's stamp, or with another's id, is not its answer.
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -103,15 +103,17 @@
     };
     look_at(candidates.readers, kReaderWeight);
     look_at(candidates.reading_runners, kRunnerWeight);
-    if (order.size() <= kHomes) return;
-    std::ranges::partial_sort(order, order.begin() + kHomes, std::ranges::greater{});
-    order.resize(kHomes);
+    if (order.empty()) return;
+    const std::size_t homes = std::min(kHomes, order.size());
+    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(homes), std::ranges::greater{});
+    order.resize(homes);
+    candidates.home = order.front().second;
     const auto is_home = [&](const Server* server) {
         return std::ranges::any_of(order, [server](const auto& home) { return home.second == server; });
     };
     std::erase_if(candidates.readers, [&](const Server* server) { return !is_home(server); });
-    candidates.stream_runners.insert(candidates.stream_runners.end(), candidates.reading_runners.begin(),
-                                     candidates.reading_runners.end()); // what was fetched may run anywhere
+    // What is fetched is kept too, and would push the prompts that are at home there out of a reading runner's memory.
+    if (candidates.stream_runners.empty()) candidates.stream_runners = candidates.reading_runners;
     std::erase_if(candidates.reading_runners, [&](const Server* server) { return !is_home(server); });
 }
 
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -13,8 +13,10 @@
 constexpr double kUnheardTokens = 8000; // a prompt of such a length takes the expected time while nobody was heard
 constexpr double kReadAtRunner = 2;     // a runner reads at half the pace (PROTOCOL, prefill and decode)
 constexpr double kZoneFactor = 2;     // of a move between zones (PROTOCOL)
+constexpr double kFarFactor = 1.5;    // ours: a runner in another zone has to be so much better to be moved to
 constexpr Tenths kRefusedRest = 200;  // doubled for each refusal in a row
 constexpr Tenths kUnreachableRest = 2500;
+constexpr Tenths kMisdirectedRest = 100'000; // until the list tells of its end
 constexpr int kMostDoublings = 4;
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
@@ -86,7 +88,7 @@
     const bool apart = !streams(request);
     const auto& runners = candidates.stream_runners.empty() ? candidates.reading_runners : candidates.stream_runners;
     if (runners.empty()) {
-        const auto plain = best_of(candidates.plain, request, Work::kPlain, now);
+        const auto plain = best_of(candidates.plain, request, Work::kPlain, nullptr, now);
         if (!plain) return std::nullopt;
         return Pair{"", plain->server->instance.id, 0};
     }
@@ -94,14 +96,15 @@
     std::optional<Scored> alone;
     if (!apart || !candidates.reading_runners.empty() || !hands_over) {
         const bool elsewhere = apart && !candidates.reading_runners.empty();
-        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun, now);
+        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun, candidates.home, now);
         if (!hands_over) return Pair{"", alone->server->instance.id, alone->tokens};
     }
-    const auto reader = best_of(candidates.readers, request, Work::kReadOnly, now);
+    const auto reader = best_of(candidates.readers, request, Work::kReadOnly, candidates.home, now);
     const Server* runner = nullptr;
     double best = 0;
     for (const Server* server : runners) {
-        const double total = score(*server, request, Work::kFetchAndRun, 0, now) +
+        const bool near = server->instance.zone == reader->server->instance.zone;
+        const double total = score(*server, request, Work::kFetchAndRun, 0, now) * (near ? 1 : kFarFactor) +
                              move_time(*reader->server, *server, request);
         if (runner == nullptr || total < best) runner = server, best = total;
     }
@@ -111,11 +114,11 @@
 }
 
 std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers, const Request& request,
-                                                          Work work, Tenths now) {
+                                                          Work work, const Server* home, Tenths now) {
     std::optional<Scored> best;
     int ties = 1;
     for (Server* server : servers) {
-        const double tokens = tokens_of(*server, request, work, now);
+        const double tokens = tokens_of(*server, request, work, server == home, now);
         const double here = score(*server, request, work, tokens, now);
         if (!best || here < best->score)
             best = Scored{server, here, tokens}, ties = 1;
@@ -125,10 +128,12 @@
     return best;
 }
 
-double PairSelector::tokens_of(const Server& server, const Request& request, Work work, Tenths now) const {
+double PairSelector::tokens_of(const Server& server, const Request& request, Work work, bool is_home,
+                               Tenths now) const {
     if (work == Work::kFetchAndRun || work == Work::kPlain || request.prompt.empty()) return 0;
     const std::int64_t all = request.prompt_tokens();
-    const std::int64_t held = server.cache.held(request.prompt, now);
+    std::int64_t held = server.cache.held(request.prompt, now);
+    if (is_home) held = std::max(held, all - request.prompt.back().tokens);
     return static_cast<double>(std::max<std::int64_t>(0, all - held));
 }
 
@@ -178,7 +183,7 @@
     Attempt& attempt = attempts_[number];
     attempt.server = instance, attempt.work = work;
     attempt.sent = now, attempt.latency_target = request.latency_target;
-    attempt.tokens = tokens_to_read.value_or(tokens_of(*server, request, work, now));
+    attempt.tokens = tokens_to_read.value_or(tokens_of(*server, request, work, false, now));
     attempt.waiting = server->queue;
     attempt.streams = work != Work::kReadOnly && streams(request);
     count_streams(now);
@@ -283,6 +288,10 @@
     return static_cast<Tenths>(usual * std::max(1.0, server->second.estimates[index(attempt.work)].response));
 }
 
+void PairSelector::misdirected(const std::string& instance, Tenths now) {
+    if (Server* server = find(instance)) server->avoided_until = now + kMisdirectedRest;
+}
+
 void PairSelector::handle_used(const std::string& reader, bool found) {
     if (Server* server = find(reader)) mix(server->lost_handles, found ? 0 : 1, kFresh);
 }
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -72,6 +72,7 @@
     void refused(AttemptNo attempt, Tenths now);  // it has not run: the server is full, or leaving
     void broken(AttemptNo attempt, Tenths now);   // it failed, or its connection ended before its answer did
     void unreachable(const std::string& instance, Tenths now); // no connection came up
+    void misdirected(const std::string& instance, Tenths now); // its address is another's now
     void handle_used(const std::string& reader, bool found);   // whether its memory was still there
     // Since when nothing was heard of the server, at the earliest since the attempt was sent.
     Tenths silent_since(AttemptNo attempt) const;
@@ -111,6 +112,7 @@
         // A prompt that a runner reads holds up the tokens of all that run there, so those are kept apart: long answers
         // run at a few servers, long prompts are read at the others.
         std::vector<Server*> stream_runners, reading_runners;
+        const Server* home = nullptr; // the first of the prompt's homes: others' requests are read there as well
         bool limited = false; // some were left out for their sending limit alone
     };
     enum class Rank : std::uint8_t { kGood, kAvoided, kSilent, kTried }; // the best that is there is used
@@ -126,8 +128,8 @@
     // pair_selector.cpp
     std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over, Tenths now);
     std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
-                                  Tenths now);
-    double tokens_of(const Server& server, const Request& request, Work work, Tenths now) const;
+                                  const Server* home, Tenths now);
+    double tokens_of(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
     double usual_time(Work work, double tokens, bool streams, Tenths latency_target) const;
     double response_of(const Server& server, Work work, double usual, Tenths now) const;
     double score(const Server& server, const Request& request, Work work, double tokens, Tenths now) const;
