Runners are divided by the sum of what they report to run, with hysteresis

Cause: each node divided the runners by its own long answers times the nodes, so nodes disagreed and hints ran where others' prompts were read. Change: the sum of the reports' running, smoothed, the same at every node; one runner more at once, one fewer only when it is clear.

--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -14,9 +14,10 @@
 constexpr double kLostHandleLimit = 0.4;                 // from which a reader is left alone
 constexpr double kBrokenLimit = 0.3;
 constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is busy
-constexpr double kStreamSpan = 5.0 * kTenthsPerSecond; // over which the long answers that are out are averaged
+constexpr double kStreamSpan = 2.0 * kTenthsPerSecond; // over which what runners run is averaged
 constexpr double kStreamShare = 0.85;                  // of a server's slots that they are to fill on average
 constexpr std::size_t kSpareStreamRunners = 1;
+constexpr double kStreamHysteresis = 1.25;
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -64,27 +65,29 @@
     return found;
 }
 
-void PairSelector::count_streams(Tenths now) {
-    const double faded = std::exp(-static_cast<double>(now - streams_at_) / kStreamSpan);
-    mean_streams_ = mean_streams_ * faded + static_cast<double>(streams_out_) * (1 - faded);
-    streams_at_ = now;
-}
-
-// Every node finds the same order by hash, and about the same number by its own streams.
+// Every node finds the same order by hash, and the same number by the same reports.
 void PairSelector::divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now) {
-    count_streams(now);
+    ServiceView& view = services_[request.service];
+    double running = 0;
+    for (const Server* server : runners) running += server->reported_running;
+    const double share = 1 - std::exp(-static_cast<double>(now - view.updated) / kStreamSpan);
+    mix(view.mean_running, running, share);
+    view.updated = now;
     const std::uint64_t key = hash_text(request.service, 1);
     std::ranges::sort(runners, std::ranges::greater{},
                       [key](const Server* server) { return hash_text(server->instance.id, key); });
-    std::size_t wanted = 0;
-    if (!runners.empty() && (mean_streams_ > 0 || streams(request))) {
+    if (!runners.empty()) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(1, runners.front()->instance.slots));
-        wanted = static_cast<std::size_t>(std::ceil(mean_streams_ * edge_nodes_ / (slots * kStreamShare)));
-        wanted += kSpareStreamRunners;
+        const auto wanted = [&](double load) {
+            return static_cast<std::size_t>(std::ceil(load / (slots * kStreamShare))) + kSpareStreamRunners;
+        };
+        // One more at once, one fewer only when it is clear: what runs there goes on for seconds.
+        const std::size_t most = wanted(view.mean_running * kStreamHysteresis);
+        view.stream_runners = std::clamp(view.stream_runners, wanted(view.mean_running), most);
     }
-    wanted = std::min(wanted, runners.size());
-    found.stream_runners.assign(runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(wanted));
-    found.reading_runners.assign(runners.begin() + static_cast<std::ptrdiff_t>(wanted), runners.end());
+    const std::size_t apart = std::min(view.stream_runners, runners.size());
+    found.stream_runners.assign(runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(apart));
+    found.reading_runners.assign(runners.begin() + static_cast<std::ptrdiff_t>(apart), runners.end());
 }
 
 // Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few prompts move
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -48,12 +48,19 @@
 }
 
 void PairSelector::set_services(const std::vector<model::Service>& services) {
-    services_.clear();
-    for (const model::Service& service : services) services_[service.name] = service;
+    std::map<std::string, ServiceView> views;
+    for (const model::Service& service : services) {
+        views[service.name] = services_[service.name];
+        views[service.name].service = service;
+    }
+    services_ = std::move(views);
 }
 
 void PairSelector::set_load(const model::Load& load) {
-    if (Server* server = find(load.instance)) server->queue = static_cast<double>(load.waiting);
+    Server* server = find(load.instance);
+    if (server == nullptr) return;
+    server->queue = static_cast<double>(load.waiting);
+    server->reported_running = static_cast<double>(load.running);
 }
 
 PairSelector::Server* PairSelector::find(const std::string& id) {
@@ -68,7 +75,7 @@
 
 const model::Engine* PairSelector::engine(const std::string& service) const {
     const auto found = services_.find(service);
-    return found == services_.end() || !found->second.engine ? nullptr : &*found->second.engine;
+    return found == services_.end() || !found->second.service.engine ? nullptr : &*found->second.service.engine;
 }
 
 Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over,
@@ -186,8 +193,6 @@
     attempt.tokens = tokens_to_read.value_or(tokens_of(*server, request, work, false, now));
     attempt.waiting = server->queue;
     attempt.streams = work != Work::kReadOnly && streams(request);
-    count_streams(now);
-    if (attempt.streams) ++streams_out_;
     server->limit.sent(now);
     server->unanswered[number] = now;
     if (work == Work::kPlain || request.prompt.empty()) return number;
@@ -221,15 +226,13 @@
     server->limit.adapt(now, static_cast<int>(server->unanswered.size()), backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
 }
 
-void PairSelector::close(AttemptNo number, Tenths now) {
+void PairSelector::close(AttemptNo number) {
     Attempt* attempt = out(number);
     if (attempt == nullptr) return;
     if (Server* server = find(attempt->server)) {
         const bool waited = server->unanswered.erase(number) > 0;
         if (!waited && attempt->answered && server->running > 0) --server->running;
     }
-    count_streams(now);
-    if (attempt->streams) --streams_out_;
     attempts_.erase(number);
 }
 
@@ -246,7 +249,7 @@
             server->relaxed = now;
         }
     }
-    close(number, now);
+    close(number);
 }
 
 // An error comes fast and leaves nothing behind: it must not look like a quick server with an empty queue.
@@ -254,7 +257,7 @@
     if (Attempt* attempt = out(number))
         if (Server* server = find(attempt->server))
             server->avoided_until = now + doubled(kRefusedRest, server->refusals++);
-    close(number, now);
+    close(number);
 }
 
 void PairSelector::broken(AttemptNo number, Tenths now) {
@@ -263,7 +266,7 @@
             mix(server->breaks, 1, kFresh);
             server->relaxed = now;
         }
-    close(number, now);
+    close(number);
 }
 
 void PairSelector::unreachable(const std::string& instance, Tenths now) {
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -89,7 +89,7 @@
         SendingLimit limit;
         std::map<AttemptNo, Tenths> unanswered; // with when each was sent
         std::size_t running = 0;                // answered, and still making tokens
-        double queue = 0;                       // as last reported
+        double queue = 0, reported_running = 0; // as last reported
         PromptCacheView cache;
         double lost_handles = 0, breaks = 0; // mean shares of late
         int refusals = 0, failures = 0;      // in a row
@@ -103,6 +103,12 @@
         double waiting = 0; // C3's q when it was sent
         bool answered = false, streams = false;
     };
+    struct ServiceView {
+        model::Service service;
+        double mean_running = 0;        // requests that its runners run, as reported, over the last seconds
+        std::size_t stream_runners = 0; // kept for long answers
+        Tenths updated = 0;
+    };
     struct Scored {
         Server* server = nullptr;
         double score = 0, tokens = 0;
@@ -122,7 +128,6 @@
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
     void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
     static void keep_homes(const Request& request, Candidates& candidates);
-    void count_streams(Tenths now);
     void relax(Server& server, Tenths now);
 
     // pair_selector.cpp
@@ -137,21 +142,18 @@
     double move_time(const Server& reader, const Server& runner, const Request& request) const;
     static bool streams(const Request& request); // its answer may be longer than its prompt
     Attempt* out(AttemptNo attempt);
-    void close(AttemptNo attempt, Tenths now);
+    void close(AttemptNo attempt);
     Server* find(const std::string& id);
     const model::Engine* engine(const std::string& service) const;
 
     Pcg random_;
     double edge_nodes_ = 1;
     std::map<std::string, Server> servers_;
-    std::map<std::string, model::Service> services_;
+    std::map<std::string, ServiceView> services_;
     std::map<AttemptNo, Attempt> attempts_;
     std::uint64_t count_ = 0;
     // Over all servers, by work; answers of several events apart, as their first event holds many tokens.
     std::array<std::array<TimeModel, kWorks>, 2> times_;
-    std::size_t streams_out_ = 0; // long answers that this node waits for or passes on
-    double mean_streams_ = 0;     // ... over the last seconds
-    Tenths streams_at_ = 0;
     Tenths backlog_at_ = -1;                  // when a request last found every server over its limit
 };
 
