A head start after loss of power, quicker elections, and some rejected before all are late

Seen: after a closing loss of power the worst windows had one in ten served: control knew neither servers nor, before an election, the configuration; under bursts all prompts were read a second late. Ruled out: the platform's polling (nodes were ready and answered 503).

--- a/src/control/configuration_group.cpp
+++ b/src/control/configuration_group.cpp
@@ -15,6 +15,7 @@
 
 constexpr Tenths kProposalPatience = 30'000; // callers give up after a second; the group may take longer
 constexpr Tenths kReadPatience = 8'000;
+constexpr Tenths kElectionTimeout = 4'000; // four heartbeats; the longest is twice as long
 constexpr Tenths kLearnerContact = 12'000; // since the last word of a leader, for one that is no voter
 
 struct DiskState { // what lies in one file
@@ -68,6 +69,7 @@
     disk_ = std::make_unique<DiskWriter>(reactor_, std::move(store), found ? found->number : 0);
     consensus::Options options;
     options.self = self_, options.seed = options_.seed;
+    options.election_timeout = kElectionTimeout;
     replica_ = std::make_unique<consensus::Replica>(options, held.state, reactor_.now());
     if (founds) {
         std::vector<consensus::Member> founders;
@@ -156,7 +158,7 @@
     }
     published_version_ = state.value().version;
     log_line("configuration", {{"version", std::to_string(published_version_)}});
-    callbacks_.committed(configuration.value());
+    callbacks_.committed(configuration.value(), state.value().body);
 }
 
 bool ConfigurationGroup::in_contact() const {
--- a/src/control/configuration_group.hpp
+++ b/src/control/configuration_group.hpp
@@ -29,7 +29,7 @@
     };
     struct Callbacks {
         std::function<void(const consensus::Send&)> send;
-        std::function<void(const model::Configuration&)> committed; // a newer one, each once
+        std::function<void(const model::Configuration&, const std::string& body)> committed; // a newer one, each once
         std::function<void()> role_changed;
     };
     // An error where the disk holds what can't be served from.
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -1,6 +1,7 @@
 #include "control/control_node.hpp"
 
 #include "base/log.hpp"
+#include "configuration/parse.hpp"
 #include "feed/ports.hpp"
 
 #include <algorithm>
@@ -74,6 +75,7 @@
     open_registry();
     open_peers();
     open_feed();
+    BOOST_OUTCOME_TRYV(open_known_state());
     open_calls();
     watch();
     peers_->start();
@@ -85,9 +87,12 @@
         if (!peers_) return;
         if (!peers_->send_to_member(sent.message.to.value, sent.message)) peers_->send(sent.address, sent.message);
     };
-    callbacks.committed = [this](const model::Configuration& configuration) {
+    callbacks.committed = [this](const model::Configuration& configuration, const std::string& body) {
+        const model::Configuration* known = log_.configuration();
+        if (known != nullptr && known->version >= configuration.version) return;
         log_.put(configuration);
-        if (publisher_) publisher_->publish();
+        configuration_body_ = body;
+        publish();
     };
 }
 
@@ -101,7 +106,8 @@
     callbacks.further_copies = [this] { return further_copies(); };
     callbacks.in_contact = [this] { return group_->in_contact(); };
     callbacks.call_address = [this](const std::string& peer) { return call_address(peer); };
-    callbacks.changed = [this] { publisher_->publish(); };
+    callbacks.changed = [this] { publish(); };
+    callbacks.loads_changed = [this] { publisher_->publish(); };
     registry_ = std::make_unique<InstanceRegistry>(reactor_, log_, options, std::move(callbacks));
     registry_->set_nodes({self_.address});
 }
@@ -142,6 +148,39 @@
                                                            [this](int descriptor) { publisher_->take(descriptor); });
 }
 
+// The head start after an end of the whole fleet: what is known here is told at once, and the servers have their usual
+// time to be heard from.
+Result<void> ControlNode::open_known_state() {
+    BOOST_OUTCOME_TRY(keeper, KnownStateKeeper::open(reactor_, settings_.data_dir, [this] { return known_state(); }));
+    const KnownState& loaded = keeper->loaded();
+    if (loaded.version > 0 && log_.configuration() == nullptr) {
+        const auto configuration = configuration::parse(loaded.body);
+        if (configuration.has_value()) {
+            log_.put(configuration.value());
+            configuration_body_ = loaded.body;
+        }
+    }
+    registry_->merge_known(loaded.instances);
+    log_line("known_state", {{"version", std::to_string(loaded.version)},
+                             {"servers", std::to_string(loaded.instances.size())}});
+    known_state_ = std::move(keeper);
+    publish();
+    return boost::outcome_v2::success();
+}
+
+KnownState ControlNode::known_state() const {
+    KnownState state;
+    if (const model::Configuration* configuration = log_.configuration()) state.version = configuration->version;
+    state.body = configuration_body_;
+    for (const auto& [id, record] : registry_->table().records()) state.instances.push_back(record);
+    return state;
+}
+
+void ControlNode::publish() {
+    if (publisher_) publisher_->publish();
+    if (known_state_) known_state_->changed();
+}
+
 void ControlNode::open_calls() {
     router_.add<RegisterCall, RegisterReply>(
         {"PUT", "/instances/",
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "control/configuration_group.hpp"
 #include "control/instance_registry.hpp"
+#include "control/known_state.hpp"
 #include "control/peer_mesh.hpp"
 #include "feed/publisher.hpp"
 #include "http/call_server.hpp"
@@ -44,6 +45,9 @@
     void open_group_callbacks(ConfigurationGroup::Callbacks& callbacks);
     void open_peers();
     void open_feed();
+    Result<void> open_known_state();
+    KnownState known_state() const;
+    void publish(); // after items were put into the log
     void open_calls();
     void peer_said(const model::ControlNode& peer, feed::Message message);
     void peers_changed();
@@ -68,6 +72,8 @@
     std::unique_ptr<PeerMesh> peers_;
     std::unique_ptr<ConfigurationGroup> group_;
     std::unique_ptr<InstanceRegistry> registry_;
+    std::unique_ptr<KnownStateKeeper> known_state_; // null until it was loaded
+    std::string configuration_body_;                // of the newest configuration in the log
     std::unique_ptr<http::CallServer> calls_;
     http::CallRouter router_;
     std::unique_ptr<transport::Listener> peer_listener_, feed_listener_;
--- a/src/control/instance_registry.cpp
+++ b/src/control/instance_registry.cpp
@@ -193,7 +193,7 @@
     }
     if (news.empty()) return;
     if (first_hand) callbacks_.send_to_peers(feed::Replicate{0, {}, news});
-    callbacks_.changed();
+    callbacks_.loads_changed();
 }
 
 void InstanceRegistry::compare(const std::string& peer, const feed::PeerStatus& status) {
--- a/src/control/instance_registry.hpp
+++ b/src/control/instance_registry.hpp
@@ -48,7 +48,8 @@
         std::function<std::size_t()> further_copies; // that make a majority together with this node's
         std::function<bool()> in_contact;            // with whoever owns the configuration: this side is the majority
         std::function<std::string(const std::string& peer)> call_address; // where a peer takes servers' calls
-        std::function<void()> changed;               // items were put into the log
+        std::function<void()> changed;               // instances were put into the log
+        std::function<void()> loads_changed;         // loads were
     };
     InstanceRegistry(transport::Reactor& reactor, feed::FeedLog& log, Options options, Callbacks callbacks);
     ~InstanceRegistry();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -74,9 +74,11 @@
             if (!again) co_return end;
             continue;
         }
-        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_, now());
+        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_, sends_ == 0 && handle_.empty() && tried_.empty(), now());
         if (std::holds_alternative<replica_selection::NoServer>(choice))
             co_return may_have_run_ ? fail(502, "no server is left") : reject(kNoServerComeBack, "no server is known");
+        if (const auto* late = std::get_if<replica_selection::Overloaded>(&choice))
+            co_return reject(std::max(late->come_back, kComeBack), "too much to read now");
         if (const auto* backlogged = std::get_if<replica_selection::Backlogged>(&choice)) {
             co_await wait(std::min(backlogged->until, deadline_));
             continue;
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -18,6 +18,8 @@
 constexpr Tenths kUnreachableRest = 2500;
 constexpr Tenths kMisdirectedRest = 100'000; // until the list tells of its end
 constexpr int kMostDoublings = 4;
+constexpr double kMostTargets = 2.5;       // expected latency targets until the prompt is read, from which some are rejected
+constexpr double kLongestComeBack = 3000;  // tenths of a millisecond
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
 
@@ -78,15 +80,32 @@
     return found == services_.end() || !found->second.service.engine ? nullptr : &*found->second.service.engine;
 }
 
-Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over,
+Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, bool fresh,
                             Tenths now) {
     const Candidates found = candidates(request, tried, now);
-    if (const auto pair = best_pair(request, found, may_hand_over, now)) return *pair;
+    if (const auto pair = best_pair(request, found, may_hand_over, now)) {
+        if (fresh)
+            if (const auto late = overloaded(request, *pair, now)) return *late;
+        return *pair;
+    }
     if (!found.limited) return NoServer{};
     backlog_at_ = now;
     return Backlogged{(now / kWindow + 1) * kWindow};
 }
 
+// Where more comes than can be read, a queue only makes everything late. So many are turned away at once that the rest
+// is served in time; what is let in tells how long it takes now.
+std::optional<Overloaded> PairSelector::overloaded(const Request& request, const Pair& pair, Tenths now) {
+    if (pair.reader.empty() && streams(request)) return std::nullopt;
+    const Server& reader = servers_.at(pair.reader.empty() ? pair.runner : pair.reader);
+    const Work work = pair.reader.empty() ? Work::kReadAndRun : Work::kReadOnly;
+    const double usual = usual_time(work, pair.tokens_to_read, false, request.latency_target);
+    const double expected = response_of(reader, work, usual, now);
+    const double most = kMostTargets * static_cast<double>(request.latency_target);
+    if (expected <= most || random_.unit() < most / expected) return std::nullopt;
+    return Overloaded{static_cast<Tenths>(std::min(expected - most, kLongestComeBack))};
+}
+
 bool PairSelector::streams(const Request& request) { return request.output_tokens > request.prompt_tokens(); }
 
 // A pair of two servers competes with each runner that reads the prompt itself: a hand-over has to earn its way.
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -46,8 +46,11 @@
 struct Backlogged { // every server is over its sending limit; a place may be free then
     Tenths until = 0;
 };
+struct Overloaded { // whoever would serve it is expected to be far too late; it may come again then
+    Tenths come_back = 0;
+};
 struct NoServer {};
-using Choice = std::variant<Pair, Backlogged, NoServer>;
+using Choice = std::variant<Pair, Backlogged, Overloaded, NoServer>;
 
 using AttemptNo = Id<struct PairAttemptTag, std::uint64_t>;
 
@@ -61,7 +64,9 @@
     void set_services(const std::vector<model::Service>& services);
 
     // `tried`: servers that refused or failed this request; they are taken only where nothing else is left.
-    Choice choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, Tenths now);
+    // `fresh`: nothing of it was sent yet, so it may be turned away.
+    Choice choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, bool fresh,
+                  Tenths now);
     const model::Instance* instance(const std::string& id) const; // null where it is gone
 
     // `tokens_to_read`: as the choice expected it; without one, what is believed now.
@@ -131,6 +136,7 @@
     void relax(Server& server, Tenths now);
 
     // pair_selector.cpp
+    std::optional<Overloaded> overloaded(const Request& request, const Pair& pair, Tenths now);
     std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over, Tenths now);
     std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
                                   const Server* home, Tenths now);
