Stream runners filled to three quarters, none spare

Ruled out: uneven homes (queues alike). Change: three quarters of the slots on average, no spare, hysteresis 1.15.

--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -15,9 +15,9 @@
 constexpr double kBrokenLimit = 0.3;
 constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is busy
 constexpr double kStreamSpan = 2.0 * kTenthsPerSecond; // over which what runners run is averaged
-constexpr double kStreamShare = 0.85;                  // of a server's slots that they are to fill on average
-constexpr std::size_t kSpareStreamRunners = 1;
-constexpr double kStreamHysteresis = 1.25;
+constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill on average
+constexpr std::size_t kLeastStreamRunners = 1;
+constexpr double kStreamHysteresis = 1.15;
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -79,7 +79,7 @@
     if (!runners.empty()) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(1, runners.front()->instance.slots));
         const auto wanted = [&](double load) {
-            return static_cast<std::size_t>(std::ceil(load / (slots * kStreamShare))) + kSpareStreamRunners;
+            return std::max(kLeastStreamRunners, static_cast<std::size_t>(std::ceil(load / (slots * kStreamShare))));
         };
         // One more at once, one fewer only when it is clear: what runs there goes on for seconds.
         const std::size_t most = wanted(view.mean_running * kStreamHysteresis);
