A prompt is read at its one home while that is in time, else C3 ranks two

Change: the second home is ranked beside the first once the reading is expected to take 0.4 of the target. Runners not reported on yet count as half full.

--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -13,10 +13,12 @@
 constexpr double kForgetSpan = 4.0 * kTenthsPerSecond;   // without answers, means go back to the usual over it
 constexpr double kLostHandleLimit = 0.4;                 // from which a reader is left alone
 constexpr double kBrokenLimit = 0.3;
-constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is busy
+constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is slow
+constexpr double kSlowShare = 0.4;                     // of the latency target, expected for the reading alone
 constexpr double kStreamSpan = 2.0 * kTenthsPerSecond; // over which what runners run is averaged
 constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill on average
 constexpr std::size_t kLeastStreamRunners = 1;
+constexpr double kUnheardShare = 0.5; // of a runner's slots, while it was not reported on
 constexpr double kStreamHysteresis = 1.15;
 
 bool serves(const model::Instance& instance, const Request& request) {
@@ -61,7 +63,7 @@
     divide_runners(std::move(runners), request, found, now);
     // The runners read as well: readers that are all in bad standing are not insisted on.
     if (best[static_cast<std::size_t>(model::Stage::kPrefill)] != Rank::kGood) found.readers.clear();
-    keep_homes(request, found);
+    keep_homes(request, found, now);
     return found;
 }
 
@@ -69,8 +71,10 @@
 void PairSelector::divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now) {
     ServiceView& view = services_[request.service];
     double running = 0;
-    for (const Server* server : runners) running += server->reported_running;
-    const double share = 1 - std::exp(-static_cast<double>(now - view.updated) / kStreamSpan);
+    // Of whom nothing was heard yet, after a start of this node, is taken to be half full.
+    for (const Server* server : runners)
+        running += server->running_there.value_or(kUnheardShare * static_cast<double>(server->instance.slots));
+    const double share = view.updated == 0 ? 1 : 1 - std::exp(-static_cast<double>(now - view.updated) / kStreamSpan);
     mix(view.mean_running, running, share);
     view.updated = now;
     const std::uint64_t key = hash_text(request.service, 1);
@@ -90,10 +94,16 @@
     found.reading_runners.assign(runners.begin() + static_cast<std::ptrdiff_t>(apart), runners.end());
 }
 
+bool PairSelector::slow(const Server& home, const Request& request, Tenths now) const {
+    const Work work = home.instance.stage == model::Stage::kPrefill ? Work::kReadOnly : Work::kReadAndRun;
+    const double usual = usual_time(work, tokens_of(home, request, work, true, now), false, request.latency_target);
+    return response_of(home, work, usual, now) > kSlowShare * static_cast<double>(request.latency_target);
+}
+
 // Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few prompts move
 // when servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998). The others are left out, also when the
 // homes are slow: a prompt read where nothing of it is held costs three times the work, just when there is too much.
-void PairSelector::keep_homes(const Request& request, Candidates& candidates) {
+void PairSelector::keep_homes(const Request& request, Candidates& candidates, Tenths now) const {
     if (request.prompt.size() < 2 || streams(request)) return;
     const std::uint64_t key = hash_text(request.prompt[request.prompt.size() - 2].id);
     std::vector<std::pair<double, const Server*>> order;
@@ -111,6 +121,7 @@
     std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(homes), std::ranges::greater{});
     order.resize(homes);
     candidates.home = order.front().second;
+    if (!slow(*candidates.home, request, now)) order.resize(1);
     const auto is_home = [&](const Server* server) {
         return std::ranges::any_of(order, [server](const auto& home) { return home.second == server; });
     };
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -62,7 +62,7 @@
     Server* server = find(load.instance);
     if (server == nullptr) return;
     server->queue = static_cast<double>(load.waiting);
-    server->reported_running = static_cast<double>(load.running);
+    server->running_there = static_cast<double>(load.running);
 }
 
 PairSelector::Server* PairSelector::find(const std::string& id) {
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -94,7 +94,8 @@
         SendingLimit limit;
         std::map<AttemptNo, Tenths> unanswered; // with when each was sent
         std::size_t running = 0;                // answered, and still making tokens
-        double queue = 0, reported_running = 0; // as last reported
+        double queue = 0;                       // as last reported
+        std::optional<double> running_there;    // of all callers, as last reported
         PromptCacheView cache;
         double lost_handles = 0, breaks = 0; // mean shares of late
         int refusals = 0, failures = 0;      // in a row
@@ -132,7 +133,8 @@
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
     void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
-    static void keep_homes(const Request& request, Candidates& candidates);
+    void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
+    bool slow(const Server& home, const Request& request, Tenths now) const;
     void relax(Server& server, Tenths now);
 
     // pair_selector.cpp
