Runners for long answers by places left over all of them

Change: runners are added at once while fewer than a tenth of a server's slots is free over all, taken away after 2 s once three tenths are.

--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -15,11 +15,11 @@
 constexpr double kBrokenLimit = 0.3;
 constexpr std::size_t kHomes = 2;                      // of one prompt: a second for when the first is slow
 constexpr double kSlowShare = 0.4;                     // of the latency target, expected for the reading alone
-constexpr double kStreamSpan = 2.0 * kTenthsPerSecond; // over which what runners run is averaged
-constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill on average
-constexpr std::size_t kLeastStreamRunners = 1;
+constexpr Tenths kStreamSpan = 2 * kTenthsPerSecond;   // before a runner more is read at again
+constexpr double kStreamShare = 0.75;                  // of a server's slots that they are to fill
+// Of a server's slots, places for long answers: below the one a runner is added, above the other one is taken away.
+constexpr double kLeastFreeShare = 0.1, kMostFreeShare = 0.3;
 constexpr double kUnheardShare = 0.5; // of a runner's slots, while it was not reported on
-constexpr double kStreamHysteresis = 1.15;
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -67,27 +67,31 @@
     return found;
 }
 
-// Every node finds the same order by hash, and the same number by the same reports.
+// Long answers go to the first runners of an order that every node finds by the same hash: to so many that places are
+// left at them, as all learn from the same reports. What runs on at others after a loss of this fleet takes places too.
+std::size_t PairSelector::runners_for_streams(const std::vector<Server*>& runners, double free_share) {
+    const auto slots = [](const Server* server) {
+        return static_cast<double>(std::max<std::int64_t>(1, server->instance.slots));
+    };
+    double places = 0; // what runs anywhere is taken off, as it may be a long answer
+    for (const Server* server : runners) places -= server->running_there.value_or(kUnheardShare * slots(server));
+    std::size_t count = 0;
+    while (count < runners.size() && places < free_share * slots(runners[count]))
+        places += kStreamShare * slots(runners[count++]);
+    return count;
+}
+
 void PairSelector::divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now) {
     ServiceView& view = services_[request.service];
-    double running = 0;
-    // Of whom nothing was heard yet, after a start of this node, is taken to be half full.
-    for (const Server* server : runners)
-        running += server->running_there.value_or(kUnheardShare * static_cast<double>(server->instance.slots));
-    const double share = view.updated == 0 ? 1 : 1 - std::exp(-static_cast<double>(now - view.updated) / kStreamSpan);
-    mix(view.mean_running, running, share);
-    view.updated = now;
     const std::uint64_t key = hash_text(request.service, 1);
     std::ranges::sort(runners, std::ranges::greater{},
                       [key](const Server* server) { return hash_text(server->instance.id, key); });
-    if (!runners.empty()) {
-        const auto slots = static_cast<double>(std::max<std::int64_t>(1, runners.front()->instance.slots));
-        const auto wanted = [&](double load) {
-            return std::max(kLeastStreamRunners, static_cast<std::size_t>(std::ceil(load / (slots * kStreamShare))));
-        };
-        // One more at once, one fewer only when it is clear: what runs there goes on for seconds.
-        const std::size_t most = wanted(view.mean_running * kStreamHysteresis);
-        view.stream_runners = std::clamp(view.stream_runners, wanted(view.mean_running), most);
+    // One more at once, one fewer only when it is clear and after a while: what runs there goes on for seconds.
+    const std::size_t least = runners_for_streams(runners, kLeastFreeShare);
+    if (least > view.stream_runners) {
+        view.stream_runners = least, view.changed = now;
+    } else if (runners_for_streams(runners, kMostFreeShare) < view.stream_runners && now - view.changed >= kStreamSpan) {
+        --view.stream_runners, view.changed = now;
     }
     const std::size_t apart = std::min(view.stream_runners, runners.size());
     found.stream_runners.assign(runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(apart));
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -111,9 +111,8 @@
     };
     struct ServiceView {
         model::Service service;
-        double mean_running = 0;        // requests that its runners run, as reported, over the last seconds
         std::size_t stream_runners = 0; // kept for long answers
-        Tenths updated = 0;
+        Tenths changed = 0;             // when that number was last set
     };
     struct Scored {
         Server* server = nullptr;
@@ -132,6 +131,7 @@
     // candidates.cpp
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
+    static std::size_t runners_for_streams(const std::vector<Server*>& runners, double free_share);
     void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
     void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
     bool slow(const Server& home, const Request& request, Tenths now) const;
