--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -18,7 +18,7 @@
 constexpr Tenths kUnreachableRest = 2500;
 constexpr Tenths kMisdirectedRest = 100'000; // until the list tells of its end
 constexpr int kMostDoublings = 4;
-constexpr double kMostTargets = 2.5;       // expected latency targets until the prompt is read, from which some are rejected
+constexpr double kMostTargets = 0.8;       // expected latency targets until the prompt is read, from which some are rejected
 constexpr double kLongestComeBack = 3000;  // tenths of a millisecond
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
