--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -67,7 +67,7 @@
 }
 
 // The best member that could become a voter now: alive, caught up, in the zone with the fewest voters.
-const Member* Replica::spare() const {
+const Member* Replica::spare(Tenths now) const {
     const Member* best = nullptr;
     const auto voters_in = [&](const std::string& zone) {
         return std::ranges::count_if(newest_->voters, [&](const Member& v) { return v.zone == zone; });
@@ -77,7 +77,7 @@
         const auto peer = peers_.find(member.id);
         const bool is_voter =
             std::ranges::any_of(newest_->voters, [&](const Member& v) { return v.id == member.id; });
-        if (!listed.alive || listed.removed || is_voter || peer == peers_.end()) continue;
+        if (!listed.alive || listed.removed || is_voter || !answers(member.id, now)) continue;
         // The entry before the newest is enough: where proposals follow each other, no member has more at
         // this time.
         if (peer->second.stored != newest_->stamp && peer->second.stored != before_newest_) continue;
@@ -90,7 +90,7 @@
     if (candidates_.empty()) return std::nullopt;
     std::vector<Member> voters = newest_->voters;
     const auto lost = std::ranges::find_if(voters, [&](const Member& voter) { return gone(voter, now); });
-    const Member* joining = spare();
+    const Member* joining = spare(now);
     if (lost != voters.end() && joining) {
         *lost = *joining;
         return voters;
@@ -99,11 +99,30 @@
         voters.push_back(*joining);
         return voters;
     }
-    if (lost == voters.end()) return std::nullopt;
-    voters.erase(lost);
-    const auto remaining = std::ranges::count_if(voters, [&](const Member& voter) { return alive(voter); });
-    if (voters.empty() || static_cast<std::size_t>(remaining) < least_) return std::nullopt;
+    return smaller_group(now);
+}
+
+// Fewer voters only where as many as before may then be lost: of an even number one leaves, of an odd number
+// two do at once. (Of five, four would bear the loss of one only, and so would three after two are gone.)
+std::optional<std::vector<Member>> Replica::smaller_group(Tenths now) const {
+    std::vector<Member> voters = newest_->voters;
+    const std::size_t leaving = voters.size() % 2 == 0 ? 1 : 2;
+    for (std::size_t i = 0; i < leaving; ++i) {
+        const auto lost = std::ranges::find_if(voters, [&](const Member& voter) { return gone(voter, now); });
+        if (lost == voters.end()) return std::nullopt;
+        voters.erase(lost);
+    }
+    const auto stays = [&](const Member& voter) { return alive(voter) && answers(voter.id, now); };
+    const auto remaining = static_cast<std::size_t>(std::ranges::count_if(voters, stays));
+    if (voters.empty() || remaining < least_ || remaining < voters.size()) return std::nullopt;
     return voters;
 }
 
+bool Replica::answers(MemberId id, Tenths now) const {
+    if (id == options_.self.id) return true;
+    const auto peer = peers_.find(id);
+    return peer != peers_.end() && peer->second.answered_at &&
+           now - *peer->second.answered_at <= options_.election_timeout;
+}
+
 } // namespace ivyrill::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -26,18 +26,21 @@
 }
 
 void Replica::receive(const Message& message, Tenths now) {
-    if (message.to != options_.self.id && !takes_name_of_former_disk(message)) return;
+    if (message.to != options_.self.id) {
+        if (planted(PlantedFault::kNewDiskVotes)) vote_as_former_disk(message, now);
+        return;
+    }
     std::visit([&](const auto& body) { on(message.from, body, now); }, message.body);
     settle(now);
 }
 
-// Planted faults only: otherwise what was sent to the disk that was here before reaches nobody.
-bool Replica::takes_name_of_former_disk(const Message& message) {
-    const bool votes = planted(PlantedFault::kNewDiskVotes) && !has_durable_entry() &&
-                       std::holds_alternative<VoteRequest>(message.body);
-    if (!votes && !planted(PlantedFault::kIdUnchecked)) return false;
-    options_.self.id = message.to;
-    return true;
+// A planted fault only: otherwise what was sent to the disk that was here before reaches nobody.
+void Replica::vote_as_former_disk(const Message& message, Tenths now) {
+    if (has_durable_entry() || !std::holds_alternative<VoteRequest>(message.body)) return;
+    const MemberId own = std::exchange(options_.self.id, message.to);
+    on(message.from, std::get<VoteRequest>(message.body), now);
+    options_.self.id = own;
+    settle(now);
 }
 
 void Replica::stored(StoreTicket ticket, Tenths now) {
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -124,7 +124,8 @@
         std::string address;
         Stamp stored;            // its newest durable entry
         std::uint64_t round = 0; // the newest it has answered
-        Stamp sent;              // the newest entry that was sent to it, and when
+        std::optional<Tenths> answered_at;
+        Stamp sent; // the newest entry that was sent to it, and when
         Tenths sent_at = 0;
     };
     struct Round {
@@ -141,7 +142,7 @@
     };
 
     // replica.cpp: events, and the durable state
-    bool takes_name_of_former_disk(const Message& message);
+    void vote_as_former_disk(const Message& message, Tenths now);
     void settle(Tenths now);
     void persist(Tenths now);
     void after_store(Tenths now);
@@ -193,7 +194,9 @@
     const Candidate* candidate(MemberId id) const;
     bool alive(const Member& voter) const;
     bool gone(const Member& voter, Tenths now) const;
-    const Member* spare() const;
+    const Member* spare(Tenths now) const;
+    bool answers(MemberId id, Tenths now) const; // this leader, lately
+    std::optional<std::vector<Member>> smaller_group(Tenths now) const;
     std::optional<std::vector<Member>> wanted_voters(Tenths now) const;
 
     Options options_;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -107,12 +107,13 @@
     reply(*leader_, AppendReply{term_, heard_round_, reply_early ? newest_stamp() : durable_.newest});
 }
 
-void Replica::on(MemberId from, const AppendReply& answer, Tenths) {
+void Replica::on(MemberId from, const AppendReply& answer, Tenths now) {
     if (answer.term > term_) return become_follower(answer.term, std::nullopt);
     const auto peer = peers_.find(from);
     if (role_ != Role::kLeader || answer.term < term_ || peer == peers_.end()) return;
     peer->second.stored = std::max(peer->second.stored, answer.stored);
     peer->second.round = std::max(peer->second.round, answer.round);
+    peer->second.answered_at = now;
 }
 
 bool Replica::settled() const { return committed_ && newest_ && committed_->stamp == newest_->stamp; }
