--- /dev/null
+++ b/tests/consensus_planted_tests.cpp
@@ -0,0 +1,53 @@
+// The histories are asked whether they would find a wrong line: each planted fault must break a promise.
+#define BOOST_TEST_MODULE consensus_planted
+#include "lab/consensus_world.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill::consensus;
+using namespace ivyrill::lab;
+
+constexpr std::uint64_t kSeeds = 2000;
+
+void check_found(PlantedFault fault) {
+    planted_fault = fault;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        ConsensusWorld world(plan_of_seed(seed));
+        world.play();
+        if (world.broken().empty()) continue;
+        BOOST_TEST_MESSAGE("seed " << seed << " " << world.broken().front());
+        planted_fault = PlantedFault::kNone;
+        return;
+    }
+    planted_fault = PlantedFault::kNone;
+    BOOST_ERROR("not found within " << kSeeds << " seeds");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(without_a_fault_nothing_is_found) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        ConsensusWorld world(plan_of_seed(seed));
+        world.play();
+        BOOST_TEST(world.broken().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(finds_a_vote_before_it_is_stored) { check_found(PlantedFault::kVoteBeforeStored); }
+BOOST_AUTO_TEST_CASE(finds_former_voters_ignored) { check_found(PlantedFault::kFormerVotersIgnored); }
+BOOST_AUTO_TEST_CASE(finds_the_own_disk_assumed) { check_found(PlantedFault::kOwnDiskAssumed); }
+BOOST_AUTO_TEST_CASE(finds_an_older_candidate_accepted) {
+    check_found(PlantedFault::kOlderCandidateAccepted);
+}
+BOOST_AUTO_TEST_CASE(finds_a_new_disk_that_votes) { check_found(PlantedFault::kNewDiskVotes); }
+BOOST_AUTO_TEST_CASE(finds_an_old_term_committed) { check_found(PlantedFault::kOldTermCommitted); }
+BOOST_AUTO_TEST_CASE(finds_a_read_without_a_round) { check_found(PlantedFault::kReadWithoutRound); }
+BOOST_AUTO_TEST_CASE(finds_a_reply_before_it_is_stored) { check_found(PlantedFault::kReplyBeforeStored); }
+BOOST_AUTO_TEST_CASE(finds_a_change_without_joint_entry) {
+    check_found(PlantedFault::kChangeWithoutJointEntry);
+}
+BOOST_AUTO_TEST_CASE(finds_queued_reported_committed) { check_found(PlantedFault::kQueuedReportedCommitted); }
+BOOST_AUTO_TEST_CASE(finds_unknown_reported_rejected) { check_found(PlantedFault::kUnknownReportedRejected); }
+BOOST_AUTO_TEST_CASE(finds_an_older_term_accepted) { check_found(PlantedFault::kOlderTermAccepted); }
--- a/tests/lab/consensus_world.cpp
+++ b/tests/lab/consensus_world.cpp
@@ -41,6 +41,15 @@
 
 } // namespace
 
+ConsensusPlan plan_of_seed(std::uint64_t seed) {
+    ConsensusPlan plan;
+    plan.seed = seed;
+    plan.members = 3 + static_cast<int>(seed % 3);
+    plan.spares = static_cast<int>(seed / 3 % 3);
+    plan.least = static_cast<std::size_t>(plan.members) / 2 + 1;
+    return plan;
+}
+
 ConsensusWorld::ConsensusWorld(ConsensusPlan plan) : plan_(plan), random_(plan.seed), writes_(1) {
     for (int i = 0; i < plan_.members; ++i) add_machine();
     for (int i = 0; i < plan_.members; ++i) founders_.push_back(member(i));
@@ -276,6 +285,7 @@
 
 void ConsensusWorld::carry_out(int machine, Store store) {
     Disk& disk = at(machine).disk;
+    ++counts_.stores;
     if (disk.pending) promise_broken("two stores are under way at one member");
     const StoreTicket ticket = store.ticket;
     watch_store(machine, store.state);
--- a/tests/lab/consensus_world.hpp
+++ b/tests/lab/consensus_world.hpp
@@ -30,11 +30,13 @@
     Tenths least_delay = 1, most_delay = 10, most_late = 3000, most_store = 20;
 };
 
+ConsensusPlan plan_of_seed(std::uint64_t seed); // 3 to 5 members, up to 2 spare machines
+
 enum class WriteState : std::uint8_t { kUnderWay, kAcknowledged, kRejected, kUnknown };
 
 struct ConsensusCounts {
     std::uint64_t faults = 0, acknowledged = 0, rejected = 0, unknown = 0, reads = 0, elections = 0,
-                  wiped = 0, replaced = 0, changes_of_voters = 0;
+                  wiped = 0, replaced = 0, changes_of_voters = 0, stores = 0;
 };
 
 class ConsensusWorld {
