A leaving told by a node that knew little of the server stays final

Cause: such a record (no address) kept the known one's revision, so a later heartbeat that came late brought a server back that had left, and copies that had heard the same in other orders differed. Change: the record keeps what is known of the server and takes the final revision. Measured: instance_table_tests, 2 of 7 failed before (merging_gives_the_same_in_every_order..., what_said_itself_that_it_leaves_stays_gone), 7 of 7 pass.

--- a/src/feed/instance_table.cpp
+++ b/src/feed/instance_table.cpp
@@ -18,7 +18,7 @@
         // A record of what is gone may come from one that knew little else of it.
         if (record.state == InstanceState::kGone && record.address.empty()) {
             place->second = known;
-            place->second.state = InstanceState::kGone;
+            place->second.state = InstanceState::kGone, place->second.revision = record.revision;
         }
     }
     if (record.state == InstanceState::kGone)
