A spoilt enum in a message is refused

Cause: any number was taken as a state, stage or kind, and the selection indexes by the stage: a spoilt byte could write beyond an array. Change: enums that travel name their last value; a number beyond it is a failure to read. Each message cut or spoilt at every byte with every value was read without a crash.

--- a/src/model/configuration.hpp
+++ b/src/model/configuration.hpp
@@ -11,6 +11,7 @@
 
 // What may be repeated. Streaming answers are unsafe unless their route is resumable.
 enum class RouteKind : std::uint8_t { kSafe, kUnsafe, kStreaming };
+constexpr RouteKind last_of(RouteKind) { return RouteKind::kStreaming; }
 
 struct WeightedService {
     std::string service;
--- a/src/model/instance.hpp
+++ b/src/model/instance.hpp
@@ -8,6 +8,7 @@
 namespace ivyrill::model {
 
 enum class Stage : std::uint8_t { kNone, kPrefill, kDecode };
+constexpr Stage last_of(Stage) { return Stage::kDecode; }
 
 // What ranks higher wins between two records of one instance with the same sequence number.
 enum class InstanceState : std::uint8_t {
@@ -16,6 +17,7 @@
     kDraining, // asked for no more requests
     kGone      // left, or silent for so long that its address may be another's
 };
+constexpr InstanceState last_of(InstanceState) { return InstanceState::kGone; }
 
 // The revision of an instance that said itself that it leaves: nothing supersedes it.
 inline constexpr std::uint64_t kFinalRevision = INT64_MAX;
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -62,6 +62,13 @@
     T::tie(value);
 };
 
+// An enum that travels tells by `last_of`, found beside it, the last of its values, which are counted from 0: code
+// indexes by them, so that a number beyond is refused as spoilt.
+template <class T>
+concept BoundedEnum = std::is_enum_v<T> && requires(T value) {
+    { last_of(value) } -> std::same_as<T>;
+};
+
 template <class T> struct IsVector : std::false_type {};
 template <class T> struct IsVector<std::vector<T>> : std::true_type {};
 template <class T> struct IsOptional : std::false_type {};
@@ -120,6 +127,11 @@
 template <class T> void decode(Decoder& in, T& value) {
     if constexpr (std::same_as<T, bool>) {
         value = in.flag();
+    } else if constexpr (std::is_enum_v<T>) {
+        static_assert(BoundedEnum<T>, "an enum that travels names its last value by last_of()");
+        const std::uint64_t number = in.unsigned_number();
+        if (number > static_cast<std::uint64_t>(last_of(T{}))) return in.fail();
+        value = static_cast<T>(number);
     } else if constexpr (std::floating_point<T>) {
         value = static_cast<T>(in.real());
     } else if constexpr (std::is_enum_v<T> || std::unsigned_integral<T>) {
--- /dev/null
+++ b/tests/frame_tests.cpp
@@ -0,0 +1,229 @@
+// Frames and the messages in them, spoilt one byte at a time.
+#define BOOST_TEST_MODULE frame
+#include "feed/messages.hpp"
+#include "wire/cbor.hpp"
+#include "wire/frame.hpp"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::feed;
+using wire::FrameReader;
+
+constexpr std::size_t kHeadBytes = 5;
+constexpr std::size_t kVersionByte = 4;
+
+model::Configuration configuration() {
+    model::Route route;
+    route.name = "chat", route.host = "chat.example", route.path_prefix = "/chat/";
+    route.kind = model::RouteKind::kStreaming, route.services = {{"model", 0.25}, {"other", 0.75}};
+    model::Service service;
+    service.name = "model", service.engine = model::Engine{};
+    service.engine->models = {"m"};
+    return {7, {route}, {service}, {}};
+}
+
+model::Instance instance() {
+    return {"i-1",
+            "model",
+            "10.0.0.1:8080",
+            "a",
+            "v1",
+            8,
+            model::InstanceState::kDraining,
+            model::Stage::kDecode,
+            {{"m", 3}},
+            70'000};
+}
+
+// One of each kind, and in Batch one of each item.
+std::vector<Message> each_message() {
+    const model::EdgeNode edge{"edge-1", "a", "10.0.0.2", 1ULL << 63U};
+    const model::ControlNode control{"10.0.0.3:7000", "b", 9};
+    ConfigurationChange change;
+    change.base_version = 6, change.version = 7, change.routes = configuration().routes;
+    change.removed_services = {"old"};
+    Subscribe subscribe;
+    subscribe.node = edge, subscribe.feed = 5, subscribe.place = 300;
+    subscribe.instances.ranges = {1, 0, 1ULL << 40U};
+    const model::Load load{"i-1", 3, 8, 41'000, 90'000, 12};
+    Batch batch{5, 301, true, {}};
+    batch.items = {configuration(),        change, instance(), Forgotten{"i-2"}, load, EdgeNodes{{edge}},
+                   ControlNodes{{control}}};
+    const consensus::Message vote{consensus::MemberId{1}, consensus::MemberId{2},
+                                  consensus::VoteRequest{9, {7, 300}, true}};
+    return {subscribe,
+            Instances{{instance()}, false},
+            Loads{{load}},
+            Heartbeat{300},
+            WantRanges{{0, 31}},
+            batch,
+            Refused{"this node ends"},
+            PeerHello{control, 8, {control}},
+            PeerStatus{{control}, {edge}, {{4, 5}}, {"i-1"}, true},
+            Replicate{4, {instance()}, {load}},
+            Replicated{4},
+            ForwardedCall{6, "PUT", "12", "{}"},
+            ForwardedAnswer{6, 412, "{}"},
+            vote};
+}
+
+bool enums_are_known(const model::Instance& record) {
+    return record.state <= model::InstanceState::kGone && record.stage <= model::Stage::kDecode;
+}
+
+// Code that indexes by them must never meet a value that has no name.
+bool enums_are_known(const Message& message) {
+    if (const auto* known = std::get_if<Instances>(&message))
+        return std::ranges::all_of(known->records,
+                                   [](const auto& record) { return enums_are_known(record); });
+    const auto* batch = std::get_if<Batch>(&message);
+    if (batch == nullptr) return true;
+    return std::ranges::all_of(batch->items, [](const Item& item) {
+        if (const auto* record = std::get_if<model::Instance>(&item)) return enums_are_known(*record);
+        const auto* whole = std::get_if<model::Configuration>(&item);
+        return whole == nullptr || std::ranges::all_of(whole->routes, [](const model::Route& route) {
+                   return route.kind <= model::RouteKind::kStreaming;
+               });
+    });
+}
+
+std::string framed(std::uint32_t size, std::uint8_t version) {
+    std::string head;
+    for (int shift = 24; shift >= 0; shift -= 8) head.push_back(static_cast<char>(size >> shift & 0xFFU));
+    head.push_back(static_cast<char>(version));
+    return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(two_frames_come_whole_in_every_split) {
+    const std::string first(1, 'a'), second = "of 11 bytes";
+    const std::string bytes = wire::frame(first) + wire::frame(second);
+    for (std::size_t split = 0; split <= bytes.size(); ++split) {
+        FrameReader reader;
+        std::vector<std::string> read;
+        for (std::string_view piece :
+             {std::string_view(bytes).substr(0, split), std::string_view(bytes).substr(split)})
+            while (!piece.empty()) {
+                piece.remove_prefix(reader.feed(piece));
+                if (reader.complete()) read.push_back(reader.take());
+            }
+        BOOST_REQUIRE(!reader.broken());
+        BOOST_TEST((read == std::vector<std::string>{first, second}), "split at " << split);
+        BOOST_TEST(!reader.complete());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_frame_is_never_complete_before_its_last_byte) {
+    const std::string bytes = wire::frame("payload");
+    FrameReader reader;
+    for (std::size_t i = 0; i + 1 < bytes.size(); ++i) {
+        BOOST_TEST(reader.feed(bytes.substr(i, 1)) == 1U);
+        BOOST_TEST(!reader.complete());
+    }
+    reader.feed(bytes.substr(bytes.size() - 1));
+    BOOST_TEST(reader.complete());
+}
+
+BOOST_AUTO_TEST_CASE(every_other_version_is_refused) {
+    std::string bytes = wire::frame("payload");
+    for (int version = 0; version < 256; ++version) {
+        bytes[kVersionByte] = static_cast<char>(version);
+        FrameReader reader;
+        const std::size_t taken = reader.feed(bytes);
+        if (version == wire::kProtocolVersion) {
+            BOOST_TEST(reader.complete());
+            continue;
+        }
+        BOOST_REQUIRE(reader.broken());
+        BOOST_TEST((reader.broken()->kind == ErrorKind::kProtocol));
+        BOOST_TEST(taken == kHeadBytes);
+        BOOST_TEST(reader.feed(bytes) == 0U); // nothing more is taken from such a peer
+        BOOST_TEST(!reader.complete());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_frame_that_is_too_large_or_empty_is_refused_by_its_head) {
+    const auto most = static_cast<std::uint32_t>(wire::kMostFrameBytes);
+    for (const std::uint32_t size : {0U, most + 1, most * 2, 0x7FFFFFFFU, 0xFFFFFFFFU}) {
+        FrameReader reader;
+        reader.feed(framed(size, wire::kProtocolVersion));
+        BOOST_TEST(reader.broken().has_value(), "size " << size);
+        BOOST_TEST(!reader.complete());
+    }
+    for (const std::uint32_t size : {1U, most}) {
+        FrameReader reader;
+        reader.feed(framed(size, wire::kProtocolVersion));
+        BOOST_TEST(!reader.broken().has_value(), "size " << size);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(each_message_survives_the_way_there) {
+    for (const Message& message : each_message()) {
+        const std::string bytes = wire::to_bytes(message);
+        const auto read = wire::from_bytes<Message>(bytes);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read.value().index() == message.index());
+        BOOST_TEST(wire::to_bytes(read.value()) == bytes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_message_cut_short_at_any_byte_is_refused) {
+    for (const Message& message : each_message()) {
+        const std::string bytes = wire::to_bytes(message);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            const auto read = wire::from_bytes<Message>(bytes.substr(0, size));
+            BOOST_TEST(read.has_error(), "kind " << message.index() << ", " << size << " bytes");
+        }
+        BOOST_TEST(wire::from_bytes<Message>(bytes + '\0').has_error());
+        BOOST_TEST(wire::from_bytes<Message>(bytes + bytes).has_error());
+    }
+}
+
+// A byte of a text or a number may become another one; whatever is read must be a message that can be written
+// and read again, and must not be taken for the original.
+BOOST_AUTO_TEST_CASE(a_message_with_any_byte_spoilt_is_refused_or_is_another_sound_message) {
+    for (const Message& message : each_message()) {
+        const std::string sound = wire::to_bytes(message);
+        for (std::size_t i = 0; i < sound.size(); ++i)
+            for (int value = 0; value < 256; ++value) {
+                std::string spoilt = sound;
+                if (spoilt[i] == static_cast<char>(value)) continue;
+                spoilt[i] = static_cast<char>(value);
+                const auto read = wire::from_bytes<Message>(spoilt);
+                if (read.has_error()) continue;
+                const std::string written = wire::to_bytes(read.value());
+                const auto again = wire::from_bytes<Message>(written);
+                BOOST_REQUIRE(again.has_value());
+                BOOST_REQUIRE(wire::to_bytes(again.value()) == written);
+                BOOST_REQUIRE_MESSAGE(written != sound, "kind " << message.index() << ", byte " << i);
+                BOOST_REQUIRE_MESSAGE(enums_are_known(read.value()),
+                                      "kind " << message.index() << ", byte " << i << ", value " << value);
+            }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_kind_of_a_message_and_the_number_of_its_members_are_exact) {
+    constexpr std::size_t kKinds = std::variant_size_v<Message>;
+    for (const Message& message : each_message()) {
+        std::string bytes = wire::to_bytes(message);
+        for (std::size_t kind = kKinds; kind < 24; ++kind) { // a number below 24 is one byte
+            bytes[1] = static_cast<char>(kind);
+            BOOST_TEST(wire::from_bytes<Message>(bytes).has_error(), "kind " << kind);
+        }
+        for (const int head : {0x80, 0x81, 0x83}) {
+            std::string other = wire::to_bytes(message);
+            other[0] = static_cast<char>(head);
+            BOOST_TEST(wire::from_bytes<Message>(other).has_error());
+        }
+        for (const int by : {-1, 1}) {
+            std::string other = wire::to_bytes(message);
+            other[2] = static_cast<char>(other[2] + by); // members of the struct
+            BOOST_TEST(wire::from_bytes<Message>(other).has_error());
+        }
+    }
+}
