--- /dev/null
+++ b/tests/feed_tests.cpp
@@ -0,0 +1,293 @@
+// The feed's log, the steps between configurations, and what a subscriber makes of its batches.
+#define BOOST_TEST_MODULE feed
+#include "base/pcg.hpp"
+#include "feed/feed_log.hpp"
+#include "feed/tables.hpp"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::feed;
+using model::Instance;
+using model::InstanceState;
+
+constexpr std::uint64_t kFeed = 5;
+
+Instance instance(const std::string& id, std::uint64_t revision = 1,
+                  InstanceState state = InstanceState::kServing) {
+    Instance record;
+    record.id = id, record.service = "model", record.address = "10.0.0.1:80";
+    record.revision = revision, record.state = state;
+    return record;
+}
+
+model::Configuration configuration(std::int64_t version) {
+    model::Configuration made;
+    made.version = version;
+    return made;
+}
+
+model::Load load(const std::string& id, std::int64_t waiting) {
+    model::Load made;
+    made.instance = id, made.waiting = waiting;
+    return made;
+}
+
+std::uint64_t draw(Pcg& random, std::uint64_t below) { return random.next() % below; }
+
+// Of few hosts, prefixes and services, so that two of them share some, differ in some and lack some of each
+// other's.
+model::Configuration random_configuration(Pcg& random, std::int64_t version) {
+    model::Configuration made = configuration(version);
+    for (const char* host : {"a.example", "b.example", "c.example"})
+        for (const char* prefix : {"/", "/x/", "/x/y/"}) {
+            if (draw(random, 2) == 0) continue;
+            model::Route route;
+            route.host = host, route.path_prefix = prefix, route.name = std::string(host) + prefix;
+            route.timeout_ms = static_cast<std::int64_t>(1 + draw(random, 2));
+            route.services = {{"s" + std::to_string(draw(random, 4)), 1}};
+            made.routes.push_back(route);
+        }
+    for (const char* name : {"s0", "s1", "s2", "s3"}) {
+        if (draw(random, 3) == 0) continue;
+        model::Service service;
+        service.name = name, service.connection_limit = static_cast<std::int64_t>(draw(random, 2));
+        if (draw(random, 2) == 0) service.engine = model::Engine{};
+        made.services.push_back(service);
+    }
+    made.limits.idle_timeout_ms = static_cast<std::int64_t>(1000 * (1 + draw(random, 3)));
+    return made;
+}
+
+model::Configuration sorted(model::Configuration made) {
+    const auto place = [](const model::Route& route) { return route.host + " " + route.path_prefix; };
+    std::ranges::sort(made.routes, {}, place);
+    std::ranges::sort(made.services, {}, &model::Service::name);
+    return made;
+}
+
+Batch batch(std::uint64_t place, std::vector<Item> items, bool snapshot = false) {
+    return {kFeed, place, snapshot, std::move(items)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_log_goes_on_from_any_place_with_what_came_after_it) {
+    FeedLog log(kFeed);
+    for (int i = 1; i <= 5; ++i) log.put(instance("i-" + std::to_string(i)));
+    BOOST_TEST(log.place() == 5U);
+    for (std::uint64_t place = 0; place <= 5; ++place) {
+        const auto items = log.since(place);
+        BOOST_REQUIRE(items.has_value());
+        BOOST_REQUIRE(items->size() == 5 - place);
+        for (std::size_t i = 0; i < items->size(); ++i)
+            BOOST_TEST(std::get<Instance>((*items)[i]).id == "i-" + std::to_string(place + i + 1));
+    }
+    BOOST_TEST(!log.since(6).has_value()); // no place of this log
+}
+
+BOOST_AUTO_TEST_CASE(the_log_keeps_the_latest_item_under_each_key) {
+    FeedLog log(kFeed);
+    log.put(instance("i-1", 1));
+    log.put(load("i-1", 1));
+    log.put(instance("i-1", 2));
+    log.put(load("i-1", 7));
+    log.put(EdgeNodes{{{"a", "z", "1", 1}}});
+    log.put(EdgeNodes{});
+    const auto items = log.snapshot();
+    BOOST_REQUIRE(items.size() == 3U);
+    BOOST_TEST(std::get<Instance>(items[0]).revision == 2U);
+    BOOST_TEST(std::get<model::Load>(items[1]).waiting == 7);
+    BOOST_TEST(std::get<EdgeNodes>(items[2]).nodes.empty());
+    BOOST_TEST(log.since(4)->size() == 1U); // both edge lists came after place 4, one is left
+}
+
+BOOST_AUTO_TEST_CASE(a_place_before_something_forgotten_needs_a_snapshot) {
+    FeedLog log(kFeed);
+    log.put(instance("i-1"));
+    log.put(instance("i-2"));
+    log.put(load("i-2", 1));
+    log.put(instance("i-3"));
+    log.forget_instance("i-2");
+    for (std::uint64_t place = 0; place < 3; ++place) BOOST_TEST(!log.since(place).has_value());
+    for (std::uint64_t place = 3; place <= 4; ++place) BOOST_TEST(log.since(place).has_value());
+    BOOST_TEST(log.snapshot().size() == 2U);
+    log.forget_instance("unknown");
+    BOOST_TEST(log.since(3).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_subscriber_that_resumes_at_each_place_ends_with_the_same_tables) {
+    FeedLog log(kFeed);
+    std::vector<Tables> subscribers(1);
+    for (int i = 0; i < 40; ++i) {
+        const std::string id = "i-" + std::to_string(i % 7);
+        log.put(instance(id, static_cast<std::uint64_t>(i),
+                         i % 3 == 0 ? InstanceState::kDraining : InstanceState::kServing));
+        log.put(load(id, i));
+        if (i % 10 == 0) log.put(configuration(i + 1));
+        // One more subscriber stays behind at each step.
+        Tables fresh;
+        BOOST_REQUIRE(fresh.apply(batch(log.place(), log.snapshot(), true), 0).fits);
+        subscribers.push_back(fresh);
+    }
+    subscribers.front().apply(batch(log.place(), log.snapshot(), true), 0);
+    for (Tables& tables : subscribers) {
+        BOOST_REQUIRE(tables.apply(batch(log.place(), *log.since(tables.place())), 0).fits);
+        BOOST_TEST((tables.instances().records() == subscribers.front().instances().records()));
+        BOOST_TEST((tables.loads() == subscribers.front().loads()));
+        BOOST_TEST(tables.configuration()->version == 31);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_difference_applied_to_the_older_configuration_gives_the_newer) {
+    Pcg random(11);
+    std::size_t kept = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const auto from = random_configuration(random, i),
+                   to = random_configuration(random, i + 1 + static_cast<int>(draw(random, 9)));
+        const ConfigurationChange change = difference(from, to);
+        const auto made = feed::apply(from, change);
+        BOOST_REQUIRE(made.has_value());
+        BOOST_REQUIRE((sorted(*made) == sorted(to)));
+        kept += to.routes.size() - change.routes.size();
+    }
+    BOOST_TEST(kept > 300U); // it is a difference: what stays is not told again
+    const auto same = random_configuration(random, 1);
+    const ConfigurationChange nothing = difference(same, same);
+    BOOST_TEST((nothing.routes.empty() && nothing.services.empty()));
+    BOOST_TEST((nothing.removed_routes.empty() && nothing.removed_services.empty()));
+}
+
+BOOST_AUTO_TEST_CASE(each_field_of_a_route_a_service_and_the_limits_is_told_when_it_changes) {
+    Pcg random(12);
+    model::Configuration from = configuration(1);
+    from.routes = {model::Route{}}, from.services = {model::Service{}};
+    from.routes[0].host = "a.example", from.routes[0].path_prefix = "/", from.services[0].name = "s";
+    from.services[0].engine = model::Engine{};
+    using Change = void (*)(model::Configuration&);
+    const Change changes[] = {[](auto& to) { to.routes[0].name = "n"; },
+                              [](auto& to) { to.routes[0].kind = model::RouteKind::kSafe; },
+                              [](auto& to) { to.routes[0].timeout_ms = 1; },
+                              [](auto& to) { to.routes[0].latency_target_ms = 1; },
+                              [](auto& to) { to.routes[0].priority = 1; },
+                              [](auto& to) {
+                                  to.routes[0].services = {{"s", 0.5}};
+                              },
+                              [](auto& to) { to.routes[0].max_attempts = 2; },
+                              [](auto& to) { to.routes[0].sticky = true; },
+                              [](auto& to) { to.routes[0].resumable = true; },
+                              [](auto& to) { to.routes[0].longest_gap_ms = 1; },
+                              [](auto& to) { to.routes[0].path_prefix = "/x/"; },
+                              [](auto& to) { to.routes.clear(); },
+                              [](auto& to) { to.services[0].health_path = "/h"; },
+                              [](auto& to) { to.services[0].connection_limit = 1; },
+                              [](auto& to) { to.services[0].engine.reset(); },
+                              [](auto& to) { to.services[0].engine->slots = 9; },
+                              [](auto& to) { to.services.clear(); },
+                              [](auto& to) { to.limits.max_header_bytes = 1; },
+                              [](auto& to) { to.limits.max_body_bytes = 1; },
+                              [](auto& to) { to.limits.header_timeout_ms = 1; },
+                              [](auto& to) { to.limits.idle_timeout_ms = 1; }};
+    for (const Change change : changes) {
+        model::Configuration to = from;
+        to.version = 2;
+        change(to);
+        BOOST_TEST((feed::apply(from, difference(from, to)) == to));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_change_built_on_another_version_is_not_applied) {
+    const ConfigurationChange change = difference(configuration(3), configuration(4));
+    for (const std::int64_t version : {0, 1, 2, 4, 5})
+        BOOST_TEST(!feed::apply(configuration(version), change).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_batch_that_does_not_fit_changes_nothing) {
+    Tables tables;
+    BOOST_REQUIRE(tables.apply(batch(3, {configuration(2), instance("i-1")}, true), 0).fits);
+    const ConfigurationChange unfit = difference(configuration(5), configuration(6));
+    for (const Batch& wrong : {batch(9, {instance("i-2"), load("i-1", 4), unfit}),
+                               batch(9, {unfit, instance("i-2")}), batch(9, {instance("i-2"), unfit}, true),
+                               Batch{kFeed + 1, 9, false, {instance("i-2"), configuration(8)}}}) {
+        const Tables::Applied applied = tables.apply(wrong, 0);
+        BOOST_TEST(!applied.fits);
+        BOOST_TEST((applied.news.empty() && !applied.instances && !applied.configuration));
+        BOOST_TEST(tables.place() == 3U);
+        BOOST_TEST(tables.feed() == kFeed);
+        BOOST_TEST(tables.instances().records().size() == 1U);
+        BOOST_TEST(tables.loads().empty());
+        BOOST_TEST(tables.configuration()->version == 2);
+    }
+    Tables empty;
+    BOOST_TEST(!empty.apply(batch(1, {difference(configuration(0), configuration(1))}, true), 0).fits);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_never_goes_back) {
+    Tables tables;
+    tables.apply(batch(1, {configuration(5)}, true), 0);
+    const auto held = tables.configuration();
+    for (const Batch& older :
+         {batch(2, {configuration(4)}), batch(3, {configuration(5)}),
+          batch(4, {difference(configuration(3), configuration(4))}),
+          Batch{kFeed + 1, 1, true, {configuration(1)}}, Batch{kFeed + 2, 1, true, {}}}) {
+        const Tables::Applied applied = tables.apply(older, 0);
+        BOOST_TEST(applied.fits);
+        BOOST_TEST(!applied.configuration);
+        BOOST_TEST((tables.configuration() == held));
+    }
+    BOOST_TEST(tables.apply({kFeed + 2, 2, false, {difference(configuration(5), configuration(9))}}, 0)
+                   .configuration);
+    BOOST_TEST(tables.configuration()->version == 9);
+    BOOST_TEST(held->version == 5); // whoever still holds the former one reads it unchanged
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_drops_what_it_does_not_name_and_that_may_come_back) {
+    Tables tables;
+    tables.apply(batch(3, {instance("i-1", 4), instance("i-2", 4), load("i-2", 3)}, true), 0);
+    const Tables::Applied applied = tables.apply({kFeed + 1, 9, true, {instance("i-1", 4)}}, 0);
+    BOOST_TEST(applied.instances);
+    BOOST_REQUIRE(applied.news.size() == 1U);
+    BOOST_TEST(std::get<Forgotten>(applied.news[0]).instance == "i-2");
+    BOOST_TEST(tables.instances().find("i-2") == nullptr);
+    BOOST_TEST(tables.loads().empty());
+    BOOST_TEST(tables.feed() == kFeed + 1);
+    BOOST_TEST(tables.apply({kFeed + 1, 10, false, {instance("i-2", 4)}}, 0).instances);
+    BOOST_REQUIRE(tables.instances().find("i-2") != nullptr);
+    BOOST_TEST(tables.instances().find("i-2")->may_be_sent_to());
+}
+
+BOOST_AUTO_TEST_CASE(records_that_come_late_change_nothing) {
+    Tables tables;
+    tables.apply(batch(1, {instance("i-1", 7, InstanceState::kDraining)}, true), 0);
+    for (const Instance& late :
+         {instance("i-1", 6), instance("i-1", 7), instance("i-1", 7, InstanceState::kDraining),
+          instance("i-1", 6, InstanceState::kGone)}) {
+        const Tables::Applied applied = tables.apply(batch(2, {late}), 0);
+        BOOST_TEST((applied.fits && !applied.instances && applied.news.empty()));
+        BOOST_TEST((tables.instances().find("i-1")->state == InstanceState::kDraining));
+    }
+    BOOST_TEST(tables.place() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_gone_is_remembered_for_a_minute_and_then_forgotten) {
+    Tables tables;
+    tables.apply(batch(1, {instance("i-1", 7, InstanceState::kGone), load("i-1", 2)}, true), 0);
+    tables.apply(batch(2, {instance("i-1", 6)}), 60 * kTenthsPerSecond - 1);
+    BOOST_REQUIRE(tables.instances().find("i-1") != nullptr);
+    BOOST_TEST((tables.instances().find("i-1")->state == InstanceState::kGone));
+    tables.apply(batch(3, {}), 60 * kTenthsPerSecond);
+    BOOST_TEST(tables.instances().find("i-1") == nullptr);
+    BOOST_TEST(tables.loads().empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_told_as_forgotten_goes_with_its_load) {
+    Tables tables;
+    tables.apply(batch(1, {instance("i-1"), load("i-1", 2)}, true), 0);
+    BOOST_TEST(tables.apply(batch(2, {Forgotten{"i-1"}}), 0).news.size() == 1U);
+    BOOST_TEST(tables.instances().records().empty());
+    BOOST_TEST(tables.loads().empty());
+    BOOST_TEST(tables.apply(batch(3, {Forgotten{"i-1"}}), 0).news.empty());
+}
