--- /dev/null
+++ b/tests/instance_registry_tests.cpp
@@ -0,0 +1,510 @@
+// A control node's list of model servers, with its peers played by the test.
+#define BOOST_TEST_MODULE instance_registry
+#include "control/instance_registry.hpp"
+#include "lab/reactor_script.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::control;
+using feed::Replicate;
+using feed::Replicated;
+using lab::ReactorScript;
+using model::Instance;
+using model::InstanceState;
+using transport::Done;
+
+constexpr Tenths kBeat = 500; // 50 ms: silent after 130 ms, gone after 1.25 s
+const std::string kSelf = "10.0.0.1:7000", kPeer = "10.0.0.2:7000", kThird = "10.0.0.3:7000";
+
+// Of a name that this node owns, or the peer does.
+std::string service_owned_by(const std::string& node, const std::vector<std::string>& nodes) {
+    for (int i = 0;; ++i)
+        if (const std::string name = "s" + std::to_string(i); owner_of(name, nodes) == node) return name;
+}
+
+struct Sent {
+    std::string peer; // empty: to all
+    feed::Message message;
+};
+
+struct Node {
+    explicit Node(ReactorScript& script)
+        : script(script), log(1), registry(script.reactor, log, {kSelf, kBeat}, callbacks()) {
+        registry.set_nodes({kSelf, kPeer});
+    }
+    InstanceRegistry::Callbacks callbacks() {
+        InstanceRegistry::Callbacks made;
+        made.send_to_peers = [this](const feed::Message& message) {
+            sent.push_back({"", message});
+            const auto* replicate = std::get_if<Replicate>(&message);
+            if (replicate == nullptr || replicate->number == 0) return;
+            for (const std::string& peer : acknowledging)
+                registry.replicated(peer, Replicated{replicate->number});
+        };
+        made.send = [this](const std::string& peer, const feed::Message& message) {
+            sent.push_back({peer, message});
+        };
+        made.further_copies = [this] { return wanted; };
+        made.in_contact = [this] { return ++asked, in_contact; };
+        made.call_address = [](const std::string& peer) { return "call " + peer; };
+        made.changed = [this] { ++changes; };
+        return made;
+    }
+    // What the call came to: the heartbeat's advice, or the error.
+    transport::Async<Result<RegisterReply>> beat(Instance instance) {
+        return registry.carry_out(RegisterCall{std::move(instance)});
+    }
+    transport::Async<Result<LeaveReply>> leave(std::string id) {
+        return registry.carry_out(LeaveCall{std::move(id)});
+    }
+    InstanceState state(const std::string& id) const {
+        const Instance* known = registry.table().find(id);
+        return known == nullptr ? InstanceState::kGone : known->state;
+    }
+    std::size_t told(const std::string& id) const { // records of it that went to peers
+        std::size_t count = 0;
+        for (const Sent& one : sent)
+            if (const auto* replicate = std::get_if<Replicate>(&one.message))
+                count +=
+                    static_cast<std::size_t>(std::ranges::count(replicate->instances, id, &Instance::id));
+        return count;
+    }
+    ReactorScript& script;
+    feed::FeedLog log;
+    std::vector<Sent> sent;
+    std::vector<std::string> acknowledging{kPeer}; // at once, each numbered message
+    std::size_t wanted = 1;
+    bool in_contact = true;
+    int asked = 0, changes = 0;
+    InstanceRegistry registry; // last: it calls back from its constructor
+};
+
+Instance server(const std::string& id, std::uint64_t sequence = 1,
+                InstanceState state = InstanceState::kServing) {
+    Instance record;
+    record.id = id, record.service = service_owned_by(kSelf, {kSelf, kPeer});
+    record.address = "10.1.0.1:" + std::to_string(8000 + id.back());
+    record.revision = sequence, record.state = state;
+    return record;
+}
+
+const std::string kSound =
+    R"({"service":"huvo","address":"10.128.0.9:8080","zone":"wien","version":"v1","slots":48,"state":"serving",)"
+    R"("coldLeftMs":0,"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],"callSeq":4})";
+
+std::string with(const std::string& field, const std::string& fresh) {
+    std::string text = kSound;
+    const std::size_t at = text.find(field);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, field.size(), fresh);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read_as_it_is_documented) {
+    const auto call = read_register_call("i-7f3a91c2", kSound);
+    BOOST_REQUIRE(call.has_value());
+    const Instance& read = call.value().instance;
+    BOOST_TEST((read.id == "i-7f3a91c2" && read.service == "huvo" && read.address == "10.128.0.9:8080"));
+    BOOST_TEST((read.zone == "wien" && read.software_version == "v1" && read.slots == 48));
+    BOOST_TEST((read.state == InstanceState::kServing && read.stage == model::Stage::kDecode));
+    BOOST_TEST((read.models == std::vector<model::ServedModel>{{"m", 1}}));
+    BOOST_TEST(read.revision == 4U);
+    const auto draining = read_register_call("i", with("serving", "draining"));
+    BOOST_REQUIRE(draining.has_value());
+    BOOST_TEST((draining.value().instance.state == InstanceState::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_without_what_is_not_needed_is_taken) {
+    for (const char* field :
+         {R"("zone":"wien",)", R"("version":"v1",)", R"("slots":48,)", R"("coldLeftMs":0,)",
+          R"("stage":"decode",)", R"("models":[{"name":"m","version":1,"adapters":[]}],)"})
+        BOOST_TEST(read_register_call("i-1", with(field, "")).has_value(), "without " << field);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_with_any_field_spoilt_is_refused_as_the_senders_fault) {
+    const std::pair<const char*, const char*> spoilt[] = {
+        {R"("service":"huvo",)", ""},
+        {R"("address":"10.128.0.9:8080",)", ""},
+        {R"(,"callSeq":4)", ""},
+        {R"("huvo")", "5"},
+        {R"("huvo")", "null"},
+        {R"("huvo")", R"("")"},
+        {R"("10.128.0.9:8080")", R"("")"},
+        {R"("10.128.0.9:8080")", R"("10.128.0.9")"},
+        {R"("10.128.0.9:8080")", R"("host:80")"},
+        {R"("10.128.0.9:8080")", R"("10.128.0.9:80800")"},
+        {R"("10.128.0.9:8080")", R"("10.128.0.9:-1")"},
+        {R"("10.128.0.9:8080")", R"("10.128.0.9:80\r\nx: y")"},
+        {R"("10.128.0.9:8080")", "[]"},
+        {R"("wien")", "7"},
+        {R"("v1")", "{}"},
+        {R"(48)", R"("48")"},
+        {R"(48)", "4.5"},
+        {R"(48)", "0"},
+        {R"(48)", "-1"},
+        {R"("serving")", "true"},
+        {R"("serving")", R"("resting")"},
+        {R"("decode")", "1"},
+        {R"([{"name":"m","version":1,"adapters":[]}])", R"("m")"},
+        {R"({"name":"m",)", R"({)"},
+        {R"({"name":"m",)", R"({"name":1,)"},
+        {R"("version":1,)", R"("version":"1",)"},
+        {R"("callSeq":4)", R"("callSeq":-1)"},
+        {R"("callSeq":4)", R"("callSeq":"4")"},
+        {R"("callSeq":4)", R"("callSeq":null)"},
+        {R"("callSeq":4)", R"("callSeq":9223372036854775807)"},
+        {R"("callSeq":4)", R"("callSeq":99999999999999999999)"},
+    };
+    for (const auto& [field, fresh] : spoilt) {
+        const auto call = read_register_call("i-1", with(field, fresh));
+        BOOST_TEST((call.has_error() && call.error().kind == ErrorKind::kInvalidInput),
+                   field << " as " << fresh);
+    }
+    BOOST_TEST(read_register_call("", kSound).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_cut_short_or_followed_by_more_is_refused) {
+    for (std::size_t size = 0; size < kSound.size(); ++size)
+        BOOST_TEST(read_register_call("i-1", kSound.substr(0, size)).has_error());
+    BOOST_TEST(read_register_call("i-1", kSound + "}").has_error());
+    BOOST_TEST(read_register_call("i-1", "[" + kSound + "]").has_error());
+}
+
+BOOST_AUTO_TEST_CASE(a_new_server_is_listed_and_told_to_the_peers_once) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        for (std::uint64_t sequence = 1; sequence <= 5; ++sequence) {
+            const auto reply = co_await node.beat(server("i-1", sequence));
+            BOOST_REQUIRE(reply.has_value());
+            BOOST_TEST(reply.value().beat_address.empty()); // this node owns its part
+        }
+        BOOST_TEST(node.told("i-1") == 1U);
+        BOOST_TEST(node.changes == 1);
+        BOOST_TEST(node.log.snapshot().size() == 1U);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_comes_late_changes_nothing) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1", 5));
+        Instance moved = server("i-1", 6);
+        moved.slots = 77;
+        co_await node.beat(moved);
+        for (const std::uint64_t late : {0ULL, 4ULL, 5ULL, 6ULL}) {
+            const auto reply = co_await node.beat(server("i-1", late));
+            BOOST_TEST(reply.has_value());
+            BOOST_TEST(node.registry.table().find("i-1")->slots == 77);
+        }
+        co_await node.beat(server("i-1", 9, InstanceState::kDraining));
+        co_await node.beat(server("i-1", 8));
+        BOOST_TEST((node.state("i-1") == InstanceState::kDraining));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(draining_is_acknowledged_once_enough_copies_are_told) {
+    ReactorScript script;
+    Node node(script);
+    node.wanted = 2;
+    node.acknowledging.clear();
+    bool done = false;
+    const auto drain = [&]() -> transport::Task {
+        const auto reply = co_await node.beat(server("i-1", 2, InstanceState::kDraining));
+        BOOST_TEST(reply.has_value());
+        done = true;
+    };
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1"));
+        script.reactor.spawn(drain());
+        const auto& message = std::get<Replicate>(node.sent.back().message);
+        BOOST_TEST(message.number != 0U);
+        BOOST_REQUIRE(message.instances.size() == 1U);
+        BOOST_TEST((message.instances[0].state == InstanceState::kDraining));
+        const std::uint64_t number = message.number;
+        node.registry.replicated(kPeer, {number});
+        node.registry.replicated(kPeer, {number});       // the same peer doesn't count twice
+        node.registry.replicated(kThird, {number + 17}); // nor one for something else
+        int looks = 0;
+        co_await script.until([&] { return ++looks > 5; });
+        BOOST_TEST(!done);
+        node.registry.replicated(kThird, {number});
+        const bool holds = co_await script.until([&] { return done; }, kTenthsPerSecond / 2);
+        BOOST_TEST(holds);
+        // Once it is known to so many, the next heartbeat needs no second round.
+        const std::size_t before = node.sent.size();
+        const auto again = co_await node.beat(server("i-1", 3, InstanceState::kDraining));
+        BOOST_TEST(again.has_value());
+        BOOST_TEST(node.sent.size() == before);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_not_acknowledged_where_too_few_can_be_told) {
+    ReactorScript script;
+    Node node(script);
+    node.acknowledging.clear();
+    script.run([&]() -> ReactorScript::Step {
+        const auto draining = co_await node.beat(server("i-1", 1, InstanceState::kDraining));
+        BOOST_REQUIRE(draining.has_error());
+        BOOST_TEST((draining.error().kind == ErrorKind::kUnavailable)); // 503: the server turns elsewhere
+        const auto leaving = co_await node.leave("i-1");
+        BOOST_REQUIRE(leaving.has_error());
+        BOOST_TEST((leaving.error().kind == ErrorKind::kUnavailable));
+        BOOST_TEST((node.state("i-1") == InstanceState::kGone)); // no request is sent there all the same
+        node.acknowledging = {kPeer};
+        const auto again = co_await node.leave("i-1");
+        BOOST_TEST(again.has_value());
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_has_left_stays_gone_and_an_unknown_id_may_leave) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        const auto unknown = co_await node.leave("i-9");
+        BOOST_TEST(unknown.has_value());
+        co_await node.beat(server("i-1", 3));
+        const auto left = co_await node.leave("i-1");
+        BOOST_TEST(left.has_value());
+        for (const std::string id : {"i-1", "i-9"}) {
+            const auto late = co_await node.beat(server(id, 1000));
+            BOOST_TEST(late.has_value());
+            BOOST_TEST((node.state(id) == InstanceState::kGone));
+        }
+        const auto twice = co_await node.leave("i-1");
+        BOOST_TEST(twice.has_value());
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_that_another_node_was_told_of_is_final_here) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1", 3));
+        Instance left; // of a node that had not heard of it
+        left.id = "i-1", left.state = InstanceState::kGone, left.revision = model::kFinalRevision;
+        node.registry.replicate(kPeer, {4, {left}, {}});
+        BOOST_TEST((node.state("i-1") == InstanceState::kGone));
+        const auto* told = std::get_if<Replicated>(&node.sent.back().message);
+        BOOST_REQUIRE(told != nullptr);
+        BOOST_TEST((told->number == 4U && node.sent.back().peer == kPeer));
+        co_await node.beat(server("i-1", 9));
+        BOOST_TEST((node.state("i-1") == InstanceState::kGone));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_starts_at_an_address_ends_what_stood_there) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        Instance former = server("i-1"), fresh = server("i-2"), elsewhere = server("i-3");
+        fresh.address = former.address;
+        fresh.service = service_owned_by(kPeer, {kSelf, kPeer}); // also one of another service
+        co_await node.beat(former);
+        co_await node.beat(elsewhere);
+        co_await node.beat(fresh);
+        BOOST_TEST((node.state("i-1") == InstanceState::kGone));
+        BOOST_TEST((node.state("i-2") == InstanceState::kServing));
+        BOOST_TEST((node.state("i-3") == InstanceState::kServing));
+        BOOST_TEST(node.told("i-1") == 2U);
+        former.revision = 50; // a late word of the former one doesn't end the fresh one
+        co_await node.beat(former);
+        BOOST_TEST((node.state("i-1") == InstanceState::kGone));
+        BOOST_TEST((node.state("i-2") == InstanceState::kServing));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(later_heartbeats_are_asked_for_where_the_part_is_owned) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        Instance theirs = server("i-2");
+        theirs.service = service_owned_by(kPeer, {kSelf, kPeer});
+        const auto reply = co_await node.beat(theirs);
+        BOOST_REQUIRE(reply.has_value());
+        BOOST_TEST(reply.value().beat_address == "call " + kPeer);
+        // What was heard for the owner is told to it, once.
+        BOOST_TEST((node.registry.take_heard() == std::vector<std::string>{"i-2"}));
+        BOOST_TEST(node.registry.take_heard().empty());
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(silence_is_judged_by_the_owner_alone) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        Instance theirs = server("i-2");
+        theirs.service = service_owned_by(kPeer, {kSelf, kPeer});
+        co_await node.beat(server("i-1", 7));
+        co_await node.beat(theirs);
+        bool holds = co_await script.until([&] { return node.state("i-1") == InstanceState::kSilent; });
+        BOOST_TEST(holds);
+        BOOST_TEST((node.state("i-2") == InstanceState::kServing));
+        BOOST_TEST(node.told("i-1") == 2U);
+        co_await node.beat(server("i-1", 8)); // it is back
+        BOOST_TEST((node.state("i-1") == InstanceState::kServing));
+        holds = co_await script.until([&] { return node.state("i-1") == InstanceState::kGone; });
+        BOOST_TEST(holds);
+        BOOST_TEST((node.state("i-2") == InstanceState::kServing));
+        co_await node.beat(server("i-1", 9)); // it was only frozen
+        BOOST_TEST((node.state("i-1") == InstanceState::kServing));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_judged_while_out_of_contact) {
+    ReactorScript script;
+    Node node(script);
+    node.in_contact = false;
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1"));
+        const int checks = node.asked + 3;
+        bool holds = co_await script.until([&] { return node.asked >= checks; });
+        BOOST_TEST(holds);
+        BOOST_TEST((node.state("i-1") == InstanceState::kServing));
+        node.in_contact = true;
+        holds = co_await script.until([&] { return node.state("i-1") == InstanceState::kSilent; });
+        BOOST_TEST(holds);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(words_that_reached_another_node_count_for_the_owner) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1"));
+        const int checks = node.asked + 3;
+        const bool holds = co_await script.until([&] {
+            feed::PeerStatus status;
+            status.instances = node.registry.digests();
+            status.heard = {"i-1"};
+            node.registry.compare(kPeer, status);
+            return node.asked >= checks;
+        });
+        BOOST_TEST(holds);
+        BOOST_TEST((node.state("i-1") == InstanceState::kServing));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(whoever_takes_a_part_over_gives_its_servers_their_whole_time) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        Instance theirs = server("i-2");
+        theirs.service = service_owned_by(kPeer, {kSelf, kPeer});
+        co_await node.beat(theirs);
+        const int checks = node.asked + 3;
+        bool holds = co_await script.until([&] { return node.asked >= checks; });
+        BOOST_TEST(holds);
+        const Tenths taken = script.reactor.now();
+        node.registry.set_nodes({kSelf});
+        holds = co_await script.until([&] { return node.state("i-2") == InstanceState::kSilent; });
+        BOOST_TEST(holds);
+        BOOST_TEST(script.reactor.now() - taken >= 2 * kBeat);
+        // And it is no longer sent on.
+        const auto reply = co_await node.beat([&] {
+            Instance next = theirs;
+            next.revision = 2;
+            return next;
+        }());
+        BOOST_TEST(reply.value().beat_address.empty());
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(records_that_agents_know_are_merged_and_told_once) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1", 5));
+        node.sent.clear(), node.changes = 0;
+        node.registry.merge_known({server("i-1", 4), server("i-2", 4)});
+        BOOST_TEST(node.told("i-1") == 0U);
+        BOOST_TEST(node.told("i-2") == 1U);
+        BOOST_TEST(node.changes == 1);
+        node.registry.merge_known({server("i-1", 4), server("i-2", 4)});
+        BOOST_TEST(node.told("i-2") == 1U);
+        BOOST_TEST(node.changes == 1);
+        BOOST_TEST((node.state("i-2") == InstanceState::kServing));
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(digests_that_differ_twice_in_a_row_are_repaired) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1"));
+        node.sent.clear();
+        feed::PeerStatus lacks, same;
+        same.instances = node.registry.digests();
+        node.registry.compare(kPeer, lacks);
+        node.registry.compare(kPeer, same); // it was only on its way
+        node.registry.compare(kPeer, lacks);
+        BOOST_TEST(node.sent.empty());
+        node.registry.compare(kPeer, lacks);
+        BOOST_REQUIRE(node.sent.size() == 1U);
+        BOOST_TEST(node.sent[0].peer == kPeer);
+        const auto wanted = std::get<feed::WantRanges>(node.sent[0].message);
+        BOOST_TEST((wanted.ranges == std::vector<std::uint64_t>{feed::InstanceTable::range_of("i-1")}));
+        node.registry.send_ranges(kPeer, wanted);
+        BOOST_TEST(std::get<Replicate>(node.sent.back().message).instances.size() == 1U);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(loads_of_servers_that_are_not_there_go_no_further) {
+    ReactorScript script;
+    Node node(script);
+    script.run([&]() -> ReactorScript::Step {
+        co_await node.beat(server("i-1"));
+        co_await node.beat(server("i-2"));
+        co_await node.leave("i-2");
+        node.sent.clear(), node.changes = 0;
+        const auto load = [](const char* id) {
+            model::Load made;
+            made.instance = id;
+            return made;
+        };
+        node.registry.take_loads({load("i-2"), load("i-9")}, true);
+        BOOST_TEST((node.sent.empty() && node.changes == 0));
+        node.registry.take_loads({load("i-2"), load("i-1")}, true);
+        BOOST_REQUIRE(node.sent.size() == 1U);
+        BOOST_TEST(std::get<Replicate>(node.sent[0].message).loads.size() == 1U);
+        node.registry.replicate(kPeer, {0, {}, {load("i-1")}}); // from a peer: told to nobody else
+        BOOST_TEST(node.sent.size() == 1U);
+        BOOST_TEST(node.changes == 2);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(every_node_names_the_same_owner_and_few_parts_move_when_one_goes) {
+    const std::vector<std::string> nodes{kSelf, kPeer, kThird};
+    int moved = 0, owned = 0;
+    for (int i = 0; i < 3000; ++i) {
+        const std::string service = "service-" + std::to_string(i);
+        const std::string owner = owner_of(service, nodes);
+        BOOST_TEST(owner == owner_of(service, {kThird, kSelf, kPeer}));
+        const std::string after = owner_of(service, {kSelf, kPeer});
+        if (owner != kThird) BOOST_TEST(after == owner);
+        moved += owner != after, owned += owner == kSelf;
+    }
+    BOOST_TEST((moved > 700 && moved < 1300));
+    BOOST_TEST((owned > 700 && owned < 1300));
+    BOOST_TEST(owner_of("s", {}).empty());
+}
