Heartbeats without id, service or slots, or of another state, are refused

Cause: an empty id or service and slots below 1 were taken, and any unknown state counted as serving. Change: they are the sender's fault, answered with 400.

--- a/src/control/instance_registry.cpp
+++ b/src/control/instance_registry.cpp
@@ -32,6 +32,12 @@
     return found == nullptr || found->sort == protocol::Json::Sort::kNull ? other : found->as_text(name);
 }
 
+std::optional<InstanceState> state_of(const std::string& text) {
+    if (text == "draining") return InstanceState::kDraining;
+    if (text == "serving") return InstanceState::kServing;
+    return std::nullopt;
+}
+
 // What a heartbeat may repeat without its being news.
 bool says_the_same(const Instance& a, const Instance& b) {
     Instance alike = a;
@@ -51,8 +57,9 @@
         instance.zone = text_or(body, "zone", "");
         instance.software_version = text_or(body, "version", "");
         if (const auto* slots = body.find("slots")) instance.slots = slots->as_integer("slots");
-        instance.state =
-            text_or(body, "state", "serving") == "draining" ? InstanceState::kDraining : InstanceState::kServing;
+        const auto state = state_of(text_or(body, "state", "serving"));
+        if (!state) return error(ErrorKind::kInvalidInput, "state: send serving or draining");
+        instance.state = *state;
         instance.stage = stage_of(text_or(body, "stage", ""));
         if (const auto* models = body.find("models"))
             for (const protocol::Json& model : models->as_list("models")) {
@@ -63,6 +70,8 @@
         instance.revision = static_cast<std::uint64_t>(body.at("callSeq").as_integer("callSeq"));
         if (instance.revision >= model::kFinalRevision)
             return error(ErrorKind::kInvalidInput, "callSeq: too large; count from 0 at each start");
+        if (instance.id.empty() || instance.service.empty() || instance.slots < 1)
+            return error(ErrorKind::kInvalidInput, "heartbeat: id or service is empty, or slots below 1; send what is");
         transport::read_address(instance.address);
         return RegisterCall{std::move(instance)};
     } catch (const std::exception& failure) {
