--- /dev/null
+++ b/tests/pair_selector_tests.cpp
@@ -0,0 +1,416 @@
+// Which servers a request goes to, by what the selection was told before.
+#define BOOST_TEST_MODULE pair_selector
+#include "replica_selection/pair_selector.hpp"
+
+#include <algorithm>
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::replica_selection;
+using model::Instance;
+using model::InstanceState;
+using model::Stage;
+
+constexpr Tenths kStart = 1'000'000, kTarget = 1500;
+constexpr Tenths kSecond = kTenthsPerSecond;
+constexpr int kTries = 200; // among equals each is taken at random
+
+Instance server(const std::string& id, Stage stage = Stage::kNone) {
+    Instance made;
+    made.id = id, made.service = "model", made.stage = stage, made.slots = 8, made.zone = "a";
+    made.models = {{"m", 1}};
+    return made;
+}
+
+struct Fleet {
+    explicit Fleet(std::vector<Instance> list, std::uint64_t seed = 1) : selector(seed) {
+        for (const Instance& instance : list) instances[instance.id] = instance;
+        tell();
+    }
+    void tell() { selector.set_instances(instances, now); }
+    void set(const std::string& id, InstanceState state) {
+        instances.at(id).state = state;
+        tell();
+    }
+    std::optional<Pair> pair(const Request& request, const std::set<std::string>& tried = {},
+                             bool may_hand_over = true) {
+        const Choice choice = selector.choose(request, tried, may_hand_over, now);
+        const auto* made = std::get_if<Pair>(&choice);
+        return made == nullptr ? std::nullopt : std::optional(*made);
+    }
+    std::string runner(const Request& request, const std::set<std::string>& tried = {}) {
+        const auto made = pair(request, tried);
+        return made ? made->runner : "";
+    }
+    // Every server that one of many choices names as runner.
+    std::set<std::string> runners(const Request& request, const std::set<std::string>& tried = {}) {
+        std::set<std::string> all;
+        for (int i = 0; i < kTries; ++i) all.insert(runner(request, tried));
+        return all;
+    }
+    // Sent, answered after so long, and over.
+    void serve(const std::string& id, const Request& request, Work work, Tenths took) {
+        const auto attempt = selector.sent(id, request, work, std::nullopt, now);
+        now += took;
+        selector.answered(attempt, now);
+        selector.ended(attempt, now);
+    }
+    std::map<std::string, Instance> instances;
+    Tenths now = kStart;
+    PairSelector selector;
+};
+
+Request plain() {
+    Request request;
+    request.service = "model", request.model = "m", request.latency_target = kTarget;
+    return request;
+}
+
+Request reading(const std::string& shared, std::int64_t tokens = 6000) {
+    Request request = plain();
+    request.prompt = {{shared, tokens}, {shared + "-own", 500}};
+    request.output_tokens = 2;
+    return request;
+}
+
+Request streaming(const std::string& shared = "chat") {
+    Request request = plain();
+    request.prompt = {{shared, 79}, {shared + "-own", 100}};
+    request.output_tokens = 400;
+    return request;
+}
+
+std::vector<Instance> servers(int readers, int runners) {
+    std::vector<Instance> made;
+    for (int i = 0; i < readers; ++i) made.push_back(server("p" + std::to_string(i), Stage::kPrefill));
+    for (int i = 0; i < runners; ++i) made.push_back(server("d" + std::to_string(i), Stage::kDecode));
+    return made;
+}
+
+model::Load load(const std::string& id, std::int64_t waiting) {
+    model::Load made;
+    made.instance = id, made.waiting = waiting;
+    return made;
+}
+
+std::string reads(const Pair& pair) { return pair.reader.empty() ? pair.runner : pair.reader; }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_lowest_score_wins_and_equals_share) {
+    Fleet fleet({server("a"), server("b")});
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
+    fleet.selector.set_load(load("a", 1));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    fleet.selector.set_load(load("b", 2));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
+    fleet.selector.set_load(load("a", 0));
+    fleet.selector.set_load(load("b", 0));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(own_parts_out_count_times_the_number_of_edge_nodes) {
+    Fleet fleet({server("a"), server("b")});
+    fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+    fleet.selector.set_load(load("b", 2));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"})); // 1 + 1 against 1 + 2
+    fleet.selector.set_edge_nodes(4);
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"})); // 1 + 4 against 1 + 2
+    fleet.selector.set_edge_nodes(0);                                   // none known yet: this one at least
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_answers_slowly_is_left_to_the_quicker) {
+    Fleet fleet({server("a"), server("b")});
+    for (int i = 0; i < 10; ++i) {
+        fleet.serve("a", plain(), Work::kPlain, 900);
+        fleet.serve("b", plain(), Work::kPlain, 300);
+    }
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    fleet.now += 60 * kSecond; // what is long past counts less than one request that waits
+    fleet.selector.set_load(load("b", 1));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_that_waits_counts_as_slow_before_it_is_answered) {
+    Fleet fleet({server("a"), server("b")});
+    for (const char* id : {"a", "b"}) fleet.serve(id, plain(), Work::kPlain, 300);
+    const auto waits = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+    for (int i = 0; i < 3; ++i) fleet.selector.sent("b", plain(), Work::kPlain, 0, fleet.now + 5000);
+    fleet.selector.set_load(load("a", 2));
+    fleet.now += 6000;
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    BOOST_TEST(fleet.selector.silent_since(waits) == fleet.now - 6000);
+    fleet.selector.answered(waits, fleet.now);
+    BOOST_TEST(fleet.selector.silent_since(waits) == fleet.now);
+}
+
+BOOST_AUTO_TEST_CASE(only_servers_of_the_service_and_the_model_are_taken) {
+    Instance other_service = server("a"), other_model = server("b");
+    other_service.service = "other", other_model.models = {{"n", 1}};
+    Fleet fleet({other_service, other_model});
+    BOOST_TEST(std::holds_alternative<NoServer>(fleet.selector.choose(plain(), {}, true, fleet.now)));
+    fleet.instances["c"] = server("c");
+    fleet.tell();
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"c"}));
+    Request any_model = plain();
+    any_model.model.clear();
+    BOOST_TEST((fleet.runners(any_model) == std::set<std::string>{"b", "c"}));
+}
+
+BOOST_AUTO_TEST_CASE(draining_and_gone_servers_are_never_chosen) {
+    for (const InstanceState state : {InstanceState::kDraining, InstanceState::kGone}) {
+        Fleet fleet({server("a"), server("b")});
+        fleet.set("a", state);
+        BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+        BOOST_TEST((fleet.runners(plain(), {"b"}) ==
+                    std::set<std::string>{"b"})); // not even before one that was tried
+        fleet.set("b", state);
+        BOOST_TEST(std::holds_alternative<NoServer>(fleet.selector.choose(plain(), {}, true, fleet.now)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(silent_servers_are_taken_where_nothing_else_is_there) {
+    Fleet fleet({server("a"), server("b")});
+    fleet.set("a", InstanceState::kSilent);
+    fleet.selector.set_load(load("b", 9));
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    fleet.set("b", InstanceState::kSilent);
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(tried_servers_come_last) {
+    Fleet fleet({server("a"), server("b"), server("c")});
+    fleet.set("c", InstanceState::kSilent);
+    fleet.selector.set_load(load("b", 50));
+    BOOST_TEST((fleet.runners(plain(), {"a"}) == std::set<std::string>{"b"}));
+    BOOST_TEST((fleet.runners(plain(), {"a", "b"}) == std::set<std::string>{"c"}));
+    BOOST_TEST(
+        (fleet.runners(plain(), {"a", "b", "c"}) == std::set<std::string>{"a", "c"})); // b's queue is longest
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_refuses_rests_longer_each_time) {
+    Fleet fleet({server("a"), server("b")});
+    Tenths former = 0;
+    for (int times = 0; times < 4; ++times) {
+        const auto attempt = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+        fleet.selector.refused(attempt, fleet.now);
+        const Tenths began = fleet.now;
+        BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+        while (fleet.runners(plain()).size() == 1 && fleet.now < began + 10 * kSecond) fleet.now += 100;
+        BOOST_TEST(fleet.now - began > former);
+        BOOST_TEST(fleet.now - began < 5 * kSecond);
+        former = fleet.now - began;
+    }
+    fleet.serve("a", plain(), Work::kPlain, 10); // an answer ends the row
+    const auto attempt = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+    fleet.selector.refused(attempt, fleet.now);
+    fleet.now += former / 4;
+    BOOST_TEST(fleet.runners(plain()).contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_no_connection_reaches_rests) {
+    Fleet fleet({server("a"), server("b")});
+    fleet.selector.unreachable("a", fleet.now);
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    BOOST_TEST((fleet.runners(plain(), {"b"}) == std::set<std::string>{"a"})); // before one that was tried
+    fleet.now += kSecond;
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
+    fleet.selector.unreachable("unknown", fleet.now);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_breaks_answers_off_is_avoided_for_seconds) {
+    Fleet fleet({server("a"), server("b")});
+    for (int i = 0; i < 4; ++i) {
+        const auto attempt = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+        fleet.selector.broken(attempt, fleet.now + 1);
+    }
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+    fleet.now += 30 * kSecond;
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(quick_errors_do_not_look_like_a_fast_and_empty_server) {
+    for (const bool breaks : {false, true}) {
+        Fleet fleet({server("a"), server("b")});
+        for (const char* id : {"a", "b"}) fleet.serve(id, plain(), Work::kPlain, 300);
+        for (int i = 0; i < 50; ++i) {
+            const auto attempt = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+            fleet.now += 1;
+            breaks ? fleet.selector.broken(attempt, fleet.now) : fleet.selector.refused(attempt, fleet.now);
+        }
+        fleet.now += 60 * kSecond;
+        int quick = 0;
+        for (int i = 0; i < kTries; ++i) quick += fleet.runner(plain()) == "a";
+        BOOST_TEST((quick > kTries / 4 && quick < kTries * 3 / 4), quick); // equals again, not preferred
+    }
+}
+
+BOOST_AUTO_TEST_CASE(servers_over_their_limit_make_a_backlog_until_the_next_window) {
+    Fleet fleet({server("a"), server("b")});
+    int sent = 0;
+    for (; sent < 1000; ++sent) {
+        const std::string id = fleet.runner(plain());
+        if (id.empty()) break;
+        fleet.selector.sent(id, plain(), Work::kPlain, 0, fleet.now);
+    }
+    BOOST_TEST(sent == 2 * static_cast<int>(kStartLimit));
+    const Choice choice = fleet.selector.choose(plain(), {}, true, fleet.now);
+    BOOST_REQUIRE(std::holds_alternative<Backlogged>(choice));
+    const Tenths until = std::get<Backlogged>(choice).until;
+    BOOST_TEST((until > fleet.now && until <= fleet.now + kWindow));
+    fleet.now = until - 1;
+    BOOST_TEST(fleet.runner(plain()).empty());
+    fleet.now = until;
+    BOOST_TEST(!fleet.runner(plain()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_full_window_at_one_server_leaves_the_other) {
+    Fleet fleet({server("a"), server("b")});
+    fleet.selector.set_load(load("b", 90));
+    for (int i = 0; i < static_cast<int>(kStartLimit); ++i)
+        fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+    BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
+}
+
+BOOST_AUTO_TEST_CASE(homes_of_a_prompt_are_few_and_the_same_at_every_node) {
+    std::set<std::string> all;
+    for (int prompt = 0; prompt < 30; ++prompt) {
+        const Request request = reading("prompt-" + std::to_string(prompt));
+        std::vector<std::set<std::string>> homes(2);
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            Fleet fleet(servers(6, 6), seed);
+            const auto made = fleet.pair(request);
+            BOOST_REQUIRE(made.has_value());
+            homes[seed % 2].insert(reads(*made));
+        }
+        std::set<std::string> either = homes[0];
+        either.insert(homes[1].begin(), homes[1].end());
+        BOOST_TEST(either.size() <= 2U);
+        all.insert(either.begin(), either.end());
+    }
+    BOOST_TEST(all.size() >= 6U); // and prompts are spread
+}
+
+BOOST_AUTO_TEST_CASE(few_prompts_move_when_a_server_goes) {
+    int moved = 0;
+    const int prompts = 100;
+    for (int prompt = 0; prompt < prompts; ++prompt) {
+        const Request request = reading("prompt-" + std::to_string(prompt));
+        std::set<std::string> before, after;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Fleet fleet(servers(8, 1), seed);
+            before.insert(reads(*fleet.pair(request)));
+            fleet.set("p3", InstanceState::kGone);
+            after.insert(reads(*fleet.pair(request)));
+        }
+        if (!before.contains("p3")) moved += before != after;
+        BOOST_TEST(!after.contains("p3"));
+    }
+    BOOST_TEST(moved == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_is_read_again_where_it_was_read) {
+    Fleet fleet(servers(6, 6));
+    const Request request = reading("prompt-1", 50'000);
+    model::Service service;
+    service.name = "model", service.engine = model::Engine{};
+    service.engine->memory_tokens = 800'000;
+    fleet.selector.set_services({service});
+    const std::string first = reads(*fleet.pair(request));
+    const Work work =
+        fleet.instances.at(first).stage == Stage::kPrefill ? Work::kReadOnly : Work::kReadAndRun;
+    fleet.serve(first, request, work, 100);
+    fleet.now += kSecond;
+    for (int i = 0; i < 20; ++i) {
+        const auto made = fleet.pair(request);
+        BOOST_TEST(reads(*made) == first);
+        BOOST_TEST(made->tokens_to_read < 10'000);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(prompts_are_not_read_where_long_answers_run) {
+    Fleet fleet(servers(0, 5));
+    std::set<std::string> long_answers, read;
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = fleet.runner(streaming("chat-" + std::to_string(i)));
+        long_answers.insert(id);
+        fleet.selector.answered(
+            fleet.selector.sent(id, streaming(), Work::kReadAndRun, std::nullopt, fleet.now),
+            fleet.now + 100);
+        fleet.now += 200;
+    }
+    for (int i = 0; i < kTries; ++i) {
+        const auto made = fleet.pair(reading("prompt-" + std::to_string(i)));
+        BOOST_REQUIRE(made.has_value());
+        BOOST_TEST(made->reader.empty());
+        read.insert(made->runner);
+    }
+    BOOST_TEST(long_answers.size() <= 2U);
+    for (const std::string& id : long_answers) BOOST_TEST(!read.contains(id), id);
+    BOOST_TEST(read.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(long_answers_get_more_servers_as_more_of_them_run) {
+    Fleet fleet(servers(0, 6));
+    std::set<std::string> few = fleet.runners(streaming());
+    for (int i = 0; i < 24; ++i) {
+        const std::string id = fleet.runner(streaming());
+        if (!id.empty()) fleet.selector.sent(id, streaming(), Work::kReadAndRun, std::nullopt, fleet.now);
+        fleet.now += 100;
+    }
+    std::set<std::string> many;
+    for (int i = 0; i < 40; ++i) {
+        fleet.now += kSecond / 2;
+        const std::string id = fleet.runner(streaming());
+        many.insert(id);
+        const auto attempt = fleet.selector.sent(id, streaming(), Work::kReadAndRun, std::nullopt, fleet.now);
+        fleet.selector.ended(attempt, fleet.now + 1);
+    }
+    BOOST_TEST(many.size() > few.size());
+}
+
+BOOST_AUTO_TEST_CASE(one_server_takes_both_kinds_where_it_is_alone) {
+    Fleet fleet(servers(0, 1));
+    BOOST_TEST(fleet.runner(streaming()) == "d0");
+    fleet.selector.sent("d0", streaming(), Work::kReadAndRun, std::nullopt, fleet.now);
+    fleet.now += kSecond;
+    BOOST_TEST(fleet.runner(reading("prompt-1")) == "d0");
+}
+
+BOOST_AUTO_TEST_CASE(no_pair_where_no_hand_over_may_be_or_readers_are_in_bad_standing) {
+    Fleet fleet(servers(3, 3));
+    const Request request = reading("prompt-1", 60'000);
+    bool hands_over = false;
+    for (int i = 0; i < kTries; ++i) hands_over = hands_over || !fleet.pair(request)->reader.empty();
+    BOOST_TEST(hands_over);
+    for (int i = 0; i < kTries; ++i) BOOST_TEST(fleet.pair(request, {}, false)->reader.empty());
+    for (const char* id : {"p0", "p1", "p2"})
+        for (int i = 0; i < 5; ++i) fleet.selector.handle_used(id, false); // its memory was gone each time
+    for (int i = 0; i < kTries; ++i) BOOST_TEST(fleet.pair(request)->reader.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_reader_is_never_taken_to_run) {
+    Fleet fleet(servers(3, 0));
+    BOOST_TEST(std::holds_alternative<NoServer>(fleet.selector.choose(reading("p"), {}, true, fleet.now)));
+    BOOST_TEST(std::holds_alternative<NoServer>(fleet.selector.choose(streaming(), {}, true, fleet.now)));
+}
+
+BOOST_AUTO_TEST_CASE(news_of_what_is_no_longer_known_is_harmless) {
+    Fleet fleet({server("a"), server("b")});
+    const auto attempt = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
+    fleet.set("a", InstanceState::kGone);
+    fleet.selector.answered(attempt, fleet.now + 5);
+    fleet.selector.ended(attempt, fleet.now + 6);
+    fleet.selector.ended(attempt, fleet.now + 7);
+    fleet.selector.refused(attempt, fleet.now + 8);
+    fleet.selector.broken(replica_selection::AttemptNo{999}, fleet.now);
+    fleet.selector.set_load(load("a", 1));
+    fleet.selector.handle_used("a", false);
+    BOOST_TEST(fleet.selector.silent_since(attempt) == 0);
+    BOOST_TEST(fleet.selector.expected_response(attempt) == 0);
+    BOOST_TEST(fleet.selector.instance("a") == nullptr);
+    BOOST_TEST(fleet.runner(plain()) == "b");
+}
