Token counts of a client can't overflow or be below zero

Cause: Prompt-Prefix took counts up to 2^63-1, whose sum overflowed, and Token-Counts a negative one. Change: a part that brings the sum beyond 1e9 tokens ends the list; a negative count is none.

--- a/src/proxy/client_request.cpp
+++ b/src/proxy/client_request.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
+constexpr std::int64_t kMostPromptTokens = 1'000'000'000; // of all parts together: far beyond any server's memory
 
 // Of one connection only (RFC 9110, 7.6.1).
 constexpr std::array<std::string_view, 9> kHopByHop{"connection", "keep-alive",        "proxy-connection",
@@ -47,13 +48,15 @@
 // `ID:TOKENS`, separated by commas; what can't be read ends the list, for it guides the choice and nothing else.
 std::vector<replica_selection::PromptPart> read_prompt(std::string_view text) {
     std::vector<replica_selection::PromptPart> parts;
+    std::int64_t left = kMostPromptTokens;
     while (!text.empty()) {
         const std::size_t end = std::min(text.find(','), text.size());
         const std::string_view item = text.substr(0, end);
         const std::size_t colon = item.find(':');
         if (colon == std::string_view::npos) break;
         const auto tokens = read_number(item.substr(colon + 1));
-        if (!tokens || *tokens < 0) break;
+        if (!tokens || *tokens < 0 || *tokens > left) break;
+        left -= *tokens;
         parts.push_back({std::string(item.substr(0, colon)), *tokens});
         text.remove_prefix(std::min(end + 1, text.size()));
     }
@@ -73,7 +76,7 @@
     request.prompt = read_prompt(message.header("prompt-prefix"));
     const std::string_view counts = message.header("token-counts");
     if (const std::size_t comma = counts.find(','); comma != std::string_view::npos)
-        request.output_tokens = read_number(counts.substr(comma + 1)).value_or(0);
+        request.output_tokens = std::max<std::int64_t>(0, read_number(counts.substr(comma + 1)).value_or(0));
     if (const auto span = read_number(message.header("deadline-ms")); span && *span >= 0)
         request.client_deadline = received + std::min<std::int64_t>(*span, 86'400'000) * kTenthsPerMs;
     request.message = std::move(message);
