--- /dev/null
+++ b/tests/fleet_tests.cpp
@@ -0,0 +1,166 @@
+// The whole fleet in real processes on loopback. Every wait is for a condition, with a bound.
+#define BOOST_TEST_MODULE fleet
+#include "lab/example_fleet.hpp"
+#include "lab/model_server_world.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::lab;
+
+constexpr int kControls = 3;
+
+struct RealFleet : ExampleFleet {
+    RealFleet() : ExampleFleet(IVYRILL_FLEET_RUN, IVYRILL_FLEET_BUILD) {}
+    // The number of the control node that leads; 0 for none.
+    int leader() {
+        for (int number = 1; number <= kControls; ++number) {
+            if (!running("control-" + std::to_string(number))) continue;
+            ClientRequest inspect;
+            inspect.method = "GET", inspect.target = "/inspect", inspect.model = "";
+            if (ask(control(number), inspect).body.find("\"leads\":true") != std::string::npos) return number;
+        }
+        return 0;
+    }
+    // By the first of the control nodes that takes a connection, from that one on, as an operator does.
+    int replace(const std::string& body, std::int64_t if_match, int first = 1) {
+        ClientRequest call;
+        call.method = "PUT", call.target = "/config", call.model = "", call.body = body;
+        call.more = {{"If-Match", std::to_string(if_match)}, {"Content-Type", "application/json"}};
+        int status = 0;
+        until([&] {
+            status = ask(control(first), call).head.status;
+            first = first % kControls + 1;
+            return status != 0 && status < 500;
+        });
+        return status;
+    }
+};
+
+std::string read_example() {
+    std::ifstream file(IVYRILL_FLEET_CONFIGURATION, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string replaced(std::string text, const std::string& former, const std::string& fresh) {
+    const std::size_t at = text.find(former);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, former.size(), fresh);
+}
+
+// The example with another version and one route more.
+std::string with_route(std::int64_t version, const std::string& prefix) {
+    const std::string text =
+        replaced(read_example(), "\"version\": 1,", "\"version\": " + std::to_string(version) + ",");
+    const std::string route =
+        R"({"name": "more", "host": "chat.example", "pathPrefix": ")" + prefix +
+        R"(", "kind": "safe", "timeoutMs": 9000, "targetLatencyMs": 500, "priority": 0,)" +
+        R"("service": "model", "maxAttempts": 2},)";
+    return replaced(text, "\"routes\": [", "\"routes\": [" + route);
+}
+
+ClientRequest stream(const std::string& attempt, const std::string& prompt, int prompt_tokens,
+                     int output_tokens) {
+    ClientRequest request;
+    request.target = "/chat/completions", request.host = "chat.example", request.attempt = attempt;
+    request.token_counts = std::to_string(prompt_tokens) + "," + std::to_string(output_tokens);
+    request.prompt_prefix = prompt + ":" + std::to_string(prompt_tokens - 10) + "," + attempt + ":10";
+    request.deadline_ms = 15'000, request.body = "a prompt";
+    return request;
+}
+
+void check_whole(const ClientAnswer& answer, const ClientRequest& request) {
+    BOOST_TEST((answer.end == AnswerEnd::kComplete));
+    BOOST_TEST(answer.head.status == 200);
+    BOOST_TEST(answer.head.field("attempt-id") == request.attempt);
+    BOOST_TEST(!answer.head.field("server-seal").empty());
+    BOOST_TEST(answer.body == expected_stream(request));
+}
+
+// The largest value that a proxy has told of that counter.
+std::int64_t counter(const std::string& log, const std::string& name) {
+    const std::size_t at = log.rfind(" " + name + "=");
+    return at == std::string::npos ? 0 : std::stoll(log.substr(at + name.size() + 2));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(streams_come_byte_by_byte_through_prefill_and_decode) {
+    RealFleet fleet;
+    // Long prompts, each its own. The first of them tells how long a server takes that reads and runs: from
+    // then on it pays to have them read by a server for prefill.
+    for (int i = 0; i < 6; ++i) {
+        const ClientRequest request =
+            stream("ab" + std::to_string(i), "c0ffee" + std::to_string(i), 9000, 40);
+        check_whole(fleet.ask(fleet.front(1), request), request);
+    }
+    const bool handed_over = fleet.until([&] { return counter(fleet.log("proxy-1"), "hand_overs") > 0; });
+    BOOST_TEST(handed_over);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_taken_and_in_force_after_the_leading_control_process_is_killed) {
+    RealFleet fleet;
+    int leads = 0;
+    BOOST_REQUIRE(fleet.until([&] { return (leads = fleet.leader()) != 0; }));
+    const std::string killed = "control-" + std::to_string(leads);
+    fleet.signal(killed, SIGKILL);
+    BOOST_REQUIRE(fleet.until([&] { return !fleet.running(killed); }));
+    BOOST_TEST(fleet.replace(with_route(5, "/more/"), 1) == 200);
+    for (int number = 1; number <= 2; ++number) {
+        ClientRequest request = stream("e" + std::to_string(number), "f00d", 100, 8);
+        request.target = "/more/x";
+        const bool in_force =
+            fleet.until([&] { return fleet.ask(fleet.front(number), request).head.status == 200; });
+        BOOST_TEST(in_force, "proxy " << number);
+    }
+    const ClientRequest request = stream("ab1", "c0ffee", 200, 40);
+    check_whole(fleet.ask(fleet.front(1), request), request);
+}
+
+BOOST_AUTO_TEST_CASE(of_two_changes_on_one_version_the_second_gets_412_and_the_first_sent_again_200) {
+    RealFleet fleet;
+    const std::string first = with_route(5, "/more/"), second = with_route(5, "/other/");
+    BOOST_TEST(fleet.replace(first, 1) == 200);
+    for (int number = 1; number <= kControls; ++number) {
+        BOOST_TEST(fleet.replace(second, 1, number) == 412, "at " << number);
+        BOOST_TEST(fleet.replace(with_route(9, "/other/"), 4, number) == 412, "at " << number);
+        BOOST_TEST(fleet.replace(first, 1, number) == 200, "at " << number);
+        const int invalid = fleet.replace("{\"version\": 9}", 5, number);
+        BOOST_TEST((invalid >= 400 && invalid < 500), "at " << number);
+    }
+    BOOST_TEST(fleet.replace(with_route(9, "/other/"), 5) == 200);
+    BOOST_TEST(fleet.replace(first, 1) == 200); // also after a later change
+    ClientRequest read;
+    read.method = "GET", read.target = "/config", read.model = "";
+    for (int number = 1; number <= kControls; ++number)
+        BOOST_TEST(fleet.ask(fleet.control(number), read).body == with_route(9, "/other/"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_open_when_its_proxy_is_told_to_end_is_finished) {
+    RealFleet fleet;
+    const ClientRequest request = stream("ab1", "c0ffee", 100, 320);
+    StreamClient& client = fleet.client(fleet.front(1));
+    client.send(request);
+    BOOST_REQUIRE(fleet.until([&] { return client.answer().events.size() >= 3; }));
+    fleet.signal("proxy-1", SIGTERM);
+    BOOST_REQUIRE(
+        fleet.until([&] { return fleet.log("proxy-1").find("event=ending") != std::string::npos; }));
+    BOOST_TEST(!client.over()); // it was still under way
+    ClientRequest ready;
+    ready.method = "GET", ready.target = "/ready", ready.model = "";
+    BOOST_TEST(fleet.ask(fleet.address(21, 8268), ready).head.status == 503);
+    BOOST_TEST(fleet.ask(fleet.address(22, 8268), ready).head.status == 200);
+    const ClientRequest late = stream("ab2", "c0ffee", 100, 40); // the platform hasn't noticed yet
+    check_whole(fleet.ask(fleet.front(1), late), late);
+    BOOST_TEST(fleet.until([&] { return client.over(); }));
+    check_whole(client.answer(), request);
+    BOOST_TEST(fleet.until([&] { return !fleet.running("proxy-1"); }));
+    BOOST_TEST(fleet.log("proxy-1").find("event=ended") != std::string::npos);
+    const ClientRequest elsewhere = stream("ab3", "c0ffee", 100, 40);
+    check_whole(fleet.ask(fleet.front(2), elsewhere), elsewhere);
+}
--- /dev/null
+++ b/tests/lab/example_fleet.cpp
@@ -0,0 +1,158 @@
+#include "lab/example_fleet.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <poll.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace ivyrill::lab {
+
+namespace {
+
+constexpr int kStartPatienceMs = 40'000; // the script itself gives up before
+constexpr Tenths kPatience = 30 * kTenthsPerSecond;
+constexpr Tenths kLook = kTenthsPerSecond / 50; // at what no descriptor tells: logs and processes
+constexpr std::string_view kReady = "The fleet is ready; its logs are in ", kLogs = "/logs";
+
+// Another one for each process of a test that runs at the same time.
+std::string own_network() {
+    const int own = getpid();
+    return "127." + std::to_string(100 + own / 250 % 100) + "." + std::to_string(1 + own % 250);
+}
+
+std::array<int, 2> open_pipe() {
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe2");
+    return ends;
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+} // namespace
+
+ExampleFleet::ExampleFleet(const std::string& run, const std::string& build) : network_(own_network()) {
+    start(run, build);
+    try {
+        await_ready();
+    } catch (...) {
+        stop();
+        throw;
+    }
+}
+
+ExampleFleet::~ExampleFleet() { stop(); }
+
+// The script's command is a `cat`, which lasts until its input is closed, also when this process ends by
+// force.
+void ExampleFleet::start(const std::string& run, const std::string& build) {
+    const auto input = open_pipe(), output = open_pipe();
+    input_ = input[1], output_ = output[0];
+    setenv("FLEET_NETWORK", network_.c_str(), 1);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, input[0], STDIN_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    std::vector<std::string> words{"bash", run, build, "cat"};
+    std::vector<char*> arguments;
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    const int failure = posix_spawnp(&process_, "bash", &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(input[0]);
+    close(output[1]);
+    if (failure != 0) throw std::system_error(failure, std::generic_category(), "bash");
+}
+
+void ExampleFleet::await_ready() {
+    std::string said;
+    const Tenths give_up = loop_.now() + kStartPatienceMs * (kTenthsPerSecond / 1000);
+    while (said.find(kLogs) == std::string::npos || said.back() != '\n') {
+        pollfd waited{output_, POLLIN, 0};
+        poll(&waited, 1, kStartPatienceMs);
+        std::array<char, 1024> bytes{};
+        const ssize_t count = waited.revents == 0 ? 0 : read(output_, bytes.data(), bytes.size());
+        if (count <= 0 || loop_.now() > give_up)
+            throw std::runtime_error("the fleet isn't ready in time: " + said);
+        said.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+    const std::size_t begin = said.find(kReady);
+    if (begin == std::string::npos) throw std::runtime_error("the fleet isn't ready: " + said);
+    const std::size_t from = begin + kReady.size();
+    folder_ = said.substr(from, said.find(kLogs, from) - from);
+}
+
+void ExampleFleet::stop() {
+    clients_.clear();
+    close(input_);
+    int status = -1;
+    while (waitpid(process_, &status, 0) < 0 && errno == EINTR) {}
+    close(output_);
+    std::error_code ignored; // logs of a fleet that failed stay
+    if (WIFEXITED(status) && WEXITSTATUS(status) == 0 && !folder_.empty())
+        std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string ExampleFleet::address(int host, int port) const {
+    return network_ + "." + std::to_string(host) + ":" + std::to_string(port);
+}
+std::string ExampleFleet::control(int number) const { return address(10 + number, 8262); }
+std::string ExampleFleet::front(int number) const { return address(20 + number, 8263); }
+
+pid_t ExampleFleet::process(const std::string& name) const {
+    const std::string text = read_file(folder_ + "/ids/" + name);
+    if (text.empty()) throw std::runtime_error(name + ": no such process of the fleet");
+    return static_cast<pid_t>(std::stol(text));
+}
+
+void ExampleFleet::signal(const std::string& name, int number) const {
+    if (kill(process(name), number) != 0) throw std::system_error(errno, std::generic_category(), name);
+}
+
+bool ExampleFleet::running(const std::string& name) const {
+    // What has ended stays until its parent, the script, asks for its status: it shows as `Z`.
+    const std::string stat = read_file("/proc/" + std::to_string(process(name)) + "/stat");
+    const std::size_t behind_name = stat.rfind(')');
+    return behind_name != std::string::npos && stat.substr(behind_name, 3) != ") Z";
+}
+
+std::string ExampleFleet::log(const std::string& name) const { return read_file(folder_ + "/logs/" + name); }
+
+StreamClient& ExampleFleet::client(const std::string& address) {
+    clients_.push_back(std::make_unique<StreamClient>(loop_, address));
+    return *clients_.back();
+}
+
+const ClientAnswer& ExampleFleet::ask(const std::string& address, const ClientRequest& request) {
+    StreamClient& asking = client(address);
+    asking.send(request);
+    until([&] { return asking.over(); });
+    return asking.answer();
+}
+
+bool ExampleFleet::until(const std::function<bool()>& holds) {
+    const Tenths give_up = loop_.now() + kPatience;
+    for (;;) {
+        for (const auto& client : clients_) client->pass();
+        if (holds()) return true;
+        if (loop_.now() >= give_up) return false;
+        Tenths next = loop_.now() + kLook;
+        for (const auto& client : clients_) next = std::min(next, client->due().value_or(next));
+        loop_.wait(next);
+    }
+}
+
+} // namespace ivyrill::lab
