Report duties are kept up by what changes, not found anew for every server

Change: ReportDuties keeps each server's reader; a node that joins is weighed against it, one that leaves gives only its own servers anew. The readers are the same ones (test against finding them anew over joins and losses).

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -285,6 +285,20 @@
         o.selection.set_instances_ms, o.selection.assign_reports_ms, o.selection.kilobytes_per_server);
 }
 
+// The part without processes: no sockets, the same figures each time.
+int run_pure(const std::vector<Sizes>& steps) {
+    for (const Sizes& sizes : steps) {
+        const SelectionCost cost = measure_selection(sizes.servers, sizes.nodes);
+        fmt::print(
+            R"({{"nodes":{},"servers":{},"choose_us":{:.1f},"set_instances_ms":{:.3f},"assign_reports_ms":{:.3f},)"
+            R"("selector_kb_per_server":{:.2f},"digests_ms":{:.4f},"snapshot_ms":{:.2f},"snapshot_kb":{:.1f}}})"
+            "\n",
+            sizes.nodes, sizes.servers, cost.choose_us, cost.set_instances_ms, cost.assign_reports_ms,
+            cost.kilobytes_per_server, cost.digests_ms, cost.snapshot_ms, cost.snapshot_kb);
+    }
+    return 0;
+}
+
 int run_steps(const std::vector<Sizes>& steps, const std::string& self, const std::string& points) {
     for (const Sizes& sizes : steps)
         if (const auto fit = check_fit(sizes); fit.has_error()) {
@@ -317,11 +331,12 @@
 
 int main(int argc, char** argv) {
     CLI::App app{"measure_scale: how the fleet's control grows with nodes and servers"};
-    bool quick = false;
+    bool quick = false, pure = false;
     Sizes sizes{0, 0, 3};
     std::string points;
     std::size_t hollow_agents = 0, hollow_servers = 0, readers = 0;
     app.add_flag("--quick", quick, "the first two steps only");
+    app.add_flag("--pure", pure, "without processes: what tables and choices cost");
     app.add_option("--nodes", sizes.nodes, "one step of this size, with --servers");
     app.add_option("--servers", sizes.servers, "one step of this size, with --nodes");
     app.add_option("--controls", sizes.controls, "control processes of that step");
@@ -338,6 +353,7 @@
     std::vector<Sizes> steps = standard_steps();
     if (quick) steps.resize(2);
     if (sizes.nodes > 0 || sizes.servers > 0) steps = {sizes};
+    if (pure) return run_pure(steps);
     return run_steps(steps, std::filesystem::read_symlink("/proc/self/exe").string(), points);
 }
 
--- a/bench/scale/selection.cpp
+++ b/bench/scale/selection.cpp
@@ -2,10 +2,14 @@
 
 #include "agent/report_reader.hpp"
 #include "configuration/parse.hpp"
+#include "feed/feed_log.hpp"
+#include "feed/instance_table.hpp"
 #include "replica_selection/pair_selector.hpp"
 #include "scale/process.hpp"
 #include "scale/sizes.hpp"
 #include "transport/reactor.hpp"
+#include "wire/cbor.hpp"
+#include "wire/frame.hpp"
 
 #include <fmt/format.h>
 #include <malloc.h>
@@ -76,6 +80,24 @@
     instances.begin()->second.revision = 2;
     reader.assign(instances, edge_nodes);
     cost.assign_reports_ms = (steady_s() - began) * 1000;
+    feed::InstanceTable table;
+    feed::FeedLog log(1);
+    for (const auto& [id, record] : instances) {
+        table.merge(record, now);
+        log.put(record);
+        log.put(model::Load{id, 1, 12, 41'000, 90'000, 0});
+    }
+    log.put(configuration::parse(configuration_text(1)).value());
+    log.put(feed::EdgeNodes{edge_nodes});
+    began = steady_s();
+    std::uint64_t sum = 0;
+    for (int i = 0; i < kLists; ++i) sum += table.digests().ranges[static_cast<std::size_t>(i)];
+    cost.digests_ms = (steady_s() - began) * 1000 / kLists + (sum == 0 ? 1e-9 : 0);
+    began = steady_s();
+    const std::string frame =
+        wire::frame(wire::to_bytes(feed::Message{feed::Batch{1, log.place(), true, log.snapshot()}}));
+    cost.snapshot_ms = (steady_s() - began) * 1000;
+    cost.snapshot_kb = static_cast<double>(frame.size()) / 1000;
     return cost;
 }
 
--- a/src/agent/report_reader.cpp
+++ b/src/agent/report_reader.cpp
@@ -15,16 +15,6 @@
 
 } // namespace
 
-std::string reader_of(const std::string& instance, const std::vector<model::EdgeNode>& nodes) {
-    const std::string* reader = nullptr;
-    std::uint64_t best = 0;
-    for (const model::EdgeNode& node : nodes) {
-        const std::uint64_t weight = hash_text(node.name, hash_text(instance));
-        if (reader == nullptr || weight > best) reader = &node.name, best = weight;
-    }
-    return reader == nullptr ? std::string() : *reader;
-}
-
 std::optional<model::Load> read_report(const std::string& instance, const std::string& json) {
     try {
         const protocol::Json body = protocol::read_json(json);
@@ -45,9 +35,11 @@
 
 void ReportReader::assign(const std::map<std::string, model::Instance>& instances,
                           const std::vector<model::EdgeNode>& nodes) {
+    readers_.set_nodes(nodes);
+    readers_.bound(instances.size());
     const auto is_mine = [&](const model::Instance& instance) {
         return instance.may_be_sent_to() && instance.stage != model::Stage::kNone &&
-               reader_of(instance.id, nodes) == options_.self;
+               readers_.reader(instance.id) == options_.self;
     };
     for (auto next = duties_.begin(); next != duties_.end();) {
         const auto here = next++;
--- a/src/agent/report_reader.hpp
+++ b/src/agent/report_reader.hpp
@@ -1,6 +1,7 @@
 // Reads `GET /report` of the servers that fall to this node, for all nodes: a server's reader is the live edge node with
 // the highest rendezvous hash of its id, so that a change of nodes moves few of them.
 #pragma once
+#include "agent/report_duties.hpp"
 #include "http/client_connection.hpp"
 #include "model/instance.hpp"
 #include "transport/async.hpp"
@@ -15,7 +16,6 @@
 
 namespace ivyrill::agent {
 
-std::string reader_of(const std::string& instance, const std::vector<model::EdgeNode>& nodes);
 std::optional<model::Load> read_report(const std::string& instance, const std::string& json); // nothing where spoilt
 
 class ReportReader {
@@ -45,6 +45,7 @@
     transport::Reactor& reactor_;
     Options options_;
     std::function<void(model::Load)> read_;
+    ReportDuties readers_;
     std::map<std::string, std::unique_ptr<Duty>> duties_;
 };
 
--- /dev/null
+++ b/tests/report_duty_tests.cpp
@@ -0,0 +1,69 @@
+// Which node reads which server's report, and that keeping it up gives the same as finding it anew.
+#define BOOST_TEST_MODULE report_duties
+#include "agent/report_duties.hpp"
+#include "base/pcg.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace {
+
+using namespace ivyrill;
+
+std::vector<model::EdgeNode> nodes(std::size_t first, std::size_t end) {
+    std::vector<model::EdgeNode> made;
+    for (std::size_t i = first; i < end; ++i) made.push_back({"edge-" + std::to_string(i), "zone", "", 1});
+    return made;
+}
+
+std::string server(std::size_t number) { return "i-" + std::to_string(number); }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(every_server_has_one_reader_and_every_node_reads_some) {
+    agent::ReportDuties duties;
+    duties.set_nodes(nodes(0, 10));
+    std::map<std::string, int> read;
+    for (std::size_t i = 0; i < 500; ++i) ++read[duties.reader(server(i))];
+    BOOST_TEST(read.size() == 10U);
+    for (const auto& [node, count] : read) BOOST_TEST(count > 20);
+}
+
+BOOST_AUTO_TEST_CASE(kept_up_over_joins_and_losses_it_is_what_is_found_anew) {
+    agent::ReportDuties kept;
+    Pcg random(7);
+    std::vector<model::EdgeNode> present = nodes(0, 5);
+    for (std::size_t round = 0; round < 60; ++round) {
+        if (present.size() > 2 && random.unit() < 0.5)
+            present.erase(present.begin() +
+                          static_cast<std::ptrdiff_t>(random.unit() * static_cast<double>(present.size())));
+        else
+            present.push_back({"joined-" + std::to_string(round), "zone", "", round});
+        kept.set_nodes(present);
+        for (std::size_t i = 0; i < 100; ++i)
+            BOOST_TEST(kept.reader(server(i)) == agent::reader_of(server(i), present));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_leaves_moves_only_its_own_servers) {
+    agent::ReportDuties duties;
+    duties.set_nodes(nodes(0, 10));
+    std::vector<std::string> before;
+    for (std::size_t i = 0; i < 200; ++i) before.push_back(duties.reader(server(i)));
+    duties.set_nodes(nodes(1, 10));
+    for (std::size_t i = 0; i < 200; ++i) {
+        if (before[i] != "edge-0") BOOST_TEST(duties.reader(server(i)) == before[i]);
+        BOOST_TEST(duties.reader(server(i)) != "edge-0");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(without_nodes_nobody_reads_until_one_joins) {
+    agent::ReportDuties duties;
+    BOOST_TEST(duties.reader(server(1)).empty());
+    duties.set_nodes(nodes(0, 1));
+    BOOST_TEST(duties.reader(server(1)) == "edge-0");
+    duties.bound(0);
+    BOOST_TEST(duties.reader(server(1)) == "edge-0");
+}
