--- a/src/feed/instance_table.cpp
+++ b/src/feed/instance_table.cpp
@@ -9,10 +9,22 @@
 using model::Instance;
 using model::InstanceState;
 
+namespace {
+
+// What one record adds to the digest of its range.
+std::uint64_t share_of(const Instance& record, std::uint64_t hash) {
+    if (record.state == InstanceState::kGone) return 0;
+    const auto state = static_cast<std::uint64_t>(record.state);
+    return mix_bits(hash ^ mix_bits(record.revision * 8 + state + 1));
+}
+
+} // namespace
+
 bool InstanceTable::merge(const Instance& record, Tenths now) {
     const auto [place, fresh] = records_.try_emplace(record.id, record);
     if (!fresh) {
         if (!model::supersedes(record, place->second)) return false;
+        discount(place->second);
         const Instance known = place->second;
         place->second = record;
         // A record of what is gone may come from one that knew little else of it.
@@ -21,6 +33,7 @@
             place->second.state = InstanceState::kGone, place->second.revision = record.revision;
         }
     }
+    count(place->second);
     if (record.state == InstanceState::kGone)
         gone_since_.emplace(record.id, now);
     else
@@ -35,15 +48,22 @@
 
 std::size_t InstanceTable::range_of(const std::string& id) { return hash_text(id) % kDigestRanges; }
 
-Digests InstanceTable::digests() const {
-    Digests digests{std::vector<std::uint64_t>(kDigestRanges, 0)};
-    for (const auto& [id, record] : records_) {
-        if (record.state == InstanceState::kGone) continue;
-        const auto state = static_cast<std::uint64_t>(record.state);
-        const std::uint64_t hash = hash_text(id);
-        digests.ranges[hash % kDigestRanges] += mix_bits(hash ^ mix_bits(record.revision * 8 + state + 1));
-    }
-    return digests;
+// Sums, so that records go in and out of them in any order.
+void InstanceTable::count(const Instance& record) {
+    const std::uint64_t hash = hash_text(record.id);
+    digests_.ranges[hash % kDigestRanges] += share_of(record, hash);
+}
+
+void InstanceTable::discount(const Instance& record) {
+    const std::uint64_t hash = hash_text(record.id);
+    digests_.ranges[hash % kDigestRanges] -= share_of(record, hash);
+}
+
+void InstanceTable::erase(const std::string& id) {
+    const auto known = records_.find(id);
+    if (known == records_.end()) return;
+    discount(known->second);
+    records_.erase(known);
 }
 
 std::vector<std::uint64_t> InstanceTable::differing(const Digests& mine, const Digests& theirs) {
@@ -64,7 +84,7 @@
 }
 
 void InstanceTable::forget(const std::string& id) {
-    records_.erase(id);
+    erase(id);
     gone_since_.erase(id);
 }
 
@@ -74,7 +94,7 @@
         const auto here = next++;
         if (now - here->second < span) continue;
         forgotten.push_back(here->first);
-        records_.erase(here->first);
+        erase(here->first);
         gone_since_.erase(here);
     }
     return forgotten;
--- a/src/feed/instance_table.hpp
+++ b/src/feed/instance_table.hpp
@@ -20,7 +20,7 @@
     const model::Instance* find(const std::string& id) const; // null where unknown
     const std::map<std::string, model::Instance>& records() const { return records_; }
 
-    Digests digests() const; // of the records that aren't gone
+    const Digests& digests() const { return digests_; } // of the records that aren't gone
     static std::size_t range_of(const std::string& id);
     static std::vector<std::uint64_t> differing(const Digests& mine, const Digests& theirs);
     std::vector<model::Instance> in_ranges(const std::vector<std::uint64_t>& ranges) const; // with those that are gone
@@ -29,6 +29,11 @@
     std::vector<std::string> forget_gone(Tenths span, Tenths now);
 
   private:
+    void count(const model::Instance& record); // into the digests, and out of them
+    void discount(const model::Instance& record);
+    void erase(const std::string& id);
+
+    Digests digests_{std::vector<std::uint64_t>(kDigestRanges, 0)};
     std::map<std::string, model::Instance> records_;
     std::map<std::string, Tenths> gone_since_;
 };
