Owners of services are remembered, not found for every server four times a second

Cause: the check of silence and each change of the control nodes found the owner, a hash by each node, once for each server: 7,900 x 19 hashes four times a second. Change: once for each service, until the nodes change.

--- a/src/control/instance_registry.cpp
+++ b/src/control/instance_registry.cpp
@@ -123,7 +123,7 @@
     const Instance* known = table_.find(record.id);
     const bool finished = known != nullptr && known->revision == model::kFinalRevision;
     heard(record.id);
-    const std::string owner = owner_of(record.service, nodes_);
+    const std::string owner = this->owner(record.service);
     if (owner != options_.self) heard_for_others_.insert(record.id);
     if (!finished && (known == nullptr || (record.revision > known->revision && !says_the_same(record, *known)))) {
         const bool fresh = known == nullptr;
@@ -234,10 +234,20 @@
 void InstanceRegistry::set_nodes(std::vector<std::string> alive) {
     if (alive == nodes_) return;
     const std::vector<std::string> before = std::exchange(nodes_, std::move(alive));
+    owners_.clear();
+    std::map<std::string, bool> taken_over; // by service
     // Whoever takes a part over has not heard its servers yet: they get their whole time.
-    for (const auto& [id, record] : table_.records())
-        if (owner_of(record.service, nodes_) == options_.self && owner_of(record.service, before) != options_.self)
-            heard(id);
+    for (const auto& [id, record] : table_.records()) {
+        const auto [place, fresh] = taken_over.try_emplace(record.service, false);
+        if (fresh) place->second = owner(record.service) == options_.self && owner_of(record.service, before) != options_.self;
+        if (place->second) heard(id);
+    }
+}
+
+const std::string& InstanceRegistry::owner(const std::string& service) {
+    const auto [place, fresh] = owners_.try_emplace(service);
+    if (fresh) place->second = owner_of(service, nodes_);
+    return place->second;
 }
 
 std::vector<std::string> InstanceRegistry::take_heard() {
@@ -255,7 +265,7 @@
     const bool may_judge = callbacks_.in_contact();
     for (const auto& [id, record] : table_.records()) {
         if (!may_judge || record.state == InstanceState::kGone) continue;
-        if (owner_of(record.service, nodes_) != options_.self) continue;
+        if (owner(record.service) != options_.self) continue;
         const auto at = last_heard_.try_emplace(id, reactor_.now()).first->second;
         const double missed = static_cast<double>(reactor_.now() - at) / static_cast<double>(options_.heartbeat);
         Instance judgement = record;
--- a/src/control/instance_registry.hpp
+++ b/src/control/instance_registry.hpp
@@ -74,6 +74,7 @@
         std::size_t wanted = 0;
         std::shared_ptr<transport::Pending<bool>> enough;
     };
+    const std::string& owner(const std::string& service); // owner_of, remembered until the nodes change
     bool accept(const model::Instance& record); // merges and publishes; false where it was no news
     void end_predecessors(const model::Instance& record);
     transport::Async<bool> secure(std::vector<model::Instance> records); // until a majority holds them
@@ -90,6 +91,7 @@
     std::map<std::string, int> differs_; // statuses in a row in which a peer's digests were others
     std::map<std::uint64_t, Copies> copies_;
     std::vector<std::string> nodes_;
+    std::map<std::string, std::string> owners_; // by service
     std::uint64_t count_ = 0;
     transport::Reactor::TimerId timer_{};
 };
