--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -20,6 +20,7 @@
 constexpr Tenths kForwardPatience = 9000; // callers turn elsewhere after a second
 constexpr Tenths kLeaderPatience = 7000;  // while nobody is known to lead
 constexpr Tenths kLeaderPause = 500;
+constexpr std::int64_t kOtherDescriptors = 900; // 200 for files (DEPLOY), the rest for peers and agents
 constexpr Tenths kEndSpan = 4000; // for last answers and the hand-over
 
 std::uint64_t draw() {
@@ -31,6 +32,14 @@
 std::string port_text(const std::string& address) { return address.substr(address.rfind(':') + 1); }
 std::string host_text(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
+// Each server keeps a connection to the owner of its service: all descriptors but those for peers, agents and files.
+http::CallServer::Options call_options(const settings::Settings& settings) {
+    http::CallServer::Options options;
+    const std::int64_t room = settings.limits.file_descriptors - kOtherDescriptors;
+    options.most_connections = std::max(options.most_connections, static_cast<std::size_t>(std::max<std::int64_t>(0, room)));
+    return options;
+}
+
 http::Answer to_answer(const Result<void>& result) {
     return result.has_error() ? http::error_answer(result.error()) : http::json_answer("{}");
 }
@@ -218,7 +227,7 @@
          [this](InspectCall call) { return carry_out(call); },
          [](const InspectReply& reply) { return http::json_answer(reply.body); }});
     calls_ = std::make_unique<http::CallServer>(
-        reactor_, settings_.listen_addrs.at("controlAddr"), http::CallServer::Options{},
+        reactor_, settings_.listen_addrs.at("controlAddr"), call_options(settings_),
         [this](protocol::HttpMessage message) { return router_.handle(std::move(message)); });
 }
 
