--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -8,12 +8,18 @@
 
 namespace {
 
-bool waits_for_company(const Item& item) { return std::holds_alternative<model::Load>(item); }
+constexpr Tenths kSnapshotAge = 10'000; // for so long one snapshot serves all who ask for one
+
+// Many nodes that join together each change the list of all of them.
+bool waits_for_company(const Item& item) {
+    return std::holds_alternative<model::Load>(item) || std::holds_alternative<EdgeNodes>(item);
+}
 
 } // namespace
 
 Publisher::Publisher(transport::Reactor& reactor, FeedLog& log, Options options, Callbacks callbacks)
-    : reactor_(reactor), log_(log), options_(options), callbacks_(std::move(callbacks)) {
+    : reactor_(reactor), log_(log), options_(options), callbacks_(std::move(callbacks)),
+      plan_(options.least_gap, options.load_delay) {
     if (options_.heartbeat > 0) beat();
 }
 
@@ -77,12 +83,28 @@
 }
 
 void Publisher::bring_up_to_date(Subscriber& subscriber) {
-    Batch batch{log_.feed(), log_.place(), false, {}};
     auto items = subscriber.feed == log_.feed() ? log_.since(subscriber.place) : std::nullopt;
-    batch.snapshot = !items;
-    batch.items = items ? std::move(*items) : log_.snapshot();
     subscriber.feed = log_.feed();
-    send_batch(subscriber, std::move(batch));
+    if (!items) return send_snapshot(subscriber);
+    send_batch(subscriber, Batch{log_.feed(), log_.place(), false, std::move(*items)});
+}
+
+// Many nodes may start together, and a snapshot of a large fleet takes long to encode: it is encoded once for them.
+void Publisher::send_snapshot(Subscriber& subscriber) {
+    std::optional<std::vector<Item>> later;
+    if (!snapshot_.empty() && reactor_.now() - snapshot_at_ < kSnapshotAge) later = log_.since(snapshot_place_);
+    if (!later) {
+        const model::Configuration* configuration = log_.configuration();
+        snapshot_ = wire::frame(wire::to_bytes(Message{Batch{log_.feed(), log_.place(), true, log_.snapshot()}}));
+        snapshot_place_ = log_.place(), snapshot_at_ = reactor_.now();
+        snapshot_version_ = configuration == nullptr ? 0 : configuration->version;
+        later.emplace();
+    }
+    subscriber.place = snapshot_place_, subscriber.configuration_version = snapshot_version_;
+    subscriber.last_sent = reactor_.now();
+    if (!subscriber.link->send_frame(snapshot_)) return; // the subscriber is gone with its link
+    if (snapshot_place_ == log_.place()) return;
+    send_batch(subscriber, Batch{log_.feed(), log_.place(), false, std::move(*later)});
 }
 
 void Publisher::send_batch(Subscriber& subscriber, Batch batch) {
@@ -108,16 +130,18 @@
         urgent = true;
     else
         for (const Item& item : *items) urgent = urgent || !waits_for_company(item);
-    if (urgent) return flush();
-    if (std::exchange(flush_set_, true)) return;
-    flush_timer_ = reactor_.call_after(options_.load_delay, [this] { flush(); });
+    const Tenths at = plan_.due(urgent, reactor_.now());
+    if (at <= reactor_.now()) return flush();
+    reactor_.cancel(flush_timer_);
+    flush_timer_ = reactor_.call_at(at, [this] { flush(); });
 }
 
 // Most subscribers stand at the same place: they are sent the same bytes.
 void Publisher::flush() {
     reactor_.cancel(flush_timer_);
-    flush_set_ = false;
     flushed_ = log_.place();
+    plan_.flushed(reactor_.now());
+    if (reactor_.now() - snapshot_at_ >= kSnapshotAge) snapshot_ = {};
     std::string frame;
     std::uint64_t frame_from = 0;
     std::int64_t frame_version = 0, frame_version_after = 0;
--- a/src/feed/publisher.hpp
+++ b/src/feed/publisher.hpp
@@ -2,6 +2,7 @@
 // all of them. A subscription is the session that makes a node a member.
 #pragma once
 #include "feed/feed_log.hpp"
+#include "feed/flush_plan.hpp"
 #include "feed/instance_table.hpp"
 #include "feed/link.hpp"
 #include "transport/reactor.hpp"
@@ -20,7 +21,8 @@
     struct Options {
         Tenths heartbeat = 0; // between heartbeats; 0 for none, where a dead peer shows itself by its closed link
         Tenths silence = 0;   // after which a subscriber counts as gone
-        Tenths load_delay = 1000; // loads wait so long for company; everything else goes at once
+        Tenths load_delay = 1000; // loads and lists of nodes wait so long for company
+        Tenths least_gap = 300;   // everything else goes at once, but so long after what went before at the least
     };
     struct Callbacks {
         std::function<std::optional<std::string>()> refuse; // why no subscriber is taken now, or nothing
@@ -50,6 +52,7 @@
     void received(std::uint64_t id, Message message);
     void subscribe(std::uint64_t id, Subscribe message);
     void bring_up_to_date(Subscriber& subscriber);
+    void send_snapshot(Subscriber& subscriber);
     void send_batch(Subscriber& subscriber, Batch batch);
     void flush();
     void beat();
@@ -62,8 +65,12 @@
     std::map<std::uint64_t, Subscriber> subscribers_;
     std::uint64_t count_ = 0;
     std::uint64_t flushed_ = 0; // place up to which `flush` has gone
+    std::string snapshot_; // one frame for all who start within a moment; what came after it follows by itself
+    std::uint64_t snapshot_place_ = 0;
+    std::int64_t snapshot_version_ = 0; // of its configuration
+    Tenths snapshot_at_ = 0;
     transport::Reactor::TimerId flush_timer_{}, beat_timer_{};
-    bool flush_set_ = false;
+    FlushPlan plan_;
 };
 
 } // namespace ivyrill::feed
