--- /dev/null
+++ b/tests/flush_tests.cpp
@@ -0,0 +1,104 @@
+// The feed: when items are handed on, snapshots that several subscribers share, and the digests of a table.
+#define BOOST_TEST_MODULE flush_tests
+#include "base/pcg.hpp"
+#include "feed/flush_plan.hpp"
+#include "feed/instance_table.hpp"
+#include "feed/publisher.hpp"
+#include "feed/subscriber.hpp"
+#include "transport/listener.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+#include <optional>
+
+namespace {
+
+using namespace ivyrill;
+
+constexpr Tenths kStart = 1'000'000, kGap = 300, kDelay = 1000;
+constexpr Tenths kPatience = 50'000; // of a test that should end by itself
+
+model::Instance server(int number, std::uint64_t revision = 1) {
+    model::Instance made;
+    made.id = "i-" + std::to_string(number), made.service = "s", made.address = "127.0.0.1:9";
+    made.revision = revision;
+    return made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(one_change_goes_at_once_and_those_of_one_gap_together) {
+    feed::FlushPlan plan(kGap, kDelay);
+    BOOST_TEST(plan.due(true, kStart) == kStart);
+    plan.flushed(kStart);
+    BOOST_TEST(plan.due(true, kStart + 1) == kStart + kGap);
+    BOOST_TEST(plan.due(true, kStart + 200) == kStart + kGap);
+    plan.flushed(kStart + kGap);
+    BOOST_TEST(plan.due(true, kStart + 10 * kGap) == kStart + 10 * kGap);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_wait_waits_and_goes_with_what_may_not) {
+    feed::FlushPlan plan(kGap, kDelay);
+    plan.flushed(kStart);
+    BOOST_TEST(plan.due(false, kStart + 50) == kStart + 50 + kDelay);
+    BOOST_TEST(plan.due(false, kStart + 90) == kStart + 50 + kDelay); // not put off by what comes after
+    BOOST_TEST(plan.due(true, kStart + 100) == kStart + kGap);
+    BOOST_TEST(plan.due(false, kStart + 110) == kStart + kGap);
+}
+
+BOOST_AUTO_TEST_CASE(digests_kept_up_are_those_of_the_same_records_found_anew) {
+    feed::InstanceTable table;
+    Pcg random(3);
+    for (int round = 0; round < 2000; ++round) {
+        model::Instance record = server(static_cast<int>(random.unit() * 60), 1 + random.next() % 5);
+        record.state = static_cast<model::InstanceState>(random.next() % 4);
+        if (random.next() % 10 == 0) record.address.clear();
+        if (random.next() % 8 == 0)
+            table.forget(record.id);
+        else
+            table.merge(record, round);
+        if (random.next() % 50 == 0) table.forget_gone(100, round);
+        feed::InstanceTable anew;
+        for (const auto& [id, known] : table.records()) anew.merge(known, round);
+        BOOST_REQUIRE(table.digests().ranges == anew.digests().ranges);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_that_is_shared_is_followed_by_what_came_after_it) {
+    transport::Reactor reactor;
+    feed::FeedLog log(5);
+    for (int i = 0; i < 50; ++i) log.put(server(i));
+    feed::Publisher publisher(reactor, log, {}, {});
+    transport::Listener listener(reactor, "127.0.0.1:0", [&](int descriptor) { publisher.take(descriptor); });
+    const std::string address = "127.0.0.1:" + std::to_string(listener.port());
+    std::optional<feed::Subscriber> first, second;
+    const auto options = [](const std::string& name) {
+        feed::Subscriber::Options made;
+        made.node.name = name;
+        return made;
+    };
+    const auto publishers = [address] { return std::vector<std::string>{address}; };
+    second.emplace(reactor, options("second"),
+                   feed::Subscriber::Callbacks{publishers,
+                                               [&](const auto&) {
+                                                   if (second->tables().place() == log.place())
+                                                       reactor.stop();
+                                               },
+                                               {}});
+    first.emplace(reactor, options("first"),
+                  feed::Subscriber::Callbacks{publishers,
+                                              [&](const auto&) {
+                                                  log.put(server(7, 2));
+                                                  log.put(server(50));
+                                                  reactor.free_later([&] { second->start(); });
+                                              },
+                                              {}});
+    first->start();
+    reactor.call_after(kPatience, [&] { reactor.stop(); });
+    reactor.run();
+    const auto& records = second->tables().instances().records();
+    BOOST_TEST(records.size() == 51U);
+    BOOST_REQUIRE(records.contains("i-7"));
+    BOOST_TEST(records.at("i-7").revision == 2U);
+    BOOST_TEST(second->tables().place() == log.place());
+}
