--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -29,10 +29,12 @@
     : reactor_(reactor), settings_(settings), log_(draw()) {
     publisher_ = std::make_unique<feed::Publisher>(reactor_, log_, feed::Publisher::Options{},
                                                    feed::Publisher::Callbacks{});
-    listener_ = std::make_unique<transport::Listener>(reactor_, feed::local_feed_address(settings_),
-                                                      [this](int descriptor) { publisher_->take(descriptor); });
-    reader_ = std::make_unique<ReportReader>(reactor_, ReportReader::Options{settings_.node_name, kReportInterval},
-                                             [this](model::Load load) { read_.push_back(std::move(load)); });
+    listener_ =
+        std::make_unique<transport::Listener>(reactor_, feed::local_feed_address(settings_),
+                                              [this](int descriptor) { publisher_->take(descriptor); });
+    reader_ =
+        std::make_unique<ReportReader>(reactor_, ReportReader::Options{settings_.node_name, kReportInterval},
+                                       [this](model::Load load) { read_.push_back(std::move(load)); });
     feed::Subscriber::Options options;
     options.node = {settings_.node_name, settings_.zone, settings_.ip, draw()};
     options.heartbeat = feed::kSessionHeartbeat, options.silence = feed::kSessionSilence;
@@ -49,12 +51,15 @@
 
 void Agent::use_settings(const settings::Settings& settings) { settings_ = settings; }
 
-// Those that are alive as last told, in an order of this node's own, so that sessions are spread; then the seeds.
+// Those that are alive as last told, in an order of this node's own, so that sessions are spread; then the
+// seeds.
 std::vector<std::string> Agent::control_addresses() const {
     std::vector<std::string> addresses;
     for (const model::ControlNode& node : subscriber_->tables().control_nodes())
         addresses.push_back(feed::feed_address(settings_, host_text(node.address)));
-    const auto weight = [this](const std::string& address) { return hash_text(address, hash_text(settings_.node_name)); };
+    const auto weight = [this](const std::string& address) {
+        return hash_text(address, hash_text(settings_.node_name));
+    };
     std::ranges::sort(addresses, std::ranges::greater{}, weight);
     std::vector<std::string> seeds;
     for (const std::string& seed : settings_.seed_nodes)
@@ -67,6 +72,7 @@
 
 void Agent::applied(const feed::Tables::Applied& applied) {
     for (const feed::Item& item : applied.news) log_.put(item);
+    for (const std::string& id : applied.expired) log_.forget_instance(id);
     publisher_->publish();
     if (applied.instances || applied.nodes)
         reader_->assign(subscriber_->tables().instances().records(), subscriber_->tables().edge_nodes());
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -1,6 +1,6 @@
-// The program `agent`, beside each proxy: keeps the machine's session with a control node, follows its feed, and hands
-// it to the proxy over loopback, so that the proxy's own time goes to requests. It reads the load of its share of the
-// servers for all nodes.
+// The program `agent`, beside each proxy: keeps the machine's session with a control node, follows its feed,
+// and hands it to the proxy over loopback, so that the proxy's own time goes to requests. It reads the load
+// of its share of the servers for all nodes.
 #pragma once
 #include "agent/report_reader.hpp"
 #include "feed/publisher.hpp"
--- a/src/agent/report_reader.cpp
+++ b/src/agent/report_reader.cpp
@@ -30,7 +30,8 @@
     } catch (const protocol::ProtocolError&) { return std::nullopt; }
 }
 
-ReportReader::ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read)
+ReportReader::ReportReader(transport::Reactor& reactor, Options options,
+                           std::function<void(model::Load)> read)
     : reactor_(reactor), options_(std::move(options)), read_(std::move(read)) {}
 
 void ReportReader::assign(const std::map<std::string, model::Instance>& instances,
@@ -76,7 +77,8 @@
 
 transport::Async<bool> ReportReader::read_once(Duty& duty) {
     if (duty.connection && !duty.connection->quiet()) duty.connection.reset();
-    if (!duty.connection) duty.connection = http::ClientConnection::open(reactor_, duty.address, kMostRequest);
+    if (!duty.connection)
+        duty.connection = http::ClientConnection::open(reactor_, duty.address, kMostRequest);
     if (!duty.connection) co_return false;
     http::ClientConnection& connection = *duty.connection;
     connection.stream().also_wake(&duty.wake);
@@ -86,7 +88,8 @@
     while (!connection.parser().complete()) {
         connection.read();
         if (connection.parser().complete()) break;
-        if (connection.parser().broken() != 0 || connection.stream().ended() || reactor_.now() >= until) co_return false;
+        if (connection.parser().broken() != 0 || connection.stream().ended() || reactor_.now() >= until)
+            co_return false;
         co_await duty.wake;
     }
     const protocol::HttpMessage answer = connection.parser().take();
--- a/src/agent/report_reader.hpp
+++ b/src/agent/report_reader.hpp
@@ -1,5 +1,5 @@
-// Reads `GET /report` of the servers that fall to this node, for all nodes: a server's reader is the live edge node with
-// the highest rendezvous hash of its id, so that a change of nodes moves few of them.
+// Reads `GET /report` of the servers that fall to this node, for all nodes: a server's reader is the live
+// edge node with the highest rendezvous hash of its id, so that a change of nodes moves few of them.
 #pragma once
 #include "agent/report_duties.hpp"
 #include "http/client_connection.hpp"
@@ -16,7 +16,8 @@
 
 namespace ivyrill::agent {
 
-std::optional<model::Load> read_report(const std::string& instance, const std::string& json); // nothing where spoilt
+std::optional<model::Load> read_report(const std::string& instance,
+                                       const std::string& json); // nothing where spoilt
 
 class ReportReader {
   public:
@@ -26,7 +27,8 @@
     };
     ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read);
     // The servers and nodes as they are now.
-    void assign(const std::map<std::string, model::Instance>& instances, const std::vector<model::EdgeNode>& nodes);
+    void assign(const std::map<std::string, model::Instance>& instances,
+                const std::vector<model::EdgeNode>& nodes);
     std::size_t readings() const { return duties_.size(); }
 
   private:
--- a/src/base/hash.hpp
+++ b/src/base/hash.hpp
@@ -1,5 +1,6 @@
-// FNV-1a, 64 bits, with a final mix (the finalizer of MurmurHash3) so that every bit of the result depends on every bit
-// of the text. The same on every machine: ranges, parts and rendezvous orders are compared between processes.
+// FNV-1a, 64 bits, with a final mix (the finalizer of MurmurHash3) so that every bit of the result depends on
+// every bit of the text. The same on every machine: ranges, parts and rendezvous orders are compared between
+// processes.
 #pragma once
 #include <cstdint>
 #include <string_view>
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -1,5 +1,6 @@
-// The log of the fleet's programs: one line of key=value pairs for each event, on standard error, by fmt. What could
-// come with every request is counted and told every so often by its caller, not logged line by line.
+// The log of the fleet's programs: one line of key=value pairs for each event, on standard error, by fmt.
+// What could come with every request is counted and told every so often by its caller, not logged line by
+// line.
 #pragma once
 #include <initializer_list>
 #include <string>
--- a/src/base/result.hpp
+++ b/src/base/result.hpp
@@ -1,4 +1,5 @@
-// Typed errors as values: a kind that code can act on, and a message that names the remedy for whoever reads it.
+// Typed errors as values: a kind that code can act on, and a message that names the remedy for whoever reads
+// it.
 #pragma once
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/all_narrow.hpp>
@@ -23,7 +24,8 @@
     std::string message; // one sentence; ends with what to do where something can be done
 };
 
-// Access to a value that isn't there is undefined, so every use asks has_value() or goes through BOOST_OUTCOME_TRY.
+// Access to a value that isn't there is undefined, so every use asks has_value() or goes through
+// BOOST_OUTCOME_TRY.
 template <class Value>
 using Result = boost::outcome_v2::basic_result<Value, Error, boost::outcome_v2::policy::all_narrow>;
 
--- a/src/control/configuration_group.cpp
+++ b/src/control/configuration_group.cpp
@@ -32,13 +32,14 @@
 }
 
 Error not_leading() {
-    return error(ErrorKind::kUnavailable, "this node does not own the configuration now: call again or elsewhere");
+    return error(ErrorKind::kUnavailable,
+                 "this node does not own the configuration now: call again or elsewhere");
 }
 
 } // namespace
 
-Result<std::unique_ptr<ConfigurationGroup>> ConfigurationGroup::open(transport::Reactor& reactor, Options options,
-                                                                     Callbacks callbacks) {
+Result<std::unique_ptr<ConfigurationGroup>> ConfigurationGroup::open(transport::Reactor& reactor,
+                                                                     Options options, Callbacks callbacks) {
     std::unique_ptr<ConfigurationGroup> group(
         new ConfigurationGroup(reactor, std::move(options), std::move(callbacks)));
     BOOST_OUTCOME_TRYV(group->load());
@@ -73,7 +74,8 @@
     replica_ = std::make_unique<consensus::Replica>(options, held.state, reactor_.now());
     if (founds) {
         std::vector<consensus::Member> founders;
-        for (const std::string& address : options_.founders) founders.push_back({founder_id(address), address, ""});
+        for (const std::string& address : options_.founders)
+            founders.push_back({founder_id(address), address, ""});
         std::ranges::sort(founders, {}, &consensus::Member::address);
         replica_->found(std::move(founders), wire::to_bytes(ConfigurationState{}), reactor_.now());
     }
@@ -91,7 +93,8 @@
 }
 
 void ConfigurationGroup::set_candidates(std::vector<consensus::Candidate> candidates) {
-    replica_->set_candidates(std::move(candidates), options_.least_voters, options_.most_voters, reactor_.now());
+    replica_->set_candidates(std::move(candidates), options_.least_voters, options_.most_voters,
+                             reactor_.now());
     step();
 }
 
@@ -137,15 +140,16 @@
 }
 
 void ConfigurationGroup::store(const consensus::Store& store) {
-    disk_->save(wire::to_bytes(DiskState{self_, store.state}), [this, ticket = store.ticket](const Result<void>& done) {
-        if (done.has_error()) {
-            log_line("store_failed", {{"cause", done.error().message}});
-            replica_->store_failed(ticket, reactor_.now());
-        } else {
-            replica_->stored(ticket, reactor_.now());
-        }
-        step();
-    });
+    disk_->save(wire::to_bytes(DiskState{self_, store.state}),
+                [this, ticket = store.ticket](const Result<void>& done) {
+                    if (done.has_error()) {
+                        log_line("store_failed", {{"cause", done.error().message}});
+                        replica_->store_failed(ticket, reactor_.now());
+                    } else {
+                        replica_->stored(ticket, reactor_.now());
+                    }
+                    step();
+                });
 }
 
 void ConfigurationGroup::publish(const consensus::Entry& entry) {
@@ -170,7 +174,9 @@
     if (in_contact()) last_contact_ = reactor_.now();
 }
 
-Tenths ConfigurationGroup::out_of_contact() const { return in_contact() ? 0 : reactor_.now() - last_contact_; }
+Tenths ConfigurationGroup::out_of_contact() const {
+    return in_contact() ? 0 : reactor_.now() - last_contact_;
+}
 
 std::vector<consensus::Member> ConfigurationGroup::voters() const {
     const auto& newest = replica_->newest();
@@ -202,16 +208,19 @@
     auto pending = std::make_shared<transport::Pending<consensus::ProposalOutcome>>(reactor_);
     proposals_[replica_->propose(make, reactor_.now())] = pending;
     step();
-    const auto outcome =
-        co_await transport::Pending<consensus::ProposalOutcome>::wait(pending, reactor_.now() + kProposalPatience);
+    const auto outcome = co_await transport::Pending<consensus::ProposalOutcome>::wait(
+        pending, reactor_.now() + kProposalPatience);
     if (outcome == consensus::ProposalOutcome::kCommitted) co_return boost::outcome_v2::success();
     if (!*verdict || **verdict == Verdict::kAccept) co_return not_leading();
-    // A refusal, or a word on what was taken before, is only as good as this node's knowledge: proven by a majority.
+    // A refusal, or a word on what was taken before, is only as good as this node's knowledge: proven by a
+    // majority.
     if (!co_await confirmed()) co_return not_leading();
     if (**verdict == Verdict::kAlreadyTaken) co_return boost::outcome_v2::success();
     if (**verdict == Verdict::kOldVersion)
-        co_return error(ErrorKind::kInvalidInput, "version: not above the current one; read /config and raise it");
-    co_return error(ErrorKind::kVersionConflict, "If-Match: another version is current; read /config and build on it");
+        co_return error(ErrorKind::kInvalidInput,
+                        "version: not above the current one; read /config and raise it");
+    co_return error(ErrorKind::kVersionConflict,
+                    "If-Match: another version is current; read /config and build on it");
 }
 
 transport::Async<Result<std::string>> ConfigurationGroup::read() {
--- a/src/control/configuration_group.hpp
+++ b/src/control/configuration_group.hpp
@@ -1,5 +1,5 @@
-// This node's part in the group that holds the configuration: the replicated value on this node's disk and links, and
-// the operator's two calls on it.
+// This node's part in the group that holds the configuration: the replicated value on this node's disk and
+// links, and the operator's two calls on it.
 #pragma once
 #include "base/result.hpp"
 #include "consensus/replica.hpp"
@@ -21,7 +21,7 @@
   public:
     struct Options {
         std::string data_dir;
-        std::string address, zone; // of this node, for its peers
+        std::string address, zone;         // of this node, for its peers
         std::vector<std::string> founders; // addresses of those who found the group on a first start
         bool first_start = false;
         std::uint64_t seed = 1;
@@ -29,7 +29,8 @@
     };
     struct Callbacks {
         std::function<void(const consensus::Send&)> send;
-        std::function<void(const model::Configuration&, const std::string& body)> committed; // a newer one, each once
+        std::function<void(const model::Configuration&, const std::string& body)>
+            committed; // a newer one, each once
         std::function<void()> role_changed;
     };
     // An error where the disk holds what can't be served from.
@@ -70,7 +71,8 @@
     consensus::Member self_;
     std::unique_ptr<DiskWriter> disk_;
     std::unique_ptr<consensus::Replica> replica_;
-    std::map<consensus::ProposalId, std::shared_ptr<transport::Pending<consensus::ProposalOutcome>>> proposals_;
+    std::map<consensus::ProposalId, std::shared_ptr<transport::Pending<consensus::ProposalOutcome>>>
+        proposals_;
     std::map<consensus::ReadId, std::shared_ptr<transport::Pending<bool>>> reads_;
     std::int64_t published_version_ = 0;
     Tenths last_contact_ = 0, heard_leader_ = -1;
--- a/src/control/configuration_state.cpp
+++ b/src/control/configuration_state.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr std::size_t kMostTaken = 512; // a caller sends a call again for seconds, not for hundreds of changes
+constexpr std::size_t kMostTaken =
+    512; // a caller sends a call again for seconds, not for hundreds of changes
 constexpr std::uint64_t kSecondSeed = 0x9e3779b97f4a7c15ULL;
 
 TakenCall identity(const ReplaceCall& call) {
--- a/src/control/configuration_state.hpp
+++ b/src/control/configuration_state.hpp
@@ -1,5 +1,5 @@
-// The value that the configuration's group replicates, and the one decision on it: whether an operator's configuration
-// is taken. Pure.
+// The value that the configuration's group replicates, and the one decision on it: whether an operator's
+// configuration is taken. Pure.
 #pragma once
 #include "base/result.hpp"
 
@@ -20,8 +20,8 @@
 };
 
 struct ConfigurationState {
-    std::int64_t version = 0; // 0: none was ever taken
-    std::string body;         // as the operator sent it
+    std::int64_t version = 0;     // 0: none was ever taken
+    std::string body;             // as the operator sent it
     std::vector<TakenCall> taken; // the newest last
     template <class Self> static auto tie(Self& s) { return std::tie(s.version, s.body, s.taken); }
 };
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -21,7 +21,7 @@
 constexpr Tenths kLeaderPatience = 7000;  // while nobody is known to lead
 constexpr Tenths kLeaderPause = 500;
 constexpr std::int64_t kOtherDescriptors = 900; // 200 for files (DEPLOY), the rest for peers and agents
-constexpr Tenths kEndSpan = 4000; // for last answers and the hand-over
+constexpr Tenths kEndSpan = 4000;               // for last answers and the hand-over
 
 std::uint64_t draw() {
     std::random_device device;
@@ -32,11 +32,13 @@
 std::string port_text(const std::string& address) { return address.substr(address.rfind(':') + 1); }
 std::string host_text(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-// Each server keeps a connection to the owner of its service: all descriptors but those for peers, agents and files.
+// Each server keeps a connection to the owner of its service: all descriptors but those for peers, agents and
+// files.
 http::CallServer::Options call_options(const settings::Settings& settings) {
     http::CallServer::Options options;
     const std::int64_t room = settings.limits.file_descriptors - kOtherDescriptors;
-    options.most_connections = std::max(options.most_connections, static_cast<std::size_t>(std::max<std::int64_t>(0, room)));
+    options.most_connections =
+        std::max(options.most_connections, static_cast<std::size_t>(std::max<std::int64_t>(0, room)));
     return options;
 }
 
@@ -49,7 +51,8 @@
     std::int64_t version = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), version);
     if (failure != std::errc{} || end != text.data() + text.size() || text.empty())
-        return error(ErrorKind::kInvalidInput, "If-Match: not a version; name the one that is built on, 0 for the first");
+        return error(ErrorKind::kInvalidInput,
+                     "If-Match: not a version; name the one that is built on, 0 for the first");
     return version;
 }
 
@@ -74,7 +77,8 @@
     for (const std::string& seed : settings_.seed_nodes)
         options.founders.push_back(feed::peer_address(settings_, host_text(seed)));
     options.first_start = settings_.first_start, options.seed = draw();
-    options.least_voters = static_cast<std::size_t>(std::max<std::int64_t>(3, 2 * settings_.tolerance.machines + 1));
+    options.least_voters =
+        static_cast<std::size_t>(std::max<std::int64_t>(3, 2 * settings_.tolerance.machines + 1));
     options.most_voters = std::max<std::size_t>(options.least_voters, 9);
     ConfigurationGroup::Callbacks callbacks;
     open_group_callbacks(callbacks);
@@ -94,7 +98,8 @@
 void ControlNode::open_group_callbacks(ConfigurationGroup::Callbacks& callbacks) {
     callbacks.send = [this](const consensus::Send& sent) {
         if (!peers_) return;
-        if (!peers_->send_to_member(sent.message.to.value, sent.message)) peers_->send(sent.address, sent.message);
+        if (!peers_->send_to_member(sent.message.to.value, sent.message))
+            peers_->send(sent.address, sent.message);
     };
     callbacks.committed = [this](const model::Configuration& configuration, const std::string& body) {
         const model::Configuration* known = log_.configuration();
@@ -111,7 +116,9 @@
     options.heartbeat = settings_.beat_interval_ms * (kTenthsPerSecond / 1000);
     InstanceRegistry::Callbacks callbacks;
     callbacks.send_to_peers = [this](const feed::Message& message) { peers_->send_to_all(message); };
-    callbacks.send = [this](const std::string& peer, const feed::Message& message) { peers_->send(peer, message); };
+    callbacks.send = [this](const std::string& peer, const feed::Message& message) {
+        peers_->send(peer, message);
+    };
     callbacks.further_copies = [this] { return further_copies(); };
     callbacks.in_contact = [this] { return group_->in_contact(); };
     callbacks.call_address = [this](const std::string& peer) { return call_address(peer); };
@@ -137,8 +144,8 @@
         status.heard = registry_->take_heard();
     };
     peers_ = std::make_unique<PeerMesh>(reactor_, options, std::move(callbacks));
-    peer_listener_ = std::make_unique<transport::Listener>(reactor_, self_.address,
-                                                           [this](int descriptor) { peers_->take(descriptor); });
+    peer_listener_ = std::make_unique<transport::Listener>(
+        reactor_, self_.address, [this](int descriptor) { peers_->take(descriptor); });
 }
 
 void ControlNode::open_feed() {
@@ -150,17 +157,22 @@
     };
     callbacks.sessions_changed = [this] { put_edge_nodes(); };
     callbacks.digests = [this] { return registry_->digests(); };
-    callbacks.instances = [this](const std::vector<model::Instance>& records) { registry_->merge_known(records); };
+    callbacks.instances = [this](const std::vector<model::Instance>& records) {
+        registry_->merge_known(records);
+    };
     callbacks.loads = [this](const std::vector<model::Load>& loads) { registry_->take_loads(loads, true); };
-    publisher_ = std::make_unique<feed::Publisher>(reactor_, log_, feed::session_options(), std::move(callbacks));
-    feed_listener_ = std::make_unique<transport::Listener>(reactor_, feed::feed_address(settings_, settings_.ip),
-                                                           [this](int descriptor) { publisher_->take(descriptor); });
+    publisher_ =
+        std::make_unique<feed::Publisher>(reactor_, log_, feed::session_options(), std::move(callbacks));
+    feed_listener_ =
+        std::make_unique<transport::Listener>(reactor_, feed::feed_address(settings_, settings_.ip),
+                                              [this](int descriptor) { publisher_->take(descriptor); });
 }
 
-// The head start after an end of the whole fleet: what is known here is told at once, and the servers have their usual
-// time to be heard from.
+// The head start after an end of the whole fleet: what is known here is told at once, and the servers have
+// their usual time to be heard from.
 Result<void> ControlNode::open_known_state() {
-    BOOST_OUTCOME_TRY(keeper, KnownStateKeeper::open(reactor_, settings_.data_dir, [this] { return known_state(); }));
+    BOOST_OUTCOME_TRY(keeper,
+                      KnownStateKeeper::open(reactor_, settings_.data_dir, [this] { return known_state(); }));
     const KnownState& loaded = keeper->loaded();
     if (loaded.version > 0 && log_.configuration() == nullptr) {
         const auto configuration = configuration::parse(loaded.body);
@@ -179,7 +191,8 @@
 
 KnownState ControlNode::known_state() const {
     KnownState state;
-    if (const model::Configuration* configuration = log_.configuration()) state.version = configuration->version;
+    if (const model::Configuration* configuration = log_.configuration())
+        state.version = configuration->version;
     state.body = configuration_body_;
     for (const auto& [id, record] : registry_->table().records()) state.instances.push_back(record);
     return state;
@@ -296,7 +309,8 @@
 
 void ControlNode::watch() {
     timer_ = reactor_.call_after(kWatchInterval, [this] { watch(); });
-    for (const consensus::Member& voter : group_->voters()) peers_->know({voter.address, voter.zone, voter.id.value});
+    for (const consensus::Member& voter : group_->voters())
+        peers_->know({voter.address, voter.zone, voter.id.value});
     group_->set_candidates(peers_->candidates());
     const Tenths out = group_->out_of_contact();
     const bool serves = !ending_ && (out == 0 || (serving_feed_ && out < kOutOfContact));
@@ -321,8 +335,8 @@
     co_return error(kind, std::move(answer.body));
 }
 
-transport::Async<http::Answer> ControlNode::decide_here(const std::string& method, const std::string& if_match,
-                                                        std::string body) {
+transport::Async<http::Answer> ControlNode::decide_here(const std::string& method,
+                                                        const std::string& if_match, std::string body) {
     if (method == "GET") {
         const Result<std::string> read = co_await group_->read();
         co_return read.has_error() ? http::error_answer(read.error()) : http::json_answer(read.value());
@@ -332,7 +346,8 @@
     co_return to_answer(co_await group_->replace(version.value(), std::move(body)));
 }
 
-transport::Async<http::Answer> ControlNode::at_owner(std::string method, std::string if_match, std::string body) {
+transport::Async<http::Answer> ControlNode::at_owner(std::string method, std::string if_match,
+                                                     std::string body) {
     const Tenths patience = reactor_.now() + kLeaderPatience;
     for (;;) {
         if (group_->leads()) co_return co_await decide_here(method, if_match, std::move(body));
@@ -342,7 +357,8 @@
             auto pending = std::make_shared<transport::Pending<http::Answer>>(reactor_);
             forwarded_[number] = pending;
             if (peers_->send_to_member(leader->value, feed::ForwardedCall{number, method, if_match, body})) {
-                auto answer = co_await transport::Pending<http::Answer>::wait(pending, reactor_.now() + kForwardPatience);
+                auto answer = co_await transport::Pending<http::Answer>::wait(pending, reactor_.now() +
+                                                                                           kForwardPatience);
                 forwarded_.erase(number);
                 if (!answer) break;
                 if (answer->status == 200) answer->fields = "Content-Type: application/json\r\n";
@@ -370,8 +386,8 @@
     };
     static constexpr const char* kStates[] = {"serving", "silent", "draining", "gone"};
     for (const auto& [id, record] : registry_->table().records())
-        append(servers, fmt::format(R"({{"id":"{}","service":"{}","address":"{}","zone":"{}","state":"{}"}})", id,
-                                    record.service, record.address, record.zone,
+        append(servers, fmt::format(R"({{"id":"{}","service":"{}","address":"{}","zone":"{}","state":"{}"}})",
+                                    id, record.service, record.address, record.zone,
                                     kStates[static_cast<std::size_t>(record.state) % 4]));
     for (const model::ControlNode& node : peers_->alive())
         append(peers, fmt::format(R"({{"address":"{}","zone":"{}"}})", node.address, node.zone));
@@ -382,8 +398,8 @@
     co_return InspectReply{
         fmt::format(R"({{"node":"{}","leads":{},"inContact":{},"version":{},"voters":[{}],"peers":[{}],)"
                     R"("edgeNodes":[{}],"servers":[{}]}})",
-                    settings_.node_name, group_->leads(), group_->in_contact(), group_->version(), voters, peers, nodes,
-                    servers)};
+                    settings_.node_name, group_->leads(), group_->in_contact(), group_->version(), voters,
+                    peers, nodes, servers)};
 }
 
 void ControlNode::begin_end() {
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -1,5 +1,5 @@
-// The program `control`: the operator's API, the servers' heartbeats, this node's part in the configuration's group, its
-// links with its peers, and the feed that agents follow.
+// The program `control`: the operator's API, the servers' heartbeats, this node's part in the configuration's
+// group, its links with its peers, and the feed that agents follow.
 #pragma once
 #include "control/configuration_group.hpp"
 #include "control/instance_registry.hpp"
@@ -34,7 +34,8 @@
 class ControlNode {
   public:
     // An error where the settings or the disk can't be served with.
-    static Result<std::unique_ptr<ControlNode>> open(transport::Reactor& reactor, const settings::Settings& settings);
+    static Result<std::unique_ptr<ControlNode>> open(transport::Reactor& reactor,
+                                                     const settings::Settings& settings);
     ~ControlNode();
     void begin_end(); // SIGTERM: hands over, tells its peers, ends within a second
 
@@ -61,7 +62,8 @@
     transport::Async<Result<InspectReply>> carry_out(InspectCall call);
     // By whoever owns the configuration: here, or at the peer that does.
     transport::Async<http::Answer> at_owner(std::string method, std::string if_match, std::string body);
-    transport::Async<http::Answer> decide_here(const std::string& method, const std::string& if_match, std::string body);
+    transport::Async<http::Answer> decide_here(const std::string& method, const std::string& if_match,
+                                               std::string body);
     transport::Task answer_forwarded(std::string peer, feed::ForwardedCall call);
 
     transport::Reactor& reactor_;
@@ -78,7 +80,8 @@
     http::CallRouter router_;
     std::unique_ptr<transport::Listener> peer_listener_, feed_listener_;
     std::map<std::uint64_t, std::shared_ptr<transport::Pending<http::Answer>>> forwarded_;
-    std::map<std::string, std::pair<model::EdgeNode, Tenths>> edge_nodes_; // by name, with when it was last there
+    std::map<std::string, std::pair<model::EdgeNode, Tenths>>
+        edge_nodes_;                               // by name, with when it was last there
     std::vector<model::EdgeNode> told_edge_nodes_; // as last put into the log
     std::uint64_t count_ = 0;
     bool ending_ = false, serving_feed_ = false;
--- a/src/control/disk_writer.hpp
+++ b/src/control/disk_writer.hpp
@@ -1,5 +1,5 @@
-// The thread that waits for the disk, so that nothing else does. Writes are carried out one after the other; each is
-// answered in a turn of the event loop.
+// The thread that waits for the disk, so that nothing else does. Writes are carried out one after the other;
+// each is answered in a turn of the event loop.
 #pragma once
 #include "base/result.hpp"
 #include "storage/version_store.hpp"
--- a/src/control/instance_registry.cpp
+++ b/src/control/instance_registry.cpp
@@ -17,7 +17,8 @@
 
 constexpr Tenths kCheckInterval = 2500;
 constexpr Tenths kSecurePatience = 8000; // servers turn elsewhere after a second
-constexpr Tenths kGoneSpan = 60 * kTenthsPerSecond; // so long is what is gone remembered, for words that come late
+constexpr Tenths kGoneSpan =
+    60 * kTenthsPerSecond; // so long is what is gone remembered, for words that come late
 constexpr double kSilentBeats = 2.6, kGoneBeats = 25; // missed heartbeats after which a server counts as ...
 constexpr int kDiffersOften = 2; // statuses in a row: what is on its way is no difference
 
@@ -64,18 +65,21 @@
         if (const auto* models = body.find("models"))
             for (const protocol::Json& model : models->as_list("models")) {
                 model::ServedModel served{model.at("name").as_text("name"), 0};
-                if (const auto* version = model.find("version")) served.version = version->as_integer("version");
+                if (const auto* version = model.find("version"))
+                    served.version = version->as_integer("version");
                 instance.models.push_back(std::move(served));
             }
         instance.revision = static_cast<std::uint64_t>(body.at("callSeq").as_integer("callSeq"));
         if (instance.revision >= model::kFinalRevision)
             return error(ErrorKind::kInvalidInput, "callSeq: too large; count from 0 at each start");
         if (instance.id.empty() || instance.service.empty() || instance.slots < 1)
-            return error(ErrorKind::kInvalidInput, "heartbeat: id or service is empty, or slots below 1; send what is");
+            return error(ErrorKind::kInvalidInput,
+                         "heartbeat: id or service is empty, or slots below 1; send what is");
         transport::read_address(instance.address);
         return RegisterCall{std::move(instance)};
     } catch (const std::exception& failure) {
-        return error(ErrorKind::kInvalidInput, std::string("heartbeat: ") + failure.what() + "; send the whole record");
+        return error(ErrorKind::kInvalidInput,
+                     std::string("heartbeat: ") + failure.what() + "; send the whole record");
     }
 }
 
@@ -125,13 +129,18 @@
     heard(record.id);
     const std::string owner = this->owner(record.service);
     if (owner != options_.self) heard_for_others_.insert(record.id);
-    if (!finished && (known == nullptr || (record.revision > known->revision && !says_the_same(record, *known)))) {
+    if (!finished &&
+        (known == nullptr || (record.revision > known->revision && !says_the_same(record, *known)))) {
         const bool fresh = known == nullptr;
         if (fresh) end_predecessors(record);
         if (accept(record)) {
             callbacks_.changed();
-            if (record.state == InstanceState::kServing) callbacks_.send_to_peers(feed::Replicate{0, {record}, {}});
-            if (fresh) log_line("server_up", {{"id", record.id}, {"address", record.address}, {"stage", std::to_string(static_cast<int>(record.stage))}});
+            if (record.state == InstanceState::kServing)
+                callbacks_.send_to_peers(feed::Replicate{0, {record}, {}});
+            if (fresh)
+                log_line("server_up", {{"id", record.id},
+                                       {"address", record.address},
+                                       {"stage", std::to_string(static_cast<int>(record.stage))}});
         }
     }
     known = table_.find(record.id);
@@ -139,7 +148,8 @@
     if (leaves && !secured_.contains(record.id)) {
         std::vector<Instance> held(1, *known);
         if (!co_await secure(std::move(held)))
-            co_return error(ErrorKind::kUnavailable, "no majority of the control nodes can be told: call another one");
+            co_return error(ErrorKind::kUnavailable,
+                            "no majority of the control nodes can be told: call another one");
         secured_.insert(record.id);
     }
     co_return RegisterReply{owner.empty() || owner == options_.self ? "" : callbacks_.call_address(owner)};
@@ -156,7 +166,8 @@
     }
     std::vector<Instance> held(1, *table_.find(call.instance));
     if (!co_await secure(std::move(held)))
-        co_return error(ErrorKind::kUnavailable, "no majority of the control nodes can be told: call another one");
+        co_return error(ErrorKind::kUnavailable,
+                        "no majority of the control nodes can be told: call another one");
     co_return LeaveReply{};
 }
 
@@ -239,7 +250,9 @@
     // Whoever takes a part over has not heard its servers yet: they get their whole time.
     for (const auto& [id, record] : table_.records()) {
         const auto [place, fresh] = taken_over.try_emplace(record.service, false);
-        if (fresh) place->second = owner(record.service) == options_.self && owner_of(record.service, before) != options_.self;
+        if (fresh)
+            place->second =
+                owner(record.service) == options_.self && owner_of(record.service, before) != options_.self;
         if (place->second) heard(id);
     }
 }
@@ -267,7 +280,8 @@
         if (!may_judge || record.state == InstanceState::kGone) continue;
         if (owner(record.service) != options_.self) continue;
         const auto at = last_heard_.try_emplace(id, reactor_.now()).first->second;
-        const double missed = static_cast<double>(reactor_.now() - at) / static_cast<double>(options_.heartbeat);
+        const double missed =
+            static_cast<double>(reactor_.now() - at) / static_cast<double>(options_.heartbeat);
         Instance judgement = record;
         if (missed >= kGoneBeats)
             judgement.state = InstanceState::kGone;
--- a/src/control/instance_registry.hpp
+++ b/src/control/instance_registry.hpp
@@ -1,6 +1,7 @@
-// The model servers as this control node knows them. Parts of the state are cut by a hash of the service's name; each
-// part has an owner among the control nodes that are alive, who takes its heartbeats and alone judges silence. What a
-// server says of its leaving is acknowledged once a majority of the control nodes holds it.
+// The model servers as this control node knows them. Parts of the state are cut by a hash of the service's
+// name; each part has an owner among the control nodes that are alive, who takes its heartbeats and alone
+// judges silence. What a server says of its leaving is acknowledged once a majority of the control nodes
+// holds it.
 #pragma once
 #include "base/result.hpp"
 #include "feed/feed_log.hpp"
@@ -39,17 +40,17 @@
 class InstanceRegistry {
   public:
     struct Options {
-        std::string self;        // this node's address among its peers
-        Tenths heartbeat = 0;    // that servers keep
+        std::string self;     // this node's address among its peers
+        Tenths heartbeat = 0; // that servers keep
     };
     struct Callbacks {
         std::function<void(const feed::Message&)> send_to_peers;
         std::function<void(const std::string& peer, const feed::Message&)> send;
         std::function<std::size_t()> further_copies; // that make a majority together with this node's
-        std::function<bool()> in_contact;            // with whoever owns the configuration: this side is the majority
+        std::function<bool()> in_contact; // with whoever owns the configuration: this side is the majority
         std::function<std::string(const std::string& peer)> call_address; // where a peer takes servers' calls
-        std::function<void()> changed;               // instances were put into the log
-        std::function<void()> loads_changed;         // loads were
+        std::function<void()> changed;                                    // instances were put into the log
+        std::function<void()> loads_changed;                              // loads were
     };
     InstanceRegistry(transport::Reactor& reactor, feed::FeedLog& log, Options options, Callbacks callbacks);
     ~InstanceRegistry();
@@ -75,7 +76,7 @@
         std::shared_ptr<transport::Pending<bool>> enough;
     };
     const std::string& owner(const std::string& service); // owner_of, remembered until the nodes change
-    bool accept(const model::Instance& record); // merges and publishes; false where it was no news
+    bool accept(const model::Instance& record);           // merges and publishes; false where it was no news
     void end_predecessors(const model::Instance& record);
     transport::Async<bool> secure(std::vector<model::Instance> records); // until a majority holds them
     void check_silence();
--- a/src/control/known_state.cpp
+++ b/src/control/known_state.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Tenths kGather = 500;       // changes within it are written together
+constexpr Tenths kGather = 500;        // changes within it are written together
 constexpr Tenths kRetryPause = 10'000; // after a disk that refused
 
 } // namespace
--- a/src/control/known_state.hpp
+++ b/src/control/known_state.hpp
@@ -1,6 +1,7 @@
-// What a control node knew when it ended, kept on its disk so that a fleet that lost power serves again before its
-// servers have all called: the newest configuration that was committed for certain, and the servers. It is a head start,
-// never the truth: the group's own value and the servers' heartbeats replace it as they come.
+// What a control node knew when it ended, kept on its disk so that a fleet that lost power serves again
+// before its servers have all called: the newest configuration that was committed for certain, and the
+// servers. It is a head start, never the truth: the group's own value and the servers' heartbeats replace it
+// as they come.
 #pragma once
 #include "base/result.hpp"
 #include "control/disk_writer.hpp"
@@ -26,8 +27,8 @@
 class KnownStateKeeper {
   public:
     // `collect` is asked for the state when a write begins.
-    static Result<std::unique_ptr<KnownStateKeeper>> open(transport::Reactor& reactor, const std::string& folder,
-                                                          std::function<KnownState()> collect);
+    static Result<std::unique_ptr<KnownStateKeeper>>
+    open(transport::Reactor& reactor, const std::string& folder, std::function<KnownState()> collect);
     ~KnownStateKeeper();
     const KnownState& loaded() const { return loaded_; } // as it was at the start; empty on a new disk
     void changed(); // something is to be written: soon, one write at a time, however often it is called
--- a/src/control/peer_mesh.cpp
+++ b/src/control/peer_mesh.cpp
@@ -63,7 +63,9 @@
         here.pause = kFirstPause;
         if (here.out) here.out->send(own_hello());
     };
-    callbacks.received = [this, address](feed::Message) { this->peer(address).out->end("spoke on a one-way link"); };
+    callbacks.received = [this, address](feed::Message) {
+        this->peer(address).out->end("spoke on a one-way link");
+    };
     callbacks.ended = [this, address](const std::string& reason) { out_ended(address, reason); };
     peer.out = std::make_unique<feed::Link>(reactor_, descriptor, transport::Stream::Start::kConnecting, 0,
                                             std::move(callbacks));
@@ -95,8 +97,9 @@
         free_link(reactor_, std::move(found->second.link));
         incoming_.erase(found);
     };
-    incoming_[id].link = std::make_unique<feed::Link>(reactor_, descriptor, transport::Stream::Start::kConnected,
-                                                      2 * options_.silence, std::move(callbacks));
+    incoming_[id].link =
+        std::make_unique<feed::Link>(reactor_, descriptor, transport::Stream::Start::kConnected,
+                                     2 * options_.silence, std::move(callbacks));
     incoming_.at(id).link->start();
 }
 
@@ -113,7 +116,8 @@
 }
 
 void PeerMesh::hello(Incoming& incoming, const feed::PeerHello& message) {
-    if (message.node.address == options_.self.address) return incoming.link->end("it bears this node's address");
+    if (message.node.address == options_.self.address)
+        return incoming.link->end("it bears this node's address");
     incoming.address = message.node.address;
     Peer& here = peer(message.node.address);
     if (here.node.member != 0 && here.node.member != message.node.member) {
@@ -160,7 +164,8 @@
     std::vector<std::string> forgotten;
     for (auto& [address, peer] : peers_) {
         const Tenths silent = reactor_.now() - peer.last_heard;
-        // A connection that stopped carrying bytes is given up: a fresh one comes through at once when it can.
+        // A connection that stopped carrying bytes is given up: a fresh one comes through at once when it
+        // can.
         if (peer.out && peer.out->up() && silent > options_.silence * 3 / 2) peer.out->end("peer is silent");
         if (peer.out && !peer.out->up() && reactor_.now() > peer.next_try + kConnectPatience)
             peer.out->end("no connection in time");
@@ -190,7 +195,8 @@
 
 bool PeerMesh::send(const std::string& address, const feed::Message& message) {
     const auto found = peers_.find(address);
-    return found != peers_.end() && found->second.out && found->second.out->up() && found->second.out->send(message);
+    return found != peers_.end() && found->second.out && found->second.out->up() &&
+           found->second.out->send(message);
 }
 
 bool PeerMesh::send_to_member(std::uint64_t member, const feed::Message& message) {
@@ -224,7 +230,8 @@
         const consensus::Member member{{peer.node.member}, address, peer.node.zone};
         candidates.push_back({member, peer.alive, peer.ending, peer.alive_since});
     }
-    for (const auto& [member, since] : replaced_) candidates.push_back({{{member}, "", ""}, false, true, since});
+    for (const auto& [member, since] : replaced_)
+        candidates.push_back({{{member}, "", ""}, false, true, since});
     return candidates;
 }
 
--- a/src/control/peer_mesh.hpp
+++ b/src/control/peer_mesh.hpp
@@ -1,5 +1,6 @@
-// The links between control nodes: who they are, which of them are there, and messages to each. Every node sends over
-// the links that it opened and hears over those that others opened, so a link that works one way only counts as none.
+// The links between control nodes: who they are, which of them are there, and messages to each. Every node
+// sends over the links that it opened and hears over those that others opened, so a link that works one way
+// only counts as none.
 #pragma once
 #include "consensus/replica.hpp"
 #include "feed/link.hpp"
@@ -25,7 +26,7 @@
     };
     struct Callbacks {
         std::function<void(const model::ControlNode&, feed::Message)> received;
-        std::function<void()> peers_changed;               // one is alive that was not, or the reverse
+        std::function<void()> peers_changed;                // one is alive that was not, or the reverse
         std::function<void(feed::PeerStatus&)> fill_status; // what this node tells its peers
     };
     PeerMesh(transport::Reactor& reactor, Options options, Callbacks callbacks);
@@ -39,7 +40,7 @@
     void know(const model::ControlNode& node); // from elsewhere, e.g. the list of voters
     void set_ending();                         // told with the next status, which goes at once
 
-    std::vector<model::ControlNode> alive() const; // without this node
+    std::vector<model::ControlNode> alive() const;        // without this node
     std::vector<consensus::Candidate> candidates() const; // with this node
     std::vector<model::EdgeNode> sessions() const;        // of peers that are alive, as they told
     std::vector<std::string> addresses() const;
--- a/src/feed/feed_log.cpp
+++ b/src/feed/feed_log.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t kMostForgotten = 1024;
+
 struct KeyOf {
     std::string operator()(const model::Configuration&) const { return "configuration"; }
     std::string operator()(const ConfigurationChange&) const { return "configuration"; }
@@ -32,12 +34,26 @@
         last_change_.reset();
         if (before != nullptr) last_change_ = difference(*before, *configuration);
     }
+    const auto* forgotten = std::get_if<Forgotten>(&item);
+    if (forgotten != nullptr) bound_forgotten(forgotten->instance);
     erase(key);
     ++place_;
     order_[place_] = key;
     items_[key] = {place_, std::move(item)};
 }
 
+// That an instance is forgotten is itself remembered for a while only: whoever was away for longer takes a
+// snapshot.
+void FeedLog::bound_forgotten(const std::string& instance) {
+    forgotten_.push_back(instance);
+    if (forgotten_.size() <= kMostForgotten) return;
+    const std::string oldest = std::move(forgotten_.front());
+    forgotten_.pop_front();
+    const auto known = items_.find("instance " + oldest);
+    if (known != items_.end() && std::holds_alternative<Forgotten>(known->second.item))
+        forget_instance(oldest);
+}
+
 void FeedLog::erase(const std::string& key) {
     const auto known = items_.find(key);
     if (known == items_.end()) return;
@@ -97,7 +113,8 @@
     return change;
 }
 
-std::optional<model::Configuration> apply(const model::Configuration& from, const ConfigurationChange& change) {
+std::optional<model::Configuration> apply(const model::Configuration& from,
+                                          const ConfigurationChange& change) {
     if (from.version != change.base_version) return std::nullopt;
     model::Configuration to = from;
     to.version = change.version, to.limits = change.limits;
@@ -111,7 +128,8 @@
             to.routes[known->second] = route;
     }
     std::erase_if(to.routes, [&](const model::Route& route) {
-        return std::ranges::any_of(change.removed_routes, [&](const auto& gone) { return same_place(gone, route); });
+        return std::ranges::any_of(change.removed_routes,
+                                   [&](const auto& gone) { return same_place(gone, route); });
     });
     for (const model::Service& service : change.services) {
         const auto known = std::ranges::find(to.services, service.name, &model::Service::name);
--- a/src/feed/feed_log.hpp
+++ b/src/feed/feed_log.hpp
@@ -1,9 +1,10 @@
-// What one publisher tells its subscribers: the latest item under each key, numbered by the place at which it came. A
-// subscriber goes on from a place, or starts from a snapshot; both are the same items.
+// What one publisher tells its subscribers: the latest item under each key, numbered by the place at which it
+// came. A subscriber goes on from a place, or starts from a snapshot; both are the same items.
 #pragma once
 #include "feed/messages.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,7 +18,7 @@
     std::uint64_t feed() const { return feed_; } // drawn by the publisher when it starts; never 0
     std::uint64_t place() const { return place_; }
 
-    void put(Item item);                      // ConfigurationChange is never put: it is derived
+    void put(Item item); // ConfigurationChange is never put: it is derived
     void forget_instance(const std::string& id);
     // The items after a place, in order; nothing where the log no longer reaches back so far.
     std::optional<std::vector<Item>> since(std::uint64_t place) const;
@@ -33,15 +34,18 @@
     };
     std::optional<std::vector<Item>> since(std::uint64_t place, bool whole) const;
     void erase(const std::string& key);
+    void bound_forgotten(const std::string& instance);
 
     std::uint64_t feed_, place_ = 0, oldest_ = 0; // one may go on from `oldest_` or later
     std::map<std::string, Kept> items_;
     std::map<std::uint64_t, std::string> order_; // place to key
+    std::deque<std::string> forgotten_;          // instances, oldest first
     std::optional<ConfigurationChange> last_change_;
 };
 
 ConfigurationChange difference(const model::Configuration& from, const model::Configuration& to);
 // Nothing where the change is not built on `from`.
-std::optional<model::Configuration> apply(const model::Configuration& from, const ConfigurationChange& change);
+std::optional<model::Configuration> apply(const model::Configuration& from,
+                                          const ConfigurationChange& change);
 
 } // namespace ivyrill::feed
--- a/src/feed/instance_table.hpp
+++ b/src/feed/instance_table.hpp
@@ -1,6 +1,6 @@
-// All model servers that one process knows of, merged record by record from heartbeats and from other processes' copies.
-// Merging is commutative and idempotent, so copies that have seen the same records are equal; digests over ranges of ids
-// tell where they are not.
+// All model servers that one process knows of, merged record by record from heartbeats and from other
+// processes' copies. Merging is commutative and idempotent, so copies that have seen the same records are
+// equal; digests over ranges of ids tell where they are not.
 #pragma once
 #include "base/time.hpp"
 #include "feed/messages.hpp"
@@ -23,7 +23,8 @@
     const Digests& digests() const { return digests_; } // of the records that aren't gone
     static std::size_t range_of(const std::string& id);
     static std::vector<std::uint64_t> differing(const Digests& mine, const Digests& theirs);
-    std::vector<model::Instance> in_ranges(const std::vector<std::uint64_t>& ranges) const; // with those that are gone
+    std::vector<model::Instance>
+    in_ranges(const std::vector<std::uint64_t>& ranges) const; // with those that are gone
     void forget(const std::string& id);
     // Forgets what has been gone for longer than `span`; returns the ids.
     std::vector<std::string> forget_gone(Tenths span, Tenths now);
--- a/src/feed/link.cpp
+++ b/src/feed/link.cpp
@@ -7,14 +7,16 @@
 namespace {
 
 constexpr std::size_t kMostUnread = 256 * 1024;
-constexpr std::size_t kMostUnsent = 32 * 1024 * 1024; // a snapshot for a slow link; its own bound is the frame's
+constexpr std::size_t kMostUnsent =
+    32 * 1024 * 1024; // a snapshot for a slow link; its own bound is the frame's
 
 } // namespace
 
 Link::Link(transport::Reactor& reactor, int descriptor, transport::Stream::Start start, Tenths silence,
            Callbacks callbacks)
-    : reactor_(reactor), wake_(reactor.loop()), stream_(reactor.loop(), descriptor, start, kMostUnread, kMostUnsent),
-      silence_(silence), last_heard_(reactor.now()), callbacks_(std::move(callbacks)), told_up_(stream_.up()) {
+    : reactor_(reactor), wake_(reactor.loop()),
+      stream_(reactor.loop(), descriptor, start, kMostUnread, kMostUnsent), silence_(silence),
+      last_heard_(reactor.now()), callbacks_(std::move(callbacks)), told_up_(stream_.up()) {
     stream_.also_wake(&wake_);
 }
 
--- a/src/feed/link.hpp
+++ b/src/feed/link.hpp
@@ -1,5 +1,6 @@
-// One connection between two of ivyrill's own processes: typed messages both ways over frames, and its liveness. Who
-// owns a link is told of each message by a call; after the link has ended nothing is told any more.
+// One connection between two of ivyrill's own processes: typed messages both ways over frames, and its
+// liveness. Who owns a link is told of each message by a call; after the link has ended nothing is told any
+// more.
 #pragma once
 #include "feed/messages.hpp"
 #include "transport/reactor.hpp"
@@ -18,10 +19,12 @@
     struct Callbacks {
         std::function<void()> up; // of a link that this side opened
         std::function<void(Message)> received;
-        std::function<void(const std::string& reason)> ended; // last; the owner frees the link by `free_later`
+        std::function<void(const std::string& reason)>
+            ended; // last; the owner frees the link by `free_later`
     };
     // `silence`: the link ends when nothing has come for so long. Zero: never.
-    Link(transport::Reactor& reactor, int descriptor, transport::Stream::Start start, Tenths silence, Callbacks callbacks);
+    Link(transport::Reactor& reactor, int descriptor, transport::Stream::Start start, Tenths silence,
+         Callbacks callbacks);
     ~Link();
     void start(); // once the owner holds it: what has come already is told from here on
     Link(const Link&) = delete;
--- a/src/feed/messages.hpp
+++ b/src/feed/messages.hpp
@@ -33,7 +33,8 @@
     std::vector<std::string> removed_services;
     model::ClientLimits limits;
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.base_version, s.version, s.routes, s.services, s.removed_routes, s.removed_services, s.limits);
+        return std::tie(s.base_version, s.version, s.routes, s.services, s.removed_routes, s.removed_services,
+                        s.limits);
     }
 };
 struct Forgotten { // an instance that the publisher no longer knows of; it may be told of again
@@ -41,8 +42,8 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.instance); }
     friend bool operator==(const Forgotten&, const Forgotten&) = default;
 };
-using Item = std::variant<model::Configuration, ConfigurationChange, model::Instance, Forgotten, model::Load, EdgeNodes,
-                          ControlNodes>;
+using Item = std::variant<model::Configuration, ConfigurationChange, model::Instance, Forgotten, model::Load,
+                          EdgeNodes, ControlNodes>;
 
 // How many ranges of instances are compared by digest; an instance's range follows from its id.
 inline constexpr std::size_t kDigestRanges = 32;
@@ -80,7 +81,7 @@
     std::vector<std::uint64_t> ranges;
     template <class Self> static auto tie(Self& s) { return std::tie(s.ranges); }
 };
-struct Batch { // applied whole
+struct Batch {                         // applied whole
     std::uint64_t feed = 0, place = 0; // place after it
     bool snapshot = false;             // replaces everything that was known
     std::vector<Item> items;
@@ -98,12 +99,14 @@
     std::vector<model::ControlNode> known;
     template <class Self> static auto tie(Self& s) { return std::tie(s.node, s.incarnation, s.known); }
 };
-struct PeerStatus { // every so often: who is known here, whose sessions stand here, and digests of the instances
+struct PeerStatus { // every so often: who is known here, whose sessions stand here, and digests of the
+                    // instances
     std::vector<model::ControlNode> known;
     std::vector<model::EdgeNode> sessions;
     Digests instances;
-    std::vector<std::string> heard; // instances whose heartbeats came here since the last status, though not the owner
-    bool ending = false;            // this node ends for good or for a while
+    std::vector<std::string>
+        heard;           // instances whose heartbeats came here since the last status, though not the owner
+    bool ending = false; // this node ends for good or for a while
     template <class Self> static auto tie(Self& s) {
         return std::tie(s.known, s.sessions, s.instances, s.heard, s.ending);
     }
@@ -122,7 +125,9 @@
 struct ForwardedCall {
     std::uint64_t number = 0;
     std::string method, if_match, body;
-    template <class Self> static auto tie(Self& s) { return std::tie(s.number, s.method, s.if_match, s.body); }
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.number, s.method, s.if_match, s.body);
+    }
 };
 struct ForwardedAnswer {
     std::uint64_t number = 0;
@@ -131,7 +136,8 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.number, s.status, s.body); }
 };
 
-using Message = std::variant<Subscribe, Instances, Loads, Heartbeat, WantRanges, Batch, Refused, PeerHello, PeerStatus,
-                             Replicate, Replicated, ForwardedCall, ForwardedAnswer, consensus::Message>;
+using Message =
+    std::variant<Subscribe, Instances, Loads, Heartbeat, WantRanges, Batch, Refused, PeerHello, PeerStatus,
+                 Replicate, Replicated, ForwardedCall, ForwardedAnswer, consensus::Message>;
 
 } // namespace ivyrill::feed
--- a/src/feed/ports.hpp
+++ b/src/feed/ports.hpp
@@ -1,4 +1,5 @@
-// Which of a machine's inner ports is for what, and how long a session may be silent. Ports are alike on all machines.
+// Which of a machine's inner ports is for what, and how long a session may be silent. Ports are alike on all
+// machines.
 #pragma once
 #include "feed/publisher.hpp"
 #include "settings/settings.hpp"
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -89,13 +89,16 @@
     send_batch(subscriber, Batch{log_.feed(), log_.place(), false, std::move(*items)});
 }
 
-// Many nodes may start together, and a snapshot of a large fleet takes long to encode: it is encoded once for them.
+// Many nodes may start together, and a snapshot of a large fleet takes long to encode: it is encoded once for
+// them.
 void Publisher::send_snapshot(Subscriber& subscriber) {
     std::optional<std::vector<Item>> later;
-    if (!snapshot_.empty() && reactor_.now() - snapshot_at_ < kSnapshotAge) later = log_.since(snapshot_place_);
+    if (!snapshot_.empty() && reactor_.now() - snapshot_at_ < kSnapshotAge)
+        later = log_.since(snapshot_place_);
     if (!later) {
         const model::Configuration* configuration = log_.configuration();
-        snapshot_ = wire::frame(wire::to_bytes(Message{Batch{log_.feed(), log_.place(), true, log_.snapshot()}}));
+        snapshot_ =
+            wire::frame(wire::to_bytes(Message{Batch{log_.feed(), log_.place(), true, log_.snapshot()}}));
         snapshot_place_ = log_.place(), snapshot_at_ = reactor_.now();
         snapshot_version_ = configuration == nullptr ? 0 : configuration->version;
         later.emplace();
@@ -152,7 +155,8 @@
         if (found == subscribers_.end()) continue;
         Subscriber& subscriber = found->second;
         if (!subscriber.subscribed || subscriber.waits_for_records || subscriber.place == flushed_) continue;
-        if (!frame.empty() && subscriber.place == frame_from && subscriber.configuration_version == frame_version) {
+        if (!frame.empty() && subscriber.place == frame_from &&
+            subscriber.configuration_version == frame_version) {
             subscriber.place = flushed_, subscriber.last_sent = reactor_.now();
             subscriber.configuration_version = frame_version_after;
             subscriber.link->send_frame(frame);
--- a/src/feed/publisher.hpp
+++ b/src/feed/publisher.hpp
@@ -1,5 +1,5 @@
-// The publishing side of a feed: takes subscribers on one address, brings each up to date, and hands every new item to
-// all of them. A subscription is the session that makes a node a member.
+// The publishing side of a feed: takes subscribers on one address, brings each up to date, and hands every
+// new item to all of them. A subscription is the session that makes a node a member.
 #pragma once
 #include "feed/feed_log.hpp"
 #include "feed/flush_plan.hpp"
@@ -19,15 +19,17 @@
 class Publisher {
   public:
     struct Options {
-        Tenths heartbeat = 0; // between heartbeats; 0 for none, where a dead peer shows itself by its closed link
-        Tenths silence = 0;   // after which a subscriber counts as gone
+        Tenths heartbeat =
+            0; // between heartbeats; 0 for none, where a dead peer shows itself by its closed link
+        Tenths silence = 0;       // after which a subscriber counts as gone
         Tenths load_delay = 1000; // loads and lists of nodes wait so long for company
-        Tenths least_gap = 300;   // everything else goes at once, but so long after what went before at the least
+        Tenths least_gap =
+            300; // everything else goes at once, but so long after what went before at the least
     };
     struct Callbacks {
         std::function<std::optional<std::string>()> refuse; // why no subscriber is taken now, or nothing
         std::function<void()> sessions_changed;
-        std::function<Digests()> digests;                         // of the instances known here
+        std::function<Digests()> digests;                                   // of the instances known here
         std::function<void(const std::vector<model::Instance>&)> instances; // that a subscriber knows
         std::function<void(const std::vector<model::Load>&)> loads;
     };
@@ -65,7 +67,8 @@
     std::map<std::uint64_t, Subscriber> subscribers_;
     std::uint64_t count_ = 0;
     std::uint64_t flushed_ = 0; // place up to which `flush` has gone
-    std::string snapshot_; // one frame for all who start within a moment; what came after it follows by itself
+    std::string
+        snapshot_; // one frame for all who start within a moment; what came after it follows by itself
     std::uint64_t snapshot_place_ = 0;
     std::int64_t snapshot_version_ = 0; // of its configuration
     Tenths snapshot_at_ = 0;
--- a/src/feed/subscriber.cpp
+++ b/src/feed/subscriber.cpp
@@ -36,8 +36,8 @@
     callbacks.received = [this](Message message) { received(std::move(message)); };
     callbacks.ended = [this](const std::string& reason) { link_ended(reason); };
     in_step_ = false;
-    link_ = std::make_unique<Link>(reactor_, descriptor, transport::Stream::Start::kConnecting, options_.silence,
-                                   std::move(callbacks));
+    link_ = std::make_unique<Link>(reactor_, descriptor, transport::Stream::Start::kConnecting,
+                                   options_.silence, std::move(callbacks));
     reactor_.cancel(timer_);
     timer_ = reactor_.call_after(options_.connect_patience, [this] {
         if (!in_step_ && link_ != nullptr) link_->end("no answer in time");
--- a/src/feed/subscriber.hpp
+++ b/src/feed/subscriber.hpp
@@ -1,5 +1,6 @@
-// The subscribing side of a feed: keeps one link to one of several publishers, goes elsewhere when that one is silent or
-// refuses, and keeps the tables. After a link has ended the tables stay as they were: old news is better than none.
+// The subscribing side of a feed: keeps one link to one of several publishers, goes elsewhere when that one
+// is silent or refuses, and keeps the tables. After a link has ended the tables stay as they were: old news
+// is better than none.
 #pragma once
 #include "feed/link.hpp"
 #include "feed/tables.hpp"
@@ -16,11 +17,11 @@
   public:
     struct Options {
         model::EdgeNode node;
-        Tenths heartbeat = 0;             // 0: none is sent
-        Tenths silence = 0;               // 0: the link ends only when it is closed
-        Tenths connect_patience = 5000;   // for a connection, and for the first batch after it
+        Tenths heartbeat = 0;                           // 0: none is sent
+        Tenths silence = 0;                             // 0: the link ends only when it is closed
+        Tenths connect_patience = 5000;                 // for a connection, and for the first batch after it
         Tenths first_pause = 500, longest_pause = 5000; // between rounds over all publishers
-        bool offers_records = false;      // of instances that the publisher lacks
+        bool offers_records = false;                    // of instances that the publisher lacks
     };
     struct Callbacks {
         std::function<std::vector<std::string>()> publishers; // addresses, in the order to try
--- a/src/feed/tables.cpp
+++ b/src/feed/tables.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr Tenths kGoneSpan = 60 * kTenthsPerSecond; // what is gone is remembered so long, for records that come late
+constexpr Tenths kGoneSpan =
+    60 * kTenthsPerSecond; // what is gone is remembered so long, for records that come late
 
 } // namespace
 
@@ -23,7 +24,8 @@
     for (const Item& item : batch.items) apply_item(item, applied, now);
     if (batch.snapshot) drop_unnamed(batch, applied, now);
     feed_ = batch.feed, place_ = batch.place;
-    for (const std::string& id : instances_.forget_gone(kGoneSpan, now)) loads_.erase(id);
+    applied.expired = instances_.forget_gone(kGoneSpan, now);
+    for (const std::string& id : applied.expired) loads_.erase(id);
     return applied;
 }
 
--- a/src/feed/tables.hpp
+++ b/src/feed/tables.hpp
@@ -1,4 +1,5 @@
-// What a subscriber knows: everything that its feed has told, kept up by batches. A batch is applied whole or not at all.
+// What a subscriber knows: everything that its feed has told, kept up by batches. A batch is applied whole or
+// not at all.
 #pragma once
 #include "feed/feed_log.hpp"
 #include "feed/instance_table.hpp"
@@ -16,14 +17,17 @@
     struct Applied {
         bool fits = true; // else nothing was applied, and a snapshot is needed
         bool configuration = false, instances = false, loads = false, nodes = false; // what has changed
-        std::vector<Item> news; // with instances that a snapshot no longer names, as forgotten
+        std::vector<std::string> expired; // instances that were gone for so long that nothing is kept of them
+        std::vector<Item> news;           // with instances that a snapshot no longer names, as forgotten
     };
     Applied apply(const Batch& batch, Tenths now);
 
     std::uint64_t feed() const { return feed_; }
     std::uint64_t place() const { return place_; }
     void forget_place() { feed_ = place_ = 0; } // the next subscription starts from a snapshot
-    const std::shared_ptr<const model::Configuration>& configuration() const { return configuration_; } // or null
+    const std::shared_ptr<const model::Configuration>& configuration() const {
+        return configuration_;
+    } // or null
     const InstanceTable& instances() const { return instances_; }
     InstanceTable& instances() { return instances_; }
     const std::map<std::string, model::Load>& loads() const { return loads_; }
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -29,7 +29,8 @@
 
 Result<settings::Settings> read_settings(const std::string& path) {
     if (path.empty())
-        return error(ErrorKind::kInvalidInput, "IVYRILL_SETTINGS: not set; name the settings file there or by --settings");
+        return error(ErrorKind::kInvalidInput,
+                     "IVYRILL_SETTINGS: not set; name the settings file there or by --settings");
     return settings::read_file(path);
 }
 
@@ -89,7 +90,8 @@
 int check_config(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     const std::string text{std::istreambuf_iterator<char>(file), {}};
-    if (!file) return report(error(ErrorKind::kInvalidInput, path + ": can't be read; name a configuration file"));
+    if (!file)
+        return report(error(ErrorKind::kInvalidInput, path + ": can't be read; name a configuration file"));
     const auto configuration = configuration::parse(text);
     if (configuration.has_error()) return report(configuration.error());
     fmt::print("{}: version {}, {} routes, {} services\n", path, configuration.value().version,
@@ -120,7 +122,9 @@
     CLI::App* config = app.add_subcommand("check-config", "check an operator's configuration (JSON)");
     config->add_option("file", configuration, "the configuration")->required();
     config->callback([&] { status = check_config(configuration); });
-    app.add_subcommand("version", "print the version")->callback([] { fmt::print("ivyrill {}\n", IVYRILL_VERSION); });
+    app.add_subcommand("version", "print the version")->callback([] {
+        fmt::print("ivyrill {}\n", IVYRILL_VERSION);
+    });
     CLI11_PARSE(app, argc, argv);
     return status;
 }
--- a/src/http/call_server.cpp
+++ b/src/http/call_server.cpp
@@ -19,7 +19,8 @@
     stream.also_wake(&wake);
 }
 
-CallServer::CallServer(transport::Reactor& reactor, const std::string& address, Options options, Handler handler)
+CallServer::CallServer(transport::Reactor& reactor, const std::string& address, Options options,
+                       Handler handler)
     : reactor_(reactor), options_(options), handler_(std::move(handler)),
       listener_(std::make_unique<transport::Source>(reactor.loop(), transport::listen_at(address))) {
     accepting_ = accept_all();
@@ -69,7 +70,8 @@
             continue;
         }
         if (connection.stream.ended()) break;
-        const Tenths patience = connection.parser.begun() ? options_.request_patience : options_.idle_patience;
+        const Tenths patience =
+            connection.parser.begun() ? options_.request_patience : options_.idle_patience;
         const Tenths until = reactor_.now() + patience;
         const transport::WakeAt timer(reactor_, until, connection.wake);
         co_await connection.wake;
--- a/src/http/call_server.hpp
+++ b/src/http/call_server.hpp
@@ -1,5 +1,5 @@
-// An HTTP/1.1 server for calls: listens at one address, reads one request at a time from each connection, has it
-// handled, and answers. Bodies are held whole, up to a bound.
+// An HTTP/1.1 server for calls: listens at one address, reads one request at a time from each connection, has
+// it handled, and answers. Bodies are held whole, up to a bound.
 #pragma once
 #include "http/calls.hpp"
 #include "transport/reactor.hpp"
@@ -15,10 +15,10 @@
 class CallServer {
   public:
     struct Options {
-        std::size_t most_body = 8 * 1024 * 1024;  // bytes
-        std::size_t most_connections = 1000;      // further ones are closed at once
-        Tenths request_patience = 50'000;         // for a whole request once it has begun
-        Tenths idle_patience = 300'000;           // between requests
+        std::size_t most_body = 8 * 1024 * 1024; // bytes
+        std::size_t most_connections = 1000;     // further ones are closed at once
+        Tenths request_patience = 50'000;        // for a whole request once it has begun
+        Tenths idle_patience = 300'000;          // between requests
     };
     using Handler = std::function<transport::Async<Answer>(protocol::HttpMessage)>;
     CallServer(transport::Reactor& reactor, const std::string& address, Options options, Handler handler);
--- a/src/http/calls.hpp
+++ b/src/http/calls.hpp
@@ -1,5 +1,6 @@
-// Calls of servers, operators and the platform over HTTP: each is a pair of types, the call and its reply, behind one
-// generic handler that reads the one, has it carried out and writes the other. Errors become statuses by their kind.
+// Calls of servers, operators and the platform over HTTP: each is a pair of types, the call and its reply,
+// behind one generic handler that reads the one, has it carried out and writes the other. Errors become
+// statuses by their kind.
 #pragma once
 #include "base/result.hpp"
 #include "protocol/http.hpp"
@@ -41,12 +42,14 @@
         std::function<transport::Async<Answer>(const protocol::HttpMessage&, std::string)> handle;
     };
     template <class Call, class Reply>
-    static transport::Async<Answer> carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint, Result<Call> call);
+    static transport::Async<Answer> carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint,
+                                          Result<Call> call);
     std::vector<Entry> entries_;
 };
 
 template <class Call, class Reply>
-transport::Async<Answer> CallRouter::carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint, Result<Call> call) {
+transport::Async<Answer> CallRouter::carry(std::shared_ptr<const Endpoint<Call, Reply>> endpoint,
+                                           Result<Call> call) {
     if (call.has_error()) co_return error_answer(call.error());
     const Result<Reply> reply = co_await endpoint->carry_out(std::move(call.value()));
     if (reply.has_error()) co_return error_answer(reply.error());
@@ -55,9 +58,10 @@
 
 template <class Call, class Reply> void CallRouter::add(Endpoint<Call, Reply> endpoint) {
     auto shared = std::make_shared<const Endpoint<Call, Reply>>(std::move(endpoint));
-    entries_.push_back({shared->method, shared->path, [shared](const protocol::HttpMessage& message, std::string rest) {
-                            return carry<Call, Reply>(shared, shared->read(message, rest));
-                        }});
+    entries_.push_back(
+        {shared->method, shared->path, [shared](const protocol::HttpMessage& message, std::string rest) {
+             return carry<Call, Reply>(shared, shared->read(message, rest));
+         }});
 }
 
 } // namespace ivyrill::http
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -30,7 +30,9 @@
         return any;
     }
     // Nothing lies unread and nothing has ended: the next request may go over it.
-    bool quiet() { return stream_.up() && !stream_.hung_up() && !stream_.waiting_unread() && !parser_.begun(); }
+    bool quiet() {
+        return stream_.up() && !stream_.hung_up() && !stream_.waiting_unread() && !parser_.begun();
+    }
 
     Tenths idle_since = 0;
     Tenths idle_bound = 0; // the server's own, from Keep-Alive; 0 where it said none
--- a/src/model/configuration.hpp
+++ b/src/model/configuration.hpp
@@ -1,5 +1,6 @@
-// The operator's configuration as every process holds it: routes, services and what a client may send. The JSON that
-// the operator sends becomes this once, in src/configuration/; between processes it travels as CBOR.
+// The operator's configuration as every process holds it: routes, services and what a client may send. The
+// JSON that the operator sends becomes this once, in src/configuration/; between processes it travels as
+// CBOR.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -34,7 +35,9 @@
                         s.services, s.max_attempts, s.sticky, s.resumable, s.longest_gap_ms);
     }
     friend bool operator==(const Route&, const Route&) = default;
-    bool idempotent() const { return kind == RouteKind::kSafe || (kind == RouteKind::kStreaming && resumable); }
+    bool idempotent() const {
+        return kind == RouteKind::kSafe || (kind == RouteKind::kStreaming && resumable);
+    }
 };
 
 // What the servers of a service are, where they run models.
@@ -75,7 +78,9 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     ClientLimits limits;
-    template <class Self> static auto tie(Self& s) { return std::tie(s.version, s.routes, s.services, s.limits); }
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.version, s.routes, s.services, s.limits);
+    }
     friend bool operator==(const Configuration&, const Configuration&) = default;
 };
 
--- a/src/model/instance.hpp
+++ b/src/model/instance.hpp
@@ -1,4 +1,5 @@
-// A model server as its own heartbeats describe it, its load as it reports it, and the nodes of the system itself.
+// A model server as its own heartbeats describe it, its load as it reports it, and the nodes of the system
+// itself.
 #pragma once
 #include <cstdint>
 #include <string>
@@ -38,11 +39,13 @@
     // The sequence number of the heartbeat that last changed anything above; orders records of one instance.
     std::uint64_t revision = 0;
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.id, s.service, s.address, s.zone, s.software_version, s.slots, s.state, s.stage, s.models,
-                        s.revision);
+        return std::tie(s.id, s.service, s.address, s.zone, s.software_version, s.slots, s.state, s.stage,
+                        s.models, s.revision);
     }
     friend bool operator==(const Instance&, const Instance&) = default;
-    bool may_be_sent_to() const { return state == InstanceState::kServing || state == InstanceState::kSilent; }
+    bool may_be_sent_to() const {
+        return state == InstanceState::kServing || state == InstanceState::kSilent;
+    }
 };
 
 // Whether `fresh` replaces `known` (of the same id).
@@ -66,7 +69,9 @@
 struct EdgeNode {
     std::string name, zone, address;
     std::uint64_t incarnation = 0; // of its agent process
-    template <class Self> static auto tie(Self& s) { return std::tie(s.name, s.zone, s.address, s.incarnation); }
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.name, s.zone, s.address, s.incarnation);
+    }
     friend auto operator<=>(const EdgeNode&, const EdgeNode&) = default;
 };
 
--- a/src/proxy/client_request.cpp
+++ b/src/proxy/client_request.cpp
@@ -11,17 +11,20 @@
 namespace {
 
 constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
-constexpr std::int64_t kMostPromptTokens = 1'000'000'000; // of all parts together: far beyond any server's memory
+constexpr std::int64_t kMostPromptTokens =
+    1'000'000'000; // of all parts together: far beyond any server's memory
 
 // Of one connection only (RFC 9110, 7.6.1).
 constexpr std::array<std::string_view, 9> kHopByHop{"connection", "keep-alive",        "proxy-connection",
                                                     "te",         "transfer-encoding", "upgrade",
                                                     "trailer",    "content-length",    "expect"};
 // The system's to set, whatever a client sent.
-constexpr std::array<std::string_view, 7> kSystemHeaders{"serving-stage", "kv-from",        "target-instance", "priority",
-                                                         "deadline-ms",   "expect-version", "last-event-id"};
+constexpr std::array<std::string_view, 7> kSystemHeaders{"serving-stage", "kv-from",     "target-instance",
+                                                         "priority",      "deadline-ms", "expect-version",
+                                                         "last-event-id"};
 
-template <std::size_t Size> bool is_one_of(const std::array<std::string_view, Size>& names, std::string_view name) {
+template <std::size_t Size>
+bool is_one_of(const std::array<std::string_view, Size>& names, std::string_view name) {
     return std::ranges::find(names, name) != names.end();
 }
 
@@ -31,7 +34,8 @@
         const std::size_t end = std::min(list.find(',', begin), list.size());
         std::string item;
         for (const char letter : list.substr(begin, end - begin))
-            if (letter != ' ' && letter != '\t') item.push_back(letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter);
+            if (letter != ' ' && letter != '\t')
+                item.push_back(letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter);
         if (item == name) return true;
         begin = end + 1;
     }
@@ -45,7 +49,8 @@
     return number;
 }
 
-// `ID:TOKENS`, separated by commas; what can't be read ends the list, for it guides the choice and nothing else.
+// `ID:TOKENS`, separated by commas; what can't be read ends the list, for it guides the choice and nothing
+// else.
 std::vector<replica_selection::PromptPart> read_prompt(std::string_view text) {
     std::vector<replica_selection::PromptPart> parts;
     std::int64_t left = kMostPromptTokens;
@@ -101,7 +106,8 @@
     if (!forwarding.last_event_id.empty())
         out.append("last-event-id: ").append(forwarding.last_event_id).append("\r\n");
     if (forwarding.tells_priority) out.append(fmt::format("priority: {}\r\n", forwarding.priority));
-    const bool has_body = !message.body.empty() || message.times("content-length") + message.times("transfer-encoding") > 0;
+    const bool has_body =
+        !message.body.empty() || message.times("content-length") + message.times("transfer-encoding") > 0;
     if (has_body) out.append(fmt::format("content-length: {}\r\n", message.body.size()));
     return out.append("\r\n").append(message.body);
 }
@@ -111,7 +117,8 @@
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, reason_of(answer.status));
     for (const auto& [name, value] : answer.headers) {
         if (is_one_of(kHopByHop, name)) continue;
-        if (!listed.empty() && name != "server-seal" && name != "attempt-id" && is_listed(listed, name)) continue;
+        if (!listed.empty() && name != "server-seal" && name != "attempt-id" && is_listed(listed, name))
+            continue;
         out.append(name).append(": ").append(value).append("\r\n");
     }
     if (length)
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -37,8 +37,8 @@
 // Head and body, ready to be sent.
 std::string server_request(const ClientRequest& request, const Forwarding& forwarding);
 
-// The head of the answer to the client: the server's status and headers but for those of one connection. `length`: of
-// the body; without one it goes in chunks, or (to HTTP/1.0) until the connection ends.
+// The head of the answer to the client: the server's status and headers but for those of one connection.
+// `length`: of the body; without one it goes in chunks, or (to HTTP/1.0) until the connection ends.
 std::string answer_head(const protocol::HttpMessage& answer, std::optional<std::size_t> length, bool close);
 std::string chunk(std::string_view bytes);
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -12,11 +12,12 @@
 constexpr std::size_t kMostUnread = 64 * 1024;
 constexpr std::size_t kMostUnsent = 1024 * 1024;
 constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
-constexpr Tenths kCloseSpan = 20'000;  // for the client to read the end and close
-constexpr Tenths kBodySpan = 600'000;  // for a whole body once its head is there
+constexpr Tenths kCloseSpan = 20'000; // for the client to read the end and close
+constexpr Tenths kBodySpan = 600'000; // for a whole body once its head is there
 
 protocol::HttpParser::Limits parser_limits(const model::ClientLimits& limits) {
-    return {static_cast<std::size_t>(limits.max_header_bytes), static_cast<std::size_t>(limits.max_body_bytes)};
+    return {static_cast<std::size_t>(limits.max_header_bytes),
+            static_cast<std::size_t>(limits.max_body_bytes)};
 }
 
 model::ClientLimits limits_of(const Context& context) {
@@ -27,7 +28,8 @@
 
 ClientSession::ClientSession(Context& context, int descriptor, std::function<void(ClientSession&)> over)
     : context_(context), over_(std::move(over)), wake_(context.reactor.loop()),
-      stream_(context.reactor.loop(), descriptor, transport::Stream::Start::kConnected, kMostUnread, kMostUnsent),
+      stream_(context.reactor.loop(), descriptor, transport::Stream::Start::kConnected, kMostUnread,
+              kMostUnsent),
       parser_(protocol::HttpParser::Side::kRequests, parser_limits(limits_of(context))) {
     stream_.also_wake(&wake_);
 }
@@ -96,8 +98,8 @@
     const bool close = message.close || context_.ending || old_version;
     ExchangeEnd end = ExchangeEnd::kBreakOff;
     {
-        Exchange exchange(context_, stream_, wake_, read_client_request(std::move(message), context_.reactor.now()),
-                          close);
+        Exchange exchange(context_, stream_, wake_,
+                          read_client_request(std::move(message), context_.reactor.now()), close);
         end = co_await exchange.run();
     }
     if (end == ExchangeEnd::kBreakOff) {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::size_t kMostEventBytes = 1024 * 1024;
-constexpr Tenths kComeBack = 500;        // 50 ms: when a rejected client may return, at the least
+constexpr Tenths kComeBack = 500; // 50 ms: when a rejected client may return, at the least
 constexpr Tenths kNoServerComeBack = 3000;
-constexpr int kMostUnreachable = 6;      // servers that no connection came up to, before giving up
+constexpr int kMostUnreachable = 6; // servers that no connection came up to, before giving up
 constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
 
 } // namespace
@@ -65,8 +65,10 @@
         }
         if (now() >= deadline_) co_return give_up();
         if (static_cast<std::int64_t>(sent_to_.size()) >= route_->max_attempts) {
-            // No further server may be sent this try; one that it was sent to may, where it has not run there.
-            const auto left = std::ranges::find_if(sent_to_, [&](const auto& id) { return !tried_.contains(id); });
+            // No further server may be sent this try; one that it was sent to may, where it has not run
+            // there.
+            const auto left =
+                std::ranges::find_if(sent_to_, [&](const auto& id) { return !tried_.contains(id); });
             if (left == sent_to_.end()) co_return give_up();
             const replica_selection::Pair same{"", *left, 0};
             bool again = false;
@@ -74,9 +76,11 @@
             if (!again) co_return end;
             continue;
         }
-        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_, sends_ == 0 && handle_.empty() && tried_.empty(), now());
+        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_,
+                                                     sends_ == 0 && handle_.empty() && tried_.empty(), now());
         if (std::holds_alternative<replica_selection::NoServer>(choice))
-            co_return may_have_run_ ? fail(502, "no server is left") : reject(kNoServerComeBack, "no server is known");
+            co_return may_have_run_ ? fail(502, "no server is left")
+                                    : reject(kNoServerComeBack, "no server is known");
         if (const auto* late = std::get_if<replica_selection::Overloaded>(&choice))
             co_return reject(std::max(late->come_back, kComeBack), "too much to read now");
         if (const auto* backlogged = std::get_if<replica_selection::Backlogged>(&choice)) {
@@ -110,10 +114,14 @@
     if (fetches && reader == nullptr) handle_.clear();
     const bool has_stages = context_.selector.instance(pair.runner) != nullptr &&
                             context_.selector.instance(pair.runner)->stage != model::Stage::kNone;
-    const Work work = !has_stages ? Work::kPlain : forwarding.kv_from.empty() ? Work::kReadAndRun : Work::kFetchAndRun;
+    const Work work = !has_stages                  ? Work::kPlain
+                      : forwarding.kv_from.empty() ? Work::kReadAndRun
+                                                   : Work::kFetchAndRun;
     forwarding.last_event_id = last_event_id_;
     std::optional<double> tokens = 0;
-    if (work == Work::kReadAndRun) tokens = pair.reader.empty() && pair.tokens_to_read > 0 ? std::optional(pair.tokens_to_read) : std::nullopt;
+    if (work == Work::kReadAndRun)
+        tokens = pair.reader.empty() && pair.tokens_to_read > 0 ? std::optional(pair.tokens_to_read)
+                                                                : std::nullopt;
     const CallEnd end = co_await call(pair.runner, work, std::move(forwarding), tokens, route_->idempotent());
     switch (end) {
     case CallEnd::kAnswer: {
@@ -211,9 +219,10 @@
     auto connection = context_.connections.take_idle(reader_, kTenthsPerSecond);
     if (!connection) connection = context_.connections.open(reader->address);
     if (!connection) return;
-    connection->stream().send(fmt::format("DELETE /kv-handle/{} HTTP/1.1\r\nhost: {}\r\ntarget-instance: {}\r\n"
-                                          "content-length: 0\r\n\r\n",
-                                          handle, reader->address, reader_));
+    connection->stream().send(
+        fmt::format("DELETE /kv-handle/{} HTTP/1.1\r\nhost: {}\r\ntarget-instance: {}\r\n"
+                    "content-length: 0\r\n\r\n",
+                    handle, reader->address, reader_));
     // Its answer is of no interest; the connection is freed once it has had time to leave.
     auto held = std::make_shared<std::unique_ptr<http::ClientConnection>>(std::move(connection));
     context_.reactor.call_after(kTenthsPerSecond / 2, [held] { held->reset(); });
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -1,6 +1,6 @@
-// One client's request from its choice of servers to the end of its answer. It is given one final answer: nothing that
-// may have run is sent again unless its route allows it, and a stream goes on at another server only after its last
-// whole event.
+// One client's request from its choice of servers to the end of its answer. It is given one final answer:
+// nothing that may have run is sent again unless its route allows it, and a stream goes on at another server
+// only after its last whole event.
 #pragma once
 #include "http/event_stream.hpp"
 #include "proxy/client_request.hpp"
@@ -22,20 +22,21 @@
 
 class Exchange {
   public:
-    // `client` and `wake` (which the client's stream wakes) must outlive it. `close`: the answer says that the
-    // connection ends after it.
-    Exchange(Context& context, transport::Stream& client, transport::Slot& wake, ClientRequest request, bool close);
+    // `client` and `wake` (which the client's stream wakes) must outlive it. `close`: the answer says that
+    // the connection ends after it.
+    Exchange(Context& context, transport::Stream& client, transport::Slot& wake, ClientRequest request,
+             bool close);
     ~Exchange();
     transport::Async<ExchangeEnd> run();
 
   private:
     enum class CallEnd : std::uint8_t {
-        kAnswer,    // `answer_` holds its head, `connection_` the rest
-        kNotRun,    // the server says that it has not run it
+        kAnswer,      // `answer_` holds its head, `connection_` the rest
+        kNotRun,      // the server says that it has not run it
         kMisdirected, // another server has the address: the one that was meant is gone
-        kNeverSent, // no byte of it left
-        kBroken,    // it may have run
-        kSilent,    // no word for as long as this call may wait; it may have run
+        kNeverSent,   // no byte of it left
+        kBroken,      // it may have run
+        kSilent,      // no word for as long as this call may wait; it may have run
         kOutOfTime,
         kClientGone
     };
@@ -45,9 +46,11 @@
     // `pair` must outlive the call. (GCC 12 destroys a braced temporary in a co_await expression twice.)
     transport::Async<ExchangeEnd> serve_with(const replica_selection::Pair& pair, bool& again);
     transport::Async<bool> read_prompt(const replica_selection::Pair& pair); // true where `handle_` was set
-    // `may_leave`: it may be given up for another server once this one has been silent for longer than it should be.
-    transport::Async<CallEnd> call(const std::string& instance, replica_selection::Work work, Forwarding forwarding,
-                                   std::optional<double> tokens_to_read, bool may_leave);
+    // `may_leave`: it may be given up for another server once this one has been silent for longer than it
+    // should be.
+    transport::Async<CallEnd> call(const std::string& instance, replica_selection::Work work,
+                                   Forwarding forwarding, std::optional<double> tokens_to_read,
+                                   bool may_leave);
     transport::Async<bool> connect(const std::string& instance, const model::Instance& record);
     transport::Async<CallEnd> await_head(bool may_leave);
     Tenths silent_at() const; // when the present attempt counts as silent
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr Tenths kShortestConnect = 1000, kLongestConnect = 5000; // patience for a connection
-constexpr double kSilentShare = 0.6;  // of the latency target without a word, before another server is asked
+constexpr double kSilentShare = 0.6;   // of the latency target without a word, before another server is asked
 constexpr Tenths kSilentResponses = 4; // ... and expected responses
-constexpr Tenths kIdleForOnce = 20'000;  // a connection that rested for longer may be forgotten without a word
+constexpr Tenths kIdleForOnce = 20'000; // a connection that rested for longer may be forgotten without a word
 constexpr Tenths kIdleForRepeat = 60'000; // ... which costs nothing where the request may be sent again
 
 // `timeout=N`, whole seconds.
@@ -49,7 +49,8 @@
     co_return true;
 }
 
-transport::Async<Exchange::CallEnd> Exchange::call(const std::string& instance, Work work, Forwarding forwarding,
+transport::Async<Exchange::CallEnd> Exchange::call(const std::string& instance, Work work,
+                                                   Forwarding forwarding,
                                                    std::optional<double> tokens_to_read, bool may_leave) {
     end_call(false);
     const model::Instance* record = context_.selector.instance(instance);
@@ -102,8 +103,9 @@
 }
 
 Tenths Exchange::silent_at() const {
-    const Tenths patience = std::max(static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target)),
-                                     kSilentResponses * context_.selector.expected_response(attempt_));
+    const Tenths patience =
+        std::max(static_cast<Tenths>(kSilentShare * static_cast<double>(profile_.latency_target)),
+                 kSilentResponses * context_.selector.expected_response(attempt_));
     return context_.selector.silent_since(attempt_) + patience;
 }
 
--- a/src/proxy/exchange_relay.cpp
+++ b/src/proxy/exchange_relay.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kHeldBack = 256 * 1024; // of a plain answer, while it may still be asked for elsewhere
+constexpr std::size_t kHeldBack = 256 * 1024;  // of a plain answer, while it may still be asked for elsewhere
 constexpr std::size_t kClientRoom = 64 * 1024; // that a slow client must leave before more is read for it
 
 bool promises_not_run(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
@@ -68,7 +68,8 @@
         if (complete || parser.broken() != 0 || connection_->stream().ended()) co_return RelayEnd::kCutOff;
         if (client_gone()) co_return RelayEnd::kClientGone;
         if (now() >= deadline_) co_return RelayEnd::kOutOfTime;
-        if (client_.room() < kClientRoom && !co_await await_client_room(kClientRoom)) co_return RelayEnd::kClientGone;
+        if (client_.room() < kClientRoom && !co_await await_client_room(kClientRoom))
+            co_return RelayEnd::kClientGone;
         co_await wait(deadline_);
     }
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr std::size_t kMostOut = 16 * 1024 * 1024; // one request with the longest body that may be configured
-constexpr Tenths kOutOfRotation = 26'000; // after which the platform, which asks each second, has taken this node out
-constexpr Tenths kEndMargin = 5000;       // before the platform kills
+constexpr Tenths kOutOfRotation =
+    26'000; // after which the platform, which asks each second, has taken this node out
+constexpr Tenths kEndMargin = 5000; // before the platform kills
 constexpr Tenths kEndCheck = 500;
 constexpr Tenths kLogInterval = 100'000;
 
@@ -30,15 +31,15 @@
 } // namespace
 
 Proxy::Proxy(transport::Reactor& reactor, const settings::Settings& settings)
-    : reactor_(reactor), settings_(settings),
-      context_{reactor,
-               nullptr,
-               replica_selection::PairSelector(draw()),
-               replica_selection::RetryBudget(budget_terms(settings.bounds)),
-               ServerConnections(reactor, kMostOut),
-               Pcg(draw()),
-               {},
-               false} {
+    : reactor_(reactor),
+      settings_(settings), context_{reactor,
+                                    nullptr,
+                                    replica_selection::PairSelector(draw()),
+                                    replica_selection::RetryBudget(budget_terms(settings.bounds)),
+                                    ServerConnections(reactor, kMostOut),
+                                    Pcg(draw()),
+                                    {},
+                                    false} {
     context_.connections.start();
     open_feed();
     open_ready();
@@ -67,7 +68,8 @@
         {"GET", "/ready",
          [](const protocol::HttpMessage&, const std::string&) { return Result<ReadyCall>(ReadyCall{}); },
          [this](ReadyCall) -> transport::Async<Result<ReadyReply>> {
-             if (!ready()) co_return error(ErrorKind::kUnavailable, "no configuration is known yet, or this node ends");
+             if (!ready())
+                 co_return error(ErrorKind::kUnavailable, "no configuration is known yet, or this node ends");
              co_return ReadyReply{};
          },
          [](const ReadyReply&) { return http::Answer{}; }});
@@ -77,13 +79,15 @@
 }
 
 void Proxy::open_front() {
-    front_ = std::make_unique<transport::Listener>(reactor_, settings_.listen_addrs.at("front"), [this](int descriptor) {
-        const auto over = [this](ClientSession& session) {
-            reactor_.free_later(
-                [this, &session] { sessions_.remove_if([&](const ClientSession& other) { return &other == &session; }); });
-        };
-        sessions_.emplace_back(context_, descriptor, over).start();
-    });
+    front_ = std::make_unique<transport::Listener>(
+        reactor_, settings_.listen_addrs.at("front"), [this](int descriptor) {
+            const auto over = [this](ClientSession& session) {
+                reactor_.free_later([this, &session] {
+                    sessions_.remove_if([&](const ClientSession& other) { return &other == &session; });
+                });
+            };
+            sessions_.emplace_back(context_, descriptor, over).start();
+        });
 }
 
 void Proxy::applied(const feed::Tables::Applied& applied) {
@@ -116,7 +120,8 @@
     end_when_done();
 }
 
-// New connections come until the platform has noticed; then only what is under way is awaited, within the grace.
+// New connections come until the platform has noticed; then only what is under way is awaited, within the
+// grace.
 void Proxy::end_when_done() {
     const Tenths passed = reactor_.now() - ending_since_;
     const auto grace = static_cast<Tenths>(settings_.bounds.grace_s * kTenthsPerSecond);
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -1,5 +1,6 @@
-// The program `proxy`: takes clients' requests on an edge machine, decides by the replica selection where each goes, and
-// follows its agent's feed. It says that it is ready once it knows a configuration and is not told to end.
+// The program `proxy`: takes clients' requests on an edge machine, decides by the replica selection where
+// each goes, and follows its agent's feed. It says that it is ready once it knows a configuration and is not
+// told to end.
 #pragma once
 #include "feed/subscriber.hpp"
 #include "http/call_server.hpp"
--- a/src/proxy/server_connections.cpp
+++ b/src/proxy/server_connections.cpp
@@ -12,7 +12,9 @@
 constexpr Tenths kIdleMargin = 10'000;  // before the server's own bound, which it counts in whole seconds
 
 bool rested_too_long(const http::ClientConnection& connection, Tenths now) {
-    const Tenths bound = connection.idle_bound > 0 ? std::min(kLongestIdle, connection.idle_bound - kIdleMargin) : kLongestIdle;
+    const Tenths bound = connection.idle_bound > 0
+                             ? std::min(kLongestIdle, connection.idle_bound - kIdleMargin)
+                             : kLongestIdle;
     return now - connection.idle_since >= bound;
 }
 
@@ -22,7 +24,8 @@
 
 void ServerConnections::start() { close_idle(); }
 
-std::unique_ptr<http::ClientConnection> ServerConnections::take_idle(const std::string& instance, Tenths longest_idle) {
+std::unique_ptr<http::ClientConnection> ServerConnections::take_idle(const std::string& instance,
+                                                                     Tenths longest_idle) {
     const auto found = idle_.find(instance);
     if (found == idle_.end()) return nullptr;
     auto& connections = found->second;
@@ -40,7 +43,8 @@
     return http::ClientConnection::open(reactor_, address, most_out_);
 }
 
-void ServerConnections::give_back(const std::string& instance, std::unique_ptr<http::ClientConnection> connection) {
+void ServerConnections::give_back(const std::string& instance,
+                                  std::unique_ptr<http::ClientConnection> connection) {
     if (!connection->quiet() || connection->stream().unwritten() > 0) return discard(std::move(connection));
     connection->stream().also_wake(nullptr);
     connection->idle_since = reactor_.now();
--- a/src/proxy/server_connections.hpp
+++ b/src/proxy/server_connections.hpp
@@ -1,5 +1,5 @@
-// Connections to servers, kept for further requests. A server is known by its instance id, so that one that took over an
-// address is never spoken to over its predecessor's connection.
+// Connections to servers, kept for further requests. A server is known by its instance id, so that one that
+// took over an address is never spoken to over its predecessor's connection.
 #pragma once
 #include "http/client_connection.hpp"
 #include "transport/reactor.hpp"
@@ -14,7 +14,8 @@
 
 class ServerConnections {
   public:
-    ServerConnections(transport::Reactor& reactor, std::size_t most_out) : reactor_(reactor), most_out_(most_out) {}
+    ServerConnections(transport::Reactor& reactor, std::size_t most_out)
+        : reactor_(reactor), most_out_(most_out) {}
     ~ServerConnections();
 
     // One that rests since at most `longest_idle`, proven quiet; null without one.
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -10,16 +10,18 @@
 
 constexpr double kFresh = 0.3;        // weight of an answer in a server's means
 constexpr double kUnheardShare = 0.1; // of the latency target: expected time while nobody was heard
-constexpr double kUnheardTokens = 8000; // a prompt of such a length takes the expected time while nobody was heard
-constexpr double kReadAtRunner = 2;     // a runner reads at half the pace (PROTOCOL, prefill and decode)
-constexpr double kZoneFactor = 2;     // of a move between zones (PROTOCOL)
-constexpr double kFarFactor = 1.5;    // ours: a runner in another zone has to be so much better to be moved to
-constexpr Tenths kRefusedRest = 200;  // doubled for each refusal in a row
+constexpr double kUnheardTokens =
+    8000; // a prompt of such a length takes the expected time while nobody was heard
+constexpr double kReadAtRunner = 2;  // a runner reads at half the pace (PROTOCOL, prefill and decode)
+constexpr double kZoneFactor = 2;    // of a move between zones (PROTOCOL)
+constexpr double kFarFactor = 1.5;   // ours: a runner in another zone has to be so much better to be moved to
+constexpr Tenths kRefusedRest = 200; // doubled for each refusal in a row
 constexpr Tenths kUnreachableRest = 2500;
 constexpr Tenths kMisdirectedRest = 100'000; // until the list tells of its end
 constexpr int kMostDoublings = 4;
-constexpr double kMostTargets = 0.8;       // expected latency targets until the prompt is read, from which some are rejected
-constexpr double kLongestComeBack = 3000;  // tenths of a millisecond
+constexpr double kMostTargets =
+    0.8; // expected latency targets until the prompt is read, from which some are rejected
+constexpr double kLongestComeBack = 3000; // tenths of a millisecond
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
 
@@ -77,11 +79,12 @@
 
 const model::Engine* PairSelector::engine(const std::string& service) const {
     const auto found = services_.find(service);
-    return found == services_.end() || !found->second.service.engine ? nullptr : &*found->second.service.engine;
+    return found == services_.end() || !found->second.service.engine ? nullptr
+                                                                     : &*found->second.service.engine;
 }
 
-Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over, bool fresh,
-                            Tenths now) {
+Choice PairSelector::choose(const Request& request, const std::set<std::string>& tried, bool may_hand_over,
+                            bool fresh, Tenths now) {
     const Candidates found = candidates(request, tried, now);
     if (const auto pair = best_pair(request, found, may_hand_over, now)) {
         if (fresh)
@@ -93,8 +96,8 @@
     return Backlogged{(now / kWindow + 1) * kWindow};
 }
 
-// Where more comes than can be read, a queue only makes everything late. So many are turned away at once that the rest
-// is served in time; what is let in tells how long it takes now.
+// Where more comes than can be read, a queue only makes everything late. So many are turned away at once that
+// the rest is served in time; what is let in tells how long it takes now.
 std::optional<Overloaded> PairSelector::overloaded(const Request& request, const Pair& pair, Tenths now) {
     if (pair.reader.empty() && streams(request)) return std::nullopt;
     const Server& reader = servers_.at(pair.reader.empty() ? pair.runner : pair.reader);
@@ -108,11 +111,13 @@
 
 bool PairSelector::streams(const Request& request) { return request.output_tokens > request.prompt_tokens(); }
 
-// A pair of two servers competes with each runner that reads the prompt itself: a hand-over has to earn its way.
-std::optional<Pair> PairSelector::best_pair(const Request& request, const Candidates& candidates, bool may_hand_over,
-                                            Tenths now) {
+// A pair of two servers competes with each runner that reads the prompt itself: a hand-over has to earn its
+// way.
+std::optional<Pair> PairSelector::best_pair(const Request& request, const Candidates& candidates,
+                                            bool may_hand_over, Tenths now) {
     const bool apart = !streams(request);
-    const auto& runners = candidates.stream_runners.empty() ? candidates.reading_runners : candidates.stream_runners;
+    const auto& runners =
+        candidates.stream_runners.empty() ? candidates.reading_runners : candidates.stream_runners;
     if (runners.empty()) {
         const auto plain = best_of(candidates.plain, request, Work::kPlain, nullptr, now);
         if (!plain) return std::nullopt;
@@ -122,7 +127,8 @@
     std::optional<Scored> alone;
     if (!apart || !candidates.reading_runners.empty() || !hands_over) {
         const bool elsewhere = apart && !candidates.reading_runners.empty();
-        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun, candidates.home, now);
+        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun,
+                        candidates.home, now);
         if (!hands_over) return Pair{"", alone->server->instance.id, alone->tokens};
     }
     const auto reader = best_of(candidates.readers, request, Work::kReadOnly, candidates.home, now);
@@ -139,8 +145,9 @@
     return Pair{reader->server->instance.id, runner->instance.id, reader->tokens};
 }
 
-std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers, const Request& request,
-                                                          Work work, const Server* home, Tenths now) {
+std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers,
+                                                          const Request& request, Work work,
+                                                          const Server* home, Tenths now) {
     std::optional<Scored> best;
     int ties = 1;
     for (Server* server : servers) {
@@ -186,8 +193,10 @@
     return static_cast<double>(server.unanswered.size()) + static_cast<double>(server.running) / slots;
 }
 
-double PairSelector::score(const Server& server, const Request& request, Work work, double tokens, Tenths now) const {
-    const double usual = usual_time(work, tokens, work != Work::kReadOnly && streams(request), request.latency_target);
+double PairSelector::score(const Server& server, const Request& request, Work work, double tokens,
+                           Tenths now) const {
+    const double usual =
+        usual_time(work, tokens, work != Work::kReadOnly && streams(request), request.latency_target);
     const double service = server.estimates[index(work)].service * usual;
     const double waiting = 1 + outstanding(server) * edge_nodes_ + server.queue;
     return replica_selection::score(response_of(server, work, usual, now), service, waiting);
@@ -242,7 +251,8 @@
     server->refusals = server->failures = 0;
     server->limit.answered(now);
     if (server->unanswered.erase(number) > 0) ++server->running;
-    server->limit.adapt(now, static_cast<int>(server->unanswered.size()), backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
+    server->limit.adapt(now, static_cast<int>(server->unanswered.size()),
+                        backlog_at_ >= 0 && now - backlog_at_ <= 2 * kWindow);
 }
 
 void PairSelector::close(AttemptNo number) {
@@ -260,7 +270,8 @@
     // Given up on without an answer: what it took so far is the least that it would have taken.
     if (attempt != nullptr && !attempt->answered) {
         Server* server = find(attempt->server);
-        const double usual = usual_time(attempt->work, attempt->tokens, attempt->streams, attempt->latency_target);
+        const double usual =
+            usual_time(attempt->work, attempt->tokens, attempt->streams, attempt->latency_target);
         const double multiple = static_cast<double>(now - attempt->sent) / std::max(usual, 1.0);
         if (server != nullptr) {
             Estimate& estimate = server->estimates[index(attempt->work)];
@@ -297,7 +308,8 @@
     const auto found = attempts_.find(number);
     if (found == attempts_.end()) return 0;
     const auto server = servers_.find(found->second.server);
-    return server == servers_.end() ? found->second.sent : std::max(found->second.sent, server->second.last_answer);
+    return server == servers_.end() ? found->second.sent
+                                    : std::max(found->second.sent, server->second.last_answer);
 }
 
 Tenths PairSelector::expected_response(AttemptNo number) const {
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -1,6 +1,6 @@
-// Which pair of servers serves a request: one that reads its prompt and one that makes its tokens. Each role is ranked
-// by C3 (src/replica_selection/c3.hpp); docs/design.md lists what departs from it. Pure: clock and randomness are handed
-// in, and it is told of every send, answer, report and list.
+// Which pair of servers serves a request: one that reads its prompt and one that makes its tokens. Each role
+// is ranked by C3 (src/replica_selection/c3.hpp); docs/design.md lists what departs from it. Pure: clock and
+// randomness are handed in, and it is told of every send, answer, report and list.
 #pragma once
 #include "base/ids.hpp"
 #include "base/pcg.hpp"
@@ -120,10 +120,11 @@
     };
     struct Candidates {
         std::vector<Server*> readers, plain;
-        // A prompt that a runner reads holds up the tokens of all that run there, so those are kept apart: long answers
-        // run at a few servers, long prompts are read at the others.
+        // A prompt that a runner reads holds up the tokens of all that run there, so those are kept apart:
+        // long answers run at a few servers, long prompts are read at the others.
         std::vector<Server*> stream_runners, reading_runners;
-        const Server* home = nullptr; // the first of the prompt's homes: others' requests are read there as well
+        const Server* home =
+            nullptr;          // the first of the prompt's homes: others' requests are read there as well
         bool limited = false; // some were left out for their sending limit alone
     };
     enum class Rank : std::uint8_t { kGood, kAvoided, kSilent, kTried }; // the best that is there is used
@@ -139,7 +140,8 @@
 
     // pair_selector.cpp
     std::optional<Overloaded> overloaded(const Request& request, const Pair& pair, Tenths now);
-    std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over, Tenths now);
+    std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over,
+                                  Tenths now);
     std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
                                   const Server* home, Tenths now);
     double tokens_of(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
@@ -162,7 +164,7 @@
     std::uint64_t count_ = 0;
     // Over all servers, by work; answers of several events apart, as their first event holds many tokens.
     std::array<std::array<TimeModel, kWorks>, 2> times_;
-    Tenths backlog_at_ = -1;                  // when a request last found every server over its limit
+    Tenths backlog_at_ = -1; // when a request last found every server over its limit
 };
 
 } // namespace ivyrill::replica_selection
--- a/src/replica_selection/prompt_cache_view.cpp
+++ b/src/replica_selection/prompt_cache_view.cpp
@@ -26,7 +26,8 @@
     tokens_per_second_ = tokens_per_second_ * faded + fresh;
     last_use_ = now;
     const double seconds = static_cast<double>(memory_tokens) / std::max(tokens_per_second_, 1.0);
-    horizon_ = static_cast<Tenths>(std::min(seconds * kTenthsPerSecond, static_cast<double>(kLongestHorizon)));
+    horizon_ =
+        static_cast<Tenths>(std::min(seconds * kTenthsPerSecond, static_cast<double>(kLongestHorizon)));
     horizon_ = std::max(horizon_, kShortestHorizon);
     if (now - cleaned_ >= kCleanEvery) forget_old(now);
 }
--- a/src/replica_selection/prompt_cache_view.hpp
+++ b/src/replica_selection/prompt_cache_view.hpp
@@ -1,5 +1,6 @@
-// What this node believes a server holds of the prompts' shared parts: what it sent there lately itself. A server keeps
-// parts by least recent use, so how long one stays follows from the server's memory and the flow of tokens into it.
+// What this node believes a server holds of the prompts' shared parts: what it sent there lately itself. A
+// server keeps parts by least recent use, so how long one stays follows from the server's memory and the flow
+// of tokens into it.
 #pragma once
 #include "base/time.hpp"
 
--- a/src/replica_selection/retry_budget.hpp
+++ b/src/replica_selection/retry_budget.hpp
@@ -1,6 +1,6 @@
-// How many arrivals beyond the first of each request this node may cause. The bound is on all nodes together: each spends
-// the ratio on its own requests, and its part of the slack by the largest number of nodes that may share it, so that it
-// holds also while they can't hear each other.
+// How many arrivals beyond the first of each request this node may cause. The bound is on all nodes together:
+// each spends the ratio on its own requests, and its part of the slack by the largest number of nodes that
+// may share it, so that it holds also while they can't hear each other.
 #pragma once
 #include "base/time.hpp"
 
@@ -20,7 +20,8 @@
     explicit RetryBudget(Terms terms) : terms_(terms) {}
 
     void set_edge_nodes(std::size_t count, Tenths now) {
-        if (count >= nodes_ || now - nodes_at_ > 3 * terms_.window) nodes_ = std::max<std::size_t>(count, 1), nodes_at_ = now;
+        if (count >= nodes_ || now - nodes_at_ > 3 * terms_.window)
+            nodes_ = std::max<std::size_t>(count, 1), nodes_at_ = now;
     }
     void request(Tenths now) { note(requests_, now); }
     // Whether one more may go, which is then counted.
@@ -28,7 +29,8 @@
         forget(requests_, now), forget(further_, now);
         // Nodes that start anew have forgotten what they spent: room for some of them is left.
         const double share = terms_.slack / static_cast<double>(nodes_ + 1 + nodes_ / 4);
-        const double allowed = kSafety * terms_.ratio * static_cast<double>(requests_.size()) + kSafety * share;
+        const double allowed =
+            kSafety * terms_.ratio * static_cast<double>(requests_.size()) + kSafety * share;
         if (static_cast<double>(further_.size() + 1) > allowed) return false;
         further_.push_back(now);
         return true;
--- a/src/replica_selection/time_model.hpp
+++ b/src/replica_selection/time_model.hpp
@@ -1,5 +1,5 @@
-// How long one kind of work takes by its size: a fixed part and a part for each token, fitted by least squares over the
-// answers of all servers, with older ones forgotten.
+// How long one kind of work takes by its size: a fixed part and a part for each token, fitted by least
+// squares over the answers of all servers, with older ones forgotten.
 #pragma once
 #include <algorithm>
 
@@ -22,7 +22,7 @@
     double time(double tokens) const { return fixed_ + per_token_ * tokens; }
 
   private:
-    static constexpr double kKept = 0.995;      // of older answers' weight with each new one: 200 of them count
+    static constexpr double kKept = 0.995; // of older answers' weight with each new one: 200 of them count
     static constexpr double kLeastSpread = 100; // variance of tokens from which a slope is told from noise
     double weight_ = 0, x_ = 0, xx_ = 0, y_ = 0, xy_ = 0;
     double fixed_ = 0, per_token_ = 0;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -1,5 +1,6 @@
-// The settings file of one process (YAML, named by IVYRILL_SETTINGS), read into types and checked whole. Fields that
-// aren't known are left aside; what is missing or can't be served with is an error that names the key and the remedy.
+// The settings file of one process (YAML, named by IVYRILL_SETTINGS), read into types and checked whole.
+// Fields that aren't known are left aside; what is missing or can't be served with is an error that names the
+// key and the remedy.
 #pragma once
 #include "base/result.hpp"
 
--- a/src/transport/async.hpp
+++ b/src/transport/async.hpp
@@ -1,5 +1,5 @@
-// A coroutine that another one awaits for its result. It starts when awaited, and its frame is owned by the Async, so
-// that freeing the outermost coroutine frees all that it waits for.
+// A coroutine that another one awaits for its result. It starts when awaited, and its frame is owned by the
+// Async, so that freeing the outermost coroutine frees all that it waits for.
 #pragma once
 #include <coroutine>
 #include <exception>
--- a/src/transport/pending.hpp
+++ b/src/transport/pending.hpp
@@ -1,5 +1,5 @@
-// A result that comes later, awaited by one coroutine with a bound in time. Shared by whoever awaits and whoever
-// resolves, since either may be gone first.
+// A result that comes later, awaited by one coroutine with a bound in time. Shared by whoever awaits and
+// whoever resolves, since either may be gone first.
 #pragma once
 #include "transport/async.hpp"
 #include "transport/reactor.hpp"
--- a/src/transport/reactor.hpp
+++ b/src/transport/reactor.hpp
@@ -1,5 +1,5 @@
-// One process's event loop with what its coroutines need beside sockets: timers, a clock that stands still within a
-// turn, tasks that are freed once they have ended, and calls from other threads.
+// One process's event loop with what its coroutines need beside sockets: timers, a clock that stands still
+// within a turn, tasks that are freed once they have ended, and calls from other threads.
 #pragma once
 #include "transport/loop.hpp"
 #include "transport/task.hpp"
@@ -29,14 +29,16 @@
     Tenths overslept() const { return overslept_; }
 
     TimerId call_at(Tenths at, std::function<void()> call);
-    TimerId call_after(Tenths span, std::function<void()> call) { return call_at(now_ + span, std::move(call)); }
+    TimerId call_after(Tenths span, std::function<void()> call) {
+        return call_at(now_ + span, std::move(call));
+    }
     void cancel(TimerId id) { timers_.erase(id); }
     void spawn(Task task); // started at once; freed in a later turn than the one in which it ends
     void post(std::function<void()> call); // from any thread; runs in a turn of this loop
     // In a signal handler only: `on_signal` is called with the number in a turn of this loop.
     void handle_signals(const std::vector<int>& numbers, std::function<void(int)> on_signal);
 
-    void run();               // until stopped
+    void run(); // until stopped
     void stop() { stopped_ = true; }
     // To free something that a running coroutine stands on.
     void free_later(std::function<void()> call) { freed_later_.push_back(std::move(call)); }
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -24,11 +24,13 @@
 void Encoder::signed_number(std::int64_t value) {
     if (value >= 0) return unsigned_number(static_cast<std::uint64_t>(value));
     const auto below = static_cast<std::uint64_t>(-(value + 1));
-    append_head(out_, [&](unsigned char* to, std::size_t size) { return cbor_encode_negint(below, to, size); });
+    append_head(out_,
+                [&](unsigned char* to, std::size_t size) { return cbor_encode_negint(below, to, size); });
 }
 
 void Encoder::real(double value) {
-    append_head(out_, [&](unsigned char* to, std::size_t size) { return cbor_encode_double(value, to, size); });
+    append_head(out_,
+                [&](unsigned char* to, std::size_t size) { return cbor_encode_double(value, to, size); });
 }
 
 void Encoder::flag(bool value) {
@@ -43,7 +45,8 @@
 }
 
 void Encoder::list(std::size_t size) {
-    append_head(out_, [&](unsigned char* to, std::size_t room) { return cbor_encode_array_start(size, to, room); });
+    append_head(out_,
+                [&](unsigned char* to, std::size_t room) { return cbor_encode_array_start(size, to, room); });
 }
 
 struct Decoder::Item {
@@ -59,19 +62,35 @@
     static const cbor_callbacks callbacks = [] {
         cbor_callbacks made = cbor_empty_callbacks;
         made.uint8 = [](void* to, std::uint8_t n) { *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}}; };
-        made.uint16 = [](void* to, std::uint16_t n) { *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}}; };
-        made.uint32 = [](void* to, std::uint32_t n) { *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}}; };
-        made.uint64 = [](void* to, std::uint64_t n) { *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}}; };
-        made.negint8 = [](void* to, std::uint8_t n) { *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}}; };
-        made.negint16 = [](void* to, std::uint16_t n) { *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}}; };
-        made.negint32 = [](void* to, std::uint32_t n) { *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}}; };
-        made.negint64 = [](void* to, std::uint64_t n) { *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}}; };
+        made.uint16 = [](void* to, std::uint16_t n) {
+            *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}};
+        };
+        made.uint32 = [](void* to, std::uint32_t n) {
+            *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}};
+        };
+        made.uint64 = [](void* to, std::uint64_t n) {
+            *static_cast<Item*>(to) = {Kind::kUnsigned, n, 0, {}};
+        };
+        made.negint8 = [](void* to, std::uint8_t n) {
+            *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}};
+        };
+        made.negint16 = [](void* to, std::uint16_t n) {
+            *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}};
+        };
+        made.negint32 = [](void* to, std::uint32_t n) {
+            *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}};
+        };
+        made.negint64 = [](void* to, std::uint64_t n) {
+            *static_cast<Item*>(to) = {Kind::kNegative, n, 0, {}};
+        };
         made.float8 = [](void* to, double n) { *static_cast<Item*>(to) = {Kind::kReal, 0, n, {}}; };
         made.boolean = [](void* to, bool n) { *static_cast<Item*>(to) = {Kind::kFlag, n ? 1U : 0U, 0, {}}; };
         made.byte_string = [](void* to, cbor_data data, std::size_t size) {
             *static_cast<Item*>(to) = {Kind::kBytes, 0, 0, {reinterpret_cast<const char*>(data), size}};
         };
-        made.array_start = [](void* to, std::size_t size) { *static_cast<Item*>(to) = {Kind::kList, size, 0, {}}; };
+        made.array_start = [](void* to, std::size_t size) {
+            *static_cast<Item*>(to) = {Kind::kList, size, 0, {}};
+        };
         return made;
     }();
     Item item;
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -62,8 +62,8 @@
     T::tie(value);
 };
 
-// An enum that travels tells by `last_of`, found beside it, the last of its values, which are counted from 0: code
-// indexes by them, so that a number beyond is refused as spoilt.
+// An enum that travels tells by `last_of`, found beside it, the last of its values, which are counted from 0:
+// code indexes by them, so that a number beyond is refused as spoilt.
 template <class T>
 concept BoundedEnum = std::is_enum_v<T> && requires(T value) {
     { last_of(value) } -> std::same_as<T>;
@@ -134,7 +134,7 @@
         value = static_cast<T>(number);
     } else if constexpr (std::floating_point<T>) {
         value = static_cast<T>(in.real());
-    } else if constexpr (std::is_enum_v<T> || std::unsigned_integral<T>) {
+    } else if constexpr (std::unsigned_integral<T>) {
         value = static_cast<T>(in.unsigned_number());
     } else if constexpr (std::signed_integral<T>) {
         value = static_cast<T>(in.signed_number());
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -24,9 +24,11 @@
             std::size_t size = 0;
             for (std::size_t i = 0; i < 4; ++i) size = size << 8 | static_cast<unsigned char>(head_[i]);
             if (static_cast<std::uint8_t>(head_[4]) != kProtocolVersion)
-                error_ = error(ErrorKind::kProtocol, "a peer speaks another protocol version: run one version everywhere");
+                error_ = error(ErrorKind::kProtocol,
+                               "a peer speaks another protocol version: run one version everywhere");
             else if (size > kMostFrameBytes || size == 0)
-                error_ = error(ErrorKind::kProtocol, "a frame is empty or larger than 16 MiB: it is no ivyrill peer");
+                error_ = error(ErrorKind::kProtocol,
+                               "a frame is empty or larger than 16 MiB: it is no ivyrill peer");
             left_ = size;
             continue;
         }
--- a/src/wire/frame.hpp
+++ b/src/wire/frame.hpp
@@ -1,5 +1,6 @@
-// Frames between ivyrill's own processes: four bytes of length (big-endian), one byte of protocol version, then one
-// CBOR value. The version is exact: processes of two versions refuse each other and say so in their logs.
+// Frames between ivyrill's own processes: four bytes of length (big-endian), one byte of protocol version,
+// then one CBOR value. The version is exact: processes of two versions refuse each other and say so in their
+// logs.
 #pragma once
 #include "base/result.hpp"
 
--- a/tests/feed_tests.cpp
+++ b/tests/feed_tests.cpp
@@ -291,3 +291,18 @@
     BOOST_TEST(tables.loads().empty());
     BOOST_TEST(tables.apply(batch(3, {Forgotten{"i-1"}}), 0).news.empty());
 }
+
+// An agent's log lives as long as its process: what is forgotten must not pile up in it.
+BOOST_AUTO_TEST_CASE(forgotten_instances_are_bounded) {
+    ivyrill::feed::FeedLog log(7);
+    for (int i = 0; i < 5000; ++i) {
+        const std::string id = "i-" + std::to_string(i);
+        ivyrill::model::Instance instance;
+        instance.id = id;
+        log.put(instance);
+        log.put(ivyrill::feed::Forgotten{id});
+    }
+    BOOST_TEST(log.snapshot().size() <= 1100U);
+    BOOST_TEST(!log.since(1).has_value()); // what the log no longer reaches back to asks for a snapshot
+    BOOST_TEST(log.since(log.place()).has_value());
+}
