--- a/bench/scale/selection.cpp
+++ b/bench/scale/selection.cpp
@@ -61,7 +61,7 @@
         request.prompt = {{fmt::format("shared-{}", i % 20), 1200}, {fmt::format("own-{}", i), 400}};
         request.output_tokens = i % 2 == 0 ? 100 : 4000, request.latency_target = kTenthsPerSecond;
         now += 70;
-        const auto choice = selector.choose(request, {}, true, now);
+        const auto choice = selector.choose(request, {}, true, false, now);
         if (const auto* pair = std::get_if<replica_selection::Pair>(&choice)) {
             const auto attempt =
                 selector.sent(pair->runner, request, Work::kReadAndRun, pair->tokens_to_read, now);
--- a/tests/instance_registry_tests.cpp
+++ b/tests/instance_registry_tests.cpp
@@ -51,6 +51,7 @@
         made.in_contact = [this] { return ++asked, in_contact; };
         made.call_address = [](const std::string& peer) { return "call " + peer; };
         made.changed = [this] { ++changes; };
+        made.loads_changed = [this] { ++changes; };
         return made;
     }
     // What the call came to: the heartbeat's advice, or the error.
