A notice that does not fit ends its subscriber once; reports spread in large fleets

Cause: end_all used a subscriber that sending to it had freed; loads of 3,000 servers went to 300 nodes twice a second. Ruled out: memory (119 of 256 MB). Change: the link is ended only where the notice was taken; the interval of reports grows in proportion beyond 150 servers.

--- a/src/agent/report_reader.cpp
+++ b/src/agent/report_reader.cpp
@@ -4,6 +4,7 @@
 #include "protocol/json.hpp"
 #include "protocol/values.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace ivyrill::agent {
@@ -38,6 +39,7 @@
                           const std::vector<model::EdgeNode>& nodes) {
     readers_.set_nodes(nodes);
     readers_.bound(instances.size());
+    servers_ = instances.size();
     const auto is_mine = [&](const model::Instance& instance) {
         return instance.may_be_sent_to() && instance.stage != model::Stage::kNone &&
                readers_.reader(instance.id) == options_.self;
@@ -58,6 +60,11 @@
     }
 }
 
+Tenths ReportReader::interval() const {
+    const std::size_t servers = std::max(servers_, options_.servers);
+    return options_.interval * static_cast<Tenths>(servers) / static_cast<Tenths>(options_.servers);
+}
+
 transport::Async<transport::Done> ReportReader::sleep(Duty& duty, Tenths until) {
     const transport::WakeAt timer(reactor_, until, duty.wake);
     while (reactor_.now() < until) co_await duty.wake;
@@ -66,12 +73,12 @@
 
 transport::Task ReportReader::keep_reading(Duty& duty) {
     // Readings of many servers are spread over the interval by the server's id.
-    const auto interval = static_cast<std::uint64_t>(options_.interval);
+    const auto interval = static_cast<std::uint64_t>(this->interval());
     co_await sleep(duty, reactor_.now() + static_cast<Tenths>(hash_text(duty.instance) % interval));
     for (;;) {
         const Tenths began = reactor_.now();
         if (!co_await read_once(duty)) duty.connection.reset();
-        co_await sleep(duty, began + options_.interval);
+        co_await sleep(duty, began + this->interval());
     }
 }
 
--- a/src/agent/report_reader.hpp
+++ b/src/agent/report_reader.hpp
@@ -23,12 +23,14 @@
   public:
     struct Options {
         std::string self;    // node name
-        Tenths interval = 0; // between two reports of one server
+        Tenths interval = 0; // between two reports of one server, in a fleet of up to `servers`
+        std::size_t servers = 150; // in a larger one it grows in proportion, as all are told to all nodes
     };
     ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read);
     // The servers and nodes as they are now.
     void assign(const std::map<std::string, model::Instance>& instances,
                 const std::vector<model::EdgeNode>& nodes);
+    Tenths interval() const; // in the fleet as it is now
     std::size_t readings() const { return duties_.size(); }
 
   private:
@@ -48,6 +50,7 @@
     Options options_;
     std::function<void(model::Load)> read_;
     ReportDuties readers_;
+    std::size_t servers_ = 0; // of the whole fleet
     std::map<std::string, std::unique_ptr<Duty>> duties_;
 };
 
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -213,8 +213,8 @@
     for (const std::uint64_t id : ids) {
         const auto found = subscribers_.find(id);
         if (found == subscribers_.end()) continue;
-        found->second.link->send(Refused{reason});
-        found->second.link->end(reason);
+        // To send may end the link itself, and with it the subscriber.
+        if (found->second.link->send(Refused{reason})) found->second.link->end(reason);
     }
 }
 
--- a/tests/link_tests.cpp
+++ b/tests/link_tests.cpp
@@ -457,3 +457,27 @@
         co_return Done{};
     });
 }
+
+// A control node that was cut off told its agents to go elsewhere and ended with 139: the notice did not fit what one
+// of them still had to read, which ended its link and freed what was used next.
+BOOST_AUTO_TEST_CASE(a_last_word_that_does_not_fit_ends_its_subscriber_alone) {
+    ReactorScript script;
+    FeedLog log(7);
+    Publisher publisher(script.reactor, log, {}, {});
+    int one = -1, other = -1;
+    const std::string first = wire::frame(wire::to_bytes(Message{subscription()}));
+    publisher.take(connection_with(first, one));
+    publisher.take(connection_with(first, other));
+    script.run([&]() -> ReactorScript::Step {
+        const bool members = co_await script.until([&] { return publisher.sessions().size() == 2; });
+        BOOST_TEST(members);
+        const std::string reason(40 * 1024 * 1024, 'x');
+        publisher.end_all(reason);
+        BOOST_TEST(publisher.sessions().empty());
+        const bool goes_on = co_await script.until([&] { return publisher.sessions().empty(); });
+        BOOST_TEST(goes_on);
+        co_return Done{};
+    });
+    close(one);
+    close(other);
+}
--- a/tests/report_duty_tests.cpp
+++ b/tests/report_duty_tests.cpp
@@ -1,6 +1,7 @@
 // Which node reads which server's report, and that keeping it up gives the same as finding it anew.
 #define BOOST_TEST_MODULE report_duties
 #include "agent/report_duties.hpp"
+#include "agent/report_reader.hpp"
 #include "base/pcg.hpp"
 
 #include <boost/test/included/unit_test.hpp>
@@ -67,3 +68,21 @@
     duties.bound(0);
     BOOST_TEST(duties.reader(server(1)) == "edge-0");
 }
+
+// 3,000 servers read twice a second by 300 nodes and told to all held a control node's processor and link.
+BOOST_AUTO_TEST_CASE(reports_come_in_proportion_more_rarely_in_a_large_fleet) {
+    transport::Reactor reactor;
+    agent::ReportReader reader(reactor, {"edge-0", 5000, 150}, [](const model::Load&) {});
+    std::map<std::string, model::Instance> instances;
+    const auto grow = [&](std::size_t count) {
+        for (std::size_t i = instances.size(); i < count; ++i) instances[server(i)].id = server(i);
+        reader.assign(instances, nodes(1, 3)); // others read them
+    };
+    grow(14);
+    BOOST_TEST(reader.interval() == 5000);
+    grow(150);
+    BOOST_TEST(reader.interval() == 5000);
+    grow(3000);
+    BOOST_TEST(reader.interval() == 100'000);
+    BOOST_TEST(reader.readings() == 0U);
+}
