--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -305,6 +305,12 @@
             fmt::print(stderr, "measure_scale: {}\n", fit.error().message);
             return kBadInput;
         }
+    // Two runs at once would meet at the same addresses.
+    if (call(control_host(0), kControlPort, "GET", "/inspect", "", "", 1).first != 0) {
+        fmt::print(stderr, "measure_scale: {}:{} is in use: end the other run first\n", control_host(0),
+                   kControlPort);
+        return kBadInput;
+    }
     std::vector<Outcome> outcomes;
     std::size_t broken = 0;
     for (const Sizes& sizes : steps) {
