Coroutines follow no pointer in a co_await: the sanitized fleet runs

Seen: all four fleet_tests fail under the sanitizers, processes end in read_pipe and accept_all with a spoilt this. Cause: GCC 12's instrumentation does not keep a pointer followed in a co_await operand over the suspension. Ruled out: optimisation alone (-O2: the same end). Measured: of_two_changes passes sanitized, failed before; the other three of fleet_tests and the rest of the sanitized tests not run again here.

--- a/src/http/call_server.cpp
+++ b/src/http/call_server.cpp
@@ -37,11 +37,12 @@
 }
 
 transport::Task CallServer::accept_all() {
+    transport::Source& listener = *listener_; // as in Reactor::read_pipe
     for (;;) {
-        const int descriptor = transport::accept_from(listener_->descriptor());
+        const int descriptor = transport::accept_from(listener.descriptor());
         if (descriptor < 0) {
             // Out of descriptors: what waits is taken with the next connection.
-            co_await listener_->readable;
+            co_await listener.readable;
             continue;
         }
         Connection& connection = connections_.emplace_back(reactor_, descriptor, options_);
--- a/src/transport/pending.hpp
+++ b/src/transport/pending.hpp
@@ -21,9 +21,10 @@
     bool resolved() const { return value_.has_value(); }
     // Nothing where it has not come by then.
     static Async<std::optional<Value>> wait(std::shared_ptr<Pending> pending, Tenths until) {
-        const WakeAt timer(pending->reactor_, until, pending->slot_);
-        while (!pending->value_ && pending->reactor_.now() < until) co_await pending->slot_;
-        co_return pending->value_;
+        Pending& here = *pending;
+        const WakeAt timer(here.reactor_, until, here.slot_);
+        while (!here.value_ && here.reactor_.now() < until) co_await here.slot_;
+        co_return here.value_;
     }
 
   private:
--- a/src/transport/reactor.cpp
+++ b/src/transport/reactor.cpp
@@ -70,11 +70,12 @@
 }
 
 Task Reactor::read_pipe() {
+    Source& pipe = *pipe_; // GCC 12 loses a pointer that is followed in a co_await under its sanitizers
     for (;;) {
         std::array<char, 64> bytes{};
-        const ssize_t count = read(pipe_->descriptor(), bytes.data(), bytes.size());
+        const ssize_t count = read(pipe.descriptor(), bytes.data(), bytes.size());
         if (count <= 0) {
-            co_await pipe_->readable;
+            co_await pipe.readable;
             continue;
         }
         for (ssize_t i = 0; i < count; ++i)
