--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "feed/tables.hpp"
 #include "model/routing_table.hpp"
+#include "proxy/connect_patience.hpp"
 #include "proxy/server_connections.hpp"
 #include "replica_selection/pair_selector.hpp"
 #include "replica_selection/retry_budget.hpp"
@@ -27,6 +28,7 @@
     replica_selection::PairSelector selector;
     replica_selection::RetryBudget budget;
     ServerConnections connections;
+    ConnectPatience connect_patience;
     Pcg random;
     Counters counters;
     bool ending = false; // SIGTERM has come
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr Tenths kShortestConnect = 1000, kLongestConnect = 5000; // patience for a connection
 constexpr double kSilentShare = 0.6;   // of the latency target without a word, before another server is asked
 constexpr Tenths kSilentResponses = 4; // ... and expected responses
 constexpr Tenths kIdleForOnce = 20'000; // a connection that rested for longer may be forgotten without a word
@@ -40,12 +39,18 @@
     ++context_.counters.connections;
     if (!connection_) co_return false;
     connection_->stream().also_wake(&wake_);
+    const Tenths began = now();
     const Tenths until =
-        std::min(deadline_, now() + std::clamp(profile_.latency_target, kShortestConnect, kLongestConnect));
+        std::min(deadline_, began + context_.connect_patience.patience(profile_.latency_target));
     while (!connection_->stream().up()) {
-        if (connection_->stream().ended() || now() >= until || client_gone()) co_return false;
+        if (connection_->stream().ended() || client_gone()) co_return false;
+        if (now() >= until) {
+            context_.connect_patience.gave_up();
+            co_return false;
+        }
         co_await wait(until);
     }
+    context_.connect_patience.came_up(now() - began);
     co_return true;
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -37,6 +37,7 @@
                                     replica_selection::PairSelector(draw()),
                                     replica_selection::RetryBudget(budget_terms(settings.bounds)),
                                     ServerConnections(reactor, kMostOut),
+                                    ConnectPatience{},
                                     Pcg(draw()),
                                     {},
                                     false,
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -13,14 +13,11 @@
 constexpr double kForgetSpan = 4.0 * kTenthsPerSecond; // without answers, means go back to the usual over it
 constexpr double kLostHandleLimit = 0.4;               // from which a reader is left alone
 constexpr double kBrokenLimit = 0.3;
-constexpr std::size_t kHomes = 2;                    // of one prompt: a second for when the first is slow
+constexpr std::size_t kHomes = 2; // of one prompt and kind: a second for when the first is slow
+// Of a reader's time: what it may begin to read before its reports tell, which are some hundred ms old.
+constexpr double kLeastReading = 0.5;
+constexpr double kFreeLinks = 0.9; // of the links' time: below it a move waits for no more than five
 constexpr double kSlowShare = 0.4;                   // of the latency target, expected for the reading alone
-constexpr Tenths kStreamSpan = 2 * kTenthsPerSecond; // before a runner more is read at again
-constexpr double kStreamShare = 0.75;                // of a server's slots that they are to fill
-// Of a server's slots, places for long answers: below the one a runner is added, above the other one is taken
-// away.
-constexpr double kLeastFreeShare = 0.1, kMostFreeShare = 0.3;
-constexpr double kUnheardShare = 0.5; // of a runner's slots, while it was not reported on
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -65,88 +62,108 @@
                                                       : found.plain;
         list.push_back(&server);
     }
-    divide_runners(std::move(runners), request, found, now);
+    divide_runners(runners, request, found, now);
     // The runners read as well: readers that are all in bad standing are not insisted on.
     if (best[static_cast<std::size_t>(model::Stage::kPrefill)] != Rank::kGood) found.readers.clear();
     keep_homes(request, found, now);
     return found;
 }
 
-// Long answers go to the first runners of an order that every node finds by the same hash: to so many that
-// places are left at them, as all learn from the same reports. What runs on at others after a loss of this
-// fleet takes places too.
-std::size_t PairSelector::runners_for_streams(const std::vector<Server*>& runners, double free_share) {
-    const auto slots = [](const Server* server) {
-        return static_cast<double>(std::max<std::int64_t>(1, server->instance.slots));
-    };
-    double places = 0; // what runs anywhere is taken off, as it may be a long answer
-    for (const Server* server : runners)
-        places -= server->running_there.value_or(kUnheardShare * slots(server));
-    std::size_t count = 0;
-    while (count < runners.size() && places < free_share * slots(runners[count]))
-        places += kStreamShare * slots(runners[count++]);
-    return count;
+// Every node finds the same runners, as all learn from the same reports and see like shares of the moves.
+void PairSelector::divide_runners(const std::vector<Server*>& runners, const Request& request,
+                                  Candidates& found, Tenths now) {
+    std::vector<const model::Instance*> instances;
+    for (const Server* server : runners) instances.push_back(&server->instance);
+    std::vector<Server*> ordered;
+    std::vector<RunnerLoad> loads;
+    for (const std::size_t index : runner_order(instances, request.service)) {
+        Server* server = runners[index];
+        ordered.push_back(server);
+        loads.push_back({static_cast<double>(std::max<std::int64_t>(1, server->instance.slots)),
+                         server->running_there});
+    }
+    ServiceView& view = services_[request.service];
+    double reading = 0; // readers that read
+    for (const Server* reader : found.readers) reading += std::max(kLeastReading, reader->reading_share);
+    const double links_for_reader =
+        view.hand_overs.links_for_reader(times_[0][static_cast<std::size_t>(Work::kReadOnly)]);
+    const bool for_moves =
+        view.hand_overs.worth_a_runner(times_[0][static_cast<std::size_t>(Work::kReadAndRun)]);
+    const double busy = reading * links_for_reader;
+    const std::size_t apart = view.division.kept_apart(loads, for_moves ? busy : 0, now);
+    const double links = static_cast<double>(std::max<std::size_t>(1, apart));
+    const double most = links_for_reader * static_cast<double>(found.readers.size());
+    view.links_taken = busy / links;
+    view.carried = for_moves || most <= 0 ? 1 : std::min(1.0, links / most);
+    const auto middle = ordered.begin() + static_cast<std::ptrdiff_t>(apart);
+    found.stream_runners.assign(ordered.begin(), middle);
+    found.reading_runners.assign(middle, ordered.end());
 }
 
-void PairSelector::divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found,
-                                  Tenths now) {
-    ServiceView& view = services_[request.service];
-    const std::uint64_t key = hash_text(request.service, 1);
-    std::ranges::sort(runners, std::ranges::greater{},
-                      [key](const Server* server) { return hash_text(server->instance.id, key); });
-    // One more at once, one fewer only when it is clear and after a while: what runs there goes on for
-    // seconds.
-    const std::size_t least = runners_for_streams(runners, kLeastFreeShare);
-    if (least > view.stream_runners) {
-        view.stream_runners = least, view.changed = now;
-    } else if (runners_for_streams(runners, kMostFreeShare) < view.stream_runners &&
-               now - view.changed >= kStreamSpan) {
-        --view.stream_runners, view.changed = now;
+// The first homes of a part, best first.
+std::vector<PairSelector::Home> PairSelector::homes_of(const std::string& part,
+                                                       const std::vector<WeightedServer>& servers) {
+    const std::uint64_t key = hash_text(part);
+    std::vector<Home> order;
+    for (const WeightedServer& one : servers) {
+        const std::uint64_t hash = hash_text(one.server->instance.id, key);
+        const double unit = (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0; // in (0, 1)
+        order.push_back({one.server, -one.weight / std::log(unit)});
     }
-    const std::size_t apart = std::min(view.stream_runners, runners.size());
-    found.stream_runners.assign(runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(apart));
-    found.reading_runners.assign(runners.begin() + static_cast<std::ptrdiff_t>(apart), runners.end());
+    const std::size_t homes = std::min(kHomes, order.size());
+    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(homes),
+                              std::ranges::greater{}, &Home::weight);
+    order.resize(homes);
+    return order;
 }
 
+// Until the prompt is read, and where its home only reads also until its memory begins to move.
 bool PairSelector::slow(const Server& home, const Request& request, Tenths now) const {
-    const Work work = home.instance.stage == model::Stage::kPrefill ? Work::kReadOnly : Work::kReadAndRun;
+    const bool only_reads = home.instance.stage == model::Stage::kPrefill;
+    const Work work = only_reads ? Work::kReadOnly : Work::kReadAndRun;
     const double usual =
         usual_time(work, tokens_of(home, request, work, true, now), false, request.latency_target);
-    return response_of(home, work, usual, now) > kSlowShare * static_cast<double>(request.latency_target);
+    double expected = response_of(home, work, usual, now);
+    if (only_reads) expected += link_wait(request.service);
+    return expected > kSlowShare * static_cast<double>(request.latency_target);
 }
 
 // Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few
 // prompts move when servers come and go (weighted rendezvous hashing, Thaler and Ravishankar 1998). The
 // others are left out, also when the homes are slow: a prompt read where nothing of it is held costs three
-// times the work, just when there is too much.
+// times the work, just when there is too much. What makes one kind of home slow (readers' queues, links,
+// runners that read at half the pace) does so for all of its kind, so the second home is of the other kind.
 void PairSelector::keep_homes(const Request& request, Candidates& candidates, Tenths now) const {
     if (request.prompt.size() < 2 || streams(request)) return;
-    const std::uint64_t key = hash_text(request.prompt[request.prompt.size() - 2].id);
-    std::vector<std::pair<double, const Server*>> order;
-    const auto look_at = [&](const std::vector<Server*>& servers, double weight) {
-        for (const Server* server : servers) {
-            const std::uint64_t hash = hash_text(server->instance.id, key);
-            const double unit = (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0; // in (0, 1)
-            order.emplace_back(-weight / std::log(unit), server);
-        }
-    };
-    look_at(candidates.readers, kReaderWeight);
-    look_at(candidates.reading_runners, kRunnerWeight);
-    if (order.empty()) return;
-    const std::size_t homes = std::min(kHomes, order.size());
-    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(homes),
-                              std::ranges::greater{});
-    order.resize(homes);
-    candidates.home = order.front().second;
-    if (!slow(*candidates.home, request, now)) order.resize(1);
-    const auto is_home = [&](const Server* server) {
-        return std::ranges::any_of(order, [server](const auto& home) { return home.second == server; });
+    const std::string& shared = request.prompt[request.prompt.size() - 2].id;
+    const auto view = services_.find(request.service);
+    const double carried = view == services_.end() ? 1 : view->second.carried;
+    std::vector<WeightedServer> readers, runners;
+    for (const Server* server : candidates.readers) readers.push_back({server, kReaderWeight * carried});
+    for (const Server* server : candidates.reading_runners) runners.push_back({server, kRunnerWeight});
+    const std::vector<Home> by_readers = homes_of(shared, readers), by_runners = homes_of(shared, runners);
+    std::vector<Home> homes = by_readers;
+    homes.insert(homes.end(), by_runners.begin(), by_runners.end());
+    if (homes.empty()) return;
+    std::ranges::sort(homes, std::ranges::greater{}, &Home::weight);
+    candidates.home = homes.front().server;
+    const Server* second = nullptr;
+    if (slow(*candidates.home, request, now)) {
+        // A reader reads at twice the pace, where the links can take what it reads.
+        const bool links_are_free = view != services_.end() && view->second.links_taken < kFreeLinks;
+        const auto& first_choice = links_are_free ? by_readers : by_runners;
+        for (const auto* list : {&first_choice, const_cast<const std::vector<Home>*>(&homes)})
+            for (const Home& home : *list)
+                if (second == nullptr && home.server != candidates.home) second = home.server;
+    }
+    const auto is_none = [&](const Server* server) {
+        return server != candidates.home && server != second;
     };
-    std::erase_if(candidates.readers, [&](const Server* server) { return !is_home(server); });
+    std::erase_if(candidates.readers, is_none);
     // What is fetched is kept too, and would push the prompts that are at home there out of a reading
     // runner's memory.
     if (candidates.stream_runners.empty()) candidates.stream_runners = candidates.reading_runners;
-    std::erase_if(candidates.reading_runners, [&](const Server* server) { return !is_home(server); });
+    std::erase_if(candidates.reading_runners, is_none);
 }
 
 void PairSelector::relax(Server& server, Tenths now) {
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kFresh = 0.3;        // weight of an answer in a server's means
+constexpr double kFreshReport = 0.2;  // weight of a report in the share of time that a server reads
 constexpr double kUnheardShare = 0.1; // of the latency target: expected time while nobody was heard
 constexpr double kUnheardTokens =
     8000; // a prompt of such a length takes the expected time while nobody was heard
@@ -21,6 +22,7 @@
 constexpr int kMostDoublings = 4;
 constexpr double kMostTargets =
     0.8; // expected latency targets until the prompt is read, from which some are rejected
+constexpr std::size_t kDrawn = 2, kDrawnFar = 1; // servers that C3 ranks for one request: near ones, others
 constexpr double kLongestComeBack = 3000; // tenths of a millisecond
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
@@ -65,6 +67,7 @@
     if (server == nullptr) return;
     server->queue = static_cast<double>(load.waiting);
     server->running_there = static_cast<double>(load.running);
+    mix(server->reading_share, load.running > 0 ? 1 : 0, kFreshReport);
 }
 
 PairSelector::Server* PairSelector::find(const std::string& id) {
@@ -139,24 +142,46 @@
     std::optional<Scored> alone;
     if (!apart || !candidates.reading_runners.empty() || !hands_over) {
         const bool elsewhere = apart && !candidates.reading_runners.empty();
-        alone = best_of(elsewhere ? candidates.reading_runners : runners, request, Work::kReadAndRun,
-                        candidates.home, now);
+        alone = best_of(elsewhere ? candidates.reading_runners : drawn(runners, ""), request,
+                        Work::kReadAndRun, candidates.home, now);
         if (!hands_over) return Pair{"", alone->server->instance.id, alone->tokens};
     }
     const auto reader = best_of(candidates.readers, request, Work::kReadOnly, candidates.home, now);
     const Server* runner = nullptr;
     double best = 0;
-    for (const Server* server : runners) {
+    for (const Server* server : drawn(runners, reader->server->instance.zone)) {
         const bool near = server->instance.zone == reader->server->instance.zone;
         const double total = score(*server, request, Work::kFetchAndRun, 0, now) * (near ? 1 : kFarFactor) +
                              move_time(*reader->server, *server, request);
         if (runner == nullptr || total < best) runner = server, best = total;
     }
+    best += link_wait(request.service);
     if (alone && reader->score + best >= alone->score)
         return Pair{"", alone->server->instance.id, alone->tokens};
     return Pair{reader->server->instance.id, runner->instance.id, reader->tokens};
 }
 
+// Reports are some hundred ms old, and all nodes have the same: whoever looked best in them would be sent
+// everything until the next. So each request has a few drawn for it, of which C3 ranks the best (M. Mitzenmacher,
+// "How Useful Is Old Information?", 2000); those of `zone` come first.
+std::vector<PairSelector::Server*> PairSelector::drawn(const std::vector<Server*>& servers,
+                                                       const std::string& zone) {
+    std::vector<Server*> left = servers;
+    const auto far = std::ranges::stable_partition(
+        left, [&](const Server* server) { return server->instance.zone == zone; });
+    const auto draw = [&](auto begin, auto end, std::size_t count, std::vector<Server*>& into) {
+        for (; count > 0 && begin != end; --count, ++begin) {
+            const auto size = static_cast<double>(end - begin);
+            std::iter_swap(begin, begin + static_cast<std::ptrdiff_t>(random_.unit() * size));
+            into.push_back(*begin);
+        }
+    };
+    std::vector<Server*> chosen;
+    draw(left.begin(), far.begin(), kDrawn, chosen);
+    draw(far.begin(), left.end(), chosen.empty() ? kDrawn : kDrawnFar, chosen);
+    return chosen;
+}
+
 std::optional<PairSelector::Scored> PairSelector::best_of(const std::vector<Server*>& servers,
                                                           const Request& request, Work work,
                                                           const Server* home, Tenths now) {
@@ -214,14 +239,24 @@
     return replica_selection::score(response_of(server, work, usual, now), service, waiting);
 }
 
-double PairSelector::move_time(const Server& reader, const Server& runner, const Request& request) const {
+double PairSelector::near_move_time(const Request& request) const {
     const model::Engine* engine = this->engine(request.service);
     if (engine == nullptr || engine->link_mbps <= 0) return 0;
     const double bits = static_cast<double>(request.prompt_tokens()) * engine->token_bytes * 8;
-    const double time = bits / (engine->link_mbps * 1e6) * kTenthsPerSecond;
+    return bits / (engine->link_mbps * 1e6) * kTenthsPerSecond;
+}
+
+double PairSelector::move_time(const Server& reader, const Server& runner, const Request& request) const {
+    const double time = near_move_time(request);
     return reader.instance.zone == runner.instance.zone ? time : time * kZoneFactor;
 }
 
+double PairSelector::link_wait(const std::string& service) const {
+    const auto found = services_.find(service);
+    if (found == services_.end()) return 0;
+    return found->second.hand_overs.wait(found->second.links_taken);
+}
+
 AttemptNo PairSelector::sent(const std::string& instance, const Request& request, Work work,
                              std::optional<double> tokens_to_read, Tenths now) {
     const AttemptNo number{++count_};
@@ -235,6 +270,8 @@
     attempt.streams = work != Work::kReadOnly && streams(request);
     server->limit.sent(now);
     server->unanswered[number] = now;
+    if (work == Work::kReadOnly)
+        services_[request.service].hand_overs.add(near_move_time(request), attempt.tokens);
     if (work == Work::kPlain || request.prompt.empty()) return number;
     const model::Engine* engine = this->engine(request.service);
     server->cache.used(request.prompt, engine == nullptr ? 0 : engine->memory_tokens, edge_nodes_, now);
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -7,7 +7,9 @@
 #include "model/configuration.hpp"
 #include "model/instance.hpp"
 #include "replica_selection/c3.hpp"
+#include "replica_selection/hand_over_load.hpp"
 #include "replica_selection/prompt_cache_view.hpp"
+#include "replica_selection/runner_division.hpp"
 #include "replica_selection/time_model.hpp"
 
 #include <array>
@@ -88,6 +90,7 @@
     struct Estimate { // of one kind of work at one server, as a multiple of the usual time
         double response = 1, service = 1;
     };
+    static constexpr double kUnheardReading = 0.5; // of a reader's time, while it was not reported on
     struct Server {
         model::Instance instance;
         std::array<Estimate, kWorks> estimates;
@@ -96,6 +99,7 @@
         std::size_t running = 0;                // answered, and still making tokens
         double queue = 0;                       // as last reported
         std::optional<double> running_there;    // of all callers, as last reported
+        double reading_share = kUnheardReading; // of the time in which a reader reads, by its reports of late
         PromptCacheView cache;
         double lost_handles = 0, breaks = 0; // mean shares of late
         int refusals = 0, failures = 0;      // in a row
@@ -111,8 +115,10 @@
     };
     struct ServiceView {
         model::Service service;
-        std::size_t stream_runners = 0; // kept for long answers
-        Tenths changed = 0;             // when that number was last set
+        RunnerDivision division;
+        HandOverLoad hand_overs;
+        double links_taken = 0;    // share of their time, by moves of all nodes
+        double carried = 1;        // share of what the readers can read that the links can move
     };
     struct Scored {
         Server* server = nullptr;
@@ -132,8 +138,17 @@
     // candidates.cpp
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
     Candidates candidates(const Request& request, const std::set<std::string>& tried, Tenths now);
-    static std::size_t runners_for_streams(const std::vector<Server*>& runners, double free_share);
-    void divide_runners(std::vector<Server*> runners, const Request& request, Candidates& found, Tenths now);
+    void divide_runners(const std::vector<Server*>& runners, const Request& request, Candidates& found,
+                        Tenths now);
+    struct WeightedServer {
+        const Server* server = nullptr;
+        double weight = 1;
+    };
+    struct Home {
+        const Server* server = nullptr;
+        double weight = 0; // the larger, the earlier
+    };
+    static std::vector<Home> homes_of(const std::string& part, const std::vector<WeightedServer>& servers);
     void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
     bool slow(const Server& home, const Request& request, Tenths now) const;
     void relax(Server& server, Tenths now);
@@ -143,6 +158,7 @@
     bool waits_for_a_reading(const std::string& service) const;
     std::optional<Pair> best_pair(const Request& request, const Candidates& candidates, bool may_hand_over,
                                   Tenths now);
+    std::vector<Server*> drawn(const std::vector<Server*>& servers, const std::string& zone);
     std::optional<Scored> best_of(const std::vector<Server*>& servers, const Request& request, Work work,
                                   const Server* home, Tenths now);
     double tokens_of(const Server& server, const Request& request, Work work, bool is_home, Tenths now) const;
@@ -150,7 +166,9 @@
     double response_of(const Server& server, Work work, double usual, Tenths now) const;
     double score(const Server& server, const Request& request, Work work, double tokens, Tenths now) const;
     static double outstanding(const Server& server);
+    double near_move_time(const Request& request) const; // within a zone
     double move_time(const Server& reader, const Server& runner, const Request& request) const;
+    double link_wait(const std::string& service) const; // before a move begins
     static bool streams(const Request& request); // its answer may be longer than its prompt
     Attempt* out(AttemptNo attempt);
     void close(AttemptNo attempt);
