Homes and division by what all nodes see alike; turned-away readings are charged to the budget

Change: the pace is the quickest reading of late; one runner fewer only after 4 s and far below the bound; a reading that was turned away is charged, hand-overs stop where the budget has no room, and a reading that never left may be asked of another reader; where fetches take over 0.4 of the target of late, links count as taken.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -88,7 +88,9 @@
             if (!again) co_return end;
             continue;
         }
-        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over_,
+        // A reading may be turned away, which counts as a further arrival.
+        const bool may_hand_over = may_hand_over_ && context_.budget.has_room(now());
+        const auto choice = context_.selector.choose(profile_, tried_, may_hand_over,
                                                      sends_ == 0 && handle_.empty() && tried_.empty(), now());
         if (std::holds_alternative<replica_selection::NoServer>(choice))
             co_return may_have_run_ ? fail(502, "no server is left")
@@ -109,12 +111,11 @@
 // `again`: another choice may be made; else what is returned is final.
 transport::Async<ExchangeEnd> Exchange::serve_with(const replica_selection::Pair& pair, bool& again) {
     if (!pair.reader.empty() && handle_.empty()) {
-        const bool read = co_await read_prompt(pair);
-        again = !read;
-        if (!read) {
-            // A second reading would count as a further send; the runner's own does not.
+        const ReadEnd read = co_await read_prompt(pair);
+        again = read != ReadEnd::kRead;
+        if (again) {
             tried_.insert(pair.reader);
-            may_hand_over_ = false;
+            may_hand_over_ = read == ReadEnd::kNeverSent && ++unreachable_ < kMostUnreachable;
             co_return ExchangeEnd::kBreakOff;
         }
     }
@@ -201,11 +202,13 @@
     return true;
 }
 
-transport::Async<bool> Exchange::read_prompt(const replica_selection::Pair& pair) {
+transport::Async<Exchange::ReadEnd> Exchange::read_prompt(const replica_selection::Pair& pair) {
     Forwarding forwarding;
     forwarding.prefill_only = true;
     const CallEnd end = co_await call(pair.reader, Work::kReadOnly, forwarding, pair.tokens_to_read, true);
-    if (end != CallEnd::kAnswer) co_return false;
+    if (end == CallEnd::kNeverSent || end == CallEnd::kMisdirected) co_return ReadEnd::kNeverSent;
+    if (end == CallEnd::kNotRun) context_.budget.charge(now());
+    if (end != CallEnd::kAnswer) co_return ReadEnd::kFailed;
     const bool whole = co_await await_whole_answer(std::min(deadline_, now() + profile_.latency_target));
     std::string handle;
     if (whole && answer_.status == 200) {
@@ -217,10 +220,10 @@
         }
     }
     end_call(whole);
-    if (handle.empty()) co_return false;
+    if (handle.empty()) co_return ReadEnd::kFailed;
     reader_ = pair.reader, handle_ = handle;
     ++context_.counters.hand_overs;
-    co_return true;
+    co_return ReadEnd::kRead;
 }
 
 void Exchange::release_handle() {
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -40,12 +40,17 @@
         kOutOfTime,
         kClientGone
     };
+    enum class ReadEnd : std::uint8_t {
+        kRead,      // `handle_` names the prompt's memory
+        kNeverSent, // no reader has taken it up: another may be asked
+        kFailed     // a second reading would count as a further send; the runner's own does not
+    };
     enum class RelayEnd : std::uint8_t { kComplete, kCutOff, kOutOfTime, kClientGone };
 
     transport::Async<ExchangeEnd> serve();
     // `pair` must outlive the call. (GCC 12 destroys a braced temporary in a co_await expression twice.)
     transport::Async<ExchangeEnd> serve_with(const replica_selection::Pair& pair, bool& again);
-    transport::Async<bool> read_prompt(const replica_selection::Pair& pair); // true where `handle_` was set
+    transport::Async<ReadEnd> read_prompt(const replica_selection::Pair& pair);
     // `may_leave`: it may be given up for another server once this one has been silent for longer than it
     // should be.
     transport::Async<CallEnd> call(const std::string& instance, replica_selection::Work work,
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -85,16 +85,14 @@
     ServiceView& view = services_[request.service];
     double reading = 0; // readers that read
     for (const Server* reader : found.readers) reading += std::max(kLeastReading, reader->reading_share);
-    const double links_for_reader =
-        view.hand_overs.links_for_reader(times_[0][static_cast<std::size_t>(Work::kReadOnly)]);
-    const bool for_moves =
-        view.hand_overs.worth_a_runner(times_[0][static_cast<std::size_t>(Work::kReadAndRun)]);
+    const double links_for_reader = view.hand_overs.links_for_reader();
+    const bool for_moves = view.hand_overs.worth_a_runner();
     const double busy = reading * links_for_reader;
     const std::size_t apart = view.division.kept_apart(loads, for_moves ? busy : 0, now);
     const double links = static_cast<double>(std::max<std::size_t>(1, apart));
     const double most = links_for_reader * static_cast<double>(found.readers.size());
     view.links_taken = busy / links;
-    view.carried = for_moves || most <= 0 ? 1 : std::min(1.0, links / most);
+    view.carried = for_moves || most <= 0 ? 1 : std::min(1.0, kMostLinkShare * links / most);
     const auto middle = ordered.begin() + static_cast<std::ptrdiff_t>(apart);
     found.stream_runners.assign(ordered.begin(), middle);
     found.reading_runners.assign(middle, ordered.end());
@@ -125,7 +123,17 @@
         usual_time(work, tokens_of(home, request, work, true, now), false, request.latency_target);
     double expected = response_of(home, work, usual, now);
     if (only_reads) expected += link_wait(request.service);
-    return expected > kSlowShare * static_cast<double>(request.latency_target);
+    const double most = kSlowShare * static_cast<double>(request.latency_target);
+    return expected > most || (only_reads && !links_are_free(request, now));
+}
+
+// By what the readers' load asks of them, and by how long moves took of late.
+bool PairSelector::links_are_free(const Request& request, Tenths now) const {
+    const auto found = services_.find(request.service);
+    if (found == services_.end()) return true;
+    const ServiceView& view = found->second;
+    const double most = kSlowShare * static_cast<double>(request.latency_target);
+    return view.links_taken < kFreeLinks && view.hand_overs.fetch_time(now) < most;
 }
 
 // Where a prompt's shared parts are kept: every node finds the same few servers without a word, and few
@@ -150,11 +158,11 @@
     const Server* second = nullptr;
     if (slow(*candidates.home, request, now)) {
         // A reader reads at twice the pace, where the links can take what it reads.
-        const bool links_are_free = view != services_.end() && view->second.links_taken < kFreeLinks;
-        const auto& first_choice = links_are_free ? by_readers : by_runners;
-        for (const auto* list : {&first_choice, const_cast<const std::vector<Home>*>(&homes)})
-            for (const Home& home : *list)
-                if (second == nullptr && home.server != candidates.home) second = home.server;
+        std::vector<Home> seconds = links_are_free(request, now) ? by_readers : by_runners;
+        seconds.insert(seconds.end(), homes.begin(), homes.end());
+        const auto other = std::ranges::find_if(
+            seconds, [&](const Home& home) { return home.server != candidates.home; });
+        if (other != seconds.end()) second = other->server;
     }
     const auto is_none = [&](const Server* server) {
         return server != candidates.home && server != second;
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -295,6 +295,9 @@
     Estimate& estimate = server->estimates[index(attempt->work)];
     mix(estimate.response, multiple, kFresh);
     mix(estimate.service, multiple / (1 + attempt->waiting), kFresh);
+    HandOverLoad& hand_overs = services_[server->instance.service].hand_overs;
+    if (attempt->work == Work::kFetchAndRun) hand_overs.fetched(took, now);
+    if (attempt->work == Work::kReadOnly) hand_overs.read(attempt->tokens, took);
     mix(server->breaks, 0, kFresh);
     server->last_answer = server->relaxed = now;
     server->refusals = server->failures = 0;
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -151,6 +151,7 @@
     static std::vector<Home> homes_of(const std::string& part, const std::vector<WeightedServer>& servers);
     void keep_homes(const Request& request, Candidates& candidates, Tenths now) const;
     bool slow(const Server& home, const Request& request, Tenths now) const;
+    bool links_are_free(const Request& request, Tenths now) const;
     void relax(Server& server, Tenths now);
 
     // pair_selector.cpp
--- a/src/replica_selection/retry_budget.hpp
+++ b/src/replica_selection/retry_budget.hpp
@@ -24,15 +24,21 @@
             nodes_ = std::max<std::size_t>(count, 1), nodes_at_ = now;
     }
     void request(Tenths now) { note(requests_, now); }
-    // Whether one more may go, which is then counted.
-    bool spend(Tenths now) {
+    // Whether one more may go.
+    bool has_room(Tenths now) {
         forget(requests_, now), forget(further_, now);
         // Nodes that start anew have forgotten what they spent: room for some of them is left.
         const double share = terms_.slack / static_cast<double>(nodes_ + 1 + nodes_ / 4);
         const double allowed =
             kSafety * terms_.ratio * static_cast<double>(requests_.size()) + kSafety * share;
-        if (static_cast<double>(further_.size() + 1) > allowed) return false;
-        further_.push_back(now);
+        return static_cast<double>(further_.size() + 1) <= allowed;
+    }
+    // One that nobody could ask about before, such as a reading that was turned away.
+    void charge(Tenths now) { note(further_, now); }
+    // Whether one more may go, which is then counted.
+    bool spend(Tenths now) {
+        if (!has_room(now)) return false;
+        charge(now);
         return true;
     }
 
--- a/src/replica_selection/runner_division.cpp
+++ b/src/replica_selection/runner_division.cpp
@@ -12,15 +12,15 @@
 
 namespace {
 
-constexpr Tenths kChangeSpan = 2 * kTenthsPerSecond; // before one runner fewer is kept apart
+constexpr Tenths kChangeSpan = 4 * kTenthsPerSecond; // before one runner fewer is kept apart
 constexpr double kAnswerShare = 0.75;                // of a server's slots that long answers are to fill
 // Of a server's slots, places for long answers: below the one a runner is added, above the other one is taken
 // away.
 constexpr double kLeastFreeShare = 0.1, kMostFreeShare = 0.3;
 constexpr double kUnheardShare = 0.5; // of a runner's slots, while it was not reported on
-// Of the time of a link, on which moves queue: above the one a runner is added, below the other one is taken
-// away. At the first a move waits for three quarters of its own time (M/D/1).
-constexpr double kMostLinkShare = 0.6, kLeastLinkShare = 0.45;
+// Above kMostLinkShare a runner is added, below this one is taken away. Far below, as the few readers of a small
+// service are busy by chance, and long answers go on at a runner that begins to read.
+constexpr double kLeastLinkShare = 0.3;
 
 // Places: what runs anywhere is taken off, as it may be a long answer, also after a loss of this fleet.
 std::size_t needed_for_answers(const std::vector<RunnerLoad>& runners, double free_share) {
--- a/src/replica_selection/runner_division.hpp
+++ b/src/replica_selection/runner_division.hpp
@@ -12,6 +12,10 @@
 
 namespace ivyrill::replica_selection {
 
+// Of the time of a link, on which moves queue: at this share a move waits for three quarters of its own time
+// (M/D/1).
+inline constexpr double kMostLinkShare = 0.6;
+
 struct RunnerLoad {
     double slots = 1;
     std::optional<double> running; // of all callers; none while it was not reported
--- a/src/replica_selection/time_model.hpp
+++ b/src/replica_selection/time_model.hpp
@@ -19,8 +19,6 @@
         fixed_ = mean_took - per_token_ * mean_tokens;
     }
     bool known() const { return weight_ > 0; }
-    double samples() const { return weight_; }
-    double per_token() const { return per_token_; }
     double time(double tokens) const { return fixed_ + per_token_ * tokens; }
 
   private:
