A budget for each service; absurd reports and prompt headers are bounded; mechanisms can be left out

A report that says more running than slots, or negative or huge numbers, was taken; a prompt header could name thousands of parts, each remembered for every server it was sent to.

Change: RetryBudgets holds one budget a service; read_report drops what can't be (counted, logged); 64 parts of a prompt are read.

--- a/src/agent/report_reader.cpp
+++ b/src/agent/report_reader.cpp
@@ -1,6 +1,7 @@
 #include "agent/report_reader.hpp"
 
 #include "base/hash.hpp"
+#include "base/log.hpp"
 #include "protocol/json.hpp"
 #include "protocol/values.hpp"
 
@@ -12,11 +13,23 @@
 namespace {
 
 constexpr Tenths kReportPatience = 5000;
+constexpr std::uint64_t kSpoiltLogged = 1000; // of so many, one is logged
 constexpr std::size_t kMostRequest = 4096;
+constexpr std::int64_t kMostWaiting = 10'000;           // requests; a server queues a few
+constexpr std::int64_t kMostMemory = 1'000'000'000'000; // tokens
+
+bool within(std::int64_t number, std::int64_t most) { return number >= 0 && number <= most; }
+
+// A server runs no more requests than it has slots, and its memory holds no more than all of it.
+bool plausible(const model::Load& load, std::int64_t slots) {
+    return within(load.waiting, kMostWaiting) && within(load.running, slots) &&
+           within(load.memory_total, kMostMemory) && within(load.memory_used, load.memory_total);
+}
 
 } // namespace
 
-std::optional<model::Load> read_report(const std::string& instance, const std::string& json) {
+std::optional<model::Load> read_report(const std::string& instance, std::int64_t slots,
+                                       const std::string& json) {
     try {
         const protocol::Json body = protocol::read_json(json);
         const auto number = [&body](std::string_view name) {
@@ -27,6 +40,7 @@
         load.instance = instance;
         load.waiting = number("waiting"), load.running = number("running");
         load.memory_used = number("kvUsed"), load.memory_total = number("kvTotal");
+        if (!plausible(load, slots)) return std::nullopt;
         return load;
     } catch (const protocol::ProtocolError&) { return std::nullopt; }
 }
@@ -54,7 +68,7 @@
     }
     for (const auto& [id, instance] : instances) {
         if (duties_.contains(id) || !is_mine(instance)) continue;
-        auto& duty = duties_[id] = std::make_unique<Duty>(reactor_, id, instance.address);
+        auto& duty = duties_[id] = std::make_unique<Duty>(reactor_, id, instance.address, instance.slots);
         duty->task = keep_reading(*duty);
         duty->task.start();
     }
@@ -100,8 +114,13 @@
         co_await duty.wake;
     }
     const protocol::HttpMessage answer = connection.parser().take();
-    if (answer.status == 200)
-        if (const auto load = read_report(duty.instance, answer.body)) read_(*load);
+    if (answer.status == 200) {
+        const auto load = read_report(duty.instance, duty.slots, answer.body);
+        if (load)
+            read_(*load);
+        else if (++spoilt_ == 1 || spoilt_ % kSpoiltLogged == 0)
+            log_line("spoilt_report", {{"instance", duty.instance}, {"count", std::to_string(spoilt_)}});
+    }
     co_return !answer.close;
 }
 
--- a/src/agent/report_reader.hpp
+++ b/src/agent/report_reader.hpp
@@ -16,14 +16,15 @@
 
 namespace ivyrill::agent {
 
-std::optional<model::Load> read_report(const std::string& instance,
-                                       const std::string& json); // nothing where spoilt
+// Nothing where it can't be read or says what can't be: negative or huge numbers, more running than slots.
+std::optional<model::Load> read_report(const std::string& instance, std::int64_t slots,
+                                       const std::string& json);
 
 class ReportReader {
   public:
     struct Options {
-        std::string self;    // node name
-        Tenths interval = 0; // between two reports of one server, in a fleet of up to `servers`
+        std::string self;          // node name
+        Tenths interval = 0;       // between two reports of one server, in a fleet of up to `servers`
         std::size_t servers = 150; // in a larger one it grows in proportion, as all are told to all nodes
     };
     ReportReader(transport::Reactor& reactor, Options options, std::function<void(model::Load)> read);
@@ -32,12 +33,15 @@
                 const std::vector<model::EdgeNode>& nodes);
     Tenths interval() const; // in the fleet as it is now
     std::size_t readings() const { return duties_.size(); }
+    std::uint64_t spoilt() const { return spoilt_; } // reports that were dropped
 
   private:
     struct Duty {
-        Duty(transport::Reactor& reactor, std::string instance, std::string address)
-            : instance(std::move(instance)), address(std::move(address)), wake(reactor.loop()) {}
+        Duty(transport::Reactor& reactor, std::string instance, std::string address, std::int64_t slots)
+            : instance(std::move(instance)), address(std::move(address)), slots(slots), wake(reactor.loop()) {
+        }
         std::string instance, address;
+        std::int64_t slots;
         transport::Slot wake;
         std::unique_ptr<http::ClientConnection> connection;
         transport::Task task;
@@ -51,6 +55,7 @@
     std::function<void(model::Load)> read_;
     ReportDuties readers_;
     std::size_t servers_ = 0; // of the whole fleet
+    std::uint64_t spoilt_ = 0;
     std::map<std::string, std::unique_ptr<Duty>> duties_;
 };
 
--- a/src/proxy/client_request.cpp
+++ b/src/proxy/client_request.cpp
@@ -23,6 +23,8 @@
                                                          "priority",      "deadline-ms", "expect-version",
                                                          "last-event-id"};
 
+constexpr std::size_t kMostPromptParts = 64; // each is remembered for every server that it is sent to
+
 template <std::size_t Size>
 bool is_one_of(const std::array<std::string_view, Size>& names, std::string_view name) {
     return std::ranges::find(names, name) != names.end();
@@ -49,12 +51,12 @@
     return number;
 }
 
-// `ID:TOKENS`, separated by commas; what can't be read ends the list, for it guides the choice and nothing
-// else.
+// `ID:TOKENS`, separated by commas; what can't be read, or is one part too many, ends the list, for it guides
+// the choice and nothing else.
 std::vector<replica_selection::PromptPart> read_prompt(std::string_view text) {
     std::vector<replica_selection::PromptPart> parts;
     std::int64_t left = kMostPromptTokens;
-    while (!text.empty()) {
+    while (!text.empty() && parts.size() < kMostPromptParts) {
         const std::size_t end = std::min(text.find(','), text.size());
         const std::string_view item = text.substr(0, end);
         const std::size_t colon = item.find(':');
--- a/src/proxy/connect_patience.hpp
+++ b/src/proxy/connect_patience.hpp
@@ -1,8 +1,9 @@
 // How long a connection to a server may take to come up before another server is asked: a smoothed mean and
-// deviation as for TCP's own timer (RFC 6298), wider, and doubled while none comes up, so that it also follows
-// a network that turns slow.
+// deviation as for TCP's own timer (RFC 6298), wider, and doubled while none comes up, so that it also
+// follows a network that turns slow.
 #pragma once
 #include "base/time.hpp"
+#include "replica_selection/mechanism.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -26,14 +27,16 @@
 
     Tenths patience(Tenths latency_target) const {
         const Tenths most = std::clamp(latency_target, kLeastBound, kMostBound);
-        if (!known_) return most;
+        using replica_selection::Mechanism;
+        if (!known_ || !in_use(Mechanism::kConnectPatience)) return most;
         const auto usual = static_cast<Tenths>(mean_ + kDeviations * deviation_);
         return std::min(most, std::max(usual, kLeast) << doublings_);
     }
 
   private:
     static constexpr double kMeanWeight = 0.125, kDeviationWeight = 0.25; // RFC 6298
-    static constexpr double kDeviations = 8; // twice as many as there: to leave early costs a wasted connection
+    static constexpr double kDeviations =
+        8; // twice as many as there: to leave early costs a wasted connection
     static constexpr Tenths kLeast = 200;
     static constexpr Tenths kLeastBound = 1000, kMostBound = 5000; // of the bound by the latency target
     static constexpr int kMostDoublings = 2;
--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -26,7 +26,7 @@
     transport::Reactor& reactor;
     std::shared_ptr<const model::RoutingTable> routes; // swapped whole; null until the first configuration
     replica_selection::PairSelector selector;
-    replica_selection::RetryBudget budget;
+    replica_selection::RetryBudgets budgets;
     ServerConnections connections;
     ConnectPatience connect_patience;
     Pcg random;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -57,7 +57,7 @@
         ++context_.counters.too_long_to_end;
         co_return reject(kComeBack, "this node ends before the answer may");
     }
-    context_.budget.request(now());
+    budget().request(now());
     co_return co_await serve();
 }
 
@@ -89,7 +89,7 @@
             continue;
         }
         // A reading may be turned away, which counts as a further arrival.
-        const bool may_hand_over = may_hand_over_ && context_.budget.has_room(now());
+        const bool may_hand_over = may_hand_over_ && budget().has_room(now());
         const auto choice = context_.selector.choose(profile_, tried_, may_hand_over,
                                                      sends_ == 0 && handle_.empty() && tried_.empty(), now());
         if (std::holds_alternative<replica_selection::NoServer>(choice))
@@ -197,7 +197,7 @@
 
 bool Exchange::spend_further_send() {
     if (std::exchange(further_paid_, false)) return true;
-    if (!context_.budget.spend(now())) return false;
+    if (!budget().spend(now())) return false;
     ++context_.counters.further_sends;
     return true;
 }
@@ -207,7 +207,7 @@
     forwarding.prefill_only = true;
     const CallEnd end = co_await call(pair.reader, Work::kReadOnly, forwarding, pair.tokens_to_read, true);
     if (end == CallEnd::kNeverSent || end == CallEnd::kMisdirected) co_return ReadEnd::kNeverSent;
-    if (end == CallEnd::kNotRun) context_.budget.charge(now());
+    if (end == CallEnd::kNotRun) budget().charge(now());
     if (end != CallEnd::kAnswer) co_return ReadEnd::kFailed;
     const bool whole = co_await await_whole_answer(std::min(deadline_, now() + profile_.latency_target));
     std::string handle;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -68,6 +68,7 @@
     transport::Async<transport::Done> wait(Tenths until);
 
     bool may_outlast_this_process() const;
+    replica_selection::RetryBudget& budget() { return context_.budgets.of(profile_.service); }
     bool spend_further_send();
     bool leave_is_allowed();
     void end_call(bool reusable);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -35,7 +35,7 @@
       settings_(settings), context_{reactor,
                                     nullptr,
                                     replica_selection::PairSelector(draw()),
-                                    replica_selection::RetryBudget(budget_terms(settings.bounds)),
+                                    replica_selection::RetryBudgets(budget_terms(settings.bounds)),
                                     ServerConnections(reactor, kMostOut),
                                     ConnectPatience{},
                                     Pcg(draw()),
@@ -97,6 +97,8 @@
     if (applied.configuration) {
         context_.routes = std::make_shared<const model::RoutingTable>(tables.configuration());
         context_.selector.set_services(tables.configuration()->services);
+        context_.budgets.keep_only(
+            [this](const std::string& service) { return context_.routes->service(service) != nullptr; });
         log_line("configuration", {{"version", std::to_string(tables.configuration()->version)}});
     }
     if (applied.instances) {
@@ -111,7 +113,7 @@
             if (const auto* load = std::get_if<model::Load>(&item)) context_.selector.set_load(*load);
     if (applied.nodes) {
         context_.selector.set_edge_nodes(tables.edge_nodes().size());
-        context_.budget.set_edge_nodes(tables.edge_nodes().size(), reactor_.now());
+        context_.budgets.set_edge_nodes(tables.edge_nodes().size(), reactor_.now());
     }
 }
 
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -1,5 +1,6 @@
 // Which servers a request may go to, and where its prompt is at home.
 #include "base/hash.hpp"
+#include "replica_selection/mechanism.hpp"
 #include "replica_selection/pair_selector.hpp"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 // Of a reader's time: what it may begin to read before its reports tell, which are some hundred ms old.
 constexpr double kLeastReading = 0.5;
 constexpr double kFreeLinks = 0.9; // of the links' time: below it a move waits for no more than five
-constexpr double kSlowShare = 0.4;                   // of the latency target, expected for the reading alone
+constexpr double kSlowShare = 0.4; // of the latency target, expected for the reading alone
 
 bool serves(const model::Instance& instance, const Request& request) {
     if (instance.service != request.service || !instance.may_be_sent_to()) return false;
@@ -79,16 +80,17 @@
     for (const std::size_t index : runner_order(instances, request.service)) {
         Server* server = runners[index];
         ordered.push_back(server);
-        loads.push_back({static_cast<double>(std::max<std::int64_t>(1, server->instance.slots)),
-                         server->running_there});
+        loads.push_back(
+            {static_cast<double>(std::max<std::int64_t>(1, server->instance.slots)), server->running_there});
     }
     ServiceView& view = services_[request.service];
     double reading = 0; // readers that read
     for (const Server* reader : found.readers) reading += std::max(kLeastReading, reader->reading_share);
     const double links_for_reader = view.hand_overs.links_for_reader();
-    const bool for_moves = view.hand_overs.worth_a_runner();
+    const bool for_moves = in_use(Mechanism::kRunnersForLinks) && view.hand_overs.worth_a_runner();
     const double busy = reading * links_for_reader;
-    const std::size_t apart = view.division.kept_apart(loads, for_moves ? busy : 0, now);
+    const std::size_t apart =
+        in_use(Mechanism::kRunnersApart) ? view.division.kept_apart(loads, for_moves ? busy : 0, now) : 0;
     const double links = static_cast<double>(std::max<std::size_t>(1, apart));
     const double most = links_for_reader * static_cast<double>(found.readers.size());
     view.links_taken = busy / links;
@@ -130,7 +132,7 @@
 // By what the readers' load asks of them, and by how long moves took of late.
 bool PairSelector::links_are_free(const Request& request, Tenths now) const {
     const auto found = services_.find(request.service);
-    if (found == services_.end()) return true;
+    if (!in_use(Mechanism::kLinksWatched) || found == services_.end()) return true;
     const ServiceView& view = found->second;
     const double most = kSlowShare * static_cast<double>(request.latency_target);
     return view.links_taken < kFreeLinks && view.hand_overs.fetch_time(now) < most;
@@ -142,7 +144,7 @@
 // times the work, just when there is too much. What makes one kind of home slow (readers' queues, links,
 // runners that read at half the pace) does so for all of its kind, so the second home is of the other kind.
 void PairSelector::keep_homes(const Request& request, Candidates& candidates, Tenths now) const {
-    if (request.prompt.size() < 2 || streams(request)) return;
+    if (!in_use(Mechanism::kHomes) || request.prompt.size() < 2 || streams(request)) return;
     const std::string& shared = request.prompt[request.prompt.size() - 2].id;
     const auto view = services_.find(request.service);
     const double carried = view == services_.end() ? 1 : view->second.carried;
@@ -156,17 +158,17 @@
     std::ranges::sort(homes, std::ranges::greater{}, &Home::weight);
     candidates.home = homes.front().server;
     const Server* second = nullptr;
-    if (slow(*candidates.home, request, now)) {
+    if (in_use(Mechanism::kSecondHome) && slow(*candidates.home, request, now)) {
         // A reader reads at twice the pace, where the links can take what it reads.
-        std::vector<Home> seconds = links_are_free(request, now) ? by_readers : by_runners;
+        std::vector<Home> seconds;
+        if (in_use(Mechanism::kReaderAsSecond))
+            seconds = links_are_free(request, now) ? by_readers : by_runners;
         seconds.insert(seconds.end(), homes.begin(), homes.end());
-        const auto other = std::ranges::find_if(
-            seconds, [&](const Home& home) { return home.server != candidates.home; });
+        const auto other =
+            std::ranges::find_if(seconds, [&](const Home& home) { return home.server != candidates.home; });
         if (other != seconds.end()) second = other->server;
     }
-    const auto is_none = [&](const Server* server) {
-        return server != candidates.home && server != second;
-    };
+    const auto is_none = [&](const Server* server) { return server != candidates.home && server != second; };
     std::erase_if(candidates.readers, is_none);
     // What is fetched is kept too, and would push the prompts that are at home there out of a reading
     // runner's memory.
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -1,5 +1,7 @@
 #include "replica_selection/pair_selector.hpp"
 
+#include "replica_selection/mechanism.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -23,7 +25,7 @@
 constexpr double kMostTargets =
     0.8; // expected latency targets until the prompt is read, from which some are rejected
 constexpr std::size_t kDrawn = 2, kDrawnFar = 1; // servers that C3 ranks for one request: near ones, others
-constexpr double kLongestComeBack = 3000; // tenths of a millisecond
+constexpr double kLongestComeBack = 3000;        // tenths of a millisecond
 
 void mix(double& mean, double fresh, double weight) { mean += weight * (fresh - mean); }
 
@@ -103,6 +105,7 @@
 // the rest is served in time; what is let in tells how long it takes now. So one is always let in: where this
 // node waits for no other prompt, a late answer of before is no queue.
 std::optional<Overloaded> PairSelector::overloaded(const Request& request, const Pair& pair, Tenths now) {
+    if (!in_use(Mechanism::kRejection)) return std::nullopt;
     if (pair.reader.empty() && streams(request)) return std::nullopt;
     if (!waits_for_a_reading(request.service)) return std::nullopt;
     const Server& reader = servers_.at(pair.reader.empty() ? pair.runner : pair.reader);
@@ -162,10 +165,11 @@
 }
 
 // Reports are some hundred ms old, and all nodes have the same: whoever looked best in them would be sent
-// everything until the next. So each request has a few drawn for it, of which C3 ranks the best (M. Mitzenmacher,
-// "How Useful Is Old Information?", 2000); those of `zone` come first.
+// everything until the next. So each request has a few drawn for it, of which C3 ranks the best (M.
+// Mitzenmacher, "How Useful Is Old Information?", 2000); those of `zone` come first.
 std::vector<PairSelector::Server*> PairSelector::drawn(const std::vector<Server*>& servers,
                                                        const std::string& zone) {
+    if (!in_use(Mechanism::kDrawnRunners)) return servers;
     std::vector<Server*> left = servers;
     const auto far = std::ranges::stable_partition(
         left, [&](const Server* server) { return server->instance.zone == zone; });
@@ -219,7 +223,7 @@
 // Silence counts as a response of its length: an attempt unanswered is news too.
 double PairSelector::response_of(const Server& server, Work work, double usual, Tenths now) const {
     const double known = server.estimates[index(work)].response * usual;
-    if (server.unanswered.empty()) return known;
+    if (!in_use(Mechanism::kSilenceCounts) || server.unanswered.empty()) return known;
     const Tenths oldest = server.unanswered.begin()->second; // attempts are numbered as they are sent
     return std::max(known, static_cast<double>(now - std::max(oldest, server.last_answer)));
 }
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -117,8 +117,8 @@
         model::Service service;
         RunnerDivision division;
         HandOverLoad hand_overs;
-        double links_taken = 0;    // share of their time, by moves of all nodes
-        double carried = 1;        // share of what the readers can read that the links can move
+        double links_taken = 0; // share of their time, by moves of all nodes
+        double carried = 1;     // share of what the readers can read that the links can move
     };
     struct Scored {
         Server* server = nullptr;
@@ -170,7 +170,7 @@
     double near_move_time(const Request& request) const; // within a zone
     double move_time(const Server& reader, const Server& runner, const Request& request) const;
     double link_wait(const std::string& service) const; // before a move begins
-    static bool streams(const Request& request); // its answer may be longer than its prompt
+    static bool streams(const Request& request);        // its answer may be longer than its prompt
     Attempt* out(AttemptNo attempt);
     void close(AttemptNo attempt);
     Server* find(const std::string& id);
--- a/src/replica_selection/retry_budget.hpp
+++ b/src/replica_selection/retry_budget.hpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <map>
+#include <string>
 
 namespace ivyrill::replica_selection {
 
@@ -54,4 +56,30 @@
     std::deque<Tenths> requests_, further_;
 };
 
+// One budget for each service: requests of one pay for no further arrivals at another.
+class RetryBudgets {
+  public:
+    explicit RetryBudgets(RetryBudget::Terms terms) : terms_(terms) {}
+
+    RetryBudget& of(const std::string& service) {
+        const auto [place, fresh] = budgets_.try_emplace(service, terms_);
+        if (fresh) place->second.set_edge_nodes(nodes_, nodes_at_);
+        return place->second;
+    }
+    void set_edge_nodes(std::size_t count, Tenths now) {
+        nodes_ = count, nodes_at_ = now;
+        for (auto& [service, budget] : budgets_) budget.set_edge_nodes(count, now);
+    }
+    // Services that the configuration no longer has are forgotten with what they spent.
+    template <class Known> void keep_only(Known known) {
+        std::erase_if(budgets_, [&](const auto& entry) { return !known(entry.first); });
+    }
+
+  private:
+    RetryBudget::Terms terms_;
+    std::size_t nodes_ = 1;
+    Tenths nodes_at_ = 0;
+    std::map<std::string, RetryBudget> budgets_;
+};
+
 } // namespace ivyrill::replica_selection
--- a/tests/client_request_tests.cpp
+++ b/tests/client_request_tests.cpp
@@ -264,3 +264,12 @@
     BOOST_TEST(read.close);
     BOOST_TEST((read.body == body));
 }
+
+BOOST_AUTO_TEST_CASE(a_header_that_names_thousands_of_parts_is_read_up_to_a_bound) {
+    std::string text;
+    for (int i = 0; i < 5000; ++i) text += (i == 0 ? "" : ",") + std::to_string(i) + ":1";
+    const ClientRequest read = request({{"prompt-prefix", text}});
+    BOOST_TEST(read.prompt.size() >= 16U);
+    BOOST_TEST(read.prompt.size() <= 100U);
+    BOOST_TEST(read.message.header("prompt-prefix") == text); // it is passed on as it came
+}
--- a/tests/report_duty_tests.cpp
+++ b/tests/report_duty_tests.cpp
@@ -86,3 +86,22 @@
     BOOST_TEST(reader.interval() == 100'000);
     BOOST_TEST(reader.readings() == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(reports_that_say_what_cannot_be_are_dropped) {
+    const std::int64_t slots = 24;
+    const auto report = [&](const std::string& waiting, const std::string& running, const std::string& used) {
+        return agent::read_report("i-1", slots,
+                                  R"({"stage":"decode","waiting":)" + waiting + R"(,"running":)" + running +
+                                      R"(,"kvUsed":)" + used + R"(,"kvTotal":90000})");
+    };
+    BOOST_REQUIRE(report("1", "24", "41000").has_value());
+    BOOST_TEST(report("1", "24", "41000")->running == 24);
+    BOOST_TEST(!report("-1", "12", "41000").has_value());
+    BOOST_TEST(!report("99999999", "12", "41000").has_value());
+    BOOST_TEST(!report("1", "25", "41000").has_value()); // more than slots
+    BOOST_TEST(!report("1", "-3", "41000").has_value());
+    BOOST_TEST(!report("1", "12", "-1").has_value());
+    BOOST_TEST(!report("1", "12", "90001").has_value());
+    BOOST_TEST(!report("1", "12", "\"many\"").has_value());
+    BOOST_TEST(!agent::read_report("i-1", slots, "{\"waiting\":1").has_value());
+}
--- a/tests/selection_parts_tests.cpp
+++ b/tests/selection_parts_tests.cpp
@@ -163,3 +163,37 @@
     of_nine.set_edge_nodes(9, kStart);
     BOOST_TEST(spend_all(grown, kStart) == spend_all(of_nine, kStart));
 }
+
+BOOST_AUTO_TEST_CASE(what_nobody_could_ask_about_is_charged_all_the_same) {
+    RetryBudget budget(kTerms);
+    budget.set_edge_nodes(1, kStart);
+    const int room = [&] {
+        RetryBudget same(kTerms);
+        same.set_edge_nodes(1, kStart);
+        return spend_all(same, kStart);
+    }();
+    for (int i = 0; i < room; ++i) {
+        BOOST_TEST(budget.has_room(kStart));
+        budget.charge(kStart);
+    }
+    BOOST_TEST(!budget.has_room(kStart));
+    BOOST_TEST(!budget.spend(kStart));
+    budget.charge(kStart); // one more is counted even so
+    BOOST_TEST(!budget.has_room(kStart + kTerms.window - 1));
+    BOOST_TEST(spend_all(budget, kStart + kTerms.window) == room);
+}
+
+BOOST_AUTO_TEST_CASE(requests_of_one_service_pay_for_nothing_at_another) {
+    RetryBudgets budgets(kTerms);
+    budgets.set_edge_nodes(9, kStart);
+    const int idle = spend_all(budgets.of("idle"), kStart);
+    for (int i = 0; i < 1000; ++i) budgets.of("busy").request(kStart);
+    BOOST_TEST(!budgets.of("idle").spend(kStart));
+    BOOST_TEST(spend_all(budgets.of("busy"), kStart) > 10 * idle);
+    RetryBudget alone(kTerms);
+    alone.set_edge_nodes(9, kStart);
+    BOOST_TEST(spend_all(alone, kStart) == idle); // the count of nodes holds for services met later
+    budgets.keep_only([](const std::string& service) { return service == "busy"; });
+    BOOST_TEST(!budgets.of("busy").spend(kStart));
+    BOOST_TEST(budgets.of("idle").has_room(kStart));
+}
