What names no prompt is not handed over, and no prompt is read a second time

They name no prompt, a reader that is asked to read one runs it instead, and after a runner had been silent for 0.6 s another pair was taken, reader and all.

Change: a request without a prompt is never handed over; once a fetch was broken or left, what follows is read by its runner. A test of the selection. Ruled out: a 421 that took a server off the count (none in the steps).

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -174,6 +174,7 @@
         may_have_run_ = true;
         tried_.insert(pair.runner);
         handle_.clear();
+        if (fetches) may_hand_over_ = false; // a second reading would count as a further send
         if (!route_->idempotent()) co_return fail(502, "the server's answer was lost");
         again = true;
         break;
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -141,7 +141,8 @@
         if (!plain) return std::nullopt;
         return Pair{"", plain->server->instance.id, 0};
     }
-    const bool hands_over = may_hand_over && !candidates.readers.empty();
+    // Where no prompt is named there is nothing to read, and a reader runs such a request itself.
+    const bool hands_over = may_hand_over && !candidates.readers.empty() && !request.prompt.empty();
     std::optional<Scored> alone;
     if (!apart || !candidates.reading_runners.empty() || !hands_over) {
         const bool elsewhere = apart && !candidates.reading_runners.empty();
--- a/tests/pair_selector_tests.cpp
+++ b/tests/pair_selector_tests.cpp
@@ -496,6 +496,13 @@
     for (int i = 0; i < kTries; ++i) BOOST_TEST(fleet.pair(request)->reader.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_names_no_prompt_is_not_handed_over) {
+    Fleet fleet(servers(3, 3));
+    Request request = plain();
+    for (int i = 0; i < 3; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 5)); // runners are busy
+    for (int i = 0; i < kTries; ++i) BOOST_TEST(fleet.pair(request)->reader.empty());
+}
+
 BOOST_AUTO_TEST_CASE(some_are_turned_away_while_readings_are_expected_to_be_late) {
     Fleet fleet(servers(0, 1));
     fleet.serve("d0", reading("slow"), Work::kReadAndRun, 2 * kTarget);
