--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,7 +1,8 @@
 // What the control side promises, measured: histories of whole control nodes with agents, servers and
 // operators in virtual time, a plan for each of the five things that must not happen, and the faults planted
 // in them. The last line is one JSON object; the exit status is 1 where a promise is broken or a planted
-// fault is not found. `--seed N` plays one history and tells it; `--histories N` so many.
+// fault is not found. `--seed N` plays one history and tells it, `--duty-seed N` one of duties; `--histories
+// N` plays so many, and a third as many of duties.
 #include "lab/control_world.hpp"
 
 #include <array>
@@ -21,10 +22,9 @@
 using namespace ivyrill::lab;
 using nlohmann::json;
 
-constexpr std::uint64_t kHistories = 10'000;
+constexpr std::uint64_t kHistories = 10'000, kControlForOneOfDuties = 3;
 
-int tell_one(std::uint64_t seed) {
-    ControlPlan plan = control_plan_of_seed(seed);
+int tell_one(ControlPlan plan) {
     plan.tells = true;
     ControlWorld world(plan);
     world.play();
@@ -35,7 +35,7 @@
 
 struct Totals {
     std::uint64_t violations = 0, faults = 0, acknowledged = 0, refused = 0, sent_again = 0, reads = 0,
-                  leavings = 0, disks_lost = 0;
+                  leavings = 0, disks_lost = 0, orders_to_servers = 0, orders_taken = 0;
     std::array<std::uint64_t, 5> five{};
     void add(const ControlWorld& world) {
         const ControlCounts& counts = world.counts();
@@ -43,39 +43,52 @@
         faults += counts.faults, acknowledged += counts.acknowledged, refused += counts.refused;
         sent_again += counts.sent_again, reads += counts.reads, leavings += counts.leavings;
         disks_lost += counts.disks_lost;
+        orders_to_servers += counts.orders_to_servers, orders_taken += counts.orders_taken;
         for (std::size_t i = 0; i < five.size(); ++i) five[i] += counts.five[i] ? 1 : 0;
     }
 };
 
-json play_histories(std::uint64_t count) {
+Totals play_histories(std::uint64_t count, ControlPlan (*plan_of_seed)(std::uint64_t), const char* kind) {
     std::atomic<std::uint64_t> next = 1;
     std::mutex mutex;
     Totals totals;
-    const auto began = std::chrono::steady_clock::now();
     std::vector<std::thread> players;
     for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i)
         players.emplace_back([&] {
             for (std::uint64_t seed; (seed = next++) <= count;) {
-                ControlWorld world(control_plan_of_seed(seed));
+                ControlWorld world(plan_of_seed(seed));
                 world.play();
                 const std::lock_guard lock(mutex);
                 totals.add(world);
                 for (const std::string& what : world.broken())
-                    std::cerr << "seed " << seed << ": " << what << "\n";
+                    std::cerr << kind << " seed " << seed << ": " << what << "\n";
             }
         });
     for (auto& player : players) player.join();
+    return totals;
+}
+
+json told(std::uint64_t histories) {
+    const auto began = std::chrono::steady_clock::now();
+    const std::uint64_t duty_histories = histories / kControlForOneOfDuties;
+    const Totals control = play_histories(histories, control_plan_of_seed, "control");
+    const Totals duty = play_histories(duty_histories, duty_plan_of_seed, "duty");
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
-    return {{"histories", count},
-            {"violations", totals.violations},
-            {"five", totals.five},
-            {"faults", totals.faults},
-            {"acknowledged", totals.acknowledged},
-            {"refused", totals.refused},
-            {"sent_again", totals.sent_again},
-            {"reads", totals.reads},
-            {"leavings", totals.leavings},
-            {"disks_lost", totals.disks_lost},
+    return {{"histories", histories},
+            {"violations", control.violations},
+            {"five", control.five},
+            {"faults", control.faults},
+            {"acknowledged", control.acknowledged},
+            {"refused", control.refused},
+            {"sent_again", control.sent_again},
+            {"reads", control.reads},
+            {"leavings", control.leavings},
+            {"disks_lost", control.disks_lost},
+            {"duty_histories", duty_histories},
+            {"duty_violations", duty.violations},
+            {"duty_faults", duty.faults},
+            {"orders_to_servers", duty.orders_to_servers},
+            {"orders_taken", duty.orders_taken},
             {"histories_s", took.count()}};
 }
 
@@ -98,13 +111,15 @@
 int main(int count, char** words) {
     std::uint64_t histories = kHistories;
     if (count == 3 && std::string(words[1]) == "--seed")
-        return tell_one(std::strtoull(words[2], nullptr, 10));
+        return tell_one(control_plan_of_seed(std::strtoull(words[2], nullptr, 10)));
+    if (count == 3 && std::string(words[1]) == "--duty-seed")
+        return tell_one(duty_plan_of_seed(std::strtoull(words[2], nullptr, 10)));
     if (count == 3 && std::string(words[1]) == "--histories")
         histories = std::strtoull(words[2], nullptr, 10);
-    json made = play_histories(histories);
+    json made = told(histories);
     made.update(play_planted());
-    const bool kept =
-        made["violations"] == 0 && made["planted"] > 0 && made["planted_found"] == made["planted"];
+    const bool kept = made["violations"] == 0 && made["duty_violations"] == 0 && made["planted"] > 0 &&
+                      made["planted_found"] == made["planted"];
     std::cout << made.dump() << "\n";
     return kept ? 0 : 1;
 }
--- a/bench/control_planted.cpp
+++ b/bench/control_planted.cpp
@@ -28,6 +28,11 @@
     std::string what;
 };
 
+ControlPlan plan_for(PlantedFault fault, std::uint64_t seed) {
+    const bool is_of_duties = static_cast<int>(fault) > kControlFaults;
+    return is_of_duties ? duty_plan_of_seed(seed) : control_plan_of_seed(seed);
+}
+
 // Faults of the agreement are looked for among its own histories, which are many times as fast; all others
 // among those of whole control nodes.
 Finding find(PlantedFault fault) {
@@ -39,7 +44,7 @@
             world.play();
             if (!world.broken().empty()) finding = {seed, world.broken().front()};
         } else {
-            ControlWorld world(control_plan_of_seed(seed));
+            ControlWorld world(plan_for(fault, seed));
             world.play();
             if (!world.broken().empty()) finding = {seed, world.broken().front()};
         }
@@ -50,7 +55,7 @@
 
 int tell_one(PlantedFault fault, std::uint64_t seed) {
     planted_fault = fault;
-    ControlPlan plan = control_plan_of_seed(seed);
+    ControlPlan plan = plan_for(fault, seed);
     plan.tells = true;
     ControlWorld world(plan);
     world.play();
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -28,8 +28,12 @@
 Agent::Agent(transport::Reactor& reactor, const settings::Settings& settings)
     : reactor_(reactor), settings_(settings), network_(reactor), log_(draw()),
       control_nodes_(hash_text(settings.node_name)) {
-    publisher_ = std::make_unique<feed::Publisher>(reactor_, log_, feed::Publisher::Options{},
-                                                   feed::Publisher::Callbacks{});
+    feed::Publisher::Callbacks of_proxy;
+    of_proxy.demands = [this](const std::string&, const std::vector<model::ServiceDemand>& demands) {
+        subscriber_->send(feed::Demands{demands});
+    };
+    publisher_ =
+        std::make_unique<feed::Publisher>(reactor_, log_, feed::Publisher::Options{}, std::move(of_proxy));
     listener_ = network_.listen(feed::local_feed_address(settings_),
                                 [this](feed::AcceptedLink connection) { publisher_->take(connection); });
     reader_ =
--- a/src/agent/report_reader.cpp
+++ b/src/agent/report_reader.cpp
@@ -23,7 +23,8 @@
 // A server runs no more requests than it has slots, and its memory holds no more than all of it.
 bool plausible(const model::Load& load, std::int64_t slots) {
     return within(load.waiting, kMostWaiting) && within(load.running, slots) &&
-           within(load.memory_total, kMostMemory) && within(load.memory_used, load.memory_total);
+           within(load.memory_total, kMostMemory) && within(load.memory_used, load.memory_total) &&
+           load.orders_taken >= 0;
 }
 
 } // namespace
@@ -40,6 +41,10 @@
         load.instance = instance;
         load.waiting = number("waiting"), load.running = number("running");
         load.memory_used = number("kvUsed"), load.memory_total = number("kvTotal");
+        load.orders_taken = number("callSeq");
+        if (const protocol::Json* stage = body.find("stage"))
+            load.stage = model::stage_named(stage->as_text("stage"));
+        if (const protocol::Json* busy = body.find("busy")) load.changing = busy->as_bool("busy");
         if (!plausible(load, slots)) return std::nullopt;
         return load;
     } catch (const protocol::ProtocolError&) { return std::nullopt; }
--- a/src/base/planted_fault.hpp
+++ b/src/base/planted_fault.hpp
@@ -42,10 +42,26 @@
     kReplacedDiskAwaited,    // a voter whose address another disk holds counts as there
     kReadyKept,              // a member that was cut off may become a voter by the copies from before
     kContactWithoutMajority, // a leader that is itself cut off keeps others in contact
-    kLeaderCommitForgotten   // what a leader has committed is forgotten while it is not heard
+    kLeaderCommitForgotten,  // what a leader has committed is forgotten while it is not heard
+    // Of the duties (src/duties, src/control/duty_parts.hpp) and of orders to servers.
+    kLeaseNotAwaited,       // a holder acts as soon as it is elected
+    kHolderReturnsAtOnce,   // a holder that held shortly before acts again without a wait
+    kActsWithoutContact,    // a holder acts on while no majority answers it
+    kFenceFromMemory,       // the fence counts how often this process has held
+    kActsAfterRelease,      // a holder that ends says that it acts no more, and acts on
+    kOldReleaseBelieved,    // a release of an older term spares the wait
+    kDutiesForgotten,       // a process that starts anew does not read what its parts' groups agreed on
+    kOrderWithoutTarget,    // an order names no server: whoever has the address by now takes it
+    kOrderNotExpected,      // an order does not say how many the server should have taken
+    kOrderSentAgainAtOnce,  // an order without an answer is sent again at once, as if none had been taken
+    kFenceNotCheckedAtSend, // the lease is looked at before the connection comes up, not when the order
+                            // leaves
+    kFencedOffIgnored       // a holder that a server has fenced off goes on
 };
 inline constexpr int kConsensusFaults = 12; // the first ones
-inline constexpr int kPlantedFaults = static_cast<int>(PlantedFault::kLeaderCommitForgotten);
+inline constexpr int kControlFaults =
+    static_cast<int>(PlantedFault::kLeaderCommitForgotten); // with those before
+inline constexpr int kPlantedFaults = static_cast<int>(PlantedFault::kFencedOffIgnored);
 
 #ifdef IVYRILL_PLANTED_FAULTS
 inline thread_local PlantedFault planted_fault = PlantedFault::kNone;
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -2,6 +2,7 @@
 #include "consensus/replica.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ivyrill::consensus {
 
@@ -13,7 +14,7 @@
 
 void Replica::set_candidates(std::vector<Candidate> candidates, std::size_t least, std::size_t most,
                              Tenths now) {
-    candidates_ = std::move(candidates);
+    const std::vector<Candidate> before = std::exchange(candidates_, std::move(candidates));
     least_ = least;
     most_ = most;
     std::map<MemberId, Tenths> unlisted;
@@ -24,11 +25,27 @@
             unlisted[voter.id] = known == unlisted_since_.end() ? now : known->second;
         }
     unlisted_since_ = std::move(unlisted);
-    if (role_ == Role::kLeader) refresh_peers();
+    if (role_ == Role::kLeader) {
+        refresh_peers();
+        greet_arrivals(before, now);
+    }
     hasten_first_election(now);
     settle(now);
 }
 
+// What was sent to a peer before its link stood was lost: after a start of the whole group it would wait for
+// the entry until it is sent again.
+void Replica::greet_arrivals(const std::vector<Candidate>& before, Tenths now) {
+    for (auto& [id, progress] : peers_) {
+        const Candidate* listed = candidate(id);
+        const auto was = std::ranges::find(before, id, [](const Candidate& c) { return c.member.id; });
+        const bool was_alive = was != before.end() && was->alive;
+        if (listed == nullptr || !listed->alive || was_alive) continue;
+        progress.sent = {};
+        send_append(id, progress, now);
+    }
+}
+
 // Voters, former ones, and all that are alive: these learn, so that they can become voters.
 void Replica::refresh_peers() {
     std::map<MemberId, Progress> wanted;
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -223,6 +223,7 @@
 
     // membership.cpp
     void refresh_peers();
+    void greet_arrivals(const std::vector<Candidate>& before, Tenths now);
     const Candidate* candidate(MemberId id) const;
     bool disk_was_replaced(const Member& voter) const;
     bool alive(const Member& voter) const;
--- a/src/control/configuration_group.cpp
+++ b/src/control/configuration_group.cpp
@@ -22,12 +22,6 @@
 constexpr Tenths kVoterContact = 9'000;    // since a leader certainly had a majority
 constexpr Tenths kLearnerContact = 12'000;
 
-struct DiskState { // what lies in one file
-    consensus::Member self;
-    consensus::DurableState state;
-    template <class Self> static auto tie(Self& s) { return std::tie(s.self, s.state); }
-};
-
 consensus::MemberId founder_id(const std::string& address) { return {hash_text(address) | 1U}; }
 
 Error not_leading() {
@@ -43,7 +37,7 @@
     std::unique_ptr<ConfigurationGroup> group(
         new ConfigurationGroup(reactor, std::move(file), std::move(options), std::move(callbacks)));
     BOOST_OUTCOME_TRYV(group->load());
-    group->step();
+    group->member_->step();
     return group;
 }
 
@@ -52,10 +46,7 @@
     : reactor_(reactor), options_(std::move(options)), callbacks_(std::move(callbacks)),
       disk_(std::move(file)), opened_at_(reactor.now()) {}
 
-ConfigurationGroup::~ConfigurationGroup() {
-    reactor_.cancel(timer_);
-    reactor_.cancel(founding_timer_);
-}
+ConfigurationGroup::~ConfigurationGroup() { reactor_.cancel(founding_timer_); }
 
 Result<void> ConfigurationGroup::load() {
     BOOST_OUTCOME_TRY(loaded, disk_->load());
@@ -63,9 +54,9 @@
     const bool rotten = loaded.newest_is_spoilt || options_.disk_is_spoilt;
     const bool spoilt = rotten && !planted(PlantedFault::kOlderFileUsed);
     if (spoilt) log_line("state_spoilt", {{"remedy", "it joins as a new member; check the disk"}});
-    DiskState held;
+    MemberState held;
     if (loaded.bytes && !spoilt) {
-        BOOST_OUTCOME_TRY(read, wire::from_bytes<DiskState>(*loaded.bytes));
+        BOOST_OUTCOME_TRY(read, wire::from_bytes<MemberState>(*loaded.bytes));
         held = std::move(read);
         if (held.self.address != options_.address)
             log_line("address_changed", {{"was", held.self.address}, {"is", options_.address}});
@@ -78,7 +69,7 @@
     else if (is_empty || spoilt)
         held.self.id = {options_.draw()};
     self_ = {held.self.id, options_.address, options_.zone};
-    open_replica(held.state);
+    open_member(held.state);
     log_line("group_opened", {{"member", std::to_string(self_.id.value)},
                               {"founder", founding_ ? "yes" : "no"},
                               {"entry", held.state.entry ? "yes" : "no"}});
@@ -90,12 +81,20 @@
     return boost::outcome_v2::success();
 }
 
-void ConfigurationGroup::open_replica(const consensus::DurableState& durable) {
+void ConfigurationGroup::open_member(const consensus::DurableState& durable) {
     consensus::Options options;
     options.self = self_, options.seed = options_.draw();
     options.election_timeout = kElectionTimeout;
     options.least_copies = options_.least_copies;
-    replica_ = std::make_unique<consensus::Replica>(options, durable, reactor_.now());
+    ReplicatedGroup::Callbacks callbacks;
+    callbacks.send = callbacks_.send;
+    callbacks.committed = [this](const consensus::Entry& entry) { publish(entry); };
+    callbacks.role_changed = [](const consensus::RoleChanged& role) {
+        log_line("role", {{"leads", role.leads ? "yes" : "no"}, {"term", std::to_string(role.term)}});
+    };
+    callbacks.stepped = [this] { watch_leader(); };
+    member_ = std::make_unique<ReplicatedGroup>(reactor_, *disk_, std::move(options), durable,
+                                                std::move(callbacks));
 }
 
 // The same entry at each founder.
@@ -106,7 +105,7 @@
     for (const std::string& address : options_.founders)
         founders.push_back({founder_id(address), address, ""});
     std::ranges::sort(founders, {}, &consensus::Member::address);
-    replica_->found(std::move(founders), wire::to_bytes(ConfigurationState{}), reactor_.now());
+    member_->found(std::move(founders), wire::to_bytes(ConfigurationState{}));
     log_line("group_founded");
 }
 
@@ -118,10 +117,7 @@
     const std::size_t know_of_none = met_founders_.size() + 1;
     const bool waited = reactor_.now() - opened_at_ >= kFoundingPatience;
     const std::size_t wanted = waited ? options_.founders.size() / 2 + 1 : options_.founders.size();
-    if (know_of_none >= wanted) {
-        found();
-        return step();
-    }
+    if (know_of_none >= wanted) return found();
     founding_timer_ = reactor_.call_after(kFoundingLook, [this] { found_if_alone(); });
 }
 
@@ -136,87 +132,51 @@
     founding_ = false;
     reactor_.cancel(founding_timer_);
     self_.id = {options_.draw()};
-    open_replica({});
+    open_member({});
     log_line("group_exists", {{"member", std::to_string(self_.id.value)}});
     callbacks_.identity_changed();
-    step();
+    member_->step();
 }
 
 void ConfigurationGroup::receive(const consensus::Message& message) {
-    if (founding_) return;
-    replica_->receive(message, reactor_.now());
-    step();
+    if (!founding_) member_->receive(message);
 }
 
 void ConfigurationGroup::set_candidates(std::vector<consensus::Candidate> candidates) {
-    replica_->set_candidates(std::move(candidates), options_.least_voters, options_.most_voters,
-                             reactor_.now());
-    step();
+    member_->set_candidates(std::move(candidates), options_.least_voters, options_.most_voters);
 }
 
-void ConfigurationGroup::resign() {
-    replica_->resign(reactor_.now());
-    step();
-}
+void ConfigurationGroup::resign() { member_->resign(); }
 
-void ConfigurationGroup::step() {
-    if (std::exchange(stepping_, true)) return;
-    for (auto effects = replica_->take_effects(); !effects.empty(); effects = replica_->take_effects())
-        for (consensus::Effect& effect : effects) carry_out(std::move(effect));
-    stepping_ = false;
-    watch_leader();
-    reactor_.cancel(timer_);
-    timer_ = reactor_.call_at(std::max(replica_->next_tick(), reactor_.now() + 1), [this] {
-        replica_->tick(reactor_.now());
-        step();
+void ConfigurationGroup::name_duty_founders(std::size_t count) {
+    if (!leads() || replica().proposal_under_way()) return;
+    const auto current = wire::from_bytes<ConfigurationState>(replica().committed()->payload);
+    if (current.has_error() || !current.value().duty_founders.empty()) return;
+    std::vector<consensus::Member> founders = voters();
+    if (founders.size() < count) return;
+    std::ranges::sort(founders, {}, &consensus::Member::address);
+    founders.resize(count);
+    member_->propose_unawaited([founders](const std::string& payload) -> std::optional<std::string> {
+        auto state = wire::from_bytes<ConfigurationState>(payload);
+        if (state.has_error() || !state.value().duty_founders.empty()) return std::nullopt;
+        state.value().duty_founders = founders;
+        return wire::to_bytes(state.value());
     });
 }
 
 void ConfigurationGroup::watch_leader() {
-    const auto leader = replica_->leader();
+    const auto leader = replica().leader();
     if (leader == told_leader_) return;
     told_leader_ = leader;
     if (callbacks_.leader_changed) callbacks_.leader_changed();
 }
 
-void ConfigurationGroup::carry_out(consensus::Effect effect) {
-    if (auto* sent = std::get_if<consensus::Send>(&effect)) {
-        callbacks_.send(*sent);
-    } else if (auto* stored = std::get_if<consensus::Store>(&effect)) {
-        store(*stored);
-    } else if (auto* committed = std::get_if<consensus::Committed>(&effect)) {
-        publish(committed->entry);
-    } else if (auto* done = std::get_if<consensus::ProposalDone>(&effect)) {
-        const auto found = proposals_.find(done->id);
-        if (found == proposals_.end()) return;
-        found->second->resolve(done->outcome);
-        proposals_.erase(found);
-    } else if (auto* read = std::get_if<consensus::ReadDone>(&effect)) {
-        const auto found = reads_.find(read->id);
-        if (found == reads_.end()) return;
-        found->second->resolve(read->confirmed);
-        reads_.erase(found);
-    } else if (auto* role = std::get_if<consensus::RoleChanged>(&effect)) {
-        log_line("role", {{"leads", role->leads ? "yes" : "no"}, {"term", std::to_string(role->term)}});
-    }
-}
-
-void ConfigurationGroup::store(const consensus::Store& store) {
-    disk_->save(wire::to_bytes(DiskState{self_, store.state}),
-                [this, ticket = store.ticket](const Result<void>& done) {
-                    if (done.has_error()) {
-                        log_line("store_failed", {{"cause", done.error().message}});
-                        replica_->store_failed(ticket, reactor_.now());
-                    } else {
-                        replica_->stored(ticket, reactor_.now());
-                    }
-                    step();
-                });
-}
-
 void ConfigurationGroup::publish(const consensus::Entry& entry) {
     const auto state = wire::from_bytes<ConfigurationState>(entry.payload);
-    if (state.has_error() || state.value().version <= published_version_) return;
+    if (state.has_error()) return;
+    if (!state.value().duty_founders.empty() && callbacks_.duty_founders)
+        callbacks_.duty_founders(state.value().duty_founders);
+    if (state.value().version <= published_version_) return;
     const auto configuration = configuration::parse(state.value().body);
     if (configuration.has_error()) {
         log_line("configuration_unreadable", {{"cause", configuration.error().message}});
@@ -228,17 +188,17 @@
 }
 
 bool ConfigurationGroup::in_contact() const {
-    const Tenths span = leads() ? kElectionTimeout : replica_->is_voter() ? kVoterContact : kLearnerContact;
-    const auto contact_at = replica_->contact_at();
+    const Tenths span = leads() ? kElectionTimeout : replica().is_voter() ? kVoterContact : kLearnerContact;
+    const auto contact_at = replica().contact_at();
     return contact_at && reactor_.now() - *contact_at <= span;
 }
 
 Tenths ConfigurationGroup::out_of_contact() const {
-    return in_contact() ? 0 : reactor_.now() - replica_->contact_at().value_or(opened_at_);
+    return in_contact() ? 0 : reactor_.now() - replica().contact_at().value_or(opened_at_);
 }
 
 std::vector<consensus::Member> ConfigurationGroup::voters() const {
-    const auto& newest = replica_->newest();
+    const auto& newest = replica().newest();
     return newest ? newest->voters : std::vector<consensus::Member>{};
 }
 
@@ -246,22 +206,14 @@
     if (planted(PlantedFault::kLeavingHeldByAnyone))
         return !voters().empty() && 2 * members.size() > voters().size();
     const auto holds = [&](consensus::MemberId id) { return members.contains(id.value); };
-    return replica_->outlasts_losses(holds, false);
+    return replica().outlasts_losses(holds, false);
 }
 
 bool ConfigurationGroup::is_majority(const std::set<std::uint64_t>& members) const {
-    return replica_->is_majority(
+    return replica().is_majority(
         [&](consensus::MemberId id) { return id == self_.id || members.contains(id.value); });
 }
 
-transport::Async<bool> ConfigurationGroup::confirmed() {
-    auto pending = std::make_shared<transport::Pending<bool>>(reactor_);
-    reads_[replica_->confirm_leadership(reactor_.now())] = pending;
-    step();
-    const auto result = co_await transport::Pending<bool>::wait(pending, reactor_.now() + kReadPatience);
-    co_return result.value_or(false);
-}
-
 transport::Async<Result<void>> ConfigurationGroup::replace(std::int64_t if_match, std::string body) {
     const auto parsed = configuration::parse(body);
     if (parsed.has_error()) co_return parsed.error();
@@ -276,16 +228,13 @@
         if (!decision.next) return std::nullopt;
         return wire::to_bytes(*decision.next);
     };
-    auto pending = std::make_shared<transport::Pending<consensus::ProposalOutcome>>(reactor_);
-    proposals_[replica_->propose(make, reactor_.now())] = pending;
-    step();
-    const auto outcome = co_await transport::Pending<consensus::ProposalOutcome>::wait(
-        pending, reactor_.now() + kProposalPatience);
+    const auto outcome = co_await member_->propose(make, kProposalPatience);
     if (outcome == consensus::ProposalOutcome::kCommitted) co_return boost::outcome_v2::success();
     if (!*verdict || **verdict == Verdict::kAccept) co_return not_leading();
     // A refusal, or a word on what was taken before, is only as good as this node's knowledge: proven by a
     // majority.
-    if (!planted(PlantedFault::kRefusalUnconfirmed) && !co_await confirmed()) co_return not_leading();
+    if (!planted(PlantedFault::kRefusalUnconfirmed) && !co_await member_->confirmed(kReadPatience))
+        co_return not_leading();
     if (**verdict == Verdict::kAlreadyTaken) co_return boost::outcome_v2::success();
     if (**verdict == Verdict::kOldVersion)
         co_return error(ErrorKind::kInvalidInput,
@@ -296,9 +245,9 @@
 
 transport::Async<Result<std::optional<std::string>>> ConfigurationGroup::read() {
     if (!planted(PlantedFault::kReadUnconfirmed)) {
-        if (!leads() || !co_await confirmed()) co_return not_leading();
+        if (!leads() || !co_await member_->confirmed(kReadPatience)) co_return not_leading();
     }
-    const auto& committed = replica_->committed();
+    const auto& committed = replica().committed();
     if (!committed) co_return not_leading();
     auto state = wire::from_bytes<ConfigurationState>(committed->payload);
     if (state.has_error()) co_return state.error();
--- a/src/control/configuration_group.hpp
+++ b/src/control/configuration_group.hpp
@@ -4,7 +4,7 @@
 #include "base/result.hpp"
 #include "consensus/replica.hpp"
 #include "control/configuration_state.hpp"
-#include "control/state_file.hpp"
+#include "control/replicated_group.hpp"
 #include "model/configuration.hpp"
 #include "transport/pending.hpp"
 #include "transport/reactor.hpp"
@@ -36,6 +36,8 @@
             committed;                          // a newer one, each once
         std::function<void()> leader_changed;   // another one is known to lead, or none
         std::function<void()> identity_changed; // this disk turned out to be a new one
+        // Who founds the duties' groups, each time it is read from what was committed.
+        std::function<void(const std::vector<consensus::Member>&)> duty_founders;
     };
     // An error where the disk holds what can't be served from.
     static Result<std::unique_ptr<ConfigurationGroup>>
@@ -43,14 +45,15 @@
     ~ConfigurationGroup();
 
     consensus::MemberId self() const { return self_.id; }
-    bool leads() const { return replica_->leads(); }
-    std::optional<consensus::MemberId> leader() const { return replica_->leader(); }
+    const consensus::Member& self_member() const { return self_; }
+    bool leads() const { return replica().leads(); }
+    std::optional<consensus::MemberId> leader() const { return replica().leader(); }
     // Heard lately from whoever leads, or leads with a majority: what it knows is current.
     bool in_contact() const;
     Tenths out_of_contact() const; // for how long it has not been
-    bool caught_up() const { return replica_->caught_up(); }
-    std::uint64_t term() const { return replica_->term(); }
-    const consensus::MessageCounts& message_counts() const { return replica_->message_counts(); }
+    bool caught_up() const { return replica().caught_up(); }
+    std::uint64_t term() const { return replica().term(); }
+    const consensus::MessageCounts& message_counts() const { return replica().message_counts(); }
     std::vector<consensus::Member> voters() const;
     // Whether what these members hold on their disks outlasts what may be lost at once.
     bool copies_last(const std::set<std::uint64_t>& members) const;
@@ -64,6 +67,8 @@
     void met(const std::string& address, std::uint64_t term);
     void set_candidates(std::vector<consensus::Candidate> candidates);
     void resign();
+    // Leading, and nobody is named yet: names so many of the voters, once there are as many.
+    void name_duty_founders(std::size_t count);
     bool is_founding() const { return founding_; } // takes part in nothing yet
 
     // Only where this node leads; else kUnavailable at once.
@@ -74,34 +79,26 @@
     ConfigurationGroup(transport::Reactor& reactor, std::unique_ptr<StateFile> file, Options options,
                        Callbacks callbacks);
     Result<void> load();
-    void open_replica(const consensus::DurableState& durable);
+    const consensus::Replica& replica() const { return member_->replica(); }
+    void open_member(const consensus::DurableState& durable);
     void found();
     void found_if_alone(); // nobody knows of a group, or nobody else can be asked any longer
     void join_as_new_disk();
     void watch_leader();
-    void step(); // carries out effects, sets the timer
-    void carry_out(consensus::Effect effect);
-    void store(const consensus::Store& store);
     void publish(const consensus::Entry& entry);
-    transport::Async<bool> confirmed();
 
     transport::Reactor& reactor_;
     Options options_;
     Callbacks callbacks_;
     consensus::Member self_;
     std::unique_ptr<StateFile> disk_;
-    std::unique_ptr<consensus::Replica> replica_;
-    std::map<consensus::ProposalId, std::shared_ptr<transport::Pending<consensus::ProposalOutcome>>>
-        proposals_;
-    std::map<consensus::ReadId, std::shared_ptr<transport::Pending<bool>>> reads_;
+    std::unique_ptr<ReplicatedGroup> member_; // of the group; after its disk, which it writes to
     std::int64_t published_version_ = 0;
     Tenths opened_at_ = 0;
     std::optional<consensus::MemberId> told_leader_;
     bool founding_ = false;              // on an empty disk at a first start: takes part in nothing yet
     std::set<std::string> met_founders_; // that know of no group either
-    bool stepping_ = false;
     transport::Reactor::TimerId founding_timer_{};
-    transport::Reactor::TimerId timer_{};
 };
 
 } // namespace ivyrill::control
--- a/src/control/configuration_state.hpp
+++ b/src/control/configuration_state.hpp
@@ -2,6 +2,7 @@
 // configuration is taken. Pure.
 #pragma once
 #include "base/result.hpp"
+#include "consensus/types.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -23,7 +24,12 @@
     std::int64_t version = 0;     // 0: none was ever taken
     std::string body;             // as the operator sent it
     std::vector<TakenCall> taken; // the newest last
-    template <class Self> static auto tie(Self& s) { return std::tie(s.version, s.body, s.taken); }
+    // Who founds the groups of the duties' parts: agreed on once, so that no disk that comes back empty
+    // founds one again. Empty until then, and where the deployment has no duties.
+    std::vector<consensus::Member> duty_founders;
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.version, s.body, s.taken, s.duty_founders);
+    }
 };
 
 struct ReplaceCall {
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr Tenths kWatchInterval = 1000;
-constexpr Tenths kEndSpan = 4000; // for last answers and the hand-over
+constexpr Tenths kEndSpan = 4000;                 // for last answers and the hand-over
+constexpr const char* kEngineContract = "engine"; // of deployments whose servers have stages
+constexpr std::int64_t kOtherDescriptors = 900;   // of a control node: for files, peers and agents
 
 // The port and the host part of an address.
 std::string port_text(const std::string& address) { return address.substr(address.rfind(':') + 1); }
@@ -37,10 +39,12 @@
 
 Result<void> ControlNode::start() {
     BOOST_OUTCOME_TRYV(open_known_state());
+    BOOST_OUTCOME_TRYV(open_duty_parts());
     BOOST_OUTCOME_TRYV(open_group());
     self_ = {feed::peer_address(settings_, settings_.ip), settings_.zone, group_->self().value};
     open_registry();
     open_operator_calls();
+    open_stage_duty();
     open_peers();
     open_feed();
     tell_known_state();
@@ -57,6 +61,29 @@
     return boost::outcome_v2::success();
 }
 
+// The disks of one loss, and the voters that bear it.
+std::size_t ControlNode::losses() const {
+    return static_cast<std::size_t>(std::max<std::int64_t>(0, settings_.tolerance.machines));
+}
+std::size_t ControlNode::least_voters() const { return std::max<std::size_t>(3, 2 * losses() + 1); }
+
+Result<void> ControlNode::open_duty_parts() {
+    if (std::ranges::find(settings_.contracts, kEngineContract) == settings_.contracts.end())
+        return boost::outcome_v2::success();
+    DutyParts::Options options;
+    options.least_copies = losses() + 1, options.voters = least_voters();
+    options.lease = settings_.bounds.lease_ms * (kTenthsPerSecond / 1000);
+    options.draw = environment_.draw;
+    const auto send = [this](std::size_t part, const consensus::Send& sent) {
+        const feed::DutyMessage message{part, sent.message};
+        if (!peers_) return;
+        if (!peers_->send_to_member(sent.message.to.value, message)) peers_->send(sent.address, message);
+    };
+    BOOST_OUTCOME_TRY(parts, DutyParts::open(reactor_, environment_.open_file, std::move(options), send));
+    duty_parts_ = std::move(parts);
+    return boost::outcome_v2::success();
+}
+
 Result<void> ControlNode::open_group() {
     ConfigurationGroup::Options options;
     options.zone = settings_.zone;
@@ -64,10 +91,8 @@
     for (const std::string& seed : settings_.seed_nodes)
         options.founders.push_back(feed::peer_address(settings_, host_text(seed)));
     options.first_start = settings_.first_start, options.draw = environment_.draw;
-    options.disk_is_spoilt = known_state_->is_spoilt();
-    const auto losses = static_cast<std::size_t>(std::max<std::int64_t>(0, settings_.tolerance.machines));
-    options.least_copies = losses + 1;
-    options.least_voters = std::max<std::size_t>(3, 2 * losses + 1);
+    options.disk_is_spoilt = known_state_->is_spoilt() || (duty_parts_ && duty_parts_->is_spoilt());
+    options.least_copies = losses() + 1, options.least_voters = least_voters();
     options.most_voters = std::max<std::size_t>(options.least_voters, 9);
     ConfigurationGroup::Callbacks callbacks;
     callbacks.send = [this](const consensus::Send& sent) {
@@ -82,6 +107,9 @@
         if (operator_calls_) operator_calls_->leader_changed();
     };
     callbacks.identity_changed = [this] { identity_changed(); };
+    callbacks.duty_founders = [this](const std::vector<consensus::Member>& founders) {
+        if (duty_parts_) duty_parts_->found(founders);
+    };
     BOOST_OUTCOME_TRY(group, ConfigurationGroup::open(reactor_, environment_.open_file("state"),
                                                       std::move(options), std::move(callbacks)));
     group_ = std::move(group);
@@ -100,12 +128,15 @@
     InstanceRegistry::Options options;
     options.self = self_.address, options.incarnation = incarnation_;
     options.heartbeat = settings_.beat_interval_ms * (kTenthsPerSecond / 1000);
+    // Each server keeps a connection; as many again come from those that turn here when another node is gone.
+    const std::int64_t room = settings_.limits.file_descriptors - kOtherDescriptors;
+    options.most_at_owner = static_cast<std::size_t>(std::max<std::int64_t>(0, room / 2));
     InstanceRegistry::Callbacks callbacks;
     callbacks.send_to_peers = [this](const feed::Message& message) {
         if (peers_) peers_->send_to_all(message);
     };
     callbacks.send = [this](const std::string& peer, const feed::Message& message) {
-        peers_->send(peer, message);
+        return peers_->send(peer, message);
     };
     callbacks.copies_last = [this](const std::set<std::uint64_t>& members) {
         return group_->copies_last(members);
@@ -118,7 +149,10 @@
     callbacks.serves = [this] { return gate_.is_open(); };
     callbacks.call_address = [this](const std::string& peer) { return call_address(peer); };
     callbacks.changed = [this] { publish(); };
-    callbacks.loads_changed = [this] { publisher_->publish(); };
+    callbacks.loads_changed = [this](const std::vector<model::Load>& loads) {
+        if (stage_duty_) stage_duty_->reported(loads);
+        publisher_->publish();
+    };
     registry_ = std::make_unique<InstanceRegistry>(reactor_, log_, options, std::move(callbacks));
     registry_->set_nodes({self_.address});
 }
@@ -134,6 +168,30 @@
     operator_calls_ = std::make_unique<OperatorCalls>(reactor_, *group_, incarnation_, std::move(callbacks));
 }
 
+void ControlNode::open_stage_duty() {
+    if (!duty_parts_) return;
+    StageDuty::Callbacks callbacks;
+    callbacks.fence = [this](const duties::Duty& duty) { return duty_parts_->fence(duty); };
+    callbacks.may_act_under = [this](const duties::Duty& duty, std::uint64_t fence) {
+        return duty_parts_->may_act_under(duty, fence);
+    };
+    callbacks.configuration = [this] { return log_.configuration(); };
+    callbacks.instances = [this]() -> const feed::InstanceTable& { return registry_->table(); };
+    callbacks.loads = [this]() -> const std::map<std::string, model::Load>& { return registry_->loads(); };
+    callbacks.ordered = [this](const feed::StageOrdered& ordered) {
+        peers_->send_to_all(feed::Ordered{{ordered}});
+        put_orders({ordered});
+    };
+    stage_duty_ =
+        std::make_unique<StageDuty>(reactor_, environment_.orders, settings_.node_name, std::move(callbacks));
+}
+
+void ControlNode::put_orders(const std::vector<feed::StageOrdered>& orders) {
+    for (const feed::StageOrdered& ordered : orders)
+        if (registry_->table().find(ordered.instance) != nullptr) log_.put(ordered);
+    publisher_->publish();
+}
+
 void ControlNode::open_peers() {
     PeerMesh::Options options;
     options.self = self_, options.incarnation = incarnation_;
@@ -147,8 +205,8 @@
     callbacks.fill_status = [this](feed::PeerStatus& status) {
         status.sessions = publisher_->sessions();
         status.instances = registry_->digests();
+        if (stage_duty_) status.demands = stage_duty_->demand().here(reactor_.now());
     };
-    callbacks.take_heard = [this] { return registry_->take_heard(); };
     callbacks.term = [this] { return group_->term(); };
     callbacks.met = [this](const model::ControlNode& peer, std::uint64_t term) {
         group_->met(peer.address, term);
@@ -173,6 +231,9 @@
         registry_->merge_known(records);
     };
     callbacks.loads = [this](const std::vector<model::Load>& loads) { registry_->take_loads(loads, true); };
+    callbacks.demands = [this](const std::string& node, const std::vector<model::ServiceDemand>& demands) {
+        if (stage_duty_) stage_duty_->demand().told_by_node(node, demands, reactor_.now());
+    };
     publisher_ =
         std::make_unique<feed::Publisher>(reactor_, log_, feed::session_options(), std::move(callbacks));
     feed_listener_ = environment_.network.listen(
@@ -220,7 +281,14 @@
         if (!gate_.is_open()) update_gate();
     } else if (const auto* status = std::get_if<feed::PeerStatus>(&message)) {
         registry_->compare(peer, *status);
+        if (stage_duty_) stage_duty_->demand().told_by_peer(peer.address, status->demands, reactor_.now());
         put_edge_nodes();
+    } else if (const auto* duty = std::get_if<feed::DutyMessage>(&message)) {
+        if (duty_parts_) duty_parts_->receive(duty->part, duty->message);
+    } else if (const auto* ordered = std::get_if<feed::Ordered>(&message)) {
+        put_orders(ordered->orders);
+    } else if (const auto* heard = std::get_if<feed::Heard>(&message)) {
+        registry_->heard_elsewhere(*heard);
     } else if (const auto* records = std::get_if<feed::Replicate>(&message)) {
         registry_->replicate(peer, *records);
     } else if (const auto* done = std::get_if<feed::Replicated>(&message)) {
@@ -246,6 +314,8 @@
     group_->set_candidates(peers_->candidates());
     for (const model::ControlNode& node : before)
         if (std::ranges::find(alive_, node) == alive_.end()) operator_calls_->peer_lost(node.member);
+    for (const model::ControlNode& node : alive_)
+        if (std::ranges::find(before, node) == before.end()) registry_->ask_for_copy(node);
     put_control_nodes();
     put_edge_nodes();
 }
@@ -286,9 +356,19 @@
     for (const consensus::Member& voter : group_->voters())
         peers_->know({voter.address, voter.zone, voter.id.value});
     group_->set_candidates(peers_->candidates());
+    put_edge_nodes(); // what was too soon to be told
+    watch_duties();
     update_gate();
 }
 
+// Whose disk this is must be certain before it votes for anything.
+void ControlNode::watch_duties() {
+    if (!duty_parts_ || group_->is_founding() || ending_) return;
+    duty_parts_->join(group_->self_member());
+    duty_parts_->set_candidates(peers_->candidates());
+    group_->name_duty_founders(least_voters());
+}
+
 // Whoever holds what a majority held may become a voter: a leaving that was acknowledged then stays known to
 // every majority.
 void ControlNode::become_ready() {
@@ -322,7 +402,7 @@
 
 std::uint64_t ControlNode::refused_answers() const {
     const OperatorCalls::Refused& calls = operator_calls_->refused();
-    const InstanceRegistry::Refused& copies = registry_->refused();
+    const RefusedCopies& copies = registry_->refused();
     return calls.other_process + calls.unasked + calls.other_peer + copies.other_process + copies.unasked;
 }
 
@@ -341,6 +421,7 @@
     if (std::exchange(ending_, true)) return;
     log_line("ending");
     group_->resign();
+    if (duty_parts_) duty_parts_->resign();
     peers_->set_ending();
     group_->set_candidates(peers_->candidates());
     put_control_nodes();
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include "control/configuration_group.hpp"
 #include "control/control_api.hpp"
+#include "control/duty_parts.hpp"
 #include "control/edge_node_list.hpp"
 #include "control/environment.hpp"
 #include "control/feed_gate.hpp"
@@ -11,6 +12,7 @@
 #include "control/known_state.hpp"
 #include "control/operator_calls.hpp"
 #include "control/peer_mesh.hpp"
+#include "control/stage_duty.hpp"
 #include "feed/publisher.hpp"
 #include "settings/settings.hpp"
 
@@ -34,6 +36,7 @@
     const ConfigurationGroup& group() const { return *group_; }
     const InstanceRegistry& registry() const { return *registry_; }
     const feed::FeedLog& log() const { return log_; }
+    const DutyParts* duty_parts() const { return duty_parts_.get(); } // null where the deployment has none
     bool serves_feed() const { return gate_.is_open(); }
     // Answers of peers that were passed over: of another process's question, of none, or of a peer not asked.
     std::uint64_t refused_answers() const;
@@ -41,10 +44,14 @@
   private:
     ControlNode(Environment environment, const settings::Settings& settings);
     Result<void> start();
+    std::size_t losses() const;
+    std::size_t least_voters() const;
     Result<void> open_known_state();
+    Result<void> open_duty_parts();
     Result<void> open_group();
     void open_registry();
     void open_operator_calls();
+    void open_stage_duty();
     void open_peers();
     void open_feed();
     void tell_known_state(); // what the disk knew, as a head start
@@ -56,6 +63,8 @@
     void identity_changed();
     void put_edge_nodes();
     void put_control_nodes();
+    void put_orders(const std::vector<feed::StageOrdered>& orders);
+    void watch_duties();
     void watch();
     void update_gate();
     void become_ready();
@@ -73,8 +82,10 @@
     std::unique_ptr<KnownStateKeeper> known_state_;
     std::unique_ptr<feed::Publisher> publisher_;
     std::unique_ptr<PeerMesh> peers_;
+    std::unique_ptr<DutyParts> duty_parts_;
     std::unique_ptr<ConfigurationGroup> group_;
     std::unique_ptr<InstanceRegistry> registry_;
+    std::unique_ptr<StageDuty> stage_duty_; // null without duties
     std::unique_ptr<OperatorCalls> operator_calls_;
     std::unique_ptr<ControlApi> api_;
     std::unique_ptr<feed::LinkListener> peer_listener_, feed_listener_;
--- a/src/control/control_program.hpp
+++ b/src/control/control_program.hpp
@@ -1,6 +1,7 @@
 // The program `control`: a control node on sockets and files.
 #pragma once
 #include "control/control_node.hpp"
+#include "control/http_order_link.hpp"
 #include "feed/socket_link.hpp"
 #include "http/call_server.hpp"
 #include "settings/settings.hpp"
@@ -17,9 +18,10 @@
     void begin_end() { node_->begin_end(); }
 
   private:
-    explicit ControlProgram(transport::Reactor& reactor) : network_(reactor) {}
+    explicit ControlProgram(transport::Reactor& reactor) : network_(reactor), orders_(reactor) {}
 
     feed::SocketNetwork network_;
+    HttpOrderLink orders_;
     std::unique_ptr<ControlNode> node_;
     std::unique_ptr<http::CallServer> calls_;
 };
--- a/src/control/environment.hpp
+++ b/src/control/environment.hpp
@@ -2,6 +2,7 @@
 // files, tests a simulated world.
 #pragma once
 #include "control/state_file.hpp"
+#include "duties/order_link.hpp"
 #include "feed/link.hpp"
 #include "transport/reactor.hpp"
 
@@ -13,6 +14,7 @@
 struct Environment {
     transport::Reactor& reactor;
     feed::LinkNetwork& network;
+    duties::OrderLink& orders;
     OpenStateFile open_file;
     std::function<std::uint64_t()> draw; // random numbers, never 0
 };
--- a/src/control/inspection.hpp
+++ b/src/control/inspection.hpp
@@ -23,7 +23,7 @@
     // Messages that were passed over, by cause.
     consensus::MessageCounts group;
     PeerMesh::Refused links;
-    InstanceRegistry::Refused copies;
+    RefusedCopies copies;
     OperatorCalls::Refused calls;
 };
 
--- a/src/control/peer_mesh.cpp
+++ b/src/control/peer_mesh.cpp
@@ -229,11 +229,7 @@
     return message;
 }
 
-void PeerMesh::send_status() {
-    feed::PeerStatus message = own_status();
-    if (callbacks_.take_heard) message.heard = callbacks_.take_heard();
-    send_to_all(message);
-}
+void PeerMesh::send_status() { send_to_all(own_status()); }
 
 void PeerMesh::set_ending() {
     ending_ = true;
--- a/src/control/peer_mesh.hpp
+++ b/src/control/peer_mesh.hpp
@@ -27,10 +27,9 @@
     };
     struct Callbacks {
         std::function<void(const model::ControlNode&, feed::Message)> received;
-        std::function<void()> peers_changed;                  // one is alive that was not, or the reverse
-        std::function<void(feed::PeerStatus&)> fill_status;   // what this node tells its peers
-        std::function<std::vector<std::string>()> take_heard; // instances heard since, told once and to all
-        std::function<std::uint64_t()> term;                  // told with each hello
+        std::function<void()> peers_changed;                // one is alive that was not, or the reverse
+        std::function<void(feed::PeerStatus&)> fill_status; // what this node tells its peers
+        std::function<std::uint64_t()> term;                // told with each hello
         std::function<void(const model::ControlNode&, std::uint64_t term)> met; // a peer has said hello
     };
     PeerMesh(transport::Reactor& reactor, feed::LinkNetwork& network, Options options, Callbacks callbacks);
--- /dev/null
+++ b/src/duties/demand_tally.cpp
@@ -0,0 +1,37 @@
+#include "duties/demand_tally.hpp"
+
+namespace ivyrill::duties {
+
+namespace {
+
+constexpr Tenths kDemandAge = 3 * kTenthsPerSecond; // older words no longer count
+
+} // namespace
+
+void DemandTally::add(std::map<std::string, Told>& told, Tenths now, Sums& sums) {
+    std::erase_if(told, [now](const auto& entry) { return now - entry.second.at > kDemandAge; });
+    for (const auto& [name, here] : told)
+        for (const model::ServiceDemand& demand : here.demands) {
+            model::ServiceDemand& sum = sums[demand.service];
+            sum.service = demand.service;
+            sum += demand;
+        }
+}
+
+std::vector<model::ServiceDemand> DemandTally::here(Tenths now) {
+    Sums sums;
+    add(nodes_, now, sums);
+    std::vector<model::ServiceDemand> demands;
+    for (const auto& [service, sum] : sums) demands.push_back(sum);
+    return demands;
+}
+
+std::optional<model::ServiceDemand> DemandTally::of(const std::string& service, Tenths now) {
+    Sums sums;
+    add(nodes_, now, sums);
+    add(peers_, now, sums);
+    const auto found = sums.find(service);
+    return found == sums.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace ivyrill::duties
--- /dev/null
+++ b/src/duties/duty.hpp
@@ -0,0 +1,44 @@
+// Duties: work that one node at a time does for the whole fleet. A duty is a kind and a subject; by their
+// hash it falls to one of the parts, each of which has a small group of its own (src/control/duty_parts.hpp)
+// whose leader holds all duties of the part. The leader's term is the fence: terms are never used twice and
+// never fall. Pure.
+#pragma once
+#include "base/hash.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace ivyrill::duties {
+
+inline constexpr std::size_t kDutyParts = 4;
+
+enum class DutyKind : std::uint8_t {
+    kServerStages // subject: a service; which of its servers read prompts and which run them
+};
+
+struct Duty {
+    DutyKind kind = DutyKind::kServerStages;
+    std::string subject;
+    friend auto operator<=>(const Duty&, const Duty&) = default;
+};
+
+inline std::size_t part_of(const Duty& duty) {
+    return hash_text(duty.subject, static_cast<std::uint64_t>(duty.kind) + 1) % kDutyParts;
+}
+
+// What a part's group agrees on beside its leader.
+struct PartState {
+    // A leader that ended by plan had stopped to act before it proposed this: whoever leads the next term
+    // need not wait for its lease.
+    std::uint64_t released_term = 0;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.released_term); }
+};
+
+// Whether the leader of `term` follows one that said that it acts no more.
+inline bool was_handed_over(const PartState& state, std::uint64_t term) {
+    return state.released_term > 0 && state.released_term + 1 == term;
+}
+
+} // namespace ivyrill::duties
--- a/src/feed/feed_log.cpp
+++ b/src/feed/feed_log.cpp
@@ -17,6 +17,7 @@
     std::string operator()(const model::Load& load) const { return "load " + load.instance; }
     std::string operator()(const EdgeNodes&) const { return "edge nodes"; }
     std::string operator()(const ControlNodes&) const { return "control nodes"; }
+    std::string operator()(const StageOrdered& ordered) const { return "order " + ordered.instance; }
 };
 
 bool same_place(const model::Route& a, const model::Route& b) {
@@ -62,7 +63,7 @@
 }
 
 void FeedLog::forget_instance(const std::string& id) {
-    for (const std::string& key : {"instance " + id, "load " + id}) {
+    for (const std::string& key : {"instance " + id, "load " + id, "order " + id}) {
         const auto known = items_.find(key);
         if (known == items_.end()) continue;
         oldest_ = std::max(oldest_, known->second.place);
@@ -70,16 +71,24 @@
     }
 }
 
-std::optional<std::vector<Item>> FeedLog::since(std::uint64_t place) const { return since(place, false); }
+std::optional<std::vector<const Item*>> FeedLog::since(std::uint64_t place) const {
+    return since(place, false);
+}
 
-std::optional<std::vector<Item>> FeedLog::since(std::uint64_t place, bool whole) const {
+std::optional<std::vector<const Item*>> FeedLog::since(std::uint64_t place, bool whole) const {
     if (!whole && (place < oldest_ || place > place_)) return std::nullopt;
-    std::vector<Item> items;
+    std::vector<const Item*> items;
     for (auto next = order_.upper_bound(place); next != order_.end(); ++next)
-        items.push_back(items_.at(next->second).item);
+        items.push_back(&items_.at(next->second).item);
     return items;
 }
 
+const Item* FeedLog::change_from(std::int64_t base_version) const {
+    if (!last_change_) return nullptr;
+    const bool fits = std::get<ConfigurationChange>(*last_change_).base_version == base_version;
+    return fits ? &*last_change_ : nullptr;
+}
+
 const model::Configuration* FeedLog::configuration() const {
     const auto known = items_.find("configuration");
     return known == items_.end() ? nullptr : &std::get<model::Configuration>(known->second.item);
--- a/src/feed/feed_log.hpp
+++ b/src/feed/feed_log.hpp
@@ -20,19 +20,20 @@
 
     void put(Item item); // ConfigurationChange is never put: it is derived
     void forget_instance(const std::string& id);
-    // The items after a place, in order; nothing where the log no longer reaches back so far.
-    std::optional<std::vector<Item>> since(std::uint64_t place) const;
-    std::vector<Item> snapshot() const { return *since(0, true); }
+    // The items after a place, in order, until the log is changed; nothing where it no longer reaches back so
+    // far.
+    std::optional<std::vector<const Item*>> since(std::uint64_t place) const;
+    std::vector<const Item*> snapshot() const { return *since(0, true); }
     const model::Configuration* configuration() const;
-    // The step from the configuration before to the present one, where there was one.
-    const std::optional<ConfigurationChange>& last_change() const { return last_change_; }
+    // The step from that version to the present one as an item, where it is the last one; else null.
+    const Item* change_from(std::int64_t base_version) const;
 
   private:
     struct Kept {
         std::uint64_t place = 0;
         Item item;
     };
-    std::optional<std::vector<Item>> since(std::uint64_t place, bool whole) const;
+    std::optional<std::vector<const Item*>> since(std::uint64_t place, bool whole) const;
     void erase(const std::string& key);
     void bound_forgotten(const std::string& instance);
 
@@ -40,7 +41,7 @@
     std::map<std::string, Kept> items_;
     std::map<std::uint64_t, std::string> order_; // place to key
     std::deque<std::string> forgotten_;          // instances, oldest first
-    std::optional<ConfigurationChange> last_change_;
+    std::optional<Item> last_change_;            // a ConfigurationChange
 };
 
 ConfigurationChange difference(const model::Configuration& from, const model::Configuration& to);
--- a/src/feed/messages.hpp
+++ b/src/feed/messages.hpp
@@ -50,8 +50,15 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.instance); }
     friend bool operator==(const Forgotten&, const Forgotten&) = default;
 };
+struct StageOrdered { // a server has taken an order and is changing until it reports that count, or more
+    std::string instance;
+    model::Stage stage = model::Stage::kNone; // that it is to have
+    std::int64_t orders_taken = 0;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.instance, s.stage, s.orders_taken); }
+    friend bool operator==(const StageOrdered&, const StageOrdered&) = default;
+};
 using Item = std::variant<model::Configuration, ConfigurationChange, model::Instance, Forgotten, model::Load,
-                          EdgeNodes, ControlNodes>;
+                          EdgeNodes, ControlNodes, StageOrdered>;
 
 // How many ranges of instances are compared by digest; an instance's range follows from its id.
 inline constexpr std::size_t kDigestRanges = 32;
@@ -80,6 +87,10 @@
     std::vector<model::Load> loads;
     template <class Self> static auto tie(Self& s) { return std::tie(s.loads); }
 };
+struct Demands { // of this node, since it last told; one entry a service
+    std::vector<model::ServiceDemand> demands;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.demands); }
+};
 struct Heartbeat {
     std::uint64_t place = 0; // of the publisher, or that the subscriber has applied
     template <class Self> static auto tie(Self& s) { return std::tie(s.place); }
@@ -91,6 +102,12 @@
     CallId id; // between control nodes
     template <class Self> static auto tie(Self& s) { return std::tie(s.ranges, s.id); }
 };
+// As a publisher writes a Batch: the same bytes, of items that stay where they are.
+struct BatchView {
+    std::uint64_t feed = 0, place = 0;
+    bool snapshot = false;
+    std::vector<const Item*> items;
+};
 struct Batch {                         // applied whole
     std::uint64_t feed = 0, place = 0; // place after it
     bool snapshot = false;             // replaces everything that was known
@@ -117,20 +134,28 @@
     std::vector<model::ControlNode> known;
     std::vector<model::EdgeNode> sessions;
     Digests instances;
-    std::vector<std::string>
-        heard;           // instances whose heartbeats came here since the last status, though not the owner
-    bool ending = false; // this node ends for good or for a while
-    bool ready = false;  // it holds the servers' records of a majority on its disk, and so may vote
+    std::vector<model::ServiceDemand> demands; // of all nodes whose sessions stand here
+    bool ending = false;                       // this node ends for good or for a while
+    bool ready = false; // it holds the servers' records of a majority on its disk, and so may vote
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.known, s.sessions, s.instances, s.heard, s.ending, s.ready);
+        return std::tie(s.known, s.sessions, s.instances, s.demands, s.ending, s.ready);
     }
 };
+struct Heard { // instances whose heartbeats came here since this was last told, though this node is not the
+               // owner
+    std::vector<std::string> instances;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.instances); }
+};
 struct Replicate { // merge, make durable, then acknowledge, where an answer is wanted
     CallId id;
     std::vector<model::Instance> instances;
     std::vector<model::Load> loads;
     template <class Self> static auto tie(Self& s) { return std::tie(s.id, s.instances, s.loads); }
 };
+struct Ordered { // what a holder has ordered, for all nodes
+    std::vector<StageOrdered> orders;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.orders); }
+};
 struct Replicated { // the records are on this node's disk
     CallId id;
     template <class Self> static auto tie(Self& s) { return std::tie(s.id); }
@@ -148,8 +173,18 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.id, s.status, s.body); }
 };
 
-using Message =
-    std::variant<Subscribe, Instances, Loads, Heartbeat, WantRanges, Batch, Refused, PeerHello, PeerStatus,
-                 Replicate, Replicated, ForwardedCall, ForwardedAnswer, consensus::Message>;
+// Of the group of one part of the duties.
+struct DutyMessage {
+    std::uint64_t part = 0;
+    consensus::Message message;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.part, s.message); }
+};
+
+using Message = std::variant<Subscribe, Instances, Loads, Demands, Heartbeat, WantRanges, Batch, Refused,
+                             PeerHello, PeerStatus, Heard, Replicate, Ordered, Replicated, ForwardedCall,
+                             ForwardedAnswer, consensus::Message, DutyMessage>;
+
+// The bytes of Message{Batch{...}}.
+std::string to_bytes(const BatchView& batch);
 
 } // namespace ivyrill::feed
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -1,9 +1,9 @@
 #include "feed/publisher.hpp"
 
 #include "base/log.hpp"
-#include "wire/cbor.hpp"
 #include "wire/frame.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace ivyrill::feed {
@@ -13,8 +13,8 @@
 constexpr Tenths kSnapshotAge = 10'000; // for so long one snapshot serves all who ask for one
 
 // Many nodes that join together each change the list of all of them.
-bool waits_for_company(const Item& item) {
-    return std::holds_alternative<model::Load>(item) || std::holds_alternative<EdgeNodes>(item);
+bool waits_for_company(const Item* item) {
+    return std::holds_alternative<model::Load>(*item) || std::holds_alternative<EdgeNodes>(*item);
 }
 
 } // namespace
@@ -51,6 +51,8 @@
         if (known->last && std::exchange(subscriber.waits_for_records, false)) bring_up_to_date(subscriber);
     } else if (const auto* loads = std::get_if<Loads>(&message)) {
         if (callbacks_.loads) callbacks_.loads(loads->loads);
+    } else if (const auto* demands = std::get_if<Demands>(&message)) {
+        if (callbacks_.demands) callbacks_.demands(subscriber.node.name, demands->demands);
     } else if (!std::holds_alternative<Heartbeat>(message)) {
         subscriber.link->end("sent what no subscriber sends");
     }
@@ -104,43 +106,45 @@
     auto items = subscriber.feed == log_.feed() ? log_.since(subscriber.place) : std::nullopt;
     subscriber.feed = log_.feed();
     if (!items) return send_snapshot(subscriber);
-    send_batch(subscriber, Batch{log_.feed(), log_.place(), false, std::move(*items)});
+    send_batch(subscriber, {log_.feed(), log_.place(), false, std::move(*items)});
 }
 
 // Many nodes may start together, and a snapshot of a large fleet takes long to encode: it is encoded once for
 // them.
 void Publisher::send_snapshot(Subscriber& subscriber) {
-    std::optional<std::vector<Item>> later;
-    if (!snapshot_.empty() && reactor_.now() - snapshot_at_ < kSnapshotAge)
-        later = log_.since(snapshot_place_);
-    if (!later) {
+    const bool is_young = !snapshot_.empty() && reactor_.now() - snapshot_at_ < kSnapshotAge;
+    if (!is_young || !log_.since(snapshot_place_)) {
         const model::Configuration* configuration = log_.configuration();
-        snapshot_ =
-            wire::frame(wire::to_bytes(Message{Batch{log_.feed(), log_.place(), true, log_.snapshot()}}));
+        snapshot_ = wire::frame(to_bytes(BatchView{log_.feed(), log_.place(), true, log_.snapshot()}));
         snapshot_place_ = log_.place(), snapshot_at_ = reactor_.now();
         snapshot_version_ = configuration == nullptr ? 0 : configuration->version;
-        later.emplace();
     }
     subscriber.place = snapshot_place_, subscriber.configuration_version = snapshot_version_;
     subscriber.last_sent = reactor_.now();
     if (!subscriber.link->send_frame(snapshot_)) return; // the subscriber is gone with its link
     if (snapshot_place_ == log_.place()) return;
-    send_batch(subscriber, Batch{log_.feed(), log_.place(), false, std::move(*later)});
+    if (auto later = log_.since(snapshot_place_))
+        send_batch(subscriber, {log_.feed(), log_.place(), false, std::move(*later)});
 }
 
-void Publisher::send_batch(Subscriber& subscriber, Batch batch) {
-    for (Item& item : batch.items) {
-        const auto* configuration = std::get_if<model::Configuration>(&item);
-        if (configuration == nullptr) continue;
-        const std::int64_t version = configuration->version;
-        const auto& change = log_.last_change();
-        if (change && change->base_version == subscriber.configuration_version && change->version == version)
-            item = *change;
-        subscriber.configuration_version = version;
-    }
+void Publisher::send_batch(Subscriber& subscriber, BatchView batch) {
+    subscriber.configuration_version = shorten_configuration(batch, subscriber.configuration_version);
     subscriber.place = batch.place;
     subscriber.last_sent = reactor_.now();
-    subscriber.link->send(batch);
+    subscriber.link->send_frame(wire::frame(to_bytes(batch)));
+}
+
+// A subscriber that holds the configuration before this one is told the difference. Returns the version that
+// it holds after the batch.
+std::int64_t Publisher::shorten_configuration(BatchView& batch, std::int64_t known_version) const {
+    for (const Item*& item : batch.items) {
+        const auto* configuration = std::get_if<model::Configuration>(item);
+        if (configuration == nullptr) continue;
+        const Item* change = log_.change_from(known_version);
+        known_version = configuration->version;
+        if (change != nullptr) item = change;
+    }
+    return known_version;
 }
 
 void Publisher::publish() {
@@ -150,7 +154,7 @@
     if (!items)
         urgent = true;
     else
-        for (const Item& item : *items) urgent = urgent || !waits_for_company(item);
+        urgent = !std::ranges::all_of(*items, waits_for_company);
     const Tenths at = plan_.due(urgent, reactor_.now());
     if (at <= reactor_.now()) return flush();
     reactor_.cancel(flush_timer_);
@@ -180,23 +184,15 @@
             subscriber.link->send_frame(frame);
             continue;
         }
-        const auto items = log_.since(subscriber.place);
+        auto items = log_.since(subscriber.place);
         if (!items) {
             bring_up_to_date(subscriber);
             continue;
         }
-        Batch batch{log_.feed(), flushed_, false, *items};
+        BatchView batch{log_.feed(), flushed_, false, std::move(*items)};
         frame_from = subscriber.place, frame_version = subscriber.configuration_version;
-        for (Item& item : batch.items) {
-            const auto* configuration = std::get_if<model::Configuration>(&item);
-            if (configuration == nullptr) continue;
-            const std::int64_t version = configuration->version;
-            const auto& change = log_.last_change();
-            if (change && change->base_version == frame_version && change->version == version) item = *change;
-            subscriber.configuration_version = version;
-        }
-        frame_version_after = subscriber.configuration_version;
-        frame = wire::frame(wire::to_bytes(Message{std::move(batch)}));
+        frame_version_after = subscriber.configuration_version = shorten_configuration(batch, frame_version);
+        frame = wire::frame(to_bytes(batch));
         subscriber.place = flushed_, subscriber.last_sent = reactor_.now();
         subscriber.link->send_frame(frame);
     }
--- a/src/feed/publisher.hpp
+++ b/src/feed/publisher.hpp
@@ -33,6 +33,7 @@
         std::function<Digests()> digests;                                   // of the instances known here
         std::function<void(const std::vector<model::Instance>&)> instances; // that a subscriber knows
         std::function<void(const std::vector<model::Load>&)> loads;
+        std::function<void(const std::string& node, const std::vector<model::ServiceDemand>&)> demands;
     };
     Publisher(transport::Reactor& reactor, FeedLog& log, Options options, Callbacks callbacks);
     ~Publisher();
@@ -58,7 +59,8 @@
     void subscribe(std::uint64_t id, Subscribe message);
     void bring_up_to_date(Subscriber& subscriber);
     void send_snapshot(Subscriber& subscriber);
-    void send_batch(Subscriber& subscriber, Batch batch);
+    void send_batch(Subscriber& subscriber, BatchView batch);
+    std::int64_t shorten_configuration(BatchView& batch, std::int64_t known_version) const;
     void flush();
     void beat();
     void drop(std::uint64_t id, const std::string& reason);
--- a/src/feed/tables.cpp
+++ b/src/feed/tables.cpp
@@ -52,9 +52,15 @@
         applied.instances = true;
         applied.news.push_back(item);
     } else if (const auto* load = std::get_if<model::Load>(&item)) {
+        const auto known = loads_.find(load->instance);
+        if (known != loads_.end() && !model::supersedes(*load, known->second)) return;
         loads_[load->instance] = *load;
         applied.loads = true;
         applied.news.push_back(item);
+    } else if (std::holds_alternative<StageOrdered>(item)) {
+        applied.loads =
+            true; // what it is of use for, and for as long as it takes, is the subscriber's matter
+        applied.news.push_back(item);
     } else if (const auto* edges = std::get_if<EdgeNodes>(&item)) {
         if (edges->nodes == edge_nodes_) return;
         edge_nodes_ = edges->nodes, applied.nodes = true;
--- a/src/feed/tables.hpp
+++ b/src/feed/tables.hpp
@@ -16,7 +16,8 @@
   public:
     struct Applied {
         bool fits = true; // else nothing was applied, and a snapshot is needed
-        bool configuration = false, instances = false, loads = false, nodes = false; // what has changed
+        bool configuration = false, instances = false, loads = false, nodes = false; // what has changed;
+                                                                                     // orders are loads
         std::vector<std::string> expired; // instances that were gone for so long that nothing is kept of them
         std::vector<Item> news;           // with instances that a snapshot no longer names, as forgotten
     };
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -4,6 +4,7 @@
 #include "transport/reactor.hpp"
 #include "transport/stream.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -12,11 +13,16 @@
 
 class ClientConnection {
   public:
+    enum class AtEnd : std::uint8_t {
+        kClose, // what was sent still arrives
+        kReset  // what is on its way is lost
+    };
     // Null where the system refuses at once.
     static std::unique_ptr<ClientConnection> open(transport::Reactor& reactor, const std::string& address,
-                                                  std::size_t most_out) {
+                                                  std::size_t most_out, AtEnd at_end = AtEnd::kClose) {
         const int descriptor = transport::connect_to(address);
         if (descriptor < 0) return nullptr;
+        if (at_end == AtEnd::kReset) transport::reset_at_end(descriptor);
         return std::unique_ptr<ClientConnection>(new ClientConnection(reactor, descriptor, most_out));
     }
 
--- a/src/model/instance.hpp
+++ b/src/model/instance.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -10,6 +11,15 @@
 
 enum class Stage : std::uint8_t { kNone, kPrefill, kDecode };
 constexpr Stage last_of(Stage) { return Stage::kDecode; }
+// As PROTOCOL names them; kNone for any other word.
+constexpr Stage stage_named(std::string_view word) {
+    if (word == "prefill") return Stage::kPrefill;
+    return word == "decode" ? Stage::kDecode : Stage::kNone;
+}
+constexpr std::string_view name_of(Stage stage) {
+    if (stage == Stage::kPrefill) return "prefill";
+    return stage == Stage::kDecode ? "decode" : "";
+}
 
 // What ranks higher wins between two records of one instance with the same sequence number.
 enum class InstanceState : std::uint8_t {
@@ -58,13 +68,40 @@
 struct Load {
     std::string instance;
     std::int64_t waiting = 0, running = 0, memory_used = 0, memory_total = 0; // requests; tokens
-    std::uint64_t sequence = 0; // of the reader; a later one replaces an earlier one
+    std::int64_t orders_taken = 0; // since it started; its `callSeq`
+    Stage stage = Stage::kNone;    // kNone: it did not say
+    bool changing = false;         // an order is under way: what has not begun there is turned away
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.instance, s.waiting, s.running, s.memory_used, s.memory_total, s.sequence);
+        return std::tie(s.instance, s.waiting, s.running, s.memory_used, s.memory_total, s.orders_taken,
+                        s.stage, s.changing);
     }
     friend bool operator==(const Load&, const Load&) = default;
 };
 
+// Whether `fresh` replaces `known` (of the same instance): a report from before an order that is known tells
+// of a stage that was.
+inline bool supersedes(const Load& fresh, const Load& known) {
+    return fresh.orders_taken >= known.orders_taken;
+}
+
+// What the requests for one service asked for of late, as one edge node or several saw it.
+struct ServiceDemand {
+    std::string service;
+    double requests = 0, turned_away = 0; // a second; of them, as reading them would have taken too long
+    double answers = 0;                   // that are being made at this time
+    double links_busy = 0;                // links between servers, kept busy by moves of prompts
+    double links_asked = 0;               // ... if every short answer's prompt were moved once
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.service, s.requests, s.turned_away, s.answers, s.links_busy, s.links_asked);
+    }
+    friend bool operator==(const ServiceDemand&, const ServiceDemand&) = default;
+    ServiceDemand& operator+=(const ServiceDemand& other) {
+        requests += other.requests, turned_away += other.turned_away, answers += other.answers;
+        links_busy += other.links_busy, links_asked += other.links_asked;
+        return *this;
+    }
+};
+
 // An edge node, a member while its session with a control node stands.
 struct EdgeNode {
     std::string name, zone, address;
--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -3,6 +3,7 @@
 #include "feed/tables.hpp"
 #include "model/routing_table.hpp"
 #include "proxy/connect_patience.hpp"
+#include "proxy/demand_meter.hpp"
 #include "proxy/server_connections.hpp"
 #include "replica_selection/pair_selector.hpp"
 #include "replica_selection/retry_budget.hpp"
@@ -31,6 +32,7 @@
     ConnectPatience connect_patience;
     Pcg random;
     Counters counters;
+    DemandMeter demand;
     bool ending = false; // SIGTERM has come
     Tenths ends_at = 0;  // this process, once it is ending
 };
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -26,6 +26,7 @@
       events_(kMostEventBytes) {}
 
 Exchange::~Exchange() {
+    note_answering(false);
     end_call(false);
     release_handle();
 }
@@ -58,9 +59,18 @@
         co_return reject(kComeBack, "this node ends before the answer may");
     }
     budget().request(now());
+    if (service_->engine) context_.demand.requested(service_->name, context_.selector.link_time(profile_));
     co_return co_await serve();
 }
 
+void Exchange::note_answering(bool answering) {
+    if (std::exchange(answering_, answering) == answering) return;
+    if (answering)
+        context_.demand.answer_begins(service_->name, now());
+    else
+        context_.demand.answer_ends(service_->name, now());
+}
+
 // A stream that this process would have to cut at its end is better begun elsewhere, and its client is told
 // so while nothing has run. How long a stream takes can't be told beforehand, but for its deadline: clients
 // state as the most tokens what hardly any answer has, and soon after a start only short ones have ended.
@@ -95,8 +105,10 @@
         if (std::holds_alternative<replica_selection::NoServer>(choice))
             co_return may_have_run_ ? fail(502, "no server is left")
                                     : reject(kNoServerComeBack, "no server is known");
-        if (const auto* late = std::get_if<replica_selection::Overloaded>(&choice))
+        if (const auto* late = std::get_if<replica_selection::Overloaded>(&choice)) {
+            context_.demand.turned_away(service_->name);
             co_return reject(std::max(late->come_back, kComeBack), "too much to read now");
+        }
         if (const auto* backlogged = std::get_if<replica_selection::Backlogged>(&choice)) {
             co_await wait(std::min(backlogged->until, deadline_));
             continue;
@@ -142,7 +154,10 @@
             context_.selector.handle_used(reader_, true);
             handle_.clear(), reader_.clear();
         }
+        if (fetches) context_.demand.moved(service_->name, context_.selector.link_time(profile_));
+        note_answering(true);
         const RelayEnd relayed = co_await relay();
+        note_answering(false);
         if (relayed == RelayEnd::kComplete) co_return ExchangeEnd::kAnswered;
         if (relayed == RelayEnd::kClientGone) ++context_.counters.client_gone;
         if (relayed != RelayEnd::kCutOff) co_return head_sent_ ? ExchangeEnd::kBreakOff : give_up();
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -68,6 +68,7 @@
     transport::Async<transport::Done> wait(Tenths until);
 
     bool may_outlast_this_process() const;
+    void note_answering(bool answering); // for what this node tells of its load
     replica_selection::RetryBudget& budget() { return context_.budgets.of(profile_.service); }
     bool spend_further_send();
     bool leave_is_allowed();
@@ -95,7 +96,7 @@
     std::set<std::string> tried_, sent_to_; // instances
     int sends_ = 0, unreachable_ = 0;
     bool further_paid_ = false; // the next send was paid for when the last one was left
-    bool may_hand_over_ = true, may_have_run_ = false, head_sent_ = false;
+    bool may_hand_over_ = true, may_have_run_ = false, head_sent_ = false, answering_ = false;
     std::string reader_, handle_; // whose memory is held for this request
     std::string last_event_id_;
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -17,6 +17,7 @@
 constexpr Tenths kEndMargin = 5000; // before the platform kills
 constexpr Tenths kEndCheck = 500;
 constexpr Tenths kLogInterval = 100'000;
+constexpr Tenths kDemandInterval = 10'000;
 
 std::uint64_t draw() {
     std::random_device device;
@@ -40,6 +41,7 @@
                                     ConnectPatience{},
                                     Pcg(draw()),
                                     {},
+                                    {},
                                     false,
                                     0} {
     context_.connections.start();
@@ -47,11 +49,13 @@
     open_ready();
     open_front();
     log_counters();
+    tell_demand();
 }
 
 Proxy::~Proxy() {
     reactor_.cancel(timer_);
     reactor_.cancel(log_timer_);
+    reactor_.cancel(demand_timer_);
 }
 
 void Proxy::open_feed() {
@@ -109,8 +113,12 @@
         });
     }
     if (applied.loads)
-        for (const feed::Item& item : applied.news)
-            if (const auto* load = std::get_if<model::Load>(&item)) context_.selector.set_load(*load);
+        for (const feed::Item& item : applied.news) {
+            if (const auto* load = std::get_if<model::Load>(&item))
+                context_.selector.set_load(*load, reactor_.now());
+            else if (const auto* order = std::get_if<feed::StageOrdered>(&item))
+                context_.selector.set_ordered(order->instance, order->orders_taken, reactor_.now());
+        }
     if (applied.nodes) {
         context_.selector.set_edge_nodes(tables.edge_nodes().size());
         context_.budgets.set_edge_nodes(tables.edge_nodes().size(), reactor_.now());
@@ -143,6 +151,12 @@
     timer_ = reactor_.call_after(kEndCheck, [this] { end_when_done(); });
 }
 
+void Proxy::tell_demand() {
+    demand_timer_ = reactor_.call_after(kDemandInterval, [this] { tell_demand(); });
+    auto demands = context_.demand.take(reactor_.now());
+    if (!demands.empty()) subscriber_->send(feed::Demands{std::move(demands)});
+}
+
 void Proxy::log_counters() {
     log_timer_ = reactor_.call_after(kLogInterval, [this] { log_counters(); });
     const Counters& c = context_.counters;
--- a/src/replica_selection/candidates.cpp
+++ b/src/replica_selection/candidates.cpp
@@ -33,6 +33,7 @@
 
 PairSelector::Rank PairSelector::rank(const Server& server, const std::set<std::string>& tried,
                                       Tenths now) const {
+    if (now < server.changing_until) return Rank::kChanging;
     if (tried.contains(server.instance.id)) return Rank::kTried;
     if (server.instance.state == model::InstanceState::kSilent) return Rank::kSilent;
     const bool unsound = server.lost_handles > kLostHandleLimit || server.breaks > kBrokenLimit;
@@ -42,7 +43,7 @@
 PairSelector::Candidates PairSelector::candidates(const Request& request, const std::set<std::string>& tried,
                                                   Tenths now) {
     Candidates found;
-    std::array<Rank, 3> best{Rank::kTried, Rank::kTried, Rank::kTried}; // by stage
+    std::array<Rank, 3> best{Rank::kChanging, Rank::kChanging, Rank::kChanging}; // by stage
     for (auto& [id, server] : servers_) {
         if (!serves(server.instance, request)) continue;
         relax(server, now);
--- a/src/replica_selection/pair_selector.cpp
+++ b/src/replica_selection/pair_selector.cpp
@@ -22,6 +22,7 @@
 constexpr Tenths kUnreachableRest = 2500;
 constexpr Tenths kMisdirectedRest = 100'000; // until the list tells of its end
 constexpr int kMostDoublings = 4;
+constexpr Tenths kChangePatience = 100'000; // for a change of stage: what runs there comes to its end first
 constexpr double kMostTargets =
     0.8; // expected latency targets until the prompt is read, from which some are rejected
 constexpr std::size_t kDrawn = 2, kDrawnFar = 1; // servers that C3 ranks for one request: near ones, others
@@ -49,12 +50,31 @@
     for (const auto& [id, instance] : instances) {
         if (instance.state == model::InstanceState::kGone) continue;
         const auto [place, fresh] = servers_.try_emplace(id);
-        if (!fresh && place->second.instance.stage != instance.stage) place->second.cache.clear();
-        place->second.instance = instance;
-        if (fresh) place->second.last_answer = place->second.relaxed = now;
+        Server& server = place->second;
+        const model::Stage stage_before = server.instance.stage;
+        const bool told_anew = server.told_stage != instance.stage;
+        server.instance = instance, server.told_stage = instance.stage;
+        if (fresh) {
+            server.last_answer = server.relaxed = now;
+            continue;
+        }
+        // A report may have told of a change before this heartbeat, which then repeats what was.
+        server.instance.stage = stage_before;
+        if (told_anew) set_stage(server, instance.stage);
     }
 }
 
+// What was learnt of it in its other stage says little; the memory that it kept there may be gone.
+void PairSelector::set_stage(Server& server, model::Stage stage) {
+    if (server.instance.stage == stage) return;
+    server.instance.stage = stage;
+    server.cache.clear();
+    server.estimates = {};
+    server.lost_handles = server.breaks = 0;
+    server.refusals = 0;
+    server.avoided_until = server.changing_until = 0;
+}
+
 void PairSelector::set_services(const std::vector<model::Service>& services) {
     std::map<std::string, ServiceView> views;
     for (const model::Service& service : services) {
@@ -64,14 +84,26 @@
     services_ = std::move(views);
 }
 
-void PairSelector::set_load(const model::Load& load) {
+void PairSelector::set_load(const model::Load& load, Tenths now) {
     Server* server = find(load.instance);
-    if (server == nullptr) return;
+    if (server == nullptr || load.orders_taken < server->orders_taken) return;
+    server->orders_taken = load.orders_taken;
+    server->changing_until = load.changing ? now + kChangePatience : 0;
+    // Without an order the heartbeats tell all there is to know.
+    const bool was_ordered = load.orders_taken > 0 && load.stage != model::Stage::kNone;
+    if (was_ordered && !load.changing) set_stage(*server, load.stage);
     server->queue = static_cast<double>(load.waiting);
     server->running_there = static_cast<double>(load.running);
     mix(server->reading_share, load.running > 0 ? 1 : 0, kFreshReport);
 }
 
+void PairSelector::set_ordered(const std::string& instance, std::int64_t orders_taken, Tenths now) {
+    Server* server = find(instance);
+    if (server == nullptr || orders_taken <= server->orders_taken) return;
+    server->orders_taken = orders_taken;
+    server->changing_until = now + kChangePatience;
+}
+
 PairSelector::Server* PairSelector::find(const std::string& id) {
     const auto found = servers_.find(id);
     return found == servers_.end() ? nullptr : &found->second;
--- a/src/replica_selection/pair_selector.hpp
+++ b/src/replica_selection/pair_selector.hpp
@@ -61,7 +61,10 @@
     explicit PairSelector(std::uint64_t seed) : random_(seed) {}
 
     void set_instances(const std::map<std::string, model::Instance>& instances, Tenths now);
-    void set_load(const model::Load& load);
+    void set_load(const model::Load& load, Tenths now);
+    // The server has taken an order, and turns away what it is sent until it has changed its stage; reports
+    // that count so many orders, or more, tell how it stands.
+    void set_ordered(const std::string& instance, std::int64_t orders_taken, Tenths now);
     void set_edge_nodes(std::size_t count) { edge_nodes_ = count == 0 ? 1 : static_cast<double>(count); }
     void set_services(const std::vector<model::Service>& services);
 
@@ -83,6 +86,9 @@
     void handle_used(const std::string& reader, bool found);   // whether its memory was still there
     // Since when nothing was heard of the server, at the earliest since the attempt was sent.
     Tenths silent_since(AttemptNo attempt) const;
+    // How long moving the request's prompt holds a link, within a zone; 0 for an answer that is longer than
+    // its prompt, which is made where the prompt is read or at a runner near it.
+    double link_time(const Request& request) const { return streams(request) ? 0 : near_move_time(request); }
     // The usual time to the first word of such an attempt, as this server is.
     Tenths expected_response(AttemptNo attempt) const;
 
@@ -104,6 +110,9 @@
         double lost_handles = 0, breaks = 0; // mean shares of late
         int refusals = 0, failures = 0;      // in a row
         Tenths last_answer = 0, avoided_until = 0, relaxed = 0;
+        model::Stage told_stage = model::Stage::kNone; // by its last heartbeat
+        std::int64_t orders_taken = 0;                 // of which a report or an order told
+        Tenths changing_until = 0; // it turns away what it is sent, at the most until then
     };
     struct Attempt {
         std::string server;
@@ -133,7 +142,14 @@
             nullptr;          // the first of the prompt's homes: others' requests are read there as well
         bool limited = false; // some were left out for their sending limit alone
     };
-    enum class Rank : std::uint8_t { kGood, kAvoided, kSilent, kTried }; // the best that is there is used
+    enum class Rank : std::uint8_t {
+        kGood,
+        kAvoided,
+        kSilent,
+        kTried,
+        kChanging
+    }; // the best there is is used
+    void set_stage(Server& server, model::Stage stage);
 
     // candidates.cpp
     Rank rank(const Server& server, const std::set<std::string>& tried, Tenths now) const;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -76,6 +76,11 @@
     return -1;
 }
 
+void reset_at_end(int descriptor) {
+    const linger at_once{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 int accept_from(int listener) {
     const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) send_at_once(descriptor);
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -15,6 +15,7 @@
 int listen_at(const std::string& address);  // `1.2.3.4:80`; throws AddressError or std::system_error
 int port_of(int descriptor);                // the local one
 int connect_to(const std::string& address); // does not wait; below zero where it fails at once
+void reset_at_end(int descriptor);          // what its end has not received by then is lost
 int accept_from(int listener);              // below zero where there is none, see errno
 bool connected(int descriptor);             // once it can be written to
 
@@ -29,7 +30,7 @@
     void also_wake(Slot* other) { also_ = other; }
 
     bool up() const { return up_; }
-    bool ended() const { return ended_; } // nothing comes any more, nothing can be written
+    bool ended() const { return ended_; }     // nothing comes any more, nothing can be written
     bool was_reset() const { return reset_; } // it ended by an error, not by the other side's close
     // The other side has closed, though bytes that it sent before may be unread for want of room.
     bool hung_up() const { return ended_ || source_.hung_up(); }
--- a/tests/consensus_tests.cpp
+++ b/tests/consensus_tests.cpp
@@ -459,3 +459,61 @@
     BOOST_TEST(world.counts().reads == 100);
     check_kept(world);
 }
+
+namespace {
+
+// One member by itself: its disk is instant, and the other one grants each vote and stores nothing.
+struct Alone {
+    static constexpr Tenths kStart = 1'000'000;
+    const Member self{MemberId{1}, "a", "z"}, other{MemberId{2}, "b", "z"};
+    Replica replica{options(), {}, kStart};
+    Tenths now = kStart;
+    std::vector<Append> sent; // to the other one, since they were last looked at
+    Options options() const {
+        Options made;
+        made.self = self;
+        return made;
+    }
+    void settle() {
+        for (auto effects = replica.take_effects(); !effects.empty(); effects = replica.take_effects())
+            for (const Effect& effect : effects) {
+                if (const auto* store = std::get_if<Store>(&effect)) replica.stored(store->ticket, now);
+                if (const auto* send = std::get_if<Send>(&effect)) take(send->message);
+            }
+    }
+    void take(const Message& message) {
+        if (const auto* append = std::get_if<Append>(&message.body)) sent.push_back(*append);
+        const auto* request = std::get_if<VoteRequest>(&message.body);
+        if (request == nullptr) return;
+        replica.receive({other.id, self.id, VoteReply{request->term, true, request->pre_vote}}, now);
+    }
+    void see(bool other_is_alive) {
+        replica.set_candidates({{self, true}, {other, other_is_alive}}, 2, 2, now);
+        settle();
+    }
+};
+
+} // namespace
+
+// After a loss of all power the leader was elected before its link to the third member stood: that one had
+// the newest entry 0.3 s late, and served its feed as late.
+BOOST_AUTO_TEST_CASE(an_entry_that_was_lost_before_a_link_stood_is_sent_as_soon_as_it_stands) {
+    Alone here;
+    here.replica.found({here.self, here.other}, "value", here.now);
+    here.settle();
+    here.see(false);
+    while (here.sent.empty()) {
+        here.now = here.replica.next_tick();
+        here.replica.tick(here.now);
+        here.settle();
+    }
+    BOOST_TEST(here.sent.front().entry.has_value()); // nobody heard it
+    here.sent.clear();
+    here.now += 10;
+    here.see(true);
+    BOOST_REQUIRE(here.sent.size() == 1U);
+    BOOST_TEST(here.sent.front().entry.has_value());
+    here.sent.clear();
+    here.see(true); // nothing has changed
+    BOOST_TEST(here.sent.empty());
+}
--- /dev/null
+++ b/tests/duty_planted_tests.cpp
@@ -0,0 +1,43 @@
+// The histories of duties are asked whether they would find a wrong line: each planted fault must break a
+// promise.
+#define BOOST_TEST_MODULE duty_planted
+#include "base/planted_fault.hpp"
+#include "lab/control_world.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::lab;
+
+constexpr std::uint64_t kSeeds = 150; // measure_control tries 2,000
+
+void check_found(PlantedFault fault) {
+    planted_fault = fault;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        ControlWorld world(duty_plan_of_seed(seed));
+        world.play();
+        if (world.broken().empty()) continue;
+        BOOST_TEST_MESSAGE("seed " << seed << " " << world.broken().front());
+        planted_fault = PlantedFault::kNone;
+        return;
+    }
+    planted_fault = PlantedFault::kNone;
+    BOOST_ERROR("not found within " << kSeeds << " seeds");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(finds_a_lease_that_is_not_awaited) { check_found(PlantedFault::kLeaseNotAwaited); }
+BOOST_AUTO_TEST_CASE(finds_a_holder_that_returns_at_once) { check_found(PlantedFault::kHolderReturnsAtOnce); }
+BOOST_AUTO_TEST_CASE(finds_acts_without_contact) { check_found(PlantedFault::kActsWithoutContact); }
+BOOST_AUTO_TEST_CASE(finds_a_fence_from_memory) { check_found(PlantedFault::kFenceFromMemory); }
+BOOST_AUTO_TEST_CASE(finds_acts_after_a_release) { check_found(PlantedFault::kActsAfterRelease); }
+BOOST_AUTO_TEST_CASE(finds_an_old_release_believed) { check_found(PlantedFault::kOldReleaseBelieved); }
+BOOST_AUTO_TEST_CASE(finds_duties_forgotten) { check_found(PlantedFault::kDutiesForgotten); }
+BOOST_AUTO_TEST_CASE(finds_an_order_without_target) { check_found(PlantedFault::kOrderWithoutTarget); }
+BOOST_AUTO_TEST_CASE(finds_an_order_that_is_not_expected) { check_found(PlantedFault::kOrderNotExpected); }
+BOOST_AUTO_TEST_CASE(finds_an_order_sent_again_at_once) { check_found(PlantedFault::kOrderSentAgainAtOnce); }
+BOOST_AUTO_TEST_CASE(finds_a_fence_not_checked_at_send) { check_found(PlantedFault::kFenceNotCheckedAtSend); }
+BOOST_AUTO_TEST_CASE(finds_a_holder_that_goes_on_fenced_off) { check_found(PlantedFault::kFencedOffIgnored); }
--- a/tests/feed_tests.cpp
+++ b/tests/feed_tests.cpp
@@ -4,6 +4,7 @@
 #include "feed/feed_log.hpp"
 #include "feed/publisher_list.hpp"
 #include "feed/tables.hpp"
+#include "wire/cbor.hpp"
 
 #include <algorithm>
 #include <boost/test/included/unit_test.hpp>
@@ -75,6 +76,12 @@
     return {kFeed, place, snapshot, std::move(items)};
 }
 
+std::vector<Item> copies(const std::vector<const Item*>& items) {
+    std::vector<Item> made;
+    for (const Item* item : items) made.push_back(*item);
+    return made;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(the_log_goes_on_from_any_place_with_what_came_after_it) {
@@ -86,7 +93,7 @@
         BOOST_REQUIRE(items.has_value());
         BOOST_REQUIRE(items->size() == 5 - place);
         for (std::size_t i = 0; i < items->size(); ++i)
-            BOOST_TEST(std::get<Instance>((*items)[i]).id == "i-" + std::to_string(place + i + 1));
+            BOOST_TEST(std::get<Instance>(*(*items)[i]).id == "i-" + std::to_string(place + i + 1));
     }
     BOOST_TEST(!log.since(6).has_value()); // no place of this log
 }
@@ -101,9 +108,9 @@
     log.put(EdgeNodes{});
     const auto items = log.snapshot();
     BOOST_REQUIRE(items.size() == 3U);
-    BOOST_TEST(std::get<Instance>(items[0]).revision == 2U);
-    BOOST_TEST(std::get<model::Load>(items[1]).waiting == 7);
-    BOOST_TEST(std::get<EdgeNodes>(items[2]).nodes.empty());
+    BOOST_TEST(std::get<Instance>(*items[0]).revision == 2U);
+    BOOST_TEST(std::get<model::Load>(*items[1]).waiting == 7);
+    BOOST_TEST(std::get<EdgeNodes>(*items[2]).nodes.empty());
     BOOST_TEST(log.since(4)->size() == 1U); // both edge lists came after place 4, one is left
 }
 
@@ -132,12 +139,12 @@
         if (i % 10 == 0) log.put(configuration(i + 1));
         // One more subscriber stays behind at each step.
         Tables fresh;
-        BOOST_REQUIRE(fresh.apply(batch(log.place(), log.snapshot(), true), 0).fits);
+        BOOST_REQUIRE(fresh.apply(batch(log.place(), copies(log.snapshot()), true), 0).fits);
         subscribers.push_back(fresh);
     }
-    subscribers.front().apply(batch(log.place(), log.snapshot(), true), 0);
+    subscribers.front().apply(batch(log.place(), copies(log.snapshot()), true), 0);
     for (Tables& tables : subscribers) {
-        BOOST_REQUIRE(tables.apply(batch(log.place(), *log.since(tables.place())), 0).fits);
+        BOOST_REQUIRE(tables.apply(batch(log.place(), copies(*log.since(tables.place()))), 0).fits);
         BOOST_TEST((tables.instances().records() == subscribers.front().instances().records()));
         BOOST_TEST((tables.loads() == subscribers.front().loads()));
         BOOST_TEST(tables.configuration()->version == 31);
@@ -341,3 +348,47 @@
     }
     BOOST_TEST(first.size() == 3U);
 }
+
+// What a publisher writes of items that stay where they are is what a Batch of copies of them would be.
+BOOST_AUTO_TEST_CASE(a_batch_that_copies_nothing_is_the_same_bytes) {
+    Pcg random(7);
+    FeedLog log(kFeed);
+    for (int i = 0; i < 30; ++i) {
+        log.put(instance("i-" + std::to_string(draw(random, 9)), draw(random, 100)));
+        log.put(load("i-" + std::to_string(draw(random, 9)), static_cast<std::int64_t>(draw(random, 50))));
+        log.put(random_configuration(random, i + 1));
+        log.put(EdgeNodes{{{"a", "z", "1", draw(random, 5)}}});
+        for (const bool snapshot : {false, true}) {
+            const std::uint64_t from = snapshot ? 0 : log.place() - draw(random, 3);
+            const auto items = snapshot ? log.snapshot() : *log.since(from);
+            const Message copied{Batch{kFeed, log.place(), snapshot, copies(items)}};
+            BOOST_TEST((to_bytes(BatchView{kFeed, log.place(), snapshot, items}) == wire::to_bytes(copied)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_step_between_two_configurations_is_told_to_whoever_holds_the_first) {
+    FeedLog log(kFeed);
+    log.put(configuration(3));
+    BOOST_TEST((log.change_from(0) == nullptr));
+    log.put(configuration(7));
+    BOOST_TEST((log.change_from(7) == nullptr));
+    const Item* change = log.change_from(3);
+    BOOST_REQUIRE((change != nullptr));
+    BOOST_TEST(std::get<ConfigurationChange>(*change).version == 7);
+}
+
+// A report from before an order that is known tells of a stage that was.
+BOOST_AUTO_TEST_CASE(a_report_from_before_an_order_changes_nothing) {
+    Tables tables;
+    model::Load ordered = load("i-1", 2);
+    ordered.orders_taken = 1, ordered.changing = true;
+    model::Load before = load("i-1", 9);
+    tables.apply(batch(1, {instance("i-1"), ordered}, true), 0);
+    tables.apply(batch(2, {before}), 0);
+    BOOST_TEST((tables.loads().at("i-1") == ordered));
+    model::Load after = load("i-1", 1);
+    after.orders_taken = 1;
+    tables.apply(batch(3, {after}), 0);
+    BOOST_TEST((tables.loads().at("i-1") == after));
+}
--- a/tests/frame_tests.cpp
+++ b/tests/frame_tests.cpp
@@ -49,41 +49,56 @@
     Subscribe subscribe;
     subscribe.node = edge, subscribe.feed = 5, subscribe.place = 300;
     subscribe.instances.ranges = {1, 0, 1ULL << 40U};
-    const model::Load load{"i-1", 3, 8, 41'000, 90'000, 12};
+    const model::Load load{"i-1", 3, 8, 41'000, 90'000, 12, model::Stage::kPrefill, true};
+    const model::ServiceDemand demand{"model", 110.5, 3, 7.25, 0.5, 1.5};
+    const StageOrdered ordered{"i-1", model::Stage::kDecode, 13};
     Batch batch{5, 301, true, {}};
-    batch.items = {configuration(),        change, instance(), Forgotten{"i-2"}, load, EdgeNodes{{edge}},
-                   ControlNodes{{control}}};
+    batch.items = {configuration(),         change, instance(), Forgotten{"i-2"}, load, EdgeNodes{{edge}},
+                   ControlNodes{{control}}, ordered};
     const consensus::Message vote{consensus::MemberId{1}, consensus::MemberId{2},
                                   consensus::VoteRequest{9, {7, 300}, true}};
     return {subscribe,
             Instances{{instance()}, false, {8, 2}},
             Loads{{load}},
+            Demands{{demand}},
             Heartbeat{300},
             WantRanges{{0, 31}, {8, 2}},
             batch,
             Refused{"this node ends"},
             PeerHello{control, 8, 3, {control}},
-            PeerStatus{{control}, {edge}, {{4, 5}}, {"i-1"}, true, true},
+            PeerStatus{{control}, {edge}, {{4, 5}}, {demand}, true, true},
+            Heard{{"i-1"}},
             Replicate{{8, 4}, {instance()}, {load}},
+            Ordered{{ordered}},
             Replicated{{8, 4}},
             ForwardedCall{{8, 6}, "PUT", "12", "{}"},
             ForwardedAnswer{{8, 6}, 412, "{}"},
-            vote};
+            vote,
+            DutyMessage{3, vote}};
 }
 
 bool enums_are_known(const model::Instance& record) {
     return record.state <= model::InstanceState::kGone && record.stage <= model::Stage::kDecode;
 }
 
+bool is_known(model::Stage stage) { return stage <= model::Stage::kDecode; }
+
 // Code that indexes by them must never meet a value that has no name.
 bool enums_are_known(const Message& message) {
     if (const auto* known = std::get_if<Instances>(&message))
         return std::ranges::all_of(known->records,
                                    [](const auto& record) { return enums_are_known(record); });
+    if (const auto* loads = std::get_if<Loads>(&message))
+        return std::ranges::all_of(loads->loads,
+                                   [](const model::Load& load) { return is_known(load.stage); });
+    if (const auto* ordered = std::get_if<Ordered>(&message))
+        return std::ranges::all_of(ordered->orders, is_known, &StageOrdered::stage);
     const auto* batch = std::get_if<Batch>(&message);
     if (batch == nullptr) return true;
     return std::ranges::all_of(batch->items, [](const Item& item) {
         if (const auto* record = std::get_if<model::Instance>(&item)) return enums_are_known(*record);
+        if (const auto* load = std::get_if<model::Load>(&item)) return is_known(load->stage);
+        if (const auto* ordered = std::get_if<StageOrdered>(&item)) return is_known(ordered->stage);
         const auto* whole = std::get_if<model::Configuration>(&item);
         return whole == nullptr || std::ranges::all_of(whole->routes, [](const model::Route& route) {
                    return route.kind <= model::RouteKind::kStreaming;
--- a/tests/instance_registry_tests.cpp
+++ b/tests/instance_registry_tests.cpp
@@ -47,7 +47,9 @@
                 registry.replicated(peer, Replicated{replicate->id});
         };
         made.send = [this](const std::string& peer, const feed::Message& message) {
+            if (peer == unreachable) return false;
             sent.push_back({peer, message});
+            return true;
         };
         made.copies_last = [this](const std::set<std::uint64_t>& members) {
             return members.contains(kSelfMember) && members.size() > wanted;
@@ -63,7 +65,7 @@
         made.in_contact = [this] { return ++asked, in_contact; };
         made.call_address = [](const std::string& peer) { return "call " + peer; };
         made.changed = [this] { ++changes; };
-        made.loads_changed = [this] { ++changes; };
+        made.loads_changed = [this](const std::vector<model::Load>&) { ++changes; };
         return made;
     }
     // What the call came to: the heartbeat's advice, or the error.
@@ -93,6 +95,7 @@
     bool in_contact = true, serves = true, disk_answers = true;
     std::vector<std::function<void(bool)>> waiting; // for the disk
     int asked = 0, changes = 0;
+    std::string unreachable;   // no link to that peer stands
     InstanceRegistry registry; // last: it calls back from its constructor
 };
 
@@ -286,8 +289,18 @@
         BOOST_REQUIRE(reply.has_value());
         BOOST_TEST(reply.value().beat_address == "call " + kPeer);
         // What was heard for the owner is told to it, once.
-        BOOST_TEST((node.registry.take_heard() == std::vector<std::string>{"i-2"}));
-        BOOST_TEST(node.registry.take_heard().empty());
+        const auto times_told = [&] {
+            return std::ranges::count_if(node.sent, [](const Sent& one) {
+                const auto* heard = std::get_if<feed::Heard>(&one.message);
+                return heard != nullptr && one.peer == kPeer &&
+                       heard->instances == std::vector<std::string>{"i-2"};
+            });
+        };
+        bool holds = co_await script.until([&] { return times_told() == 1; });
+        BOOST_TEST(holds);
+        const int looks = node.asked + 2;
+        holds = co_await script.until([&] { return node.asked >= looks; });
+        BOOST_TEST(times_told() == 1);
         co_return Done{};
     });
 }
@@ -339,10 +352,7 @@
         co_await node.beat(server("i-1"));
         const int checks = node.asked + 3;
         const bool holds = co_await script.until([&] {
-            feed::PeerStatus status;
-            status.instances = node.registry.digests();
-            status.heard = {"i-1"};
-            node.registry.compare(kPeerNode, status);
+            node.registry.heard_elsewhere(feed::Heard{{"i-1"}});
             return node.asked >= checks;
         });
         BOOST_TEST(holds);
@@ -579,3 +589,18 @@
     node.registry.ask_for_copy(kPeerNode);
     BOOST_TEST(node.sent.size() == 1U);
 }
+
+// After a loss of all power a peer may be heard before it can be reached: its records were asked for half a
+// second later, and the feed opened as late.
+BOOST_AUTO_TEST_CASE(a_question_that_could_not_go_out_is_asked_as_soon_as_it_can) {
+    ReactorScript script;
+    Node node(script);
+    node.unreachable = kPeer;
+    node.registry.ask_for_copy(kPeerNode);
+    BOOST_TEST(node.sent.empty());
+    node.unreachable.clear();
+    node.registry.ask_for_copy(kPeerNode);
+    BOOST_TEST(node.sent.size() == 1U);
+    node.registry.ask_for_copy(kPeerNode); // it is on its way
+    BOOST_TEST(node.sent.size() == 1U);
+}
--- a/tests/lab/control_faults.cpp
+++ b/tests/lab/control_faults.cpp
@@ -71,10 +71,14 @@
         fault();
         run_for(plan_.faults_for);
         break;
+    case ControlPlanKind::kDuties:
+        duties_plan();
+        break;
     }
     heal();
     if (network_.chance(0.7)) closing_fault();
     check_calm();
+    if (plan_.kind == ControlPlanKind::kDuties) check_duties_calm();
     for (const std::string& what : history_.broken()) promise_broken(what);
 }
 
--- a/tests/lab/control_world.cpp
+++ b/tests/lab/control_world.cpp
@@ -41,6 +41,13 @@
     return plan;
 }
 
+ControlPlan duty_plan_of_seed(std::uint64_t seed) {
+    ControlPlan plan = control_plan_of(ControlPlanKind::kDuties, seed * kControlPlanKinds);
+    plan.servers = 2, plan.operators = 2;
+    plan.faults_for = 30 * kTenthsPerSecond;
+    return plan;
+}
+
 ControlWorld::ControlWorld(ControlPlan plan) : plan_(plan), network_(plan.seed) {
     silence_log_lines(true);
     network_.watched = [this](MachineNumber, MachineNumber to, const feed::Message&) {
@@ -78,6 +85,7 @@
     made.first_start = first_start_;
     made.tolerance.machines = plan_.tolerance;
     made.beat_interval_ms = kBeatIntervalMs;
+    if (plan_.kind == ControlPlanKind::kDuties) made.contracts = {"engine"};
     return made;
 }
 
@@ -97,7 +105,8 @@
                         network_.random().next()) |
                        1U;
             };
-            control::Environment environment{reactor, network_.links(machine), open_file, draw};
+            control::Environment environment{reactor, network_.links(machine), order_link(machine), open_file,
+                                             draw};
             auto opened = control::ControlNode::open(std::move(environment), settings_of(machine));
             if (opened.has_error())
                 promise_broken("a control node does not start: " + opened.error().message);
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -28,9 +28,11 @@
     kSecondLoss,  // a loss right after a repair or a replacement, or in the middle of it
     kManyChanges, // hundreds of changes, with members restarted, wiped and frozen
     kLateAnswers, // answers that come for a process that has started anew, or twice
-    kMixed
+    kMixed,
+    kDuties // whoever holds the duties ends, is cut off or stands still, again and again
 };
-inline constexpr int kControlPlanKinds = 6;
+inline constexpr int kControlPlanKinds =
+    6; // drawn by control_plan_of_seed; duties have histories of their own
 inline constexpr Tenths kFirstOrderWithin = 8 * kTenthsPerSecond;
 inline constexpr Tenths kRecoverWithin = 12 * kTenthsPerSecond; // `recoveryS`
 inline constexpr Tenths kDrainBound = 2 * kTenthsPerSecond;     // `drainMs`: after an acknowledged leaving
@@ -46,10 +48,12 @@
 
 ControlPlan control_plan_of_seed(std::uint64_t seed);
 ControlPlan control_plan_of(ControlPlanKind kind, std::uint64_t seed);
+ControlPlan duty_plan_of_seed(std::uint64_t seed);
 
 struct ControlCounts {
     std::uint64_t faults = 0, acknowledged = 0, refused = 0, sent_again = 0, reads = 0, leavings = 0,
-                  disks_lost = 0, batches = 0, late_answers_passed_over = 0;
+                  disks_lost = 0, batches = 0, late_answers_passed_over = 0, orders_to_servers = 0,
+                  orders_taken = 0;
     std::array<bool, 5> five{}; // which of the five were brought about, in the order of ControlPlanKind
 };
 
@@ -119,6 +123,26 @@
         std::string beat_address;
         std::optional<Tenths> leaving_acknowledged; // when
     };
+    struct Act { // an order that came to a server
+        MachineNumber sender = 0;
+        std::uint64_t fence = 0;
+        Tenths at = 0;
+    };
+    struct Engine { // a server that takes orders
+        std::string id, address;
+        model::Stage stage = model::Stage::kDecode;
+        bool is_up = false;
+        std::uint64_t sequence = 0;
+        std::int64_t orders_taken = 0;
+        Tenths changing_until = 0;
+        std::uint64_t fence_by_hand = 0; // lower ones are refused: of an order that no node gave
+        std::vector<Act> acts;
+        std::optional<Tenths> ordered_at; // by a node's duty, and under which fence
+        std::uint64_t ordered_under = 0;
+        std::set<std::pair<std::uint64_t, std::int64_t>> taken; // fence, and how many had been taken
+        std::map<MachineNumber, std::uint64_t> fenced_off;      // the last fence that was refused
+    };
+    class WorldOrderLink;
     struct Operator {
         std::int64_t known = 0; // the newest version that it knows of
         std::optional<OrderNumber> order;
@@ -180,6 +204,27 @@
     std::optional<OrderNumber> order_in(const std::string& body) const;
     void note_call_of_cut_off(MachineNumber machine, Tenths asked_at, int status, const std::string& what);
 
+    // control_duties.cpp: servers that take orders, and who acts
+    duties::OrderLink& order_link(MachineNumber machine);
+    void open_order_connection(MachineNumber machine, const duties::StageOrder& order,
+                               const std::string& holder, std::function<bool()> may_send,
+                               std::function<void(duties::OrderOutcome)> done);
+    void order_leaves(MachineNumber machine, const duties::StageOrder& order, const std::string& holder,
+                      const std::function<void(duties::OrderOutcome)>& done);
+    int take_order(MachineNumber sender, const duties::StageOrder& order, const std::string& request);
+    void judge_holder(Engine& engine, MachineNumber sender, const std::string& holder, std::uint64_t fence);
+    void note_fenced_off(MachineNumber sender, const duties::StageOrder& order);
+    void start_engines();
+    void replace_engine(std::size_t number);
+    void beat_engine(std::size_t number);
+    void report_engines();
+    void act_for_duties();
+    void act_once(MachineNumber machine);
+    std::optional<MachineNumber> duty_holder() const;
+    void duties_plan();
+    void move_the_duties();
+    void check_duties_calm();
+
     // control_faults.cpp: what happens by itself; control_plans.cpp: what is brought about
     void fault();
     void mixed_fault();
@@ -216,6 +261,9 @@
     std::vector<Agent> agents_;
     std::vector<Server> servers_;
     std::vector<Operator> operators_;
+    std::vector<Engine> engines_;
+    std::uint64_t engine_count_ = 0;
+    std::map<MachineNumber, std::unique_ptr<duties::OrderLink>> order_links_;
     ConfigurationHistory history_;
     std::map<std::int64_t, OrderNumber> orders_by_mark_;
     std::set<std::uint64_t> lost_identities_;
--- a/tests/link_tests.cpp
+++ b/tests/link_tests.cpp
@@ -169,9 +169,10 @@
         std::string bytes;
         ErrorKind kind;
     };
-    const std::vector<Case> cases{{other_version, ErrorKind::kOtherVersion},
-                                  {wire::frame("no message"), ErrorKind::kProtocol},
-                                  {std::string(5, '\x02'), ErrorKind::kProtocol}};
+    const std::vector<Case> cases{
+        {other_version, ErrorKind::kOtherVersion},
+        {wire::frame("no message"), ErrorKind::kProtocol},
+        {std::string(5, static_cast<char>(wire::kProtocolVersion)), ErrorKind::kProtocol}};
     for (const Case& given : cases) {
         ReactorScript script;
         int other = -1, ended = 0, received = 0;
--- a/tests/pair_selector_tests.cpp
+++ b/tests/pair_selector_tests.cpp
@@ -112,19 +112,19 @@
 BOOST_AUTO_TEST_CASE(the_lowest_score_wins_and_equals_share) {
     Fleet fleet({server("a"), server("b")});
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
-    fleet.selector.set_load(load("a", 1));
+    fleet.selector.set_load(load("a", 1), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
-    fleet.selector.set_load(load("b", 2));
+    fleet.selector.set_load(load("b", 2), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
-    fleet.selector.set_load(load("a", 0));
-    fleet.selector.set_load(load("b", 0));
+    fleet.selector.set_load(load("a", 0), fleet.now);
+    fleet.selector.set_load(load("b", 0), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a", "b"}));
 }
 
 BOOST_AUTO_TEST_CASE(own_parts_out_count_times_the_number_of_edge_nodes) {
     Fleet fleet({server("a"), server("b")});
     fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
-    fleet.selector.set_load(load("b", 2));
+    fleet.selector.set_load(load("b", 2), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"})); // 1 + 1 against 1 + 2
     fleet.selector.set_edge_nodes(4);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"})); // 1 + 4 against 1 + 2
@@ -140,7 +140,7 @@
     }
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
     fleet.now += 60 * kSecond; // what is long past counts less than one request that waits
-    fleet.selector.set_load(load("b", 1));
+    fleet.selector.set_load(load("b", 1), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
 }
 
@@ -149,7 +149,7 @@
     for (const char* id : {"a", "b"}) fleet.serve(id, plain(), Work::kPlain, 300);
     const auto waits = fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
     for (int i = 0; i < 3; ++i) fleet.selector.sent("b", plain(), Work::kPlain, 0, fleet.now + 5000);
-    fleet.selector.set_load(load("a", 2));
+    fleet.selector.set_load(load("a", 2), fleet.now);
     fleet.now += 6000;
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
     BOOST_TEST(fleet.selector.silent_since(waits) == fleet.now - 6000);
@@ -186,7 +186,7 @@
 BOOST_AUTO_TEST_CASE(silent_servers_are_taken_where_nothing_else_is_there) {
     Fleet fleet({server("a"), server("b")});
     fleet.set("a", InstanceState::kSilent);
-    fleet.selector.set_load(load("b", 9));
+    fleet.selector.set_load(load("b", 9), fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
     fleet.set("b", InstanceState::kSilent);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"a"}));
@@ -195,7 +195,7 @@
 BOOST_AUTO_TEST_CASE(tried_servers_come_last) {
     Fleet fleet({server("a"), server("b"), server("c")});
     fleet.set("c", InstanceState::kSilent);
-    fleet.selector.set_load(load("b", 50));
+    fleet.selector.set_load(load("b", 50), fleet.now);
     BOOST_TEST((fleet.runners(plain(), {"a"}) == std::set<std::string>{"b"}));
     BOOST_TEST((fleet.runners(plain(), {"a", "b"}) == std::set<std::string>{"c"}));
     BOOST_TEST(
@@ -280,7 +280,7 @@
 
 BOOST_AUTO_TEST_CASE(a_full_window_at_one_server_leaves_the_other) {
     Fleet fleet({server("a"), server("b")});
-    fleet.selector.set_load(load("b", 90));
+    fleet.selector.set_load(load("b", 90), fleet.now);
     for (int i = 0; i < static_cast<int>(kStartLimit); ++i)
         fleet.selector.sent("a", plain(), Work::kPlain, 0, fleet.now);
     BOOST_TEST((fleet.runners(plain()) == std::set<std::string>{"b"}));
@@ -344,7 +344,7 @@
 
 BOOST_AUTO_TEST_CASE(prompts_are_not_read_where_long_answers_run) {
     Fleet fleet(servers(0, 5));
-    for (int i = 0; i < 5; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, 0));
+    for (int i = 0; i < 5; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, 0), fleet.now);
     std::set<std::string> long_answers, read;
     std::map<std::string, std::int64_t> running;
     for (int i = 0; i < 4; ++i) {
@@ -353,7 +353,7 @@
         fleet.selector.answered(
             fleet.selector.sent(id, streaming(), Work::kReadAndRun, std::nullopt, fleet.now),
             fleet.now + 100);
-        fleet.selector.set_load(load(id, 0, ++running[id]));
+        fleet.selector.set_load(load(id, 0, ++running[id]), fleet.now);
         fleet.now += 200;
     }
     for (int i = 0; i < kTries; ++i) {
@@ -383,7 +383,8 @@
     std::size_t last = 0;
     for (const std::int64_t running : {0, 1, 2, 3}) { // of 8 slots, at each of 6 runners
         Fleet fleet(servers(0, 6));
-        for (int i = 0; i < 6; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, running));
+        for (int i = 0; i < 6; ++i)
+            fleet.selector.set_load(load("d" + std::to_string(i), 0, running), fleet.now);
         const std::size_t count = stream_runners(fleet).size();
         BOOST_TEST(count > last);
         last = count;
@@ -394,14 +395,15 @@
 BOOST_AUTO_TEST_CASE(nodes_that_hear_the_same_reports_keep_the_same_runners_for_long_answers) {
     Fleet one(servers(0, 6), 1), other(servers(0, 6), 99);
     for (Fleet* fleet : {&one, &other})
-        for (int i = 0; i < 6; ++i) fleet->selector.set_load(load("d" + std::to_string(i), 0, 2));
+        for (int i = 0; i < 6; ++i) fleet->selector.set_load(load("d" + std::to_string(i), 0, 2), fleet->now);
     BOOST_TEST((stream_runners(one) == stream_runners(other)));
 }
 
 BOOST_AUTO_TEST_CASE(a_runner_is_read_at_again_only_after_a_while) {
     Fleet fleet(servers(0, 6));
     const auto report = [&](std::int64_t running) {
-        for (int i = 0; i < 6; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, running));
+        for (int i = 0; i < 6; ++i)
+            fleet.selector.set_load(load("d" + std::to_string(i), 0, running), fleet.now);
     };
     const auto readers = [&] {
         std::set<std::string> all;
@@ -451,7 +453,7 @@
 
 BOOST_AUTO_TEST_CASE(where_moves_take_long_prompts_of_readers_are_read_by_runners) {
     Fleet fleet(servers(6, 6));
-    for (int i = 0; i < 6; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, 0));
+    for (int i = 0; i < 6; ++i) fleet.selector.set_load(load("d" + std::to_string(i), 0, 0), fleet.now);
     const auto read_by_runners = [&] {
         int count = 0;
         for (int i = 0; i < kTries; ++i)
@@ -468,7 +470,7 @@
 BOOST_AUTO_TEST_CASE(what_looks_best_in_a_report_is_not_sent_everything) {
     Fleet fleet(servers(0, 6));
     for (int i = 0; i < 6; ++i) // of 8 slots: all six are kept for long answers
-        fleet.selector.set_load(load("d" + std::to_string(i), i == 0 ? 0 : 1, 7));
+        fleet.selector.set_load(load("d" + std::to_string(i), i == 0 ? 0 : 1, 7), fleet.now);
     std::map<std::string, int> sent;
     for (int i = 0; i < kTries; ++i) ++sent[fleet.runner(streaming())];
     BOOST_TEST(sent["d0"] > kTries / 5);     // preferred where it is drawn
@@ -554,7 +556,7 @@
     fleet.selector.ended(attempt, fleet.now + 7);
     fleet.selector.refused(attempt, fleet.now + 8);
     fleet.selector.broken(replica_selection::AttemptNo{999}, fleet.now);
-    fleet.selector.set_load(load("a", 1));
+    fleet.selector.set_load(load("a", 1), fleet.now);
     fleet.selector.handle_used("a", false);
     BOOST_TEST(fleet.selector.silent_since(attempt) == 0);
     BOOST_TEST(fleet.selector.expected_response(attempt) == 0);
