--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -7,6 +7,7 @@
 #include "feed/ports.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ivyrill::control {
@@ -412,6 +413,8 @@
     seen.serves_feed = gate_.is_open(), seen.version = group_->version();
     seen.voters = group_->voters(), seen.peers = alive_, seen.edge_nodes = edge_nodes_.listed();
     for (const auto& [id, record] : registry_->table().records()) seen.servers.push_back(record);
+    if (duty_parts_) std::ranges::copy(duty_parts_->standings(), std::back_inserter(seen.duties));
+    if (stage_duty_) seen.orders = stage_duty_->counts();
     seen.group = group_->message_counts(), seen.links = peers_->refused();
     seen.copies = registry_->refused(), seen.calls = operator_calls_->refused();
     return to_json(seen);
--- a/src/control/inspection.cpp
+++ b/src/control/inspection.cpp
@@ -54,6 +54,23 @@
     });
 }
 
+std::string duties_of(const Inspection& seen) {
+    return list_of(seen.duties, [](const DutyParts::Standing& part) {
+        const std::string holder = part.leader ? std::to_string(part.leader->value) : "";
+        return fmt::format(R"({{"holder":"{}","holds":{},"acts":{},"fence":{}}})", holder, part.leads,
+                           part.acts, part.fence);
+    });
+}
+
+std::string orders_of(const Inspection& seen) {
+    const duties::StageOrders::Counts& orders = seen.orders;
+    return fmt::format(
+        R"({{"sent":{},"taken":{},"conflicts":{},"fencedOff":{},"otherServer":{},"refused":{},"notSent":{},)"
+        R"("unanswered":{}}})",
+        orders.sent, orders.taken, orders.conflicts, orders.fenced_off, orders.other_server, orders.refused,
+        orders.not_sent, orders.unanswered);
+}
+
 std::string refused_of(const Inspection& seen) {
     return fmt::format(
         R"({{"otherMember":{},"olderTerm":{},"unknownMember":{},"unreadable":{},"otherVersion":{},"beforeHello":{},"formerProcess":{},)"
@@ -69,10 +86,10 @@
 
 std::string to_json(const Inspection& seen) {
     return fmt::format(R"({{"node":"{}","leads":{},"inContact":{},"servesFeed":{},"version":{},"voters":{},)"
-                       R"("peers":{},"edgeNodes":{},"servers":{},"refused":{}}})",
+                       R"("peers":{},"edgeNodes":{},"servers":{},"duties":{},"orders":{},"refused":{}}})",
                        seen.node, seen.leads, seen.in_contact, seen.serves_feed, seen.version,
                        voters_of(seen), peers_of(seen), edge_nodes_of(seen), servers_of(seen),
-                       refused_of(seen));
+                       duties_of(seen), orders_of(seen), refused_of(seen));
 }
 
 } // namespace ivyrill::control
--- a/src/control/inspection.hpp
+++ b/src/control/inspection.hpp
@@ -1,9 +1,11 @@
 // What GET /inspect tells of a control node, as JSON. Pure.
 #pragma once
 #include "consensus/replica.hpp"
+#include "control/duty_parts.hpp"
 #include "control/instance_registry.hpp"
 #include "control/operator_calls.hpp"
 #include "control/peer_mesh.hpp"
+#include "duties/stage_orders.hpp"
 #include "model/instance.hpp"
 
 #include <cstdint>
@@ -20,6 +22,8 @@
     std::vector<model::ControlNode> peers; // that are alive
     std::vector<model::EdgeNode> edge_nodes;
     std::vector<model::Instance> servers;
+    std::vector<DutyParts::Standing> duties; // by part; none where the deployment has no duties
+    duties::StageOrders::Counts orders;      // to servers, by this process
     // Messages that were passed over, by cause.
     consensus::MessageCounts group;
     PeerMesh::Refused links;
--- a/tests/pair_selector_tests.cpp
+++ b/tests/pair_selector_tests.cpp
@@ -563,3 +563,73 @@
     BOOST_TEST(fleet.selector.instance("a") == nullptr);
     BOOST_TEST(fleet.runner(plain()) == "b");
 }
+
+namespace {
+
+model::Load ordered(const std::string& id, std::int64_t orders_taken, Stage stage, bool changing = false) {
+    model::Load made = load(id, 0);
+    made.orders_taken = orders_taken, made.stage = stage, made.changing = changing;
+    return made;
+}
+
+} // namespace
+
+// A server that changes its part turns away what it is sent: that is no failure of its, and nothing is sent.
+BOOST_AUTO_TEST_CASE(a_server_that_changes_its_stage_is_left_alone_until_it_reports_the_new_one) {
+    Fleet fleet(servers(0, 3));
+    fleet.selector.set_ordered("d0", 1, fleet.now);
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    fleet.selector.set_load(ordered("d0", 0, Stage::kDecode), fleet.now); // a report from before the order
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    fleet.selector.set_load(ordered("d0", 1, Stage::kDecode, true), fleet.now);
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    fleet.selector.set_load(ordered("d0", 1, Stage::kPrefill), fleet.now);
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    bool reads = false; // with a reader there, prompts are handed over
+    for (int i = 0; i < kTries && !reads; ++i) {
+        const auto pair = fleet.pair(reading("a" + std::to_string(i)));
+        reads = pair && pair->reader == "d0";
+    }
+    BOOST_TEST(reads);
+}
+
+BOOST_AUTO_TEST_CASE(servers_that_all_change_are_used_where_nothing_else_is_there) {
+    Fleet fleet(servers(0, 2));
+    fleet.selector.set_ordered("d0", 1, fleet.now);
+    fleet.selector.set_ordered("d1", 1, fleet.now);
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d0", "d1"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_which_nothing_is_heard_ends_by_itself) {
+    Fleet fleet(servers(0, 2));
+    fleet.selector.set_ordered("d0", 1, fleet.now);
+    fleet.now += 11 * kSecond;
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d0", "d1"}));
+}
+
+// Heartbeats come more seldom than reports, and repeat what was.
+BOOST_AUTO_TEST_CASE(a_heartbeat_from_before_a_change_does_not_undo_it) {
+    Fleet fleet(servers(0, 3));
+    fleet.selector.set_load(ordered("d0", 1, Stage::kPrefill), fleet.now);
+    fleet.tell(); // decode still
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    fleet.instances.at("d0").stage = Stage::kPrefill;
+    fleet.tell();
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1", "d2"}));
+    fleet.instances.at("d0").stage = Stage::kDecode; // changed back, and no report has told yet
+    fleet.tell();
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d0", "d1", "d2"}));
+}
+
+// A request that came to it in its former part was answered with 421: it must not rest for as long as an
+// address that is another server's.
+BOOST_AUTO_TEST_CASE(a_server_that_has_changed_is_not_shunned_for_what_it_was) {
+    Fleet fleet(servers(0, 2));
+    fleet.selector.misdirected("d0", fleet.now);
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d1"}));
+    fleet.instances.at("d0").stage = Stage::kPrefill;
+    fleet.tell();
+    fleet.instances.at("d0").stage = Stage::kDecode;
+    fleet.tell();
+    BOOST_TEST((fleet.runners(streaming()) == std::set<std::string>{"d0", "d1"}));
+}
--- a/tests/report_duty_tests.cpp
+++ b/tests/report_duty_tests.cpp
@@ -105,3 +105,17 @@
     BOOST_TEST(!report("1", "12", "\"many\"").has_value());
     BOOST_TEST(!agent::read_report("i-1", slots, "{\"waiting\":1").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_report_tells_of_stage_and_orders) {
+    const auto report = [](const std::string& fields) {
+        return agent::read_report("i-1", 24, R"({"waiting":1,"running":2,"kvUsed":3,"kvTotal":9)" + fields + "}");
+    };
+    const auto whole = report(R"(,"stage":"prefill","busy":true,"callSeq":2)");
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_TEST((whole->stage == model::Stage::kPrefill && whole->changing && whole->orders_taken == 2));
+    const auto without = report("");
+    BOOST_REQUIRE(without.has_value());
+    BOOST_TEST((without->stage == model::Stage::kNone && !without->changing && without->orders_taken == 0));
+    for (const char* spoilt : {R"(,"callSeq":-1)", R"(,"callSeq":"two")", R"(,"busy":1)", R"(,"stage":3)"})
+        BOOST_TEST(!report(spoilt).has_value(), spoilt);
+}
