--- a/src/control/stage_duty.cpp
+++ b/src/control/stage_duty.cpp
@@ -51,15 +51,14 @@
 
 void StageDuty::reported(const std::vector<model::Load>& loads) {
     for (const model::Load& load : loads) {
-        reported_at_[load.instance] = reactor_.now();
+        report_ages_.reported(load.instance, reactor_.now());
         orders_.reported(load, reactor_.now());
     }
 }
 
 void StageDuty::look() {
     timer_ = reactor_.call_after(duties::StageController::kInterval, [this] { look(); });
-    const Tenths oldest = reactor_.now() - duties::kReportAge;
-    std::erase_if(reported_at_, [oldest](const auto& entry) { return entry.second < oldest; });
+    report_ages_.forget_old(reactor_.now());
     const model::Configuration* configuration = callbacks_.configuration();
     if (configuration == nullptr) return;
     for (const model::Service& service : configuration->services)
@@ -135,7 +134,7 @@
     server.id = instance.id, server.address = instance.address, server.zone = instance.zone;
     server.stage = instance.stage, server.slots = static_cast<double>(instance.slots);
     const auto load = callbacks_.loads().find(instance.id);
-    server.reported = load != callbacks_.loads().end() && reported_at_.contains(instance.id);
+    server.reported = load != callbacks_.loads().end() && report_ages_.is_fresh(instance.id, reactor_.now());
     if (server.reported) {
         const model::Load& seen = load->second;
         if (seen.stage != model::Stage::kNone) server.stage = seen.stage;
--- a/src/control/stage_duty.hpp
+++ b/src/control/stage_duty.hpp
@@ -4,6 +4,7 @@
 #include "duties/demand_tally.hpp"
 #include "duties/duty.hpp"
 #include "duties/order_link.hpp"
+#include "duties/report_ages.hpp"
 #include "duties/stage_controller.hpp"
 #include "duties/stage_orders.hpp"
 #include "feed/instance_table.hpp"
@@ -56,7 +57,7 @@
     duties::DemandTally demand_;
     duties::StageOrders orders_;
     std::map<std::string, duties::StageController> controllers_; // by service, while this node holds its duty
-    std::map<std::string, Tenths> reported_at_;                  // by instance
+    duties::ReportAges report_ages_;
     transport::Reactor::TimerId timer_{};
 };
 
--- a/src/duties/stage_controller.hpp
+++ b/src/duties/stage_controller.hpp
@@ -19,12 +19,11 @@
     std::string id, address, zone;
     model::Stage stage = model::Stage::kNone; // that it has, or that it changes to
     bool changing = false;
-    bool reported = false; // its load is not older than kReportAge
+    bool reported = false; // its load is not too old (ReportAges)
     double slots = 1, running = 0, waiting = 0;
     double memory_share = 0; // that can't give way
     std::int64_t orders_taken = 0;
 };
-inline constexpr Tenths kReportAge = 3 * kTenthsPerSecond;
 
 struct StageChange {
     std::string instance;
--- a/tests/duty_tests.cpp
+++ b/tests/duty_tests.cpp
@@ -5,6 +5,7 @@
 #include "duties/demand_tally.hpp"
 #include "duties/duty.hpp"
 #include "duties/lease.hpp"
+#include "duties/report_ages.hpp"
 #include "duties/stage_controller.hpp"
 #include "duties/stage_orders.hpp"
 
@@ -313,3 +314,17 @@
     BOOST_TEST(later->requests == 100);
     BOOST_TEST(!tally.of("model", kStart + 5 * kSecond).has_value());
 }
+
+// In a fleet of thousands each server is reported on every half minute.
+BOOST_AUTO_TEST_CASE(what_counts_as_lately_follows_from_how_often_reports_come) {
+    ReportAges ages;
+    BOOST_TEST(!ages.is_fresh("s1", kStart));
+    ages.reported("s1", kStart);
+    BOOST_TEST(ages.is_fresh("s1", kStart + 3 * kSecond));
+    BOOST_TEST(!ages.is_fresh("s1", kStart + 4 * kSecond));
+    ages.reported("s1", kStart + 26 * kSecond);
+    BOOST_TEST(ages.is_fresh("s1", kStart + 100 * kSecond));
+    BOOST_TEST(!ages.is_fresh("s1", kStart + 106 * kSecond));
+    ages.forget_old(kStart + 150 * kSecond);
+    BOOST_TEST(!ages.is_fresh("s1", kStart + 26 * kSecond));
+}
