--- a/src/control/duty_parts.cpp
+++ b/src/control/duty_parts.cpp
@@ -109,10 +109,7 @@
     ++part.times_led;
     if (ending_) return;
     const consensus::Replica& replica = part.member->replica();
-    duties::PartState state = state_of(replica);
-    if (planted(PlantedFault::kOldReleaseBelieved) && state.released_term > 0)
-        state.released_term = role.term - 1;
-    part.lease->begin(duties::was_handed_over(state, role.term), reactor_.now());
+    part.lease->begin(duties::was_handed_over(state_of(replica), role.term), reactor_.now());
 }
 
 void DutyParts::resign() {
