--- a/tests/consensus_planted_tests.cpp
+++ b/tests/consensus_planted_tests.cpp
@@ -1,6 +1,7 @@
 // The histories are asked whether they would find a wrong line: each planted fault must break a promise.
 #define BOOST_TEST_MODULE consensus_planted
 #include "lab/consensus_world.hpp"
+#include "lab/planted_search.hpp"
 
 #include <boost/test/included/unit_test.hpp>
 
@@ -13,17 +14,8 @@
 constexpr std::uint64_t kSeeds = 2000;
 
 void check_found(PlantedFault fault) {
-    planted_fault = fault;
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        ConsensusWorld world(plan_of_seed(seed));
-        world.play();
-        if (world.broken().empty()) continue;
-        BOOST_TEST_MESSAGE("seed " << seed << " " << world.broken().front());
-        planted_fault = PlantedFault::kNone;
-        return;
-    }
-    planted_fault = PlantedFault::kNone;
-    BOOST_ERROR("not found within " << kSeeds << " seeds");
+    const auto found = search_planted<ConsensusWorld>(fault, plan_of_seed, 1, kSeeds);
+    BOOST_TEST(found.has_value(), "not found within " << kSeeds << " seeds");
 }
 
 } // namespace
--- a/tests/control_planted_tests.cpp
+++ b/tests/control_planted_tests.cpp
@@ -1,8 +1,8 @@
 // The histories of whole control nodes are asked whether they would find a wrong line: each planted fault
 // must break a promise.
 #define BOOST_TEST_MODULE control_planted
-#include "base/planted_fault.hpp"
 #include "lab/control_world.hpp"
+#include "lab/planted_search.hpp"
 
 #include <boost/test/included/unit_test.hpp>
 
@@ -19,17 +19,8 @@
 
 // `first`: where to begin, for faults that few histories find.
 void check_found(PlantedFault fault, std::uint64_t first = 1, PlanOfSeed plan = control_plan_of_seed) {
-    planted_fault = fault;
-    for (std::uint64_t seed = first; seed < first + kSeeds; ++seed) {
-        ControlWorld world(plan(seed));
-        world.play();
-        if (world.broken().empty()) continue;
-        BOOST_TEST_MESSAGE("seed " << seed << " " << world.broken().front());
-        planted_fault = PlantedFault::kNone;
-        return;
-    }
-    planted_fault = PlantedFault::kNone;
-    BOOST_ERROR("not found within " << kSeeds << " seeds");
+    const auto found = search_planted<ControlWorld>(fault, plan, first, kSeeds);
+    BOOST_TEST(found.has_value(), "not found within " << kSeeds << " seeds");
 }
 
 } // namespace
--- /dev/null
+++ b/tests/lab/planted_search.hpp
@@ -0,0 +1,26 @@
+// Whether histories notice a planted fault.
+#pragma once
+#include "base/planted_fault.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ivyrill::lab {
+
+// Plays the plans of `count` seeds from `first` on until one breaks a promise; which, and what was broken.
+template <class World, class PlanOfSeed>
+std::optional<std::string> search_planted(PlantedFault fault, PlanOfSeed plan_of_seed, std::uint64_t first,
+                                          std::uint64_t count) {
+    planted_fault = fault;
+    std::optional<std::string> found;
+    for (std::uint64_t seed = first; seed < first + count && !found; ++seed) {
+        World world(plan_of_seed(seed));
+        world.play();
+        if (!world.broken().empty()) found = "seed " + std::to_string(seed) + " " + world.broken().front();
+    }
+    planted_fault = PlantedFault::kNone;
+    return found;
+}
+
+} // namespace ivyrill::lab
