Tenants, scaling and the platform's API are read into types; differences carry tenants

A configuration's tenants, a service's scaling, a route's public and the settings' cloudApi were read by nobody.

--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -123,6 +123,15 @@
         into = found->data();
     }
 
+    void texts(const std::string& key, std::vector<std::string>& into) {
+        const Tree* found = find(key);
+        if (found == nullptr) return;
+        const auto is_text = [](const auto& item) { return item.first.empty() && item.second.empty(); };
+        if (!is_list(*found) || !std::ranges::all_of(*found, is_text))
+            return report(key, "is not a list of texts", "send one");
+        for (const auto& [name, item] : *found) into.push_back(item.data());
+    }
+
     void flag(const std::string& key, bool& into) {
         const Tree* found = find(key);
         if (found == nullptr) return;
@@ -227,6 +236,7 @@
     section.flag("sticky", route.sticky);
     section.flag("resumable", route.resumable);
     section.number("gap_aim_ms", route.longest_gap_ms);
+    section.flag("public", route.is_public);
     read_services_of(section, route);
     return route;
 }
@@ -247,6 +257,17 @@
     return engine;
 }
 
+model::Scaling read_scaling(Section section) {
+    model::Scaling scaling;
+    section.require("maxCount");
+    section.number("minCount", scaling.min_count);
+    section.number("maxCount", scaling.max_count);
+    section.number("bootTimeS", scaling.boot_time_s);
+    if (scaling.max_count < scaling.min_count)
+        section.report("maxCount", "is below minCount", "send one that is not");
+    return scaling;
+}
+
 model::Service read_service(Section section) {
     model::Service service;
     section.require("name");
@@ -254,6 +275,7 @@
     section.text("healthPath", service.health_path);
     section.number("connLimit", service.connection_limit);
     if (section.has("engine")) service.engine = read_engine(section.section("engine"));
+    if (section.has("scaling")) service.scaling = read_scaling(section.section("scaling"));
     return service;
 }
 
@@ -266,6 +288,25 @@
     return limits;
 }
 
+// What a header can carry as its value: visible ASCII, with spaces inside.
+bool fits_header(std::string_view text) {
+    const bool is_visible = std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
+    return is_visible && !text.empty() && text.front() != ' ' && text.back() != ' ';
+}
+
+model::Tenant read_tenant(Section section) {
+    model::Tenant tenant;
+    section.require("name");
+    section.text("name", tenant.name);
+    section.texts("apiKeys", tenant.api_keys);
+    if (!fits_header(tenant.name))
+        section.report("name", "can't stand in a header", "send visible characters of ASCII");
+    if (!std::ranges::all_of(tenant.api_keys, fits_header))
+        section.report("apiKeys", "holds what can't stand in a header", "send visible characters of ASCII");
+    if (section.has("priority")) section.number("priority", tenant.priority.emplace());
+    return tenant;
+}
+
 void check_tenants(Section& root) {
     std::unordered_set<std::string> keys;
     root.each("tenants", [&](Section tenant) {
@@ -276,6 +317,13 @@
     });
 }
 
+void read_tenants(Section& root, model::Configuration& configuration) {
+    if (!root.has("tenants")) return;
+    std::vector<model::Tenant>& tenants = configuration.tenants.emplace();
+    root.each("tenants", [&](Section item) { tenants.push_back(read_tenant(item)); });
+    check_tenants(root);
+}
+
 void read_version(Section& root, std::int64_t& into) {
     double version = 0;
     root.require("version");
@@ -292,7 +340,7 @@
     root.each("routes", [&](Section item) { configuration.routes.push_back(read_route(item)); });
     root.each("services", [&](Section item) { configuration.services.push_back(read_service(item)); });
     if (root.has("limits")) configuration.limits = read_limits(root.section("limits"));
-    check_tenants(root);
+    read_tenants(root, configuration);
     return configuration;
 }
 
--- a/src/duties/duty.hpp
+++ b/src/duties/duty.hpp
@@ -15,7 +15,9 @@
 inline constexpr std::size_t kDutyParts = 4;
 
 enum class DutyKind : std::uint8_t {
-    kServerStages // subject: a service; which of its servers read prompts and which run them
+    kServerStages, // subject: a service; which of its servers read prompts and which run them
+    kUsageReport,  // one subject, the empty one: each tenant's requests in each window (`POST /usage`)
+    kServerCount   // subject: a service and a zone; how many of its servers run there (`POST /scale`)
 };
 
 struct Duty {
@@ -24,6 +26,11 @@
     friend auto operator<=>(const Duty&, const Duty&) = default;
 };
 
+inline Duty usage_report_duty() { return {DutyKind::kUsageReport, ""}; }
+inline Duty server_count_duty(const std::string& service, const std::string& zone) {
+    return {DutyKind::kServerCount, service + "/" + zone};
+}
+
 inline std::size_t part_of(const Duty& duty) {
     return hash_text(duty.subject, static_cast<std::uint64_t>(duty.kind) + 1) % kDutyParts;
 }
--- a/src/feed/feed_log.cpp
+++ b/src/feed/feed_log.cpp
@@ -1,6 +1,8 @@
 #include "feed/feed_log.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace ivyrill::feed {
@@ -26,6 +28,38 @@
 
 std::string place_of(const model::Route& route) { return route.host + " " + route.path_prefix; }
 
+using Tenants = std::vector<model::Tenant>;
+
+// Items known by `name`: those of `to` that are new or have changed, and the names that it no longer has.
+template <class Named>
+void difference_by_name(const std::vector<Named>& from, const std::vector<Named>& to,
+                        std::vector<Named>& changed, std::vector<std::string>& removed) {
+    std::map<std::string_view, const Named*> before;
+    for (const Named& item : from) before[item.name] = &item;
+    for (const Named& item : to) {
+        const auto known = before.find(item.name);
+        if (known == before.end() || *known->second != item) changed.push_back(item);
+        if (known != before.end()) before.erase(known);
+    }
+    for (const auto& [name, item] : before) removed.emplace_back(name);
+}
+
+template <class Named>
+void apply_by_name(std::vector<Named>& to, const std::vector<Named>& changed,
+                   const std::vector<std::string>& removed) {
+    std::map<std::string, std::size_t> places;
+    for (std::size_t i = 0; i < to.size(); ++i) places[to[i].name] = i;
+    for (const Named& item : changed) {
+        const auto known = places.find(item.name);
+        if (known == places.end())
+            to.push_back(item);
+        else
+            to[known->second] = item;
+    }
+    const std::set<std::string_view> gone(removed.begin(), removed.end());
+    std::erase_if(to, [&](const Named& item) { return gone.contains(item.name); });
+}
+
 } // namespace
 
 void FeedLog::put(Item item) {
@@ -109,16 +143,11 @@
         removed.host = route->host, removed.path_prefix = route->path_prefix;
         change.removed_routes.push_back(removed);
     }
-    const auto named = [](const std::vector<model::Service>& services, const std::string& name) {
-        const auto found = std::ranges::find(services, name, &model::Service::name);
-        return found == services.end() ? nullptr : &*found;
-    };
-    for (const model::Service& service : to.services) {
-        const model::Service* known = named(from.services, service.name);
-        if (known == nullptr || *known != service) change.services.push_back(service);
-    }
-    for (const model::Service& service : from.services)
-        if (named(to.services, service.name) == nullptr) change.removed_services.push_back(service.name);
+    difference_by_name(from.services, to.services, change.services, change.removed_services);
+    change.has_tenants = to.tenants.has_value();
+    if (change.has_tenants)
+        difference_by_name(from.tenants.value_or(Tenants{}), *to.tenants, change.tenants,
+                           change.removed_tenants);
     return change;
 }
 
@@ -140,16 +169,13 @@
         return std::ranges::any_of(change.removed_routes,
                                    [&](const auto& gone) { return same_place(gone, route); });
     });
-    for (const model::Service& service : change.services) {
-        const auto known = std::ranges::find(to.services, service.name, &model::Service::name);
-        if (known == to.services.end())
-            to.services.push_back(service);
-        else
-            *known = service;
+    apply_by_name(to.services, change.services, change.removed_services);
+    if (!change.has_tenants) {
+        to.tenants.reset();
+    } else {
+        if (!to.tenants) to.tenants.emplace();
+        apply_by_name(*to.tenants, change.tenants, change.removed_tenants);
     }
-    std::erase_if(to.services, [&](const model::Service& service) {
-        return std::ranges::find(change.removed_services, service.name) != change.removed_services.end();
-    });
     return to;
 }
 
--- a/src/feed/messages.hpp
+++ b/src/feed/messages.hpp
@@ -32,7 +32,8 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.nodes); }
     friend bool operator==(const ControlNodes&, const ControlNodes&) = default;
 };
-// What a configuration changes of the one before it. Routes are known by host and prefix, services by name.
+// What a configuration changes of the one before it. Routes are known by host and prefix, services and
+// tenants by name.
 struct ConfigurationChange {
     std::int64_t base_version = 0, version = 0;
     std::vector<model::Route> routes;
@@ -40,9 +41,12 @@
     std::vector<model::Route> removed_routes; // host and prefix alone
     std::vector<std::string> removed_services;
     model::ClientLimits limits;
+    bool has_tenants = false; // the later one; the lists are empty without
+    std::vector<model::Tenant> tenants;
+    std::vector<std::string> removed_tenants;
     template <class Self> static auto tie(Self& s) {
         return std::tie(s.base_version, s.version, s.routes, s.services, s.removed_routes, s.removed_services,
-                        s.limits);
+                        s.limits, s.has_tenants, s.tenants, s.removed_tenants);
     }
 };
 struct Forgotten { // an instance that the publisher no longer knows of; it may be told of again
--- a/src/model/configuration.hpp
+++ b/src/model/configuration.hpp
@@ -30,9 +30,10 @@
     std::int64_t max_attempts = 1;         // servers to which one try may be sent
     bool sticky = false, resumable = false;
     std::int64_t longest_gap_ms = 0; // between two events of a stream that is in time; 0: none stated
+    bool is_public = false;          // needs no API key
     template <class Self> static auto tie(Self& s) {
         return std::tie(s.name, s.host, s.path_prefix, s.kind, s.timeout_ms, s.latency_target_ms, s.priority,
-                        s.services, s.max_attempts, s.sticky, s.resumable, s.longest_gap_ms);
+                        s.services, s.max_attempts, s.sticky, s.resumable, s.longest_gap_ms, s.is_public);
     }
     friend bool operator==(const Route&, const Route&) = default;
     bool idempotent() const {
@@ -54,12 +55,23 @@
     friend bool operator==(const Engine&, const Engine&) = default;
 };
 
+// How many servers of a service may run in each zone, where the system orders them from the platform.
+struct Scaling {
+    std::int64_t min_count = 0, max_count = 0; // per zone
+    double boot_time_s = 0;                    // from an order until a new server serves
+    template <class Self> static auto tie(Self& s) {
+        return std::tie(s.min_count, s.max_count, s.boot_time_s);
+    }
+    friend bool operator==(const Scaling&, const Scaling&) = default;
+};
+
 struct Service {
     std::string name, health_path;
     std::int64_t connection_limit = 0; // that one server accepts from all callers together
     std::optional<Engine> engine;
+    std::optional<Scaling> scaling;
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.name, s.health_path, s.connection_limit, s.engine);
+        return std::tie(s.name, s.health_path, s.connection_limit, s.engine, s.scaling);
     }
     friend bool operator==(const Service&, const Service&) = default;
 };
@@ -73,13 +85,23 @@
     friend bool operator==(const ClientLimits&, const ClientLimits&) = default;
 };
 
+// Whose requests they are, by the API key that they carry.
+struct Tenant {
+    std::string name;
+    std::vector<std::string> api_keys;
+    std::optional<std::int64_t> priority; // 0 is the most urgent; precedes that of the route
+    template <class Self> static auto tie(Self& s) { return std::tie(s.name, s.api_keys, s.priority); }
+    friend bool operator==(const Tenant&, const Tenant&) = default;
+};
+
 struct Configuration {
     std::int64_t version = 0;
     std::vector<Route> routes;
     std::vector<Service> services;
     ClientLimits limits;
+    std::optional<std::vector<Tenant>> tenants; // none: requests need no key
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.version, s.routes, s.services, s.limits);
+        return std::tie(s.version, s.routes, s.services, s.limits, s.tenants);
     }
     friend bool operator==(const Configuration&, const Configuration&) = default;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -224,6 +224,17 @@
     bounds.flag("fencedApi", into.fenced_api);
     bounds.number("leaseMs", into.lease_ms);
     bounds.number("thawSlackMs", into.thaw_slack_ms);
+    bounds.number("usageWindowS", into.usage_window_s);
+    bounds.number("usageError", into.usage_error);
+    bounds.number("usageLateS", into.usage_late_s);
+}
+
+void read_cloud_api(Section cloud_api, CloudApi& into) {
+    cloud_api.text("address", into.address);
+    if (!into.address.empty() && !is_address(into.address))
+        cloud_api.report("address", "is not an IP:PORT address", "state one such as 10.200.0.5:8168");
+    cloud_api.texts("duties", into.duties);
+    cloud_api.number("dutyPerS", into.duty_per_s);
 }
 
 void read_behaviour(Section& root, Settings& settings) {
@@ -235,6 +246,7 @@
     read_limits(root.section("limits"), settings.limits);
     read_tolerance(root.section("tolerance"), settings.tolerance);
     read_bounds(root.section("bounds"), settings.bounds);
+    read_cloud_api(root.section("cloudApi"), settings.cloud_api);
 }
 
 Error unreadable(std::string why) { // yaml-cpp's words may span lines
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -37,6 +37,16 @@
     std::int64_t transit_ms = 120;
     bool fenced_api = false;
     std::int64_t lease_ms = 3000, thaw_slack_ms = 300;
+    double usage_window_s = 0; // 0: no usage is reported
+    double usage_error = 0.05; // share of a tenant's count that a report may be off
+    double usage_late_s = 10;  // after the end of its window
+};
+
+// The platform's API (DEPLOY), for the duties of one node at a time.
+struct CloudApi {
+    std::string address;             // IP:PORT; empty where the deployment has none
+    std::vector<std::string> duties; // `usage_report`, `autoscale`
+    double duty_per_s = 0;           // calls that it takes from all nodes together; 0: not stated
 };
 
 struct Settings {
@@ -53,6 +63,7 @@
     std::vector<std::string> contracts;
     Tolerance tolerance;
     Bounds bounds;
+    CloudApi cloud_api;
 };
 
 Result<Settings> parse(std::string_view yaml);
