Test: requests without a known key are refused before a server reads or runs them

The test plays it in whole processes and fails on this code: each of its eight refused kinds gets 200, and the model servers' logs name a run for each and a prefill call for most. No key without tenants, a known key and a public route are served, as they should be.

The stand-in model server now writes a line for each request to read or run that it takes, so that a test can tell that none came.

--- a/examples/model_server.cpp
+++ b/examples/model_server.cpp
@@ -68,12 +68,22 @@
         ->capture_default_str();
 }
 
+// One line for each request to read or to run that has come since the last call, also for those refused.
+void tell_requests(const lab::ModelServerCore& core, std::size_t& told) {
+    for (; told < core.heads().size(); ++told) {
+        const lab::HttpHead& head = core.heads()[told];
+        std::cout << "took " << head.field("attempt-id") << " to "
+                  << (head.field("serving-stage") == "prefill" ? "read" : "run") << std::endl;
+    }
+}
+
 void serve(const Arguments& arguments) {
     transport::Loop loop;
     transport::Source signals(loop, open_signals());
     lab::ModelServer server(loop, arguments.plan, arguments.heartbeats);
     std::cout << server.core().plan().id << " serves " << arguments.plan.service << " at " << server.address()
               << std::endl;
+    std::size_t told = 0;
     while (!server.ended()) {
         loop.wait(server.due());
         if (signalled(signals.descriptor())) {
@@ -81,6 +91,7 @@
             server.leave();
         }
         server.pass();
+        tell_requests(server.core(), told);
     }
 }
 
--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -7,6 +7,10 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace {
 
@@ -88,6 +92,30 @@
     return at == std::string::npos ? 0 : std::stoll(log.substr(at + name.size() + 2));
 }
 
+// The same with one tenant; its "more" asks for a key as "chat" does, and "draft" is public.
+std::string with_tenant(std::int64_t version, const std::string& key) {
+    const std::string tenants = R"("tenants": [{"name": "kitchen", "apiKeys": [")" + key + R"("]}],)";
+    std::string text = replaced(with_route(version, "/more/"), "\"limits\":", tenants + "\"limits\":");
+    text = replaced(text, "{\"name\": \"chat\",", "{\"name\": \"chat\", \"public\": false,");
+    return replaced(text, "{\"name\": \"draft\",", "{\"name\": \"draft\", \"public\": true,");
+}
+
+ClientRequest with_keys(ClientRequest request, const std::vector<std::string>& keys) {
+    for (const std::string& key : keys) request.more.push_back({"Api-Key", key});
+    return request;
+}
+
+// Calls that the model servers took for that attempt, to read as well as to run.
+std::vector<std::string> calls_to_servers(const ExampleFleet& fleet, const std::string& attempt) {
+    std::vector<std::string> calls;
+    for (const std::string server : {"prefill-1", "prefill-2", "decode-1", "decode-2"}) {
+        std::istringstream log(fleet.log(server));
+        for (std::string line; std::getline(log, line);)
+            if (line.starts_with("took " + attempt + " ")) calls.push_back(server + " " + line);
+    }
+    return calls;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(streams_come_byte_by_byte_through_prefill_and_decode) {
@@ -173,3 +201,52 @@
     const ClientRequest elsewhere = stream("ab3", "c0ffee", 100, 40);
     check_whole(fleet.ask(fleet.front(2), elsewhere), elsewhere);
 }
+
+BOOST_AUTO_TEST_CASE(a_request_without_a_known_key_gets_401_and_no_server_reads_or_runs_it) {
+    RealFleet fleet;
+    const std::string key = "jsmzzyyjsg3ajwyy7yx5";
+    const ClientRequest before = stream("b1", "c0ffee", 200, 8);
+    check_whole(fleet.ask(fleet.front(1), before), before); // no tenants, no key
+    BOOST_REQUIRE(fleet.replace(with_tenant(5, key), 1) == 200);
+    for (int number = 1; number <= 2; ++number) {
+        ClientRequest request = with_keys(stream("f" + std::to_string(number), "f00d", 100, 8), {key});
+        request.target = "/more/x";
+        BOOST_REQUIRE(
+            fleet.until([&] { return fleet.ask(fleet.front(number), request).head.status == 200; }));
+    }
+    std::size_t read_apart = 0;
+    for (int i = 0; i < 6; ++i) { // long prompts, as the refused ones below
+        const std::string number = std::to_string(i);
+        const ClientRequest known = with_keys(stream("ab" + number, "c0ffee" + number, 9000, 40), {key});
+        check_whole(fleet.ask(fleet.front(1), known), known);
+        const std::vector<std::string> calls = calls_to_servers(fleet, known.attempt);
+        BOOST_TEST(!calls.empty());
+        read_apart += calls.size() > 1 ? 1 : 0;
+    }
+    BOOST_TEST(read_apart > 0);
+    const std::vector<std::pair<std::string, std::vector<std::string>>> refused{
+        {"no key", {}},
+        {"an unknown key", {"x42q492cqf75rjvz48wu"}},
+        {"an empty key", {""}},
+        {"a key of 4 KiB", {std::string(4096, 'k')}},
+        {"the beginning of a key", {key.substr(0, key.size() - 1)}},
+        {"the known key in other letters", {"JSMZZYYJSG3AJWYY7YX5"}},
+        {"a known and an unknown key", {key, "x42q492cqf75rjvz48wu"}},
+        {"an unknown and a known key", {"x42q492cqf75rjvz48wu", key}},
+    };
+    for (std::size_t i = 0; i < refused.size(); ++i) {
+        const std::string number = std::to_string(i);
+        const auto& [what, keys] = refused[i];
+        const ClientRequest request = with_keys(stream("cd" + number, "facade" + number, 9000, 40), keys);
+        const ClientAnswer answer = fleet.ask(fleet.front(1), request);
+        BOOST_TEST(answer.head.status == 401, what << ": status " << answer.head.status);
+        BOOST_TEST(answer.head.field("attempt-id") == request.attempt, what);
+        for (const std::string& call : calls_to_servers(fleet, request.attempt))
+            BOOST_TEST(false, what << ": " << call);
+    }
+    ClientRequest open = stream("b2", "c0ffee", 200, 8);
+    open.target = "/draft/x";
+    check_whole(fleet.ask(fleet.front(1), open), open);
+    const ClientRequest known = with_keys(stream("b3", "c0ffee", 200, 8), {key});
+    check_whole(fleet.ask(fleet.front(2), known), known);
+}
