Stand-in model server logs each call's tenant and whether it shows a client's key

Nothing told what a server is shown of a client's identity. The stand-in logs a line for each generation and prefill call, with every value of Tenant and whether an Api-Key came along; the key itself is not logged.

--- a/examples/model_server.cpp
+++ b/examples/model_server.cpp
@@ -68,12 +68,31 @@
         ->capture_default_str();
 }
 
+std::string values_of(const lab::HttpHead& head, std::string_view name) {
+    std::string values;
+    for (const lab::HttpField& field : head.fields)
+        if (field.name == name) values += (values.empty() ? "" : ",") + field.value;
+    return values;
+}
+
+// A line for each generation and prefill call: whom it says it is for, and whether it shows a client's key.
+void log_calls(const std::vector<lab::HttpHead>& heads, std::size_t& logged) {
+    for (; logged < heads.size(); ++logged) {
+        const lab::HttpHead& head = heads[logged];
+        std::cout << "call attempt=" << head.field("attempt-id")
+                  << " stage=" << (head.has("serving-stage") ? head.field("serving-stage") : "run")
+                  << " tenant=" << values_of(head, "tenant")
+                  << " api_key=" << (head.has("api-key") ? "shown" : "none") << std::endl;
+    }
+}
+
 void serve(const Arguments& arguments) {
     transport::Loop loop;
     transport::Source signals(loop, open_signals());
     lab::ModelServer server(loop, arguments.plan, arguments.heartbeats);
     std::cout << server.core().plan().id << " serves " << arguments.plan.service << " at " << server.address()
               << std::endl;
+    std::size_t logged = 0;
     while (!server.ended()) {
         loop.wait(server.due());
         if (signalled(signals.descriptor())) {
@@ -81,6 +100,7 @@
             server.leave();
         }
         server.pass();
+        log_calls(server.core().heads(), logged);
     }
 }
 
