--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 
 namespace {
 
@@ -64,6 +65,15 @@
     return replaced(text, "\"routes\": [", "\"routes\": [" + route);
 }
 
+// The example with two tenants and one route that asks for no key.
+std::string with_tenants(std::int64_t version) {
+    const std::string text =
+        replaced(with_route(version, "/open/"), R"("name": "more",)", R"("name": "more", "public": true,)");
+    return replaced(text, "\"routes\": [",
+                    R"("tenants": [{"name": "alpha", "apiKeys": ["key-a1", "key-a2"], "priority": 1},)"
+                    R"({"name": "beta", "apiKeys": ["key-b"], "priority": 2}], "routes": [)");
+}
+
 ClientRequest stream(const std::string& attempt, const std::string& prompt, int prompt_tokens,
                      int output_tokens) {
     ClientRequest request;
@@ -82,6 +92,29 @@
     BOOST_TEST(answer.body == expected_stream(request));
 }
 
+struct ServerCall {
+    std::string server, line; // as the stand-in logs it
+};
+
+// What any of the stand-ins got of that attempt, a line each.
+std::vector<ServerCall> calls_of(const RealFleet& fleet, const std::string& attempt) {
+    std::vector<ServerCall> calls;
+    for (const char* server : {"prefill-1", "prefill-2", "decode-1", "decode-2"}) {
+        std::istringstream log(fleet.log(server));
+        for (std::string line; std::getline(log, line);)
+            if (line.starts_with("call attempt=" + attempt + " ")) calls.push_back({server, line});
+    }
+    return calls;
+}
+
+// `tenant`: empty for none.
+void check_calls(const RealFleet& fleet, const std::string& attempt, const std::string& tenant) {
+    const auto calls = calls_of(fleet, attempt);
+    BOOST_TEST(!calls.empty(), attempt);
+    for (const auto& [server, line] : calls)
+        BOOST_TEST(line.ends_with(" tenant=" + tenant + " api_key=none"), server << " got " << line);
+}
+
 // The largest value that a proxy has told of that counter.
 std::int64_t counter(const std::string& log, const std::string& name) {
     const std::size_t at = log.rfind(" " + name + "=");
@@ -173,3 +206,51 @@
     const ClientRequest elsewhere = stream("ab3", "c0ffee", 100, 40);
     check_whole(fleet.ask(fleet.front(2), elsewhere), elsewhere);
 }
+
+BOOST_AUTO_TEST_CASE(a_server_never_sees_a_clients_key_nor_a_tenant_other_than_that_keys) {
+    struct Case {
+        std::string attempt, target;
+        std::vector<HttpField> sent;
+        std::string tenant; // that servers are to see
+    };
+    const std::vector<Case> cases{
+        {"c1", "/chat/x", {{"Api-Key", "key-a1"}}, "alpha"},
+        {"c2", "/chat/x", {{"Api-Key", "key-a2"}}, "alpha"},
+        {"c3", "/chat/x", {{"Api-Key", "key-b"}, {"Tenant", "alpha"}}, "beta"},
+        {"c4", "/chat/x", {{"TENANT", "alpha"}, {"tenant", "x"}, {"API-KEY", "key-b"}}, "beta"},
+        {"c5", "/chat/x", {{"Connection", "Tenant"}, {"Api-Key", "key-b"}}, "beta"},
+        {"c6", "/draft/x", {{"Api-Key", "key-b"}, {"Tenant", "alpha"}}, "beta"},
+        {"c7", "/open/x", {{"Tenant", "alpha"}}, ""},
+        {"c8", "/open/x", {{"Api-Key", "of-nobody"}, {"Tenant", "alpha"}}, ""}};
+    RealFleet fleet;
+    BOOST_REQUIRE(fleet.replace(with_tenants(5), 1) == 200);
+    BOOST_REQUIRE(fleet.until(
+        [&] { return fleet.log("proxy-1").find("event=configuration version=5") != std::string::npos; }));
+    for (const Case& one : cases) {
+        ClientRequest request = stream(one.attempt, "f00d", 100, 8);
+        request.target = one.target, request.more = one.sent;
+        check_whole(fleet.ask(fleet.front(1), request), request);
+        fleet.until([&] { return !calls_of(fleet, one.attempt).empty(); });
+        check_calls(fleet, one.attempt, one.tenant);
+    }
+    // Read by a server for prefill first.
+    for (int i = 0; i < 6; ++i) {
+        ClientRequest request = stream("d" + std::to_string(i), "c0ffee" + std::to_string(i), 9000, 40);
+        request.more = {{"Api-Key", "key-b"}, {"Tenant", "alpha"}};
+        check_whole(fleet.ask(fleet.front(1), request), request);
+        check_calls(fleet, request.attempt, "beta");
+    }
+    BOOST_TEST(fleet.log("prefill-1").append(fleet.log("prefill-2")).find(" stage=prefill ") !=
+               std::string::npos);
+    // Resumed at another server once its own is lost.
+    ClientRequest lost = stream("e0", "f00d", 100, 320);
+    lost.more = {{"Api-Key", "key-b"}, {"Tenant", "alpha"}};
+    StreamClient& client = fleet.client(fleet.front(1));
+    client.send(lost);
+    BOOST_REQUIRE(fleet.until([&] { return client.answer().events.size() >= 3; }));
+    fleet.signal(calls_of(fleet, lost.attempt).at(0).server, SIGKILL);
+    BOOST_REQUIRE(fleet.until([&] { return client.over(); }));
+    check_whole(client.answer(), lost);
+    BOOST_TEST(calls_of(fleet, lost.attempt).size() >= 2U);
+    check_calls(fleet, lost.attempt, "beta");
+}
