A configuration in which two tenants share an API key is refused

Cause: the check read a field 'key' that no configuration has, keys stand in lists under 'apiKeys'; its test used the same wrong field. Messages name tenants, never a key. The test tenants_have_keys_of_their_own is replaced by three that ask for more.

--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace ivyrill::configuration {
@@ -307,21 +308,27 @@
     return tenant;
 }
 
-void check_tenants(Section& root) {
-    std::unordered_set<std::string> keys;
-    root.each("tenants", [&](Section tenant) {
-        std::string key;
-        tenant.text("key", key);
-        if (!key.empty() && !keys.insert(key).second)
-            tenant.report("key", "is another tenant's too", "give each tenant a key of its own");
-    });
+// Messages name no key: they go into logs and answers.
+void check_tenants(Section& root, const std::vector<model::Tenant>& tenants) {
+    std::unordered_set<std::string_view> names;
+    std::unordered_map<std::string_view, const model::Tenant*> holders; // by key
+    for (const model::Tenant& tenant : tenants) {
+        if (!names.insert(tenant.name).second)
+            root.report("tenants", "name one twice: " + tenant.name, "give each a name of its own");
+        for (const std::string& key : tenant.api_keys) {
+            const auto holder = holders.emplace(key, &tenant).first->second;
+            if (holder != &tenant)
+                root.report("tenants", fmt::format("share a key: {} and {}", holder->name, tenant.name),
+                            "give each tenant keys of its own");
+        }
+    }
 }
 
 void read_tenants(Section& root, model::Configuration& configuration) {
     if (!root.has("tenants")) return;
     std::vector<model::Tenant>& tenants = configuration.tenants.emplace();
     root.each("tenants", [&](Section item) { tenants.push_back(read_tenant(item)); });
-    check_tenants(root);
+    check_tenants(root, tenants);
 }
 
 void read_version(Section& root, std::int64_t& into) {
--- a/tests/configuration_tests.cpp
+++ b/tests/configuration_tests.cpp
@@ -243,11 +243,53 @@
     BOOST_TEST(accepted(changed("\"name\":\"r-yd4a3hw\",", "")).routes[1].name == "");
 }
 
-BOOST_AUTO_TEST_CASE(tenants_have_keys_of_their_own) {
-    const std::string two = R"({"tenants":[{"name":"a","key":"k"},{"name":"b","key":"K"}],"version":7)";
-    accepted(changed("{\"version\":7", two));
-    refuse(changed("\"K\"", "\"k\"", changed("{\"version\":7", two)),
-           "tenants[1].key is another tenant's too");
+// The example with such tenants.
+std::string with_tenants(const std::string& tenants) {
+    return changed("{\"version\":7", "{\"tenants\":" + tenants + ",\"version\":7");
+}
+
+BOOST_AUTO_TEST_CASE(a_key_shared_by_two_tenants_is_refused) {
+    const std::string two = R"([{"name":"a","apiKeys":["k","l"]},{"name":"b","apiKeys":["K","n"]}])";
+    const Configuration read = accepted(with_tenants(two));
+    BOOST_REQUIRE(read.tenants.has_value());
+    BOOST_TEST(read.tenants->at(0).api_keys == (std::vector<std::string>{"k", "l"}));
+    refuse(changed("\"K\"", "\"l\"", with_tenants(two)), "tenants share a key: a and b");
+    refuse(changed("\"n\"", "\"k\"", with_tenants(two)), "tenants share a key: a and b");
+    accepted(changed("\"l\"", "\"k\"", with_tenants(two))); // twice in one tenant is no second holder
+}
+
+BOOST_AUTO_TEST_CASE(no_message_about_tenants_tells_a_key) {
+    const auto read =
+        parse(with_tenants(R"([{"name":"a","apiKeys":["s3cret"]},{"name":"b","apiKeys":["s3cret"]}])"));
+    BOOST_REQUIRE(read.has_error());
+    BOOST_TEST(read.error().message.find("s3cret") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(tenants_that_could_spoil_a_header_or_a_count_are_refused) {
+    refuse(with_tenants(R"([{"apiKeys":["k"]}])"), "tenants[0].name is missing");
+    refuse(with_tenants(R"([{"name":"a","apiKeys":["k"]},{"name":"a"}])"), "tenants name one twice: a");
+    for (const char* name : {"", " a", "a ", "a\\r\\nTenant: b", "\\u00e4"}) {
+        refuse(with_tenants(std::string(R"([{"name":"a","apiKeys":[")") + name + R"("]}])"),
+               "tenants[0].apiKeys holds");
+        refuse(with_tenants(std::string(R"([{"name":")") + name + R"("}])"), "tenants[0].name ");
+    }
+    for (const char* keys : {"\"k\"", "{\"k\":1}", "[[\"k\"]]"})
+        refuse(with_tenants(std::string(R"([{"name":"a","apiKeys":)") + keys + "}]"),
+               "tenants[0].apiKeys is not a list of texts");
+    refuse(with_tenants(R"([{"name":"a","priority":-1}])"), "tenants[0].priority is out of range");
+    BOOST_TEST(accepted(kExample).tenants.has_value() == false);
+    BOOST_TEST(accepted(with_tenants("[]")).tenants.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(scaling_is_checked) {
+    const auto scaled = [](const std::string& scaling) {
+        return changed("\"connLimit\":7", "\"connLimit\":7,\"scaling\":" + scaling);
+    };
+    const Configuration read = accepted(scaled(R"({"minCount":9,"maxCount":24,"bootTimeS":4.5})"));
+    BOOST_TEST(read.services[1].scaling->max_count == 24);
+    BOOST_TEST(read.services[1].scaling->boot_time_s == 4.5);
+    refuse(scaled(R"({"minCount":9})"), "scaling.maxCount is missing");
+    refuse(scaled(R"({"minCount":9,"maxCount":8})"), "scaling.maxCount is below minCount");
 }
 
 BOOST_AUTO_TEST_CASE(other_figures_are_checked) {
