--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -18,6 +18,7 @@
 using namespace ivyrill::lab;
 
 constexpr int kControls = 3;
+constexpr Tenths kConfigurationApplies = 2 * kTenthsPerSecond; // `configApplyMs` of examples/fleet/settings
 
 struct RealFleet : ExampleFleet {
     RealFleet() : ExampleFleet(IVYRILL_FLEET_RUN, IVYRILL_FLEET_BUILD) {}
@@ -38,12 +39,29 @@
         call.more = {{"If-Match", std::to_string(if_match)}, {"Content-Type", "application/json"}};
         int status = 0;
         until([&] {
-            status = ask(control(first), call).head.status;
+            const ClientAnswer& answer = ask(control(first), call);
+            status = answer.head.status, answered_at_ = answer.ended_at;
             first = first % kControls + 1;
             return status != 0 && status < 500;
         });
         return status;
     }
+    // The last status among requests that `client` sends one after another, until that status comes or the
+    // last change has to be in force.
+    int status_by_apply_span(StreamClient& client, ClientRequest request, int wanted) {
+        for (;;) {
+            request.attempt = "a" + std::to_string(++asked_);
+            client.send(request);
+            if (!until([&] { return client.over(); })) return 0;
+            const ClientAnswer& answer = client.answer();
+            const bool in_force = answer.sent_at > answered_at_ + kConfigurationApplies;
+            if (answer.head.status == wanted || in_force) return answer.head.status;
+        }
+    }
+
+  private:
+    Tenths answered_at_ = 0; // the last change
+    int asked_ = 0;          // requests of status_by_apply_span
 };
 
 std::string read_example() {
@@ -125,8 +143,10 @@
 }
 
 // The same with one tenant; its "more" asks for a key as "chat" does, and "draft" is public.
-std::string with_tenant(std::int64_t version, const std::string& key) {
-    const std::string tenants = R"("tenants": [{"name": "kitchen", "apiKeys": [")" + key + R"("]}],)";
+std::string with_tenant(std::int64_t version, const std::vector<std::string>& keys) {
+    std::string list;
+    for (const std::string& key : keys) list += (list.empty() ? "\"" : ",\"") + key + "\"";
+    const std::string tenants = R"("tenants": [{"name": "kitchen", "apiKeys": [)" + list + R"(]}],)";
     std::string text = replaced(with_route(version, "/more/"), "\"limits\":", tenants + "\"limits\":");
     text = replaced(text, "{\"name\": \"chat\",", "{\"name\": \"chat\", \"public\": false,");
     return replaced(text, "{\"name\": \"draft\",", "{\"name\": \"draft\", \"public\": true,");
@@ -276,7 +296,7 @@
     const std::string key = "jsmzzyyjsg3ajwyy7yx5";
     const ClientRequest before = stream("b1", "c0ffee", 200, 8);
     check_whole(fleet.ask(fleet.front(1), before), before); // no tenants, no key
-    BOOST_REQUIRE(fleet.replace(with_tenant(5, key), 1) == 200);
+    BOOST_REQUIRE(fleet.replace(with_tenant(5, {key}), 1) == 200);
     for (int number = 1; number <= 2; ++number) {
         ClientRequest request = with_keys(stream("f" + std::to_string(number), "f00d", 100, 8), {key});
         request.target = "/more/x";
@@ -319,3 +339,28 @@
     const ClientRequest known = with_keys(stream("b3", "c0ffee", 200, 8), {key});
     check_whole(fleet.ask(fleet.front(2), known), known);
 }
+
+BOOST_AUTO_TEST_CASE(a_key_taken_away_gets_401_on_open_connections_and_a_key_added_is_served) {
+    RealFleet fleet;
+    const ClientRequest request = stream("b0", "c0ffee", 100, 4);
+    BOOST_TEST(fleet.replace(with_tenant(5, {"kept", "withdrawn"}), 1) == 200);
+    std::vector<StreamClient*> clients;
+    for (int number = 1; number <= 2; ++number) {
+        clients.push_back(&fleet.client(fleet.front(number)));
+        BOOST_TEST(fleet.status_by_apply_span(*clients.back(), with_keys(request, {"added"}), 401) == 401);
+        const ClientRequest without_key = stream("b" + std::to_string(number), "c0ffee", 100, 4);
+        BOOST_TEST(fleet.ask(fleet.front(number), without_key).head.status == 401);
+        clients.back() = &fleet.client(fleet.front(number));
+        BOOST_TEST(fleet.status_by_apply_span(*clients.back(), with_keys(request, {"withdrawn"}), 200) ==
+                   200);
+    }
+    BOOST_TEST(fleet.replace(with_tenant(6, {"kept", "added"}), 5) == 200);
+    for (int number = 1; number <= 2; ++number) {
+        StreamClient& open = *clients[number - 1];
+        BOOST_REQUIRE(open.connected());
+        BOOST_TEST(fleet.status_by_apply_span(open, with_keys(request, {"withdrawn"}), 401) == 401);
+        StreamClient& others = fleet.client(fleet.front(number));
+        BOOST_TEST(fleet.status_by_apply_span(others, with_keys(request, {"added"}), 200) == 200);
+        BOOST_TEST(fleet.status_by_apply_span(others, with_keys(request, {"kept"}), 200) == 200);
+    }
+}
