Requests are admitted by their API key, and servers are told the tenant, never the key

Class: an input that decides was treated as an opaque header. Change: a table of keys is built once a version and swapped with the routes (TenantTable in RoutingTable); a request is admitted right after its route is found, before anything is chosen, and looked up anew by the newest table before each further send; the tenant goes to servers from there, for readings, runs, repeats and resumptions alike; Api-Key and a client's own Tenant go no further. 401 are counted by cause, keys in force are logged by number.

--- a/src/model/routing_table.cpp
+++ b/src/model/routing_table.cpp
@@ -30,7 +30,7 @@
 }
 
 RoutingTable::RoutingTable(std::shared_ptr<const Configuration> configuration)
-    : configuration_(std::move(configuration)) {
+    : configuration_(std::move(configuration)), tenants_(*configuration_) {
     for (const Route& route : configuration_->routes) {
         HostRoutes& routes = hosts_[route.host];
         routes.by_prefix.emplace(route.path_prefix, &route);
--- a/src/model/routing_table.hpp
+++ b/src/model/routing_table.hpp
@@ -1,7 +1,8 @@
-// An index over one configuration, which it owns and never changes: the route of a request and a service by
-// name. Its functions may be called from anywhere at the same time.
+// An index over one configuration, which it owns and never changes: the route of a request, a service by
+// name, and the tenant of a key. Its functions may be called from anywhere at the same time.
 #pragma once
 #include "model/configuration.hpp"
+#include "model/tenant_table.hpp"
 
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
     const Route* find(std::string_view host, std::string_view path) const;
 
     const Service* service(std::string_view name) const; // null without one
+    const TenantTable& tenants() const { return tenants_; }
     const Configuration& configuration() const { return *configuration_; }
 
     // By weight, with `unit` drawn evenly from [0, 1); nothing where no service has a weight above 0.
@@ -40,6 +42,7 @@
     std::shared_ptr<const Configuration> configuration_;
     std::unordered_map<std::string_view, HostRoutes, IgnoringCase, IgnoringCase> hosts_;
     std::unordered_map<std::string_view, const Service*> services_;
+    TenantTable tenants_;
 };
 
 } // namespace ivyrill::model
--- a/src/proxy/client_request.cpp
+++ b/src/proxy/client_request.cpp
@@ -19,9 +19,10 @@
                                                     "te",         "transfer-encoding", "upgrade",
                                                     "trailer",    "content-length",    "expect"};
 // The system's to set, whatever a client sent.
-constexpr std::array<std::string_view, 7> kSystemHeaders{"serving-stage", "kv-from",     "target-instance",
+constexpr std::array<std::string_view, 8> kSystemHeaders{"serving-stage", "kv-from",     "target-instance",
                                                          "priority",      "deadline-ms", "expect-version",
-                                                         "last-event-id"};
+                                                         "last-event-id", "tenant"};
+constexpr std::string_view kApiKeyHeader = "api-key"; // a secret between the client and the system
 
 constexpr std::size_t kMostPromptParts = 64; // each is remembered for every server that it is sent to
 
@@ -97,12 +98,13 @@
     out.reserve(512 + message.body.size());
     out.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
     for (const auto& [name, value] : message.headers) {
-        if (is_one_of(kHopByHop, name) || is_one_of(kSystemHeaders, name)) continue;
+        if (is_one_of(kHopByHop, name) || is_one_of(kSystemHeaders, name) || name == kApiKeyHeader) continue;
         if (!listed.empty() && is_listed(listed, name)) continue;
         out.append(name).append(": ").append(value).append("\r\n");
     }
     out.append(fmt::format("target-instance: {}\r\ndeadline-ms: {}\r\n", forwarding.target_instance,
                            std::max<Tenths>(1, forwarding.time_left / kTenthsPerMs)));
+    if (!forwarding.tenant.empty()) out.append("tenant: ").append(forwarding.tenant).append("\r\n");
     if (forwarding.prefill_only) out.append("serving-stage: prefill\r\n");
     if (!forwarding.kv_from.empty()) out.append("kv-from: ").append(forwarding.kv_from).append("\r\n");
     if (!forwarding.last_event_id.empty())
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -26,6 +26,7 @@
 // What the system adds to a request that it sends on.
 struct Forwarding {
     std::string target_instance;
+    std::string tenant; // that the client's key belongs to; empty: none
     Tenths time_left = 0;
     bool prefill_only = false;
     std::string kv_from;       // empty: none
--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -20,7 +20,8 @@
     std::uint64_t requests = 0, served = 0, failed = 0, rejected = 0, client_gone = 0;
     std::uint64_t hand_overs = 0, further_sends = 0, lost_handles = 0, resumed = 0, connections = 0;
     std::uint64_t bad_requests = 0, no_route = 0, stray_answers = 0;
-    std::uint64_t too_long_to_end = 0; // streams turned away while this node ends
+    std::uint64_t key_missing = 0, key_unknown = 0; // requests refused with 401
+    std::uint64_t too_long_to_end = 0;              // streams turned away while this node ends
 };
 
 struct Context {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -46,6 +46,8 @@
         ++context_.counters.no_route;
         co_return answer_own(404, "", "no route");
     }
+    identify_caller();
+    if (caller_.admission != Admission::kAdmitted) co_return refuse_caller();
     const auto service = routes_->choose_service(*route_, context_.random.unit());
     service_ = service ? routes_->service(*service) : nullptr;
     if (service_ == nullptr) co_return reject(kNoServerComeBack, "the route has no service");
@@ -63,6 +65,19 @@
     co_return co_await serve();
 }
 
+void Exchange::identify_caller() {
+    if (identified_by_ == context_.routes) return;
+    identified_by_ = context_.routes;
+    caller_ = caller_of(request_.message, *route_, identified_by_->tenants());
+}
+
+ExchangeEnd Exchange::refuse_caller() {
+    const bool is_missing = caller_.admission == Admission::kKeyMissing;
+    ++(is_missing ? context_.counters.key_missing : context_.counters.key_unknown);
+    if (head_sent_ || may_have_run_) return fail(502, "the key was withdrawn");
+    return answer_own(401, "www-authenticate: Api-Key\r\n", is_missing ? "no key" : "unknown key");
+}
+
 void Exchange::note_answering(bool answering) {
     if (std::exchange(answering_, answering) == answering) return;
     if (answering)
@@ -199,6 +214,8 @@
     case CallEnd::kClientGone:
         ++context_.counters.client_gone;
         co_return ExchangeEnd::kBreakOff;
+    case CallEnd::kKeyWithdrawn:
+        co_return refuse_caller();
     }
     co_return ExchangeEnd::kBreakOff;
 }
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -3,6 +3,7 @@
 // only after its last whole event.
 #pragma once
 #include "http/event_stream.hpp"
+#include "proxy/caller.hpp"
 #include "proxy/client_request.hpp"
 #include "proxy/context.hpp"
 #include "transport/async.hpp"
@@ -38,7 +39,8 @@
         kBroken,      // it may have run
         kSilent,      // no word for as long as this call may wait; it may have run
         kOutOfTime,
-        kClientGone
+        kClientGone,
+        kKeyWithdrawn // nothing was sent: the newest configuration no longer has the client's key
     };
     enum class ReadEnd : std::uint8_t {
         kRead,      // `handle_` names the prompt's memory
@@ -68,6 +70,9 @@
     transport::Async<transport::Done> wait(Tenths until);
 
     bool may_outlast_this_process() const;
+    // Looks the client's key up in the newest configuration, unless that was done for it already.
+    void identify_caller();
+    ExchangeEnd refuse_caller();
     void note_answering(bool answering); // for what this node tells of its load
     replica_selection::RetryBudget& budget() { return context_.budgets.of(profile_.service); }
     bool spend_further_send();
@@ -90,6 +95,8 @@
     std::shared_ptr<const model::RoutingTable> routes_; // as at its beginning
     const model::Route* route_ = nullptr;
     const model::Service* service_ = nullptr;
+    std::shared_ptr<const model::RoutingTable> identified_by_; // where `caller_` was looked up
+    Caller caller_;
     replica_selection::Request profile_;
     Tenths deadline_ = 0;
 
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -74,9 +74,17 @@
         end_call(false);
         co_return CallEnd::kNeverSent;
     }
+    identify_caller();
+    if (caller_.admission != Admission::kAdmitted) {
+        end_call(false);
+        co_return CallEnd::kKeyWithdrawn;
+    }
+    const model::Tenant* tenant = caller_.tenant;
+    if (tenant != nullptr) forwarding.tenant = tenant->name;
     forwarding.target_instance = instance;
     forwarding.time_left = deadline_ - now();
-    forwarding.priority = std::clamp<std::int64_t>(route_->priority, 0, 9);
+    const bool tenant_ranks = tenant != nullptr && tenant->priority;
+    forwarding.priority = std::clamp<std::int64_t>(tenant_ranks ? *tenant->priority : route_->priority, 0, 9);
     forwarding.tells_priority = work != Work::kPlain;
     if (!connection_->stream().send(server_request(request_, forwarding))) {
         end_call(false);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -103,7 +103,10 @@
         context_.selector.set_services(tables.configuration()->services);
         context_.budgets.keep_only(
             [this](const std::string& service) { return context_.routes->service(service) != nullptr; });
-        log_line("configuration", {{"version", std::to_string(tables.configuration()->version)}});
+        const model::TenantTable& tenants = context_.routes->tenants();
+        log_line("configuration",
+                 {{"version", std::to_string(tables.configuration()->version)},
+                  {"keys", tenants.requires_keys() ? std::to_string(tenants.size()) : "none"}});
     }
     if (applied.instances) {
         context_.selector.set_instances(tables.instances().records(), reactor_.now());
@@ -175,6 +178,8 @@
                           {"connections", text(c.connections)},
                           {"bad_requests", text(c.bad_requests)},
                           {"no_route", text(c.no_route)},
+                          {"key_missing", text(c.key_missing)},
+                          {"key_unknown", text(c.key_unknown)},
                           {"stray_answers", text(c.stray_answers)},
                           {"too_long_to_end", text(c.too_long_to_end)}});
 }
--- a/tests/feed_tests.cpp
+++ b/tests/feed_tests.cpp
@@ -62,6 +62,11 @@
         made.services.push_back(service);
     }
     made.limits.idle_timeout_ms = static_cast<std::int64_t>(1000 * (1 + draw(random, 3)));
+    if (draw(random, 4) == 0) return made;
+    made.tenants.emplace();
+    for (const char* name : {"t0", "t1", "t2"})
+        if (draw(random, 3) != 0)
+            made.tenants->push_back({name, {name + std::to_string(draw(random, 3))}, std::nullopt});
     return made;
 }
 
@@ -69,6 +74,7 @@
     const auto place = [](const model::Route& route) { return route.host + " " + route.path_prefix; };
     std::ranges::sort(made.routes, {}, place);
     std::ranges::sort(made.services, {}, &model::Service::name);
+    if (made.tenants) std::ranges::sort(*made.tenants, {}, &model::Tenant::name);
     return made;
 }
 
@@ -168,14 +174,16 @@
     const ConfigurationChange nothing = difference(same, same);
     BOOST_TEST((nothing.routes.empty() && nothing.services.empty()));
     BOOST_TEST((nothing.removed_routes.empty() && nothing.removed_services.empty()));
+    BOOST_TEST((nothing.tenants.empty() && nothing.removed_tenants.empty()));
 }
 
-BOOST_AUTO_TEST_CASE(each_field_of_a_route_a_service_and_the_limits_is_told_when_it_changes) {
+BOOST_AUTO_TEST_CASE(each_field_of_a_route_a_service_a_tenant_and_the_limits_is_told_when_it_changes) {
     Pcg random(12);
     model::Configuration from = configuration(1);
     from.routes = {model::Route{}}, from.services = {model::Service{}};
     from.routes[0].host = "a.example", from.routes[0].path_prefix = "/", from.services[0].name = "s";
     from.services[0].engine = model::Engine{};
+    from.tenants = {{"t", {"k"}, std::nullopt}};
     using Change = void (*)(model::Configuration&);
     const Change changes[] = {[](auto& to) { to.routes[0].name = "n"; },
                               [](auto& to) { to.routes[0].kind = model::RouteKind::kSafe; },
@@ -195,7 +203,19 @@
                               [](auto& to) { to.services[0].connection_limit = 1; },
                               [](auto& to) { to.services[0].engine.reset(); },
                               [](auto& to) { to.services[0].engine->slots = 9; },
+                              [](auto& to) {
+                                  to.services[0].scaling = model::Scaling{1, 2, 0};
+                              },
                               [](auto& to) { to.services.clear(); },
+                              [](auto& to) { to.routes[0].is_public = true; },
+                              [](auto& to) { to.tenants.reset(); },
+                              [](auto& to) { to.tenants->clear(); },
+                              [](auto& to) { to.tenants->at(0).priority = 1; },
+                              [](auto& to) { to.tenants->at(0).api_keys.clear(); },
+                              [](auto& to) { to.tenants->at(0).api_keys.push_back("l"); },
+                              [](auto& to) {
+                                  to.tenants->push_back({"u", {"m"}, std::nullopt});
+                              },
                               [](auto& to) { to.limits.max_header_bytes = 1; },
                               [](auto& to) { to.limits.max_body_bytes = 1; },
                               [](auto& to) { to.limits.header_timeout_ms = 1; },
--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -364,3 +364,22 @@
         BOOST_TEST(fleet.status_by_apply_span(others, with_keys(request, {"kept"}), 200) == 200);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_key_was_taken_away_is_not_run_at_a_second_server) {
+    RealFleet fleet;
+    BOOST_REQUIRE(fleet.replace(with_tenant(5, {"kept", "withdrawn"}), 1) == 200);
+    const ClientRequest probe = stream("b0", "c0ffee", 100, 4);
+    StreamClient& prober = fleet.client(fleet.front(1));
+    BOOST_REQUIRE(fleet.status_by_apply_span(prober, with_keys(probe, {"withdrawn"}), 200) == 200);
+    const ClientRequest request = with_keys(stream("e0", "f00d", 100, 320), {"withdrawn"});
+    StreamClient& client = fleet.client(fleet.front(1));
+    client.send(request);
+    BOOST_REQUIRE(fleet.until([&] { return client.answer().events.size() >= 3; }));
+    BOOST_REQUIRE(fleet.replace(with_tenant(6, {"kept"}), 5) == 200);
+    BOOST_REQUIRE(fleet.status_by_apply_span(prober, with_keys(probe, {"withdrawn"}), 401) == 401);
+    BOOST_REQUIRE(!client.over());
+    fleet.signal(calls_of(fleet, request.attempt).at(0).server, SIGKILL);
+    BOOST_REQUIRE(fleet.until([&] { return client.over(); }));
+    BOOST_TEST((client.answer().end != AnswerEnd::kComplete));
+    BOOST_TEST(calls_of(fleet, request.attempt).size() == 1U);
+}
