--- /dev/null
+++ b/src/clock/fleet_clock.hpp
@@ -0,0 +1,90 @@
+// True time as the fleet knows it: the median over many machines' times of day. A machine's time of day may
+// jump by seconds, the steady clock doesn't: what is kept of a machine is how far its time of day is ahead of
+// this process's steady clock. Right while fewer than two fifths of the machines have jumped. Pure: both
+// clocks are handed in.
+#pragma once
+#include "base/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivyrill::clock {
+
+struct FleetTime {
+    std::int64_t unix_ms = 0;  // since the start of 1970
+    std::int64_t error_ms = 0; // the true time is as near as this, by all that is known
+};
+
+inline constexpr std::int64_t kTenthsPerMs = kTenthsPerSecond / 1000;
+
+class FleetClock {
+  public:
+    // The time of day of a machine, seen at a moment of this process's steady clock. What was on its way
+    // makes the machine appear behind by so much.
+    void sample(const std::string& machine, std::int64_t wall_unix_ms, Tenths seen_at) {
+        Sample& known = samples_[machine];
+        if (seen_at < known.seen_at) return;
+        known = {wall_unix_ms * kTenthsPerMs - seen_at, seen_at};
+    }
+
+    // A machine's time of day by its last sample; nothing where that is too old.
+    std::optional<std::int64_t> wall_of(const std::string& machine, Tenths steady_now) const {
+        const auto found = samples_.find(machine);
+        if (found == samples_.end() || !is_fresh(found->second, steady_now)) return std::nullopt;
+        return to_ms(found->second.ahead + steady_now);
+    }
+
+    std::optional<FleetTime> at(Tenths steady_now) const {
+        std::vector<Tenths> ahead;
+        ahead.reserve(samples_.size());
+        for (const auto& [machine, sample] : samples_)
+            if (is_fresh(sample, steady_now)) ahead.push_back(sample.ahead);
+        if (ahead.empty()) return std::nullopt;
+        std::ranges::sort(ahead);
+        const Tenths middle = ahead[(ahead.size() - 1) / 2];
+        return FleetTime{to_ms(middle + steady_now), error_around(middle, ahead)};
+    }
+
+    void forget_old(Tenths now) {
+        std::erase_if(samples_, [&](const auto& entry) { return !is_fresh(entry.second, now); });
+    }
+
+  private:
+    struct Sample {
+        Tenths ahead = 0; // of the steady clock
+        Tenths seen_at = INT64_MIN;
+    };
+    static constexpr Tenths kSampleAge = 10 * kTenthsPerSecond;
+    static constexpr std::size_t kOutvoted = 3;          // so many machines outvote one that has jumped
+    static constexpr std::int64_t kUnconfirmedMs = 3000; // how far a machine's time of day may jump
+    static constexpr std::int64_t kTransitMs = 10;       // that a sample may have been on its way
+    static constexpr std::size_t kRight = 3, kOfAll = 5; // the share of machines that are right
+
+    static bool is_fresh(const Sample& sample, Tenths now) { return now - sample.seen_at <= kSampleAge; }
+    static std::int64_t to_ms(Tenths time) {
+        return time >= 0 ? time / kTenthsPerMs : -((-time + kTenthsPerMs - 1) / kTenthsPerMs);
+    }
+
+    // Those that are right agree at least as well as the shortest span that holds as many; the median lies in
+    // every such span.
+    static std::int64_t error_around(Tenths middle, const std::vector<Tenths>& sorted) {
+        if (sorted.size() < kOutvoted) return kUnconfirmedMs;
+        const std::size_t right = (sorted.size() * kRight + kOfAll - 1) / kOfAll;
+        Tenths shortest = INT64_MAX, error = 0;
+        for (std::size_t first = 0; first + right <= sorted.size(); ++first) {
+            const Tenths begin = sorted[first], end = sorted[first + right - 1];
+            if (end - begin >= shortest) continue;
+            shortest = end - begin;
+            error = std::max(middle - begin, end - middle);
+        }
+        return to_ms(error) + 1 + kTransitMs;
+    }
+
+    std::map<std::string, Sample> samples_; // by machine
+};
+
+} // namespace ivyrill::clock
