--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "clock/time_of_day.hpp"
 #include "feed/ports.hpp"
 
 #include <algorithm>
@@ -15,6 +16,8 @@
 constexpr Tenths kReportInterval = 5000; // a report is some hundred ms old when it comes, and is priced
 constexpr Tenths kFlushInterval = 1000;  // what was read within it travels together
 constexpr Tenths kEndSpan = 100;
+constexpr Tenths kTimeInterval = kTenthsPerSecond; // between two words of the fleet's time to the proxy
+constexpr double kMsPerSecond = 1000;
 
 std::uint64_t draw() {
     std::random_device device;
@@ -29,11 +32,17 @@
     : reactor_(reactor), settings_(settings), network_(reactor), log_(draw()),
       control_nodes_(hash_text(settings.node_name)) {
     feed::Publisher::Callbacks of_proxy;
+    feed::Publisher::Options to_proxy;
+    feed::Subscriber::Callbacks callbacks;
+    if (settings_.bounds.usage_window_s > 0) {
+        usage_.emplace(static_cast<std::int64_t>(settings_.bounds.usage_window_s * kMsPerSecond));
+        to_proxy.heartbeat = kTimeInterval;
+        report_usage(of_proxy, callbacks);
+    }
     of_proxy.demands = [this](const std::string&, const std::vector<model::ServiceDemand>& demands) {
         subscriber_->send(feed::Demands{demands});
     };
-    publisher_ =
-        std::make_unique<feed::Publisher>(reactor_, log_, feed::Publisher::Options{}, std::move(of_proxy));
+    publisher_ = std::make_unique<feed::Publisher>(reactor_, log_, to_proxy, std::move(of_proxy));
     listener_ = network_.listen(feed::local_feed_address(settings_),
                                 [this](feed::AcceptedLink connection) { publisher_->take(connection); });
     reader_ =
@@ -43,7 +52,6 @@
     options.node = {settings_.node_name, settings_.zone, settings_.ip, draw()};
     options.heartbeat = feed::kSessionHeartbeat, options.silence = feed::kSessionSilence;
     options.offers_records = true;
-    feed::Subscriber::Callbacks callbacks;
     callbacks.publishers = [this] { return control_addresses(); };
     callbacks.applied = [this](const feed::Tables::Applied& applied) { this->applied(applied); };
     subscriber_ = std::make_unique<feed::Subscriber>(reactor_, network_, options, std::move(callbacks));
@@ -55,6 +63,22 @@
 
 void Agent::use_settings(const settings::Settings& settings) { settings_ = settings; }
 
+void Agent::report_usage(feed::Publisher::Callbacks& of_proxy, feed::Subscriber::Callbacks& of_control) {
+    of_proxy.fleet_time = [this] { return usage_->time(reactor_.now()); };
+    of_proxy.usage = [this](const std::vector<model::ProcessUsage>& counts) {
+        usage_->counted(counts, reactor_.now());
+        subscriber_->send(feed::UsageCounts{counts});
+    };
+    of_control.time_of_day = clock::time_of_day;
+    of_control.fleet_time = [this](const clock::FleetTime& time) {
+        if (usage_->time_told(time, reactor_.now())) publisher_->tell_time();
+    };
+    of_control.began = [this] { // what went over the former link may be lost
+        auto counts = usage_->recent();
+        if (!counts.empty()) subscriber_->send(feed::UsageCounts{std::move(counts)});
+    };
+}
+
 std::vector<std::string> Agent::control_addresses() {
     std::vector<std::string> seeds;
     for (const std::string& seed : settings_.seed_nodes)
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -3,6 +3,7 @@
 // of its share of the servers for all nodes.
 #pragma once
 #include "agent/report_reader.hpp"
+#include "agent/usage_relay.hpp"
 #include "feed/publisher.hpp"
 #include "feed/publisher_list.hpp"
 #include "feed/socket_link.hpp"
@@ -10,6 +11,7 @@
 #include "settings/settings.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,9 +29,11 @@
     void learn_control_nodes();
     void applied(const feed::Tables::Applied& applied);
     void flush_loads();
+    void report_usage(feed::Publisher::Callbacks& of_proxy, feed::Subscriber::Callbacks& of_control);
 
     transport::Reactor& reactor_;
     settings::Settings settings_;
+    std::optional<UsageRelay> usage_; // none where nothing is reported
     feed::SocketNetwork network_;
     feed::FeedLog log_;
     std::unique_ptr<feed::Publisher> publisher_;
--- a/src/clock/fleet_clock.hpp
+++ b/src/clock/fleet_clock.hpp
@@ -21,11 +21,21 @@
 
 inline constexpr std::int64_t kTenthsPerMs = kTenthsPerSecond / 1000;
 
+// No time of day of a machine that works: what is told beyond is passed over.
+inline constexpr std::int64_t kLastUnixMs = 253'402'300'800'000; // the year 10000
+constexpr bool is_plausible(std::int64_t unix_ms) { return unix_ms > 0 && unix_ms < kLastUnixMs; }
+
+// Whole milliseconds, rounded down.
+constexpr std::int64_t to_unix_ms(Tenths time) {
+    return time >= 0 ? time / kTenthsPerMs : -((-time + kTenthsPerMs - 1) / kTenthsPerMs);
+}
+
 class FleetClock {
   public:
     // The time of day of a machine, seen at a moment of this process's steady clock. What was on its way
     // makes the machine appear behind by so much.
     void sample(const std::string& machine, std::int64_t wall_unix_ms, Tenths seen_at) {
+        if (!is_plausible(wall_unix_ms)) return;
         Sample& known = samples_[machine];
         if (seen_at < known.seen_at) return;
         known = {wall_unix_ms * kTenthsPerMs - seen_at, seen_at};
@@ -35,7 +45,7 @@
     std::optional<std::int64_t> wall_of(const std::string& machine, Tenths steady_now) const {
         const auto found = samples_.find(machine);
         if (found == samples_.end() || !is_fresh(found->second, steady_now)) return std::nullopt;
-        return to_ms(found->second.ahead + steady_now);
+        return to_unix_ms(found->second.ahead + steady_now);
     }
 
     std::optional<FleetTime> at(Tenths steady_now) const {
@@ -46,7 +56,7 @@
         if (ahead.empty()) return std::nullopt;
         std::ranges::sort(ahead);
         const Tenths middle = ahead[(ahead.size() - 1) / 2];
-        return FleetTime{to_ms(middle + steady_now), error_around(middle, ahead)};
+        return FleetTime{to_unix_ms(middle + steady_now), error_around(middle, ahead)};
     }
 
     void forget_old(Tenths now) {
@@ -65,9 +75,6 @@
     static constexpr std::size_t kRight = 3, kOfAll = 5; // the share of machines that are right
 
     static bool is_fresh(const Sample& sample, Tenths now) { return now - sample.seen_at <= kSampleAge; }
-    static std::int64_t to_ms(Tenths time) {
-        return time >= 0 ? time / kTenthsPerMs : -((-time + kTenthsPerMs - 1) / kTenthsPerMs);
-    }
 
     // Those that are right agree at least as well as the shortest span that holds as many; the median lies in
     // every such span.
@@ -81,7 +88,7 @@
             shortest = end - begin;
             error = std::max(middle - begin, end - middle);
         }
-        return to_ms(error) + 1 + kTransitMs;
+        return to_unix_ms(error) + 1 + kTransitMs;
     }
 
     std::map<std::string, Sample> samples_; // by machine
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 constexpr Tenths kWatchInterval = 1000;
-constexpr Tenths kEndSpan = 4000;                 // for last answers and the hand-over
+constexpr Tenths kUsageInterval = 2500; // between counts that are passed on to peers
+constexpr Tenths kEndSpan = 4000;       // for last answers and the hand-over
+constexpr double kMsPerSecond = 1000;
 constexpr const char* kEngineContract = "engine"; // of deployments whose servers have stages
 constexpr std::int64_t kOtherDescriptors = 900;   // of a control node: for files, peers and agents
 
@@ -23,6 +25,13 @@
 std::string port_text(const std::string& address) { return address.substr(address.rfind(':') + 1); }
 std::string host_text(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
+duties::UsageTally::Options tally_options(const settings::Settings& settings) {
+    duties::UsageTally::Options options;
+    if (settings.bounds.usage_window_s > 0)
+        options.window_ms = static_cast<std::int64_t>(settings.bounds.usage_window_s * kMsPerSecond);
+    return options;
+}
+
 } // namespace
 
 Result<std::unique_ptr<ControlNode>> ControlNode::open(Environment environment,
@@ -34,9 +43,12 @@
 
 ControlNode::ControlNode(Environment environment, const settings::Settings& settings)
     : environment_(std::move(environment)), reactor_(environment_.reactor), settings_(settings),
-      incarnation_(environment_.draw()), log_(environment_.draw()) {}
+      incarnation_(environment_.draw()), log_(environment_.draw()), usage_tally_(tally_options(settings)) {}
 
-ControlNode::~ControlNode() { reactor_.cancel(timer_); }
+ControlNode::~ControlNode() {
+    reactor_.cancel(timer_);
+    reactor_.cancel(usage_timer_);
+}
 
 Result<void> ControlNode::start() {
     BOOST_OUTCOME_TRYV(open_known_state());
@@ -46,6 +58,7 @@
     open_registry();
     open_operator_calls();
     open_stage_duty();
+    open_usage_exchange();
     open_peers();
     open_feed();
     tell_known_state();
@@ -187,6 +200,25 @@
         std::make_unique<StageDuty>(reactor_, environment_.orders, settings_.node_name, std::move(callbacks));
 }
 
+void ControlNode::open_usage_exchange() {
+    if (settings_.bounds.usage_window_s <= 0) return;
+    usage_exchange_ =
+        std::make_unique<UsageExchange>(self_.address, fleet_clock_, usage_tally_, environment_.time_of_day);
+    exchange_usage();
+}
+
+void ControlNode::exchange_usage() {
+    usage_timer_ = reactor_.call_after(kUsageInterval, [this] { exchange_usage(); });
+    usage_exchange_->tick(reactor_.now());
+    feed::UsageCounts counts = usage_exchange_->take_for_peers();
+    if (!counts.counts.empty()) peers_->send_to_all(std::move(counts));
+}
+
+void ControlNode::take_usage(const model::ControlNode& peer, const feed::UsageCounts& counts) {
+    feed::WantUsage wanted = usage_exchange_->merge(counts, reactor_.now());
+    if (!wanted.processes.empty()) peers_->send(peer.address, std::move(wanted));
+}
+
 void ControlNode::put_orders(const std::vector<feed::StageOrdered>& orders) {
     for (const feed::StageOrdered& ordered : orders)
         if (registry_->table().find(ordered.instance) != nullptr) log_.put(ordered);
@@ -207,12 +239,18 @@
         status.sessions = publisher_->sessions();
         status.instances = registry_->digests();
         if (stage_duty_) status.demands = stage_duty_->demand().here(reactor_.now());
+        if (usage_exchange_) usage_exchange_->fill(status, reactor_.now());
     };
     callbacks.term = [this] { return group_->term(); };
     callbacks.met = [this](const model::ControlNode& peer, std::uint64_t term) {
         group_->met(peer.address, term);
         registry_->ask_for_copy(peer);
     };
+    callbacks.linked = [this](const std::string& address) {
+        if (!usage_exchange_) return;
+        feed::UsageCounts counts = usage_exchange_->recent();
+        if (!counts.counts.empty()) peers_->send(address, std::move(counts));
+    };
     peers_ = std::make_unique<PeerMesh>(reactor_, environment_.network, options, std::move(callbacks));
     peer_listener_ = environment_.network.listen(
         self_.address, [this](const feed::AcceptedLink& connection) { peers_->take(connection); });
@@ -228,6 +266,15 @@
     callbacks.ready = [this] { return gate_.is_open(); };
     callbacks.sessions_changed = [this] { put_edge_nodes(); };
     callbacks.digests = [this] { return registry_->digests(); };
+    if (usage_exchange_) {
+        callbacks.usage = [this](const std::vector<model::ProcessUsage>& counts) {
+            usage_exchange_->counted(counts, reactor_.now());
+        };
+        callbacks.time_of_day = [this](const std::string& node, std::int64_t unix_ms) {
+            usage_exchange_->time_of_day(node, unix_ms, reactor_.now());
+        };
+        callbacks.fleet_time = [this] { return fleet_clock_.at(reactor_.now()); };
+    }
     callbacks.instances = [this](const std::vector<model::Instance>& records) {
         registry_->merge_known(records);
     };
@@ -283,7 +330,12 @@
     } else if (const auto* status = std::get_if<feed::PeerStatus>(&message)) {
         registry_->compare(peer, *status);
         if (stage_duty_) stage_duty_->demand().told_by_peer(peer.address, status->demands, reactor_.now());
+        if (usage_exchange_) usage_exchange_->told(peer.address, *status, reactor_.now());
         put_edge_nodes();
+    } else if (const auto* counts = std::get_if<feed::UsageCounts>(&message)) {
+        if (usage_exchange_) take_usage(peer, *counts);
+    } else if (const auto* lacking = std::get_if<feed::WantUsage>(&message)) {
+        if (usage_exchange_) peers_->send(peer.address, usage_exchange_->answer(*lacking));
     } else if (const auto* duty = std::get_if<feed::DutyMessage>(&message)) {
         if (duty_parts_) duty_parts_->receive(duty->part, duty->message);
     } else if (const auto* ordered = std::get_if<feed::Ordered>(&message)) {
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -2,6 +2,7 @@
 // records, its links with its peers, the feed that agents follow, and what its disk keeps. Calls come in as
 // messages, see `handle`.
 #pragma once
+#include "clock/fleet_clock.hpp"
 #include "control/configuration_group.hpp"
 #include "control/control_api.hpp"
 #include "control/duty_parts.hpp"
@@ -13,6 +14,8 @@
 #include "control/operator_calls.hpp"
 #include "control/peer_mesh.hpp"
 #include "control/stage_duty.hpp"
+#include "control/usage_exchange.hpp"
+#include "duties/usage_tally.hpp"
 #include "feed/publisher.hpp"
 #include "settings/settings.hpp"
 
@@ -37,6 +40,8 @@
     const InstanceRegistry& registry() const { return *registry_; }
     const feed::FeedLog& log() const { return log_; }
     const DutyParts* duty_parts() const { return duty_parts_.get(); } // null where the deployment has none
+    const clock::FleetClock& fleet_clock() const { return fleet_clock_; }  // empty where no usage is due
+    const duties::UsageTally& usage_tally() const { return usage_tally_; } // likewise
     bool serves_feed() const { return gate_.is_open(); }
     // Answers of peers that were passed over: of another process's question, of none, or of a peer not asked.
     std::uint64_t refused_answers() const;
@@ -64,6 +69,9 @@
     void put_edge_nodes();
     void put_control_nodes();
     void put_orders(const std::vector<feed::StageOrdered>& orders);
+    void open_usage_exchange();
+    void exchange_usage();
+    void take_usage(const model::ControlNode& peer, const feed::UsageCounts& counts);
     void watch_duties();
     void watch();
     void update_gate();
@@ -79,6 +87,9 @@
     std::uint64_t incarnation_; // of this process
     model::ControlNode self_;
     feed::FeedLog log_;
+    clock::FleetClock fleet_clock_;
+    duties::UsageTally usage_tally_;
+    std::unique_ptr<UsageExchange> usage_exchange_; // null where no usage is due
     std::unique_ptr<KnownStateKeeper> known_state_;
     std::unique_ptr<feed::Publisher> publisher_;
     std::unique_ptr<PeerMesh> peers_;
@@ -96,7 +107,7 @@
     bool ending_ = false;
     bool ready_ = false;     // to vote: what it has merged is being made durable, or is
     std::uint64_t cuts_ = 0; // how often it was cut off, and forgot from whom it has copies
-    transport::Reactor::TimerId timer_{};
+    transport::Reactor::TimerId timer_{}, usage_timer_{};
 };
 
 } // namespace ivyrill::control
--- a/src/control/control_program.cpp
+++ b/src/control/control_program.cpp
@@ -1,5 +1,6 @@
 #include "control/control_program.hpp"
 
+#include "clock/time_of_day.hpp"
 #include "control/disk_writer.hpp"
 
 #include <algorithm>
@@ -35,7 +36,8 @@
     const auto open_file = [&reactor, folder = settings.data_dir](const std::string& kind) {
         return std::make_unique<DiskWriter>(reactor, storage::VersionStore(folder, kind));
     };
-    Environment environment{reactor, program->network_, program->orders_, open_file, draw};
+    Environment environment{reactor, program->network_, program->orders_, open_file,
+                            draw,    clock::time_of_day};
     BOOST_OUTCOME_TRY(node, ControlNode::open(std::move(environment), settings));
     program->node_ = std::move(node);
     program->calls_ = std::make_unique<http::CallServer>(
--- a/src/control/environment.hpp
+++ b/src/control/environment.hpp
@@ -16,7 +16,8 @@
     feed::LinkNetwork& network;
     duties::OrderLink& orders;
     OpenStateFile open_file;
-    std::function<std::uint64_t()> draw; // random numbers, never 0
+    std::function<std::uint64_t()> draw;       // random numbers, never 0
+    std::function<std::int64_t()> time_of_day; // of this machine, which may jump; Unix ms
 };
 
 } // namespace ivyrill::control
--- a/src/control/peer_mesh.cpp
+++ b/src/control/peer_mesh.cpp
@@ -65,6 +65,7 @@
         if (here.out) here.out->send(own_hello());
         // Whoever has just started learns at once that this node is about to end, or may vote.
         if (here.out) here.out->send(own_status());
+        if (callbacks_.linked) callbacks_.linked(address);
         refresh();
     };
     callbacks.received = [this, address](feed::Message) {
--- a/src/control/peer_mesh.hpp
+++ b/src/control/peer_mesh.hpp
@@ -31,6 +31,8 @@
         std::function<void(feed::PeerStatus&)> fill_status; // what this node tells its peers
         std::function<std::uint64_t()> term;                // told with each hello
         std::function<void(const model::ControlNode&, std::uint64_t term)> met; // a peer has said hello
+        // This node's link to the peer is up: what went over a former one may be lost.
+        std::function<void(const std::string& address)> linked;
     };
     PeerMesh(transport::Reactor& reactor, feed::LinkNetwork& network, Options options, Callbacks callbacks);
     ~PeerMesh();
--- /dev/null
+++ b/src/control/usage_exchange.hpp
@@ -0,0 +1,50 @@
+// A control node's share of what all control nodes know of the fleet's time and of the proxies' counts: what
+// comes from its own sessions is passed on to its peers, what comes from peers is only merged. Free of I/O.
+#pragma once
+#include "clock/fleet_clock.hpp"
+#include "duties/usage_tally.hpp"
+#include "feed/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ivyrill::control {
+
+class UsageExchange {
+  public:
+    UsageExchange(std::string self, clock::FleetClock& clock, duties::UsageTally& tally,
+                  std::function<std::int64_t()> time_of_day)
+        : self_(std::move(self)), clock_(clock), tally_(tally), time_of_day_(std::move(time_of_day)) {}
+
+    // Every so often: this node's own clock, and what has come by it.
+    void tick(Tenths now);
+    void time_of_day(const std::string& node, std::int64_t unix_ms, Tenths now) {
+        clock_.sample(node, unix_ms, now);
+    }
+    // `status.sessions` is there already.
+    void fill(feed::PeerStatus& status, Tenths now) const;
+    void told(const std::string& peer, const feed::PeerStatus& status, Tenths now);
+
+    void counted(const std::vector<model::ProcessUsage>& counts, Tenths now); // by this node's sessions
+    feed::UsageCounts take_for_peers() { return {std::exchange(for_peers_, {})}; }
+    feed::UsageCounts recent() const { return {tally_.recent(kRecentMs)}; } // for a peer that is met anew
+    // Merges what a peer passed on; returns what to ask it for, if anything.
+    feed::WantUsage merge(const feed::UsageCounts& passed_on, Tenths now);
+    feed::UsageCounts answer(const feed::WantUsage& wanted) const {
+        return {tally_.recent_of(wanted.processes, kRecentMs)};
+    }
+
+  private:
+    static constexpr std::int64_t kRecentMs = 20'000;
+
+    std::string self_;
+    clock::FleetClock& clock_;
+    duties::UsageTally& tally_;
+    std::function<std::int64_t()> time_of_day_;
+    std::vector<model::ProcessUsage> for_peers_; // since the last take
+};
+
+} // namespace ivyrill::control
--- a/src/duties/usage_tally.hpp
+++ b/src/duties/usage_tally.hpp
@@ -5,10 +5,9 @@
 #include "model/usage.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace ivyrill::duties {
@@ -37,26 +36,31 @@
 
     // The fleet's time has come so far: what is too old is forgotten, what is far ahead is refused.
     void advance(std::int64_t unix_ms, Tenths now);
-    // What has changed since the last call, in whole counts.
-    std::vector<model::ProcessUsage> take_changes();
     // All that is known of windows that ended no longer ago than `span_ms`.
     std::vector<model::ProcessUsage> recent(std::int64_t span_ms) const;
+    std::vector<model::ProcessUsage> recent_of(const std::vector<std::uint64_t>& processes,
+                                               std::int64_t span_ms) const;
+    // Whether a process has told of more in a window than has come here.
+    bool lacks(std::uint64_t process, std::int64_t window) const;
     const Refused& refused() const { return refused_; }
 
   private:
     struct Window {
         std::map<std::string, std::int64_t, std::less<>> counts; // by tenant
-        std::set<std::string, std::less<>> changed;              // since the last take
         std::int64_t sum = 0, total = 0;                         // here; as the process says
     };
     struct Process {
         std::map<std::int64_t, Window> windows;
         std::int64_t counted_until_ms = 0;
-        bool ended = false, changed = false;
+        bool ended = false;
         Tenths heard_at = 0;
     };
+    bool is_far(const model::ProcessUsage& usage) const;
     bool is_acceptable(const model::ProcessUsage& usage);
-    static model::ProcessUsage told(std::uint64_t id, const Process& process, std::int64_t window);
+    static model::ProcessUsage told(std::uint64_t id, const Process& process, std::int64_t number,
+                                    const Window& window);
+    void append_recent(std::uint64_t id, const Process& process, std::int64_t span_ms,
+                       std::vector<model::ProcessUsage>& into) const;
 
     Options options_;
     std::map<std::uint64_t, Process> processes_;
--- a/src/feed/messages.hpp
+++ b/src/feed/messages.hpp
@@ -3,6 +3,7 @@
 #include "consensus/types.hpp"
 #include "model/configuration.hpp"
 #include "model/instance.hpp"
+#include "model/usage.hpp"
 
 #include <array>
 #include <cstdint>
@@ -97,7 +98,15 @@
 };
 struct Heartbeat {
     std::uint64_t place = 0; // of the publisher, or that the subscriber has applied
-    template <class Self> static auto tie(Self& s) { return std::tie(s.place); }
+    // The fleet's time as the publisher knows it, or the subscriber's own time of day. Milliseconds since the
+    // start of 1970; 0: not told.
+    std::int64_t unix_ms = 0;
+    std::int64_t error_ms = 0; // of the fleet's time
+    template <class Self> static auto tie(Self& s) { return std::tie(s.place, s.unix_ms, s.error_ms); }
+};
+struct UsageCounts { // of processes, on their way to all control nodes; also between these
+    std::vector<model::ProcessUsage> counts;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.counts); }
 };
 
 // Publisher to subscriber.
@@ -133,6 +142,11 @@
         return std::tie(s.node, s.incarnation, s.term, s.known);
     }
 };
+struct SessionClock {
+    std::uint64_t session = 0; // its place in the list of sessions
+    std::int64_t ahead_ms = 0; // of the time of day of the node that tells
+    template <class Self> static auto tie(Self& s) { return std::tie(s.session, s.ahead_ms); }
+};
 struct PeerStatus { // every so often: who is known here, whose sessions stand here, and digests of the
                     // instances
     std::vector<model::ControlNode> known;
@@ -140,9 +154,12 @@
     Digests instances;
     std::vector<model::ServiceDemand> demands; // of all nodes whose sessions stand here
     bool ending = false;                       // this node ends for good or for a while
-    bool ready = false; // it holds the servers' records of a majority on its disk, and so may vote
+    bool ready = false;       // it holds the servers' records of a majority on its disk, and so may vote
+    std::int64_t unix_ms = 0; // this node's time of day; 0: not told
+    std::vector<SessionClock> session_clocks;
     template <class Self> static auto tie(Self& s) {
-        return std::tie(s.known, s.sessions, s.instances, s.demands, s.ending, s.ready);
+        return std::tie(s.known, s.sessions, s.instances, s.demands, s.ending, s.ready, s.unix_ms,
+                        s.session_clocks);
     }
 };
 struct Heard { // instances whose heartbeats came here since this was last told, though this node is not the
@@ -160,6 +177,10 @@
     std::vector<StageOrdered> orders;
     template <class Self> static auto tie(Self& s) { return std::tie(s.orders); }
 };
+struct WantUsage { // all that the peer has of these processes: something of it did not come here
+    std::vector<std::uint64_t> processes;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.processes); }
+};
 struct Replicated { // the records are on this node's disk
     CallId id;
     template <class Self> static auto tie(Self& s) { return std::tie(s.id); }
@@ -186,7 +207,7 @@
 
 using Message = std::variant<Subscribe, Instances, Loads, Demands, Heartbeat, WantRanges, Batch, Refused,
                              PeerHello, PeerStatus, Heard, Replicate, Ordered, Replicated, ForwardedCall,
-                             ForwardedAnswer, consensus::Message, DutyMessage>;
+                             ForwardedAnswer, consensus::Message, DutyMessage, UsageCounts, WantUsage>;
 
 // The bytes of Message{Batch{...}}.
 std::string to_bytes(const BatchView& batch);
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr Tenths kSnapshotAge = 10'000; // for so long one snapshot serves all who ask for one
+constexpr Tenths kTimeInterval = kTenthsPerSecond; // between two words of the fleet's time
+constexpr Tenths kSnapshotAge = 10'000;            // for so long one snapshot serves all who ask for one
 
 // Many nodes that join together each change the list of all of them.
 bool waits_for_company(const Item* item) {
@@ -48,12 +49,20 @@
     if (!subscriber.subscribed) return subscriber.link->end("spoke before it subscribed");
     if (const auto* known = std::get_if<Instances>(&message)) {
         if (callbacks_.instances) callbacks_.instances(known->records);
-        if (known->last && std::exchange(subscriber.waits_for_records, false)) bring_up_to_date(subscriber);
+        if (known->last && std::exchange(subscriber.waits_for_records, false)) {
+            bring_up_to_date(subscriber);
+            tell_time_to(id);
+        }
     } else if (const auto* loads = std::get_if<Loads>(&message)) {
         if (callbacks_.loads) callbacks_.loads(loads->loads);
     } else if (const auto* demands = std::get_if<Demands>(&message)) {
         if (callbacks_.demands) callbacks_.demands(subscriber.node.name, demands->demands);
-    } else if (!std::holds_alternative<Heartbeat>(message)) {
+    } else if (const auto* usage = std::get_if<UsageCounts>(&message)) {
+        if (callbacks_.usage) callbacks_.usage(usage->counts);
+    } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+        if (callbacks_.time_of_day && heartbeat->unix_ms != 0)
+            callbacks_.time_of_day(subscriber.node.name, heartbeat->unix_ms);
+    } else {
         subscriber.link->end("sent what no subscriber sends");
     }
 }
@@ -87,6 +96,7 @@
         }
     }
     bring_up_to_date(subscriber);
+    tell_time_to(id);
 }
 
 void Publisher::serve_waiting() {
@@ -199,17 +209,43 @@
 }
 
 void Publisher::beat() {
-    for (auto& [id, subscriber] : subscribers_)
-        if (subscriber.subscribed && reactor_.now() - subscriber.last_sent >= options_.heartbeat) {
-            subscriber.last_sent = reactor_.now();
-            reactor_.free_later([this, id = id] {
-                const auto found = subscribers_.find(id);
-                if (found != subscribers_.end()) found->second.link->send(Heartbeat{log_.place()});
-            });
-        }
+    const Heartbeat told = heartbeat();
+    for (auto& [id, subscriber] : subscribers_) {
+        const bool is_silent = reactor_.now() - subscriber.last_sent >= options_.heartbeat;
+        const bool wants_time = told.unix_ms != 0 && reactor_.now() - subscriber.time_told >= kTimeInterval;
+        if (!subscriber.subscribed || (!is_silent && !wants_time)) continue;
+        reactor_.free_later([this, id = id, told] { send_heartbeat(id, told); });
+    }
     beat_timer_ = reactor_.call_after(options_.heartbeat, [this] { beat(); });
 }
 
+Heartbeat Publisher::heartbeat() const {
+    Heartbeat told{log_.place()};
+    if (const auto time = callbacks_.fleet_time ? callbacks_.fleet_time() : std::nullopt)
+        told.unix_ms = time->unix_ms, told.error_ms = time->error_ms;
+    return told;
+}
+
+void Publisher::send_heartbeat(std::uint64_t id, const Heartbeat& heartbeat) {
+    const auto found = subscribers_.find(id);
+    if (found == subscribers_.end()) return;
+    found->second.last_sent = reactor_.now();
+    if (heartbeat.unix_ms != 0) found->second.time_told = reactor_.now();
+    found->second.link->send(heartbeat); // which may end the link, and with it the subscriber
+}
+
+void Publisher::tell_time_to(std::uint64_t id) {
+    const Heartbeat told = heartbeat();
+    if (told.unix_ms != 0) send_heartbeat(id, told);
+}
+
+void Publisher::tell_time() {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, subscriber] : subscribers_)
+        if (subscriber.subscribed && !subscriber.waits_for_records) ids.push_back(id);
+    for (const std::uint64_t id : ids) tell_time_to(id);
+}
+
 void Publisher::drop(std::uint64_t id, const std::string& reason) {
     const auto found = subscribers_.find(id);
     if (found == subscribers_.end()) return;
--- a/src/feed/publisher.hpp
+++ b/src/feed/publisher.hpp
@@ -1,6 +1,7 @@
 // The publishing side of a feed: takes subscribers on one address, brings each up to date, and hands every
 // new item to all of them. A subscription is the session that makes a node a member.
 #pragma once
+#include "clock/fleet_clock.hpp"
 #include "feed/feed_log.hpp"
 #include "feed/flush_plan.hpp"
 #include "feed/instance_table.hpp"
@@ -34,6 +35,10 @@
         std::function<void(const std::vector<model::Instance>&)> instances; // that a subscriber knows
         std::function<void(const std::vector<model::Load>&)> loads;
         std::function<void(const std::string& node, const std::vector<model::ServiceDemand>&)> demands;
+        std::function<void(const std::vector<model::ProcessUsage>&)> usage;
+        std::function<void(const std::string& node, std::int64_t unix_ms)> time_of_day; // of a subscriber
+        // Told to subscribers once they are up to date, and each second; none: it is not told.
+        std::function<std::optional<clock::FleetTime>()> fleet_time;
     };
     Publisher(transport::Reactor& reactor, FeedLog& log, Options options, Callbacks callbacks);
     ~Publisher();
@@ -41,6 +46,7 @@
     // A connection whose first message was Subscribe is handed over with that message.
     void take(const AcceptedLink& connection); // a fresh one, of a subscriber
     void publish();                            // after items were put
+    void tell_time();                          // to all, at once
     void serve_waiting();                      // those that came before all was ready
     void end_all(const std::string& reason);
     std::vector<model::EdgeNode> sessions() const;
@@ -53,7 +59,7 @@
         bool subscribed = false, waits_for_records = false;
         std::uint64_t feed = 0, place = 0; // as it asked, then as it was sent
         std::int64_t configuration_version = 0;
-        Tenths last_sent = 0;
+        Tenths last_sent = 0, time_told = 0;
     };
     void received(std::uint64_t id, Message message);
     void subscribe(std::uint64_t id, Subscribe message);
@@ -63,6 +69,9 @@
     std::int64_t shorten_configuration(BatchView& batch, std::int64_t known_version) const;
     void flush();
     void beat();
+    Heartbeat heartbeat() const;
+    void tell_time_to(std::uint64_t id);
+    void send_heartbeat(std::uint64_t id, const Heartbeat& heartbeat);
     void drop(std::uint64_t id, const std::string& reason);
 
     transport::Reactor& reactor_;
--- a/src/feed/subscriber.cpp
+++ b/src/feed/subscriber.cpp
@@ -66,7 +66,10 @@
         link_->send(Instances{tables_.instances().in_ranges(wanted->ranges), true, {}});
     } else if (const auto* refused = std::get_if<Refused>(&message)) {
         link_->end("refused: " + refused->reason);
-    } else if (!std::holds_alternative<Heartbeat>(message)) {
+    } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+        if (callbacks_.fleet_time && heartbeat->unix_ms != 0)
+            callbacks_.fleet_time({heartbeat->unix_ms, heartbeat->error_ms});
+    } else {
         link_->end("sent what no publisher sends");
     }
 }
@@ -81,6 +84,7 @@
         log_line("feed_up", {{"publisher", address_}, {"place", std::to_string(batch.place)}});
         pause_ = options_.first_pause;
         to_try_.clear();
+        if (callbacks_.began) callbacks_.began();
     }
     if (callbacks_.applied) callbacks_.applied(applied);
 }
@@ -104,7 +108,8 @@
 }
 
 void Subscriber::beat() {
-    if (connected()) send(Heartbeat{tables_.place()});
+    const std::int64_t unix_ms = callbacks_.time_of_day ? callbacks_.time_of_day() : 0;
+    if (connected()) send(Heartbeat{tables_.place(), unix_ms, 0});
     beat_timer_ = reactor_.call_after(options_.heartbeat, [this] { beat(); });
 }
 
--- a/src/feed/subscriber.hpp
+++ b/src/feed/subscriber.hpp
@@ -2,6 +2,7 @@
 // is silent or refuses, and keeps the tables. After a link has ended the tables stay as they were: old news
 // is better than none.
 #pragma once
+#include "clock/fleet_clock.hpp"
 #include "feed/link.hpp"
 #include "feed/tables.hpp"
 #include "transport/reactor.hpp"
@@ -27,6 +28,9 @@
         std::function<std::vector<std::string>()> publishers; // addresses, in the order to try
         std::function<void(const Tables::Applied&)> applied;
         std::function<void()> ended; // of a link that had brought a batch
+        std::function<void()> began; // a link has brought its first batch: what is lost with links goes again
+        std::function<void(const clock::FleetTime&)> fleet_time; // as the publisher knows it
+        std::function<std::int64_t()> time_of_day; // told with heartbeats; Unix ms; none: it is not told
     };
     Subscriber(transport::Reactor& reactor, LinkNetwork& network, Options options, Callbacks callbacks);
     ~Subscriber();
--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -5,6 +5,7 @@
 #include "proxy/connect_patience.hpp"
 #include "proxy/demand_meter.hpp"
 #include "proxy/server_connections.hpp"
+#include "proxy/usage_meter.hpp"
 #include "replica_selection/pair_selector.hpp"
 #include "replica_selection/retry_budget.hpp"
 #include "transport/reactor.hpp"
@@ -34,6 +35,7 @@
     Pcg random;
     Counters counters;
     DemandMeter demand;
+    UsageMeter usage;
     bool ending = false; // SIGTERM has come
     Tenths ends_at = 0;  // this process, once it is ending
 };
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -73,6 +73,7 @@
     // Looks the client's key up in the newest configuration, unless that was done for it already.
     void identify_caller();
     ExchangeEnd refuse_caller();
+    void count_begun(); // its first token has come, or the head of an answer without a stream
     void note_answering(bool answering); // for what this node tells of its load
     replica_selection::RetryBudget& budget() { return context_.budgets.of(profile_.service); }
     bool spend_further_send();
@@ -104,6 +105,7 @@
     int sends_ = 0, unreachable_ = 0;
     bool further_paid_ = false; // the next send was paid for when the last one was left
     bool may_hand_over_ = true, may_have_run_ = false, head_sent_ = false, answering_ = false;
+    bool counted_ = false;        // as one that began to run, however often it is sent or resumed
     std::string reader_, handle_; // whose memory is held for this request
     std::string last_event_id_;
 
--- a/src/proxy/exchange_relay.cpp
+++ b/src/proxy/exchange_relay.cpp
@@ -40,12 +40,18 @@
         co_return RelayEnd::kCutOff;
     }
     const bool streams = success && route_->kind == model::RouteKind::kStreaming;
+    if (success && !streams) count_begun();
     const RelayEnd end = streams ? co_await relay_events() : co_await relay_body();
     end_call(end == RelayEnd::kComplete);
     if (end == RelayEnd::kComplete) ++context_.counters.served;
     co_return end;
 }
 
+void Exchange::count_begun() {
+    if (std::exchange(counted_, true) || caller_.tenant == nullptr) return;
+    context_.usage.began(caller_.tenant->name, now());
+}
+
 transport::Async<Exchange::RelayEnd> Exchange::relay_events() {
     protocol::HttpParser& parser = connection_->parser();
     events_ = http::EventStreamSplitter(1024 * 1024);
@@ -56,6 +62,7 @@
         const bool complete = parser.complete() || (to_end && !connection_->stream().was_reset());
         std::string whole = events_.take_whole();
         if (!whole.empty()) {
+            count_begun();
             if (!events_.last_id().empty()) last_event_id_ = events_.last_id();
             if (!std::exchange(head_sent_, true)) client_.send(answer_head(answer_, std::nullopt, close_));
             if (!client_.send(chunk(whole))) co_return RelayEnd::kClientGone;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,6 +18,9 @@
 constexpr Tenths kEndCheck = 500;
 constexpr Tenths kLogInterval = 100'000;
 constexpr Tenths kDemandInterval = 10'000;
+constexpr Tenths kUsageInterval = 2500; // what began since is lost with a process that is killed
+constexpr Tenths kLastWord = 500;       // for what is told last to leave this process
+constexpr double kMsPerSecond = 1000;
 
 std::uint64_t draw() {
     std::random_device device;
@@ -42,6 +45,8 @@
                                     Pcg(draw()),
                                     {},
                                     {},
+                                    UsageMeter(draw(), static_cast<std::int64_t>(
+                                                           settings.bounds.usage_window_s * kMsPerSecond)),
                                     false,
                                     0} {
     context_.connections.start();
@@ -50,12 +55,14 @@
     open_front();
     log_counters();
     tell_demand();
+    if (context_.usage.counts()) tell_usage();
 }
 
 Proxy::~Proxy() {
     reactor_.cancel(timer_);
     reactor_.cancel(log_timer_);
     reactor_.cancel(demand_timer_);
+    reactor_.cancel(usage_timer_);
 }
 
 void Proxy::open_feed() {
@@ -65,6 +72,10 @@
     feed::Subscriber::Callbacks callbacks;
     callbacks.publishers = [this] { return std::vector<std::string>{feed::local_feed_address(settings_)}; };
     callbacks.applied = [this](const feed::Tables::Applied& applied) { this->applied(applied); };
+    callbacks.began = [this] { context_.usage.tell_again(); };
+    callbacks.fleet_time = [this](const clock::FleetTime& time) {
+        context_.usage.time_told(time, reactor_.now());
+    };
     subscriber_ = std::make_unique<feed::Subscriber>(reactor_, network_, options, std::move(callbacks));
     subscriber_->start();
 }
@@ -149,7 +160,7 @@
     const bool done = !front_ && std::ranges::none_of(sessions_, &ClientSession::busy);
     if (done || reactor_.now() >= context_.ends_at) {
         log_line("ended", {{"sessions", std::to_string(sessions_.size())}});
-        return reactor_.stop();
+        return end();
     }
     timer_ = reactor_.call_after(kEndCheck, [this] { end_when_done(); });
 }
@@ -160,6 +171,21 @@
     if (!demands.empty()) subscriber_->send(feed::Demands{std::move(demands)});
 }
 
+void Proxy::tell_usage() {
+    usage_timer_ = reactor_.call_after(kUsageInterval, [this] { tell_usage(); });
+    if (!subscriber_->connected()) return; // all is told once it is again
+    auto counts = context_.usage.take(reactor_.now());
+    if (!counts.empty()) subscriber_->send(feed::UsageCounts{std::move(counts)});
+}
+
+void Proxy::end() {
+    reactor_.cancel(usage_timer_);
+    auto last_counts = context_.usage.take(reactor_.now(), true);
+    if (last_counts.empty() || !subscriber_->send(feed::UsageCounts{std::move(last_counts)}))
+        return reactor_.stop();
+    timer_ = reactor_.call_after(kLastWord, [this] { reactor_.stop(); });
+}
+
 void Proxy::log_counters() {
     log_timer_ = reactor_.call_after(kLogInterval, [this] { log_counters(); });
     const Counters& c = context_.counters;
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -34,6 +34,8 @@
     Tenths grace() const; // from SIGTERM until the platform kills
     void log_counters();
     void tell_demand(); // to the agent, for all control nodes
+    void tell_usage();  // likewise
+    void end();         // with a last word of what was counted
 
     transport::Reactor& reactor_;
     settings::Settings settings_;
@@ -46,7 +48,7 @@
     std::unique_ptr<transport::Listener> front_;
     Tenths ending_since_ = 0;
     std::uint64_t logged_requests_ = 0;
-    transport::Reactor::TimerId timer_{}, log_timer_{}, demand_timer_{};
+    transport::Reactor::TimerId timer_{}, log_timer_{}, demand_timer_{}, usage_timer_{};
 };
 
 } // namespace ivyrill::proxy
