Tests: the fleet's time, counts on their way to all control nodes, in whole worlds

Links, agents, control nodes and clocks are disturbed; progress is told each second also under traffic. Also names the tenants in a test's configuration, whose missing initializer did not compile.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -17,7 +17,6 @@
 constexpr Tenths kFlushInterval = 1000;  // what was read within it travels together
 constexpr Tenths kEndSpan = 100;
 constexpr Tenths kTimeInterval = kTenthsPerSecond; // between two words of the fleet's time to the proxy
-constexpr double kMsPerSecond = 1000;
 
 std::uint64_t draw() {
     std::random_device device;
@@ -34,8 +33,8 @@
     feed::Publisher::Callbacks of_proxy;
     feed::Publisher::Options to_proxy;
     feed::Subscriber::Callbacks callbacks;
-    if (settings_.bounds.usage_window_s > 0) {
-        usage_.emplace(static_cast<std::int64_t>(settings_.bounds.usage_window_s * kMsPerSecond));
+    if (settings_.bounds.usage_window_ms() > 0) {
+        usage_.emplace(settings_.bounds.usage_window_ms());
         to_proxy.heartbeat = kTimeInterval;
         report_usage(of_proxy, callbacks);
     }
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -15,9 +15,8 @@
 namespace {
 
 constexpr Tenths kWatchInterval = 1000;
-constexpr Tenths kUsageInterval = 2500; // between counts that are passed on to peers
-constexpr Tenths kEndSpan = 4000;       // for last answers and the hand-over
-constexpr double kMsPerSecond = 1000;
+constexpr Tenths kUsageInterval = 2500;           // between counts that are passed on to peers
+constexpr Tenths kEndSpan = 4000;                 // for last answers and the hand-over
 constexpr const char* kEngineContract = "engine"; // of deployments whose servers have stages
 constexpr std::int64_t kOtherDescriptors = 900;   // of a control node: for files, peers and agents
 
@@ -27,8 +26,7 @@
 
 duties::UsageTally::Options tally_options(const settings::Settings& settings) {
     duties::UsageTally::Options options;
-    if (settings.bounds.usage_window_s > 0)
-        options.window_ms = static_cast<std::int64_t>(settings.bounds.usage_window_s * kMsPerSecond);
+    if (settings.bounds.usage_window_ms() > 0) options.window_ms = settings.bounds.usage_window_ms();
     return options;
 }
 
@@ -201,7 +199,7 @@
 }
 
 void ControlNode::open_usage_exchange() {
-    if (settings_.bounds.usage_window_s <= 0) return;
+    if (settings_.bounds.usage_window_ms() <= 0) return;
     usage_exchange_ =
         std::make_unique<UsageExchange>(self_.address, fleet_clock_, usage_tally_, environment_.time_of_day);
     exchange_usage();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -20,7 +20,6 @@
 constexpr Tenths kDemandInterval = 10'000;
 constexpr Tenths kUsageInterval = 2500; // what began since is lost with a process that is killed
 constexpr Tenths kLastWord = 500;       // for what is told last to leave this process
-constexpr double kMsPerSecond = 1000;
 
 std::uint64_t draw() {
     std::random_device device;
@@ -45,8 +44,7 @@
                                     Pcg(draw()),
                                     {},
                                     {},
-                                    UsageMeter(draw(), static_cast<std::int64_t>(
-                                                           settings.bounds.usage_window_s * kMsPerSecond)),
+                                    UsageMeter(draw(), settings.bounds.usage_window_ms()),
                                     false,
                                     0} {
     context_.connections.start();
--- a/src/proxy/usage_meter.hpp
+++ b/src/proxy/usage_meter.hpp
@@ -40,8 +40,8 @@
         if (!std::exchange(count.is_changed, true)) window.changed.push_back(&*place);
     }
 
-    // What is to be told now: tenants whose count has grown since the last take; each second something at
-    // least. `last`: this process counts no more.
+    // What is to be told now: tenants whose count has grown since the last take; each second how far this
+    // process has counted, with the totals of the last two windows. `last`: this process counts no more.
     std::vector<model::ProcessUsage> take(Tenths now, bool last = false) {
         std::vector<model::ProcessUsage> told;
         const auto time = clock_.at(now);
@@ -49,14 +49,14 @@
         counted_until_ms_ = std::max(counted_until_ms_, time->unix_ms);
         const std::int64_t present = counted_until_ms_ / window_ms_;
         forget_before(present - (kKeptMs + window_ms_ - 1) / window_ms_);
-        const bool is_due = last || now - told_at_ >= kProgress;
+        const bool is_due = last || now - progress_at_ >= kProgress;
         if (is_due) windows_[present]; // an empty one says how far this process has counted
         for (auto& [number, window] : windows_) {
             const bool is_progress = is_due && number + 1 >= present;
             if (window.changed.empty() && !is_progress) continue;
             told.push_back({process_, number, changes(window), window.total, counted_until_ms_, last});
         }
-        if (!told.empty()) told_at_ = now;
+        if (is_due) progress_at_ = now;
         return told;
     }
 
@@ -106,7 +106,7 @@
     clock::FollowedClock clock_;
     std::map<std::int64_t, Window> windows_;
     std::int64_t counted_until_ms_ = 0; // as told
-    Tenths told_at_ = 0;
+    Tenths progress_at_ = 0;
     std::uint64_t without_time_ = 0;
 };
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -40,6 +40,7 @@
     double usage_window_s = 0; // 0: no usage is reported
     double usage_error = 0.05; // share of a tenant's count that a report may be off
     double usage_late_s = 10;  // after the end of its window
+    std::int64_t usage_window_ms() const { return static_cast<std::int64_t>(usage_window_s * 1000); }
 };
 
 // The platform's API (DEPLOY), for the duties of one node at a time.
--- a/tests/frame_tests.cpp
+++ b/tests/frame_tests.cpp
@@ -23,7 +23,7 @@
     model::Service service;
     service.name = "model", service.engine = model::Engine{};
     service.engine->models = {"m"};
-    return {7, {route}, {service}, {}};
+    return {7, {route}, {service}, {}, {}};
 }
 
 model::Instance instance() {
@@ -61,12 +61,12 @@
             Instances{{instance()}, false, {8, 2}},
             Loads{{load}},
             Demands{{demand}},
-            Heartbeat{300},
+            Heartbeat{300, 1'767'226'500'000, 12},
             WantRanges{{0, 31}, {8, 2}},
             batch,
             Refused{"this node ends"},
             PeerHello{control, 8, 3, {control}},
-            PeerStatus{{control}, {edge}, {{4, 5}}, {demand}, true, true},
+            PeerStatus{{control}, {edge}, {{4, 5}}, {demand}, true, true, 1'767'226'500'000, {{0, -2500}}},
             Heard{{"i-1"}},
             Replicate{{8, 4}, {instance()}, {load}},
             Ordered{{ordered}},
@@ -74,7 +74,9 @@
             ForwardedCall{{8, 6}, "PUT", "12", "{}"},
             ForwardedAnswer{{8, 6}, 412, "{}"},
             vote,
-            DutyMessage{3, vote}};
+            DutyMessage{3, vote},
+            UsageCounts{{{77, 353'445'120, {{"nowu640", 412}}, 500, 1'767'225'600'123, true}}},
+            WantUsage{{77, 78}}};
 }
 
 bool enums_are_known(const model::Instance& record) {
--- a/tests/lab/control_world.cpp
+++ b/tests/lab/control_world.cpp
@@ -85,6 +85,7 @@
     made.first_start = first_start_;
     made.tolerance.machines = plan_.tolerance;
     made.beat_interval_ms = kBeatIntervalMs;
+    made.bounds.usage_window_s = plan_.usage_window_s;
     if (plan_.kind == ControlPlanKind::kDuties) made.contracts = {"engine"};
     return made;
 }
@@ -105,8 +106,9 @@
                         network_.random().next()) |
                        1U;
             };
-            control::Environment environment{reactor, network_.links(machine), order_link(machine), open_file,
-                                             draw};
+            const auto time_of_day = [this, machine] { return this->time_of_day(machine); };
+            control::Environment environment{
+                reactor, network_.links(machine), order_link(machine), open_file, draw, time_of_day};
             auto opened = control::ControlNode::open(std::move(environment), settings_of(machine));
             if (opened.has_error())
                 promise_broken("a control node does not start: " + opened.error().message);
@@ -136,11 +138,12 @@
             callbacks.applied = [this, number](const feed::Tables::Applied& applied) {
                 agent_applied(number, applied);
             };
+            if (plan_.usage_window_s > 0) count_usage(number, callbacks);
             here.process = std::make_unique<feed::Subscriber>(reactor, network_.links(here.machine),
                                                               std::move(options), std::move(callbacks));
             here.process->start();
         },
-        [this, number] { agents_[number].process.reset(); });
+        [this, number] { agents_[number].process.reset(), agents_[number].usage.reset(); });
 }
 
 std::string ControlWorld::peer_address(MachineNumber machine) {
@@ -202,6 +205,8 @@
                           [this, machine] { start_control(machine); });
     for (std::size_t i = 0; i < agents_.size(); ++i)
         network_.schedule(network_.now() + network_.between(0, 3000), [this, i] { start_agent(i); });
+    if (plan_.usage_window_s > 0)
+        for (std::size_t i = 0; i < agents_.size(); ++i) start_proxy(i);
     network_.schedule(network_.now() + 3001, [this] { first_start_ = false; });
     watch();
 }
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -3,11 +3,13 @@
 // operators that change the configuration, and readers. What is promised is checked as it happens; a broken
 // promise is kept in words. One seed is one history.
 #pragma once
+#include "agent/usage_relay.hpp"
 #include "control/control_node.hpp"
 #include "feed/publisher_list.hpp"
 #include "feed/subscriber.hpp"
 #include "lab/configuration_history.hpp"
 #include "lab/simulated_network.hpp"
+#include "proxy/usage_meter.hpp"
 
 #include <array>
 #include <cstdint>
@@ -41,9 +43,10 @@
     std::uint64_t seed = 1;
     ControlPlanKind kind = ControlPlanKind::kMixed;
     int control_machines = 3, spares = 0, agents = 2, servers = 3, operators = 2;
-    int tolerance = 1;     // disks that may be lost at once
-    Tenths faults_for = 0; // from the first configuration on
-    bool tells = false;    // keeps a story of what happens
+    int tolerance = 1;         // disks that may be lost at once
+    Tenths faults_for = 0;     // from the first configuration on
+    bool tells = false;        // keeps a story of what happens
+    double usage_window_s = 0; // 0: nothing is counted
 };
 
 ControlPlan control_plan_of_seed(std::uint64_t seed);
@@ -84,6 +87,19 @@
     void isolate(MachineNumber machine, bool is_cut);   // from all other control machines, both ways
     void set_first_start(bool first_start) { first_start_ = first_start; } // in settings of later starts
     // Sends one order to one machine and waits for its answer there; 0: none within a second.
+    // Usage (control_usage.cpp): one proxy beside each agent, which lives on when the agent is killed.
+    std::int64_t true_ms() const; // the true time, since the start of 1970
+    void step_clock(MachineNumber machine, std::int64_t ahead_ms) { clocks_ahead_[machine] = ahead_ms; }
+    MachineNumber agent_machine(std::size_t agent) const { return agents_.at(agent).machine; }
+    void begin_request(std::size_t agent, const std::string& tenant); // its first token comes now
+    void kill_agent(std::size_t agent, Tenths down_for);
+    void kill_proxy(std::size_t agent); // it doesn't come back
+    // Of those begun, what no proxy had told its agent when it was killed.
+    const std::map<std::int64_t, std::map<std::string, std::int64_t>>& lost() const { return lost_; }
+    void end_proxy(std::size_t agent); // by plan
+    std::optional<clock::FleetTime> proxy_time(std::size_t agent) const;
+    std::map<std::string, std::int64_t> begun(std::int64_t window) const; // the truth, by tenant
+    std::int64_t window_ms() const { return static_cast<std::int64_t>(plan_.usage_window_s * 1000); }
     struct CallResult {
         int status = 0;
         std::string body;
@@ -111,10 +127,17 @@
     struct Agent {
         MachineNumber machine = 0;
         std::unique_ptr<feed::Subscriber> process;
-        feed::PublisherList control_nodes{0}; // that this process knows of
-        std::int64_t version = 0;             // in this process
-        std::string fed_by;                   // address of the control node
-        std::set<std::string> known_leaving;  // in this process
+        feed::PublisherList control_nodes{0};     // that this process knows of
+        std::int64_t version = 0;                 // in this process
+        std::string fed_by;                       // address of the control node
+        std::set<std::string> known_leaving;      // in this process
+        std::unique_ptr<agent::UsageRelay> usage; // of this process
+        std::unique_ptr<proxy::UsageMeter> proxy;
+        int proxy_linked_to = -1; // the agent's process that the proxy told last
+        Tenths time_told = 0;     // to the proxy
+        // Since it last told.
+        std::map<std::int64_t, std::map<std::string, std::int64_t>> untold;
+        Tenths told_at = 0;
     };
     struct Server {
         std::string id, address;
@@ -225,6 +248,13 @@
     void move_the_duties();
     void check_duties_calm();
 
+    // control_usage.cpp: proxies that count, clocks that jump
+    std::int64_t time_of_day(MachineNumber machine) const;
+    void count_usage(std::size_t agent, feed::Subscriber::Callbacks& callbacks);
+    void start_proxy(std::size_t agent);
+    void tell_usage(std::size_t agent);
+    void hand_to_agent(std::size_t agent, std::vector<model::ProcessUsage> counts);
+
     // control_faults.cpp: what happens by itself; control_plans.cpp: what is brought about
     void fault();
     void mixed_fault();
@@ -280,6 +310,8 @@
     double answer_lost_ = 0;
     std::vector<std::string> broken_, story_;
     ControlCounts counts_;
+    std::map<MachineNumber, std::int64_t> clocks_ahead_;                       // of true time, in ms
+    std::map<std::int64_t, std::map<std::string, std::int64_t>> begun_, lost_; // by window and tenant
 };
 
 } // namespace ivyrill::lab
