--- a/tests/link_tests.cpp
+++ b/tests/link_tests.cpp
@@ -50,12 +50,14 @@
 
 struct FollowingNode {
     FollowingNode(transport::Reactor& reactor, std::vector<std::string> publishers,
-                  Subscriber::Options options = {})
+                  Subscriber::Options options = {}, std::function<std::int64_t()> time_of_day = {})
         : network(reactor),
           subscriber(reactor, network, named(options),
                      {[publishers] { return publishers; },
                       [this](const Tables::Applied& applied) { batches.push_back(applied); },
-                      [this] { ++ended; }}) {
+                      [this] { ++ended; }, [this] { ++began; },
+                      [this](const clock::FleetTime& time) { times.push_back(time); },
+                      std::move(time_of_day)}) {
         subscriber.start();
     }
     static Subscriber::Options named(Subscriber::Options options) {
@@ -65,7 +67,8 @@
     }
     bool knows(const std::string& id) { return subscriber.tables().instances().find(id) != nullptr; }
     std::vector<Tables::Applied> batches;
-    int ended = 0;
+    int ended = 0, began = 0;
+    std::vector<clock::FleetTime> times; // that it was told
     SocketNetwork network;
     Subscriber subscriber;
 };
@@ -551,3 +554,60 @@
     });
     close(ends[1]);
 }
+
+BOOST_AUTO_TEST_CASE(fleet_time_is_told_at_once_to_who_is_up_to_date_and_again_among_batches) {
+    constexpr std::int64_t kTime = 1'767'225'600'000;
+    ReactorScript script;
+    Publisher::Options options;
+    options.heartbeat = 100;
+    Publisher::Callbacks callbacks;
+    callbacks.fleet_time = [] { return clock::FleetTime{kTime, 7}; };
+    PublishingNode publishing(script.reactor, 7, options, std::move(callbacks));
+    publishing.log.put(instance("i-1"));
+    FollowingNode following(script.reactor, {publishing.address()});
+    script.run([&]() -> ReactorScript::Step {
+        const bool told = co_await script.until([&] { return !following.times.empty(); }, 500);
+        BOOST_TEST(told);
+        BOOST_TEST(following.times.front().unix_ms == kTime);
+        BOOST_TEST(following.times.front().error_ms == 7);
+        BOOST_TEST(following.began == 1);
+        // Batches that follow each other leave no silence for a heartbeat.
+        std::uint64_t revision = 1;
+        const bool told_again = co_await script.until([&] {
+            publishing.log.put(instance("i-1", ++revision));
+            publishing.publisher.publish();
+            return following.times.size() >= 2;
+        });
+        BOOST_TEST(told_again);
+        co_return Done{};
+    });
+}
+
+BOOST_AUTO_TEST_CASE(time_of_day_and_counts_of_a_subscriber_come_to_its_publisher) {
+    constexpr std::int64_t kTime = 1'767'225'600'000;
+    ReactorScript script;
+    std::int64_t time_of_day = 0;
+    std::vector<model::ProcessUsage> counts;
+    Publisher::Callbacks callbacks;
+    callbacks.time_of_day = [&](const std::string& node, std::int64_t unix_ms) {
+        BOOST_TEST(node == "edge-1");
+        time_of_day = unix_ms;
+    };
+    callbacks.usage = [&](const std::vector<model::ProcessUsage>& told) { counts = told; };
+    PublishingNode publishing(script.reactor, 7, {}, std::move(callbacks));
+    publishing.log.put(instance("i-1"));
+    Subscriber::Options options;
+    options.heartbeat = 100;
+    FollowingNode following(script.reactor, {publishing.address()}, options, [] { return kTime; });
+    const model::ProcessUsage usage{77, 353'445'120, {{"nowu640", 412}}, 412, kTime, false};
+    script.run([&]() -> ReactorScript::Step {
+        const bool told = co_await script.until([&] { return time_of_day != 0; });
+        BOOST_TEST(told);
+        BOOST_TEST(time_of_day == kTime);
+        following.subscriber.send(UsageCounts{{usage}});
+        const bool counted = co_await script.until([&] { return !counts.empty(); });
+        BOOST_TEST(counted);
+        BOOST_TEST((counts == std::vector<model::ProcessUsage>{usage}));
+        co_return Done{};
+    });
+}
