Calls to the platform: one connection each, dropped by the system when a cut holds them up

Cause: duties had no way to the platform's API, and an order of a frozen holder that a cut held up came in when it healed. Change: HttpPlatformLink beside HttpOrderLink on one carrier (single_call.hpp); TCP_USER_TIMEOUT of the delivery patience on both; Environment has the platform link. An answer counts by its status, whatever its body is.

--- a/src/control/control_program.cpp
+++ b/src/control/control_program.cpp
@@ -32,11 +32,11 @@
 
 Result<std::unique_ptr<ControlProgram>> ControlProgram::open(transport::Reactor& reactor,
                                                              const settings::Settings& settings) {
-    std::unique_ptr<ControlProgram> program(new ControlProgram(reactor));
+    std::unique_ptr<ControlProgram> program(new ControlProgram(reactor, settings));
     const auto open_file = [&reactor, folder = settings.data_dir](const std::string& kind) {
         return std::make_unique<DiskWriter>(reactor, storage::VersionStore(folder, kind));
     };
-    Environment environment{reactor, program->network_, program->orders_, open_file,
+    Environment environment{reactor, program->network_, program->orders_, program->platform_, open_file,
                             draw,    clock::time_of_day};
     BOOST_OUTCOME_TRY(node, ControlNode::open(std::move(environment), settings));
     program->node_ = std::move(node);
--- a/src/control/control_program.hpp
+++ b/src/control/control_program.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "control/control_node.hpp"
 #include "control/http_order_link.hpp"
+#include "control/http_platform_link.hpp"
 #include "feed/socket_link.hpp"
 #include "http/call_server.hpp"
 #include "settings/settings.hpp"
@@ -18,10 +19,12 @@
     void begin_end() { node_->begin_end(); }
 
   private:
-    explicit ControlProgram(transport::Reactor& reactor) : network_(reactor), orders_(reactor) {}
+    ControlProgram(transport::Reactor& reactor, const settings::Settings& settings)
+        : network_(reactor), orders_(reactor), platform_(reactor, settings.cloud_api.address) {}
 
     feed::SocketNetwork network_;
     HttpOrderLink orders_;
+    HttpPlatformLink platform_;
     std::unique_ptr<ControlNode> node_;
     std::unique_ptr<http::CallServer> calls_;
 };
--- a/src/control/environment.hpp
+++ b/src/control/environment.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "control/state_file.hpp"
 #include "duties/order_link.hpp"
+#include "duties/platform_link.hpp"
 #include "feed/link.hpp"
 #include "transport/reactor.hpp"
 
@@ -15,6 +16,7 @@
     transport::Reactor& reactor;
     feed::LinkNetwork& network;
     duties::OrderLink& orders;
+    duties::PlatformLink& platform;
     OpenStateFile open_file;
     std::function<std::uint64_t()> draw;       // random numbers, never 0
     std::function<std::int64_t()> time_of_day; // of this machine, which may jump; Unix ms
--- a/src/control/http_order_link.cpp
+++ b/src/control/http_order_link.cpp
@@ -1,7 +1,7 @@
 #include "control/http_order_link.hpp"
 
 #include "base/planted_fault.hpp"
-#include "protocol/http.hpp"
+#include "control/single_call.hpp"
 
 #include <fmt/format.h>
 #include <utility>
@@ -10,12 +10,6 @@
 
 using duties::OrderOutcome;
 
-namespace {
-
-constexpr std::size_t kMostRequest = 4096;
-
-} // namespace
-
 std::string order_request(const duties::StageOrder& order, const std::string& holder) {
     std::string body = fmt::format(R"({{"op":"stage","stage":"{}","holder":"{}","fenceToken":{})",
                                    model::name_of(order.stage), holder, order.fence);
@@ -41,29 +35,11 @@
 
 transport::Async<OrderOutcome> HttpOrderLink::call(const duties::StageOrder& order, const std::string& holder,
                                                    const std::function<bool()>& may_send) {
-    const auto connection = http::ClientConnection::open(reactor_, order.address, kMostRequest,
-                                                         http::ClientConnection::AtEnd::kReset);
-    if (!connection) co_return OrderOutcome::kNotSent;
-    const Tenths until = reactor_.now() + kPatience;
-    transport::Slot wake(reactor_.loop());
-    connection->stream().also_wake(&wake);
-    const transport::WakeAt timer(reactor_, until, wake);
-    while (!connection->stream().up()) {
-        if (connection->stream().ended() || reactor_.now() >= until) co_return OrderOutcome::kNotSent;
-        co_await wake;
-    }
-    // It has to have come in, or be lost, within the patience: half of it is for its way.
-    const bool too_late = reactor_.now() >= until - kPatience / 2;
-    if (too_late || !may_send()) co_return OrderOutcome::kNotSent;
-    connection->stream().send(order_request(order, holder));
-    for (;;) {
-        connection->read();
-        if (connection->parser().complete()) break;
-        const bool is_over = connection->parser().broken() != 0 || connection->stream().ended();
-        if (is_over || reactor_.now() >= until) co_return OrderOutcome::kUnanswered;
-        co_await wake;
-    }
-    co_return duties::outcome_of_status(connection->parser().take().status);
+    SingleCall call{order.address, order_request(order, holder), kPatience, kPatience};
+    const SingleCallEnd end = co_await carry_single_call(reactor_, std::move(call), may_send);
+    if (end.kind == SingleCallEnd::Kind::kNotSent) co_return OrderOutcome::kNotSent;
+    if (end.kind != SingleCallEnd::Kind::kAnswered) co_return OrderOutcome::kUnanswered;
+    co_return duties::outcome_of_status(end.status);
 }
 
 } // namespace ivyrill::control
--- a/src/control/http_order_link.hpp
+++ b/src/control/http_order_link.hpp
@@ -2,7 +2,6 @@
 // up of it is then lost, and reaches nobody after the holder's lease.
 #pragma once
 #include "duties/order_link.hpp"
-#include "http/client_connection.hpp"
 #include "transport/async.hpp"
 #include "transport/reactor.hpp"
 #include "transport/task.hpp"
--- /dev/null
+++ b/src/control/http_platform_link.cpp
@@ -0,0 +1,59 @@
+#include "control/http_platform_link.hpp"
+
+#include "control/single_call.hpp"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace ivyrill::control {
+
+using duties::PlatformOutcome;
+
+namespace {
+
+PlatformOutcome outcome_of(const SingleCallEnd& end) {
+    switch (end.kind) {
+    case SingleCallEnd::Kind::kNotSent:
+        return PlatformOutcome::kNotSent;
+    case SingleCallEnd::Kind::kUnanswered:
+        return PlatformOutcome::kUnanswered;
+    case SingleCallEnd::Kind::kNoAnswer:
+        return PlatformOutcome::kFailed;
+    case SingleCallEnd::Kind::kAnswered:
+        return platform_outcome_of_status(end.status);
+    }
+    return PlatformOutcome::kFailed;
+}
+
+} // namespace
+
+std::string platform_request(const duties::PlatformCall& call, const std::string& holder,
+                             const std::string& address) {
+    return fmt::format("POST {} HTTP/1.1\r\nhost: {}\r\nduty-holder: {}\r\nfence-token: {}\r\n"
+                       "content-type: application/json\r\ncontent-length: {}\r\n\r\n{}",
+                       call.path, address, holder, call.fence, call.body.size(), call.body);
+}
+
+// 408: the platform did not wait for the whole call; the same one will do.
+PlatformOutcome platform_outcome_of_status(int status) {
+    if (status >= 200 && status < 300) return PlatformOutcome::kAccepted;
+    if (status == 429) return PlatformOutcome::kBusy;
+    if (status == 412) return PlatformOutcome::kFencedOff;
+    if (status >= 400 && status < 500 && status != 408) return PlatformOutcome::kRefused;
+    return PlatformOutcome::kFailed;
+}
+
+void HttpPlatformLink::send(const duties::PlatformCall& call, const std::string& holder,
+                            std::function<bool()> may_send, std::function<void(PlatformOutcome)> done) {
+    reactor_.spawn(carry(platform_request(call, holder, address_), std::move(may_send), std::move(done)));
+}
+
+// `done` is told in a later turn, also where nothing could be begun.
+transport::Task HttpPlatformLink::carry(std::string request, std::function<bool()> may_send,
+                                        std::function<void(PlatformOutcome)> done) {
+    SingleCall call{address_, std::move(request), kDeliveryPatience, kAnswerPatience};
+    const SingleCallEnd end = co_await carry_single_call(reactor_, std::move(call), may_send);
+    reactor_.call_at(reactor_.now(), [done = std::move(done), outcome = outcome_of(end)] { done(outcome); });
+}
+
+} // namespace ivyrill::control
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -13,16 +13,22 @@
 
 class ClientConnection {
   public:
-    enum class AtEnd : std::uint8_t {
-        kClose, // what was sent still arrives
-        kReset  // what is on its way is lost
-    };
     // Null where the system refuses at once.
     static std::unique_ptr<ClientConnection> open(transport::Reactor& reactor, const std::string& address,
-                                                  std::size_t most_out, AtEnd at_end = AtEnd::kClose) {
+                                                  std::size_t most_out) {
         const int descriptor = transport::connect_to(address);
         if (descriptor < 0) return nullptr;
-        if (at_end == AtEnd::kReset) transport::reset_at_end(descriptor);
+        return std::unique_ptr<ClientConnection>(new ClientConnection(reactor, descriptor, most_out));
+    }
+    // What has not come in within `delivery_patience` is lost, and what is on its way at its end.
+    static std::unique_ptr<ClientConnection> open_for_one_call(transport::Reactor& reactor,
+                                                               const std::string& address,
+                                                               std::size_t most_out,
+                                                               Tenths delivery_patience) {
+        const int descriptor = transport::connect_to(address);
+        if (descriptor < 0) return nullptr;
+        transport::reset_at_end(descriptor);
+        transport::lose_after(descriptor, delivery_patience);
         return std::unique_ptr<ClientConnection>(new ClientConnection(reactor, descriptor, most_out));
     }
 
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -81,6 +81,11 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
+void lose_after(int descriptor, Tenths span) {
+    const auto milliseconds = static_cast<unsigned>(span / (kTenthsPerSecond / 1000));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
 int accept_from(int listener) {
     const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) send_at_once(descriptor);
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -16,8 +16,11 @@
 int port_of(int descriptor);                // the local one
 int connect_to(const std::string& address); // does not wait; below zero where it fails at once
 void reset_at_end(int descriptor);          // what its end has not received by then is lost
-int accept_from(int listener);              // below zero where there is none, see errno
-bool connected(int descriptor);             // once it can be written to
+// What the other end has not received so long after it was sent is lost with the connection. The system keeps
+// it, also where this process stands still.
+void lose_after(int descriptor, Tenths span);
+int accept_from(int listener);  // below zero where there is none, see errno
+bool connected(int descriptor); // once it can be written to
 
 class Stream {
   public:
--- a/tests/lab/control_duties.cpp
+++ b/tests/lab/control_duties.cpp
@@ -50,6 +50,31 @@
     return *link;
 }
 
+// Nobody is at the platform's address.
+class ControlWorld::WorldPlatformLink : public duties::PlatformLink {
+  public:
+    WorldPlatformLink(ControlWorld& world, MachineNumber machine) : world_(world), machine_(machine) {}
+    void send(const duties::PlatformCall&, const std::string&, std::function<bool()>,
+              std::function<void(duties::PlatformOutcome)> done) override {
+        SimulatedNetwork& network = world_.network_;
+        const int incarnation = network.incarnation(machine_);
+        network.schedule(network.now() + 1, [=, this, &network, done = std::move(done)] {
+            if (!network.is_up(machine_) || network.incarnation(machine_) != incarnation) return;
+            network.run_on(machine_, [done] { done(duties::PlatformOutcome::kNotSent); });
+        });
+    }
+
+  private:
+    ControlWorld& world_;
+    MachineNumber machine_;
+};
+
+duties::PlatformLink& ControlWorld::platform_link(MachineNumber machine) {
+    std::unique_ptr<duties::PlatformLink>& link = platform_links_[machine];
+    if (!link) link = std::make_unique<WorldPlatformLink>(*this, machine);
+    return *link;
+}
+
 void ControlWorld::open_order_connection(MachineNumber machine, const duties::StageOrder& order,
                                          const std::string& holder, std::function<bool()> may_send,
                                          std::function<void(duties::OrderOutcome)> done) {
--- a/tests/lab/control_world.cpp
+++ b/tests/lab/control_world.cpp
@@ -108,7 +108,8 @@
             };
             const auto time_of_day = [this, machine] { return this->time_of_day(machine); };
             control::Environment environment{
-                reactor, network_.links(machine), order_link(machine), open_file, draw, time_of_day};
+                reactor,   network_.links(machine), order_link(machine), platform_link(machine),
+                open_file, draw,                    time_of_day};
             auto opened = control::ControlNode::open(std::move(environment), settings_of(machine));
             if (opened.has_error())
                 promise_broken("a control node does not start: " + opened.error().message);
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -166,6 +166,7 @@
         std::map<MachineNumber, std::uint64_t> fenced_off;      // the last fence that was refused
     };
     class WorldOrderLink;
+    class WorldPlatformLink;
     struct Operator {
         std::int64_t known = 0; // the newest version that it knows of
         std::optional<OrderNumber> order;
@@ -229,6 +230,7 @@
 
     // control_duties.cpp: servers that take orders, and who acts
     duties::OrderLink& order_link(MachineNumber machine);
+    duties::PlatformLink& platform_link(MachineNumber machine);
     void open_order_connection(MachineNumber machine, const duties::StageOrder& order,
                                const std::string& holder, std::function<bool()> may_send,
                                std::function<void(duties::OrderOutcome)> done);
@@ -294,6 +296,7 @@
     std::vector<Engine> engines_;
     std::uint64_t engine_count_ = 0;
     std::map<MachineNumber, std::unique_ptr<duties::OrderLink>> order_links_;
+    std::map<MachineNumber, std::unique_ptr<duties::PlatformLink>> platform_links_;
     ConfigurationHistory history_;
     std::map<std::int64_t, OrderNumber> orders_by_mark_;
     std::set<std::uint64_t> lost_identities_;
