Usage reports are agreed on byte for byte, then sent until they are acknowledged

Cause: no usage was reported. Change: a part's state holds the ledger of usage (next window, windows not known to be acknowledged); DutyParts proposes changes of it and tells what is agreed on; UsageDuty has windows agreed on and sends only what is committed, with backoff, within the part's share of dutyPerS. A release changes its own field alone. Not wired into the node yet.

--- a/src/base/planted_fault.hpp
+++ b/src/base/planted_fault.hpp
@@ -55,12 +55,22 @@
     kOrderSentAgainAtOnce,  // an order without an answer is sent again at once, as if none had been taken
     kFenceNotCheckedAtSend, // the lease is looked at before the connection comes up, not when the order
                             // leaves
-    kFencedOffIgnored       // a holder that a server has fenced off goes on
+    kFencedOffIgnored,      // a holder that a server has fenced off goes on
+    // Of usage reports (src/duties/usage_ledger.hpp, src/control/usage_duty.hpp).
+    kSentBeforeAgreed,     // a window's report is sent before it is agreed on
+    kCountedAgain,         // each holder works a window's counts out again
+    kLedgerForgotten,      // a holder that releases its part forgets what is agreed on beside that
+    kAgreedOnChanged,      // a window that is agreed on is agreed on again, with the counts of now
+    kPlatformNotChecked,   // whether it may act is looked at before the connection comes up only
+    kRetriedWithoutLease,  // a call that failed is sent again without a look at the lease
+    kPlatformFenceIgnored, // a holder that the platform has fenced off goes on
+    kWindowLeftOut,        // after a pause the windows that were missed are passed over
+    kGivenUpWhenBusy       // a report that the platform has turned away as busy is not sent again
 };
 inline constexpr int kConsensusFaults = 12; // the first ones
 inline constexpr int kControlFaults =
     static_cast<int>(PlantedFault::kLeaderCommitForgotten); // with those before
-inline constexpr int kPlantedFaults = static_cast<int>(PlantedFault::kFencedOffIgnored);
+inline constexpr int kPlantedFaults = static_cast<int>(PlantedFault::kGivenUpWhenBusy);
 
 #ifdef IVYRILL_PLANTED_FAULTS
 inline thread_local PlantedFault planted_fault = PlantedFault::kNone;
--- a/src/control/duty_parts.cpp
+++ b/src/control/duty_parts.cpp
@@ -18,10 +18,24 @@
 constexpr Tenths kElectionTimeout = 12'000; // four heartbeats; the longest is twice as long
 constexpr Tenths kHoldShare = 3;            // of a lease: for so much of it a holder acts without an answer
 
-duties::PartState state_of(const consensus::Replica& replica) {
-    if (!replica.committed()) return {};
-    const auto read = wire::from_bytes<duties::PartState>(replica.committed()->payload);
-    return read.has_error() ? duties::PartState{} : read.value();
+std::optional<duties::PartState> read_state(const std::string& payload) {
+    auto read = wire::from_bytes<duties::PartState>(payload);
+    if (read.has_error()) return std::nullopt;
+    return std::move(read.value());
+}
+
+std::optional<duties::PartState> state_of(const consensus::Replica& replica) {
+    return replica.committed() ? read_state(replica.committed()->payload) : std::nullopt;
+}
+
+// What can't be read is never replaced.
+consensus::Replica::MakePayload payload_by(DutyParts::ChangeState change) {
+    return [change = std::move(change)](const std::string& newest) -> std::optional<std::string> {
+        const auto state = read_state(newest);
+        const auto changed = state ? change(*state) : std::nullopt;
+        if (!changed) return std::nullopt;
+        return wire::to_bytes(*changed);
+    };
 }
 
 } // namespace
@@ -107,9 +121,10 @@
     if (!role.leads && acts_on) return;
     if (!role.leads) return part.lease->end(reactor_.now());
     ++part.times_led;
+    part.led_since = reactor_.now();
     if (ending_) return;
-    const consensus::Replica& replica = part.member->replica();
-    part.lease->begin(duties::was_handed_over(state_of(replica), role.term), reactor_.now());
+    const auto state = state_of(part.member->replica());
+    part.lease->begin(state && duties::was_handed_over(*state, role.term), reactor_.now());
 }
 
 void DutyParts::resign() {
@@ -126,9 +141,11 @@
     if (!planted(PlantedFault::kActsAfterRelease)) part.lease->end(reactor_.now());
     if (!says_so) return;
     const std::uint64_t term = part.member->replica().term();
-    part.member->propose_unawaited([term](const std::string&) -> std::optional<std::string> {
-        return wire::to_bytes(duties::PartState{term});
-    });
+    part.member->propose_unawaited(payload_by([term](const duties::PartState& newest) {
+        duties::PartState released = planted(PlantedFault::kLedgerForgotten) ? duties::PartState{} : newest;
+        released.released_term = term;
+        return std::optional(std::move(released));
+    }));
 }
 
 bool DutyParts::may_act(const Part& part) const {
@@ -148,11 +165,20 @@
     return this->fence(duty) == fence || planted(PlantedFault::kFenceNotCheckedAtSend);
 }
 
+std::optional<duties::PartState> DutyParts::agreed(const duties::Duty& duty) const {
+    return has_joined() ? state_of(parts_[duties::part_of(duty)].member->replica()) : std::nullopt;
+}
+
+void DutyParts::propose(const duties::Duty& duty, ChangeState change) {
+    if (fence(duty)) parts_[duties::part_of(duty)].member->propose_unawaited(payload_by(std::move(change)));
+}
+
 std::array<DutyParts::Standing, duties::kDutyParts> DutyParts::standings() const {
     std::array<Standing, duties::kDutyParts> seen;
     for (std::size_t number = 0; has_joined() && number < parts_.size(); ++number) {
         const consensus::Replica& replica = parts_[number].member->replica();
-        seen[number] = {replica.leads(), may_act(parts_[number]), replica.term(), replica.leader()};
+        const Tenths led_for = replica.leads() ? reactor_.now() - parts_[number].led_since : 0;
+        seen[number] = {replica.leads(), may_act(parts_[number]), replica.term(), replica.leader(), led_for};
     }
     return seen;
 }
--- a/src/control/duty_parts.hpp
+++ b/src/control/duty_parts.hpp
@@ -29,7 +29,10 @@
         bool leads = false, acts = false;
         std::uint64_t fence = 0;
         std::optional<consensus::MemberId> leader;
+        Tenths led_for = 0; // since this node was elected
     };
+    // The state that should follow; none where nothing is to change.
+    using ChangeState = std::function<std::optional<duties::PartState>(const duties::PartState& newest)>;
 
     // Reads the disk. An error where it holds what can't be served with.
     static Result<std::unique_ptr<DutyParts>>
@@ -49,6 +52,12 @@
     // In the moment in which something leaves that was begun under that fence.
     bool may_act_under(const duties::Duty& duty, std::uint64_t fence) const;
     std::array<Standing, duties::kDutyParts> standings() const;
+    // What the duty's part has agreed on, as far as this node knows; whoever may act knows all of it. None
+    // where it can't be read.
+    std::optional<duties::PartState> agreed(const duties::Duty& duty) const;
+    // Where this node may act for the duty: `change` is asked once at its turn, never after that fence. What
+    // became of it shows in `agreed`.
+    void propose(const duties::Duty& duty, ChangeState change);
 
   private:
     struct Part {
@@ -57,6 +66,7 @@
         std::unique_ptr<ReplicatedGroup> member; // after its disk, which it writes to
         std::unique_ptr<duties::Lease> lease;
         std::uint64_t times_led = 0; // by this process
+        Tenths led_since = 0;
     };
     DutyParts(transport::Reactor& reactor, Options options, SendToMember send);
     Result<void> load(const OpenStateFile& open_file);
--- /dev/null
+++ b/src/control/usage_duty.cpp
@@ -0,0 +1,183 @@
+#include "control/usage_duty.hpp"
+
+#include "base/log.hpp"
+#include "base/planted_fault.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivyrill::control {
+
+using duties::AgreedWindow;
+using duties::PlatformOutcome;
+using duties::UsageLedger;
+
+namespace {
+
+constexpr Tenths kProposeAgain = kTenthsPerSecond; // a proposal of which nothing shows
+
+const char* text_of(PlatformOutcome outcome) {
+    switch (outcome) {
+    case PlatformOutcome::kAccepted:
+        return "accepted";
+    case PlatformOutcome::kBusy:
+        return "busy";
+    case PlatformOutcome::kFencedOff:
+        return "fenced_off";
+    case PlatformOutcome::kRefused:
+        return "refused";
+    case PlatformOutcome::kFailed:
+        return "failed";
+    case PlatformOutcome::kNotSent:
+        return "not_sent";
+    case PlatformOutcome::kUnanswered:
+        return "unanswered";
+    }
+    return "";
+}
+
+} // namespace
+
+void PlatformCallCounts::count(PlatformOutcome outcome) {
+    switch (outcome) {
+    case PlatformOutcome::kAccepted:
+        ++accepted;
+        return;
+    case PlatformOutcome::kBusy:
+        ++busy;
+        return;
+    case PlatformOutcome::kFencedOff:
+        ++fenced_off;
+        return;
+    case PlatformOutcome::kRefused:
+        ++refused;
+        return;
+    case PlatformOutcome::kFailed:
+        ++failed;
+        return;
+    case PlatformOutcome::kNotSent:
+        ++not_sent;
+        return;
+    case PlatformOutcome::kUnanswered:
+        ++unanswered;
+        return;
+    }
+}
+
+UsageDuty::UsageDuty(transport::Reactor& reactor, duties::PlatformLink& link, Options options,
+                     Callbacks callbacks)
+    : reactor_(reactor), link_(link), options_(std::move(options)), callbacks_(std::move(callbacks)) {
+    timer_ = reactor_.call_after(kLookInterval, [this] { look(); });
+}
+
+UsageDuty::~UsageDuty() { reactor_.cancel(timer_); }
+
+void UsageDuty::look() {
+    timer_ = reactor_.call_after(kLookInterval, [this] { look(); });
+    const auto fence = callbacks_.fence();
+    const auto agreed = callbacks_.agreed();
+    if (!fence || !agreed) return;
+    propose_next(*agreed);
+    forget_settled(*agreed);
+    const auto early = planted(PlantedFault::kSentBeforeAgreed) ? next(*agreed) : std::nullopt;
+    send_due(early ? *early : *agreed, *fence);
+}
+
+// What is proposed is worked out at its turn, from the newest ledger: a proposal that was made twice changes
+// nothing the second time.
+void UsageDuty::propose_next(const UsageLedger& agreed) {
+    const bool waits = proposed_at_ && reactor_.now() - *proposed_at_ < kProposeAgain;
+    if (waits || !next(agreed)) return;
+    proposed_at_ = reactor_.now();
+    callbacks_.propose([this](const UsageLedger& newest) { return next(newest); });
+}
+
+std::optional<UsageLedger> UsageDuty::next(const UsageLedger& newest) const {
+    const auto now = callbacks_.time();
+    if (!now) return std::nullopt;
+    return duties::next_ledger(newest, *now, options_.window_ms, callbacks_.sources, settled_);
+}
+
+void UsageDuty::forget_settled(const UsageLedger& agreed) {
+    const auto is_gone = [&](std::int64_t window) {
+        return std::ranges::find(agreed.agreed, window, &AgreedWindow::number) == agreed.agreed.end();
+    };
+    std::erase_if(settled_, is_gone);
+    std::erase_if(sending_, [&](const auto& entry) { return is_gone(entry.first); });
+}
+
+void UsageDuty::send_due(const UsageLedger& agreed, std::uint64_t fence) {
+    const bool is_fenced_off = fence <= fenced_off_ && !planted(PlantedFault::kPlatformFenceIgnored);
+    if (is_fenced_off) return;
+    for (const AgreedWindow& window : agreed.agreed) {
+        const Sending& sending = sending_[window.number];
+        if (sending.is_under_way || reactor_.now() < sending.not_before) continue;
+        if (settled_.contains(window.number)) continue;
+        if (under_way() >= kMostUnderWay || !callbacks_.take_call()) return;
+        send(window, fence);
+    }
+}
+
+std::size_t UsageDuty::under_way() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(sending_, [](const auto& entry) { return entry.second.is_under_way; }));
+}
+
+void UsageDuty::send(const AgreedWindow& window, std::uint64_t fence) {
+    sending_[window.number].is_under_way = true;
+    ++calls_.sent;
+    duties::PlatformCall call{"/usage", window.body, fence};
+    if (planted(PlantedFault::kCountedAgain))
+        call.body = duties::usage_body(window.number, callbacks_.sources.counts(window.number));
+    const auto may_send = [this, fence] {
+        return callbacks_.may_act_under(fence) || planted(PlantedFault::kPlatformNotChecked);
+    };
+    link_.send(call, options_.holder, may_send,
+               [this, window, fence](PlatformOutcome outcome) { answered(window, fence, outcome); });
+}
+
+void UsageDuty::answered(const AgreedWindow& window, std::uint64_t fence, PlatformOutcome outcome) {
+    log_line("usage_report", {{"window", std::to_string(window.number)},
+                              {"fence", std::to_string(fence)},
+                              {"outcome", text_of(outcome)}});
+    calls_.count(outcome);
+    Sending& sending = sending_[window.number];
+    sending.is_under_way = false;
+    if (outcome == PlatformOutcome::kFencedOff) fenced_off_ = std::max(fenced_off_, fence);
+    if (outcome == PlatformOutcome::kRefused) refused(window.number, sending);
+    if (outcome == PlatformOutcome::kAccepted && settled_.insert(window.number).second) ++acknowledged_;
+    if (outcome == PlatformOutcome::kBusy && planted(PlantedFault::kGivenUpWhenBusy))
+        settled_.insert(window.number);
+    if (settled_.contains(window.number)) return;
+    if (outcome != PlatformOutcome::kNotSent && planted(PlantedFault::kRetriedWithoutLease))
+        return send(window, fence);
+    send_later(sending);
+}
+
+// A report that the platform will not have must not hold up what follows for ever.
+void UsageDuty::refused(std::int64_t window, Sending& sending) {
+    if (++sending.refusals < kMostRefusals) return;
+    log_line("usage_report_given_up",
+             {{"window", std::to_string(window)}, {"refusals", std::to_string(sending.refusals)}});
+    ++given_up_;
+    settled_.insert(window);
+}
+
+void UsageDuty::send_later(Sending& sending) const {
+    sending.not_before = reactor_.now() + sending.pause;
+    sending.pause = std::min(2 * sending.pause, kLongestPause);
+}
+
+UsageDuty::Standing UsageDuty::standing() const {
+    Standing seen;
+    seen.fence = callbacks_.fence();
+    seen.acknowledged = acknowledged_, seen.given_up = given_up_, seen.calls = calls_;
+    const auto agreed = callbacks_.agreed();
+    if (!agreed) return seen;
+    seen.next_window = agreed->next_window;
+    seen.due = static_cast<std::size_t>(std::ranges::count_if(
+        agreed->agreed, [this](const AgreedWindow& window) { return !settled_.contains(window.number); }));
+    return seen;
+}
+
+} // namespace ivyrill::control
--- /dev/null
+++ b/src/control/usage_duty.hpp
@@ -0,0 +1,94 @@
+// The duty to report each tenant's requests of each window to the platform (duties::DutyKind::kUsageReport).
+// Where this node holds it: has the next windows agreed on, and sends what is agreed on, oldest first, until
+// the platform acknowledges it.
+#pragma once
+#include "clock/fleet_clock.hpp"
+#include "duties/platform_link.hpp"
+#include "duties/usage_ledger.hpp"
+#include "transport/reactor.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace ivyrill::control {
+
+// Calls to the platform, by what became of them.
+struct PlatformCallCounts {
+    std::uint64_t sent = 0, accepted = 0, busy = 0, fenced_off = 0, refused = 0, failed = 0, not_sent = 0,
+                  unanswered = 0;
+    void count(duties::PlatformOutcome outcome);
+};
+
+class UsageDuty {
+  public:
+    struct Options {
+        std::string holder;         // this node's name, told with each call
+        std::int64_t window_ms = 0; // `usageWindowS`
+    };
+    using ChangeLedger = std::function<std::optional<duties::UsageLedger>(const duties::UsageLedger& newest)>;
+    struct Callbacks {
+        // Under which this node may act for the duty at this moment; none where it may not.
+        std::function<std::optional<std::uint64_t>()> fence;
+        std::function<bool(std::uint64_t fence)> may_act_under;
+        std::function<std::optional<duties::UsageLedger>()> agreed; // none where it is not known
+        std::function<void(ChangeLedger)> propose;                  // `change` is asked once, maybe later
+        std::function<std::optional<clock::FleetTime>()> time;
+        duties::UsageSources sources;
+        std::function<bool()> take_call; // whether the platform has room for one now; it then counts
+    };
+    struct Standing {
+        std::optional<std::uint64_t> fence;           // under which this node reports
+        std::int64_t next_window = 0;                 // to agree on; 0: not begun
+        std::size_t due = 0;                          // windows agreed on, not known here to be acknowledged
+        std::uint64_t acknowledged = 0, given_up = 0; // windows, by this process
+        PlatformCallCounts calls;                     // of this process
+    };
+    // `link` must outlive it.
+    UsageDuty(transport::Reactor& reactor, duties::PlatformLink& link, Options options, Callbacks callbacks);
+    ~UsageDuty();
+    UsageDuty(const UsageDuty&) = delete;
+    UsageDuty& operator=(const UsageDuty&) = delete;
+
+    Standing standing() const;
+
+    static constexpr Tenths kLookInterval = 2'500;
+    static constexpr Tenths kFirstPause = 2'000, kLongestPause = 10'000; // before a report is sent again
+    static constexpr int kMostRefusals = 5; // of one window's report, then it is given up
+    static constexpr std::size_t kMostUnderWay = 4;
+
+  private:
+    struct Sending { // of one window's report
+        bool is_under_way = false;
+        Tenths not_before = 0, pause = kFirstPause;
+        int refusals = 0;
+    };
+
+    void look();
+    void propose_next(const duties::UsageLedger& agreed);
+    std::optional<duties::UsageLedger> next(const duties::UsageLedger& newest) const;
+    void forget_settled(const duties::UsageLedger& agreed);
+    void send_due(const duties::UsageLedger& agreed, std::uint64_t fence);
+    void send(const duties::AgreedWindow& window, std::uint64_t fence);
+    void answered(const duties::AgreedWindow& window, std::uint64_t fence, duties::PlatformOutcome outcome);
+    void refused(std::int64_t window, Sending& sending);
+    void send_later(Sending& sending) const;
+    std::size_t under_way() const;
+
+    transport::Reactor& reactor_;
+    duties::PlatformLink& link_;
+    Options options_;
+    Callbacks callbacks_;
+    std::map<std::int64_t, Sending> sending_; // by window
+    std::set<std::int64_t> settled_;          // windows: acknowledged, or given up, and still in the ledger
+    std::optional<Tenths> proposed_at_;
+    std::uint64_t fenced_off_ = 0; // the highest fence that the platform has refused
+    std::uint64_t acknowledged_ = 0, given_up_ = 0;
+    PlatformCallCounts calls_;
+    transport::Reactor::TimerId timer_{};
+};
+
+} // namespace ivyrill::control
--- a/src/duties/duty.hpp
+++ b/src/duties/duty.hpp
@@ -4,6 +4,7 @@
 // never fall. Pure.
 #pragma once
 #include "base/hash.hpp"
+#include "duties/usage_ledger.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +41,8 @@
     // A leader that ended by plan had stopped to act before it proposed this: whoever leads the next term
     // need not wait for its lease.
     std::uint64_t released_term = 0;
-    template <class Self> static auto tie(Self& s) { return std::tie(s.released_term); }
+    UsageLedger usage = {}; // of the part that the usage report falls to
+    template <class Self> static auto tie(Self& s) { return std::tie(s.released_term, s.usage); }
 };
 
 // Whether the leader of `term` follows one that said that it acts no more.
--- /dev/null
+++ b/tests/usage_ledger_tests.cpp
@@ -0,0 +1,193 @@
+// What is agreed on of usage, when, and in which bytes. Time, counts and acknowledgements are handed in.
+#define BOOST_TEST_MODULE usage_ledger
+#include "duties/call_budget.hpp"
+#include "duties/duty.hpp"
+#include "duties/usage_ledger.hpp"
+#include "protocol/json.hpp"
+#include "wire/cbor.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::duties;
+using clock::FleetTime;
+
+constexpr std::int64_t kWindowMs = 5'000, kFirst = 353'445'120;
+constexpr std::int64_t end_ms(std::int64_t window) { return (window + 1) * kWindowMs; }
+
+struct Counted {
+    bool complete = true;
+    std::int64_t count = 1;
+    UsageSources sources() const {
+        return {[this](std::int64_t, std::int64_t) { return complete; },
+                [this](std::int64_t window) {
+                    return std::map<std::string, std::int64_t>{{"a", window - kFirst + count}};
+                }};
+    }
+};
+
+UsageLedger begun(std::int64_t next = kFirst) { return {next, {}}; }
+
+std::optional<UsageLedger> next_of(const UsageLedger& ledger, const Counted& counted, std::int64_t now_ms,
+                                   std::int64_t error_ms = 0, const std::set<std::int64_t>& settled = {}) {
+    return next_ledger(ledger, {now_ms, error_ms}, kWindowMs, counted.sources(), settled);
+}
+
+std::vector<std::int64_t> numbers_of(const UsageLedger& ledger) {
+    std::vector<std::int64_t> numbers;
+    for (const AgreedWindow& window : ledger.agreed) numbers.push_back(window.number);
+    return numbers;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_first_window_is_the_one_in_which_the_ledger_is_begun) {
+    const auto ledger = next_of(UsageLedger{}, {}, end_ms(kFirst) - 1);
+    BOOST_REQUIRE(ledger.has_value());
+    BOOST_TEST((*ledger == begun()));
+}
+
+// A clock that may be ahead must not pass over the window in which it truly is.
+BOOST_AUTO_TEST_CASE(an_uncertain_clock_begins_with_the_earliest_window_that_it_may_be) {
+    const auto ledger = next_of(UsageLedger{}, {}, end_ms(kFirst) + 100, 200);
+    BOOST_REQUIRE(ledger.has_value());
+    BOOST_TEST(ledger->next_window == kFirst);
+}
+
+BOOST_AUTO_TEST_CASE(a_window_is_agreed_on_half_a_second_after_its_end_once_all_have_counted) {
+    BOOST_TEST(!next_of(begun(), {}, end_ms(kFirst) + 499));
+    const auto ledger = next_of(begun(), {}, end_ms(kFirst) + 500);
+    BOOST_REQUIRE(ledger.has_value());
+    BOOST_TEST(ledger->next_window == kFirst + 1);
+    BOOST_TEST((numbers_of(*ledger) == std::vector{kFirst}));
+}
+
+BOOST_AUTO_TEST_CASE(what_the_clock_may_be_ahead_is_waited_for) {
+    BOOST_TEST(!next_of(begun(), {}, end_ms(kFirst) + 600, 101));
+    BOOST_TEST(next_of(begun(), {}, end_ms(kFirst) + 601, 101).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_window_does_not_wait_for_ever_for_those_that_are_not_heard) {
+    const Counted incomplete{false};
+    BOOST_TEST(!next_of(begun(), incomplete, end_ms(kFirst) + 3'999));
+    BOOST_TEST(next_of(begun(), incomplete, end_ms(kFirst) + 4'000).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(all_windows_that_were_missed_follow_in_their_order) {
+    const auto ledger = next_of(begun(), {}, end_ms(kFirst + 6) + 500);
+    BOOST_REQUIRE(ledger.has_value());
+    BOOST_TEST((numbers_of(*ledger) ==
+                std::vector{kFirst, kFirst + 1, kFirst + 2, kFirst + 3, kFirst + 4, kFirst + 5, kFirst + 6}));
+    BOOST_TEST(!next_of(*ledger, {}, end_ms(kFirst + 6) + 500)); // and none twice
+}
+
+BOOST_AUTO_TEST_CASE(after_days_without_a_holder_windows_follow_in_entries_of_bounded_size) {
+    UsageLedger ledger = begun();
+    const std::int64_t later = end_ms(kFirst + 50'000);
+    std::size_t entries = 0;
+    for (auto next = next_of(ledger, {}, later); next; next = next_of(ledger, {}, later)) {
+        BOOST_TEST(next->agreed.size() - ledger.agreed.size() <= 16U);
+        ledger = *next, ++entries;
+    }
+    BOOST_TEST(ledger.agreed.size() == kMostAgreedWindows);
+    BOOST_TEST(entries == 4U);
+    const std::set<std::int64_t> settled{kFirst, kFirst + 1};
+    const auto next = next_of(ledger, {}, later, 0, settled);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(next->agreed.size() == kMostAgreedWindows);
+    BOOST_TEST(next->agreed.front().number == kFirst + 2);
+    BOOST_TEST(next->next_window == kFirst + static_cast<std::int64_t>(kMostAgreedWindows) + 2);
+}
+
+BOOST_AUTO_TEST_CASE(ten_thousand_tenants_do_not_grow_the_ledger_without_bound) {
+    std::map<std::string, std::int64_t> tenants;
+    for (int i = 0; i < 10'000; ++i) tenants[std::string(56, 'x') + std::to_string(i)] = 1'000'000;
+    const UsageSources sources{[](std::int64_t, std::int64_t) { return true; },
+                               [&](std::int64_t) { return tenants; }};
+    UsageLedger ledger = begun();
+    const FleetTime later{end_ms(kFirst + 500), 0};
+    for (auto next = next_ledger(ledger, later, kWindowMs, sources, {}); next;
+         next = next_ledger(ledger, later, kWindowMs, sources, {}))
+        ledger = *next;
+    BOOST_TEST(ledger.agreed.size() >= 1U);
+    BOOST_TEST(ledger.agreed.size() <= 3U);
+}
+
+// Whatever is counted later.
+BOOST_AUTO_TEST_CASE(what_is_agreed_on_never_changes) {
+    Counted counted;
+    const auto first = next_of(begun(), counted, end_ms(kFirst) + 500);
+    BOOST_REQUIRE(first.has_value());
+    counted.count = 100;
+    const auto second = next_of(*first, counted, end_ms(kFirst + 1) + 500);
+    BOOST_REQUIRE(second.has_value());
+    BOOST_REQUIRE(second->agreed.size() == 2U);
+    BOOST_TEST((second->agreed.front() == first->agreed.front()));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_settled_leaves_the_ledger_with_the_next_window_only) {
+    const auto first = next_of(begun(), {}, end_ms(kFirst + 1) + 500);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(!next_of(*first, {}, end_ms(kFirst + 1) + 600, 0, {kFirst}));
+    const auto second = next_of(*first, {}, end_ms(kFirst + 2) + 500, 0, {kFirst});
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((numbers_of(*second) == std::vector{kFirst + 1, kFirst + 2}));
+}
+
+BOOST_AUTO_TEST_CASE(a_clock_that_goes_back_takes_nothing_back) {
+    BOOST_TEST(!next_of(begun(kFirst + 3), {}, end_ms(kFirst)));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_is_as_the_protocol_says_and_the_same_for_the_same_counts) {
+    BOOST_TEST(usage_body(353445120, {{"nowu640", 412}, {"goka901", 412}}) ==
+               R"({"windowId":353445120,"counts":{"goka901":412,"nowu640":412}})");
+    BOOST_TEST(usage_body(1, {}) == R"({"windowId":1,"counts":{}})");
+}
+
+BOOST_AUTO_TEST_CASE(a_tenant_name_cannot_break_out_of_its_report) {
+    const std::string name = "a\"},\"windowId\":2,\\\n";
+    const protocol::Json body = protocol::read_json(usage_body(1, {{name, 3}}));
+    BOOST_TEST(body.at("windowId").as_integer("windowId") == 1);
+    BOOST_TEST(body.at("counts").at(name).as_integer("count") == 3);
+    BOOST_TEST(body.at("counts").members.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_keeps_its_ledger_on_the_disk) {
+    PartState state;
+    state.released_term = 7, state.usage = {kFirst + 1, {{kFirst, usage_body(kFirst, {{"a", 1}})}}};
+    const auto read = wire::from_bytes<PartState>(wire::to_bytes(state));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().released_term == 7U);
+    BOOST_TEST((read.value().usage == state.usage));
+}
+
+// ---- calls to the platform, of all duties
+
+BOOST_AUTO_TEST_CASE(all_parts_together_make_no_more_calls_a_second_than_the_platform_takes) {
+    constexpr Tenths kStart = 1'000'000;
+    for (const double per_s : {0.0, 8.0, 50.0, 51.0}) {
+        CallBudget budget(per_s, kStart - 100 * kTenthsPerSecond); // all that can be saved up is
+        std::vector<Tenths> calls;
+        for (Tenths now = kStart; now < kStart + 4 * kTenthsPerSecond; now += 10)
+            for (std::size_t part = 0; part < kDutyParts; ++part)
+                for (int subject = 0; subject < 50; ++subject) {
+                    const Duty duty = server_count_duty("s" + std::to_string(subject), "z");
+                    if (part_of(duty) == part && budget.take(duty, now)) calls.push_back(now);
+                }
+        const double most = per_s > 0 ? per_s : 8;
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            std::size_t last = i;
+            while (last < calls.size() && calls[last] - calls[i] < kTenthsPerSecond) ++last;
+            BOOST_TEST(static_cast<double>(last - i) <= most);
+        }
+        BOOST_TEST(static_cast<double>(calls.size()) >= 4 * most / 2 - kDutyParts);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_starts_has_nothing_saved_up) {
+    CallBudget budget(50, 1'000'000);
+    BOOST_TEST(!budget.take(usage_report_duty(), 1'000'000));
+    BOOST_TEST(budget.take(usage_report_duty(), 1'000'000 + kTenthsPerSecond));
+}
