The usage duty in the control node, and in /inspect

Cause: nobody reported usage. Change: where the platform asks for usage_report, the node has a usage duty on the fleet's clock and tally, with the part's share of dutyPerS (CallBudget, of all duties). Duty groups also stand where there are no stages. /inspect tells the holder's address, for how long it holds, and usage: windows due and acknowledged, the platform's outcomes by cause.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -15,10 +15,11 @@
 namespace {
 
 constexpr Tenths kWatchInterval = 1000;
-constexpr Tenths kUsageInterval = 2500;           // between counts that are passed on to peers
-constexpr Tenths kEndSpan = 4000;                 // for last answers and the hand-over
-constexpr const char* kEngineContract = "engine"; // of deployments whose servers have stages
-constexpr std::int64_t kOtherDescriptors = 900;   // of a control node: for files, peers and agents
+constexpr Tenths kUsageInterval = 2500;              // between counts that are passed on to peers
+constexpr Tenths kEndSpan = 4000;                    // for last answers and the hand-over
+constexpr const char* kEngineContract = "engine";    // of deployments whose servers have stages
+constexpr const char* kUsageReport = "usage_report"; // of the platform's duties
+constexpr std::int64_t kOtherDescriptors = 900;      // of a control node: for files, peers and agents
 
 // The port and the host part of an address.
 std::string port_text(const std::string& address) { return address.substr(address.rfind(':') + 1); }
@@ -57,6 +58,7 @@
     open_operator_calls();
     open_stage_duty();
     open_usage_exchange();
+    open_usage_duty();
     open_peers();
     open_feed();
     tell_known_state();
@@ -80,8 +82,9 @@
 std::size_t ControlNode::least_voters() const { return std::max<std::size_t>(3, 2 * losses() + 1); }
 
 Result<void> ControlNode::open_duty_parts() {
-    if (std::ranges::find(settings_.contracts, kEngineContract) == settings_.contracts.end())
-        return boost::outcome_v2::success();
+    const bool has_stages =
+        std::ranges::find(settings_.contracts, kEngineContract) != settings_.contracts.end();
+    if (!has_stages && settings_.cloud_api.duties.empty()) return boost::outcome_v2::success();
     DutyParts::Options options;
     options.least_copies = losses() + 1, options.voters = least_voters();
     options.lease = settings_.bounds.lease_ms * (kTenthsPerSecond / 1000);
@@ -205,6 +208,42 @@
     exchange_usage();
 }
 
+void ControlNode::open_usage_duty() {
+    const auto& duties_of_platform = settings_.cloud_api.duties;
+    const bool is_due =
+        std::ranges::find(duties_of_platform, kUsageReport) != duties_of_platform.end() && usage_exchange_;
+    if (!is_due || !duty_parts_) return;
+    UsageDuty::Callbacks callbacks;
+    callbacks.fence = [this] { return duty_parts_->fence(duties::usage_report_duty()); };
+    callbacks.may_act_under = [this](std::uint64_t fence) {
+        return duty_parts_->may_act_under(duties::usage_report_duty(), fence);
+    };
+    callbacks.agreed = [this]() -> std::optional<duties::UsageLedger> {
+        const auto state = duty_parts_->agreed(duties::usage_report_duty());
+        return state ? std::optional(state->usage) : std::nullopt;
+    };
+    callbacks.propose = [this](UsageDuty::ChangeLedger change) { propose_usage(std::move(change)); };
+    callbacks.time = [this] { return fleet_clock_.at(reactor_.now()); };
+    callbacks.sources.is_complete = [this](std::int64_t window, std::int64_t end_ms) {
+        return usage_tally_.is_complete(window, end_ms, reactor_.now());
+    };
+    callbacks.sources.counts = [this](std::int64_t window) { return usage_tally_.counts(window); };
+    callbacks.take_call = [this] { return call_budget_.take(duties::usage_report_duty(), reactor_.now()); };
+    usage_duty_ = std::make_unique<UsageDuty>(
+        reactor_, environment_.platform,
+        UsageDuty::Options{settings_.node_name, settings_.bounds.usage_window_ms()}, std::move(callbacks));
+}
+
+void ControlNode::propose_usage(UsageDuty::ChangeLedger change) {
+    const auto change_state = [change = std::move(change)](const duties::PartState& newest) {
+        auto usage = change(newest.usage);
+        std::optional<duties::PartState> changed;
+        if (usage) changed = duties::PartState{newest.released_term, std::move(*usage)};
+        return changed;
+    };
+    duty_parts_->propose(duties::usage_report_duty(), change_state);
+}
+
 void ControlNode::exchange_usage() {
     usage_timer_ = reactor_.call_after(kUsageInterval, [this] { exchange_usage(); });
     usage_exchange_->tick(reactor_.now());
@@ -465,6 +504,7 @@
     for (const auto& [id, record] : registry_->table().records()) seen.servers.push_back(record);
     if (duty_parts_) std::ranges::copy(duty_parts_->standings(), std::back_inserter(seen.duties));
     if (stage_duty_) seen.orders = stage_duty_->counts();
+    if (usage_duty_) seen.usage = usage_duty_->standing();
     seen.group = group_->message_counts(), seen.links = peers_->refused();
     seen.copies = registry_->refused(), seen.calls = operator_calls_->refused();
     return to_json(seen);
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -14,7 +14,9 @@
 #include "control/operator_calls.hpp"
 #include "control/peer_mesh.hpp"
 #include "control/stage_duty.hpp"
+#include "control/usage_duty.hpp"
 #include "control/usage_exchange.hpp"
+#include "duties/call_budget.hpp"
 #include "duties/usage_tally.hpp"
 #include "feed/publisher.hpp"
 #include "settings/settings.hpp"
@@ -70,6 +72,8 @@
     void put_control_nodes();
     void put_orders(const std::vector<feed::StageOrdered>& orders);
     void open_usage_exchange();
+    void open_usage_duty();
+    void propose_usage(UsageDuty::ChangeLedger change);
     void exchange_usage();
     void take_usage(const model::ControlNode& peer, const feed::UsageCounts& counts);
     void watch_duties();
@@ -90,6 +94,7 @@
     clock::FleetClock fleet_clock_;
     duties::UsageTally usage_tally_;
     std::unique_ptr<UsageExchange> usage_exchange_; // null where no usage is due
+    duties::CallBudget call_budget_{settings_.cloud_api.duty_per_s, reactor_.now()}; // of all duties
     std::unique_ptr<KnownStateKeeper> known_state_;
     std::unique_ptr<feed::Publisher> publisher_;
     std::unique_ptr<PeerMesh> peers_;
@@ -97,6 +102,7 @@
     std::unique_ptr<ConfigurationGroup> group_;
     std::unique_ptr<InstanceRegistry> registry_;
     std::unique_ptr<StageDuty> stage_duty_; // null without duties
+    std::unique_ptr<UsageDuty> usage_duty_; // null where no usage is due
     std::unique_ptr<OperatorCalls> operator_calls_;
     std::unique_ptr<ControlApi> api_;
     std::unique_ptr<feed::LinkListener> peer_listener_, feed_listener_;
--- a/src/control/inspection.cpp
+++ b/src/control/inspection.cpp
@@ -1,5 +1,6 @@
 #include "control/inspection.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace ivyrill::control {
@@ -54,14 +55,39 @@
     });
 }
 
+std::string address_of(const Inspection& seen, consensus::MemberId member) {
+    const auto found = std::ranges::find(seen.voters, member, &consensus::Member::id);
+    return found == seen.voters.end() ? "" : found->address;
+}
+
+// `heldForMs` is known to the holder alone.
 std::string duties_of(const Inspection& seen) {
-    return list_of(seen.duties, [](const DutyParts::Standing& part) {
+    return list_of(seen.duties, [&](const DutyParts::Standing& part) {
         const std::string holder = part.leader ? std::to_string(part.leader->value) : "";
-        return fmt::format(R"({{"holder":"{}","holds":{},"acts":{},"fence":{}}})", holder, part.leads,
-                           part.acts, part.fence);
+        const std::string address = part.leader ? address_of(seen, *part.leader) : "";
+        return fmt::format(
+            R"({{"holder":"{}","holderAddress":"{}","holds":{},"acts":{},"fence":{},"heldForMs":{}}})",
+            holder, address, part.leads, part.acts, part.fence, part.led_for / (kTenthsPerSecond / 1000));
     });
 }
 
+std::string calls_of(const duties::PlatformCounts& calls) {
+    std::string counts = fmt::format(R"("sent":{})", calls.calls());
+    for (const duties::PlatformOutcome outcome : duties::kPlatformOutcomes)
+        counts += fmt::format(R"(,"{}":{})", duties::name_of(outcome), calls.of(outcome));
+    return "{" + counts + "}";
+}
+
+std::string usage_of(const Inspection& seen) {
+    if (!seen.usage) return "null";
+    const UsageDuty::Standing& usage = *seen.usage;
+    return fmt::format(
+        R"({{"part":{},"reports":{},"fence":{},"nextWindow":{},"due":{},"acknowledged":{},"givenUp":{},)"
+        R"("calls":{}}})",
+        duties::part_of(duties::usage_report_duty()), usage.fence.has_value(), usage.fence.value_or(0),
+        usage.next_window, usage.due, usage.acknowledged, usage.given_up, calls_of(usage.calls));
+}
+
 std::string orders_of(const Inspection& seen) {
     const duties::StageOrders::Counts& orders = seen.orders;
     return fmt::format(
@@ -85,11 +111,12 @@
 } // namespace
 
 std::string to_json(const Inspection& seen) {
-    return fmt::format(R"({{"node":"{}","leads":{},"inContact":{},"servesFeed":{},"version":{},"voters":{},)"
-                       R"("peers":{},"edgeNodes":{},"servers":{},"duties":{},"orders":{},"refused":{}}})",
-                       seen.node, seen.leads, seen.in_contact, seen.serves_feed, seen.version,
-                       voters_of(seen), peers_of(seen), edge_nodes_of(seen), servers_of(seen),
-                       duties_of(seen), orders_of(seen), refused_of(seen));
+    return fmt::format(
+        R"({{"node":"{}","leads":{},"inContact":{},"servesFeed":{},"version":{},"voters":{},)"
+        R"("peers":{},"edgeNodes":{},"servers":{},"duties":{},"orders":{},"usage":{},"refused":{}}})",
+        seen.node, seen.leads, seen.in_contact, seen.serves_feed, seen.version, voters_of(seen),
+        peers_of(seen), edge_nodes_of(seen), servers_of(seen), duties_of(seen), orders_of(seen),
+        usage_of(seen), refused_of(seen));
 }
 
 } // namespace ivyrill::control
--- a/src/control/inspection.hpp
+++ b/src/control/inspection.hpp
@@ -5,10 +5,12 @@
 #include "control/instance_registry.hpp"
 #include "control/operator_calls.hpp"
 #include "control/peer_mesh.hpp"
+#include "control/usage_duty.hpp"
 #include "duties/stage_orders.hpp"
 #include "model/instance.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,8 +24,9 @@
     std::vector<model::ControlNode> peers; // that are alive
     std::vector<model::EdgeNode> edge_nodes;
     std::vector<model::Instance> servers;
-    std::vector<DutyParts::Standing> duties; // by part; none where the deployment has no duties
-    duties::StageOrders::Counts orders;      // to servers, by this process
+    std::vector<DutyParts::Standing> duties;  // by part; none where the deployment has no duties
+    duties::StageOrders::Counts orders;       // to servers, by this process
+    std::optional<UsageDuty::Standing> usage; // none where no usage is due
     // Messages that were passed over, by cause.
     consensus::MessageCounts group;
     PeerMesh::Refused links;
--- a/src/control/usage_duty.cpp
+++ b/src/control/usage_duty.cpp
@@ -16,54 +16,8 @@
 
 constexpr Tenths kProposeAgain = kTenthsPerSecond; // a proposal of which nothing shows
 
-const char* text_of(PlatformOutcome outcome) {
-    switch (outcome) {
-    case PlatformOutcome::kAccepted:
-        return "accepted";
-    case PlatformOutcome::kBusy:
-        return "busy";
-    case PlatformOutcome::kFencedOff:
-        return "fenced_off";
-    case PlatformOutcome::kRefused:
-        return "refused";
-    case PlatformOutcome::kFailed:
-        return "failed";
-    case PlatformOutcome::kNotSent:
-        return "not_sent";
-    case PlatformOutcome::kUnanswered:
-        return "unanswered";
-    }
-    return "";
-}
-
 } // namespace
 
-void PlatformCallCounts::count(PlatformOutcome outcome) {
-    switch (outcome) {
-    case PlatformOutcome::kAccepted:
-        ++accepted;
-        return;
-    case PlatformOutcome::kBusy:
-        ++busy;
-        return;
-    case PlatformOutcome::kFencedOff:
-        ++fenced_off;
-        return;
-    case PlatformOutcome::kRefused:
-        ++refused;
-        return;
-    case PlatformOutcome::kFailed:
-        ++failed;
-        return;
-    case PlatformOutcome::kNotSent:
-        ++not_sent;
-        return;
-    case PlatformOutcome::kUnanswered:
-        ++unanswered;
-        return;
-    }
-}
-
 UsageDuty::UsageDuty(transport::Reactor& reactor, duties::PlatformLink& link, Options options,
                      Callbacks callbacks)
     : reactor_(reactor), link_(link), options_(std::move(options)), callbacks_(std::move(callbacks)) {
@@ -107,8 +61,7 @@
 }
 
 void UsageDuty::send_due(const UsageLedger& agreed, std::uint64_t fence) {
-    const bool is_fenced_off = fence <= fenced_off_ && !planted(PlantedFault::kPlatformFenceIgnored);
-    if (is_fenced_off) return;
+    if (is_fenced_off(fence)) return;
     for (const AgreedWindow& window : agreed.agreed) {
         const Sending& sending = sending_[window.number];
         if (sending.is_under_way || reactor_.now() < sending.not_before) continue;
@@ -118,19 +71,26 @@
     }
 }
 
+bool UsageDuty::is_fenced_off(std::uint64_t fence) const {
+    return fence <= fenced_off_ && !planted(PlantedFault::kPlatformFenceIgnored);
+}
+
 std::size_t UsageDuty::under_way() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(sending_, [](const auto& entry) { return entry.second.is_under_way; }));
 }
 
 void UsageDuty::send(const AgreedWindow& window, std::uint64_t fence) {
-    sending_[window.number].is_under_way = true;
-    ++calls_.sent;
+    Sending& sending = sending_[window.number];
+    sending.is_under_way = true;
+    calls_.sent();
     duties::PlatformCall call{"/usage", window.body, fence};
     if (planted(PlantedFault::kCountedAgain))
         call.body = duties::usage_body(window.number, callbacks_.sources.counts(window.number));
-    const auto may_send = [this, fence] {
-        return callbacks_.may_act_under(fence) || planted(PlantedFault::kPlatformNotChecked);
+    const bool is_unchecked = planted(PlantedFault::kPlatformNotChecked) ||
+                              (planted(PlantedFault::kRetriedWithoutLease) && sending.pause > kFirstPause);
+    const auto may_send = [this, fence, is_unchecked] {
+        return is_unchecked || (callbacks_.may_act_under(fence) && !is_fenced_off(fence));
     };
     link_.send(call, options_.holder, may_send,
                [this, window, fence](PlatformOutcome outcome) { answered(window, fence, outcome); });
@@ -139,8 +99,8 @@
 void UsageDuty::answered(const AgreedWindow& window, std::uint64_t fence, PlatformOutcome outcome) {
     log_line("usage_report", {{"window", std::to_string(window.number)},
                               {"fence", std::to_string(fence)},
-                              {"outcome", text_of(outcome)}});
-    calls_.count(outcome);
+                              {"outcome", std::string(duties::name_of(outcome))}});
+    calls_.ended(outcome);
     Sending& sending = sending_[window.number];
     sending.is_under_way = false;
     if (outcome == PlatformOutcome::kFencedOff) fenced_off_ = std::max(fenced_off_, fence);
@@ -149,9 +109,8 @@
     if (outcome == PlatformOutcome::kBusy && planted(PlantedFault::kGivenUpWhenBusy))
         settled_.insert(window.number);
     if (settled_.contains(window.number)) return;
-    if (outcome != PlatformOutcome::kNotSent && planted(PlantedFault::kRetriedWithoutLease))
-        return send(window, fence);
     send_later(sending);
+    if (planted(PlantedFault::kRetriedWithoutLease)) send(window, fence);
 }
 
 // A report that the platform will not have must not hold up what follows for ever.
--- a/src/control/usage_duty.hpp
+++ b/src/control/usage_duty.hpp
@@ -3,6 +3,7 @@
 // the platform acknowledges it.
 #pragma once
 #include "clock/fleet_clock.hpp"
+#include "duties/platform_counts.hpp"
 #include "duties/platform_link.hpp"
 #include "duties/usage_ledger.hpp"
 #include "transport/reactor.hpp"
@@ -16,13 +17,6 @@
 
 namespace ivyrill::control {
 
-// Calls to the platform, by what became of them.
-struct PlatformCallCounts {
-    std::uint64_t sent = 0, accepted = 0, busy = 0, fenced_off = 0, refused = 0, failed = 0, not_sent = 0,
-                  unanswered = 0;
-    void count(duties::PlatformOutcome outcome);
-};
-
 class UsageDuty {
   public:
     struct Options {
@@ -45,7 +39,7 @@
         std::int64_t next_window = 0;                 // to agree on; 0: not begun
         std::size_t due = 0;                          // windows agreed on, not known here to be acknowledged
         std::uint64_t acknowledged = 0, given_up = 0; // windows, by this process
-        PlatformCallCounts calls;                     // of this process
+        duties::PlatformCounts calls;                 // of this process
     };
     // `link` must outlive it.
     UsageDuty(transport::Reactor& reactor, duties::PlatformLink& link, Options options, Callbacks callbacks);
@@ -77,6 +71,7 @@
     void refused(std::int64_t window, Sending& sending);
     void send_later(Sending& sending) const;
     std::size_t under_way() const;
+    bool is_fenced_off(std::uint64_t fence) const;
 
     transport::Reactor& reactor_;
     duties::PlatformLink& link_;
@@ -87,7 +82,7 @@
     std::optional<Tenths> proposed_at_;
     std::uint64_t fenced_off_ = 0; // the highest fence that the platform has refused
     std::uint64_t acknowledged_ = 0, given_up_ = 0;
-    PlatformCallCounts calls_;
+    duties::PlatformCounts calls_;
     transport::Reactor::TimerId timer_{};
 };
 
--- /dev/null
+++ b/src/duties/platform_counts.hpp
@@ -0,0 +1,34 @@
+// What became of the calls of a duty to the platform: counted by cause, and its word for the log. Pure.
+#pragma once
+#include "duties/platform_link.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace ivyrill::duties {
+
+inline constexpr std::array kPlatformOutcomes{PlatformOutcome::kAccepted,  PlatformOutcome::kBusy,
+                                              PlatformOutcome::kFencedOff, PlatformOutcome::kRefused,
+                                              PlatformOutcome::kFailed,    PlatformOutcome::kNotSent,
+                                              PlatformOutcome::kUnanswered};
+
+constexpr std::string_view name_of(PlatformOutcome outcome) {
+    constexpr std::array<std::string_view, kPlatformOutcomes.size()> kNames{
+        "accepted", "busy", "fencedOff", "refused", "failed", "notSent", "unanswered"};
+    return kNames[static_cast<std::size_t>(outcome)];
+}
+
+class PlatformCounts {
+  public:
+    void sent() { ++sent_; }
+    void ended(PlatformOutcome outcome) { ++ended_[static_cast<std::size_t>(outcome)]; }
+    std::uint64_t calls() const { return sent_; } // begun, whatever became of them
+    std::uint64_t of(PlatformOutcome outcome) const { return ended_[static_cast<std::size_t>(outcome)]; }
+
+  private:
+    std::uint64_t sent_ = 0;
+    std::array<std::uint64_t, kPlatformOutcomes.size()> ended_{};
+};
+
+} // namespace ivyrill::duties
--- a/tests/usage_duty_tests.cpp
+++ b/tests/usage_duty_tests.cpp
@@ -201,6 +201,16 @@
     BOOST_TEST(here.link.calls.front().call.fence == 13U);
 }
 
+// The model found one whose connection came up after the platform had refused the fence.
+BOOST_AUTO_TEST_CASE(a_call_that_was_begun_before_the_fence_was_refused_does_not_leave) {
+    Setting here;
+    here.time_ms = (kFirst + 3) * kWindowMs;
+    here.run(kSecond);
+    BOOST_REQUIRE(here.link.calls.size() >= 2U);
+    here.answer(PlatformOutcome::kFencedOff);
+    BOOST_TEST(!here.link.calls.front().may_send());
+}
+
 BOOST_AUTO_TEST_CASE(a_report_that_the_platform_will_not_have_does_not_stay_for_ever) {
     Setting here;
     here.ledger = {kFirst + 100, {{kFirst, here.body(kFirst)}}};
@@ -240,12 +250,9 @@
         here.answer(outcome);
     }
     const UsageDuty::Standing seen = here.duty->standing();
-    BOOST_TEST(seen.calls.sent == 6U);
-    BOOST_TEST(seen.calls.busy == 1U);
-    BOOST_TEST(seen.calls.failed == 1U);
-    BOOST_TEST(seen.calls.refused == 1U);
-    BOOST_TEST(seen.calls.not_sent == 1U);
-    BOOST_TEST(seen.calls.unanswered == 1U);
-    BOOST_TEST(seen.calls.accepted == 1U);
+    BOOST_TEST(seen.calls.calls() == 6U);
+    for (const PlatformOutcome outcome : duties::kPlatformOutcomes)
+        BOOST_TEST(seen.calls.of(outcome) == (outcome == PlatformOutcome::kFencedOff ? 0U : 1U),
+                   duties::name_of(outcome));
     BOOST_TEST(seen.next_window == kFirst + 100);
 }
