Histories of duties: usage is reported to a platform that is slow, silent, busy or resets

Cause: nothing played the usage duty in whole nodes. Change: the control world has a platform that judges every call (one body a window, agreed on before it leaves, one holder a fence, no lower fence, no turns within a lease, nothing under a refused fence), and in the calm wants all windows that were missed, the next ones in time and right. Nine planted faults of usage reports.

--- a/tests/duty_planted_tests.cpp
+++ b/tests/duty_planted_tests.cpp
@@ -31,3 +31,18 @@
 BOOST_AUTO_TEST_CASE(finds_an_order_sent_again_at_once) { check_found(PlantedFault::kOrderSentAgainAtOnce); }
 BOOST_AUTO_TEST_CASE(finds_a_fence_not_checked_at_send) { check_found(PlantedFault::kFenceNotCheckedAtSend); }
 BOOST_AUTO_TEST_CASE(finds_a_holder_that_goes_on_fenced_off) { check_found(PlantedFault::kFencedOffIgnored); }
+BOOST_AUTO_TEST_CASE(finds_a_report_sent_before_it_is_agreed_on) {
+    check_found(PlantedFault::kSentBeforeAgreed);
+}
+BOOST_AUTO_TEST_CASE(finds_counts_worked_out_again) { check_found(PlantedFault::kCountedAgain); }
+BOOST_AUTO_TEST_CASE(finds_a_ledger_that_a_release_forgets) { check_found(PlantedFault::kLedgerForgotten); }
+BOOST_AUTO_TEST_CASE(finds_an_agreed_window_that_changes) { check_found(PlantedFault::kAgreedOnChanged); }
+BOOST_AUTO_TEST_CASE(finds_a_platform_call_that_is_not_checked) {
+    check_found(PlantedFault::kPlatformNotChecked);
+}
+BOOST_AUTO_TEST_CASE(finds_a_retry_without_the_lease) { check_found(PlantedFault::kRetriedWithoutLease); }
+BOOST_AUTO_TEST_CASE(finds_a_platform_fence_that_is_ignored) {
+    check_found(PlantedFault::kPlatformFenceIgnored);
+}
+BOOST_AUTO_TEST_CASE(finds_a_window_left_out) { check_found(PlantedFault::kWindowLeftOut); }
+BOOST_AUTO_TEST_CASE(finds_a_report_given_up_when_busy) { check_found(PlantedFault::kGivenUpWhenBusy); }
--- a/tests/lab/control_duties.cpp
+++ b/tests/lab/control_duties.cpp
@@ -50,31 +50,6 @@
     return *link;
 }
 
-// Nobody is at the platform's address.
-class ControlWorld::WorldPlatformLink : public duties::PlatformLink {
-  public:
-    WorldPlatformLink(ControlWorld& world, MachineNumber machine) : world_(world), machine_(machine) {}
-    void send(const duties::PlatformCall&, const std::string&, std::function<bool()>,
-              std::function<void(duties::PlatformOutcome)> done) override {
-        SimulatedNetwork& network = world_.network_;
-        const int incarnation = network.incarnation(machine_);
-        network.schedule(network.now() + 1, [=, this, &network, done = std::move(done)] {
-            if (!network.is_up(machine_) || network.incarnation(machine_) != incarnation) return;
-            network.run_on(machine_, [done] { done(duties::PlatformOutcome::kNotSent); });
-        });
-    }
-
-  private:
-    ControlWorld& world_;
-    MachineNumber machine_;
-};
-
-duties::PlatformLink& ControlWorld::platform_link(MachineNumber machine) {
-    std::unique_ptr<duties::PlatformLink>& link = platform_links_[machine];
-    if (!link) link = std::make_unique<WorldPlatformLink>(*this, machine);
-    return *link;
-}
-
 void ControlWorld::open_order_connection(MachineNumber machine, const duties::StageOrder& order,
                                          const std::string& holder, std::function<bool()> may_send,
                                          std::function<void(duties::OrderOutcome)> done) {
@@ -155,17 +130,17 @@
     return 202;
 }
 
-void ControlWorld::judge_holder(Engine& engine, MachineNumber sender, const std::string& holder,
-                                std::uint64_t fence) {
+// The rule ONE, of one subject: all acts that came before, to which this one is added.
+void ControlWorld::judge_one(std::vector<Act>& acts, MachineNumber sender, std::uint64_t fence) {
     const std::string name = "machine " + std::to_string(sender);
-    for (const Act& act : engine.acts) {
+    for (const Act& act : acts) {
         if (act.fence == fence && act.sender != sender)
             promise_broken("two holders share fence " + std::to_string(fence));
-        if (act.fence > fence) promise_broken(name + " orders under a fence lower than one before");
+        if (act.fence > fence) promise_broken(name + " acts under a fence lower than one before");
     }
     // Turns: this one, then another one, then this one again, within a lease.
     bool other_came = false;
-    for (auto act = engine.acts.rbegin(); act != engine.acts.rend(); ++act) {
+    for (auto act = acts.rbegin(); act != acts.rend(); ++act) {
         if (network_.now() - act->at >= kLease) break;
         if (act->sender != sender) other_came = true;
         if (act->sender == sender && other_came) {
@@ -173,6 +148,13 @@
             break;
         }
     }
+    acts.push_back({sender, fence, network_.now()});
+}
+
+void ControlWorld::judge_holder(Engine& engine, MachineNumber sender, const std::string& holder,
+                                std::uint64_t fence) {
+    const std::string name = "machine " + std::to_string(sender);
+    judge_one(engine.acts, sender, fence);
     if (!holder.starts_with("actor")) {
         const bool is_again = engine.ordered_at && engine.ordered_under == fence &&
                               network_.now() - *engine.ordered_at < kOrdersApart;
@@ -183,7 +165,6 @@
     const bool is_told = fenced_off != engine.fenced_off.end() && fenced_off->second >= fence;
     if (is_told && !holder.starts_with("actor"))
         promise_broken(name + " orders on under a fence that was refused");
-    engine.acts.push_back({sender, fence, network_.now()});
 }
 
 // From now on the node knows.
@@ -287,6 +268,7 @@
 
 void ControlWorld::duties_plan() {
     start_engines();
+    start_usage();
     run_until([this] { return duty_holder().has_value(); }, kActingWithin);
     // At a server of which orders come again and again, while whoever holds the duty goes on holding it.
     if (network_.chance(0.4)) {
@@ -369,6 +351,7 @@
         return is_live(machine) && node(machine)->duty_parts()->fence(kStages).has_value();
     });
     if (holders > 1) promise_broken("two nodes act for a duty");
+    check_usage_calm();
 }
 
 } // namespace ivyrill::lab
--- a/tests/lab/control_faults.cpp
+++ b/tests/lab/control_faults.cpp
@@ -76,6 +76,7 @@
         break;
     }
     heal();
+    if (plan_.kind == ControlPlanKind::kDuties) calm_platform();
     if (network_.chance(0.7)) closing_fault();
     check_calm();
     if (plan_.kind == ControlPlanKind::kDuties) check_duties_calm();
--- /dev/null
+++ b/tests/lab/control_platform.cpp
@@ -0,0 +1,220 @@
+// Of a ControlWorld: the platform that usage is reported to. It may be slow, silent, busy, reset connections
+// or answer what is no answer; what comes to it is judged whatever it answers.
+#include "lab/control_world.hpp"
+
+#include "control/http_platform_link.hpp"
+#include "protocol/http.hpp"
+#include "protocol/json.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace ivyrill::lab {
+
+namespace {
+
+using duties::PlatformCall;
+using duties::PlatformLink;
+using duties::PlatformOutcome;
+
+const std::string kAddress = "10.0.9.1:8168";
+constexpr std::int64_t kLateMs = 10'000;                  // `usageLateS`: in the calm
+constexpr Tenths kReportedWithin = 40 * kTenthsPerSecond; // all that was missed, after the calm
+constexpr Tenths kRequestInterval = 500;
+constexpr double kUsageError = 0.05; // `usageError`
+const std::vector<std::string> kTenants{"nowu640", "goka901", "\"quoted\\"};
+
+} // namespace
+
+// Carries a node's calls to the world's platform; each process of a machine uses the same one.
+class ControlWorld::WorldPlatformLink : public PlatformLink {
+  public:
+    WorldPlatformLink(ControlWorld& world, MachineNumber machine) : world_(world), machine_(machine) {}
+    void send(const PlatformCall& call, const std::string& holder, std::function<bool()> may_send,
+              std::function<void(PlatformOutcome)> done) override {
+        world_.open_platform_connection(machine_, {call, holder}, std::move(may_send), std::move(done));
+    }
+
+  private:
+    ControlWorld& world_;
+    MachineNumber machine_;
+};
+
+PlatformLink& ControlWorld::platform_link(MachineNumber machine) {
+    std::unique_ptr<PlatformLink>& link = platform_links_[machine];
+    if (!link) link = std::make_unique<WorldPlatformLink>(*this, machine);
+    return *link;
+}
+
+void ControlWorld::open_platform_connection(MachineNumber machine, PlatformRequest request,
+                                            std::function<bool()> may_send,
+                                            std::function<void(PlatformOutcome)> done) {
+    const Tenths up_after = network_.chance(0.3) ? network_.between(500, 2500) : network_.between(10, 30);
+    const int incarnation = network_.incarnation(machine);
+    network_.schedule(network_.now() + up_after,
+                      [=, this, may_send = std::move(may_send), done = std::move(done)] {
+                          if (!network_.is_up(machine) || network_.incarnation(machine) != incarnation)
+                              return;
+                          network_.run_on(machine, [=, this] {
+                              if (!may_send()) return done(PlatformOutcome::kNotSent);
+                              platform_call_leaves(machine, request, done);
+                          });
+                      });
+}
+
+// By the group, as far as the sender's replica knows.
+void ControlWorld::check_is_agreed(MachineNumber machine, const PlatformCall& call) {
+    const auto state = node(machine)->duty_parts()->agreed(duties::usage_report_duty());
+    const bool is_agreed =
+        state && std::ranges::find(state->usage.agreed, call.body, &duties::AgreedWindow::body) !=
+                     state->usage.agreed.end();
+    if (!is_agreed) promise_broken(fmt::format("machine {} sends what is not agreed on", machine));
+}
+
+// What does not come in within the delivery's patience never does.
+void ControlWorld::platform_call_leaves(MachineNumber machine, const PlatformRequest& request,
+                                        const std::function<void(PlatformOutcome)>& done) {
+    ++counts_.platform_calls;
+    const auto fenced_off = platform_.fenced_off.find(machine);
+    if (fenced_off != platform_.fenced_off.end() && fenced_off->second >= request.call.fence)
+        promise_broken(fmt::format("machine {} calls on under a fence that was refused", machine));
+    check_is_agreed(machine, request.call);
+    const Tenths way = network_.chance(0.2) ? network_.between(500, 3000) : network_.between(5, 20);
+    const bool is_lost = network_.chance(0.05), answer_is_lost = network_.chance(0.05);
+    const int incarnation = network_.incarnation(machine);
+    const auto answer = [=, this](Tenths after, PlatformOutcome outcome) {
+        network_.schedule(network_.now() + after, [=, this] {
+            if (!network_.is_up(machine) || network_.incarnation(machine) != incarnation) return;
+            network_.run_on(machine, [=, this] {
+                if (outcome == PlatformOutcome::kAccepted) note_acknowledged(request);
+                if (outcome == PlatformOutcome::kFencedOff)
+                    platform_.fenced_off[machine] = request.call.fence;
+                done(outcome);
+            });
+        });
+    };
+    if (is_lost) return answer(PlatformLink::kDeliveryPatience, PlatformOutcome::kUnanswered);
+    network_.schedule(network_.now() + way, [=, this] {
+        const PlatformOutcome outcome = take_platform_call(machine, request);
+        const bool is_unanswered = answer_is_lost || outcome == PlatformOutcome::kUnanswered;
+        if (is_unanswered) return answer(PlatformLink::kAnswerPatience, PlatformOutcome::kUnanswered);
+        const bool is_slow = platform_.mood == PlatformMood::kSlow;
+        answer(is_slow ? network_.between(5'000, 25'000) : network_.between(5, 20), outcome);
+    });
+}
+
+PlatformOutcome ControlWorld::take_platform_call(MachineNumber sender, const PlatformRequest& request) {
+    protocol::HttpParser parser(protocol::HttpParser::Side::kRequests);
+    parser.feed(control::platform_request(request.call, request.holder, kAddress));
+    if (!parser.complete())
+        return promise_broken("a call to the platform can't be read"), PlatformOutcome::kRefused;
+    const protocol::HttpMessage message = parser.take();
+    const auto fence = static_cast<std::uint64_t>(std::stoull(std::string(message.header("fence-token"))));
+    const std::string name = "machine " + std::to_string(sender);
+    if (message.header("duty-holder") != request.holder) promise_broken(name + " does not tell its name");
+    judge_one(platform_.acts, sender, fence);
+    judge_report(name, message.body);
+    switch (platform_.mood) {
+    case PlatformMood::kBusy:
+        return PlatformOutcome::kBusy;
+    case PlatformMood::kFails:
+        return PlatformOutcome::kFailed;
+    case PlatformMood::kFencesOff:
+        return PlatformOutcome::kFencedOff;
+    case PlatformMood::kResets: // before or after it has taken the call
+        if (network_.chance(0.5)) accept_report(message.body);
+        return PlatformOutcome::kUnanswered;
+    case PlatformMood::kSilent:
+        return PlatformOutcome::kUnanswered;
+    case PlatformMood::kQuick:
+    case PlatformMood::kSlow:
+        break;
+    }
+    accept_report(message.body);
+    return PlatformOutcome::kAccepted;
+}
+
+// As the rule ONE judges usage, and more strictly: what was not accepted counts as well.
+void ControlWorld::judge_report(const std::string& name, const std::string& body) {
+    const protocol::Json report = protocol::read_json(body);
+    const std::int64_t window = report.at("windowId").as_integer("windowId");
+    const auto [known, is_first] = platform_.reports.try_emplace(window, body);
+    if (!is_first && known->second != body)
+        promise_broken(fmt::format("{} reports window {} with other counts than before", name, window));
+    if ((window + 1) * window_ms() > true_ms() + kClockErrorMs)
+        promise_broken(fmt::format("{} reports window {}, which is not over", name, window));
+}
+
+void ControlWorld::accept_report(const std::string& body) {
+    const std::int64_t window = protocol::read_json(body).at("windowId").as_integer("windowId");
+    if (platform_.accepted.emplace(window, true_ms()).second) ++counts_.reports_accepted;
+    tell(fmt::format("the platform accepts window {}", window));
+}
+
+void ControlWorld::note_acknowledged(const PlatformRequest& request) {
+    if (request.call.path == "/usage") ++counts_.reports_acknowledged;
+}
+
+// ---- the plan
+
+void ControlWorld::start_usage() {
+    begin_requests();
+    change_platform_mood();
+}
+
+void ControlWorld::begin_requests() {
+    network_.schedule(network_.now() + kRequestInterval, [this] { begin_requests(); });
+    // Not at a window's very edge, where whole milliseconds of error decide where it counts.
+    const std::int64_t in_window = true_ms() % window_ms();
+    if (in_window < kClockErrorMs || in_window > window_ms() - kClockErrorMs) return;
+    const auto agent = static_cast<std::size_t>(network_.any(static_cast<int>(agents_.size())));
+    begin_request(agent, kTenants[static_cast<std::size_t>(network_.any(static_cast<int>(kTenants.size())))]);
+}
+
+void ControlWorld::change_platform_mood() {
+    if (network_.now() >= faults_until_) return;
+    constexpr int kMoods = static_cast<int>(PlatformMood::kFencesOff) + 1;
+    const bool is_quick = network_.chance(0.4);
+    platform_.mood = is_quick ? PlatformMood::kQuick : static_cast<PlatformMood>(network_.any(kMoods));
+    tell(fmt::format("the platform's mood is {}", static_cast<int>(platform_.mood)));
+    network_.schedule(network_.now() + network_.between(10'000, 60'000), [this] { change_platform_mood(); });
+}
+
+// A platform that has fenced a holder off waits for one with a higher fence.
+void ControlWorld::calm_platform() {
+    platform_.mood = PlatformMood::kQuick;
+    for (const MachineNumber machine : control_)
+        if (platform_.fenced_off.contains(machine) && !nodes_.at(machine).is_gone)
+            restart(machine, 1'000, false);
+    run_for(5'000);
+}
+
+bool ControlWorld::all_reported(std::int64_t last) const {
+    if (platform_.reports.empty()) return false;
+    for (std::int64_t window = platform_.reports.begin()->first; window <= last; ++window)
+        if (!platform_.accepted.contains(window)) return false;
+    return true;
+}
+
+// Every window that was missed has followed; in the calm each is in time and right.
+void ControlWorld::check_usage_calm() {
+    const std::int64_t missed = true_ms() / window_ms() - 1;
+    if (!run_until([&] { return all_reported(missed); }, kReportedWithin))
+        return promise_broken("windows are not reported after the calm");
+    const std::int64_t window = true_ms() / window_ms() + 1;
+    const std::int64_t due_ms = (window + 1) * window_ms() + kLateMs;
+    run_until([&] { return true_ms() >= due_ms; }, 20 * kTenthsPerSecond);
+    const auto accepted = platform_.accepted.find(window);
+    if (accepted == platform_.accepted.end()) return promise_broken("a window of the calm is reported late");
+    const protocol::Json report = protocol::read_json(platform_.reports.at(window));
+    for (const auto& [tenant, count] : begun(window)) {
+        const protocol::Json* told = report.at("counts").find(tenant);
+        const auto reported = told == nullptr ? 0.0 : told->as_number(tenant);
+        const auto truth = static_cast<double>(count);
+        if (std::abs(reported - truth) > kUsageError * truth)
+            promise_broken(fmt::format("a window of the calm counts {} where {} began", reported, truth));
+    }
+}
+
+} // namespace ivyrill::lab
--- a/tests/lab/control_world.cpp
+++ b/tests/lab/control_world.cpp
@@ -45,6 +45,7 @@
     ControlPlan plan = control_plan_of(ControlPlanKind::kDuties, seed * kControlPlanKinds);
     plan.servers = 2, plan.operators = 2;
     plan.faults_for = 30 * kTenthsPerSecond;
+    plan.usage_window_s = 2;
     return plan;
 }
 
@@ -87,6 +88,7 @@
     made.beat_interval_ms = kBeatIntervalMs;
     made.bounds.usage_window_s = plan_.usage_window_s;
     if (plan_.kind == ControlPlanKind::kDuties) made.contracts = {"engine"};
+    if (plan_.kind == ControlPlanKind::kDuties) made.cloud_api = {"10.0.9.1:8168", {"usage_report"}, 50};
     return made;
 }
 
@@ -107,9 +109,13 @@
                        1U;
             };
             const auto time_of_day = [this, machine] { return this->time_of_day(machine); };
-            control::Environment environment{
-                reactor,   network_.links(machine), order_link(machine), platform_link(machine),
-                open_file, draw,                    time_of_day};
+            control::Environment environment{reactor,
+                                             network_.links(machine),
+                                             order_link(machine),
+                                             platform_link(machine),
+                                             open_file,
+                                             draw,
+                                             time_of_day};
             auto opened = control::ControlNode::open(std::move(environment), settings_of(machine));
             if (opened.has_error())
                 promise_broken("a control node does not start: " + opened.error().message);
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -56,7 +56,7 @@
 struct ControlCounts {
     std::uint64_t faults = 0, acknowledged = 0, refused = 0, sent_again = 0, reads = 0, leavings = 0,
                   disks_lost = 0, batches = 0, late_answers_passed_over = 0, orders_to_servers = 0,
-                  orders_taken = 0;
+                  orders_taken = 0, platform_calls = 0, reports_accepted = 0, reports_acknowledged = 0;
     std::array<bool, 5> five{}; // which of the five were brought about, in the order of ControlPlanKind
 };
 
@@ -165,6 +165,19 @@
         std::set<std::pair<std::uint64_t, std::int64_t>> taken; // fence, and how many had been taken
         std::map<MachineNumber, std::uint64_t> fenced_off;      // the last fence that was refused
     };
+    enum class PlatformMood : std::uint8_t { kQuick, kSlow, kSilent, kBusy, kResets, kFails, kFencesOff };
+    struct PlatformRequest {
+        duties::PlatformCall call;
+        std::string holder;
+    };
+    struct Platform {
+        PlatformMood mood = PlatformMood::kQuick;
+        std::vector<Act> acts;
+        std::map<std::int64_t, std::string> reports;       // by window: the body that came first
+        std::map<std::int64_t, std::int64_t> accepted;     // by window: when, in true ms
+        std::map<MachineNumber, std::uint64_t> fenced_off; // the last fence that was refused, as told
+    };
+    static constexpr std::int64_t kClockErrorMs = 100; // that the fleet's time may be off
     class WorldOrderLink;
     class WorldPlatformLink;
     struct Operator {
@@ -230,13 +243,13 @@
 
     // control_duties.cpp: servers that take orders, and who acts
     duties::OrderLink& order_link(MachineNumber machine);
-    duties::PlatformLink& platform_link(MachineNumber machine);
     void open_order_connection(MachineNumber machine, const duties::StageOrder& order,
                                const std::string& holder, std::function<bool()> may_send,
                                std::function<void(duties::OrderOutcome)> done);
     void order_leaves(MachineNumber machine, const duties::StageOrder& order, const std::string& holder,
                       const std::function<void(duties::OrderOutcome)>& done);
     int take_order(MachineNumber sender, const duties::StageOrder& order, const std::string& request);
+    void judge_one(std::vector<Act>& acts, MachineNumber sender, std::uint64_t fence);
     void judge_holder(Engine& engine, MachineNumber sender, const std::string& holder, std::uint64_t fence);
     void note_fenced_off(MachineNumber sender, const duties::StageOrder& order);
     void start_engines();
@@ -250,6 +263,24 @@
     void move_the_duties();
     void check_duties_calm();
 
+    // control_platform.cpp: the platform that usage is reported to
+    duties::PlatformLink& platform_link(MachineNumber machine);
+    void open_platform_connection(MachineNumber machine, PlatformRequest request,
+                                  std::function<bool()> may_send,
+                                  std::function<void(duties::PlatformOutcome)> done);
+    void platform_call_leaves(MachineNumber machine, const PlatformRequest& request,
+                              const std::function<void(duties::PlatformOutcome)>& done);
+    duties::PlatformOutcome take_platform_call(MachineNumber sender, const PlatformRequest& request);
+    void check_is_agreed(MachineNumber machine, const duties::PlatformCall& call);
+    void judge_report(const std::string& name, const std::string& body);
+    void accept_report(const std::string& body);
+    void note_acknowledged(const PlatformRequest& request);
+    void start_usage();
+    void begin_requests();
+    void change_platform_mood();
+    void calm_platform();
+    bool all_reported(std::int64_t last) const;
+    void check_usage_calm();
     // control_usage.cpp: proxies that count, clocks that jump
     std::int64_t time_of_day(MachineNumber machine) const;
     void count_usage(std::size_t agent, feed::Subscriber::Callbacks& callbacks);
@@ -297,6 +328,7 @@
     std::uint64_t engine_count_ = 0;
     std::map<MachineNumber, std::unique_ptr<duties::OrderLink>> order_links_;
     std::map<MachineNumber, std::unique_ptr<duties::PlatformLink>> platform_links_;
+    Platform platform_;
     ConfigurationHistory history_;
     std::map<std::int64_t, OrderNumber> orders_by_mark_;
     std::set<std::uint64_t> lost_identities_;
