The fleet clock bears any minority of clocks that jump; a tally that has just begun is not complete

Most of the machines now bound it. A control node that had just started counted as complete, as it had heard of no process yet.

--- a/src/clock/fleet_clock.hpp
+++ b/src/clock/fleet_clock.hpp
@@ -1,6 +1,6 @@
 // True time as the fleet knows it: the median over many machines' times of day. A machine's time of day may
 // jump by seconds, the steady clock doesn't: what is kept of a machine is how far its time of day is ahead of
-// this process's steady clock. Right while fewer than two fifths of the machines have jumped. Pure: both
+// this process's steady clock. Right while most of the machines have not jumped. Pure: both
 // clocks are handed in.
 #pragma once
 #include "base/time.hpp"
@@ -72,18 +72,17 @@
     static constexpr std::size_t kOutvoted = 3;          // so many machines outvote one that has jumped
     static constexpr std::int64_t kUnconfirmedMs = 3000; // how far a machine's time of day may jump
     static constexpr std::int64_t kTransitMs = 10;       // that a sample may have been on its way
-    static constexpr std::size_t kRight = 3, kOfAll = 5; // the share of machines that are right
 
     static bool is_fresh(const Sample& sample, Tenths now) { return now - sample.seen_at <= kSampleAge; }
 
-    // Those that are right agree at least as well as the shortest span that holds as many; the median lies in
-    // every such span.
+    // Most are right, so the shortest span that holds most of them is no longer than theirs and holds one of
+    // them; the median lies in every such span.
     static std::int64_t error_around(Tenths middle, const std::vector<Tenths>& sorted) {
         if (sorted.size() < kOutvoted) return kUnconfirmedMs;
-        const std::size_t right = (sorted.size() * kRight + kOfAll - 1) / kOfAll;
+        const std::size_t most = sorted.size() / 2 + 1;
         Tenths shortest = INT64_MAX, error = 0;
-        for (std::size_t first = 0; first + right <= sorted.size(); ++first) {
-            const Tenths begin = sorted[first], end = sorted[first + right - 1];
+        for (std::size_t first = 0; first + most <= sorted.size(); ++first) {
+            const Tenths begin = sorted[first], end = sorted[first + most - 1];
             if (end - begin >= shortest) continue;
             shortest = end - begin;
             error = std::max(middle - begin, end - middle);
--- a/src/duties/usage_tally.cpp
+++ b/src/duties/usage_tally.cpp
@@ -70,6 +70,7 @@
 }
 
 bool UsageTally::is_complete(std::int64_t window, std::int64_t window_end_ms, Tenths now) const {
+    if (advanced_since_ && now - *advanced_since_ < kLately) return false;
     return std::ranges::all_of(processes_, [&](const auto& entry) {
         const Process& process = entry.second;
         const bool counts_on = !process.ended && now - process.heard_at <= kLately;
@@ -82,6 +83,7 @@
 
 void UsageTally::advance(std::int64_t unix_ms, Tenths now) {
     unix_ms_ = unix_ms;
+    if (!advanced_since_) advanced_since_ = now;
     const std::int64_t oldest = (unix_ms_ - options_.kept_ms) / options_.window_ms;
     for (auto& [id, process] : processes_)
         std::erase_if(process.windows, [oldest](const auto& entry) { return entry.first < oldest; });
--- a/src/duties/usage_tally.hpp
+++ b/src/duties/usage_tally.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,8 @@
     // By tenant, over all processes; tenants without any are left out.
     std::map<std::string, std::int64_t> counts(std::int64_t window) const;
     // Whether every process that was heard of lately, and has not ended, has told of all until the window's
-    // end, and nothing that it told of is missing here.
+    // end, and nothing that it told of is missing here. Not before each has had the time to tell something
+    // since this tally's clock was first advanced.
     bool is_complete(std::int64_t window, std::int64_t window_end_ms, Tenths now) const;
 
     // The fleet's time has come so far: what is too old is forgotten, what is far ahead is refused.
@@ -65,6 +67,7 @@
     Options options_;
     std::map<std::uint64_t, Process> processes_;
     std::int64_t unix_ms_ = 0; // 0: not known yet
+    std::optional<Tenths> advanced_since_;
     Refused refused_;
 };
 
--- a/tests/flush_tests.cpp
+++ b/tests/flush_tests.cpp
@@ -88,6 +88,9 @@
                                                    if (second->tables().place() == log.place())
                                                        reactor.stop();
                                                },
+                                               {},
+                                               {},
+                                               {},
                                                {}});
     first.emplace(reactor, network, options("first"),
                   feed::Subscriber::Callbacks{publishers,
@@ -96,6 +99,9 @@
                                                   log.put(server(50));
                                                   reactor.free_later([&] { second->start(); });
                                               },
+                                              {},
+                                              {},
+                                              {},
                                               {}});
     first->start();
     reactor.call_after(kPatience, [&] { reactor.stop(); });
--- a/tests/usage_tests.cpp
+++ b/tests/usage_tests.cpp
@@ -57,8 +57,10 @@
     return found == counts.end() ? 0 : found->second;
 }
 
+// Of a process that has been there for long.
 UsageTally tally_at(Tenths now) {
     UsageTally tally({kWindowMs, 60'000});
+    tally.advance(true_ms(now - 60 * kSecond), now - 60 * kSecond);
     tally.advance(true_ms(now), now);
     return tally;
 }
@@ -78,7 +80,7 @@
 
 BOOST_AUTO_TEST_CASE(fleet_clock_bears_two_fifths_that_jump_either_way_and_back) {
     for (const std::int64_t step_ms : {2000, 3000, -2000, -3000})
-        for (const int stepped : {1, kMachines * 3 / 10, kMachines * 4 / 10}) {
+        for (const int stepped : {1, kMachines * 3 / 10, (kMachines * 4 + 9) / 10}) {
             FleetClock clock;
             Tenths now = 0;
             for (int second = 0; second < 30; ++second, now += kSecond) {
@@ -224,6 +226,15 @@
     BOOST_TEST(tally.is_complete(kWindow, end_ms, kSecond));
 }
 
+BOOST_AUTO_TEST_CASE(tally_that_has_just_begun_is_not_complete_for_want_of_news) {
+    UsageTally tally({kWindowMs, 60'000});
+    tally.advance(true_ms(0), 0);
+    BOOST_TEST(!tally.is_complete(kWindow - 1, kWindow * kWindowMs, 0));
+    tally.merge(usage_of(1, kWindow - 1, 5), kSecond);
+    BOOST_TEST(!tally.is_complete(kWindow - 1, kWindow * kWindowMs, kSecond));
+    BOOST_TEST(tally.is_complete(kWindow - 1, kWindow * kWindowMs, 4 * kSecond));
+}
+
 BOOST_AUTO_TEST_CASE(tally_does_not_wait_for_processes_that_ended_or_were_killed) {
     UsageTally tally = tally_at(0);
     const std::int64_t end_ms = (kWindow + 1) * kWindowMs;
