--- a/tests/lab/control_platform.cpp
+++ b/tests/lab/control_platform.cpp
@@ -22,7 +22,8 @@
 constexpr std::int64_t kLateMs = 10'000;                  // `usageLateS`: in the calm
 constexpr Tenths kReportedWithin = 40 * kTenthsPerSecond; // all that was missed, after the calm
 constexpr Tenths kRequestInterval = 500;
-constexpr double kUsageError = 0.05; // `usageError`
+constexpr std::int64_t kMostStepMs = 3'000; // that a machine's time of day jumps
+constexpr double kUsageError = 0.05;        // `usageError`
 const std::vector<std::string> kTenants{"nowu640", "goka901", "\"quoted\\"};
 
 } // namespace
@@ -47,7 +48,7 @@
     return *link;
 }
 
-void ControlWorld::open_platform_connection(MachineNumber machine, PlatformRequest request,
+void ControlWorld::open_platform_connection(MachineNumber machine, const PlatformRequest& request,
                                             std::function<bool()> may_send,
                                             std::function<void(PlatformOutcome)> done) {
     const Tenths up_after = network_.chance(0.3) ? network_.between(500, 2500) : network_.between(10, 30);
@@ -178,12 +179,25 @@
     const bool is_quick = network_.chance(0.4);
     platform_.mood = is_quick ? PlatformMood::kQuick : static_cast<PlatformMood>(network_.any(kMoods));
     tell(fmt::format("the platform's mood is {}", static_cast<int>(platform_.mood)));
+    step_a_clock();
     network_.schedule(network_.now() + network_.between(10'000, 60'000), [this] { change_platform_mood(); });
 }
 
+// One machine's at a time: more would outvote those that are right.
+void ControlWorld::step_a_clock() {
+    if (stepped_) step_clock(*stepped_, 0);
+    const bool is_agent = network_.chance(0.3);
+    const auto agent = static_cast<std::size_t>(network_.any(static_cast<int>(agents_.size())));
+    stepped_ = is_agent ? agent_machine(agent) : any_control();
+    const std::int64_t ahead_ms = network_.between(-kMostStepMs, kMostStepMs);
+    step_clock(*stepped_, ahead_ms);
+    tell(fmt::format("the clock of {} is ahead by {} ms", *stepped_, ahead_ms));
+}
+
 // A platform that has fenced a holder off waits for one with a higher fence.
 void ControlWorld::calm_platform() {
     platform_.mood = PlatformMood::kQuick;
+    if (stepped_) step_clock(*stepped_, 0);
     for (const MachineNumber machine : control_)
         if (platform_.fenced_off.contains(machine) && !nodes_.at(machine).is_gone)
             restart(machine, 1'000, false);
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -265,7 +265,7 @@
 
     // control_platform.cpp: the platform that usage is reported to
     duties::PlatformLink& platform_link(MachineNumber machine);
-    void open_platform_connection(MachineNumber machine, PlatformRequest request,
+    void open_platform_connection(MachineNumber machine, const PlatformRequest& request,
                                   std::function<bool()> may_send,
                                   std::function<void(duties::PlatformOutcome)> done);
     void platform_call_leaves(MachineNumber machine, const PlatformRequest& request,
@@ -278,6 +278,7 @@
     void start_usage();
     void begin_requests();
     void change_platform_mood();
+    void step_a_clock();
     void calm_platform();
     bool all_reported(std::int64_t last) const;
     void check_usage_calm();
@@ -329,6 +330,7 @@
     std::map<MachineNumber, std::unique_ptr<duties::OrderLink>> order_links_;
     std::map<MachineNumber, std::unique_ptr<duties::PlatformLink>> platform_links_;
     Platform platform_;
+    std::optional<MachineNumber> stepped_; // whose time of day has jumped
     ConfigurationHistory history_;
     std::map<std::int64_t, OrderNumber> orders_by_mark_;
     std::set<std::uint64_t> lost_identities_;
