Test: forms of the key's and the tenant's header that admit and that do not

The unit test of what a server is shown lists both headers in Connection, which hides them by itself: with the rule on Api-Key or on Tenant taken out it still passes. Here neither is listed, and letter case, white space, line folding, trailers of a chunked body and look-alike names are covered.

--- a/tests/api_key_tests.cpp
+++ b/tests/api_key_tests.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/included/unit_test.hpp>
 
+#include <optional>
+
 namespace {
 
 using namespace ivyrill;
@@ -55,6 +57,19 @@
     return parser.take();
 }
 
+// As a client writes it; none where it is no request.
+std::optional<HttpMessage> received(const std::string& headers, const std::string& rest = "") {
+    HttpParser parser(HttpParser::Side::kRequests);
+    parser.feed("POST /lohu930/2f HTTP/1.1\r\nHost: nony24.example\r\n" + headers + "\r\n" + rest);
+    if (!parser.complete()) return std::nullopt;
+    return parser.take();
+}
+
+Admission admission_of(const HttpMessage& request) {
+    static const model::Configuration held = with_tenants();
+    return caller_of(request, route(false), model::TenantTable(held)).admission;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(each_key_of_a_tenant_is_known_and_no_other) {
@@ -115,3 +130,39 @@
     const HttpMessage nameless = sent(headers, "");
     BOOST_TEST(nameless.times("tenant") + nameless.times("api-key") == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(a_key_is_known_in_any_letter_case_of_its_header_and_with_white_space_around_it) {
+    for (const char* headers : {"Api-Key: key-1\r\n", "API-KEY:key-1\r\n", "api-key: \t key-1 \t\r\n",
+                                "Api-Key: key-1\r\nConnection: api-key\r\n"}) {
+        const auto request = received(headers);
+        BOOST_REQUIRE(request.has_value());
+        BOOST_TEST((admission_of(*request) == Admission::kAdmitted), headers);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_another_reader_might_not_see_admits_nobody) {
+    for (const char* headers : {"Api-Key : key-1\r\n", " Api-Key: key-1\r\n", "X-A: 1\r\n Api-Key: key-1\r\n",
+                                "Api-Key:\r\n key-1\r\n", "Api-Key: key-\x01\r\n",
+                                "X-A: 1\nApi-Key: key-1\r\n", "X-A: 1\rApi-Key: key-1\r\n"})
+        BOOST_TEST(!received(headers).has_value(), headers);
+    const auto trailing =
+        received("Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nApi-Key: key-1\r\nTenant: etna\r\n\r\n");
+    BOOST_REQUIRE(trailing.has_value());
+    BOOST_TEST((admission_of(*trailing) == Admission::kKeyMissing));
+    for (const char* headers : {"Api_Key: key-1\r\n", "Api-Key: \"key-1\"\r\n", "Api-Key: key-1;\r\n"}) {
+        const auto request = received(headers);
+        BOOST_REQUIRE(request.has_value());
+        BOOST_TEST((admission_of(*request) != Admission::kAdmitted), headers);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_letter_case_of_the_tenants_header_and_no_trailer_reaches_a_server) {
+    const auto request = received("TENANT: conca\r\ntEnAnT: etna\r\nAPI-key: key-1\r\n"
+                                  "Transfer-Encoding: chunked\r\n",
+                                  "1\r\na\r\n0\r\nTenant: conca\r\n\r\n");
+    BOOST_REQUIRE(request.has_value());
+    const HttpMessage seen = sent(request->headers, "etna");
+    BOOST_TEST(seen.header("tenant") == "etna");
+    BOOST_TEST(seen.times("tenant") == 1U);
+    BOOST_TEST(seen.times("api-key") == 0U);
+}
