null among keys or for all tenants admits nobody

Seen in review: apiKeys of [null] made the word null a key, and tenants of null took the need of a key away from all routes. Cause: the tree of texts can't tell null from a text, and null counts as missing elsewhere. Both are refused now; an empty list still means that no key is known.

--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -62,6 +62,8 @@
            std::ranges::none_of(tree, [](const auto& child) { return child.first.empty(); });
 }
 
+bool is_null(const Tree& tree) { return tree.empty() && tree.data() == "null"; }
+
 std::optional<double> number_of(const std::string& text) {
     double value = 0;
     const char* end = text.data() + text.size();
@@ -97,6 +99,7 @@
     }
 
     bool has(const std::string& key) const { return find(key) != nullptr; }
+    bool states_null(const std::string& key) const { return tree_.count(key) > 0 && !has(key); }
 
     Section section(const std::string& key) {
         static const Tree kEmpty;
@@ -127,7 +130,9 @@
     void texts(const std::string& key, std::vector<std::string>& into) {
         const Tree* found = find(key);
         if (found == nullptr) return;
-        const auto is_text = [](const auto& item) { return item.first.empty() && item.second.empty(); };
+        const auto is_text = [](const auto& item) {
+            return item.first.empty() && item.second.empty() && !is_null(item.second);
+        };
         if (!is_list(*found) || !std::ranges::all_of(*found, is_text))
             return report(key, "is not a list of texts", "send one");
         for (const auto& [name, item] : *found) into.push_back(item.data());
@@ -173,7 +178,7 @@
     const Tree* find(const std::string& key) const {
         const auto found = tree_.find(key);
         if (found == tree_.not_found()) return nullptr;
-        return found->second.empty() && found->second.data() == "null" ? nullptr : &found->second;
+        return is_null(found->second) ? nullptr : &found->second;
     }
 
     const Tree& tree_;
@@ -325,6 +330,8 @@
 }
 
 void read_tenants(Section& root, model::Configuration& configuration) {
+    // Not as if it were missing: nobody would need a key.
+    if (root.states_null("tenants")) root.report("tenants", "is not a list", "send a list of maps");
     if (!root.has("tenants")) return;
     std::vector<model::Tenant>& tenants = configuration.tenants.emplace();
     root.each("tenants", [&](Section item) { tenants.push_back(read_tenant(item)); });
--- a/tests/configuration_tests.cpp
+++ b/tests/configuration_tests.cpp
@@ -281,6 +281,14 @@
     BOOST_TEST(accepted(with_tenants("[]")).tenants.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(null_among_the_keys_or_for_the_tenants_admits_nobody) {
+    refuse(with_tenants(R"([{"name":"a","apiKeys":[null]}])"), "tenants[0].apiKeys is not a list of texts");
+    for (const char* tenants : {"null", "\"null\"", "\"a\"", "5", "{\"a\":1}"})
+        refuse(with_tenants(tenants), "tenants is not a list");
+    for (const char* none : {"[]", "{}", "\"\""}) // a tree of texts can't tell these apart
+        BOOST_TEST(accepted(with_tenants(none)).tenants->empty());
+}
+
 BOOST_AUTO_TEST_CASE(scaling_is_checked) {
     const auto scaled = [](const std::string& scaling) {
         return changed("\"connLimit\":7", "\"connLimit\":7,\"scaling\":" + scaling);
