A key is judged with the route of its own version; tests of priority and of cut streams

Cause: the newest version's keys were judged with the route of the version at the beginning. The route is looked up in the same version now; without one there, the former route stands.

--- a/examples/model_server.cpp
+++ b/examples/model_server.cpp
@@ -81,7 +81,7 @@
         const lab::HttpHead& head = heads[logged];
         std::cout << "call attempt=" << head.field("attempt-id")
                   << " stage=" << (head.has("serving-stage") ? head.field("serving-stage") : "run")
-                  << " tenant=" << values_of(head, "tenant")
+                  << " priority=" << values_of(head, "priority") << " tenant=" << values_of(head, "tenant")
                   << " api_key=" << (head.has("api-key") ? "shown" : "none") << std::endl;
     }
 }
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -1,9 +1,15 @@
 #include "proxy/caller.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 namespace ivyrill::proxy {
 
+std::int64_t priority_of(const model::Route& route, const model::Tenant* tenant) {
+    const bool tenant_ranks = tenant != nullptr && tenant->priority;
+    return std::clamp<std::int64_t>(tenant_ranks ? *tenant->priority : route.priority, 0, 9);
+}
+
 Caller caller_of(const protocol::HttpMessage& request, const model::Route& route,
                  const model::TenantTable& tenants) {
     if (!tenants.requires_keys()) return {};
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -19,6 +19,9 @@
     const model::Tenant* tenant = nullptr; // of `tenants`; null where no key is needed and none is known
 };
 
+// As `Priority` tells a server: 0 to 9, 0 the most urgent. That of the tenant precedes that of the route.
+std::int64_t priority_of(const model::Route& route, const model::Tenant* tenant);
+
 Caller caller_of(const protocol::HttpMessage& request, const model::Route& route,
                  const model::TenantTable& tenants);
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -68,7 +68,10 @@
 void Exchange::identify_caller() {
     if (identified_by_ == context_.routes) return;
     identified_by_ = context_.routes;
-    caller_ = caller_of(request_.message, *route_, identified_by_->tenants());
+    // Route and keys of one version, or a change of both would refuse what either version allows.
+    const model::Route* route =
+        identified_by_->find(request_.message.header("host"), request_.message.target);
+    caller_ = caller_of(request_.message, route != nullptr ? *route : *route_, identified_by_->tenants());
 }
 
 ExchangeEnd Exchange::refuse_caller() {
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -83,8 +83,7 @@
     if (tenant != nullptr) forwarding.tenant = tenant->name;
     forwarding.target_instance = instance;
     forwarding.time_left = deadline_ - now();
-    const bool tenant_ranks = tenant != nullptr && tenant->priority;
-    forwarding.priority = std::clamp<std::int64_t>(tenant_ranks ? *tenant->priority : route_->priority, 0, 9);
+    forwarding.priority = priority_of(*route_, tenant);
     forwarding.tells_priority = work != Work::kPlain;
     if (!connection_->stream().send(server_request(request_, forwarding))) {
         end_call(false);
--- a/tests/api_key_tests.cpp
+++ b/tests/api_key_tests.cpp
@@ -166,3 +166,13 @@
     BOOST_TEST(seen.times("tenant") == 1U);
     BOOST_TEST(seen.times("api-key") == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(a_tenants_priority_precedes_its_routes) {
+    model::Route asked = route(false);
+    asked.priority = 4;
+    const model::Tenant ranked{"etna", {}, 0}, unranked{"conca", {}, std::nullopt}, low{"alia", {}, 77};
+    BOOST_TEST(priority_of(asked, &ranked) == 0);
+    BOOST_TEST(priority_of(asked, &unranked) == 4);
+    BOOST_TEST(priority_of(asked, nullptr) == 4);
+    BOOST_TEST(priority_of(asked, &low) == 9);
+}
--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -91,8 +91,8 @@
     const std::string text =
         replaced(with_route(version, "/open/"), R"("name": "more",)", R"("name": "more", "public": true,)");
     return replaced(text, "\"routes\": [",
-                    R"("tenants": [{"name": "alpha", "apiKeys": ["key-a1", "key-a2"], "priority": 1},)"
-                    R"({"name": "beta", "apiKeys": ["key-b"], "priority": 2}], "routes": [)");
+                    R"("tenants": [{"name": "alpha", "apiKeys": ["key-a1", "key-a2"], "priority": 6},)"
+                    R"({"name": "beta", "apiKeys": ["key-b"], "priority": 7}], "routes": [)");
 }
 
 ClientRequest stream(const std::string& attempt, const std::string& prompt, int prompt_tokens,
@@ -132,8 +132,11 @@
 void check_calls(const RealFleet& fleet, const std::string& attempt, const std::string& tenant) {
     const auto calls = calls_of(fleet, attempt);
     BOOST_TEST(!calls.empty(), attempt);
-    for (const auto& [server, line] : calls)
-        BOOST_TEST(line.ends_with(" tenant=" + tenant + " api_key=none"), server << " got " << line);
+    const std::string priority = tenant == "alpha" ? " priority=6" : tenant == "beta" ? " priority=7" : "";
+    for (const auto& [server, line] : calls) {
+        const std::string end = (tenant.empty() ? "" : priority) + " tenant=" + tenant + " api_key=none";
+        BOOST_TEST(line.ends_with(end), server << " got " << line);
+    }
 }
 
 // The largest value that a proxy has told of that counter.
@@ -371,7 +374,7 @@
     const ClientRequest probe = stream("b0", "c0ffee", 100, 4);
     StreamClient& prober = fleet.client(fleet.front(1));
     BOOST_REQUIRE(fleet.status_by_apply_span(prober, with_keys(probe, {"withdrawn"}), 200) == 200);
-    const ClientRequest request = with_keys(stream("e0", "f00d", 100, 320), {"withdrawn"});
+    const ClientRequest request = with_keys(stream("e0", "f00d", 100, 1280), {"withdrawn"});
     StreamClient& client = fleet.client(fleet.front(1));
     client.send(request);
     BOOST_REQUIRE(fleet.until([&] { return client.answer().events.size() >= 3; }));
@@ -380,6 +383,28 @@
     BOOST_REQUIRE(!client.over());
     fleet.signal(calls_of(fleet, request.attempt).at(0).server, SIGKILL);
     BOOST_REQUIRE(fleet.until([&] { return client.over(); }));
-    BOOST_TEST((client.answer().end != AnswerEnd::kComplete));
+    BOOST_TEST((client.answer().end == AnswerEnd::kCut));
+    BOOST_TEST(expected_stream(request).starts_with(client.answer().body));
     BOOST_TEST(calls_of(fleet, request.attempt).size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_a_second_server_where_its_route_became_public_as_its_key_went) {
+    RealFleet fleet;
+    BOOST_REQUIRE(fleet.replace(with_tenant(5, {"kept", "withdrawn"}), 1) == 200);
+    const ClientRequest probe = stream("b0", "c0ffee", 100, 4);
+    StreamClient& prober = fleet.client(fleet.front(1));
+    BOOST_REQUIRE(fleet.status_by_apply_span(prober, with_keys(probe, {"withdrawn"}), 200) == 200);
+    const ClientRequest request = with_keys(stream("e0", "f00d", 100, 1280), {"withdrawn"});
+    StreamClient& client = fleet.client(fleet.front(1));
+    client.send(request);
+    BOOST_REQUIRE(fleet.until([&] { return client.answer().events.size() >= 3; }));
+    const std::string open = replaced(with_tenant(6, {"kept"}), "{\"name\": \"chat\", \"public\": false,",
+                                      "{\"name\": \"chat\", \"public\": true,");
+    BOOST_REQUIRE(fleet.replace(open, 5) == 200);
+    StreamClient& unknown = fleet.client(fleet.front(1));
+    BOOST_REQUIRE(fleet.status_by_apply_span(unknown, probe, 200) == 200);
+    BOOST_REQUIRE(!client.over());
+    fleet.signal(calls_of(fleet, request.attempt).at(0).server, SIGKILL);
+    BOOST_REQUIRE(fleet.until([&] { return client.over(); }));
+    check_whole(client.answer(), request);
+}
