--- a/src/duties/stage_controller.hpp
+++ b/src/duties/stage_controller.hpp
@@ -3,6 +3,7 @@
 // them, also with its largest zone lost. Pure: reports, demand and clock are handed in.
 #pragma once
 #include "base/time.hpp"
+#include "duties/stage_use.hpp"
 #include "model/instance.hpp"
 
 #include <boost/accumulators/accumulators.hpp>
@@ -14,17 +15,6 @@
 
 namespace ivyrill::duties {
 
-// One server of a service with stages, as it is now.
-struct StagedServer {
-    std::string id, address, zone;
-    model::Stage stage = model::Stage::kNone; // that it has, or that it changes to
-    bool changing = false;
-    bool reported = false; // its load is not too old (ReportAges)
-    double slots = 1, running = 0, waiting = 0;
-    double memory_share = 0; // that can't give way
-    std::int64_t orders_taken = 0;
-};
-
 struct StageChange {
     std::string instance;
     model::Stage to = model::Stage::kNone;
@@ -40,32 +30,22 @@
     std::vector<StageChange> next(const std::vector<StagedServer>& servers,
                                   const std::optional<model::ServiceDemand>& demand, Tenths now);
     void set_change_span(Tenths span) { change_span_ = span; }
-    // Means of the last looks: from 0.5 on that side is short of servers.
+    // Means of the last looks: from kShortOfServers on that side is short.
     double reader_use() const { return boost::accumulators::rolling_mean(reader_use_); }
     double runner_use() const { return boost::accumulators::rolling_mean(runner_use_); }
 
     static constexpr Tenths kInterval = 5'000;
 
   private:
-    struct Side { // the servers of one stage
-        std::vector<const StagedServer*> servers;
-        double slots = 0;
-        std::size_t largest_zone = 0; // servers in it
-        std::size_t count() const { return servers.size(); }
-        std::size_t left_without_a_zone() const { return servers.size() - largest_zone; }
-    };
     using Mean = boost::accumulators::accumulator_set<
         double, boost::accumulators::stats<boost::accumulators::tag::rolling_mean>>;
 
-    static Side side(const std::vector<StagedServer>& servers, model::Stage stage);
-    static double use_of_readers(const Side& readers, const model::ServiceDemand& demand);
-    static double use_of_runners(const Side& runners, const model::ServiceDemand& demand);
-    static double asked_of_runners(const Side& runners, const model::ServiceDemand& demand, std::size_t left);
-    bool runners_can_spare(const Side& runners, const model::ServiceDemand& demand, std::size_t step) const;
-    bool readers_can_spare(const Side& readers, std::size_t step) const;
+    bool runners_can_spare(const StageSide& runners, const model::ServiceDemand& demand,
+                           std::size_t step) const;
+    bool readers_can_spare(const StageSide& readers, std::size_t step) const;
     bool may_change_to(model::Stage stage, Tenths now) const;
-    std::vector<StageChange> order(const Side& giving, const Side& taking, model::Stage to, std::size_t step,
-                                   Tenths now);
+    std::vector<StageChange> order(const StageSide& giving, const StageSide& taking, model::Stage to,
+                                   std::size_t step, Tenths now);
 
     Tenths change_span_;
     Mean reader_use_, runner_use_;
