Numbers of servers are ordered from the platform, a subject for each service and zone

Change: a controller beside the one of stages, on the same measures; an order is followed up one call at a time with longer and longer pauses, out of the bucket of calls that all duties share; the holder of (service, zone) sends it. In /inspect and the log.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -19,6 +19,7 @@
 constexpr Tenths kEndSpan = 4000;                    // for last answers and the hand-over
 constexpr const char* kEngineContract = "engine";    // of deployments whose servers have stages
 constexpr const char* kUsageReport = "usage_report"; // of the platform's duties
+constexpr const char* kServerCount = "autoscale";    // ... where it takes numbers of servers
 constexpr std::int64_t kOtherDescriptors = 900;      // of a control node: for files, peers and agents
 
 // The port and the host part of an address.
@@ -59,6 +60,7 @@
     open_stage_duty();
     open_usage_exchange();
     open_usage_duty();
+    open_count_duty();
     open_peers();
     open_feed();
     tell_known_state();
@@ -256,6 +258,27 @@
     if (!wanted.processes.empty()) peers_->send(peer.address, std::move(wanted));
 }
 
+void ControlNode::open_count_duty() {
+    const std::vector<std::string>& duties = settings_.cloud_api.duties;
+    if (!duty_parts_ || std::ranges::find(duties, kServerCount) == duties.end()) return;
+    CountDuty::Callbacks callbacks;
+    callbacks.fence = [this](const duties::Duty& duty) { return duty_parts_->fence(duty); };
+    callbacks.may_act_under = [this](const duties::Duty& duty, std::uint64_t fence) {
+        return duty_parts_->may_act_under(duty, fence);
+    };
+    callbacks.configuration = [this] { return log_.configuration(); };
+    callbacks.instances = [this]() -> const feed::InstanceTable& { return registry_->table(); };
+    callbacks.servers = [this](const std::string& service) { return stage_duty_->servers_of(service); };
+    callbacks.demand = [this](const std::string& service) {
+        return stage_duty_->demand().of(service, reactor_.now());
+    };
+    callbacks.take_call = [this](const duties::Duty& duty) {
+        return call_budget_.take(duty, reactor_.now());
+    };
+    count_duty_ = std::make_unique<CountDuty>(reactor_, environment_.platform, settings_.node_name,
+                                              std::move(callbacks));
+}
+
 void ControlNode::put_orders(const std::vector<feed::StageOrdered>& orders) {
     for (const feed::StageOrdered& ordered : orders)
         if (registry_->table().find(ordered.instance) != nullptr) log_.put(ordered);
@@ -505,6 +528,7 @@
     if (duty_parts_) std::ranges::copy(duty_parts_->standings(), std::back_inserter(seen.duties));
     if (stage_duty_) seen.orders = stage_duty_->counts();
     if (usage_duty_) seen.usage = usage_duty_->standing();
+    if (count_duty_) seen.server_counts = count_duty_->standings(), seen.count_calls = count_duty_->calls();
     seen.group = group_->message_counts(), seen.links = peers_->refused();
     seen.copies = registry_->refused(), seen.calls = operator_calls_->refused();
     return to_json(seen);
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -5,6 +5,7 @@
 #include "clock/fleet_clock.hpp"
 #include "control/configuration_group.hpp"
 #include "control/control_api.hpp"
+#include "control/count_duty.hpp"
 #include "control/duty_parts.hpp"
 #include "control/edge_node_list.hpp"
 #include "control/environment.hpp"
@@ -59,6 +60,7 @@
     void open_registry();
     void open_operator_calls();
     void open_stage_duty();
+    void open_count_duty(); // after the servers' parts, whose picture it shares
     void open_peers();
     void open_feed();
     void tell_known_state(); // what the disk knew, as a head start
@@ -103,6 +105,7 @@
     std::unique_ptr<InstanceRegistry> registry_;
     std::unique_ptr<StageDuty> stage_duty_; // null without duties
     std::unique_ptr<UsageDuty> usage_duty_; // null where no usage is due
+    std::unique_ptr<CountDuty> count_duty_; // null where no numbers are ordered
     std::unique_ptr<OperatorCalls> operator_calls_;
     std::unique_ptr<ControlApi> api_;
     std::unique_ptr<feed::LinkListener> peer_listener_, feed_listener_;
--- a/src/control/inspection.cpp
+++ b/src/control/inspection.cpp
@@ -97,6 +97,15 @@
         orders.not_sent, orders.unanswered);
 }
 
+std::string server_counts_of(const Inspection& seen) {
+    const std::string zones = list_of(seen.server_counts, [](const CountDuty::Standing& zone) {
+        const std::string accepted = zone.accepted ? std::to_string(*zone.accepted) : "null";
+        return fmt::format(R"({{"service":"{}","zone":"{}","fence":{},"there":{},"accepted":{}}})",
+                           zone.service, zone.zone, zone.fence, zone.there, accepted);
+    });
+    return fmt::format(R"({{"zones":{},"calls":{}}})", zones, calls_of(seen.count_calls));
+}
+
 std::string refused_of(const Inspection& seen) {
     return fmt::format(
         R"({{"otherMember":{},"olderTerm":{},"unknownMember":{},"unreadable":{},"otherVersion":{},"beforeHello":{},"formerProcess":{},)"
@@ -113,10 +122,10 @@
 std::string to_json(const Inspection& seen) {
     return fmt::format(
         R"({{"node":"{}","leads":{},"inContact":{},"servesFeed":{},"version":{},"voters":{},)"
-        R"("peers":{},"edgeNodes":{},"servers":{},"duties":{},"orders":{},"usage":{},"refused":{}}})",
+        R"("peers":{},"edgeNodes":{},"servers":{},"duties":{},"orders":{},"serverCounts":{},"usage":{},"refused":{}}})",
         seen.node, seen.leads, seen.in_contact, seen.serves_feed, seen.version, voters_of(seen),
         peers_of(seen), edge_nodes_of(seen), servers_of(seen), duties_of(seen), orders_of(seen),
-        usage_of(seen), refused_of(seen));
+        server_counts_of(seen), usage_of(seen), refused_of(seen));
 }
 
 } // namespace ivyrill::control
--- a/src/control/stage_duty.hpp
+++ b/src/control/stage_duty.hpp
@@ -38,6 +38,7 @@
 
     duties::DemandTally& demand() { return demand_; }
     void reported(const std::vector<model::Load>& loads); // by servers, as they come
+    std::vector<duties::StagedServer> servers_of(const std::string& service) const; // that serve
     const duties::StageOrders::Counts& counts() const { return orders_.counts(); }
 
   private:
@@ -47,7 +48,6 @@
                const duties::StagedServer& server);
     void send(const duties::Duty& duty, const duties::StageOrder& order);
     void answered(const duties::Duty& duty, const duties::StageOrder& order, duties::OrderOutcome outcome);
-    std::vector<duties::StagedServer> servers_of(const std::string& service) const;
     duties::StagedServer staged(const model::Instance& instance) const;
 
     transport::Reactor& reactor_;
