Histories of duties: numbers of servers are ordered from the world's platform

Judged as the rule ONE tells, by subject; beside it one call at a time for a zone, counts within their bounds, nothing under a fence that was refused.

--- a/tests/duty_history_tests.cpp
+++ b/tests/duty_history_tests.cpp
@@ -15,20 +15,23 @@
 constexpr std::uint64_t kSeedsOfCase = 20;
 #endif
 
-// Each serves its purpose: servers were ordered, and some took an order; usage was reported, also again.
+// Each serves its purpose: servers were ordered, and some took an order; usage was reported, also again;
+// numbers of servers were ordered.
 void play_seeds(std::uint64_t part) {
-    std::uint64_t orders = 0, taken = 0, calls = 0, reports = 0;
+    std::uint64_t orders = 0, taken = 0, calls = 0, reports = 0, counts = 0;
     for (std::uint64_t seed = part * kSeedsOfCase + 1; seed <= (part + 1) * kSeedsOfCase; ++seed) {
         ControlWorld world(duty_plan_of_seed(seed));
         world.play();
         for (const std::string& what : world.broken()) BOOST_ERROR("seed " << seed << " " << what);
         orders += world.counts().orders_to_servers, taken += world.counts().orders_taken;
         calls += world.counts().platform_calls, reports += world.counts().reports_accepted;
+        counts += world.counts().counts_accepted;
     }
     BOOST_TEST(orders > 20 * kSeedsOfCase);
     BOOST_TEST(taken > 0U);
     BOOST_TEST(reports > 10 * kSeedsOfCase);
     BOOST_TEST(calls > reports);
+    BOOST_TEST(counts > kSeedsOfCase);
 }
 
 } // namespace
--- a/tests/lab/control_clients.cpp
+++ b/tests/lab/control_clients.cpp
@@ -177,7 +177,8 @@
         R"("maxAttempts":2,"sticky":true,"resumable":true,"gap_aim_ms":300}}],"services":[{{"name":"model",)"
         R"("healthPath":"/health","connLimit":64,"protocol":"h1","tls":false,"engine":{{"slots":8,)"
         R"("kvTokenCount":100000,"tokenKvBytes":131072,"linkMbps":100000.0,"stride":4,"handleHoldS":5.0,)"
-        R"("roleSwitchS":0.5,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,)"
+        R"("roleSwitchS":0.5,"models":[{{"name":"m"}}]}},"scaling":{{"minCount":1,"maxCount":6,"bootTimeS":2}}}}],)"
+        R"("limits":{{"maxHeaderBytes":16384,)"
         R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}})",
         order.version, kFirstMark + static_cast<std::int64_t>(number));
 }
--- /dev/null
+++ b/tests/lab/control_counts.cpp
@@ -0,0 +1,49 @@
+// Of a ControlWorld: the platform as it is told numbers of servers. What comes to it is judged whatever it
+// answers.
+#include "lab/control_world.hpp"
+
+#include "protocol/json.hpp"
+
+#include <fmt/format.h>
+
+namespace ivyrill::lab {
+
+namespace {
+
+constexpr std::int64_t kLeast = 1, kMost = 6; // `minCount`, `maxCount` (control_clients.cpp)
+
+} // namespace
+
+ControlWorld::CountSubject& ControlWorld::count_subject(const PlatformRequest& request) {
+    const protocol::Json body = protocol::read_json(request.call.body);
+    return platform_
+        .count_subjects[body.at("service").as_text("service") + "/" + body.at("zone").as_text("zone")];
+}
+
+void ControlWorld::count_call_leaves(MachineNumber machine, const PlatformRequest& request) {
+    ++counts_.count_calls;
+    CountSubject& subject = count_subject(request);
+    const auto fenced_off = subject.fenced_off.find(machine);
+    if (fenced_off != subject.fenced_off.end() && fenced_off->second >= request.call.fence)
+        promise_broken(fmt::format("machine {} orders numbers under a fence that was refused", machine));
+    if (!subject.under_way.insert({machine, network_.incarnation(machine)}).second)
+        promise_broken(fmt::format("machine {} has two calls for one zone under way", machine));
+}
+
+void ControlWorld::count_call_ends(MachineNumber machine, const PlatformRequest& request,
+                                   duties::PlatformOutcome outcome) {
+    CountSubject& subject = count_subject(request);
+    subject.under_way.erase({machine, network_.incarnation(machine)});
+    if (outcome == duties::PlatformOutcome::kFencedOff) subject.fenced_off[machine] = request.call.fence;
+    if (outcome == duties::PlatformOutcome::kAccepted) ++counts_.counts_accepted;
+}
+
+void ControlWorld::judge_count(MachineNumber sender, std::uint64_t fence, const PlatformRequest& request) {
+    judge_one(count_subject(request).acts, sender, fence);
+    const std::int64_t servers =
+        protocol::read_json(request.call.body).at("desiredCount").as_integer("desiredCount");
+    if (servers < kLeast || servers > kMost)
+        promise_broken(fmt::format("machine {} orders {} servers in a zone", sender, servers));
+}
+
+} // namespace ivyrill::lab
--- a/tests/lab/control_platform.cpp
+++ b/tests/lab/control_platform.cpp
@@ -73,14 +73,18 @@
     if (!is_agreed) promise_broken(fmt::format("machine {} sends what is not agreed on", machine));
 }
 
-// What does not come in within the delivery's patience never does.
-void ControlWorld::platform_call_leaves(MachineNumber machine, const PlatformRequest& request,
-                                        const std::function<void(PlatformOutcome)>& done) {
+void ControlWorld::report_leaves(MachineNumber machine, const PlatformRequest& request) {
     ++counts_.platform_calls;
     const auto fenced_off = platform_.fenced_off.find(machine);
     if (fenced_off != platform_.fenced_off.end() && fenced_off->second >= request.call.fence)
         promise_broken(fmt::format("machine {} calls on under a fence that was refused", machine));
     check_is_agreed(machine, request.call);
+}
+
+// What does not come in within the delivery's patience never does.
+void ControlWorld::platform_call_leaves(MachineNumber machine, const PlatformRequest& request,
+                                        const std::function<void(PlatformOutcome)>& done) {
+    is_of_count(request) ? count_call_leaves(machine, request) : report_leaves(machine, request);
     const Tenths way = network_.chance(0.2) ? network_.between(500, 3000) : network_.between(5, 20);
     const bool is_lost = network_.chance(0.05), answer_is_lost = network_.chance(0.05);
     const int incarnation = network_.incarnation(machine);
@@ -88,9 +92,8 @@
         network_.schedule(network_.now() + after, [=, this] {
             if (!network_.is_up(machine) || network_.incarnation(machine) != incarnation) return;
             network_.run_on(machine, [=, this] {
-                if (outcome == PlatformOutcome::kAccepted) note_acknowledged(request);
-                if (outcome == PlatformOutcome::kFencedOff)
-                    platform_.fenced_off[machine] = request.call.fence;
+                is_of_count(request) ? count_call_ends(machine, request, outcome)
+                                     : report_ends(machine, request, outcome);
                 done(outcome);
             });
         });
@@ -114,8 +117,10 @@
     const auto fence = static_cast<std::uint64_t>(std::stoull(std::string(message.header("fence-token"))));
     const std::string name = "machine " + std::to_string(sender);
     if (message.header("duty-holder") != request.holder) promise_broken(name + " does not tell its name");
-    judge_one(platform_.acts, sender, fence);
-    judge_report(name, message.body);
+    const bool is_report = !is_of_count(request);
+    if (is_report) judge_one(platform_.acts, sender, fence);
+    if (is_report) judge_report(name, message.body);
+    if (!is_report) judge_count(sender, fence, request);
     switch (platform_.mood) {
     case PlatformMood::kBusy:
         return PlatformOutcome::kBusy;
@@ -124,7 +129,7 @@
     case PlatformMood::kFencesOff:
         return PlatformOutcome::kFencedOff;
     case PlatformMood::kResets: // before or after it has taken the call
-        if (network_.chance(0.5)) accept_report(message.body);
+        if (is_report && network_.chance(0.5)) accept_report(message.body);
         return PlatformOutcome::kUnanswered;
     case PlatformMood::kSilent:
         return PlatformOutcome::kUnanswered;
@@ -132,7 +137,7 @@
     case PlatformMood::kSlow:
         break;
     }
-    accept_report(message.body);
+    if (is_report) accept_report(message.body);
     return PlatformOutcome::kAccepted;
 }
 
@@ -153,8 +158,10 @@
     tell(fmt::format("the platform accepts window {}", window));
 }
 
-void ControlWorld::note_acknowledged(const PlatformRequest& request) {
-    if (request.call.path == "/usage") ++counts_.reports_acknowledged;
+void ControlWorld::report_ends(MachineNumber machine, const PlatformRequest& request,
+                               PlatformOutcome outcome) {
+    if (outcome == PlatformOutcome::kAccepted) ++counts_.reports_acknowledged;
+    if (outcome == PlatformOutcome::kFencedOff) platform_.fenced_off[machine] = request.call.fence;
 }
 
 // ---- the plan
--- a/tests/lab/control_world.cpp
+++ b/tests/lab/control_world.cpp
@@ -88,7 +88,8 @@
     made.beat_interval_ms = kBeatIntervalMs;
     made.bounds.usage_window_s = plan_.usage_window_s;
     if (plan_.kind == ControlPlanKind::kDuties) made.contracts = {"engine"};
-    if (plan_.kind == ControlPlanKind::kDuties) made.cloud_api = {"10.0.9.1:8168", {"usage_report"}, 50};
+    if (plan_.kind == ControlPlanKind::kDuties)
+        made.cloud_api = {"10.0.9.1:8168", {"usage_report", "autoscale"}, 50};
     return made;
 }
 
--- a/tests/lab/control_world.hpp
+++ b/tests/lab/control_world.hpp
@@ -56,7 +56,8 @@
 struct ControlCounts {
     std::uint64_t faults = 0, acknowledged = 0, refused = 0, sent_again = 0, reads = 0, leavings = 0,
                   disks_lost = 0, batches = 0, late_answers_passed_over = 0, orders_to_servers = 0,
-                  orders_taken = 0, platform_calls = 0, reports_accepted = 0, reports_acknowledged = 0;
+                  orders_taken = 0, platform_calls = 0, reports_accepted = 0, reports_acknowledged = 0,
+                  count_calls = 0, counts_accepted = 0;
     std::array<bool, 5> five{}; // which of the five were brought about, in the order of ControlPlanKind
 };
 
@@ -170,12 +171,18 @@
         duties::PlatformCall call;
         std::string holder;
     };
+    struct CountSubject { // numbers of servers of one zone
+        std::vector<Act> acts;
+        std::map<MachineNumber, std::uint64_t> fenced_off; // the last fence that was refused, as told
+        std::set<std::pair<MachineNumber, int>> under_way; // machine and incarnation of who awaits an answer
+    };
     struct Platform {
         PlatformMood mood = PlatformMood::kQuick;
         std::vector<Act> acts;
         std::map<std::int64_t, std::string> reports;       // by window: the body that came first
         std::map<std::int64_t, std::int64_t> accepted;     // by window: when, in true ms
         std::map<MachineNumber, std::uint64_t> fenced_off; // the last fence that was refused, as told
+        std::map<std::string, CountSubject> count_subjects;
     };
     static constexpr std::int64_t kClockErrorMs = 100; // that the fleet's time may be off
     class WorldOrderLink;
@@ -274,7 +281,8 @@
     void check_is_agreed(MachineNumber machine, const duties::PlatformCall& call);
     void judge_report(const std::string& name, const std::string& body);
     void accept_report(const std::string& body);
-    void note_acknowledged(const PlatformRequest& request);
+    void report_leaves(MachineNumber machine, const PlatformRequest& request);
+    void report_ends(MachineNumber machine, const PlatformRequest& request, duties::PlatformOutcome outcome);
     void start_usage();
     void begin_requests();
     void change_platform_mood();
@@ -282,6 +290,13 @@
     void calm_platform();
     bool all_reported(std::int64_t last) const;
     void check_usage_calm();
+    // control_counts.cpp: the platform as it is told numbers of servers
+    static bool is_of_count(const PlatformRequest& request) { return request.call.path == "/scale"; }
+    CountSubject& count_subject(const PlatformRequest& request);
+    void count_call_leaves(MachineNumber machine, const PlatformRequest& request);
+    void count_call_ends(MachineNumber machine, const PlatformRequest& request,
+                         duties::PlatformOutcome outcome);
+    void judge_count(MachineNumber sender, std::uint64_t fence, const PlatformRequest& request);
     // control_usage.cpp: proxies that count, clocks that jump
     std::int64_t time_of_day(MachineNumber machine) const;
     void count_usage(std::size_t agent, feed::Subscriber::Callbacks& callbacks);
