A part of the duties that was written before there was a ledger is read and replaced

Cause: PartState was read in its present form only, and what can't be read is never replaced. On the disks of a former version every part keeps the entry with released_term alone, so after an upgrade in place the ledger never began: no usage was reported, and a planned hand-over was not seen. Change: read_part_state also reads the form without a ledger, which then has not begun. Term, vote and entry lie beside it and are as before, so fences go on from the former term. What has neither form is still left alone. Tests: a_part_written_before_there_was_a_ledger_is_read_and_reports_from_now_on and a_part_of_a_former_version_takes_a_ledger_under_a_higher_fence failed without the former form; both pass with it.

--- a/src/control/duty_parts.cpp
+++ b/src/control/duty_parts.cpp
@@ -18,20 +18,14 @@
 constexpr Tenths kElectionTimeout = 12'000; // four heartbeats; the longest is twice as long
 constexpr Tenths kHoldShare = 3;            // of a lease: for so much of it a holder acts without an answer
 
-std::optional<duties::PartState> read_state(const std::string& payload) {
-    auto read = wire::from_bytes<duties::PartState>(payload);
-    if (read.has_error()) return std::nullopt;
-    return std::move(read.value());
-}
-
 std::optional<duties::PartState> state_of(const consensus::Replica& replica) {
-    return replica.committed() ? read_state(replica.committed()->payload) : std::nullopt;
+    return replica.committed() ? duties::read_part_state(replica.committed()->payload) : std::nullopt;
 }
 
 // What can't be read is never replaced.
 consensus::Replica::MakePayload payload_by(DutyParts::ChangeState change) {
     return [change = std::move(change)](const std::string& newest) -> std::optional<std::string> {
-        const auto state = read_state(newest);
+        const auto state = duties::read_part_state(newest);
         const auto changed = state ? change(*state) : std::nullopt;
         if (!changed) return std::nullopt;
         return wire::to_bytes(*changed);
--- /dev/null
+++ b/src/duties/duty.cpp
@@ -0,0 +1,23 @@
+#include "duties/duty.hpp"
+
+#include "wire/cbor.hpp"
+
+namespace ivyrill::duties {
+
+namespace {
+
+struct PartStateWithoutLedger {
+    std::uint64_t released_term = 0;
+    template <class Self> static auto tie(Self& s) { return std::tie(s.released_term); }
+};
+
+} // namespace
+
+std::optional<PartState> read_part_state(std::string_view payload) {
+    if (auto read = wire::from_bytes<PartState>(payload); read.has_value()) return std::move(read.value());
+    const auto former = wire::from_bytes<PartStateWithoutLedger>(payload);
+    if (former.has_error()) return std::nullopt;
+    return PartState{former.value().released_term, {}};
+}
+
+} // namespace ivyrill::duties
--- a/src/duties/duty.hpp
+++ b/src/duties/duty.hpp
@@ -8,7 +8,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace ivyrill::duties {
@@ -45,6 +47,10 @@
     template <class Self> static auto tie(Self& s) { return std::tie(s.released_term, s.usage); }
 };
 
+// As it lies on the disk or is agreed on; also in the form without a ledger, which former versions wrote:
+// then nothing was ever reported, and the ledger has not begun. None where it has neither form.
+std::optional<PartState> read_part_state(std::string_view payload);
+
 // Whether the leader of `term` follows one that said that it acts no more.
 inline bool was_handed_over(const PartState& state, std::uint64_t term) {
     return state.released_term > 0 && state.released_term + 1 == term;
--- a/tests/control_parts_tests.cpp
+++ b/tests/control_parts_tests.cpp
@@ -2,6 +2,7 @@
 // opens, hellos of peers, and who it is on a disk.
 #define BOOST_TEST_MODULE control_parts
 #include "base/hash.hpp"
+#include "control/duty_parts.hpp"
 #include "control/feed_gate.hpp"
 #include "control/known_state.hpp"
 #include "control/operator_calls.hpp"
@@ -481,3 +482,57 @@
     BOOST_TEST(mesh.refused().unreadable == 1U);
     BOOST_TEST(mesh.refused().other_version == 2U);
 }
+
+// ---- the duties' parts on disks of a former version
+
+namespace {
+
+// A disk that keeps at once what it is given.
+class QuickFile : public StateFile {
+  public:
+    QuickFile(transport::Reactor& reactor, std::string bytes) : reactor_(reactor), bytes_(std::move(bytes)) {}
+    Result<Loaded> load() override { return Loaded{bytes_, false}; }
+    void save(std::string, std::function<void(Result<void>)> done) override {
+        reactor_.call_at(reactor_.now(), [done = std::move(done)] { done(boost::outcome_v2::success()); });
+    }
+
+  private:
+    transport::Reactor& reactor_;
+    std::string bytes_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_part_of_a_former_version_takes_a_ledger_under_a_higher_fence) {
+    constexpr std::uint64_t kFormerTerm = 7;
+    const consensus::Member self{{5}, kSelf, "a"};
+    const std::string former_payload{"\x81\x00", 2}; // an array of one: no term released
+    MemberState stored{
+        self, {kFormerTerm, self.id, consensus::Entry{{kFormerTerm, 3}, {self}, {}, former_payload}}};
+    transport::Reactor reactor{kS};
+    DutyParts::Options options;
+    options.voters = 1, options.lease = 3 * kS;
+    options.draw = [] { return std::uint64_t{9}; };
+    auto parts = std::move(
+        DutyParts::open(
+            reactor,
+            [&](const std::string&) { return std::make_unique<QuickFile>(reactor, wire::to_bytes(stored)); },
+            options, [](std::size_t, const consensus::Send&) {})
+            .value());
+    parts->join(self);
+    const auto pass = [&](Tenths span) {
+        for (const Tenths until = reactor.now() + span; reactor.now() < until;)
+            reactor.turn(reactor.now() + 500, 0);
+    };
+    const duties::Duty duty = duties::usage_report_duty();
+    pass(60 * kS);
+    BOOST_REQUIRE(parts->fence(duty).has_value());
+    BOOST_TEST(*parts->fence(duty) > kFormerTerm);
+    parts->propose(duty, [](duties::PartState newest) {
+        newest.usage.next_window = 12;
+        return std::optional(newest);
+    });
+    pass(kS);
+    BOOST_REQUIRE(parts->agreed(duty).has_value());
+    BOOST_TEST(parts->agreed(duty)->usage.next_window == 12);
+}
--- a/tests/usage_ledger_tests.cpp
+++ b/tests/usage_ledger_tests.cpp
@@ -157,10 +157,28 @@
 BOOST_AUTO_TEST_CASE(a_part_keeps_its_ledger_on_the_disk) {
     PartState state;
     state.released_term = 7, state.usage = {kFirst + 1, {{kFirst, usage_body(kFirst, {{"a", 1}})}}};
-    const auto read = wire::from_bytes<PartState>(wire::to_bytes(state));
+    const auto read = read_part_state(wire::to_bytes(state));
     BOOST_REQUIRE(read.has_value());
-    BOOST_TEST(read.value().released_term == 7U);
-    BOOST_TEST((read.value().usage == state.usage));
+    BOOST_TEST(read->released_term == 7U);
+    BOOST_TEST((read->usage == state.usage));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_written_before_there_was_a_ledger_is_read_and_reports_from_now_on) {
+    const std::string former{"\x81\x07"}; // an array of one: released in term 7
+    const auto read = read_part_state(former);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->released_term == 7U);
+    BOOST_TEST(was_handed_over(*read, 8));
+    BOOST_TEST((read->usage == UsageLedger{}));
+}
+
+BOOST_AUTO_TEST_CASE(a_spoilt_part_is_not_taken_for_one_without_reports) {
+    PartState state;
+    state.usage = {kFirst + 1, {{kFirst, usage_body(kFirst, {{"a", 1}})}}};
+    const std::string whole = wire::to_bytes(state);
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        BOOST_TEST(!read_part_state(whole.substr(0, size)).has_value(), size);
+    BOOST_TEST(!read_part_state(whole + "x").has_value());
 }
 
 // ---- calls to the platform, of all duties
