No number of servers outside of minCount and maxCount is ordered

Cause: the bounds were widened to the zone's present count, so a zone with 30 servers where 24 are the most was ordered to have 29, one with fewer than the least to have one more. Change: an order lies within the bounds; one that would go against its step is left out, so a zone outside of them still stays as it is until the load asks for a step that way. Test: no_order_lies_outside_of_the_bounds_of_a_zone_that_does failed before with 29 > 24; count_tests pass.

--- a/src/duties/count_controller.cpp
+++ b/src/duties/count_controller.cpp
@@ -142,10 +142,9 @@
     std::vector<ZoneCount> changed;
     for (const ZoneCount& zone : picture.standing) {
         if (std::ranges::find(zones, zone.zone, &ZoneCount::zone) == zones.end()) continue;
-        const std::int64_t least = std::min(scaling.min_count, zone.servers);
-        const std::int64_t most = std::max(scaling.max_count, zone.servers);
-        const std::int64_t wanted = std::clamp(zone.servers + step, least, most);
-        if (wanted != zone.servers) changed.push_back({zone.zone, wanted});
+        const std::int64_t wanted = std::clamp(zone.servers + step, scaling.min_count, scaling.max_count);
+        const bool goes_the_way = step > 0 ? wanted > zone.servers : wanted < zone.servers;
+        if (goes_the_way) changed.push_back({zone.zone, wanted});
     }
     return changed;
 }
--- a/tests/count_tests.cpp
+++ b/tests/count_tests.cpp
@@ -150,6 +150,19 @@
     BOOST_TEST(loop.changes == 0);
 }
 
+BOOST_AUTO_TEST_CASE(no_order_lies_outside_of_the_bounds_of_a_zone_that_does) {
+    for (const std::int64_t servers : {std::int64_t{30}, std::int64_t{1}}) {
+        Fleet fleet(servers);
+        CountLoop loop;
+        loop.run(fleet, 12 * kSecond, servers == 30 ? 0 : 3);
+        BOOST_TEST(loop.changes == 1);
+        for (const ZoneCount& zone : fleet.picture.standing) {
+            BOOST_TEST(zone.servers >= kScaling.min_count);
+            BOOST_TEST(zone.servers <= kScaling.max_count);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(enough_stay_to_outlive_the_loss_of_the_largest_zone) {
     Fleet fleet(8);
     CountLoop loop;
