Tests with processes: usage reports to a stand-in platform, with nodes killed, frozen, restarted

Change: tests/lab/platform is a platform's API on a socket that judges ONE; examples/fleet/run takes FLEET_PLATFORM (opt in); what fleet_tests and fleet_duty_tests share is tests/lab/real_fleet.hpp.

--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -1,12 +1,10 @@
 // The whole fleet in real processes on loopback. Every wait is for a condition, with a bound.
 #define BOOST_TEST_MODULE fleet
-#include "lab/example_fleet.hpp"
 #include "lab/model_server_world.hpp"
+#include "lab/real_fleet.hpp"
 
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -17,94 +15,6 @@
 using namespace ivyrill;
 using namespace ivyrill::lab;
 
-constexpr int kControls = 3;
-constexpr Tenths kConfigurationApplies = 2 * kTenthsPerSecond; // `configApplyMs` of examples/fleet/settings
-
-struct RealFleet : ExampleFleet {
-    RealFleet() : ExampleFleet(IVYRILL_FLEET_RUN, IVYRILL_FLEET_BUILD) {}
-    // The number of the control node that leads; 0 for none.
-    int leader() {
-        for (int number = 1; number <= kControls; ++number) {
-            if (!running("control-" + std::to_string(number))) continue;
-            ClientRequest inspect;
-            inspect.method = "GET", inspect.target = "/inspect", inspect.model = "";
-            if (ask(control(number), inspect).body.find("\"leads\":true") != std::string::npos) return number;
-        }
-        return 0;
-    }
-    // By the first of the control nodes that takes a connection, from that one on, as an operator does.
-    int replace(const std::string& body, std::int64_t if_match, int first = 1) {
-        ClientRequest call;
-        call.method = "PUT", call.target = "/config", call.model = "", call.body = body;
-        call.more = {{"If-Match", std::to_string(if_match)}, {"Content-Type", "application/json"}};
-        int status = 0;
-        until([&] {
-            const ClientAnswer& answer = ask(control(first), call);
-            status = answer.head.status, answered_at_ = answer.ended_at;
-            first = first % kControls + 1;
-            return status != 0 && status < 500;
-        });
-        return status;
-    }
-    // The last status among requests that `client` sends one after another, until that status comes or the
-    // last change has to be in force.
-    int status_by_apply_span(StreamClient& client, ClientRequest request, int wanted) {
-        for (;;) {
-            request.attempt = "a" + std::to_string(++asked_);
-            client.send(request);
-            if (!until([&] { return client.over(); })) return 0;
-            const ClientAnswer& answer = client.answer();
-            const bool in_force = answer.sent_at > answered_at_ + kConfigurationApplies;
-            if (answer.head.status == wanted || in_force) return answer.head.status;
-        }
-    }
-
-  private:
-    Tenths answered_at_ = 0; // the last change
-    int asked_ = 0;          // requests of status_by_apply_span
-};
-
-std::string read_example() {
-    std::ifstream file(IVYRILL_FLEET_CONFIGURATION, std::ios::binary);
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
-std::string replaced(std::string text, const std::string& former, const std::string& fresh) {
-    const std::size_t at = text.find(former);
-    BOOST_REQUIRE(at != std::string::npos);
-    return text.replace(at, former.size(), fresh);
-}
-
-// The example with another version and one route more.
-std::string with_route(std::int64_t version, const std::string& prefix) {
-    const std::string text =
-        replaced(read_example(), "\"version\": 1,", "\"version\": " + std::to_string(version) + ",");
-    const std::string route =
-        R"({"name": "more", "host": "chat.example", "pathPrefix": ")" + prefix +
-        R"(", "kind": "safe", "timeoutMs": 9000, "targetLatencyMs": 500, "priority": 0,)" +
-        R"("service": "model", "maxAttempts": 2},)";
-    return replaced(text, "\"routes\": [", "\"routes\": [" + route);
-}
-
-// The example with two tenants and one route that asks for no key.
-std::string with_tenants(std::int64_t version) {
-    const std::string text =
-        replaced(with_route(version, "/open/"), R"("name": "more",)", R"("name": "more", "public": true,)");
-    return replaced(text, "\"routes\": [",
-                    R"("tenants": [{"name": "alpha", "apiKeys": ["key-a1", "key-a2"], "priority": 6},)"
-                    R"({"name": "beta", "apiKeys": ["key-b"], "priority": 7}], "routes": [)");
-}
-
-ClientRequest stream(const std::string& attempt, const std::string& prompt, int prompt_tokens,
-                     int output_tokens) {
-    ClientRequest request;
-    request.target = "/chat/completions", request.host = "chat.example", request.attempt = attempt;
-    request.token_counts = std::to_string(prompt_tokens) + "," + std::to_string(output_tokens);
-    request.prompt_prefix = prompt + ":" + std::to_string(prompt_tokens - 10) + "," + attempt + ":10";
-    request.deadline_ms = 15'000, request.body = "a prompt";
-    return request;
-}
-
 void check_whole(const ClientAnswer& answer, const ClientRequest& request) {
     BOOST_TEST((answer.end == AnswerEnd::kComplete));
     BOOST_TEST(answer.head.status == 200);
--- a/tests/lab/example_fleet.cpp
+++ b/tests/lab/example_fleet.cpp
@@ -44,8 +44,9 @@
 
 } // namespace
 
-ExampleFleet::ExampleFleet(const std::string& run, const std::string& build) : network_(own_network()) {
-    start(run, build);
+ExampleFleet::ExampleFleet(const std::string& run, const std::string& build, const PlatformSettings& platform)
+    : network_(own_network()), program_(build + "/ivyrill-fleet") {
+    start(run, build, platform);
     try {
         await_ready();
     } catch (...) {
@@ -58,10 +59,13 @@
 
 // The script's command is a `cat`, which lasts until its input is closed, also when this process ends by
 // force.
-void ExampleFleet::start(const std::string& run, const std::string& build) {
+void ExampleFleet::start(const std::string& run, const std::string& build, const PlatformSettings& platform) {
     const auto input = open_pipe(), output = open_pipe();
     input_ = input[1], output_ = output[0];
     setenv("FLEET_NETWORK", network_.c_str(), 1);
+    const bool has_platform = platform.window_s > 0;
+    setenv("FLEET_PLATFORM", has_platform ? this->platform().c_str() : "", 1);
+    setenv("FLEET_WINDOW_S", std::to_string(platform.window_s).c_str(), 1);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, input[0], STDIN_FILENO);
@@ -95,8 +99,37 @@
     folder_ = said.substr(from, said.find(kLogs, from) - from);
 }
 
+void ExampleFleet::restart(const std::string& name) {
+    if (running(name)) throw std::runtime_error(name + " still runs");
+    const std::string log = folder_ + "/logs/" + name, role = name.substr(0, name.find('-'));
+    const std::string settings = "settings/" + name + ".yaml"; // its paths are from the folder on
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_APPEND, 0);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    posix_spawn_file_actions_addchdir_np(&actions, folder_.c_str());
+    std::vector<std::string> words{program_, role, "--settings", settings};
+    std::vector<char*> arguments;
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    pid_t fresh = -1;
+    const int failure = posix_spawn(&fresh, program_.c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0) throw std::system_error(failure, std::generic_category(), name);
+    restarted_.push_back(fresh);
+    std::ofstream(folder_ + "/ids/" + name) << fresh << '\n';
+}
+
+void ExampleFleet::end_restarted() {
+    for (const pid_t id : restarted_) kill(id, SIGKILL);
+    for (const pid_t id : restarted_)
+        while (waitpid(id, nullptr, 0) < 0 && errno == EINTR) {}
+    restarted_.clear();
+}
+
 void ExampleFleet::stop() {
     clients_.clear();
+    end_restarted();
     close(input_);
     int status = -1;
     while (waitpid(process_, &status, 0) < 0 && errno == EINTR) {}
@@ -147,6 +180,7 @@
     const Tenths give_up = loop_.now() + kPatience;
     for (;;) {
         for (const auto& client : clients_) client->pass();
+        if (also_pass_) also_pass_();
         if (holds()) return true;
         if (loop_.now() >= give_up) return false;
         Tenths next = loop_.now() + kLook;
--- /dev/null
+++ b/tests/lab/platform.hpp
@@ -0,0 +1,86 @@
+// A stand-in for the platform's API on a socket, in its caller's loop: it takes POST /usage and POST /scale,
+// keeps each call with its time and sender, and judges the rule ONE. After each Loop::wait the caller calls
+// pass().
+#pragma once
+#include "lab/http_reader.hpp"
+#include "transport/stream.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivyrill::lab {
+
+enum class PlatformManner : std::uint8_t {
+    kQuick,
+    kSlow,      // takes a call at once and answers it after kSlowAnswer
+    kSilent,    // takes no call and never answers
+    kBusy,      // 429
+    kResets,    // takes a call and resets its connection
+    kGarbage,   // takes a call and answers what is no HTTP
+    kHalfAnswer // takes a call and closes within the answer's head
+};
+
+struct ReceivedCall {
+    Tenths at = 0;
+    std::string peer; // IP:PORT, on loopback the same IP for all senders
+    std::string path, holder, body;
+    std::uint64_t fence = 0;
+    PlatformManner manner = PlatformManner::kQuick; // in which it was met
+};
+
+class Platform {
+  public:
+    // `lease`: within it no two holders may act in turns (`leaseMs`).
+    Platform(transport::Loop& loop, const std::string& address, Tenths lease);
+
+    void pass();
+    void set_manner(PlatformManner manner) { manner_ = manner; }
+
+    const std::vector<ReceivedCall>& calls() const { return calls_; }
+    const std::map<std::int64_t, std::string>& reports() const { return reports_; } // taken ones, by window
+    const std::vector<std::string>& violations() const { return violations_; }      // of ONE
+    std::int64_t counted(const std::string& tenant) const;                          // in all windows
+    std::int64_t counted(std::int64_t window, const std::string& tenant) const;     // 0 where not reported
+    std::size_t missing() const; // windows between the first and the last that are not reported
+
+    static constexpr Tenths kSlowAnswer = 2 * kTenthsPerSecond;
+
+  private:
+    struct Connection {
+        std::unique_ptr<transport::Stream> stream;
+        HttpReader reader{HttpReader::Side::kRequests};
+        int descriptor = -1; // the stream's
+        std::string peer;
+        bool is_taken = false, is_over = false;
+        PlatformManner manner = PlatformManner::kQuick; // in which it is met
+        Tenths answer_at = 0;                           // 0: no answer is to come
+    };
+    struct Act {
+        Tenths at = 0;
+        std::string holder;
+        std::uint64_t fence = 0;
+    };
+
+    void accept_all();
+    void pass(Connection& connection);
+    void take(Connection& connection);
+    void answer(Connection& connection);
+    void judge_order(const std::string& subject, const ReceivedCall& call);
+    void judge_turns(const std::vector<Act>& acts, const std::string& subject);
+    void take_report(const ReceivedCall& call);
+
+    transport::Loop& loop_;
+    transport::Source listener_;
+    Tenths lease_;
+    PlatformManner manner_ = PlatformManner::kQuick;
+    std::vector<std::unique_ptr<Connection>> connections_;
+    std::vector<ReceivedCall> calls_;
+    std::map<std::int64_t, std::string> told_, reports_; // bodies by window: of all calls, of those taken
+    std::map<std::string, std::vector<Act>> acts_;       // by subject
+    std::vector<std::string> violations_;
+};
+
+} // namespace ivyrill::lab
