A soak over real processes: overlapping signals, restarts and changes from a seed

Cause: tests of the whole fleet each make one fault; nothing played signals, restarts and configuration changes that overlap while clients use open connections until the process is gone. Change: measure_soak starts control nodes, proxies, agents and stand-in model servers on loopback, draws a history from the seed and judges what clients, operator and servers saw: bytes, runs, keys, tenants, the version in force, connections cut, processes that end on their own, descriptors and memory, and all at rest at the end. Stand-ins log each run that begins, since calls may be turned away. Not yet run under the sanitizers.

--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,11 @@
 	$(BUILD)/ivyrill serve $(if $(CONFIG),--config $(CONFIG))
 
 # NAME=access: what a direction promises, measured; its last line is one JSON object, and it fails where a promise
-# is broken.
+# is broken. MORE: further arguments, as MORE="--seeds 1:50" for NAME=soak.
 measure:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
 	cmake --build $(BUILD) -j4 --target measure_$(NAME)
-	@$(BUILD)/measure_$(NAME)
+	@$(BUILD)/measure_$(NAME) $(MORE)
 
 # The order of work for longer: ten times the schedules, five evenings of processes.
 rota-long: build
--- /dev/null
+++ b/bench/soak.cpp
@@ -0,0 +1,85 @@
+// The soak: real processes of the whole fleet on loopback, signals, restarts and configuration changes that
+// overlap, and clients that use their connections until the process is gone, all drawn from a seed. The last
+// line is one JSON object; the exit status is 1 where a promise is broken, and then the story of that seed is
+// told and its logs stay.
+#include "lab/soak_run.hpp"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace {
+
+using namespace ivyrill;
+using namespace ivyrill::lab;
+
+constexpr Tenths kTenthsPerMs = kTenthsPerSecond / 1000;
+constexpr std::size_t kMostTold = 20; // broken promises of one seed
+
+struct Arguments {
+    SoakOptions options;
+    std::string seeds = "1:1";
+    double seconds = 20, gap_ms = 500;
+};
+
+void declare(CLI::App& app, Arguments& arguments) {
+    SoakSize& size = arguments.options.size;
+    app.add_option("--seeds", arguments.seeds, "FROM:COUNT")->capture_default_str();
+    app.add_option_function<std::uint64_t>(
+        "--seed", [&](std::uint64_t seed) { arguments.seeds = std::to_string(seed) + ":1"; }, "one seed");
+    app.add_option("--seconds", arguments.seconds, "with faults, for each seed")->capture_default_str();
+    app.add_option("--gap-ms", arguments.gap_ms, "between two faults, in the mean")->capture_default_str();
+    app.add_option("--controls", size.controls)->check(CLI::Range(1, 9))->capture_default_str();
+    app.add_option("--edges", size.edges)->check(CLI::Range(1, 99))->capture_default_str();
+    app.add_option("--servers", size.servers)->check(CLI::Range(7, 140))->capture_default_str();
+    app.add_option("--clients", arguments.options.clients)->check(CLI::Range(1, 1000))->capture_default_str();
+    app.add_flag("--keep", arguments.options.keep, "the logs stay in any case");
+}
+
+void tell(std::uint64_t seed, const SoakResult& result) {
+    std::cout << "seed " << seed << ": " << result.attempts << " requests, " << result.whole << " whole, "
+              << result.refused << " refused, " << result.cut << " cut; " << result.steps << " steps, "
+              << result.starts << " starts, " << result.acknowledged << " configurations; at most "
+              << result.most_resident_kib << " KiB, " << result.most_descriptors << " descriptors; held up "
+              << result.held_up / kTenthsPerMs << " ms; " << result.wrong.size() << " broken promises"
+              << std::endl;
+    if (result.story.empty()) return;
+    for (const std::string& line : result.story) std::cerr << "  " << line << "\n";
+    for (std::size_t i = 0; i < std::min(result.wrong.size(), kMostTold); ++i)
+        std::cerr << "seed " << seed << " broken: " << result.wrong[i] << "\n";
+    std::cerr << "seed " << seed << ": the logs are in " << result.folder << std::endl;
+}
+
+} // namespace
+
+int main(int count, char** words) {
+    Arguments arguments;
+    CLI::App app("a soak of the whole fleet over real processes");
+    declare(app, arguments);
+    CLI11_PARSE(app, count, words);
+    SoakOptions& options = arguments.options;
+    options.size.span = static_cast<Tenths>(arguments.seconds * kTenthsPerSecond);
+    options.size.gap = static_cast<Tenths>(arguments.gap_ms * kTenthsPerMs);
+    options.programs = {IVYRILL_FLEET, IVYRILL_MODEL_SERVER, IVYRILL_FLEET_SETTINGS};
+    options.sanitized = IVYRILL_SANITIZED;
+    const std::size_t colon = arguments.seeds.find(':');
+    const std::uint64_t first = std::stoull(arguments.seeds);
+    const std::uint64_t seeds =
+        colon == std::string::npos ? 1 : std::stoull(arguments.seeds.substr(colon + 1));
+    std::uint64_t attempts = 0, whole = 0, steps = 0;
+    nlohmann::json failed = nlohmann::json::array();
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+        options.seed = seed;
+        const SoakResult result = SoakRun(options).play();
+        tell(seed, result);
+        attempts += result.attempts, whole += result.whole, steps += result.steps;
+        if (!result.wrong.empty()) failed.push_back(seed);
+    }
+    std::cout << nlohmann::json{{"seeds", seeds},       {"failed_seeds", failed},
+                                {"requests", attempts}, {"whole", whole},
+                                {"steps", steps},       {"processes", options.size.processes()}}
+                     .dump()
+              << "\n";
+    return failed.empty() ? 0 : 1;
+}
--- a/examples/model_server.cpp
+++ b/examples/model_server.cpp
@@ -86,13 +86,18 @@
     }
 }
 
+// A line for each run that began: only these count as run, calls may be turned away.
+void log_runs(const std::vector<std::string>& begun, std::size_t& logged) {
+    for (; logged < begun.size(); ++logged) std::cout << "run attempt=" << begun[logged] << std::endl;
+}
+
 void serve(const Arguments& arguments) {
     transport::Loop loop;
     transport::Source signals(loop, open_signals());
     lab::ModelServer server(loop, arguments.plan, arguments.heartbeats);
     std::cout << server.core().plan().id << " serves " << arguments.plan.service << " at " << server.address()
               << std::endl;
-    std::size_t logged = 0;
+    std::size_t logged = 0, logged_runs = 0;
     while (!server.ended()) {
         loop.wait(server.due());
         if (signalled(signals.descriptor())) {
@@ -101,6 +106,7 @@
         }
         server.pass();
         log_calls(server.core().heads(), logged);
+        log_runs(server.core().begun(), logged_runs);
     }
 }
 
--- a/tests/lab/model_server_core.hpp
+++ b/tests/lab/model_server_core.hpp
@@ -119,7 +119,8 @@
     std::int64_t foreign_handles() const { return foreign_handles_; } // taken for another request's content
     std::size_t handles() const { return handles_.size(); }
     std::int64_t tokens_read() const { return tokens_read_; }
-    const std::vector<HttpHead>& heads() const { return heads_; } // of every generation and prefill call
+    const std::vector<HttpHead>& heads() const { return heads_; }    // of every generation and prefill call
+    const std::vector<std::string>& begun() const { return begun_; } // the Attempt-Id of every run that began
 
   private:
     enum class Kind : std::uint8_t { kGenerate, kPrefill, kHealth };
@@ -183,6 +184,7 @@
     double slowness(const Run& run, Tenths now) const;
     Tenths move_time(std::int64_t tokens) const;
     AttemptRecord& record_of(const Run& run);
+    void count_run(const Run& run);
 
     ModelServerPlan plan_;
     Tenths started_;
@@ -200,6 +202,7 @@
     std::vector<ServerAction> actions_;
     std::map<std::string, AttemptRecord> records_;
     std::vector<HttpHead> heads_;
+    std::vector<std::string> begun_;
     std::int64_t foreign_handles_ = 0, tokens_read_ = 0;
 };
 
--- a/tests/lab/model_server_runs.cpp
+++ b/tests/lab/model_server_runs.cpp
@@ -139,6 +139,11 @@
     return run.fault && run.fault->kind == FaultKind::kSlow ? cold * run.fault->factor : cold;
 }
 
+void ModelServerCore::count_run(const Run& run) {
+    ++record_of(run).runs;
+    begun_.emplace_back(run.head.field("attempt-id"));
+}
+
 void ModelServerCore::go_on(Runs::iterator entry, Tenths now) {
     Run& run = entry->second;
     run.next.reset();
@@ -147,7 +152,7 @@
         shrink_cache();
     }
     if (run.kind == Kind::kPrefill) return finish_prefill(entry, now);
-    if (run.phase != Phase::kStreaming) ++record_of(run).runs;
+    if (run.phase != Phase::kStreaming) count_run(run);
     run.phase = Phase::kStreaming;
     stream_event(entry, now);
 }
@@ -250,7 +255,7 @@
     if (run.phase == Phase::kStreaming) {
         actions_.emplace_back(ResetConnection{exchange});
     } else {
-        if (run.kind == Kind::kGenerate) ++record_of(run).runs;
+        if (run.kind == Kind::kGenerate) count_run(run);
         answer(exchange, run.head, 504, {}, "");
     }
     let_in(now);
--- /dev/null
+++ b/tests/lab/soak_fleet.cpp
@@ -0,0 +1,379 @@
+#include "lab/soak_fleet.hpp"
+
+#include "lab/generation.hpp"
+#include "lab/soak_changes.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ivyrill::lab {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr Tenths kGrace = 8 * kTenthsPerSecond; // `graceS` of the settings
+constexpr Tenths kGraceSlack = 2 * kTenthsPerSecond;
+constexpr int kFirstControl = 1, kFirstEdge = 10, kFirstServer = 110; // last parts of addresses
+constexpr std::array<const char*, 3> kZones{"north", "south", "west"};
+constexpr int kControlPort = 8262, kServerPort = 8080;
+
+// Another one for each soak that runs at the same time.
+std::string own_network() {
+    const int own = getpid();
+    return "127." + std::to_string(200 + own / 250 % 50) + "." + std::to_string(1 + own % 250);
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// Replaces the value that stands behind `name` on its line.
+void set_line(std::string& text, const std::string& name, const std::string& value) {
+    const std::size_t at = text.find(name);
+    if (at == std::string::npos) throw std::runtime_error("the settings have no " + name);
+    const std::size_t from = at + name.size();
+    text.replace(from, text.find('\n', from) - from, " " + value);
+}
+
+void replace_all(std::string& text, const std::string& former, const std::string& fresh) {
+    for (std::size_t at = 0; (at = text.find(former, at)) != std::string::npos; at += fresh.size())
+        text.replace(at, former.size(), fresh);
+}
+
+std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+
+pid_t spawn(const std::vector<std::string>& words, const std::string& settings, const std::string& log) {
+    std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
+    for (const std::string& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+    arguments.push_back(nullptr);
+    const pid_t process = fork();
+    if (process != 0) return process;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(out, STDOUT_FILENO), dup2(out, STDERR_FILENO);
+    close(out);
+    setenv("IVYRILL_SETTINGS", settings.c_str(), 1);
+    execv(arguments[0], arguments.data());
+    _exit(127);
+}
+
+std::string value_of(const std::string& line, const std::string& name) {
+    const std::string key = " " + name + "=";
+    const std::size_t at = line.find(key);
+    if (at == std::string::npos) return {};
+    const std::size_t from = at + key.size();
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(SoakPrograms programs, const SoakSize& size,
+                     std::function<void(const std::string&)> tell)
+    : programs_(std::move(programs)), size_(size), tell_(std::move(tell)), network_(own_network()) {
+    std::string folder = (fs::temp_directory_path() / "ivyrill-soak.XXXXXX").string();
+    if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder for the soak");
+    folder_ = folder;
+    for (const char* name : {"logs", "settings", "data"}) fs::create_directory(folder_ + "/" + name);
+    for (int i = 1; i <= size.controls; ++i) {
+        places_[{SoakRole::kControl, i}];
+        fs::create_directory(folder_ + "/data/control-" + std::to_string(i));
+    }
+    for (int i = 1; i <= size.edges; ++i) places_[{SoakRole::kAgent, i}], places_[{SoakRole::kProxy, i}];
+    for (int i = 1; i <= size.servers; ++i) {
+        Place& place = places_[{SoakRole::kServer, i}];
+        const int kind = i % 7; // two that read prompts, two and one that generate, two of the other service
+        place.stage = kind == 1 || kind == 2 ? "prefill" : "decode";
+        place.service = kind == 5 || kind == 6 ? kSoakOther : kSoakModel;
+    }
+    for (auto& [process, place] : places_)
+        place.zone = kZones[static_cast<std::size_t>(process.number - 1) % kZones.size()];
+}
+
+SoakFleet::~SoakFleet() {
+    for (auto& [process, place] : places_)
+        if (place.process > 0) kill(place.process, SIGKILL);
+    for (auto& [process, place] : places_)
+        if (place.process > 0) waitpid(place.process, nullptr, 0);
+}
+
+void SoakFleet::remove_folder() const {
+    std::error_code ignored;
+    fs::remove_all(folder_, ignored);
+}
+
+std::string SoakFleet::address(SoakProcess process, int port) const {
+    const int first = process.role == SoakRole::kControl  ? kFirstControl
+                      : process.role == SoakRole::kServer ? kFirstServer
+                                                          : kFirstEdge;
+    return network_ + "." + std::to_string(first + process.number - 1) + ":" + std::to_string(port);
+}
+
+std::vector<SoakProcess> SoakFleet::all() const {
+    std::vector<SoakProcess> processes;
+    for (const auto& [process, place] : places_) processes.push_back(process);
+    return processes;
+}
+
+bool SoakFleet::running(SoakProcess process) const { return places_.at(process).process > 0; }
+
+bool SoakFleet::running_undisturbed(SoakProcess process) const {
+    const Place& place = places_.at(process);
+    return place.process > 0 && !place.stopped && place.terminated_at == kNever && !place.killed;
+}
+
+int SoakFleet::incarnation(SoakProcess process) const { return places_.at(process).incarnation; }
+
+void SoakFleet::fail(const std::string& what) {
+    tell_("FAILURE " + what);
+    failures_.push_back(what);
+}
+
+// ---- settings
+
+std::string SoakFleet::settings_path(SoakProcess process) const {
+    return folder_ + "/settings/" + name_of(process) + ".yaml";
+}
+
+void SoakFleet::write_settings(SoakProcess process, const Place& place, bool broken) const {
+    const char* const role = process.role == SoakRole::kControl ? "control"
+                             : process.role == SoakRole::kAgent ? "agent"
+                                                                : "proxy";
+    std::string text = read_file(programs_.settings + "/" + role + "-1.yaml");
+    const std::string host = address(process, 0), ip = host.substr(0, host.find(':'));
+    std::string seeds;
+    for (int i = 0; i < size_.controls; ++i)
+        seeds += "  - " + quoted(control(1 + (i + place.seeds_turn) % size_.controls)) + "\n";
+    const std::size_t from = text.find("seedNodes:\n") + std::string("seedNodes:\n").size();
+    text.replace(from, text.find("firstStart:") - from, seeds);
+    const std::size_t own_ip = text.find("\nip: \"") + 6;
+    replace_all(text, text.substr(own_ip, text.find('"', own_ip) - own_ip), ip);
+    set_line(text, "nodeName:", quoted(name_of(process)));
+    set_line(text, "\nzone:", quoted(place.zone));
+    set_line(text, "firstStart:", place.incarnation <= 1 ? "true" : "false");
+    set_line(text, "\n  machines:", std::to_string((size_.controls - 1) / 2));
+    if (process.role == SoakRole::kControl)
+        set_line(text, "dataDir:", quoted(folder_ + "/data/" + name_of(process)));
+    if (broken) text = text.substr(0, text.size() / 2) + "\n  - [";
+    std::ofstream(settings_path(process) + ".new", std::ios::binary) << text;
+    fs::rename(settings_path(process) + ".new", settings_path(process));
+}
+
+// ---- processes
+
+std::vector<std::string> SoakFleet::command(SoakProcess process, const Place& place) const {
+    if (process.role == SoakRole::kControl) return {programs_.fleet, "control"};
+    if (process.role == SoakRole::kAgent) return {programs_.fleet, "agent"};
+    if (process.role == SoakRole::kProxy) return {programs_.fleet, "proxy"};
+    std::string control_nodes;
+    for (int i = 0; i < std::min(size_.controls, 3); ++i) {
+        const int number = 1 + (process.number + i) % size_.controls;
+        control_nodes += (control_nodes.empty() ? "" : ",") + control(number);
+    }
+    const std::string id = "i-" + hexadecimal(static_cast<std::uint64_t>(process.number), 4) +
+                           hexadecimal(static_cast<std::uint64_t>(place.incarnation), 4);
+    return {programs_.model_server,
+            "--listen",
+            address(process, kServerPort),
+            "--id",
+            id,
+            "--service",
+            place.service,
+            "--zone",
+            place.zone,
+            "--stage",
+            place.stage,
+            "--control",
+            control_nodes,
+            "--model",
+            "m",
+            "--slots",
+            "8",
+            "--memory-tokens",
+            "100000",
+            "--stride",
+            "4"};
+}
+
+void SoakFleet::start(SoakProcess process, Tenths now) {
+    Place& place = places_.at(process);
+    ++place.incarnation;
+    place.log = folder_ + "/logs/" + name_of(process) + "." + std::to_string(place.incarnation);
+    logs_.push_back({place.log, process, place.service});
+    if (process.role != SoakRole::kServer) write_settings(process, place, false);
+    place.process = spawn(command(process, place), settings_path(process), place.log);
+    if (place.process < 0) throw std::runtime_error("can't start " + name_of(process));
+    place.stopped = place.killed = place.start_other = false;
+    place.terminated_at = kNever;
+    close_trouble(place, now);
+    tell_("started " + name_of(process) + " as process " + std::to_string(place.process) +
+          (place.service.empty() ? "" : " of " + place.service));
+}
+
+void SoakFleet::start_all(Tenths now) {
+    for (const SoakProcess process : all()) start(process, now);
+}
+
+void SoakFleet::send(SoakProcess process, Place& place, int signal) {
+    tell_(std::string("SIG") + sigabbrev_np(signal) + " to " + name_of(process));
+    kill(place.process, signal);
+}
+
+void SoakFleet::open_trouble(SoakProcess process, Place& place, SoakTrouble::What what, Tenths now) {
+    // The later act of one that is in trouble already is one more trouble, which ends with it.
+    troubles_.push_back({what, process, now, kNever});
+    place.trouble = troubles_.size();
+}
+
+void SoakFleet::close_trouble(Place& place, Tenths now) {
+    if (place.trouble == 0) return;
+    const SoakProcess process = troubles_[place.trouble - 1].process;
+    for (SoakTrouble& trouble : troubles_)
+        if (trouble.process == process && trouble.until == kNever) trouble.until = now;
+    place.trouble = 0;
+}
+
+void SoakFleet::act(const SoakStep& step, Tenths now) {
+    Place& place = places_.at(step.process);
+    const bool is_up = place.process > 0;
+    switch (step.act) {
+    case SoakAct::kTerminate:
+        if (!is_up || place.terminated_at != kNever) return;
+        place.terminated_at = now, place.wanted = false;
+        open_trouble(step.process, place, SoakTrouble::What::kTerminated, now);
+        return send(step.process, place, SIGTERM);
+    case SoakAct::kKill:
+        if (!is_up) return;
+        place.killed = true, place.wanted = false;
+        open_trouble(step.process, place, SoakTrouble::What::kKilled, now);
+        return send(step.process, place, SIGKILL);
+    case SoakAct::kStop:
+        if (!is_up || place.stopped) return;
+        place.stopped = true;
+        open_trouble(step.process, place, SoakTrouble::What::kStopped, now);
+        return send(step.process, place, SIGSTOP);
+    case SoakAct::kContinue:
+        if (!is_up || !place.stopped) return;
+        place.stopped = false;
+        if (place.terminated_at != kNever) place.terminated_at = now; // it hears of it only now
+        if (place.terminated_at == kNever) close_trouble(place, now);
+        return send(step.process, place, SIGCONT);
+    case SoakAct::kHangup:
+    case SoakAct::kHangupBroken:
+        if (!is_up || step.process.role == SoakRole::kServer) return;
+        ++place.seeds_turn;
+        write_settings(step.process, place, step.act == SoakAct::kHangupBroken);
+        return send(step.process, place, SIGHUP);
+    case SoakAct::kStartOther:
+        place.start_other = true;
+        [[fallthrough]];
+    case SoakAct::kStart:
+        place.wanted = true;
+        return;
+    default:
+        throw std::logic_error("an act of the operator");
+    }
+}
+
+void SoakFleet::ended(SoakProcess process, Place& place, int status, Tenths now) {
+    const bool told = place.terminated_at != kNever;
+    const std::string how = WIFEXITED(status) ? "status " + std::to_string(WEXITSTATUS(status))
+                                              : std::string("SIG") + sigabbrev_np(WTERMSIG(status));
+    place.process = -1;
+    tell_(name_of(process) + " has ended: " + how);
+    // One that is told to end before it has begun to listen to signals ends by that one.
+    const bool early = WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM;
+    const bool by_plan = place.killed || (told && (early || (WIFEXITED(status) && WEXITSTATUS(status) == 0)));
+    if (!by_plan) fail("ENDED: " + name_of(process) + " ended on its own: " + how + ", log " + place.log);
+    if (!told && !place.killed) open_trouble(process, place, SoakTrouble::What::kKilled, now);
+}
+
+void SoakFleet::pass(Tenths now) {
+    for (auto& [process, place] : places_) {
+        int status = 0;
+        if (place.process > 0 && waitpid(place.process, &status, WNOHANG) == place.process)
+            ended(process, place, status, now);
+        const bool outlasts = place.process > 0 && place.terminated_at != kNever && !place.stopped &&
+                              !place.killed && now > place.terminated_at + kGrace + kGraceSlack;
+        if (outlasts) {
+            fail("GRACE: " + name_of(process) + " still runs after its grace");
+            place.killed = true;
+            send(process, place, SIGKILL);
+        }
+        if (place.process > 0 || !place.wanted || ending_) continue;
+        if (place.start_other && process.number % 7 == 0)
+            place.service = place.service == kSoakModel ? kSoakOther : kSoakModel;
+        start(process, now);
+    }
+}
+
+void SoakFleet::settle(Tenths now) {
+    for (auto& [process, place] : places_) {
+        act({0, SoakAct::kContinue, process}, now);
+        place.wanted = true, place.start_other = false;
+    }
+}
+
+void SoakFleet::terminate_all(Tenths now) {
+    ending_ = true;
+    for (const SoakProcess process : all()) {
+        act({0, SoakAct::kContinue, process}, now);
+        act({0, SoakAct::kTerminate, process}, now);
+    }
+}
+
+bool SoakFleet::all_ended() const {
+    return std::ranges::all_of(places_, [](const auto& entry) { return entry.second.process < 0; });
+}
+
+SoakUse SoakFleet::use(SoakProcess process) const {
+    const std::string folder = "/proc/" + std::to_string(places_.at(process).process);
+    const std::string status = read_file(folder + "/status");
+    SoakUse use;
+    const std::size_t at = status.find("VmRSS:");
+    if (at != std::string::npos) use.resident_kib = std::stoll(status.substr(at + 6));
+    std::error_code ignored;
+    for (const auto& entry : fs::directory_iterator(folder + "/fd", ignored)) {
+        static_cast<void>(entry);
+        ++use.descriptors;
+    }
+    return use;
+}
+
+void SoakFleet::collect(SoakRecord& record) const {
+    for (const Log& log : logs_) {
+        std::ifstream file(log.path);
+        const std::string name = log.path.substr(log.path.rfind('/') + 1);
+        for (std::string line; std::getline(file, line);) {
+            if (line.find("ERROR: ") != std::string::npos ||
+                line.find("runtime error: ") != std::string::npos)
+                record.seen.push_back(std::string("SANITIZER: ").append(name).append(": ").append(line));
+            if (line.find("key-") != std::string::npos)
+                record.seen.push_back(
+                    std::string("KEY: in the log of ").append(name).append(": ").append(line));
+            if (log.process.role != SoakRole::kServer) continue;
+            if (line.starts_with("run attempt=")) ++record.runs[value_of(line, "attempt")];
+            if (line.starts_with("call attempt="))
+                record.calls.push_back({value_of(line, "attempt"), name, log.service,
+                                        value_of(line, "tenant"), log.process.number,
+                                        value_of(line, "api_key") != "none"});
+        }
+    }
+    for (const std::string& failure : failures_) record.seen.push_back(failure);
+    record.troubles = troubles_;
+}
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/lab/soak_fleet.hpp
@@ -0,0 +1,96 @@
+// The processes of a soak: the whole fleet on loopback with as many control nodes, edge machines (a proxy and
+// an agent each) and stand-in model servers as wanted. Sends signals to processes that it started and to no
+// others, and tells of every process that ends on its own.
+#pragma once
+#include "lab/soak_record.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace ivyrill::lab {
+
+struct SoakPrograms {
+    std::string fleet, model_server; // paths
+    std::string settings;            // the folder of examples/fleet/settings
+};
+
+struct SoakUse { // of one process
+    std::int64_t resident_kib = 0, descriptors = 0;
+};
+
+class SoakFleet {
+  public:
+    // `tell` gets a line for each thing that happens.
+    SoakFleet(SoakPrograms programs, const SoakSize& size, std::function<void(const std::string&)> tell);
+    ~SoakFleet(); // ends what is left, by SIGKILL
+    SoakFleet(const SoakFleet&) = delete;
+    SoakFleet& operator=(const SoakFleet&) = delete;
+
+    std::string address(SoakProcess process, int port) const;
+    std::string control(int number) const { return address({SoakRole::kControl, number}, 8262); }
+    std::string front(int number) const { return address({SoakRole::kProxy, number}, 8263); }
+    std::string ready(int number) const { return address({SoakRole::kProxy, number}, 8268); }
+    std::vector<SoakProcess> all() const;
+
+    void start_all(Tenths now);
+    void act(const SoakStep& step, Tenths now);
+    // Sees who has ended, starts what is to be started then, and kills what outlasts its grace.
+    void pass(Tenths now);
+    void settle(Tenths now); // everything is continued and, where it isn't running, started
+    void terminate_all(Tenths now);
+    bool all_ended() const;
+    bool running(SoakProcess process) const;
+    bool running_undisturbed(SoakProcess process) const; // neither stopped nor told to end
+    SoakUse use(SoakProcess process) const;
+    int incarnation(SoakProcess process) const;
+
+    // Reads the logs: calls and runs at the servers, sanitizers' reports.
+    void collect(SoakRecord& record) const;
+    const std::vector<SoakTrouble>& troubles() const { return troubles_; }
+    const std::vector<std::string>& failures() const { return failures_; }
+    const std::string& folder() const { return folder_; }
+    void remove_folder() const;
+
+  private:
+    struct Place {
+        pid_t process = -1; // below 0: not running
+        int incarnation = 0;
+        std::string log;
+        std::string service, stage, zone; // of a server
+        bool stopped = false, wanted = true, start_other = false;
+        bool killed = false; // by the soak
+        Tenths terminated_at = kNever;
+        std::size_t trouble = 0; // behind the index into troubles_; 0: none is open
+        int seeds_turn = 0;      // by how many places the settings' seeds are turned
+    };
+    struct Log {
+        std::string path;
+        SoakProcess process;
+        std::string service;
+    };
+
+    void start(SoakProcess process, Tenths now);
+    std::vector<std::string> command(SoakProcess process, const Place& place) const;
+    void write_settings(SoakProcess process, const Place& place, bool broken) const;
+    std::string settings_path(SoakProcess process) const;
+    void send(SoakProcess process, Place& place, int signal);
+    void ended(SoakProcess process, Place& place, int status, Tenths now);
+    void open_trouble(SoakProcess process, Place& place, SoakTrouble::What what, Tenths now);
+    void close_trouble(Place& place, Tenths now);
+    void fail(const std::string& what);
+
+    SoakPrograms programs_;
+    SoakSize size_;
+    std::function<void(const std::string&)> tell_;
+    std::string folder_, network_;
+    std::map<SoakProcess, Place> places_;
+    std::vector<SoakTrouble> troubles_;
+    std::vector<Log> logs_;
+    std::vector<std::string> failures_;
+    bool ending_ = false;
+};
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/lab/soak_record.hpp
@@ -0,0 +1,94 @@
+// What clients, the operator, the stand-in model servers and the platform saw in a soak. Times are of the
+// soak's loop.
+#pragma once
+#include "base/time.hpp"
+#include "lab/soak_plan.hpp"
+#include "lab/stream_client.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivyrill::lab {
+
+inline constexpr Tenths kNever = std::numeric_limits<Tenths>::max();
+
+enum class SoakKind : std::uint8_t {
+    kSafe,      // may run more than once
+    kResumable, // a stream that may be taken up elsewhere
+    kOnce       // runs at most once
+};
+
+struct SoakRoute {
+    std::string prefix;
+    SoakKind kind = SoakKind::kSafe;
+    bool is_public = false;
+    std::set<std::string> services; // those that it may go to
+};
+
+struct SoakVersion { // a configuration, as it was sent
+    std::int64_t number = 0;
+    std::string body;
+    std::map<std::string, std::string> tenant_of_key;
+    std::vector<SoakRoute> routes;
+    Tenths sent_at = kNever, acknowledged_at = kNever;
+    bool refused = false; // it lost a race or is invalid
+
+    const SoakRoute* route(const std::string& prefix) const {
+        for (const SoakRoute& route : routes)
+            if (route.prefix == prefix) return &route;
+        return nullptr;
+    }
+};
+
+struct SoakAttempt {
+    std::string id, prefix, key; // `key`: empty for none
+    SoakKind kind = SoakKind::kSafe;
+    int front = 0; // number of the proxy
+    Tenths sent_at = 0, ended_at = 0, deadline = 0;
+    AnswerEnd end = AnswerEnd::kOpen;
+    int status = 0;                                          // 0: no whole head came
+    bool sealed = false, whole = false, a_beginning = false; // of the body that was expected
+    bool of_another = false, surplus = false;                // an answer to another request; bytes behind it
+};
+
+struct SoakCall { // at a stand-in
+    std::string attempt, server, service, tenant;
+    int server_number = 0;
+    bool shows_key = false;
+};
+
+struct SoakTrouble { // made by the soak
+    enum class What : std::uint8_t { kKilled, kTerminated, kStopped } what = What::kKilled;
+    SoakProcess process;
+    Tenths from = 0, until = kNever; // `until`: the start or SIGCONT after it
+};
+
+struct SoakPause { // the soak itself was held up by the machine: what it saw then it saw late
+    Tenths from = 0, until = 0;
+};
+
+struct SoakBounds { // of the settings
+    Tenths in_touch = 3 * kTenthsPerSecond, config_apply = 2 * kTenthsPerSecond;
+    Tenths core_stretch = 5 * kTenthsPerSecond, grace = 8 * kTenthsPerSecond;
+    Tenths loss_slack = kTenthsPerSecond / 5, recovery = 12 * kTenthsPerSecond;
+};
+
+struct SoakRecord {
+    std::vector<SoakVersion> versions; // by number
+    std::vector<SoakAttempt> attempts;
+    std::vector<SoakCall> calls;
+    std::map<std::string, int> runs; // that began, by attempt
+    std::vector<SoakTrouble> troubles;
+    std::vector<SoakPause> pauses;
+    std::vector<std::string> seen; // failures that were seen at once
+};
+
+// Broken promises, in words.
+std::vector<std::string> judge(const SoakRecord& record, const SoakBounds& bounds);
+
+} // namespace ivyrill::lab
--- /dev/null
+++ b/tests/lab/soak_run.hpp
@@ -0,0 +1,91 @@
+// One soak: plays the steps drawn from a seed over the fleet's processes while clients keep connections open
+// and use them until the process is gone, brings all to rest, and judges what was seen.
+#pragma once
+#include "lab/soak_changes.hpp"
+#include "lab/soak_fleet.hpp"
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ivyrill::lab {
+
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    SoakSize size;
+    int clients = 12;
+    SoakPrograms programs;
+    bool sanitized = false; // memory isn't judged
+    bool keep = false;      // the folder stays also where nothing is wrong
+};
+
+struct SoakResult {
+    std::vector<std::string> wrong; // broken promises, in words
+    std::vector<std::string> story; // what happened when, where something is wrong
+    std::uint64_t attempts = 0, whole = 0, refused = 0, cut = 0, steps = 0, acknowledged = 0, starts = 0;
+    Tenths held_up = 0; // the soak itself, by the machine
+    std::int64_t most_resident_kib = 0, most_descriptors = 0;
+    std::string folder; // empty where it is removed
+};
+
+class SoakRun {
+  public:
+    explicit SoakRun(const SoakOptions& options);
+    ~SoakRun();
+    SoakResult play();
+
+  private:
+    struct Call;     // of the operator
+    struct Operator; // sends one change until there is a clear answer
+    struct Client;
+
+    void pass(); // one turn of the loop
+    void note_pause();
+    bool until(const std::function<bool()>& holds, Tenths patience);
+    void tell(const std::string& what);
+    void fail(const std::string& what);
+
+    bool start();
+    void play_steps();
+    void act(const SoakStep& step);
+    void rest();
+    void check_served();
+    bool serves(int front, const std::string& prefix, const std::string& key, int wanted);
+    void check_read_back(int control);
+    void check_use();
+    void end();
+
+    const SoakVersion& newest() const;
+    SoakKind kind_of(const std::string& prefix) const;
+    void pass_operators();
+    void begin_operator_work();
+    void open_operator(SoakVersion version, std::int64_t base, bool is_valid);
+    void pass_clients();
+    void pass_client(Client& client);
+    void send(Client& client);
+    void take_answer(Client& client);
+    const ClientAnswer& ask(const std::string& address, const ClientRequest& request, Tenths patience);
+
+    SoakOptions options_;
+    transport::Loop loop_;
+    Tenths began_, looked_at_;
+    Tenths held_up_ = 0; // in all
+    std::mt19937_64 random_;
+    SoakChanges changes_;
+    SoakRecord record_;
+    std::vector<std::string> story_;
+    SoakFleet fleet_;
+    std::deque<SoakAct> operator_work_;
+    std::vector<std::unique_ptr<Operator>> operators_;
+    std::vector<std::unique_ptr<Client>> clients_;
+    std::unique_ptr<StreamClient> asked_; // the connection of the last `ask`
+    std::map<SoakProcess, SoakUse> first_use_;
+    std::map<SoakProcess, int> first_incarnation_;
+    std::uint64_t sent_ = 0;
+    SoakResult result_;
+    bool clients_send_ = false;
+};
+
+} // namespace ivyrill::lab
