A SIGHUP before the fleet's program has read its settings no longer ends it

Change: SIGHUP is held from the first line of main and SIGTERM before the settings are read; the reactor lets both through once it handles them. The soak sends SIGHUP only to a process whose program runs: while it is still being loaded no program can hear one.

--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -27,6 +27,14 @@
     return kBadInput;
 }
 
+// One that comes before the reactor handles it waits until then, where it would end the process.
+void hold_signal(int number) {
+    sigset_t held;
+    sigemptyset(&held);
+    sigaddset(&held, number);
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 Result<settings::Settings> read_settings(const std::string& path) {
     if (path.empty())
         return error(ErrorKind::kInvalidInput,
@@ -36,6 +44,7 @@
 
 // Runs one of the three programs until it has ended.
 int serve(const std::string& path, const std::string& role) {
+    hold_signal(SIGTERM);
     const auto settings = read_settings(path);
     if (settings.has_error()) return report(settings.error());
     std::signal(SIGPIPE, SIG_IGN);
@@ -105,6 +114,7 @@
 
 int main(int argc, char** argv) {
     using namespace ivyrill::fleet;
+    hold_signal(SIGHUP);
     CLI::App app{"ivyrill-fleet: a router fleet for split prefill and decode"};
     app.require_subcommand(1);
     const char* const from_environment = std::getenv("IVYRILL_SETTINGS");
--- a/src/transport/reactor.cpp
+++ b/src/transport/reactor.cpp
@@ -66,12 +66,16 @@
 void Reactor::handle_signals(const std::vector<int>& numbers, std::function<void(int)> on_signal) {
     on_signal_ = std::move(on_signal);
     signal_pipe = pipe_write_;
+    sigset_t handled;
+    sigemptyset(&handled);
     for (const int number : numbers) {
         struct sigaction action {};
         action.sa_handler = write_signal;
         action.sa_flags = SA_RESTART;
         sigaction(number, &action, nullptr);
+        sigaddset(&handled, number);
     }
+    pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
 }
 
 Task Reactor::read_pipe() {
--- a/src/transport/reactor.hpp
+++ b/src/transport/reactor.hpp
@@ -38,7 +38,8 @@
     void cancel(TimerId id) { timers_.erase(id); }
     void spawn(Task task); // started at once; freed in a later turn than the one in which it ends
     void post(std::function<void()> call); // from any thread; runs in a turn of this loop
-    // In a signal handler only: `on_signal` is called with the number in a turn of this loop.
+    // `on_signal` is called with the number in a turn of this loop, also for signals that were blocked until
+    // now.
     void handle_signals(const std::vector<int>& numbers, std::function<void(int)> on_signal);
 
     void run(); // until stopped
--- a/tests/lab/soak_fleet.cpp
+++ b/tests/lab/soak_fleet.cpp
@@ -79,6 +79,18 @@
     _exit(127);
 }
 
+// Before it has begun to run the program of a process is still being loaded: no program can hear a signal
+// then.
+bool hears_hangup(pid_t process) {
+    const std::string status = read_file("/proc/" + std::to_string(process) + "/status");
+    const auto has = [&](const std::string& mask) {
+        const std::size_t at = status.find(mask);
+        return at != std::string::npos &&
+               (std::stoull(status.substr(at + mask.size()), nullptr, 16) & 1ULL << (SIGHUP - 1)) != 0;
+    };
+    return has("SigBlk:") || has("SigCgt:");
+}
+
 std::string value_of(const std::string& line, const std::string& name) {
     const std::string key = " " + name + "=";
     const std::size_t at = line.find(key);
@@ -281,7 +293,7 @@
         return send(step.process, place, SIGCONT);
     case SoakAct::kHangup:
     case SoakAct::kHangupBroken:
-        if (!is_up || step.process.role == SoakRole::kServer) return;
+        if (!is_up || step.process.role == SoakRole::kServer || !hears_hangup(place.process)) return;
         ++place.seeds_turn;
         write_settings(step.process, place, step.act == SoakAct::kHangupBroken);
         return send(step.process, place, SIGHUP);
