Counts go to peers in frames that they take, however large the fleet is

Cause: all counts of the last 20 s went to a newly met peer in one message, and so did the answer to WantUsage and what the own sessions told at once. 560 processes with 490 tenants each (names of 16 characters, five windows) made 27.2 MB measured; a frame of over 16 MiB ends the link, and the next one would begin with the same message: no peers, no majority. Change: messages of 1 MiB; on meeting a peer and on WantUsage 16 MiB at the most, newest windows first. Test: exchange_of_a_large_fleet_sends_no_frame_that_a_peer_refuses.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -249,8 +249,8 @@
 void ControlNode::exchange_usage() {
     usage_timer_ = reactor_.call_after(kUsageInterval, [this] { exchange_usage(); });
     usage_exchange_->tick(reactor_.now());
-    feed::UsageCounts counts = usage_exchange_->take_for_peers();
-    if (!counts.counts.empty()) peers_->send_to_all(std::move(counts));
+    for (feed::UsageCounts& counts : usage_exchange_->take_for_peers())
+        peers_->send_to_all(std::move(counts));
 }
 
 void ControlNode::take_usage(const model::ControlNode& peer, const feed::UsageCounts& counts) {
@@ -308,8 +308,7 @@
     };
     callbacks.linked = [this](const std::string& address) {
         if (!usage_exchange_) return;
-        feed::UsageCounts counts = usage_exchange_->recent();
-        if (!counts.counts.empty()) peers_->send(address, std::move(counts));
+        for (feed::UsageCounts& counts : usage_exchange_->recent()) peers_->send(address, std::move(counts));
     };
     peers_ = std::make_unique<PeerMesh>(reactor_, environment_.network, options, std::move(callbacks));
     peer_listener_ = environment_.network.listen(
@@ -395,7 +394,9 @@
     } else if (const auto* counts = std::get_if<feed::UsageCounts>(&message)) {
         if (usage_exchange_) take_usage(peer, *counts);
     } else if (const auto* lacking = std::get_if<feed::WantUsage>(&message)) {
-        if (usage_exchange_) peers_->send(peer.address, usage_exchange_->answer(*lacking));
+        if (!usage_exchange_) return;
+        for (feed::UsageCounts& counts : usage_exchange_->answer(*lacking))
+            peers_->send(peer.address, std::move(counts));
     } else if (const auto* duty = std::get_if<feed::DutyMessage>(&message)) {
         if (duty_parts_) duty_parts_->receive(duty->part, duty->message);
     } else if (const auto* ordered = std::get_if<feed::Ordered>(&message)) {
--- a/src/control/usage_exchange.cpp
+++ b/src/control/usage_exchange.cpp
@@ -1,9 +1,46 @@
 #include "control/usage_exchange.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace ivyrill::control {
 
+namespace {
+
+// As it travels, at the most.
+std::size_t bytes_of(const model::ProcessUsage& usage) {
+    constexpr std::size_t kBytesBesideNames = 16, kBytesBesideCounts = 64;
+    std::size_t bytes = kBytesBesideCounts;
+    for (const model::TenantCount& count : usage.counts) bytes += count.tenant.size() + kBytesBesideNames;
+    return bytes;
+}
+
+} // namespace
+
+// No frame takes all that a large fleet has counted.
+std::vector<feed::UsageCounts> UsageExchange::messages_of(std::vector<model::ProcessUsage> counts) {
+    std::vector<feed::UsageCounts> messages;
+    std::size_t bytes = kMostBytes;
+    for (model::ProcessUsage& here : counts) {
+        const std::size_t more = bytes_of(here);
+        if (bytes + more > kMostBytes) messages.emplace_back(), bytes = 0;
+        bytes += more;
+        messages.back().counts.push_back(std::move(here));
+    }
+    return messages;
+}
+
+// Older windows are agreed on already, or will be by whoever knows them.
+std::vector<feed::UsageCounts> UsageExchange::newest_of(std::vector<model::ProcessUsage> counts) {
+    std::ranges::stable_sort(counts, std::greater<>(), &model::ProcessUsage::window);
+    std::size_t bytes = 0;
+    const auto first_left_out = std::ranges::find_if(counts, [&](const model::ProcessUsage& here) {
+        return (bytes += bytes_of(here)) > kMostRecentBytes;
+    });
+    counts.erase(first_left_out, counts.end());
+    return messages_of(std::move(counts));
+}
+
 void UsageExchange::tick(Tenths now) {
     clock_.sample(self_, time_of_day_(), now);
     clock_.forget_old(now);
--- a/src/control/usage_exchange.hpp
+++ b/src/control/usage_exchange.hpp
@@ -29,16 +29,22 @@
     void told(const std::string& peer, const feed::PeerStatus& status, Tenths now);
 
     void counted(const std::vector<model::ProcessUsage>& counts, Tenths now); // by this node's sessions
-    feed::UsageCounts take_for_peers() { return {std::exchange(for_peers_, {})}; }
-    feed::UsageCounts recent() const { return {tally_.recent(kRecentMs)}; } // for a peer that is met anew
+    std::vector<feed::UsageCounts> take_for_peers() { return messages_of(std::exchange(for_peers_, {})); }
+    // For a peer that is met anew; the newest windows where it would be too much.
+    std::vector<feed::UsageCounts> recent() const { return newest_of(tally_.recent(kRecentMs)); }
     // Merges what a peer passed on; returns what to ask it for, if anything.
     feed::WantUsage merge(const feed::UsageCounts& passed_on, Tenths now);
-    feed::UsageCounts answer(const feed::WantUsage& wanted) const {
-        return {tally_.recent_of(wanted.processes, kRecentMs)};
+    std::vector<feed::UsageCounts> answer(const feed::WantUsage& wanted) const {
+        return newest_of(tally_.recent_of(wanted.processes, kRecentMs));
     }
 
   private:
     static constexpr std::int64_t kRecentMs = 20'000;
+    static constexpr std::size_t kMostBytes = 1024 * 1024; // of a message that holds several counts
+    static constexpr std::size_t kMostRecentBytes = 16 * 1024 * 1024; // on one link at once, about
+
+    static std::vector<feed::UsageCounts> messages_of(std::vector<model::ProcessUsage> counts);
+    static std::vector<feed::UsageCounts> newest_of(std::vector<model::ProcessUsage> counts);
 
     std::string self_;
     clock::FleetClock& clock_;
--- a/tests/usage_tests.cpp
+++ b/tests/usage_tests.cpp
@@ -6,6 +6,8 @@
 #include "control/usage_exchange.hpp"
 #include "duties/usage_tally.hpp"
 #include "proxy/usage_meter.hpp"
+#include "wire/cbor.hpp"
+#include "wire/frame.hpp"
 
 #include <boost/test/included/unit_test.hpp>
 #include <cstdlib>
@@ -337,9 +339,49 @@
     exchange.counted({usage_of(1, kWindow, 5)}, 0);
     exchange.take_for_peers(); // is lost on its way
     exchange.counted({{1, kWindow, {{"bob", 2}}, 7, true_ms(0), false}}, 0);
-    const feed::WantUsage wanted = peer.merge(exchange.take_for_peers(), 0);
+    const std::vector<feed::UsageCounts> passed_on = exchange.take_for_peers();
+    BOOST_REQUIRE(passed_on.size() == 1U);
+    const feed::WantUsage wanted = peer.merge(passed_on.front(), 0);
     BOOST_TEST((wanted.processes == std::vector<std::uint64_t>{1}));
-    BOOST_TEST(peer.merge(exchange.answer(wanted), 0).processes.empty());
+    const std::vector<feed::UsageCounts> answer = exchange.answer(wanted);
+    BOOST_REQUIRE(answer.size() == 1U);
+    BOOST_TEST(peer.merge(answer.front(), 0).processes.empty());
     BOOST_TEST((tally_of_peer.counts(kWindow) == tally.counts(kWindow)));
-    BOOST_TEST(peer.take_for_peers().counts.empty());
+    BOOST_TEST(peer.take_for_peers().empty());
+}
+
+// A frame that is too large ends the link, and the next link would begin with the same one.
+BOOST_AUTO_TEST_CASE(exchange_of_a_large_fleet_sends_no_frame_that_a_peer_refuses) {
+    constexpr std::uint64_t kProcesses = 560;
+    constexpr int kTenants = 490, kWindows = 4;
+    FleetClock clock, of_peer;
+    const Tenths now = 20 * kSecond;
+    UsageTally tally = tally_at(now), tally_of_peer = tally_at(now);
+    control::UsageExchange exchange("control-1", clock, tally, [] { return true_ms(20 * kSecond); });
+    control::UsageExchange peer("control-2", of_peer, tally_of_peer, [] { return true_ms(20 * kSecond); });
+    for (std::uint64_t process = 1; process <= kProcesses; ++process)
+        for (std::int64_t window = kWindow; window < kWindow + kWindows; ++window) {
+            ProcessUsage usage{process << 40, window, {}, kTenants * 100, true_ms(now), false};
+            for (int i = 0; i < kTenants; ++i)
+                usage.counts.push_back({"a-tenant-of-a-large-fleet-" + std::to_string(i), 100});
+            exchange.counted({usage}, now);
+        }
+    const auto bytes_of = [&](const std::vector<feed::UsageCounts>& messages) {
+        std::size_t sum = 0;
+        for (const feed::UsageCounts& message : messages) {
+            const std::size_t bytes = wire::to_bytes(feed::Message{message}).size();
+            BOOST_TEST(bytes <= wire::kMostFrameBytes / 8);
+            sum += bytes;
+        }
+        return sum;
+    };
+    BOOST_TEST(bytes_of(exchange.recent()) <= wire::kMostFrameBytes);
+    for (const feed::UsageCounts& message : exchange.recent()) peer.merge(message, now);
+    const std::int64_t newest = kWindow + kWindows - 1;
+    BOOST_TEST((tally_of_peer.counts(newest) == tally.counts(newest)));
+    const std::vector<feed::UsageCounts> all = exchange.take_for_peers();
+    bytes_of(all);
+    for (const feed::UsageCounts& message : all) peer.merge(message, now);
+    for (std::int64_t window = kWindow; window <= newest; ++window)
+        BOOST_TEST((tally_of_peer.counts(window) == tally.counts(window)));
 }
