Windows are agreed on while a new holder still waits for the former one

Change: a leader that neither held the duties nor started within leaseMs proposes windows whose counts are complete; windows without all counts still wait until it acts, and nothing leaves before. Measured: the new test fails with the former condition (0 windows agreed on).

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -217,6 +217,7 @@
     if (!is_due || !duty_parts_) return;
     UsageDuty::Callbacks callbacks;
     callbacks.fence = [this] { return duty_parts_->fence(duties::usage_report_duty()); };
+    callbacks.may_propose = [this] { return duty_parts_->may_propose(duties::usage_report_duty()); };
     callbacks.may_act_under = [this](std::uint64_t fence) {
         return duty_parts_->may_act_under(duties::usage_report_duty(), fence);
     };
--- a/src/control/duty_parts.cpp
+++ b/src/control/duty_parts.cpp
@@ -155,6 +155,13 @@
     return planted(PlantedFault::kFenceFromMemory) ? part.times_led : part.member->replica().term();
 }
 
+bool DutyParts::may_propose(const duties::Duty& duty) const {
+    if (fence(duty)) return true;
+    if (!has_joined() || ending_) return false;
+    const Part& part = parts_[duties::part_of(duty)];
+    return part.member->replica().leads() && part.lease->may_prepare(reactor_.now());
+}
+
 bool DutyParts::may_act_under(const duties::Duty& duty, std::uint64_t fence) const {
     return this->fence(duty) == fence || planted(PlantedFault::kFenceNotCheckedAtSend);
 }
@@ -164,7 +171,8 @@
 }
 
 void DutyParts::propose(const duties::Duty& duty, ChangeState change) {
-    if (fence(duty)) parts_[duties::part_of(duty)].member->propose_unawaited(payload_by(std::move(change)));
+    if (may_propose(duty))
+        parts_[duties::part_of(duty)].member->propose_unawaited(payload_by(std::move(change)));
 }
 
 std::array<DutyParts::Standing, duties::kDutyParts> DutyParts::standings() const {
--- a/src/control/duty_parts.hpp
+++ b/src/control/duty_parts.hpp
@@ -49,14 +49,16 @@
 
     // The fence under which this node may act for the duty at this moment; none where it may not.
     std::optional<std::uint64_t> fence(const duties::Duty& duty) const;
+    // Whether this node may propose for the duty: it acts, or will once former holders are waited for.
+    bool may_propose(const duties::Duty& duty) const;
     // In the moment in which something leaves that was begun under that fence.
     bool may_act_under(const duties::Duty& duty, std::uint64_t fence) const;
     std::array<Standing, duties::kDutyParts> standings() const;
     // What the duty's part has agreed on, as far as this node knows; whoever may act knows all of it. None
     // where it can't be read.
     std::optional<duties::PartState> agreed(const duties::Duty& duty) const;
-    // Where this node may act for the duty: `change` is asked once at its turn, never after that fence. What
-    // became of it shows in `agreed`.
+    // Where this node may propose for the duty: `change` is asked once at its turn, never after that fence.
+    // What became of it shows in `agreed`.
     void propose(const duties::Duty& duty, ChangeState change);
 
   private:
--- a/src/control/usage_duty.cpp
+++ b/src/control/usage_duty.cpp
@@ -30,8 +30,9 @@
     timer_ = reactor_.call_after(kLookInterval, [this] { look(); });
     const auto fence = callbacks_.fence();
     const auto agreed = callbacks_.agreed();
-    if (!fence || !agreed) return;
+    if (!agreed || !callbacks_.may_propose()) return;
     propose_next(*agreed);
+    if (!fence) return;
     forget_settled(*agreed);
     const auto early = planted(PlantedFault::kSentBeforeAgreed) ? next(*agreed) : std::nullopt;
     send_due(early ? *early : *agreed, *fence);
@@ -49,7 +50,9 @@
 std::optional<UsageLedger> UsageDuty::next(const UsageLedger& newest) const {
     const auto now = callbacks_.time();
     if (!now) return std::nullopt;
-    return duties::next_ledger(newest, *now, options_.window_ms, callbacks_.sources, settled_);
+    // Who follows may only just have begun to hear of counts: without all of them it waits until it acts.
+    const auto counts = callbacks_.fence() ? duties::CountsDue::kAsHeard : duties::CountsDue::kComplete;
+    return duties::next_ledger(newest, *now, options_.window_ms, callbacks_.sources, settled_, counts);
 }
 
 void UsageDuty::forget_settled(const UsageLedger& agreed) {
--- a/src/control/usage_duty.hpp
+++ b/src/control/usage_duty.hpp
@@ -27,6 +27,8 @@
     struct Callbacks {
         // Under which this node may act for the duty at this moment; none where it may not.
         std::function<std::optional<std::uint64_t>()> fence;
+        // Whether windows may be agreed on, also before this node may act.
+        std::function<bool()> may_propose;
         std::function<bool(std::uint64_t fence)> may_act_under;
         std::function<std::optional<duties::UsageLedger>()> agreed; // none where it is not known
         std::function<void(ChangeLedger)> propose;                  // `change` is asked once, maybe later
--- a/src/duties/lease.hpp
+++ b/src/duties/lease.hpp
@@ -39,6 +39,9 @@
         const bool may_return = now >= not_before_ || planted(PlantedFault::kHolderReturnsAtOnce);
         return holds_ && now >= acts_from_ && may_return;
     }
+    // What binds no former holder may be done while one is waited for: this node leads, and has not held
+    // the duties, nor started, within the lease's length.
+    bool may_prepare(Tenths now) const { return holds_ && now >= not_before_; }
     // `contact`: when this node sent what a majority has answered since.
     bool may_act(std::optional<Tenths> contact, Tenths now) const {
         const bool in_contact = contact && now - *contact <= terms_.hold;
--- a/src/duties/usage_ledger.cpp
+++ b/src/duties/usage_ledger.cpp
@@ -22,9 +22,9 @@
 }
 
 bool is_due(std::int64_t window, const clock::FleetTime& now, std::int64_t window_ms,
-            const UsageSources& sources) {
+            const UsageSources& sources, CountsDue counts) {
     const std::int64_t end_ms = (window + 1) * window_ms;
-    if (now.unix_ms >= end_ms + kPatienceMs) return true;
+    if (counts == CountsDue::kAsHeard && now.unix_ms >= end_ms + kPatienceMs) return true;
     return now.unix_ms - now.error_ms >= end_ms + kLeastAgeMs && sources.is_complete(window, end_ms);
 }
 
@@ -43,7 +43,7 @@
 
 std::optional<UsageLedger> next_ledger(const UsageLedger& ledger, const clock::FleetTime& now,
                                        std::int64_t window_ms, const UsageSources& sources,
-                                       const std::set<std::int64_t>& settled) {
+                                       const std::set<std::int64_t>& settled, CountsDue counts) {
     // The window in which it is, where the clock is ahead as far as it may be.
     if (ledger.next_window == 0) return UsageLedger{(now.unix_ms - now.error_ms) / window_ms, {}};
     UsageLedger next = ledger;
@@ -56,7 +56,7 @@
     std::size_t bytes = bytes_of(next);
     for (std::size_t added = 0; added < kMostNewWindows; ++added) {
         const bool is_full = next.agreed.size() >= kMostAgreedWindows || bytes >= kMostLedgerBytes;
-        if (is_full || !is_due(next.next_window, now, window_ms, sources)) break;
+        if (is_full || !is_due(next.next_window, now, window_ms, sources, counts)) break;
         std::string body = usage_body(next.next_window, sources.counts(next.next_window));
         bytes += body.size();
         next.agreed.push_back({next.next_window++, std::move(body)});
--- a/src/duties/usage_ledger.hpp
+++ b/src/duties/usage_ledger.hpp
@@ -42,10 +42,14 @@
 // The body of POST /usage, the same for the same counts.
 std::string usage_body(std::int64_t window, const std::map<std::string, std::int64_t>& counts);
 
+// With which counts a window is agreed on: with all of them, or after some patience with those that came.
+enum class CountsDue { kAsHeard, kComplete };
+
 // The ledger that should follow, without what is `settled` (by window: acknowledged, or given up); none where
 // there is nothing to agree on. `window_ms`: the length of a window.
 std::optional<UsageLedger> next_ledger(const UsageLedger& ledger, const clock::FleetTime& now,
                                        std::int64_t window_ms, const UsageSources& sources,
-                                       const std::set<std::int64_t>& settled);
+                                       const std::set<std::int64_t>& settled,
+                                       CountsDue counts = CountsDue::kAsHeard);
 
 } // namespace ivyrill::duties
--- a/tests/usage_duty_tests.cpp
+++ b/tests/usage_duty_tests.cpp
@@ -41,6 +41,7 @@
     Tenths now = kStart;
     std::optional<std::uint64_t> fence = 12;
     bool agrees_at_once = true, has_room = true, knows_time = true;
+    bool waits_for_lease = false, is_complete = true;
     UsageLedger ledger{kFirst, {}};
     std::deque<UsageDuty::ChangeLedger> proposals;
     std::int64_t time_ms = (kFirst + 1) * kWindowMs, count = 1;
@@ -54,6 +55,7 @@
         duty.reset();
         UsageDuty::Callbacks callbacks;
         callbacks.fence = [this] { return fence; };
+        callbacks.may_propose = [this] { return fence || waits_for_lease; };
         callbacks.may_act_under = [this](std::uint64_t asked) { return fence == asked; };
         callbacks.agreed = [this] { return std::optional(ledger); };
         callbacks.propose = [this](UsageDuty::ChangeLedger change) {
@@ -63,7 +65,7 @@
         callbacks.time = [this] {
             return knows_time ? std::optional(clock::FleetTime{time_ms, 0}) : std::nullopt;
         };
-        callbacks.sources.is_complete = [](std::int64_t, std::int64_t) { return true; };
+        callbacks.sources.is_complete = [this](std::int64_t, std::int64_t) { return is_complete; };
         callbacks.sources.counts = [this](std::int64_t) {
             return std::map<std::string, std::int64_t>{{"a", count}};
         };
@@ -117,6 +119,28 @@
     BOOST_TEST(here.ledger.agreed.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_window_is_agreed_on_while_a_former_holder_is_waited_for_and_sent_only_after) {
+    Setting here;
+    here.fence.reset(), here.waits_for_lease = true;
+    here.run(3 * kSecond);
+    BOOST_TEST(here.ledger.agreed.size() == 1U);
+    BOOST_TEST(here.link.calls.empty());
+    here.fence = 13;
+    here.run(kSecond / 2);
+    BOOST_REQUIRE(here.link.calls.size() == 1U);
+    BOOST_TEST(here.link.calls.front().call.fence == 13U);
+}
+
+BOOST_AUTO_TEST_CASE(counts_that_are_not_complete_are_not_agreed_on_before_the_node_may_act) {
+    Setting here;
+    here.fence.reset(), here.waits_for_lease = true, here.is_complete = false;
+    here.run(20 * kSecond);
+    BOOST_TEST(here.ledger.agreed.empty());
+    here.fence = 13;
+    here.run(kSecond / 2);
+    BOOST_TEST(!here.ledger.agreed.empty());
+}
+
 // Asked by the link in the moment in which the call leaves.
 BOOST_AUTO_TEST_CASE(the_fence_is_looked_at_when_a_call_leaves) {
     Setting here;
