Unit tests for five guards of leases and orders that no unit test noticed

Each guard taken out in a scratch copy: Lease::is_settled's own wait, Lease::end, the wait of a new process, StageOrders' highest refused fence, CountOrder's refusal of an older count. No test of duty_tests and count_tests failed without them (60 duty histories notice the first and the third); the new tests fail without each and pass with it.

--- a/tests/count_tests.cpp
+++ b/tests/count_tests.cpp
@@ -247,6 +247,15 @@
     BOOST_TEST(!order.due(kStart + CountOrder::kWantedFor).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_of_an_older_count_does_not_drop_the_one_wanted_since) {
+    CountOrder order(12);
+    order.want(3, kStart);
+    order.sent();
+    order.want(5, kStart);
+    order.answered(3, PlatformOutcome::kRefused, kStart);
+    BOOST_TEST((order.due(kStart + CountOrder::kFirstPause) == 5));
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_order_is_not_repeated_and_a_fenced_off_holder_sends_no_more) {
     CountOrder refused(7), fenced_off(7);
     refused.want(12, kStart), fenced_off.want(12, kStart);
--- a/tests/duty_tests.cpp
+++ b/tests/duty_tests.cpp
@@ -119,6 +119,30 @@
     BOOST_TEST(!of_new_process.may_act(kStart + kSecond, kStart + kSecond));
 }
 
+// Looked at after what is on its way is over, so that the own wait alone holds it back.
+BOOST_AUTO_TEST_CASE(whoever_held_lately_or_has_just_started_waits_longer_than_a_hand_over_asks) {
+    Lease lease(kTerms, kStart - 10 * kSecond);
+    lease.begin(true, kStart);
+    lease.end(kStart + kSecond);
+    lease.begin(true, kStart + 2 * kSecond);
+    const Tenths returns = kStart + kSecond + kTerms.length;
+    BOOST_TEST(!lease.may_act(returns - 1, returns - 1));
+    BOOST_TEST(lease.may_act(returns, returns));
+    Lease of_new_process(kTerms, kStart);
+    of_new_process.begin(true, kStart + kSecond);
+    const Tenths first = kStart + kTerms.length;
+    BOOST_TEST(!of_new_process.may_act(first - 1, first - 1));
+    BOOST_TEST(of_new_process.may_act(first, first));
+}
+
+BOOST_AUTO_TEST_CASE(whoever_did_not_hold_does_not_wait_after_a_lost_election) {
+    Lease lease(kTerms, kStart - 10 * kSecond);
+    lease.end(kStart);
+    lease.begin(true, kStart);
+    const Tenths from = kStart + kTerms.on_its_way;
+    BOOST_TEST(lease.may_act(from, from));
+}
+
 BOOST_AUTO_TEST_CASE(a_release_counts_for_the_next_term_alone) {
     BOOST_TEST(was_handed_over(PartState{4}, 5));
     BOOST_TEST(!was_handed_over(PartState{4}, 6)); // somebody held the term between
@@ -187,6 +211,16 @@
     BOOST_TEST(!orders.is_fenced_off(8));
 }
 
+BOOST_AUTO_TEST_CASE(a_late_refusal_of_an_older_fence_does_not_lift_that_of_a_newer) {
+    StageOrders orders;
+    StageOrder newer = an_order(), older = an_order();
+    newer.instance = "s2", newer.fence = older.fence + 2;
+    orders.sent(newer, kStart), orders.sent(older, kStart);
+    orders.answered("s2", OrderOutcome::kFencedOff, kStart);
+    orders.answered("s1", OrderOutcome::kFencedOff, kStart);
+    BOOST_TEST(orders.is_fenced_off(newer.fence));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_no_order_changes_nothing) {
     StageOrders orders;
     orders.answered("s1", OrderOutcome::kFencedOff, kStart);
