A former holder waits a lease from what it may have sent last, not from its end

Seen in review: a call may be on its way for 0.6 s, so that a holder which ended, or whose process started anew at once, could act again within leaseMs of its own last call's arrival while another one acted between (A, B, A; ONE). Cause: the wait began at the end of holding, not when the last call is in. It is longer by what may be on its way now.

--- a/src/duties/lease.hpp
+++ b/src/duties/lease.hpp
@@ -22,7 +22,8 @@
         Tenths on_its_way = 0; // so long at the most does an act take to come in, once it has left
     };
     // A process that starts may have held the duties just before it ended.
-    Lease(Terms terms, Tenths process_started) : terms_(terms), not_before_(process_started + terms.length) {}
+    Lease(Terms terms, Tenths process_started)
+        : terms_(terms), not_before_(process_started + terms.length + terms.on_its_way) {}
 
     // This node leads its part from `now` on; `handed_over`: by a leader that acts no more.
     void begin(bool handed_over, Tenths now) {
@@ -31,7 +32,8 @@
         if (planted(PlantedFault::kLeaseNotAwaited)) acts_from_ = now;
     }
     void end(Tenths now) {
-        if (holds_) not_before_ = now + terms_.length;
+        // Another one may act meanwhile: a lease has to lie between the last act that came in and the next.
+        if (holds_) not_before_ = now + terms_.length + terms_.on_its_way;
         holds_ = false;
     }
     // The wait for former holders is over, however the contact is now.
--- a/tests/duty_tests.cpp
+++ b/tests/duty_tests.cpp
@@ -112,7 +112,7 @@
     lease.end(kStart + kSecond);
     lease.begin(true, kStart + 2 * kSecond);
     BOOST_TEST(!lease.may_act(kStart + 2 * kSecond, kStart + 2 * kSecond));
-    const Tenths later = kStart + kSecond + kTerms.length;
+    const Tenths later = kStart + kSecond + kTerms.length + kTerms.on_its_way;
     BOOST_TEST(lease.may_act(later, later));
     Lease of_new_process(kTerms, kStart); // the one before it may have held until just now
     of_new_process.begin(true, kStart + kSecond);
@@ -125,12 +125,12 @@
     lease.begin(true, kStart);
     lease.end(kStart + kSecond);
     lease.begin(true, kStart + 2 * kSecond);
-    const Tenths returns = kStart + kSecond + kTerms.length;
+    const Tenths returns = kStart + kSecond + kTerms.length + kTerms.on_its_way;
     BOOST_TEST(!lease.may_act(returns - 1, returns - 1));
     BOOST_TEST(lease.may_act(returns, returns));
     Lease of_new_process(kTerms, kStart);
     of_new_process.begin(true, kStart + kSecond);
-    const Tenths first = kStart + kTerms.length;
+    const Tenths first = kStart + kTerms.length + kTerms.on_its_way;
     BOOST_TEST(!of_new_process.may_act(first - 1, first - 1));
     BOOST_TEST(of_new_process.may_act(first, first));
 }
