A silent server is not left where no other one may be asked

The key is looked up before the server is left. No test brings the race about yet; the soak's check is as it was.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -225,6 +225,8 @@
 
 // A reading that is left costs nothing further, as the runner's own is no second one; a run does.
 bool Exchange::leave_is_allowed() {
+    identify_caller();
+    if (caller_.admission != Admission::kAdmitted) return false; // no other server could be asked
     if (!attempt_runs_) return true;
     if (static_cast<std::int64_t>(sent_to_.size()) >= route_->max_attempts) return false;
     further_paid_ = spend_further_send();
