A run is counted for the tenant that its server was told

Cause: since a key is looked up before a silent server is left, the request's caller may be nobody by the time its first token comes; the run would not be counted for anyone.

--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -98,6 +98,7 @@
     const model::Service* service_ = nullptr;
     std::shared_ptr<const model::RoutingTable> identified_by_; // where `caller_` was looked up
     Caller caller_;
+    std::string told_tenant_; // to the server of the last call; empty: none
     replica_selection::Request profile_;
     Tenths deadline_ = 0;
 
--- a/src/proxy/exchange_call.cpp
+++ b/src/proxy/exchange_call.cpp
@@ -80,7 +80,8 @@
         co_return CallEnd::kKeyWithdrawn;
     }
     const model::Tenant* tenant = caller_.tenant;
-    if (tenant != nullptr) forwarding.tenant = tenant->name;
+    told_tenant_ = tenant != nullptr ? tenant->name : "";
+    forwarding.tenant = told_tenant_;
     forwarding.target_instance = instance;
     forwarding.time_left = deadline_ - now();
     forwarding.priority = priority_of(*route_, tenant);
--- a/src/proxy/exchange_relay.cpp
+++ b/src/proxy/exchange_relay.cpp
@@ -48,8 +48,7 @@
 }
 
 void Exchange::count_begun() {
-    if (std::exchange(counted_, true) || caller_.tenant == nullptr) return;
-    context_.usage.began(caller_.tenant->name, now());
+    if (!std::exchange(counted_, true)) context_.usage.began(told_tenant_, now());
 }
 
 transport::Async<Exchange::RelayEnd> Exchange::relay_events() {
