--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -334,7 +334,7 @@
     if (root.states_null("tenants")) root.report("tenants", "is not a list", "send a list of maps");
     if (!root.has("tenants")) return;
     std::vector<model::Tenant>& tenants = configuration.tenants.emplace();
-    root.each("tenants", [&](Section item) { tenants.push_back(read_tenant(item)); });
+    root.each("tenants", [&](Section item) { tenants.push_back(read_tenant(std::move(item))); });
     check_tenants(root, tenants);
 }
 
@@ -351,8 +351,8 @@
     model::Configuration configuration;
     for (const char* key : {"routes", "services"}) root.require(key);
     read_version(root, configuration.version);
-    root.each("routes", [&](Section item) { configuration.routes.push_back(read_route(item)); });
-    root.each("services", [&](Section item) { configuration.services.push_back(read_service(item)); });
+    root.each("routes", [&](Section item) { configuration.routes.push_back(read_route(std::move(item))); });
+    root.each("services", [&](Section item) { configuration.services.push_back(read_service(std::move(item))); });
     if (root.has("limits")) configuration.limits = read_limits(root.section("limits"));
     read_tenants(root, configuration);
     return configuration;
