--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -352,7 +352,8 @@
     for (const char* key : {"routes", "services"}) root.require(key);
     read_version(root, configuration.version);
     root.each("routes", [&](Section item) { configuration.routes.push_back(read_route(std::move(item))); });
-    root.each("services", [&](Section item) { configuration.services.push_back(read_service(std::move(item))); });
+    root.each("services",
+              [&](Section item) { configuration.services.push_back(read_service(std::move(item))); });
     if (root.has("limits")) configuration.limits = read_limits(root.section("limits"));
     read_tenants(root, configuration);
     return configuration;
