Review: cases end without tearing down their running threads; a crash closes all connections

The stand-ins of review/rig were destroyed while their threads still ran: one run of review/1 with TROUBLE=0 aborted (exit 2). Servers, fleet and links now live until the program ends. A crashed server also closes its idle connections.

--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -354,6 +354,7 @@
     double edge_link_mbps = 1000;
 
     Fleet() {
+        current = this;
         const char* root = std::getenv("REVIEW_ROOT");
         const char* folder = std::getenv("REVIEW_FOLDER");
         if (root == nullptr || folder == nullptr) throw CannotRun{"start it by run.sh"};
@@ -365,7 +366,7 @@
         }
         throw CannotRun{"no free loopback network"};
     }
-    ~Fleet() { end(); }
+    static inline Fleet* current = nullptr; // for run_case, which ends its processes
 
     std::string ip(int last) const { return network_ + "." + std::to_string(last); }
     std::string control(int number) const { return ip(10 + number) + ":8262"; } // from 1
@@ -533,7 +534,8 @@
 
 // ---- a model server ----
 
-// Registers itself, beats each 1.2 s, and answers requests by `serve`, each connection in a thread of its own.
+// Registers itself, beats each 1.2 s, and answers requests by `serve`, each connection in a thread of its own. Servers,
+// the fleet and links are never destroyed: their threads run until the program ends.
 class Server {
   public:
     // Sends the whole answer; returns whether the connection may be kept.
@@ -561,6 +563,8 @@
         crashed = true, silent = true;
         shutdown(listener_, SHUT_RDWR);
         close(listener_);
+        const std::lock_guard lock(connections_mutex_);
+        for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
     }
     std::atomic<bool> crashed{false}; // `serve` stops sending then and returns false
     std::atomic<bool> draining{false};
@@ -578,6 +582,10 @@
     void serve_connection(int fd) {
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        {
+            const std::lock_guard lock(connections_mutex_);
+            connections_.insert(fd);
+        }
         Reader reader(fd);
         Message request;
         while (!crashed && reader.read(request, now_ms() + 120000, false) && request.whole && !crashed) {
@@ -599,6 +607,8 @@
             }
             if (!keep) break;
         }
+        const std::lock_guard lock(connections_mutex_);
+        connections_.erase(fd);
         close(fd);
     }
     void beat() {
@@ -636,6 +646,8 @@
     std::string address_;
     Serve serve_;
     int listener_;
+    std::mutex connections_mutex_;
+    std::set<int> connections_;
     std::atomic<bool> registered_{false};
 };
 
@@ -649,7 +661,7 @@
 }
 
 // Runs a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-inline int run_case(const std::function<bool()>& broken) {
+[[noreturn]] inline int run_case(const std::function<bool()>& broken) {
     std::signal(SIGPIPE, SIG_IGN);
     const char* path = std::getenv("REVIEW_RECORD");
     if (path != nullptr) record.open(path);
@@ -658,8 +670,9 @@
     try {
         code = broken() ? 1 : 0;
     } catch (const CannotRun& failure) { record.line("can't run: %s", failure.why.c_str()); }
+    if (Fleet::current != nullptr) Fleet::current->end();
     record.line("%s", code == 1 ? "the rule was BROKEN" : code == 0 ? "the rule held" : "the case couldn't run");
-    return code;
+    std::_Exit(code); // other threads still run
 }
 
 } // namespace rig
