--- a/tests/lab/example_fleet.cpp
+++ b/tests/lab/example_fleet.cpp
@@ -33,6 +33,8 @@
     return "127." + std::to_string(100 + own / 250 % 100) + "." + std::to_string(1 + own % 250);
 }
 
+std::string number_or_empty(std::int64_t number) { return number > 0 ? std::to_string(number) : ""; }
+
 std::array<int, 2> open_pipe() {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe2");
@@ -41,9 +43,10 @@
 
 } // namespace
 
-ExampleFleet::ExampleFleet(const std::string& run, const std::string& build, const PlatformSettings& platform)
+ExampleFleet::ExampleFleet(const std::string& run, const std::string& build, const PlatformSettings& platform,
+                           const FleetLimits& limits)
     : network_(own_network()), program_(build + "/ivyrill-fleet") {
-    start(run, build, platform);
+    start(run, build, platform, limits);
     try {
         await_ready();
     } catch (...) {
@@ -55,13 +58,17 @@
 ExampleFleet::~ExampleFleet() { stop(); }
 
 // The script's command is a `cat`, which runs until its input is closed, also when this process is killed.
-void ExampleFleet::start(const std::string& run, const std::string& build, const PlatformSettings& platform) {
+void ExampleFleet::start(const std::string& run, const std::string& build, const PlatformSettings& platform,
+                         const FleetLimits& limits) {
     const auto input = open_pipe(), output = open_pipe();
     input_ = input[1], output_ = output[0];
     setenv("FLEET_NETWORK", network_.c_str(), 1);
     const bool has_platform = platform.window_s > 0;
     setenv("FLEET_PLATFORM", has_platform ? this->platform().c_str() : "", 1);
     setenv("FLEET_WINDOW_S", std::to_string(platform.window_s).c_str(), 1);
+    setenv("FLEET_MEMORY_MB", number_or_empty(limits.memory_mb).c_str(), 1);
+    setenv("FLEET_DESCRIPTORS", number_or_empty(limits.file_descriptors).c_str(), 1);
+    setenv("FLEET_SERVER_OPTIONS", limits.server_options.c_str(), 1);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, input[0], STDIN_FILENO);
--- a/tests/lab/example_fleet.hpp
+++ b/tests/lab/example_fleet.hpp
@@ -17,10 +17,18 @@
     std::int64_t window_s = 0; // `usageWindowS`
 };
 
+// Limits of the fleet's processes and sizes of its model servers, where they differ from those of
+// examples/fleet.
+struct FleetLimits {
+    std::int64_t memory_mb = 0, file_descriptors = 0; // 0: as in the settings
+    std::string server_options;                       // of ivyrill_model_server; empty: the usual sizes
+};
+
 class ExampleFleet {
   public:
     // Starts the fleet and waits until it is ready. Throws std::runtime_error if it is not ready in time.
-    ExampleFleet(const std::string& run, const std::string& build, const PlatformSettings& platform = {});
+    ExampleFleet(const std::string& run, const std::string& build, const PlatformSettings& platform = {},
+                 const FleetLimits& limits = {});
     ~ExampleFleet(); // stops the fleet
     ExampleFleet(const ExampleFleet&) = delete;
     ExampleFleet& operator=(const ExampleFleet&) = delete;
@@ -50,7 +58,8 @@
     std::string platform() const { return address(41, 8168); }
 
   private:
-    void start(const std::string& run, const std::string& build, const PlatformSettings& platform);
+    void start(const std::string& run, const std::string& build, const PlatformSettings& platform,
+               const FleetLimits& limits);
     void await_ready();
     void stop();
     void end_restarted();
--- a/tests/lab/real_fleet.hpp
+++ b/tests/lab/real_fleet.hpp
@@ -15,8 +15,8 @@
     2 * kTicksPerSecond; // `configApplyMs` of examples/fleet/settings
 
 struct RealFleet : ExampleFleet {
-    explicit RealFleet(const PlatformSettings& platform = {})
-        : ExampleFleet(IVYRILL_FLEET_RUN, IVYRILL_FLEET_BUILD, platform) {}
+    explicit RealFleet(const PlatformSettings& platform = {}, const FleetLimits& limits = {})
+        : ExampleFleet(IVYRILL_FLEET_RUN, IVYRILL_FLEET_BUILD, platform, limits) {}
     // The number of the control node that leads; 0 if none.
     int leader() {
         for (int number = 1; number <= kControls; ++number) {
