Parser: a body over the limit is refused as a chunk announces it, and not kept

Cause: the size of a chunk was compared with the limit by itself, not with what had come before it; the parser kept the body of a malformed request until it was destroyed.

Change: the announced chunk counts with the body so far; a malformed request's body is freed at once. limit_body lowers the limit for one message, and buffered_bytes tells what it holds, both for the budget that follows. malformed_request_is_not_kept and the 413 of malformed_requests_have_their_status fail on the former parser.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -126,9 +126,33 @@
     return consumed;
 }
 
+// What was received of a malformed request is of no more use; of an answer, the part before the fault may be.
+void HttpParser::fail(int status) {
+    stage_ = Stage::kBroken, error_ = status;
+    if (side_ == Side::kResponses) return;
+    message_.body = {};
+    line_ = {};
+}
+
+void HttpParser::limit_body(std::size_t max_bytes) {
+    max_body_ = std::min(max_body_, max_bytes);
+    const bool has_announced = stage_ == Stage::kBody || stage_ == Stage::kChunk;
+    const std::size_t announced = has_announced ? remaining_ : 0;
+    if (stage_ != Stage::kBroken && message_.body.size() + announced > max_body_) fail(413);
+}
+
+std::size_t HttpParser::buffered_bytes() const {
+    constexpr std::size_t kAllocationOverhead = 32; // of each short string
+    const std::size_t field = sizeof(message_.headers[0]) + 2 * kAllocationOverhead;
+    return message_.headers.capacity() * field + header_bytes_ + message_.body.capacity() + line_.capacity();
+}
+
 std::size_t HttpParser::take_body(std::string_view bytes) {
     const std::size_t size = stage_ == Stage::kUntilClose ? bytes.size() : std::min(remaining_, bytes.size());
-    if (message_.body.size() + size > limits_.body) return fail(413), size;
+    if (message_.body.size() + size > max_body_) {
+        fail(413);
+        return size;
+    }
     message_.body.append(bytes.substr(0, size));
     if (stage_ == Stage::kUntilClose) return size;
     remaining_ -= size;
@@ -156,7 +180,7 @@
             line = line.substr(0, line.find_last_not_of(" \t") + 1);
         }
         if (!read_size(line, 16, remaining_)) return fail(400);
-        if (side_ == Side::kRequests && remaining_ > limits_.body) return fail(413);
+        if (side_ == Side::kRequests && remaining_ > max_body_ - message_.body.size()) return fail(413);
         stage_ = remaining_ == 0 ? Stage::kTrailers : Stage::kChunk;
         return;
     }
@@ -200,6 +224,7 @@
     if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
         !is_printable(line.substr(colon + 1), true))
         return fail(400);
+    header_bytes_ += line.size();
     message_.headers.emplace_back(lower(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
 }
 
@@ -228,7 +253,7 @@
         return;
     }
     if (!read_size(content_length, 10, remaining_)) return fail(400);
-    if (side_ == Side::kRequests && remaining_ > limits_.body) return fail(413);
+    if (side_ == Side::kRequests && remaining_ > max_body_) return fail(413);
     content_length_ = remaining_;
     stage_ = remaining_ == 0 || without_body ? Stage::kComplete : Stage::kBody;
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -28,8 +28,8 @@
     struct Limits { // bytes; `body` limits what is buffered at once
         std::size_t head = 16 * 1024, body = 64 * 1024;
     };
-    explicit HttpParser(Side side) : side_(side) {}
-    HttpParser(Side side, Limits limits) : side_(side), limits_(limits) {}
+    explicit HttpParser(Side side) : HttpParser(side, Limits{}) {}
+    HttpParser(Side side, Limits limits) : side_(side), limits_(limits), max_body_(limits.body) {}
 
     std::size_t feed(std::string_view bytes); // returns the bytes consumed: up to the end of the message or
                                               // the first error
@@ -38,6 +38,9 @@
     int broken() const { return error_; } // the HTTP status of the error, 0 if there is none
     bool begun() const { return begun_; }
     HttpMessage take(); // the complete message; resets the parser
+    // Lowers the limit of the message that is being parsed; fails with 413 if its body is known to exceed it.
+    void limit_body(std::size_t max_bytes);
+    std::size_t buffered_bytes() const; // memory of what was received of the message so far
 
     // For bodies that are forwarded while they are received.
     bool head_complete() const { return stage_ > Stage::kHead && stage_ != Stage::kBroken; }
@@ -59,7 +62,7 @@
         kComplete,
         kBroken
     };
-    void fail(int status) { stage_ = Stage::kBroken, error_ = status; }
+    void fail(int status);
     void finish_line();
     void parse_head_line(std::string_view line);
     void finish_head();
@@ -67,12 +70,14 @@
 
     Side side_;
     Limits limits_;
+    std::size_t max_body_; // of this message
     std::optional<std::size_t> content_length_;
     Stage stage_ = Stage::kHead;
     HttpMessage message_;
     std::string line_;
     std::size_t head_size_ = 0,
-                remaining_ = 0; // bytes of the head so far; bytes of the body or chunk not yet received
+                remaining_ = 0;    // bytes of the head so far; bytes of the body or chunk not yet received
+    std::size_t header_bytes_ = 0; // of names and values
     bool begun_ = false, first_line_ = true, is_http_1_0_ = false;
     int error_ = 0;
 };
--- a/tests/protocol_tests.cpp
+++ b/tests/protocol_tests.cpp
@@ -58,6 +58,34 @@
     }
 }
 
+void malformed_request_is_not_kept() {
+    for (const std::string& rest : {std::string("1\r\nx\r\n"), std::string("zz\r\n")}) {
+        const std::string bytes = request("Transfer-Encoding: chunked\r\n",
+                                          "10000\r\n" + std::string(0x10000, 'x') + "\r\n" + rest);
+        const HttpParser parser = feed_split(HttpParser::Side::kRequests, bytes, bytes.size()).first;
+        assert(parser.broken() != 0 && parser.buffered_bytes() < 4096);
+    }
+}
+
+void body_limit_can_be_lowered_for_one_message() {
+    HttpParser parser(HttpParser::Side::kRequests);
+    parser.feed("PUT /x HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    assert(parser.head_complete());
+    parser.limit_body(11);
+    assert(parser.broken() == 0);
+    parser.feed("0123456789a");
+    assert(parser.complete() && parser.take().body.size() == 11);
+    parser.feed("PUT /x HTTP/1.1\r\nContent-Length: 12\r\n\r\n01234");
+    parser.limit_body(11);
+    assert(parser.broken() == 413);
+    parser = HttpParser(HttpParser::Side::kRequests);
+    parser.feed("PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n");
+    parser.limit_body(6);
+    assert(parser.broken() == 0);
+    parser.feed("3\r\n");
+    assert(parser.broken() == 413);
+}
+
 void malformed_requests_have_their_status() {
     assert(status_of("nonsense\r\n\r\n") == 400);
     assert(status_of("GET /x SPDY/9\r\n\r\n") == 400);
@@ -66,6 +94,11 @@
     assert(status_of(request("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "")) == 400);
     assert(status_of(request("Content-Length: 70000\r\n", "")) == 413);
     assert(status_of(request("Transfer-Encoding: chunked\r\n", "11171\r\n")) == 413);
+    // Both chunks together: known as soon as the second one is announced.
+    assert(status_of(request("Transfer-Encoding: chunked\r\n",
+                             "FFFF\r\n" + std::string(0xFFFF, 'x') + "\r\n2\r\n")) == 413);
+    assert(status_of(request("Transfer-Encoding: chunked\r\n",
+                             "FFFF\r\n" + std::string(0xFFFF, 'x') + "\r\n1\r\nx\r\n")) == 0);
     assert(status_of(request("Transfer-Encoding: gzip\r\n", "")) == 501);
     assert(status_of(request("X: " + std::string(20'000, 'x') + "\r\n", "")) == 431);
     HttpMessage message;
@@ -294,6 +327,8 @@
 constexpr Test kTests[] = {
     TEST(request_is_parsed_at_every_split),
     TEST(malformed_requests_have_their_status),
+    TEST(malformed_request_is_not_kept),
+    TEST(body_limit_can_be_lowered_for_one_message),
     TEST(ambiguous_requests_are_rejected),
     TEST(response_without_length_ends_with_its_connection),
     TEST(frames_are_parsed_at_every_split),
