Limits: one budget for all that a process buffers of requests and calls

What callers saw: crowds of clients with bodies short of their end, over the limit or in chunks of a byte, or with heads of many lines, ended a proxy, which ran out of memory; bodies at readyAddr or controlAddr, or readings of the configuration that nobody took, ended a proxy or a control node.

Cause: each limit was one connection's, none the process's, and CallServer read 8 MB for calls that need no body, queued answer after answer behind one that was not read, and began its time for a request anew with each byte.

The system's buffers of a connection are bounded, since unread bytes count as memory; a ring buffer grows to what is appended instead of doubling past it.

--- a/src/control/control_api.cpp
+++ b/src/control/control_api.cpp
@@ -4,6 +4,13 @@
 
 namespace ivyrill::control {
 
+namespace {
+
+constexpr std::size_t kMaxConfigurationBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxInstanceBytes = 256 * 1024; // a server with thousands of adapters
+
+} // namespace
+
 ControlApi::ControlApi(InstanceRegistry& registry, OperatorCalls& calls, std::function<std::string()> inspect)
     : registry_(registry), calls_(calls) {
     add_server_calls();
@@ -27,7 +34,8 @@
          [](const RegisterReply& reply) {
              if (reply.heartbeat_address.empty()) return http::json_response("{}");
              return http::json_response("{\"beatAddr\":\"" + reply.heartbeat_address + "\"}");
-         }});
+         },
+         kMaxInstanceBytes});
     router_.add<DeregisterCall, DeregisterReply>(
         {"DELETE", "/instances/",
          [](const protocol::HttpMessage&, const std::string& id) {
@@ -40,12 +48,12 @@
 void ControlApi::add_operator_calls() {
     router_.add<ReplaceConfigurationCall, ReplaceConfigurationReply>(
         {"PUT", "/config",
-         [](const protocol::HttpMessage& message, const std::string&) -> Result<ReplaceConfigurationCall> {
+         [](protocol::HttpMessage& message, const std::string&) -> Result<ReplaceConfigurationCall> {
              BOOST_OUTCOME_TRY(version, read_if_match(std::string(message.header("if-match"))));
-             return ReplaceConfigurationCall{version, message.body};
+             return ReplaceConfigurationCall{version, std::move(message.body)};
          },
          [this](ReplaceConfigurationCall call) { return replace(std::move(call)); },
-         [](const ReplaceConfigurationReply&) { return http::json_response("{}"); }});
+         [](const ReplaceConfigurationReply&) { return http::json_response("{}"); }, kMaxConfigurationBytes});
     router_.add<ReadConfigurationCall, ReadConfigurationReply>(
         {"GET", "/config",
          [](const protocol::HttpMessage&, const std::string&) {
--- a/src/control/control_api.hpp
+++ b/src/control/control_api.hpp
@@ -30,6 +30,9 @@
     transport::Async<http::Response> handle(protocol::HttpMessage message) const {
         return router_.handle(std::move(message));
     }
+    std::size_t max_body_bytes(const protocol::HttpMessage& head) const {
+        return router_.max_body_bytes(head);
+    }
 
   private:
     void add_server_calls();
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -37,6 +37,8 @@
     transport::Async<http::Response> handle(protocol::HttpMessage message) const {
         return api_->handle(std::move(message));
     }
+    // Upper limit of the body of a call with this head; bytes.
+    std::size_t max_body_bytes(const protocol::HttpMessage& head) const { return api_->max_body_bytes(head); }
     // For SIGTERM: transfers leadership, informs the peers, stops the reactor within 1 s.
     void begin_shutdown();
 
--- a/src/control/control_program.cpp
+++ b/src/control/control_program.cpp
@@ -11,23 +11,11 @@
 
 namespace {
 
-constexpr std::int64_t kReservedDescriptors = 900; // 200 for files, the rest for peers and agents
-
 std::uint64_t draw() {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U | device()) | 1U;
 }
 
-// Each server keeps a connection to the owner of its service, so its calls get all descriptors except those
-// reserved for peers, agents and files.
-http::CallServer::Options call_options(const settings::Settings& settings) {
-    http::CallServer::Options options;
-    const std::int64_t available = settings.limits.file_descriptors - kReservedDescriptors;
-    options.max_connections =
-        std::max(options.max_connections, static_cast<std::size_t>(std::max<std::int64_t>(0, available)));
-    return options;
-}
-
 } // namespace
 
 Result<std::unique_ptr<ControlProgram>> ControlProgram::open(transport::Reactor& reactor,
@@ -40,11 +28,13 @@
                             draw,    clock::time_of_day};
     BOOST_OUTCOME_TRY(node, ControlNode::open(std::move(environment), settings));
     program->node_ = std::move(node);
+    http::CallServer::Options options;
+    options.max_connections = program->limits_.call_connections;
+    ControlNode* const running = program->node_.get();
     program->calls_ = std::make_unique<http::CallServer>(
-        reactor, settings.listen_addrs.at("controlAddr"), call_options(settings),
-        [node = program->node_.get()](protocol::HttpMessage message) {
-            return node->handle(std::move(message));
-        });
+        reactor, settings.listen_addrs.at("controlAddr"), program->buffers_, options,
+        [running](const protocol::HttpMessage& head) { return running->max_body_bytes(head); },
+        [running](protocol::HttpMessage message) { return running->handle(std::move(message)); });
     return program;
 }
 
--- a/src/control/control_program.hpp
+++ b/src/control/control_program.hpp
@@ -5,6 +5,7 @@
 #include "control/http_platform_client.hpp"
 #include "feed/socket_link.hpp"
 #include "http/call_server.hpp"
+#include "limits/process_limits.hpp"
 #include "settings/settings.hpp"
 
 #include <memory>
@@ -20,12 +21,15 @@
 
   private:
     ControlProgram(transport::Reactor& reactor, const settings::Settings& settings)
-        : network_(reactor), orders_(reactor), platform_(reactor, settings.cloud_api.address) {}
+        : network_(reactor), orders_(reactor), platform_(reactor, settings.cloud_api.address),
+          limits_(limits::control_limits(settings.limits)), buffers_(limits_.buffer_bytes) {}
 
     feed::SocketNetwork network_;
     HttpOrderClient orders_;
     HttpPlatformClient platform_;
     std::unique_ptr<ControlNode> node_;
+    limits::ControlLimits limits_;
+    limits::BufferBudget buffers_;
     std::unique_ptr<http::CallServer> calls_;
 };
 
--- a/src/http/call_router.cpp
+++ b/src/http/call_router.cpp
@@ -29,6 +29,10 @@
     return target == path;
 }
 
+std::string_view path_of(const protocol::HttpMessage& message) {
+    return std::string_view(message.target).substr(0, message.target.find('?'));
+}
+
 } // namespace
 
 Response json_response(std::string body) {
@@ -40,8 +44,16 @@
     return {status, "Content-Type: text/plain\r\n", error.message + "\n"};
 }
 
+std::size_t CallRouter::max_body_bytes(const protocol::HttpMessage& head) const {
+    std::string ignored;
+    for (const Entry& entry : entries_)
+        if (entry.method == head.method && matches(entry.path, path_of(head), ignored))
+            return entry.max_body_bytes;
+    return kMaxUnneededBodyBytes;
+}
+
 transport::Async<Response> CallRouter::handle(protocol::HttpMessage message) const {
-    const std::string_view target = std::string_view(message.target).substr(0, message.target.find('?'));
+    const std::string_view target = path_of(message);
     bool path_known = false;
     for (const Entry& entry : entries_) {
         std::string rest;
--- a/src/http/call_router.hpp
+++ b/src/http/call_router.hpp
@@ -23,23 +23,30 @@
 Response json_response(std::string body);
 Response error_response(const Error& error);
 
+// A call without a use for its body may bring a small one.
+inline constexpr std::size_t kMaxUnneededBodyBytes = 4 * 1024;
+
 template <class Call, class Reply> struct Endpoint {
     std::string method;
     std::string path; // a trailing slash: the rest of the path is passed to the call
-    std::function<Result<Call>(const protocol::HttpMessage&, const std::string& rest)> read;
+    std::function<Result<Call>(protocol::HttpMessage&, const std::string& rest)> read; // may move the body
     std::function<transport::Async<Result<Reply>>(Call)> execute;
     std::function<Response(const Reply&)> write;
+    std::size_t max_body_bytes = kMaxUnneededBodyBytes;
 };
 
 class CallRouter {
   public:
     template <class Call, class Reply> void add(Endpoint<Call, Reply> endpoint);
     transport::Async<Response> handle(protocol::HttpMessage message) const;
+    // Upper limit of the body of a call with this head; bytes.
+    std::size_t max_body_bytes(const protocol::HttpMessage& head) const;
 
   private:
     struct Entry {
         std::string method, path;
-        std::function<transport::Async<Response>(const protocol::HttpMessage&, std::string)> handle;
+        std::function<transport::Async<Response>(protocol::HttpMessage&, std::string)> handle;
+        std::size_t max_body_bytes;
     };
     template <class Call, class Reply>
     static transport::Async<Response> dispatch(std::shared_ptr<const Endpoint<Call, Reply>> endpoint,
@@ -58,10 +65,11 @@
 
 template <class Call, class Reply> void CallRouter::add(Endpoint<Call, Reply> endpoint) {
     auto shared = std::make_shared<const Endpoint<Call, Reply>>(std::move(endpoint));
-    entries_.push_back(
-        {shared->method, shared->path, [shared](const protocol::HttpMessage& message, std::string rest) {
-             return dispatch<Call, Reply>(shared, shared->read(message, rest));
-         }});
+    entries_.push_back({shared->method, shared->path,
+                        [shared](protocol::HttpMessage& message, std::string rest) {
+                            return dispatch<Call, Reply>(shared, shared->read(message, rest));
+                        },
+                        shared->max_body_bytes});
 }
 
 } // namespace ivyrill::http
--- a/src/proxy/context.hpp
+++ b/src/proxy/context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "base/log_limiter.hpp"
 #include "feed/tables.hpp"
+#include "limits/buffer_budget.hpp"
 #include "model/routing_table.hpp"
 #include "proxy/connect_timeout.hpp"
 #include "proxy/demand_meter.hpp"
@@ -26,8 +27,11 @@
     std::uint64_t too_long_to_end = 0;              // streams rejected during shutdown
     std::uint64_t not_run = 0, misdirected = 0;     // answers of servers that have not run the request
     std::uint64_t refused_after_send = 0;           // of the rejected ones: sent to a server before
+    std::uint64_t no_room = 0;                      // refused or cut off for lack of memory
 };
 
+inline constexpr std::size_t kUsualBufferBytes = 100 * 1024 * 1024;
+
 struct Context {
     transport::Reactor& reactor;
     std::shared_ptr<const model::RoutingTable>
@@ -41,8 +45,9 @@
     DemandMeter demand;
     UsageMeter usage;
     LogLimiter refusal_log{};
-    bool shutting_down = false;  // SIGTERM was received
-    Ticks shutdown_deadline = 0; // end of this process, once it is shutting down
+    bool shutting_down = false;                      // SIGTERM was received
+    Ticks shutdown_deadline = 0;                     // end of this process, once it is shutting down
+    limits::BufferBudget buffers{kUsualBufferBytes}; // of all client connections and calls
 };
 
 } // namespace ivyrill::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -34,20 +34,21 @@
 } // namespace
 
 Proxy::Proxy(transport::Reactor& reactor, const settings::Settings& settings)
-    : reactor_(reactor),
-      settings_(settings), context_{reactor,
-                                    nullptr,
-                                    replica_selection::PairSelector(random_seed()),
-                                    replica_selection::RetryBudgets(budget_terms(settings.bounds)),
-                                    ServerConnections(reactor, kMaxUnsent),
-                                    ConnectTimeout{},
-                                    Pcg(random_seed()),
-                                    {},
-                                    {},
-                                    UsageMeter(random_seed(), settings.bounds.usage_window_ms()),
-                                    {},
-                                    false,
-                                    0} {
+    : reactor_(reactor), settings_(settings), limits_(limits::proxy_limits(settings.limits)),
+      context_{reactor,
+               nullptr,
+               replica_selection::PairSelector(random_seed()),
+               replica_selection::RetryBudgets(budget_terms(settings.bounds)),
+               ServerConnections(reactor, kMaxUnsent),
+               ConnectTimeout{},
+               Pcg(random_seed()),
+               {},
+               {},
+               UsageMeter(random_seed(), settings.bounds.usage_window_ms()),
+               {},
+               false,
+               0,
+               limits::BufferBudget(limits_.buffer_bytes)} {
     context_.connections.start();
     open_feed();
     open_ready();
@@ -89,21 +90,26 @@
              co_return ReadyReply{};
          },
          [](const ReadyReply&) { return http::Response{}; }});
+    http::CallServer::Options options;
+    options.max_connections = limits_.ready_connections;
     ready_server_ = std::make_unique<http::CallServer>(
-        reactor_, settings_.listen_addrs.at("readyAddr"), http::CallServer::Options{},
+        reactor_, settings_.listen_addrs.at("readyAddr"), context_.buffers, options,
+        [this](const protocol::HttpMessage& head) { return router_.max_body_bytes(head); },
         [this](protocol::HttpMessage message) { return router_.handle(std::move(message)); });
 }
 
 void Proxy::open_front() {
-    front_ = std::make_unique<transport::Listener>(
-        reactor_, settings_.listen_addrs.at("front"), [this](int descriptor) {
-            const auto over = [this](ClientSession& session) {
-                reactor_.free_later([this, &session] {
-                    sessions_.remove_if([&](const ClientSession& other) { return &other == &session; });
-                });
-            };
-            sessions_.emplace_back(context_, descriptor, over).start();
+    front_ = std::make_unique<transport::Listener>(reactor_, settings_.listen_addrs.at("front"),
+                                                   [this](int descriptor) { accept_client(descriptor); });
+}
+
+void Proxy::accept_client(int descriptor) {
+    const auto over = [this](ClientSession& session) {
+        reactor_.free_later([this, &session] {
+            sessions_.remove_if([&](const ClientSession& other) { return &other == &session; });
         });
+    };
+    sessions_.emplace_back(context_, descriptor, over).start();
 }
 
 void Proxy::applied(const feed::Tables::Applied& applied) {
@@ -209,7 +215,8 @@
                           {"too_long_to_end", text(c.too_long_to_end)},
                           {"not_run", text(c.not_run)},
                           {"misdirected", text(c.misdirected)},
-                          {"refused_after_send", text(c.refused_after_send)}});
+                          {"refused_after_send", text(c.refused_after_send)},
+                          {"no_room", text(c.no_room)}});
 }
 
 } // namespace ivyrill::proxy
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -4,6 +4,7 @@
 #include "feed/socket_link.hpp"
 #include "feed/subscriber.hpp"
 #include "http/call_server.hpp"
+#include "limits/process_limits.hpp"
 #include "proxy/client_session.hpp"
 #include "proxy/context.hpp"
 #include "settings/settings.hpp"
@@ -27,6 +28,7 @@
     void open_feed();
     void open_ready();
     void open_front();
+    void accept_client(int descriptor);
     void applied(const feed::Tables::Applied& applied);
     bool ready() const { return context_.routes != nullptr && !context_.shutting_down; }
     void stop_when_idle();
@@ -38,6 +40,7 @@
 
     transport::Reactor& reactor_;
     settings::Settings settings_;
+    limits::ProxyLimits limits_;
     Context context_;
     feed::SocketNetwork network_{reactor_};
     std::unique_ptr<feed::Subscriber> subscriber_;
--- a/src/transport/ring_buffer.hpp
+++ b/src/transport/ring_buffer.hpp
@@ -1,4 +1,5 @@
-// A ring buffer of bytes, used for each direction of a connection. It grows by doubling up to its limit.
+// A ring buffer of bytes, used for each direction of a connection. It grows by doubling, or at once to what
+// is appended, up to its limit.
 #pragma once
 #include <algorithm>
 #include <cstddef>
@@ -16,6 +17,7 @@
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
     std::size_t room() const { return max_bytes_ - size_; } // until the limit
+    std::size_t capacity() const { return capacity_; }      // bytes of memory in use
 
     std::string_view front() const { // the oldest bytes, as many as are contiguous
         return {data_.get() + begin_, std::min(size_, capacity_ - begin_)};
@@ -49,9 +51,8 @@
 
   private:
     void grow(std::size_t required) {
-        std::size_t capacity = std::max<std::size_t>(capacity_, kMinCapacity);
-        while (capacity < required && capacity < max_bytes_) capacity *= 2;
-        capacity = std::min(capacity, max_bytes_);
+        const std::size_t doubled = std::max<std::size_t>(2 * capacity_, kMinCapacity);
+        const std::size_t capacity = std::min(std::max(required, doubled), max_bytes_);
         if (capacity <= capacity_) return;
         auto grown = std::make_unique<char[]>(capacity);
         const std::string_view head = front();
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -86,6 +86,13 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
 }
 
+void limit_system_buffers(int descriptor, int bytes) {
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
+}
+
+void close_descriptor(int descriptor) { close(descriptor); }
+
 int accept_from(int listener) {
     const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) disable_nagle(descriptor);
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -21,6 +21,10 @@
 // The system drops the connection, with its unacknowledged data, if data stays unacknowledged for this long,
 // even while this process does not run.
 void set_delivery_timeout(int descriptor, Ticks span);
+// The system buffers at most about this much in either direction: unread input, and output that was not sent
+// yet.
+void limit_system_buffers(int descriptor, int bytes);
+void close_descriptor(int descriptor);
 int accept_from(int listener);  // negative if there is none, see errno
 bool connected(int descriptor); // after the descriptor became writable
 
@@ -44,6 +48,8 @@
     std::uint64_t written() const { return written_; } // total bytes written to the system
     std::uint64_t transferred_bytes() const { return received_ + written_; }
     std::size_t unwritten() const { return out_.size(); }
+    std::size_t unread_bytes() const { return in_.size(); }
+    std::size_t buffered_bytes() const { return in_.capacity() + out_.capacity(); } // memory of both buffers
     std::size_t room() const { return out_.room(); }
     Ticks last_receive_age() const;           // time since the last bytes reached this machine, read or not
     bool send(std::string_view bytes);        // false if the buffer has no room for them
