Relay: answers wait for their client within the budget, and none hangs or loses a piece

What callers saw: many clients that don't read long answers, or slowly, ended a proxy. Answers over some 4 MB to a slow reader hung until their deadline (4.0 and 5.2 of 6.3 MB had come).

Cause: what a client has not read was bounded by its connection's buffers alone (1 MB, 256 KB from its server, 256 KB and more held back), times the clients; a server's bytes unread in the system weren't bounded. Waiting for the client's room used up the wake-up for the server's next bytes, and the relay then waited again; sends that found no room were ignored.

Change: all buffers of a request are charged to the budget, 96 KB at least, without room for which it is refused with 503 before it is sent. While a client has over 256 KB to read (16 KB beyond the watermark) its server isn't read. Each turn of the relay reads, passes on and only then waits; no send's result is ignored. A client that stalls is cut off where room is asked for.

answers_larger_than_all_buffers_arrive_whole_at_a_slow_reader fails on in all four of its answers and passes.

--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -42,6 +42,7 @@
             any = stream_.feed(parser_) > 0 || any;
         return any;
     }
+    std::size_t buffered_bytes() const { return stream_.buffered_bytes() + parser_.buffered_bytes(); }
     // Established, with no unread input and no close by the server: the next request may use it.
     bool reusable() {
         return stream_.established() && !stream_.hung_up() && !stream_.has_unread_input() && !parser_.begun();
@@ -56,8 +57,11 @@
     ClientConnection(transport::Reactor& reactor, int descriptor, std::size_t max_output_bytes)
         : stream_(reactor.loop(), descriptor, transport::Stream::Start::kConnecting, kMaxUnreadBytes,
                   max_output_bytes),
-          parser_(protocol::HttpParser::Side::kResponses, {32 * 1024, kMaxUnreadBytes}) {}
-    static constexpr std::size_t kMaxUnreadBytes = 256 * 1024;
+          parser_(protocol::HttpParser::Side::kResponses, {32 * 1024, kMaxBodyBytes}) {
+        transport::limit_system_buffers(descriptor, kMaxUnreadBytes);
+    }
+    static constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
+    static constexpr std::size_t kMaxBodyBytes = 256 * 1024; // until it is taken from the parser
     transport::Stream stream_;
     protocol::HttpParser parser_;
 };
--- a/src/http/event_stream.hpp
+++ b/src/http/event_stream.hpp
@@ -29,6 +29,7 @@
     std::uint64_t events() const { return events_; }
     // An incomplete event is being held back.
     bool partial() const { return !event_.empty(); }
+    std::size_t buffered_bytes() const { return complete_.capacity() + event_.capacity(); }
 
   private:
     void finish_line();
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -128,7 +128,8 @@
     const bool close = message.close || context_.shutting_down || http_1_0;
     ExchangeResult end = ExchangeResult::kAbort;
     {
-        Exchange exchange(context_, stream_, wake_, read_client_request(std::move(message), now()), close);
+        Exchange exchange(context_, stream_, wake_, account_, read_client_request(std::move(message), now()),
+                          close);
         end = co_await exchange.run();
     }
     if (end == ExchangeResult::kAbort) {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,18 +12,21 @@
 
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 constexpr Ticks kMinRetryAfter = 500; // 50 ms: minimum for a rejected client
 constexpr Ticks kNoServerRetryAfter = 3000;
+constexpr Ticks kNoRoomRetryAfter = 5000;
+// That a request is charged at least: what the buffers of both its connections may grow to before more room
+// is asked for.
+constexpr std::size_t kMinExchangeBytes = 96 * 1024;
 constexpr int kMaxUnreachable = 6; // failed connects before giving up
 constexpr Ticks kTicksPerMs = kTicksPerSecond / 1000;
 
 } // namespace
 
-Exchange::Exchange(Context& context, transport::Stream& client, transport::Slot& wake, ClientRequest request,
-                   bool close)
-    : context_(context), client_(client), wake_(wake), request_(std::move(request)), close_(close),
-      events_(kMaxEventBytes) {}
+Exchange::Exchange(Context& context, transport::Stream& client, transport::Slot& wake,
+                   limits::BufferBudget::Account& account, ClientRequest request, bool close)
+    : context_(context), client_(client), wake_(wake), account_(account), request_(std::move(request)),
+      close_(close), events_(0) {}
 
 Exchange::~Exchange() {
     set_answering(false);
@@ -31,7 +34,18 @@
     release_handle();
 }
 
+void Exchange::update_account() {
+    std::size_t bytes = client_.buffered_bytes() + request_.message.body.capacity() +
+                        events_.buffered_bytes() + held_.capacity();
+    if (connection_) bytes += connection_->buffered_bytes();
+    using limits::BufferPhase;
+    account_.enter(client_.unwritten() > 0 ? BufferPhase::kSending : BufferPhase::kServing, now());
+    account_.record_transferred(client_.transferred_bytes(), now());
+    account_.set_held(std::max(bytes, kMinExchangeBytes));
+}
+
 transport::Async<transport::Done> Exchange::wait(Ticks until) {
+    update_account();
     const transport::WakeAt timer(context_.reactor, until, wake_);
     co_await wake_;
     co_return transport::Done{};
@@ -60,6 +74,12 @@
         ++context_.counters.too_long_to_end;
         co_return reject(kMinRetryAfter, "this node is shutting down before the answer could end");
     }
+    if (!context_.buffers.has_room(kMinExchangeBytes)) {
+        ++context_.counters.no_room;
+        context_.buffers.shed_stalled(now());
+        co_return reject(kNoRoomRetryAfter, "too much is buffered for other requests");
+    }
+    update_account();
     budget().count_request(now());
     if (service_->engine)
         context_.demand.count_request(service_->name, context_.selector.kv_transfer_time(profile_));
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -23,10 +23,10 @@
 
 class Exchange {
   public:
-    // `client` and `wake` (woken by the client's stream) must outlive it. `close`: the answer announces that
-    // the connection closes.
-    Exchange(Context& context, transport::Stream& client, transport::Slot& wake, ClientRequest request,
-             bool close);
+    // `client`, `wake` (woken by the client's stream) and `account`, to which all that is buffered for the
+    // request is charged, must outlive it. `close`: the answer announces that the connection closes.
+    Exchange(Context& context, transport::Stream& client, transport::Slot& wake,
+             limits::BufferBudget::Account& account, ClientRequest request, bool close);
     ~Exchange();
     transport::Async<ExchangeResult> run();
 
@@ -68,7 +68,14 @@
     transport::Async<RelayResult> relay();
     transport::Async<RelayResult> relay_events();
     transport::Async<RelayResult> relay_body();
-    transport::Async<bool> await_client_room(std::size_t bytes);
+    // Waits until the client has read enough for more to be read from the server; false if it has gone or the
+    // deadline has passed.
+    transport::Async<bool> await_client();
+    RelayResult client_gone_or_late() const;
+    std::size_t max_unwritten() const; // bytes that wait for the client while more is read from the server
+    bool send_head(std::optional<std::size_t> length); // once; later calls do nothing
+    bool pass_on_held(bool is_last);
+    void update_account();
     transport::Async<transport::Done> wait(Ticks until);
 
     bool may_outlast_shutdown() const;
@@ -87,12 +94,13 @@
     ExchangeResult fail(int status, std::string_view reason);
     ExchangeResult give_up();
     ExchangeResult send_own_answer(int status, std::string fields, std::string_view reason);
-    bool client_gone() const { return client_.hung_up(); }
+    bool client_gone() const { return client_.hung_up() || account_.is_shed(); }
     Ticks now() const { return context_.reactor.now(); }
 
     Context& context_;
     transport::Stream& client_;
     transport::Slot& wake_;
+    limits::BufferBudget::Account& account_;
     ClientRequest request_;
     bool close_;
 
@@ -127,6 +135,7 @@
     bool attempt_open_ = false, attempt_decodes_ = false;
     protocol::HttpMessage answer_;
     http::EventStreamSplitter events_;
+    std::string held_; // the part of an answer that is not streamed and was not passed on
 };
 
 } // namespace ivyrill::proxy
--- a/src/proxy/exchange_relay.cpp
+++ b/src/proxy/exchange_relay.cpp
@@ -8,21 +8,37 @@
 
 namespace {
 
-constexpr std::size_t kMaxBuffered =
-    256 * 1024; // of an answer that is not streamed, while it may still be retried elsewhere
-constexpr std::size_t kMinClientBuffer =
-    64 * 1024; // free buffer space that a slow client must leave before more is read
+// Of an answer that is not streamed, while it may still be retried elsewhere; and of any answer, while it
+// waits for its client.
+constexpr std::size_t kMaxBuffered = 256 * 1024;
+constexpr std::size_t kMaxBufferedShortOfRoom = 16 * 1024;
+
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+constexpr Ticks kRoomCheckInterval = kTicksPerSecond / 2; // while a client is awaited
 
 bool implies_not_run(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
 } // namespace
 
-transport::Async<bool> Exchange::await_client_room(std::size_t bytes) {
-    while (client_.room() < bytes) {
+std::size_t Exchange::max_unwritten() const {
+    return context_.buffers.is_below_watermark() ? kMaxBuffered : kMaxBufferedShortOfRoom;
+}
+
+transport::Async<bool> Exchange::await_client() {
+    while (client_.unwritten() > max_unwritten()) {
         if (client_gone() || now() >= deadline_) co_return false;
-        co_await wait(deadline_);
+        if (!context_.buffers.is_below_watermark()) context_.buffers.shed_stalled(now());
+        co_await wait(std::min(deadline_, now() + kRoomCheckInterval));
     }
-    co_return true;
+    co_return !client_gone();
+}
+
+Exchange::RelayResult Exchange::client_gone_or_late() const {
+    return client_gone() ? RelayResult::kClientGone : RelayResult::kDeadlineExceeded;
+}
+
+bool Exchange::send_head(std::optional<std::size_t> length) {
+    return std::exchange(head_sent_, true) || client_.send(answer_head(answer_, length, close_));
 }
 
 transport::Async<Exchange::RelayResult> Exchange::relay() {
@@ -53,67 +69,59 @@
     if (!std::exchange(counted_, true)) context_.usage.count_started(sent_tenant_, now());
 }
 
+// Each turn reads from the server, passes on and only then waits: whatever woke it, nothing stays unread.
 transport::Async<Exchange::RelayResult> Exchange::relay_events() {
     protocol::HttpParser& parser = connection_->parser();
-    events_ = http::EventStreamSplitter(1024 * 1024);
+    events_ = http::EventStreamSplitter(kMaxEventBytes);
     for (;;) {
+        if (!co_await await_client()) co_return client_gone_or_late();
         connection_->read();
         if (events_.feed(parser.take_body()).has_error()) co_return RelayResult::kIncomplete;
         const bool until_close = parser.ends_with_connection() && connection_->stream().ended();
         const bool complete = parser.complete() || (until_close && !connection_->stream().was_reset());
-        std::string whole = events_.take_complete();
+        const std::string whole = events_.take_complete();
         if (!whole.empty()) {
             count_started();
             if (!events_.last_id().empty()) last_event_id_ = events_.last_id();
-            if (!std::exchange(head_sent_, true)) client_.send(answer_head(answer_, std::nullopt, close_));
-            if (!client_.send(chunk(whole))) co_return RelayResult::kClientGone;
+            if (!send_head(std::nullopt) || !client_.send(chunk(whole))) co_return RelayResult::kClientGone;
         }
         if (complete && !events_.partial()) {
-            if (!std::exchange(head_sent_, true)) client_.send(answer_head(answer_, std::nullopt, close_));
-            client_.send(kLastChunk);
+            if (!send_head(std::nullopt) || !client_.send(kLastChunk)) co_return RelayResult::kClientGone;
             co_return RelayResult::kComplete;
         }
         if (complete || parser.broken() != 0 || connection_->stream().ended())
             co_return RelayResult::kIncomplete;
-        if (client_gone()) co_return RelayResult::kClientGone;
-        if (now() >= deadline_) co_return RelayResult::kDeadlineExceeded;
-        if (client_.room() < kMinClientBuffer && !co_await await_client_room(kMinClientBuffer))
-            co_return RelayResult::kClientGone;
+        if (client_gone() || now() >= deadline_) co_return client_gone_or_late();
         co_await wait(deadline_);
     }
 }
 
 transport::Async<Exchange::RelayResult> Exchange::relay_body() {
     protocol::HttpParser& parser = connection_->parser();
-    std::string held;
+    held_.clear();
     for (;;) {
         connection_->read();
-        held += parser.take_body();
+        held_ += parser.take_body();
         const bool until_close = parser.ends_with_connection() && connection_->stream().ended();
         const bool complete = parser.complete() || (until_close && !connection_->stream().was_reset());
-        if (complete) {
-            if (!std::exchange(head_sent_, true)) {
-                if (!co_await await_client_room(held.size() + kMinClientBuffer))
-                    co_return RelayResult::kClientGone;
-                client_.send(answer_head(answer_, held.size(), close_));
-                client_.send(held);
-            } else {
-                if (!held.empty()) client_.send(chunk(held));
-                client_.send(kLastChunk);
-            }
-            co_return RelayResult::kComplete;
-        }
-        if (held.size() > kMaxBuffered) {
-            if (!std::exchange(head_sent_, true)) client_.send(answer_head(answer_, std::nullopt, close_));
-            if (!co_await await_client_room(held.size() + kMinClientBuffer))
-                co_return RelayResult::kClientGone;
-            client_.send(chunk(std::exchange(held, {})));
+        if (complete || held_.size() > max_unwritten()) {
+            if (!co_await await_client()) co_return client_gone_or_late();
+            if (!pass_on_held(complete)) co_return RelayResult::kClientGone;
+            if (complete) co_return RelayResult::kComplete;
+            continue; // more may have come while the client was awaited
         }
         if (parser.broken() != 0 || connection_->stream().ended()) co_return RelayResult::kIncomplete;
-        if (client_gone()) co_return RelayResult::kClientGone;
-        if (now() >= deadline_) co_return RelayResult::kDeadlineExceeded;
+        if (client_gone() || now() >= deadline_) co_return client_gone_or_late();
         co_await wait(deadline_);
     }
 }
 
+bool Exchange::pass_on_held(bool is_last) {
+    const std::string part = std::exchange(held_, {});
+    if (is_last && !head_sent_) return send_head(part.size()) && client_.send(part);
+    if (!send_head(std::nullopt)) return false;
+    if (!part.empty() && !client_.send(chunk(part))) return false;
+    return !is_last || client_.send(kLastChunk);
+}
+
 } // namespace ivyrill::proxy
--- a/tests/exchange_tests.cpp
+++ b/tests/exchange_tests.cpp
@@ -49,12 +49,13 @@
 
 // One route whose streams run at most once and at one server.
 std::shared_ptr<const model::RoutingTable> routes(const std::string& prefix = "/",
-                                                  std::optional<std::vector<model::Tenant>> tenants = {}) {
+                                                  std::optional<std::vector<model::Tenant>> tenants = {},
+                                                  model::RouteKind kind = model::RouteKind::kStreaming) {
     auto made = std::make_shared<model::Configuration>();
     made->version = 1, made->tenants = std::move(tenants);
     model::Route route;
     route.name = "chat", route.host = "model.example", route.path_prefix = prefix;
-    route.kind = model::RouteKind::kStreaming, route.timeout_ms = 10'000, route.latency_target_ms = 100;
+    route.kind = kind, route.timeout_ms = 10'000, route.latency_target_ms = 100;
     route.services = {{"model", 1}}, route.max_attempts = 1;
     made->routes = {route};
     model::Service service;
@@ -93,10 +94,11 @@
                                        script.reactor.now());
     }
     ClientAnswer ask() { return ask(request()); }
-    ClientAnswer ask(const ClientRequest& request) {
+    ClientAnswer ask(const ClientRequest& request, ClientBehaviour behaviour = {}) {
         ClientAnswer got;
         script.run([&]() -> ReactorScript::Step {
-            StreamClient client(script.reactor.loop(), "127.0.0.1:" + std::to_string(front.port()));
+            StreamClient client(script.reactor.loop(), "127.0.0.1:" + std::to_string(front.port()),
+                                behaviour);
             client.send(request);
             const bool over = co_await script.until([&] { return client.pass(), client.over(); });
             BOOST_TEST(over);
@@ -226,3 +228,46 @@
         BOOST_TEST(proxy.decode.calls()[0].request.header("tenant") == "alpha");
     }
 }
+
+BOOST_AUTO_TEST_CASE(answers_larger_than_all_buffers_arrive_whole_at_a_slow_reader) {
+    constexpr std::size_t kAnswerBytes = 6 << 20;
+    ClientBehaviour slow_reader;
+    slow_reader.read_bytes = 32 * 1024, slow_reader.read_pause = kTicksPerSecond / 200;
+    for (const auto kind : {model::RouteKind::kStreaming, model::RouteKind::kUnsafe}) {
+        // Events of 4 KB, and some that alone fill most of a buffer.
+        for (const std::size_t event_bytes : {4096, 900'000}) {
+            std::string body;
+            while (body.size() < kAnswerBytes)
+                body += "id: " + std::to_string(body.size()) + "\ndata: " + std::string(event_bytes, 'a') +
+                        "\n\n";
+            Proxy proxy(prefills, [&](const Call&) {
+                return answer(200, {{"Attempt-Id", kAttempt}, {"Server-Seal", "5ea1"}}, body);
+            });
+            proxy.context.routes = routes("/", {}, kind);
+            const ClientAnswer got = proxy.ask(request(), slow_reader);
+            BOOST_TEST(got.head.status == 200);
+            BOOST_TEST((got.end == AnswerEnd::kComplete));
+            BOOST_TEST((got.body == body), got.body.size() << " bytes of " << body.size());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(request_for_which_there_is_no_room_is_refused_with_a_promise) {
+    constexpr std::size_t kTooLittle = 16 * 1024, kEnough = 256 * 1024;
+    for (const std::size_t room : {kTooLittle, kEnough}) {
+        Proxy proxy(prefills, [](const Call&) { return served(); });
+        limits::BufferBudget& budget = proxy.context.buffers;
+        limits::BufferBudget::Account others(budget, 0, [] {});
+        others.enter(limits::BufferPhase::kServing, 0);
+        others.set_held(budget.capacity() - room);
+        const ClientAnswer got = proxy.ask();
+        const bool is_refused = room == kTooLittle;
+        BOOST_TEST(got.head.status == (is_refused ? 503 : 200));
+        BOOST_TEST(got.head.has("retry-after") == is_refused);
+        BOOST_TEST(got.head.field("attempt-id") == kAttempt);
+        BOOST_TEST(proxy.decode.calls().empty() == is_refused);
+        BOOST_TEST(proxy.prefill.calls().empty() == is_refused);
+        BOOST_TEST(proxy.context.counters.no_room == (is_refused ? 1U : 0U));
+        BOOST_TEST(!budget.shed_count());
+    }
+}
--- a/tests/lab/scripted_server.hpp
+++ b/tests/lab/scripted_server.hpp
@@ -33,7 +33,7 @@
     const std::vector<Call>& calls() const { return calls_; }
 
   private:
-    static constexpr std::size_t kMaxBufferBytes = 1 << 20;
+    static constexpr std::size_t kMaxBufferBytes = 8 << 20;
 
     transport::Task serve(int descriptor, std::size_t connection) {
         using transport::Stream;
