--- a/src/http/call_server.cpp
+++ b/src/http/call_server.cpp
@@ -1,5 +1,7 @@
 #include "http/call_server.hpp"
 
+#include "limits/connection_choice.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,8 +47,16 @@
 
 void CallServer::close_listener() { listener_.reset(); }
 
+bool CallServer::make_room() {
+    if (connections_.size() < options_.max_connections) return true;
+    const auto least_used = limits::find_least_used(connections_, reactor_.now());
+    if (least_used == connections_.end()) return false;
+    connections_.erase(least_used);
+    return true;
+}
+
 void CallServer::accept(int descriptor) {
-    if (connections_.size() >= options_.max_connections) return transport::close_descriptor(descriptor);
+    if (!make_room()) return transport::close_descriptor(descriptor);
     Connection& connection = connections_.emplace_back(*this, descriptor);
     connection.task = serve(connection);
     connection.task.start();
--- a/src/http/call_server.hpp
+++ b/src/http/call_server.hpp
@@ -47,6 +47,7 @@
         transport::Task task;
     };
     void accept(int descriptor);
+    bool make_room(); // for one more connection
     transport::Task serve(Connection& connection);
     Ticks deadline_of(const Connection& connection, RequestReader::Step step, Ticks idle_since) const;
     transport::Async<transport::Done> answer(Connection& connection);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "feed/ports.hpp"
+#include "limits/connection_choice.hpp"
 
 #include <algorithm>
 #include <random>
@@ -104,6 +105,7 @@
 }
 
 void Proxy::accept_client(int descriptor) {
+    if (!make_room_for_client()) return transport::close_descriptor(descriptor);
     const auto over = [this](ClientSession& session) {
         reactor_.free_later([this, &session] {
             sessions_.remove_if([&](const ClientSession& other) { return &other == &session; });
@@ -112,6 +114,15 @@
     sessions_.emplace_back(context_, descriptor, over).start();
 }
 
+// A client whose connection is closed before its request was read may send it again.
+bool Proxy::make_room_for_client() {
+    if (sessions_.size() < limits_.client_connections) return true;
+    const auto least_used = limits::find_least_used(sessions_, reactor_.now());
+    if (least_used == sessions_.end()) return false;
+    sessions_.erase(least_used);
+    return true;
+}
+
 void Proxy::applied(const feed::Tables::Applied& applied) {
     const feed::Tables& tables = subscriber_->tables();
     if (applied.configuration) {
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -29,6 +29,7 @@
     void open_ready();
     void open_front();
     void accept_client(int descriptor);
+    bool make_room_for_client();
     void applied(const feed::Tables::Applied& applied);
     bool ready() const { return context_.routes != nullptr && !context_.shutting_down; }
     void stop_when_idle();
--- a/src/proxy/server_connections.cpp
+++ b/src/proxy/server_connections.cpp
@@ -43,6 +43,10 @@
 
 std::unique_ptr<http::ClientConnection> ServerConnections::open(const std::string& address) {
     auto connection = http::ClientConnection::open(reactor_, address, max_unsent_);
+    if (!connection && !idle_.empty()) { // the descriptors may all be in use
+        idle_.clear();
+        connection = http::ClientConnection::open(reactor_, address, max_unsent_);
+    }
     if (connection) connection->number = ++opened_;
     return connection;
 }
--- a/tests/buffer_budget_tests.cpp
+++ b/tests/buffer_budget_tests.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE buffer_budget
 #include "base/pcg.hpp"
 #include "limits/buffer_budget.hpp"
+#include "limits/connection_choice.hpp"
 #include "limits/process_limits.hpp"
 
 #include <boost/test/included/unit_test.hpp>
@@ -119,6 +120,23 @@
     BOOST_TEST(connection.charged.has_stalled(kLater + kTicksPerSecond));
 }
 
+BOOST_AUTO_TEST_CASE(longest_idle_connection_gives_way_then_a_stalled_one_and_none_in_use) {
+    BufferBudget budget(kCapacity);
+    std::list<Connection> connections;
+    const auto chosen = [&] {
+        return std::distance(connections.begin(), find_least_used(connections, kLater));
+    };
+    BOOST_TEST(chosen() == 0);
+    connections.emplace_back(budget, BufferPhase::kServing, 0);
+    connections.emplace_back(budget, BufferPhase::kReceiving, 0, kLater - 1);
+    BOOST_TEST(chosen() == 2); // the end: none
+    connections.emplace_back(budget, BufferPhase::kReceiving, 0);
+    BOOST_TEST(chosen() == 2);
+    connections.emplace_back(budget, BufferPhase::kIdle, 0, kLater - 1);
+    connections.emplace_back(budget, BufferPhase::kIdle, 0, kLater - 2);
+    BOOST_TEST(chosen() == 4);
+}
+
 BOOST_AUTO_TEST_CASE(no_order_of_events_exceeds_the_capacity_or_sheds_what_runs) {
     constexpr BufferPhase kPhases[] = {BufferPhase::kIdle, BufferPhase::kReceiving, BufferPhase::kPaused,
                                        BufferPhase::kServing, BufferPhase::kSending};
--- a/tests/exchange_tests.cpp
+++ b/tests/exchange_tests.cpp
@@ -11,6 +11,8 @@
 #include <list>
 #include <optional>
 #include <string>
+#include <sys/resource.h>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -271,3 +273,25 @@
         BOOST_TEST(!budget.shed_count());
     }
 }
+
+BOOST_AUTO_TEST_CASE(idle_connections_to_servers_give_way_where_no_descriptor_is_left) {
+    ReactorScript script;
+    ScriptedServer server(script.reactor, [](const Call&) { return std::string(); });
+    proxy::ServerConnections connections(script.reactor, kMaxUnsent);
+    script.run([&]() -> ReactorScript::Step {
+        auto idle = connections.open(server.address());
+        const bool established = co_await script.until([&] { return idle->stream().established(); });
+        BOOST_TEST(established);
+        connections.release("i-d", std::move(idle));
+        const int next_descriptor = dup(STDERR_FILENO);
+        close(next_descriptor);
+        rlimit usual{};
+        getrlimit(RLIMIT_NOFILE, &usual);
+        const rlimit none_left{static_cast<rlim_t>(next_descriptor), usual.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &none_left);
+        const auto opened = connections.open(server.address());
+        setrlimit(RLIMIT_NOFILE, &usual);
+        BOOST_TEST((opened != nullptr));
+        co_return Done{};
+    });
+}
