Configuration: a text of millions of values is refused before it is parsed

What callers saw: one PUT /config of 8 MB of "1,1,1,..." took 1.2 GB and 12 s at a control node with 256 MB.

Cause: the text was bounded, the tree that is built from it was not; it takes some 300 bytes a value.

Change: a configuration holds at most 300,000 values, some 20,000 routes, counted before anything is built.

configurations_of_millions_of_values failed before with 483 MB of 64 and passes with 26; number_of_values_is_limited covers the bound.

--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t kMaxTextBytes = 8 * 1024 * 1024; // bytes
 constexpr int kMaxNesting = 32;                        // nesting depth of maps and lists
+constexpr std::size_t kMaxValues = 300'000;            // about 20,000 routes; a tree takes 300 bytes for each
 constexpr double kMaxNumber = 1e15;                    // integers up to it are exact in a double
 
 Error invalid(std::string_view where, std::string_view what, std::string_view remedy) {
@@ -33,8 +34,14 @@
     return invalid("the text", fmt::format("is not valid JSON ({})", why), "send valid JSON");
 }
 
-// The parser is recursive, so the depth is checked before parsing.
-bool is_too_deep(std::string_view json) {
+// The parser is recursive and its tree many times as large as the text, so both are bounded before parsing.
+struct Shape {
+    int depth = 0;          // of the deepest value
+    std::size_t values = 0; // maps, lists, and what stands between commas
+};
+
+Shape measure(std::string_view json) {
+    Shape shape;
     int depth = 0;
     bool in_string = false;
     for (std::size_t i = 0; i < json.size(); ++i) {
@@ -44,12 +51,14 @@
         else if (c == '"')
             in_string = !in_string;
         else if (!in_string && (c == '{' || c == '['))
-            ++depth;
+            ++depth, ++shape.values;
+        else if (!in_string && c == ',')
+            ++shape.values;
         else if (!in_string && (c == '}' || c == ']'))
             --depth;
-        if (depth > kMaxNesting) return true;
+        shape.depth = std::max(shape.depth, depth);
     }
-    return false;
+    return shape;
 }
 
 bool is_list(const Tree& tree) {
@@ -388,7 +397,10 @@
 
 Result<model::Configuration> parse(std::string_view json) {
     if (json.size() > kMaxTextBytes) return unreadable("it is larger than 8 MB");
-    if (is_too_deep(json)) return unreadable("it is nested more than 32 deep");
+    const Shape shape = measure(json);
+    if (shape.depth > kMaxNesting) return unreadable("it is nested more than 32 deep");
+    if (shape.values > kMaxValues)
+        return invalid("the text", fmt::format("holds more than {} values", kMaxValues), "send fewer routes");
     try {
         Tree tree;
         std::istringstream stream{std::string(json)};
--- a/tests/configuration_tests.cpp
+++ b/tests/configuration_tests.cpp
@@ -400,6 +400,17 @@
     check_rejected(kExample + std::string(most - kExample.size() + 1, ' '), "larger than 8 MB");
 }
 
+BOOST_AUTO_TEST_CASE(number_of_values_is_limited) {
+    const auto with_values = [](std::size_t count) {
+        std::string list;
+        for (std::size_t i = 0; i < count; ++i) list += "1,";
+        return with_change("{\"version\":7", "{\"more\":[" + list + "1],\"version\":7");
+    };
+    parse_accepted(with_values(290'000));
+    check_rejected(with_values(300'000), "more than 300000 values");
+    check_rejected("{\"version\":7,\"routes\":[" + std::string(7'000'000, ','), "more than 300000 values");
+}
+
 BOOST_AUTO_TEST_CASE(longest_prefix_wins) {
     const RoutingTable table = table_of(
         {route_for("a", "/"), route_for("a", "/x/"), route_for("a", "/x/y/z/"), route_for("b", "/x/")});
--- a/tests/crowd_tests.cpp
+++ b/tests/crowd_tests.cpp
@@ -236,3 +236,17 @@
     BOOST_TEST(fleet.answers(fleet.control(1), "/config"));
     BOOST_TEST(fleet.serves());
 }
+
+// A text of 8 MB with four million values: in memory a value takes many times its text.
+BOOST_AUTO_TEST_CASE(configurations_of_millions_of_values) {
+    CrowdedFleet fleet(kLowMemory);
+    const std::string start = R"({"version":9,"routes":[)";
+    CrowdPlan made = plan("PUT /config HTTP/1.1\r\nIf-Match: 1\r\nContent-Length: " +
+                              std::to_string(kCallServerBodyBytes) + "\r\n\r\n" + start,
+                          "1,", kCallServerBodyBytes - start.size());
+    made.clients = 2, made.connections = 1;
+    Crowd crowd(fleet.control(1), made);
+    fleet.press(crowd, "control-1");
+    BOOST_TEST(fleet.answers(fleet.control(1), "/config"));
+    BOOST_TEST(fleet.serves());
+}
