Crowd: several crowds one after the other at one proxy

What crowds leave behind must not add up; six in a row, each staying connected, with an ordinary request after each one.

--- a/tests/crowd_tests.cpp
+++ b/tests/crowd_tests.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/included/unit_test.hpp>
 #include <fmt/format.h>
+#include <list>
 #include <string>
 
 namespace {
@@ -117,55 +118,80 @@
     return made;
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_CASE(bodies_in_large_chunks_that_stop_short_of_their_end) {
+// The crowds at the front.
+CrowdPlan large_chunks() {
     const std::size_t chunks = kMaxBodyBytes / kChunkBytes;
     const std::string chunk = chunk_of(kChunkBytes);
-    press_front(plan(chunked(), chunk, chunks * chunk.size() - kChunkBytes / 2));
+    return plan(chunked(), chunk, chunks * chunk.size() - kChunkBytes / 2);
 }
-
-BOOST_AUTO_TEST_CASE(bodies_in_chunks_of_one_byte_that_stop_short_of_their_end) {
+CrowdPlan chunks_of_one_byte() {
     const std::string chunk = chunk_of(1);
-    press_front(plan(chunked(), chunk, (kMaxBodyBytes - 1) * chunk.size()));
+    return plan(chunked(), chunk, (kMaxBodyBytes - 1) * chunk.size());
 }
-
-BOOST_AUTO_TEST_CASE(bodies_with_a_length_that_stop_short_of_their_end) {
-    press_front(plan(with_length(kMaxBodyBytes), std::string(kChunkBytes, 'x'), kMaxBodyBytes - 1));
+CrowdPlan lengths() {
+    return plan(with_length(kMaxBodyBytes), std::string(kChunkBytes, 'x'), kMaxBodyBytes - 1);
 }
-
-BOOST_AUTO_TEST_CASE(bodies_over_the_limit_that_are_sent_in_chunks) {
+CrowdPlan chunks_over_the_limit() {
     CrowdPlan made = plan(chunked(), chunk_of(kChunkBytes), 4 * kMaxBodyBytes);
     made.reads = false;
-    press_front(made);
+    return made;
 }
-
-BOOST_AUTO_TEST_CASE(bodies_over_the_limit_that_are_announced) {
+CrowdPlan lengths_over_the_limit() {
     CrowdPlan made = plan(with_length(4 * kMaxBodyBytes), std::string(kChunkBytes, 'x'), 4 * kMaxBodyBytes);
     made.reads = false;
-    press_front(made);
+    return made;
 }
-
-BOOST_AUTO_TEST_CASE(heads_of_many_short_lines_that_stop_short_of_their_end) {
+CrowdPlan many_short_lines() {
     CrowdPlan made = plan("POST /chat/completions HTTP/1.1\r\n", "a:\r\n", 15'000);
     made.clients = 4 * kClients;
-    press_front(made);
+    return made;
 }
-
-BOOST_AUTO_TEST_CASE(answers_of_two_megabytes_that_are_not_read) {
+CrowdPlan long_answers() {
     std::string head = with_length(0);
     head.replace(head.find("20,8"), 4, "20,400000");
     CrowdPlan made = plan(head, "", 0);
-    made.reads = false, made.receive_buffer = kSmallReceiveBuffer;
-    press_front(made);
+    made.receive_buffer = kSmallReceiveBuffer;
+    return made;
+}
+CrowdPlan unread_answers() {
+    CrowdPlan made = long_answers();
+    made.reads = false;
+    return made;
+}
+CrowdPlan slowly_read_answers() {
+    CrowdPlan made = long_answers();
+    made.slow_read_bytes = 512;
+    return made;
 }
 
-BOOST_AUTO_TEST_CASE(answers_of_two_megabytes_that_are_read_slowly) {
-    std::string head = with_length(0);
-    head.replace(head.find("20,8"), 4, "20,400000");
-    CrowdPlan made = plan(head, "", 0);
-    made.receive_buffer = kSmallReceiveBuffer, made.slow_read_bytes = 512;
-    press_front(made);
+} // namespace
+
+BOOST_AUTO_TEST_CASE(bodies_in_large_chunks_that_stop_short_of_their_end) { press_front(large_chunks()); }
+BOOST_AUTO_TEST_CASE(bodies_in_chunks_of_one_byte_that_stop_short_of_their_end) {
+    press_front(chunks_of_one_byte());
+}
+BOOST_AUTO_TEST_CASE(bodies_with_a_length_that_stop_short_of_their_end) { press_front(lengths()); }
+BOOST_AUTO_TEST_CASE(bodies_over_the_limit_that_are_sent_in_chunks) { press_front(chunks_over_the_limit()); }
+BOOST_AUTO_TEST_CASE(bodies_over_the_limit_that_are_announced) { press_front(lengths_over_the_limit()); }
+BOOST_AUTO_TEST_CASE(heads_of_many_short_lines_that_stop_short_of_their_end) {
+    press_front(many_short_lines());
+}
+BOOST_AUTO_TEST_CASE(answers_of_two_megabytes_that_are_not_read) { press_front(unread_answers()); }
+BOOST_AUTO_TEST_CASE(answers_of_two_megabytes_that_are_read_slowly) { press_front(slowly_read_answers()); }
+
+// What crowds leave behind must not add up: all of them press on one process, the earlier ones stay
+// connected.
+BOOST_AUTO_TEST_CASE(crowds_of_several_kinds_one_after_the_other) {
+    CrowdedFleet fleet(kLowMemory);
+    fleet.lower_body_limit();
+    std::list<Crowd> crowds;
+    for (const CrowdPlan& next : {large_chunks(), lengths(), chunks_over_the_limit(), many_short_lines(),
+                                  unread_answers(), lengths()}) {
+        CrowdPlan smaller = next;
+        smaller.clients = kClients / 2;
+        fleet.press(crowds.emplace_back(fleet.front(1), smaller), "proxy-1");
+        BOOST_TEST(fleet.serves());
+    }
 }
 
 BOOST_AUTO_TEST_CASE(idle_and_half_open_connections_to_clients_beyond_the_descriptors) {
