Relay: a part of one server's body is never followed by another server's

Cause: a request that may be repeated was sent again whatever had gone out of its answer.

Change: only a stream goes on elsewhere, after its last whole event. Any other answer of which a part has gone out ends with its connection, so that the client can tell.

part_of_a_body_is_never_followed_by_another_servers_body failed before (the client got 600,000 bytes of the first server and the body of the second as complete) and passes.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -210,6 +210,10 @@
         if (relayed == RelayResult::kComplete) co_return ExchangeResult::kAnswered;
         if (relayed == RelayResult::kClientGone) ++context_.counters.client_gone;
         if (relayed != RelayResult::kIncomplete) co_return head_sent_ ? ExchangeResult::kAbort : give_up();
+        // Only a stream goes on at another server, after its last whole event. Of any other body a part has
+        // gone out.
+        const bool streams = route_->kind == model::RouteKind::kStreaming;
+        if (head_sent_ && !streams) co_return fail(502, "the server broke off its answer");
         tried_.insert(pair.decode_server);
         ++context_.counters.resumed;
         again = route_->idempotent();
--- a/src/proxy/server_connections.hpp
+++ b/src/proxy/server_connections.hpp
@@ -24,7 +24,8 @@
     // `excluded` (by their numbers); null if there is none.
     std::unique_ptr<http::ClientConnection> take_idle(const std::string& instance, Ticks max_idle,
                                                       const std::set<std::uint64_t>& excluded = {});
-    // A new connection, for which idle ones are closed if there is no descriptor left; null if it can't be opened.
+    // A new connection, for which idle ones are closed if there is no descriptor left; null if it can't be
+    // opened.
     std::unique_ptr<http::ClientConnection> open(const std::string& address);
     void release(const std::string& instance, std::unique_ptr<http::ClientConnection> connection);
     // Closes a connection in use. A running coroutine may refer to it, so it is freed in a later turn.
--- a/tests/exchange_tests.cpp
+++ b/tests/exchange_tests.cpp
@@ -128,7 +128,12 @@
     std::list<proxy::ClientSession> sessions;
     transport::Listener front{
         script.reactor, "127.0.0.1:0", [this](int descriptor) {
-            sessions.emplace_back(context, descriptor, [](proxy::ClientSession&) {}).start();
+            const auto ended = [this](proxy::ClientSession& session) {
+                script.reactor.free_later([this, &session] {
+                    sessions.remove_if([&](const proxy::ClientSession& other) { return &other == &session; });
+                });
+            };
+            sessions.emplace_back(context, descriptor, ended).start();
         }};
 };
 
@@ -295,3 +300,26 @@
         co_return Done{};
     });
 }
+
+BOOST_AUTO_TEST_CASE(part_of_a_body_is_never_followed_by_another_servers_body) {
+    const std::string head = status_line(200) + "\r\nAttempt-Id: " + kAttempt +
+                             "\r\nServer-Seal: 5ea1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string part(600'000, 'a'), whole(900'000, 'b');
+    std::size_t calls = 0;
+    const auto breaks_off_first = [&](const Call&) {
+        return ++calls == 1 ? head + chunk(part) + "no chunk\r\n" : head + chunk(whole) + chunk("");
+    };
+    Proxy proxy(breaks_off_first, breaks_off_first);
+    auto safe =
+        std::make_shared<model::Configuration>(routes("/", {}, model::RouteKind::kSafe)->configuration());
+    safe->routes[0].max_attempts = 2, safe->services[0].engine.reset();
+    proxy.context.routes = std::make_shared<model::RoutingTable>(safe);
+    proxy.context.selector.set_services(safe->services);
+    proxy.context.selector.set_instances({{"i-p", instance("i-p", proxy.prefill.address(), Stage::kNone)},
+                                          {"i-d", instance("i-d", proxy.decode.address(), Stage::kNone)}},
+                                         proxy.script.reactor.now());
+    const ClientAnswer got = proxy.ask();
+    BOOST_TEST(got.head.status == 200);
+    BOOST_TEST((got.end == AnswerEnd::kCut));
+    BOOST_TEST(got.body.find('b') == std::string::npos);
+}
