Client sessions: an answer is delivered once it is written, not once it is buffered

Cause: a session counted as busy until its answer stood in the buffer.

Change: a session is busy while anything of its answer is unwritten, and idle from the last byte that its client has read. What bounds clients that never read is the budget for buffers and the end of graceS.

session_is_busy_until_its_answer_is_written failed before and passes.

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -46,7 +46,7 @@
 }
 
 void ClientSession::close_if_idle() {
-    if (busy_) return;
+    if (busy()) return;
     closing_ = true;
     wake_.wake();
 }
@@ -64,9 +64,11 @@
 }
 
 transport::Async<bool> ClientSession::read_request() {
-    const Ticks idle_since = now();
+    Ticks idle_since = now(); // or since the client has read of an earlier answer
+    std::uint64_t written = stream_.written();
     head_since_ = 0;
     for (;;) {
+        if (std::exchange(written, stream_.written()) != written) idle_since = now();
         const Step step = reader_.read(now());
         if (parser_.begun() && head_since_ == 0) head_since_ = now();
         busy_ = parser_.begun();
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -15,8 +15,9 @@
   public:
     ClientSession(Context& context, int descriptor, std::function<void(ClientSession&)> on_end);
     void start();
-    bool busy() const { return busy_; } // a request is being read or served
-    void close_if_idle();               // after the drain: no further request is awaited
+    // A request is being read or served, or its answer is not all written yet.
+    bool busy() const { return busy_ || (stream_.unwritten() > 0 && !stream_.ended()); }
+    void close_if_idle(); // after the drain: no further request is awaited
     limits::BufferBudget::Account& account() { return account_; }
 
   private:
--- a/tests/exchange_tests.cpp
+++ b/tests/exchange_tests.cpp
@@ -323,3 +323,23 @@
     BOOST_TEST((got.end == AnswerEnd::kCut));
     BOOST_TEST(got.body.find('b') == std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(session_is_busy_until_its_answer_is_written) {
+    const std::string body(450'000, 'a');
+    Proxy proxy(prefills, [&](const Call&) {
+        return answer(200, {{"Attempt-Id", kAttempt}, {"Server-Seal", "5ea1"}}, body);
+    });
+    proxy.context.routes = routes("/", {}, model::RouteKind::kUnsafe);
+    ClientBehaviour waits;
+    waits.read_bytes = 4096, waits.read_pause = 100 * kTicksPerSecond;
+    proxy.script.run([&]() -> ReactorScript::Step {
+        StreamClient client(proxy.script.reactor.loop(), "127.0.0.1:" + std::to_string(proxy.front.port()),
+                            waits);
+        client.send(request());
+        const bool relayed =
+            co_await proxy.script.until([&] { return client.pass(), proxy.context.counters.served > 0; });
+        BOOST_TEST(relayed);
+        BOOST_TEST(proxy.sessions.front().busy());
+        co_return Done{};
+    });
+}
