Client sessions: kept connections follow the newest configuration's limits

What callers saw: after a configuration raised maxBodyBytes, proper requests on kept connections got 413; after one lowered it, larger ones passed.

Cause: a session took the limits once, when its connection came.

Change: it takes the newest before each request.

kept_connection_follows_the_limits_of_the_newest_configuration failed both ways before and passes.

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -33,7 +33,7 @@
     : context_(context), on_end_(std::move(on_end)), wake_(context.reactor.loop()),
       stream_(context.reactor.loop(), descriptor, transport::Stream::Start::kConnected, kMaxUnread,
               kMaxUnsent),
-      parser_(protocol::HttpParser::Side::kRequests, parser_limits(limits_of(context))),
+      limits_(limits_of(context)), parser_(protocol::HttpParser::Side::kRequests, parser_limits(limits_)),
       account_(context.buffers, context.reactor.now(), [this] { wake_.wake(); }),
       reader_(stream_, parser_, context.buffers, account_) {
     transport::limit_system_buffers(descriptor, kSystemBufferBytes);
@@ -69,6 +69,7 @@
     head_since_ = 0;
     for (;;) {
         if (std::exchange(written, stream_.written()) != written) idle_since = now();
+        follow_limits();
         const Step step = reader_.read(now());
         if (parser_.begun() && head_since_ == 0) head_since_ = now();
         busy_ = parser_.begun();
@@ -98,6 +99,12 @@
     }
 }
 
+void ClientSession::follow_limits() {
+    if (parser_.begun() || limits_ == limits_of(context_)) return;
+    limits_ = limits_of(context_);
+    parser_ = protocol::HttpParser(protocol::HttpParser::Side::kRequests, parser_limits(limits_));
+}
+
 Ticks ClientSession::read_deadline(Step step, Ticks idle_since) const {
     const model::ClientLimits limits = limits_of(context_);
     if (step == Step::kPaused) return reader_.resume_at();
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -28,12 +28,14 @@
     transport::Async<transport::Done> refuse_for_room();
     transport::Async<transport::Done> close_gracefully();
     void send_error(int status);
+    void follow_limits(); // of the newest configuration, where no request has begun
     Ticks now() const { return context_.reactor.now(); }
 
     Context& context_;
     std::function<void(ClientSession&)> on_end_;
     transport::Slot wake_;
     transport::Stream stream_;
+    model::ClientLimits limits_; // of the parser
     protocol::HttpParser parser_;
     limits::BufferBudget::Account account_;
     http::RequestReader reader_;
--- a/tests/exchange_tests.cpp
+++ b/tests/exchange_tests.cpp
@@ -343,3 +343,33 @@
         co_return Done{};
     });
 }
+
+BOOST_AUTO_TEST_CASE(kept_connection_follows_the_limits_of_the_newest_configuration) {
+    constexpr std::int64_t kLow = 10, kHigh = 1000;
+    for (const bool rises : {true, false}) {
+        proxy::Context* context = nullptr;
+        const auto limited = [](std::int64_t most) {
+            auto changed = std::make_shared<model::Configuration>(routes()->configuration());
+            changed->limits.max_body_bytes = most;
+            return std::make_shared<const model::RoutingTable>(changed);
+        };
+        Proxy proxy(prefills, [](const Call&) { return served(); });
+        context = &proxy.context;
+        context->routes = limited(rises ? kLow : kHigh);
+        proxy.script.run([&]() -> ReactorScript::Step {
+            StreamClient client(proxy.script.reactor.loop(),
+                                "127.0.0.1:" + std::to_string(proxy.front.port()));
+            client.send(request());
+            co_await proxy.script.until([&] { return client.pass(), client.over(); });
+            context->routes = limited(rises ? kHigh : kLow);
+            ClientRequest larger = request();
+            larger.body = "a prompt of more than ten bytes";
+            client.send(larger);
+            co_await proxy.script.until([&] { return client.pass(), client.over(); });
+            BOOST_REQUIRE(client.answers().size() == 2U);
+            BOOST_TEST(client.answers()[0].head.status == 200);
+            BOOST_TEST(client.answers()[1].head.status == (rises ? 200 : 413));
+            co_return Done{};
+        });
+    }
+}
