--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,10 +10,9 @@
 
 int main(int count, char** arguments) {
     return run_case(count, arguments, [](const std::string& programs, bool trouble) {
-        Fleet fleet(programs, 1);
+        Fleet& fleet = *new Fleet(programs, 1);
         fleet.start_all();
-        std::atomic<double> work_ended{0};
-        Server model(fleet, "i-1", fleet.host(31) + ":8080", "model",
+        new Server(fleet, "i-1", fleet.host(31) + ":8080", "model",
                      [](Server& self, int descriptor, const Message& request) {
                          self.ran(request);
                          send_all(descriptor, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.header("attempt-id") +
@@ -30,11 +29,10 @@
                          }
                          return send_all(descriptor, "0\r\n\r\n");
                      });
-        Server ledger(fleet, "i-2", fleet.host(32) + ":8080", "ledger",
-                      [&](Server& self, int descriptor, const Message& request) {
+        Server& ledger = *new Server(fleet, "i-2", fleet.host(32) + ":8080", "ledger",
+                      [](Server& self, int descriptor, const Message& request) {
                           self.ran(request);
                           pause_s(kWorkS);
-                          work_ended = seconds();
                           const bool sent = send_all(descriptor, self.whole(request, "{\"receipt\":1}"));
                           note("server i-2 ends its run and answers 200");
                           return sent;
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -258,15 +258,22 @@
         if (mkdtemp(folder) == nullptr) throw CouldNotRun{"no temporary folder"};
         folder_ = folder;
         if (access(program_.c_str(), X_OK) != 0) throw CouldNotRun{program_ + " isn't built"};
+        all().push_back(this);
         network_ = "127." + std::to_string(64 + getpid() / 250 % 128) + "." + std::to_string(1 + getpid() % 250);
     }
-    ~Fleet() {
+    // Ends all processes that this one has started, and removes their data.
+    void stop() {
         for (const auto& [name, id] : ids_) kill(id, SIGCONT), kill(id, SIGKILL);
         for (const auto& [name, id] : ids_) waitpid(id, nullptr, 0);
         if (std::getenv("KEEP") == nullptr)
             [[maybe_unused]] const int status = std::system(("rm -rf " + folder_).c_str());
+        ids_.clear();
     }
 
+    static std::vector<Fleet*>& all() {
+        static std::vector<Fleet*> fleets;
+        return fleets;
+    }
     std::string host(int last) const { return network_ + "." + std::to_string(last); }
     std::string control(int number) const { return host(10 + number) + ":8262"; } // 1 to 3
     std::string front(int number) const { return host(20 + number) + ":8263"; }   // from 1
@@ -414,7 +421,10 @@
     }
     // Says `draining` until a node acknowledges it; returns when that was, or a negative number.
     double drain(double within_s) {
-        state_ = "draining";
+        {
+            const std::lock_guard lock(beat_mutex_);
+            state_ = "draining";
+        }
         const double until = seconds() + within_s;
         for (int node = 1; seconds() < until; node = node % 3 + 1)
             if (beat(node)) return seconds();
@@ -538,7 +548,8 @@
            "\",\"healthPath\":\"/health\",\"connLimit\":310,\"protocol\":\"h1\",\"tls\":false}";
 }
 
-// Runs a case: arguments are the folder of the programs and that of the case.
+// Runs a case: arguments are the folder of the programs and that of the case. The threads of servers run until the end of
+// the process, so a case makes its Fleet and its Servers with `new`, and they are never destroyed.
 inline int run_case(int count, char** arguments, const std::function<int(const std::string& programs, bool trouble)>& run) {
     if (count < 3) return std::fprintf(stderr, "usage: %s PROGRAMS CASE\n", arguments[0]), kCouldNotRun;
     std::signal(SIGPIPE, SIG_IGN);
@@ -551,9 +562,10 @@
         note("disruption: %s", is_on ? "yes" : "no");
         status = run(arguments[1], is_on);
     } catch (const CouldNotRun& failure) { note("could not run: %s", failure.why.c_str()); }
+    for (Fleet* fleet : Fleet::all()) fleet->stop();
     note("result: %s", status == kHeld ? "the rule held" : status == kBroken ? "the rule was broken" : "could not run");
     std::fflush(nullptr);
-    return status;
+    std::_Exit(status);
 }
 
 } // namespace rig
