--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-for source in review/[4-8]/case.cpp; do
+for source in review/[4-8]/driver.cpp; do
   [[ -e $source ]] || continue
   number=$(basename "$(dirname "$source")")
   ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread -I review/rig-2 "$source" -o "target/review-2/case-$number"
