--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -247,6 +247,7 @@
 struct Bounds {
     double usage_window_s = 0;
     std::string platform; // address of `cloudApi`; empty: none
+    int edge_memory_mb = 260;
 };
 
 class Fleet {
@@ -361,7 +362,8 @@
         for (int seed = 1; seed <= 3; ++seed) text += "  - \"" + control(seed) + "\"\n";
         text += std::string("firstStart: ") + (first_start ? "true" : "false") +
                 "\nlossCounted: " + (is_control ? "true" : "false") +
-                "\nlimits:\n  cpuShare: 1.0\n  cores: 1\n  memoryMb: 260\n  fileDescriptors: 1024\n"
+                "\nlimits:\n  cpuShare: 1.0\n  cores: 1\n  memoryMb: " +
+                std::to_string(is_control ? 256 : bounds_.edge_memory_mb) + "\n  fileDescriptors: 1024\n"
                 "  linkMbps: 1000.0\n  diskMb: " +
                 (is_control ? "128" : "0") + "\ndataDir: " +
                 (is_control ? "\"" + folder_ + "/data-" + std::to_string(number) + "\"" : "null") +
